--- /dev/null
+++ b/savorychute/actions/fetch_listing.py
@@ -0,0 +1,9 @@
+"""Ask for the platform's list of instances."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class FetchListing(NamedTuple):
+    """Fetch the list; answered by ``ListingFetched``."""
--- /dev/null
+++ b/savorychute/actions/poll_endpoint.py
@@ -0,0 +1,15 @@
+"""Ask an endpoint for its load and cache events."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class PollEndpoint(NamedTuple):
+    """Fetch a load report; answered by ``LoadReported`` or not at all."""
+
+    endpoint: str
+    dialect: str
+    host: str
+    port: int
+    cache_cursor: int
--- /dev/null
+++ b/savorychute/actions/read_records.py
@@ -0,0 +1,13 @@
+"""Ask for records of the platform's log."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class ReadRecords(NamedTuple):
+    """Read from *from_offset* on; answered by ``RecordsRead``."""
+
+    stream: str
+    from_offset: int
+    max_records: int
--- /dev/null
+++ b/savorychute/actions/send_peer.py
@@ -0,0 +1,18 @@
+"""Send a message to another instance."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class SendPeer(NamedTuple):
+    """Send *message*, a registered peer message, without any guarantee.
+
+    ``host`` and ``peer_port`` say where to, because a receiver met through the
+    platform's list may not be a member yet.
+    """
+
+    instance: str
+    host: str
+    peer_port: int
+    message: tuple[object, ...]
--- /dev/null
+++ b/savorychute/actions/start_response.py
@@ -0,0 +1,16 @@
+"""Begin the answer to a caller."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class StartResponse(NamedTuple):
+    """Send the head of an answer."""
+
+    request_id: str
+    status: int
+    attempt_id: str
+    endpoint: str
+    handle: str
+    content_type: str
--- /dev/null
+++ b/savorychute/contracts/__init__.py
@@ -0,0 +1,1 @@
+"""Contracts of customers, and the limits that follow from them."""
--- /dev/null
+++ b/savorychute/inputs/attempt_chunk.py
@@ -0,0 +1,17 @@
+"""A part of an endpoint's answer."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class AttemptChunk(NamedTuple):
+    """Tokens ``offset`` to ``offset + token_count`` of a stream.
+
+    For a plain service ``offset`` and ``token_count`` count bytes.
+    """
+
+    attempt_id: str
+    offset: int
+    token_count: int
+    data: bytes
--- /dev/null
+++ b/savorychute/inputs/log_record.py
@@ -0,0 +1,12 @@
+"""One record of the platform's log."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class LogRecord(NamedTuple):
+    """A payload at its offset."""
+
+    offset: int
+    payload: bytes
--- /dev/null
+++ b/savorychute/inputs/order_finished.py
@@ -0,0 +1,13 @@
+"""The outcome of an order to an engine."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class OrderFinished(NamedTuple):
+    """An order ended: ``done``, ``fenced``, ``refused`` or ``unknown``."""
+
+    order_id: str
+    endpoint: str
+    outcome: str
--- /dev/null
+++ b/savorychute/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between instances as bytes."""
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,25 @@
+"""Tests of registries."""
+
+from __future__ import annotations
+
+import pytest
+
+from savorychute.errors import UnknownVariantError
+from savorychute.registry import Registry
+
+
+def test_unknown_variant_names_the_known_ones():
+    registry: Registry[str] = Registry('router')
+    registry.register('predicted')('variant')
+
+    with pytest.raises(UnknownVariantError, match="no router called 'x'; known: pred"):
+        registry.get('x')
+
+
+def test_second_registration_of_a_name_is_refused():
+    registry: Registry[str] = Registry('router')
+    registry.register('predicted')('variant')
+
+    with pytest.raises(ValueError, match='registered twice'):
+        registry.register('predicted')
+        registry.register('predicted')('other')
