--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -20,6 +20,7 @@
     registry: Registry[str] = Registry('router')
     registry.register('predicted')('variant')
 
+    add_again = registry.register('predicted')
+
     with pytest.raises(ValueError, match='registered twice'):
-        registry.register('predicted')
-        registry.register('predicted')('other')
+        add_again('other')
