Say how an answer continues on another engine

Cause: an idempotent stream has to survive an engine crash without making a token twice, and the chunk framing was not stated. Change: continue_from in the body; chunks carry plain text.

--- a/savorychute/actions/start_attempt.py
+++ b/savorychute/actions/start_attempt.py
@@ -11,7 +11,11 @@
     The host answers with ``AttemptSent`` before the first byte leaves, then
     with ``AttemptStarted``, ``AttemptChunk`` and ``AttemptEnded`` or
     ``AttemptFailed``.  With ``resume_offset`` of zero or more the stream
-    called ``stream_id`` is resumed at that token and nothing is run anew.
+    called ``stream_id`` is resumed at that token and nothing is run anew;
+    otherwise it is -1.  To continue an answer on another engine the body
+    carries ``continue_from``, an object with ``offset`` and ``text``: the
+    engine prefills that text after the prompt and its first chunk has that
+    offset.  Chunks of a model's stream carry plain UTF-8 text, no framing.
     """
 
     attempt_id: str
