Encode, sign and decode peer messages; read settings

Instances need one format for their messages and one table of settings. Not measured yet: time for each message.

--- /dev/null
+++ b/savorychute/settings/readers.py
@@ -0,0 +1,93 @@
+"""Readers of values: each returns the value or says what it expected."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING, Any
+
+from savorychute.settings.network_address import NetworkAddress
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+MAX_PORT = 65_535
+NAME = re.compile(r'[a-z0-9][a-z0-9.-]{0,62}')
+TOKEN_HASH = re.compile(r'[0-9a-f]{64}')
+
+
+def read_name(value: Any) -> str:
+    """Return a name: lower-case letters, digits, dots and hyphens."""
+    if not isinstance(value, str) or not NAME.fullmatch(value):
+        raise ValueError('a name of 1 to 63 of a-z, 0-9, "." and "-"')
+    return value
+
+
+def read_text(value: Any) -> str:
+    """Return a string."""
+    if not isinstance(value, str):
+        raise ValueError('a string')
+    return value
+
+
+def read_whole(minimum: int, maximum: int) -> Callable[[Any], int]:
+    """Return a reader of whole numbers.
+
+    :param minimum: the least value accepted.
+    :param maximum: the greatest value accepted.
+    """
+
+    def read(value: Any) -> int:
+        # JSON's true would otherwise pass for 1.
+        whole = isinstance(value, int) and not isinstance(value, bool)
+        if not whole or not minimum <= value <= maximum:
+            raise ValueError(f'a whole number from {minimum} to {maximum}')
+        return int(value)
+
+    return read
+
+
+def read_share(value: Any) -> float:
+    """Return a number from 0 to 1."""
+    number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not number or not 0 <= value <= 1:
+        raise ValueError('a number from 0 to 1')
+    return float(value)
+
+
+def read_choice(choices: Iterable[str]) -> Callable[[Any], str]:
+    """Return a reader of one of *choices*."""
+    known = tuple(choices)
+
+    def read(value: Any) -> str:
+        if value not in known:
+            raise ValueError(f'one of {", ".join(known)}')
+        return str(value)
+
+    return read
+
+
+def read_address(value: Any) -> NetworkAddress:
+    """Return a host and a port from ``host:port``."""
+    if isinstance(value, str):
+        host, _, port = value.rpartition(':')
+        is_number = port.isascii() and port.isdigit()
+        if host and is_number and 0 < int(port) <= MAX_PORT:
+            return NetworkAddress(host, int(port))
+    raise ValueError('an address such as "10.0.0.1:7000"')
+
+
+def read_token_hashes(value: Any) -> tuple[str, ...]:
+    """Return SHA-256 digests in hex."""
+    if not isinstance(value, list):
+        raise ValueError('a list of SHA-256 digests in hex')
+    for item in value:
+        if not isinstance(item, str) or not TOKEN_HASH.fullmatch(item):
+            raise ValueError('a list of SHA-256 digests, each 64 of 0-9 and a-f')
+    return tuple(value)
+
+
+def read_addresses(value: Any) -> tuple[NetworkAddress, ...]:
+    """Return a list of hosts and ports."""
+    if not isinstance(value, list):
+        raise ValueError('a list of addresses')
+    return tuple(read_address(item) for item in value)
--- /dev/null
+++ b/savorychute/settings/settings.py
@@ -0,0 +1,61 @@
+"""The settings of one instance, checked."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from savorychute.settings.network_address import NetworkAddress  # noqa: TC001
+from savorychute.wire.peer_keys import PeerKeys  # noqa: TC001
+
+
+class Settings(NamedTuple):
+    """Every setting; :data:`savorychute.settings.table.SETTINGS` describes each."""
+
+    instance: str
+    region: str
+    failure_domain: str
+    host: str
+    bind_host: str
+    caller_port: int
+    peer_port: int
+    operator_token_hashes: tuple[str, ...]
+    log_address: NetworkAddress
+    log_dialect: str
+    list_address: NetworkAddress
+    list_dialect: str
+    seeds: tuple[NetworkAddress, ...]
+    peer_keys: PeerKeys
+    tls_certificate_file: str
+    tls_key_file: str
+    tls_reload_interval_ms: int
+    log_level: str
+    router: str
+    admission: str
+    max_connections: int
+    max_header_bytes: int
+    max_body_bytes: int
+    max_answer_buffer_bytes: int
+    max_buffers_bytes: int
+    header_timeout_ms: int
+    body_timeout_ms: int
+    idle_timeout_ms: int
+    write_timeout_ms: int
+    connect_timeout_ms: int
+    platform_timeout_ms: int
+    probe_interval_ms: int
+    probe_timeout_ms: int
+    suspicion_ms: int
+    listing_interval_ms: int
+    discovery_lifetime_ms: int
+    discovery_count: int
+    configuration_poll_interval_ms: int
+    credit_interval_ms: int
+    credit_duration_ms: int
+    limit_interval_ms: int
+    limit_duration_ms: int
+    load_poll_interval_ms: int
+    endpoint_subset: int
+    key_retention_ms: int
+    max_kept_outcomes: int
+    max_kept_outcomes_bytes: int
+    max_audit_entries: int
--- /dev/null
+++ b/savorychute/settings/table.py
@@ -0,0 +1,153 @@
+"""The one table of settings."""
+
+from __future__ import annotations
+
+from savorychute.settings.peer_key_reader import read_peer_keys
+from savorychute.settings.readers import (
+    read_address,
+    read_addresses,
+    read_choice,
+    read_name,
+    read_text,
+    read_token_hashes,
+    read_whole,
+)
+from savorychute.settings.scope import Scope
+from savorychute.settings.setting import REQUIRED, Setting
+
+LOG_LEVELS = ('debug', 'info', 'warning', 'error')
+MAX_DURATION_MS = 86_400_000
+MAX_BYTES = 1 << 32
+MAX_COUNT = 1_000_000
+HOUR_MS = 3_600_000
+
+
+def _name(name: str, scope: Scope, doc: str) -> Setting:
+    return Setting(name, REQUIRED, '', scope, 'name', read_name, doc)
+
+
+def _port(name: str, default: int, doc: str) -> Setting:
+    reader = read_whole(0, 65_535)
+    return Setting(name, default, '', Scope.INSTANCE, '0 to 65535', reader, doc)
+
+
+def _text(name: str, default: str, doc: str) -> Setting:
+    return Setting(name, default, '', Scope.INSTANCE, 'string', read_text, doc)
+
+
+def _address(name: str, doc: str) -> Setting:
+    return Setting(name, REQUIRED, '', Scope.DEPLOYMENT, 'host:port', read_address, doc)
+
+
+def _duration(name: str, default: int, doc: str, minimum: int = 1) -> Setting:
+    reader = read_whole(minimum, MAX_DURATION_MS)
+    kind = f'{minimum} to {MAX_DURATION_MS}'
+    return Setting(name, default, 'ms', Scope.DEPLOYMENT, kind, reader, doc)
+
+
+def _size(name: str, default: int, doc: str) -> Setting:
+    kind = f'1024 to {MAX_BYTES}'
+    reader = read_whole(1024, MAX_BYTES)
+    return Setting(name, default, 'bytes', Scope.INSTANCE, kind, reader, doc)
+
+
+def _count(name: str, default: int, doc: str) -> Setting:
+    kind = f'1 to {MAX_COUNT}'
+    reader = read_whole(1, MAX_COUNT)
+    return Setting(name, default, '', Scope.DEPLOYMENT, kind, reader, doc)
+
+
+def _variant(name: str, default: str, doc: str) -> Setting:
+    return Setting(name, default, '', Scope.DEPLOYMENT, 'name', read_name, doc)
+
+
+SETTINGS: tuple[Setting, ...] = (
+    _name('instance', Scope.INSTANCE, 'The name of this instance, unique.'),
+    _name('region', Scope.INSTANCE, 'The region it runs in.'),
+    _name('failure_domain', Scope.INSTANCE, 'The failure domain it runs in.'),
+    Setting(
+        'host',
+        REQUIRED,
+        '',
+        Scope.INSTANCE,
+        'string',
+        read_text,
+        'The IP number by which callers and other instances reach it.',
+    ),
+    _text('bind_host', '', 'The IP number to listen on; empty: that of "host".'),
+    _port('caller_port', 8080, 'Port for callers and operators; 0: any free one.'),
+    _port('peer_port', 8081, 'Port for other instances; 0: any free one.'),
+    Setting(
+        'operator_token_hashes',
+        (),
+        '',
+        Scope.DEPLOYMENT,
+        'list of SHA-256 in hex',
+        read_token_hashes,
+        'Digests of the bearer tokens that operators use.',
+    ),
+    _address('log_address', "The platform's log."),
+    _variant('log_dialect', 'http', 'The protocol of the log.'),
+    _address('list_address', "The platform's list of instances."),
+    _variant('list_dialect', 'http', 'The protocol of the list.'),
+    Setting(
+        'seeds',
+        (),
+        '',
+        Scope.DEPLOYMENT,
+        'list of host:port',
+        read_addresses,
+        'Peer ports of instances to ask when the list does not answer.',
+    ),
+    Setting(
+        'peer_keys',
+        REQUIRED,
+        '',
+        Scope.DEPLOYMENT,
+        'list of keys',
+        read_peer_keys,
+        'Keys that authenticate instances to each other; the first one signs.',
+    ),
+    _text('tls_certificate_file', '', 'PEM chain for callers; empty: no TLS.'),
+    _text('tls_key_file', '', 'PEM key that belongs to the chain.'),
+    _duration('tls_reload_interval_ms', 60_000, 'How often both files are read anew.'),
+    Setting(
+        'log_level',
+        'info',
+        '',
+        Scope.INSTANCE,
+        ', '.join(LOG_LEVELS),
+        read_choice(LOG_LEVELS),
+        'The least severe level that is logged.',
+    ),
+    _variant('router', 'predicted', 'How an endpoint is chosen.'),
+    _variant('admission', 'tiered', 'How requests wait and are shed.'),
+    _count('max_connections', 4096, 'Open connections of callers.'),
+    _size('max_header_bytes', 16_384, 'Header section of one request.'),
+    _size('max_body_bytes', 1 << 20, 'Body of one request.'),
+    _size('max_answer_buffer_bytes', 262_144, 'Answer not yet read by its caller.'),
+    _size('max_buffers_bytes', 32 << 20, 'All bodies and answers in memory.'),
+    _duration('header_timeout_ms', 10_000, 'Time for a header section to arrive.'),
+    _duration('body_timeout_ms', 30_000, 'Time for a body to arrive.'),
+    _duration('idle_timeout_ms', 60_000, 'Time that an idle connection is kept.'),
+    _duration('write_timeout_ms', 30_000, 'Time that a caller may read nothing.'),
+    _duration('connect_timeout_ms', 1_000, 'Time to connect to an endpoint.'),
+    _duration('platform_timeout_ms', 3_000, 'Time for an answer of log or list.'),
+    _duration('probe_interval_ms', 1_000, 'How often another instance is probed.'),
+    _duration('probe_timeout_ms', 300, 'Time for an answer to a probe.'),
+    _duration('suspicion_ms', 3_000, 'From suspicion of an instance to its death.'),
+    _duration('listing_interval_ms', 5_000, 'How often the list is fetched.'),
+    _duration('discovery_lifetime_ms', 30_000, 'How long a caller keeps addresses.'),
+    _count('discovery_count', 3, 'Addresses in an answer to a caller.'),
+    _duration('configuration_poll_interval_ms', 500, 'How often the log is read.'),
+    _duration('credit_interval_ms', 1_000, 'How often demand is reported.'),
+    _duration('credit_duration_ms', 5_000, 'How long a credit lasts.'),
+    _duration('limit_interval_ms', 1_000, 'How often shares of limits are settled.'),
+    _duration('limit_duration_ms', 5_000, "How long a limit's share lasts."),
+    _duration('load_poll_interval_ms', 500, 'How often an endpoint is asked.'),
+    _count('endpoint_subset', 16, 'Endpoints of one model that an instance uses.'),
+    _duration('key_retention_ms', HOUR_MS, 'How long outcomes of keys are kept.'),
+    _count('max_kept_outcomes', 10_000, 'Outcomes of keys in memory.'),
+    _size('max_kept_outcomes_bytes', 8 << 20, 'Their size in memory.'),
+    _count('max_audit_entries', 2_000, 'Audit entries in memory.'),
+)
--- /dev/null
+++ b/savorychute/wire/message_codec.py
@@ -0,0 +1,168 @@
+"""Peer messages to and from signed bytes."""
+
+from __future__ import annotations
+
+from functools import cache
+from typing import TYPE_CHECKING, Any
+
+import capnp
+
+from savorychute.errors import MessageError
+from savorychute.wire.decoded_message import DecodedMessage
+from savorychute.wire.peer_messages import PEER_MESSAGES
+from savorychute.wire.schema_writer import SCHEMA_PATH
+from savorychute.wire.signature import open_frame, sign_envelope
+from savorychute.wire.struct_codec import StructCodec
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from savorychute.wire.peer_keys import PeerKeys
+
+MAX_FRAME_BYTES = 1 << 20
+MAX_DECODED_WORDS = 1 << 20
+MAX_NESTING = 16
+# What the codec raises on bytes that do not fit the schema: its own exception,
+# text that is not UTF-8, an enum without that value, a number out of range.
+DECODE_FAULTS = (capnp.KjException, ValueError, TypeError, OverflowError)
+ENCODE_FAULTS = (*DECODE_FAULTS, AttributeError)
+
+
+class MessageCodec:
+    """Encodes and decodes the messages of one schema file.
+
+    :param path: the schema, as :mod:`savorychute.wire.schema_writer` wrote it.
+    :param messages: the NamedTuple classes by tag.
+    """
+
+    def __init__(self, path: Path, messages: dict[int, type]) -> None:
+        # A parser of its own: the library's shared one aborts the process when
+        # it meets two files with one id, and it must outlive what it loaded.
+        self._parser = capnp.SchemaParser()
+        self._schema = self._parser.load(str(path))
+        self._messages = messages
+        self._structs: dict[int, StructCodec] = {}
+        self._tags: dict[type, int] = {}
+        fields = self._schema.Envelope.schema.fields
+        self._sender = fields['sender']
+        self._incarnation = fields['incarnation']
+        self._sequence = fields['sequence']
+        self._kind = fields['kind']
+        self._body = fields['body']
+
+    def encode(
+        self, sender: str, incarnation: int, sequence: int, message: Any
+    ) -> bytes:
+        """Return the packed envelope of *message*.
+
+        :raises MessageError: if the message is not registered, or a value
+            does not fit its field.
+        """
+        tag = self._find_tag(type(message))
+        codec = self._find_struct(tag)
+        try:
+            body = codec.struct.new_message()
+            codec.fill(body, message)
+            envelope = self._schema.Envelope.new_message()
+            envelope._set_by_field(self._sender, sender)
+            envelope._set_by_field(self._incarnation, incarnation)
+            envelope._set_by_field(self._sequence, sequence)
+            envelope._set_by_field(self._kind, tag)
+            envelope._set_by_field(self._body, body)
+            packed: bytes = envelope.to_bytes_packed()
+        except ENCODE_FAULTS as error:
+            raise MessageError(f'{message!r} does not fit its schema') from error
+        return packed
+
+    def decode(self, packed: bytes) -> DecodedMessage:
+        """Return the message in a packed envelope.
+
+        :raises MessageError: if the bytes hold no message of this schema.
+        """
+        try:
+            envelope = self._schema.Envelope.from_bytes_packed(
+                packed, MAX_DECODED_WORDS, MAX_NESTING
+            )
+            get_field = envelope._get_by_field
+            codec = self._find_struct(get_field(self._kind))
+            body = get_field(self._body).as_struct(codec.struct)
+            return DecodedMessage(
+                get_field(self._sender),
+                get_field(self._incarnation),
+                codec.read(body),
+                get_field(self._sequence),
+            )
+        except DECODE_FAULTS as error:
+            raise MessageError('the envelope does not fit the schema') from error
+
+    def _find_tag(self, message: type) -> int:
+        tag = self._tags.get(message)
+        if tag is None:
+            self._tags = {kind: each for each, kind in self._messages.items()}
+            tag = self._tags.get(message)
+        if tag is None:
+            raise MessageError(f'{message.__name__} is no registered peer message')
+        return tag
+
+    def _find_struct(self, tag: int) -> StructCodec:
+        codec = self._structs.get(tag)
+        if codec is None:
+            codec = self._build_struct(tag)
+            self._structs[tag] = codec
+        return codec
+
+    def _build_struct(self, tag: int) -> StructCodec:
+        record = self._messages.get(tag)
+        if record is None:
+            raise MessageError(f'no peer message has tag {tag}')
+        try:
+            return StructCodec(record, self._schema)
+        except (AttributeError, KeyError, capnp.KjException) as error:
+            raise MessageError(
+                f'the schema does not describe {record.__name__} as it is now; '
+                'write it again by "make schema"'
+            ) from error
+
+
+@cache
+def load_codec() -> MessageCodec:
+    """Return the codec of the committed schema."""
+    return MessageCodec(SCHEMA_PATH, PEER_MESSAGES)
+
+
+def encode_message(
+    sender: str,
+    incarnation: int,
+    message: Any,
+    keys: PeerKeys,
+    receiver: str = '',
+    sequence: int = 0,
+) -> bytes:
+    """Return a signed frame.
+
+    :param sender: the name of the instance that sends.
+    :param incarnation: the sender's incarnation.
+    :param message: an instance of a registered peer message.
+    :param keys: the first one signs.
+    :param receiver: the instance that may accept the frame.
+    :param sequence: the frame's number in the sender's incarnation.
+    :raises MessageError: if the message cannot be encoded.
+    """
+    envelope = load_codec().encode(sender, incarnation, sequence, message)
+    return sign_envelope(envelope, receiver, keys.signing)
+
+
+def decode_message(data: bytes, keys: PeerKeys, receiver: str = '') -> DecodedMessage:
+    """Return the message in a signed frame.
+
+    The signature is checked before any byte is decoded.
+
+    :param data: bytes from the network.
+    :param keys: the keys that are accepted.
+    :param receiver: the instance that reads the frame.
+    :raises MessageError: if the bytes hold no message.
+    :raises SignatureError: if the frame is not authentic.
+    """
+    if len(data) > MAX_FRAME_BYTES:
+        raise MessageError(f'a frame of {len(data)} bytes is too long')
+    return load_codec().decode(open_frame(data, receiver, keys))
--- /dev/null
+++ b/savorychute/wire/peer_key.py
@@ -0,0 +1,16 @@
+"""A key that instances share."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+MIN_SECRET_BYTES = 16
+MAX_SECRET_BYTES = 64
+MAX_KEY_ID = 0xFFFF
+
+
+class PeerKey(NamedTuple):
+    """A numbered secret of 16 to 64 bytes; the number goes over the wire."""
+
+    key_id: int
+    secret: bytes
--- /dev/null
+++ b/savorychute/wire/peer_packages.py
@@ -0,0 +1,36 @@
+"""Loading of the packages that define peer messages."""
+
+from __future__ import annotations
+
+import importlib
+import importlib.util
+import pkgutil
+
+from savorychute.wire.peer_messages import PEER_MESSAGES
+
+PEER_PACKAGES = (
+    'savorychute.membership',
+    'savorychute.configuration',
+    'savorychute.credits',
+    'savorychute.limits',
+    'savorychute.requests',
+    'savorychute.recovery',
+    'savorychute.leases',
+)
+
+
+def load_peer_messages() -> dict[int, type]:
+    """Import every part that has peer messages, so that all are registered.
+
+    :returns: the registered messages by tag.
+    """
+    for package in PEER_PACKAGES:
+        if importlib.util.find_spec(package) is not None:
+            _import_modules(package)
+    return PEER_MESSAGES
+
+
+def _import_modules(package: str) -> None:
+    module = importlib.import_module(package)
+    for found in pkgutil.iter_modules(module.__path__, f'{package}.'):
+        importlib.import_module(found.name)
--- /dev/null
+++ b/savorychute/wire/schema_writer.py
@@ -0,0 +1,103 @@
+"""The Cap'n Proto schema of the peer messages, written from their types."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from savorychute.wire.field_shape import FieldShape, describe_fields
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+SCHEMA_PATH = Path(__file__).with_name('messages.capnp')
+
+HEAD = """\
+# Written by "savorychute schema" from the registered peer messages.
+@0xbf5147cbbecf40c1;
+
+struct Envelope {
+  sender @0 :Text;
+  incarnation @1 :Int64;
+  sequence @2 :UInt64;
+  kind @3 :UInt16;  # the tag of the message in the body
+  body @4 :AnyPointer;
+}
+"""
+
+
+def write_schema(messages: Mapping[int, type]) -> str:
+    """Return the schema of *messages* and of every record inside them.
+
+    Structs appear by tag, each after the records that it contains, so that
+    the text depends on nothing but the types.
+
+    :param messages: NamedTuple classes by tag.
+    :raises TypeError: if a field has no form on the wire or if two records
+        share a name.
+    """
+    parts = [HEAD]
+    tags = {message: tag for tag, message in messages.items()}
+    for record in collect_records(messages[tag] for tag in sorted(messages)):
+        parts.append(_write_struct(record, tags.get(record)))
+    return '\n'.join(parts)
+
+
+def collect_records(roots: Iterable[type]) -> list[type]:
+    """Return *roots* and the records inside them, inner ones first.
+
+    :raises TypeError: if two records share a name.
+    """
+    found: dict[str, type] = {}
+    for root in roots:
+        _collect(root, found)
+    return list(found.values())
+
+
+def _collect(record: type, found: dict[str, type]) -> None:
+    known = found.get(record.__name__)
+    if known is record:
+        return
+    if known is not None:
+        raise TypeError(f'two records are called {record.__name__}')
+    for shape in describe_fields(record):
+        if shape.is_struct:
+            _collect(shape.element, found)
+    found[record.__name__] = record
+
+
+def _write_struct(record: type, tag: int | None) -> str:
+    lines = [f'struct {record.__name__} {{']
+    if tag is not None:
+        lines[0] += f'  # tag {tag}'
+    defaults = record._field_defaults  # type: ignore[attr-defined]
+    for number, shape in enumerate(describe_fields(record)):
+        lines.append(f'  {_write_field(number, shape, defaults)}')
+    lines.append('}\n')
+    return '\n'.join(lines)
+
+
+def _write_field(number: int, shape: FieldShape, defaults: Mapping[str, object]) -> str:
+    wire_type = shape.wire_type
+    if shape.repeated:
+        wire_type = f'List({wire_type})'
+    default = _write_default(defaults.get(shape.name))
+    return f'{to_camel_case(shape.name)} @{number} :{wire_type}{default};'
+
+
+def _write_default(value: object) -> str:
+    """Return the default, which stands in when an older sender omits the field."""
+    if isinstance(value, bool):
+        return ' = true' if value else ''
+    if isinstance(value, int | float) and value:
+        return f' = {value}'
+    return ''
+
+
+def to_camel_case(name: str) -> str:
+    """Return *name* as Cap'n Proto spells field names.
+
+    :param name: a Python field name such as ``first_token_ms``.
+    """
+    head, *rest = name.split('_')
+    return head + ''.join(part.title() for part in rest)
--- /dev/null
+++ b/tests/test_wire/test_schema_writer.py
@@ -0,0 +1,42 @@
+"""The committed schema is the one that the types give."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import pytest
+
+from savorychute.wire.message_codec import load_codec
+from savorychute.wire.peer_packages import load_peer_messages
+from savorychute.wire.schema_writer import SCHEMA_PATH, write_schema
+
+
+def test_committed_schema_is_current():
+    assert SCHEMA_PATH.read_text() == write_schema(load_peer_messages())
+
+
+def test_every_registered_message_has_its_codec():
+    codec = load_codec()
+    for tag in load_peer_messages():
+        assert codec._find_struct(tag).struct is not None
+
+
+def test_field_without_a_form_is_refused():
+    class Wrong(NamedTuple):
+        shares: dict[str, int]
+
+    with pytest.raises(TypeError, match=r'Wrong\.shares'):
+        write_schema({900: Wrong})
+
+
+def test_two_records_of_one_name_are_refused():
+    class Probe(NamedTuple):
+        target: str
+
+    first = Probe
+
+    class Probe(NamedTuple):  # type: ignore[no-redef]
+        other: str
+
+    with pytest.raises(TypeError, match='Probe'):
+        write_schema({900: first, 901: Probe})
