Add membership, rendezvous homes and discovery answers

Cause: an instance must know whom it shares work with and whom callers may use, without a coordination service. Change: probes with suspicion and refutation inside a region, bounded gossip, digests between regions by representatives, rendezvous hashing with a table of homes that follows changes, discovery answers.

--- /dev/null
+++ b/benches/capacity_roles/__init__.py
@@ -0,0 +1,1 @@
+"""One measurement per role of an instance."""
--- /dev/null
+++ b/savorychute/membership/ack.py
@@ -0,0 +1,18 @@
+"""The answer to a probe."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from savorychute.membership.member_update import MemberUpdate  # noqa: TC001
+from savorychute.wire.peer_messages import peer_message
+
+
+@peer_message(11)
+class Ack(NamedTuple):
+    """Answer the :class:`Ping` of this sequence number."""
+
+    sequence: int
+    origin: MemberUpdate
+    configuration_offset: int
+    updates: tuple[MemberUpdate, ...] = ()
--- /dev/null
+++ b/savorychute/membership/home_table.py
@@ -0,0 +1,137 @@
+"""Homes of many keys, kept up to date at the cost of what changed."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorychute.membership.rendezvous import choose_homes, score_member
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from savorychute.member_address import MemberAddress
+    from savorychute.membership.member_view import MemberView
+
+
+class HomeTable:
+    """The home instance of each key, in the key's own region if possible.
+
+    A member that joins costs one hash per key of its region; a member that
+    goes costs a full choice only for the keys that it was home of.
+    """
+
+    def __init__(self) -> None:
+        self._regions: dict[str, str] = {}
+        self._homes: dict[str, MemberAddress] = {}
+        self._keys_of: dict[str, set[str]] = {}
+        self._members: dict[str, MemberAddress] = {}
+        self._alive: tuple[MemberAddress, ...] = ()
+
+    def set_keys(self, regions: Mapping[str, str]) -> None:
+        """Replace the keys.
+
+        :param regions: each key's region.
+        """
+        for key in [k for k, r in self._regions.items() if regions.get(k) != r]:
+            self._drop_key(key)
+        fresh = [key for key in regions if key not in self._regions]
+        self._regions.update((key, regions[key]) for key in fresh)
+        self._assign(fresh)
+
+    def set_view(self, view: MemberView) -> None:
+        """Follow a change of the members.
+
+        :param view: the members now; the same view again costs nothing.
+        """
+        if view.alive is self._alive:
+            return
+        self._alive = view.alive
+        previous = self._members
+        self._members = {member.instance: member for member in view.alive}
+        self._follow_joins(previous)
+        self._follow_departures(previous)
+        self._assign(self._keys_without_region(previous))
+
+    def home_of(self, key: str) -> MemberAddress | None:
+        """Return the key's home, or None if nobody is alive.
+
+        :param key: one of the keys that were set.
+        """
+        return self._homes.get(key)
+
+    def keys_of(self, instance: str) -> frozenset[str]:
+        """Return the keys whose home is *instance*.
+
+        :param instance: a member's name.
+        """
+        return frozenset(self._keys_of.get(instance, ()))
+
+    def _keys_without_region(self, previous: Mapping[str, MemberAddress]) -> list[str]:
+        """Return the keys whose region has, or had, no member.
+
+        Their homes are anywhere, so each change may move them; and they come
+        back as soon as somebody is alive in their region.
+        """
+        before = {member.region for member in previous.values()}
+        after = {member.region for member in self._members.values()}
+        inhabited = before & after
+        return [k for k, region in self._regions.items() if region not in inhabited]
+
+    def _follow_joins(self, previous: Mapping[str, MemberAddress]) -> None:
+        for instance, member in self._members.items():
+            known = previous.get(instance)
+            if known == member:
+                continue
+            if known is not None and known.region == member.region:
+                self._rename_home(member)
+                continue
+            for key, region in self._regions.items():
+                if region == member.region:
+                    self._contest(key, member)
+
+    def _follow_departures(self, previous: Mapping[str, MemberAddress]) -> None:
+        orphans: list[str] = []
+        for instance, known in previous.items():
+            member = self._members.get(instance)
+            if member is None or member.region != known.region:
+                orphans.extend(self._keys_of.get(instance, ()))
+        self._assign(orphans)
+
+    def _rename_home(self, member: MemberAddress) -> None:
+        for key in self._keys_of.get(member.instance, ()):
+            self._homes[key] = member
+
+    def _contest(self, key: str, member: MemberAddress) -> None:
+        home = self._homes.get(key)
+        if home is None or score_member(key, member) > score_member(key, home):
+            self._set_home(key, member)
+
+    def _assign(self, keys: Sequence[str]) -> None:
+        by_region: dict[str, list[MemberAddress]] = {}
+        for member in self._alive:
+            by_region.setdefault(member.region, []).append(member)
+        for key in keys:
+            candidates = by_region.get(self._regions[key]) or self._alive
+            homes = choose_homes(key, candidates, 1)
+            if homes:
+                self._set_home(key, homes[0])
+            else:
+                self._unset_home(key)
+
+    def _set_home(self, key: str, member: MemberAddress) -> None:
+        self._unset_home(key)
+        self._homes[key] = member
+        self._keys_of.setdefault(member.instance, set()).add(key)
+
+    def _unset_home(self, key: str) -> None:
+        home = self._homes.pop(key, None)
+        if home is None:
+            return
+        keys = self._keys_of[home.instance]
+        keys.discard(key)
+        if not keys:
+            del self._keys_of[home.instance]
+
+    def _drop_key(self, key: str) -> None:
+        self._unset_home(key)
+        del self._regions[key]
--- /dev/null
+++ b/savorychute/membership/member_table.py
@@ -0,0 +1,225 @@
+"""The members that one instance knows."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from savorychute.membership.member_change import MemberChange
+from savorychute.membership.member_record import MemberRecord
+from savorychute.membership.member_state import MemberState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from savorychute.membership.member_update import MemberUpdate
+    from savorychute.membership.settings import MembershipSettings
+
+# Cap'n Proto's signed integers hold 63 bits of a hash.
+HASH_MASK = (1 << 63) - 1
+
+
+class MemberTable:
+    """All members but this instance, by name, and who of them overrides whom.
+
+    Statements on a member are ordered by incarnation, counter and state, and
+    the largest holds.  So old gossip of a dead member changes nothing, while
+    the member itself, back from a pause, is believed after one refutation.
+    """
+
+    def __init__(self, settings: MembershipSettings) -> None:
+        self._settings = settings
+        self._records: dict[str, MemberRecord] = {}
+        self._by_state: dict[int, dict[str, None]] = {s: {} for s in MemberState}
+        self._by_region: dict[str, dict[str, None]] = {}
+        self._hashes: dict[str, int] = {}
+        self.hash_changed_ms: dict[str, int] = {}
+        self.version = 0
+        self.changes: deque[MemberChange] = deque(maxlen=settings.max_changes)
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def __iter__(self) -> Iterator[MemberRecord]:
+        return iter(self._records.values())
+
+    def get(self, instance: str) -> MemberRecord | None:
+        """Return the record of a member, or None.
+
+        :param instance: the member's name.
+        """
+        return self._records.get(instance)
+
+    def apply(self, update: MemberUpdate, why: str, now_ms: int) -> bool:
+        """Take in a statement; return whether it overrides what held.
+
+        :param update: the statement.
+        :param why: the reason, for the audit trail.
+        """
+        instance = update.address.instance
+        known = self._records.get(instance)
+        if known is not None and update.rank <= known.update.rank:
+            return False
+        if known is None and update.state == MemberState.DEAD:
+            return self._keep_tombstone(update, now_ms)
+        same_run = (
+            known is not None
+            and known.update.address.incarnation == update.address.incarnation
+        )
+        record = MemberRecord(update, now_ms, update.state == MemberState.LEAVING)
+        if known is not None and same_run:
+            record = record._replace(
+                said_leaving=record.said_leaving or known.said_leaving,
+                listed_leaving=known.listed_leaving,
+            )
+        self._put(record, now_ms)
+        self._note(known, update, why, now_ms)
+        return True
+
+    def set_listed_leaving(self, leaving: frozenset[str], now_ms: int) -> None:
+        """Follow what the platform's list says of who is leaving.
+
+        The list lags, so it may speak of an earlier run of the same name; its
+        word holds only as long as the list repeats it.
+
+        :param leaving: the names that the list calls leaving.
+        """
+        for instance, record in self._records.items():
+            listed = instance in leaving
+            if record.listed_leaving == listed or record.state == MemberState.DEAD:
+                continue
+            self._records[instance] = record._replace(listed_leaving=listed)
+            self.version += 1
+            self._note_listed(record, listed, now_ms)
+
+    def postpone(self, gap_ms: int) -> None:
+        """Shift the begin of all suspicions after a pause of this instance.
+
+        :param gap_ms: how long this instance was paused.
+        """
+        for instance, record in self._records.items():
+            if record.state == MemberState.SUSPECT:
+                shifted = record._replace(since_ms=record.since_ms + gap_ms)
+                self._records[instance] = shifted
+
+    def forget_dead(self, now_ms: int) -> None:
+        """Drop members that are dead for long, and the oldest beyond the bound.
+
+        What is dropped can come back by old gossip only as a member that will
+        be probed and found dead again.
+        """
+        dead = sorted(self.in_state(MemberState.DEAD), key=lambda r: r.since_ms)
+        surplus = max(0, len(dead) - self._settings.max_dead)
+        limit_ms = now_ms - self._settings.forget_dead_ms
+        for position, record in enumerate(dead):
+            if position < surplus or record.since_ms <= limit_ms:
+                self._remove(record)
+
+    def in_state(self, state: MemberState) -> list[MemberRecord]:
+        """Return the records of all members in that state.
+
+        :param state: the state to look for.
+        """
+        return [self._records[name] for name in self._by_state[state]]
+
+    def in_region(self, region: str) -> list[MemberRecord]:
+        """Return the records of a region, dead ones included.
+
+        :param region: the region's name.
+        """
+        return [self._records[name] for name in self._by_region.get(region, ())]
+
+    def digest_hash(self, region: str) -> int:
+        """Return the hash over a region's members that are not dead.
+
+        A suspicion comes and goes, so a suspect counts as alive.
+
+        :param region: the region's name.
+        """
+        return self._hashes.get(region, 0) & HASH_MASK
+
+    def _put(self, record: MemberRecord, now_ms: int) -> None:
+        address = record.update.address
+        known = self._records.get(address.instance)
+        if known is not None:
+            self._toggle_hash(known.update, now_ms)
+            self._remove(known)
+        self._records[address.instance] = record
+        self._by_state[record.update.state][address.instance] = None
+        self._by_region.setdefault(address.region, {})[address.instance] = None
+        self._toggle_hash(record.update, now_ms)
+        self.version += 1
+
+    def _remove(self, record: MemberRecord) -> None:
+        address = record.update.address
+        del self._records[address.instance]
+        del self._by_state[record.update.state][address.instance]
+        members = self._by_region[address.region]
+        del members[address.instance]
+        if not members:
+            del self._by_region[address.region]
+
+    def _toggle_hash(self, update: MemberUpdate, now_ms: int) -> None:
+        """Add a member to its region's hash, or take it out again."""
+        address = update.address
+        self.hash_changed_ms[address.region] = now_ms
+        self._hashes[address.region] = self._hashes.get(address.region, 0) ^ (
+            hash_update(update)
+        )
+
+    def _keep_tombstone(self, update: MemberUpdate, now_ms: int) -> bool:
+        """Remember a dead member that was unknown, without passing it on."""
+        self._put(MemberRecord(update, now_ms), now_ms)
+        return False
+
+    def _note_listed(self, record: MemberRecord, leaving: bool, now_ms: int) -> None:
+        state = record.state.name.lower()
+        listed = MemberState.LEAVING.name.lower()
+        address = record.update.address
+        self.changes.append(
+            MemberChange(
+                address.instance,
+                address.incarnation,
+                state if leaving else listed,
+                listed if leaving else state,
+                'the list calls it leaving' if leaving else 'listed as live again',
+                now_ms,
+            )
+        )
+
+    def _note(
+        self, known: MemberRecord | None, update: MemberUpdate, why: str, now_ms: int
+    ) -> None:
+        from_state = known.state.name.lower() if known is not None else ''
+        to_state = MemberState(update.state).name.lower()
+        restarted = (
+            known is not None
+            and known.update.address.incarnation != update.address.incarnation
+        )
+        if from_state == to_state and not restarted:
+            return
+        self.changes.append(
+            MemberChange(
+                update.address.instance,
+                update.address.incarnation,
+                from_state,
+                to_state,
+                'restarted' if restarted else why,
+                now_ms,
+            )
+        )
+
+
+def hash_update(update: MemberUpdate) -> int:
+    """Return a member's part of its region's hash; 0 for a dead member.
+
+    :param update: the statement on the member.
+    """
+    if update.state == MemberState.DEAD:
+        return 0
+    leaving = update.state == MemberState.LEAVING
+    address = update.address
+    text = f'{address.instance}/{address.incarnation}/{update.counter}/{leaving}'
+    return int(xxhash.xxh3_64_intdigest(text.encode()))
--- /dev/null
+++ b/savorychute/membership/ping.py
@@ -0,0 +1,18 @@
+"""The direct probe."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from savorychute.membership.member_update import MemberUpdate  # noqa: TC001
+from savorychute.wire.peer_messages import peer_message
+
+
+@peer_message(10)
+class Ping(NamedTuple):
+    """Ask for an :class:`Ack` with the same sequence number."""
+
+    sequence: int
+    origin: MemberUpdate
+    configuration_offset: int
+    updates: tuple[MemberUpdate, ...] = ()
--- /dev/null
+++ b/savorychute/membership/prober.py
@@ -0,0 +1,217 @@
+"""Probes inside a region."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from savorychute.actions.send_peer import SendPeer
+from savorychute.membership.member_state import MemberState
+from savorychute.membership.ping_request import PingRequest
+from savorychute.membership.relayed_ack import RelayedAck
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from savorychute.actions import Action
+    from savorychute.member_address import MemberAddress
+    from savorychute.membership.ack import Ack
+    from savorychute.membership.member_table import MemberTable
+    from savorychute.membership.member_update import MemberUpdate
+    from savorychute.membership.ping import Ping
+    from savorychute.membership.settings import MembershipSettings
+
+    MakePing = Callable[[int, MemberAddress, int], Ping]
+
+# Sequence number of pings whose answer proves life but ends no probe.
+UNTRACKED_SEQUENCE = 0
+
+
+class Probe(NamedTuple):
+    """A probe that waits for its answer."""
+
+    sequence: int
+    target: MemberAddress
+    sent_ms: int
+    indirect: bool = False
+
+
+class Relay(NamedTuple):
+    """A probe made for another member."""
+
+    origin: MemberAddress
+    origin_sequence: int
+    sent_ms: int
+
+
+class Prober:
+    """Probes the members of the region in turn and judges who is silent.
+
+    The turn is a shuffled round, so that every member is probed once in a
+    round and detection time is bounded, not only expected.
+    """
+
+    def __init__(
+        self, settings: MembershipSettings, table: MemberTable, rng: Random
+    ) -> None:
+        self._settings = settings
+        self._table = table
+        self._rng = rng
+        self._sequence = UNTRACKED_SEQUENCE
+        self._round: list[str] = []
+        self._probe: Probe | None = None
+        self._relays: dict[int, Relay] = {}
+        self._next_probe_ms = 0
+        self._verdicts: list[MemberUpdate] = []
+
+    def tick(
+        self, own: MemberAddress, make_ping: MakePing, now_ms: int
+    ) -> list[Action]:
+        """Probe the next member or ask others to.
+
+        :param own: this instance.
+        :param make_ping: builds a ping with the updates to piggyback.
+        """
+        actions: list[Action] = []
+        if now_ms >= self._next_probe_ms:
+            self._judge()
+            self._next_probe_ms = now_ms + self._settings.probe_period_ms
+            actions.extend(self._start_probe(own, make_ping, now_ms))
+        elif self._is_overdue(now_ms):
+            actions.extend(self._ask_others(own, make_ping, now_ms))
+        self._expire_relays(now_ms)
+        return actions
+
+    def take_verdicts(self, now_ms: int) -> list[MemberUpdate]:
+        """Return new suspicions, and deaths of those who did not refute."""
+        verdicts = self._verdicts
+        self._verdicts = []
+        limit_ms = now_ms - self._settings.suspicion_ms
+        for record in self._table.in_state(MemberState.SUSPECT):
+            if record.since_ms <= limit_ms:
+                verdicts.append(record.update._replace(state=int(MemberState.DEAD)))
+        return verdicts
+
+    def take_ack(self, ack: Ack) -> list[Action]:
+        """End the probe that is answered, or pass the answer on.
+
+        :param ack: the answer.
+        """
+        relay = self._relays.pop(ack.sequence, None)
+        if relay is None:
+            self.acknowledged(ack.origin.address.instance, ack.sequence)
+            return []
+        message = RelayedAck(relay.origin_sequence, ack.origin)
+        origin = relay.origin
+        return [SendPeer(origin.instance, origin.host, origin.peer_port, message)]
+
+    def acknowledged(self, instance: str, sequence: int) -> None:
+        """End the probe of this member and sequence number.
+
+        :param instance: who answered.
+        :param sequence: the number of the probe.
+        """
+        probe = self._probe
+        if probe is None or probe.sequence != sequence:
+            return
+        if probe.target.instance == instance:
+            self._probe = None
+
+    def relay(
+        self, request: PingRequest, make_ping: MakePing, now_ms: int
+    ) -> list[Action]:
+        """Probe a member for another one.
+
+        :param request: who is to be probed, and for whom.
+        :param make_ping: builds a ping with the updates to piggyback.
+        """
+        self._sequence += 1
+        self._relays[self._sequence] = Relay(
+            request.origin.address, request.sequence, now_ms
+        )
+        return [self._ping(request.target, make_ping, now_ms)]
+
+    def postpone(self, gap_ms: int) -> None:
+        """Prolong the wait for an answer after a pause of this instance.
+
+        :param gap_ms: how long this instance was paused.
+        """
+        if self._probe is not None:
+            sent_ms = self._probe.sent_ms + gap_ms
+            self._probe = self._probe._replace(sent_ms=sent_ms)
+            self._next_probe_ms += gap_ms
+
+    def _judge(self) -> None:
+        probe = self._probe
+        self._probe = None
+        if probe is None:
+            return
+        record = self._table.get(probe.target.instance)
+        if record is None or record.update.address != probe.target:
+            return
+        if record.update.state < MemberState.SUSPECT:
+            suspicion = record.update._replace(state=int(MemberState.SUSPECT))
+            self._verdicts.append(suspicion)
+
+    def _start_probe(
+        self, own: MemberAddress, make_ping: MakePing, now_ms: int
+    ) -> list[Action]:
+        target = self._next_target(own)
+        if target is None:
+            return []
+        self._sequence += 1
+        self._probe = Probe(self._sequence, target, now_ms)
+        return [self._ping(target, make_ping, now_ms)]
+
+    def _next_target(self, own: MemberAddress) -> MemberAddress | None:
+        for _ in range(2):
+            while self._round:
+                record = self._table.get(self._round.pop())
+                if record is not None and record.state != MemberState.DEAD:
+                    return record.update.address
+            self._round = [
+                record.update.address.instance
+                for record in self._table.in_region(own.region)
+                if record.state != MemberState.DEAD
+            ]
+            self._rng.shuffle(self._round)
+        return None
+
+    def _is_overdue(self, now_ms: int) -> bool:
+        probe = self._probe
+        if probe is None or probe.indirect:
+            return False
+        return now_ms - probe.sent_ms >= self._settings.probe_timeout_ms
+
+    def _ask_others(
+        self, own: MemberAddress, make_ping: MakePing, now_ms: int
+    ) -> list[Action]:
+        probe = self._probe
+        if probe is None:
+            return []
+        self._probe = probe._replace(indirect=True)
+        helpers = [
+            record.update.address
+            for record in self._table.in_region(own.region)
+            if record.update.state < MemberState.SUSPECT
+            and record.update.address != probe.target
+        ]
+        count = min(self._settings.indirect_probes, len(helpers))
+        origin = make_ping(UNTRACKED_SEQUENCE, probe.target, now_ms).origin
+        request = PingRequest(probe.sequence, origin, probe.target)
+        return [
+            SendPeer(helper.instance, helper.host, helper.peer_port, request)
+            for helper in self._rng.sample(helpers, count)
+        ]
+
+    def _ping(
+        self, target: MemberAddress, make_ping: MakePing, now_ms: int
+    ) -> SendPeer:
+        ping = make_ping(self._sequence, target, now_ms)
+        return SendPeer(target.instance, target.host, target.peer_port, ping)
+
+    def _expire_relays(self, now_ms: int) -> None:
+        limit_ms = now_ms - self._settings.probe_period_ms
+        expired = [s for s, relay in self._relays.items() if relay.sent_ms <= limit_ms]
+        for sequence in expired:
+            del self._relays[sequence]
--- /dev/null
+++ b/savorychute/membership/region_summary.py
@@ -0,0 +1,18 @@
+"""The stamps of a region's members."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from savorychute.membership.member_stamp import MemberStamp  # noqa: TC001
+from savorychute.membership.member_update import MemberUpdate  # noqa: TC001
+from savorychute.wire.peer_messages import peer_message
+
+
+@peer_message(16)
+class RegionSummary(NamedTuple):
+    """All that the sender knows of a region, dead members included."""
+
+    origin: MemberUpdate
+    region: str
+    stamps: tuple[MemberStamp, ...]
--- /dev/null
+++ b/savorychute/membership/region_sync.py
@@ -0,0 +1,315 @@
+"""Digests between regions and inside one, and who speaks for a region."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorychute.actions.send_peer import SendPeer
+from savorychute.membership.digest import Digest
+from savorychute.membership.gossip import Gossip
+from savorychute.membership.member_stamp import MemberStamp
+from savorychute.membership.member_state import MemberState
+from savorychute.membership.member_table import HASH_MASK, hash_update
+from savorychute.membership.region_digest import RegionDigest
+from savorychute.membership.region_summary import RegionSummary
+from savorychute.membership.rendezvous import choose_homes
+from savorychute.membership.update_request import UpdateRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from random import Random
+
+    from savorychute.actions import Action
+    from savorychute.member_address import MemberAddress
+    from savorychute.membership.member_table import MemberTable
+    from savorychute.membership.member_update import MemberUpdate
+    from savorychute.membership.settings import MembershipSettings
+
+# A region that changes all the time is compared in one of so many digests.
+UNSETTLED_ONE_IN = 8
+# A representative's digest goes to any member of a region one time in so many,
+# because all its representatives may have been replaced during a cut.
+ANY_MEMBER_ONE_IN = 4
+UPDATES_PER_SUPPLY = 32
+
+
+class RegionSync:
+    """Brings tables together that gossip has left different.
+
+    Each instance sends a digest to one member of its region now and then; the
+    few representatives of a region send one to a representative of another.
+    Messages therefore grow with the number of regions, not of instances.
+    """
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        table: MemberTable,
+        address: MemberAddress,
+        rng: Random,
+    ) -> None:
+        self._settings = settings
+        self._table = table
+        self._address = address
+        self._rng = rng
+        self._next_digest_ms: int | None = None
+        self._beats: dict[str, int] = {address.region: 0}
+        self._heard_ms: dict[str, int] = {}
+        self._silent: frozenset[str] = frozenset()
+        self._members_version = -1
+        self._members: dict[str, list[MemberAddress]] = {}
+        self._representatives: dict[str, tuple[MemberAddress, ...]] = {}
+
+    def silent_regions(self) -> frozenset[str]:
+        """Return the regions from which nothing has come for long."""
+        return self._silent
+
+    def heard_from(self, region: str, now_ms: int) -> None:
+        """Note a sign of life from another region.
+
+        :param region: where the sender is.
+        """
+        self._heard_ms[region] = now_ms
+        if region in self._silent:
+            self._silent -= {region}
+
+    def meet_regions(self, now_ms: int) -> None:
+        """Begin to wait for signs of life of regions that are new.
+
+        :param now_ms: the time.
+        """
+        for region in self._members_by_region():
+            self._heard_ms.setdefault(region, now_ms)
+
+    def postpone(self, gap_ms: int) -> None:
+        """Prolong all waits after a pause of this instance.
+
+        :param gap_ms: how long this instance was paused.
+        """
+        for region in self._heard_ms:
+            self._heard_ms[region] += gap_ms
+
+    def tick(
+        self, own: MemberUpdate, configuration_offset: int, now_ms: int
+    ) -> list[Action]:
+        """Send the digests that are due and see which regions are silent.
+
+        :param own: this instance's state.
+        :param configuration_offset: what it advertises.
+        """
+        if self._next_digest_ms is not None and now_ms < self._next_digest_ms:
+            return []
+        period_ms = self._settings.digest_period_ms
+        self._next_digest_ms = now_ms + self._rng.randint(
+            period_ms // 2, period_ms * 3 // 2
+        )
+        self._find_silent(now_ms)
+        return self.send_digests(own, configuration_offset, now_ms)
+
+    def send_digests(
+        self, own: MemberUpdate, configuration_offset: int, now_ms: int
+    ) -> list[Action]:
+        """Send a digest in the own region and, as representative, to another.
+
+        :param own: this instance's state.
+        :param configuration_offset: what it advertises.
+        """
+        self.meet_regions(now_ms)
+        members = self._members_by_region()
+        region = self._address.region
+        targets = []
+        if members.get(region):
+            targets.append(self._rng.choice(members[region]))
+        if self._is_representative():
+            self._beats[region] = self._beats.get(region, 0) + 1
+            targets.extend(self._foreign_targets())
+        digest = Digest(own, configuration_offset, self._digest_regions(own))
+        return [self._send(target, digest) for target in targets]
+
+    def compare(self, digest: Digest, own: MemberUpdate, now_ms: int) -> list[Action]:
+        """Answer a digest with the summary of one region that differs.
+
+        :param digest: another member's table in short.
+        :param own: this instance's state.
+        """
+        self._follow_beats(digest, now_ms)
+        differing = self._find_differing(digest, own)
+        settled = [r for r in differing if self._is_settled(r, now_ms)]
+        if not settled and differing and self._rng.randrange(UNSETTLED_ONE_IN) == 0:
+            settled = differing
+        if not settled:
+            return []
+        region = self._rng.choice(settled)
+        summary = RegionSummary(own, region, self._stamps_of(region, own))
+        return [self._send(digest.origin.address, summary)]
+
+    def reconcile(self, summary: RegionSummary, own: MemberUpdate) -> list[Action]:
+        """Send what the other side lacks and ask for what this side lacks.
+
+        :param summary: the other side's members of a region.
+        :param own: this instance's state.
+        """
+        theirs = {stamp.instance: stamp for stamp in summary.stamps}
+        lacking = self._lacking(theirs.values())
+        newer = [
+            update
+            for update in self._updates_of(summary.region, own)
+            if update.address.instance not in theirs
+            or theirs[update.address.instance].rank < update.rank
+        ]
+        target = summary.origin.address
+        actions: list[Action] = []
+        if lacking:
+            actions.append(self._send(target, UpdateRequest(own, lacking)))
+        for start in range(0, len(newer), UPDATES_PER_SUPPLY):
+            updates = tuple(newer[start : start + UPDATES_PER_SUPPLY])
+            actions.append(self._send(target, Gossip(updates)))
+        return actions
+
+    def supply(self, request: UpdateRequest, own: MemberUpdate) -> list[Action]:
+        """Send the updates that were asked for.
+
+        :param request: the names.
+        :param own: this instance's state.
+        """
+        updates = []
+        for instance in request.instances:
+            record = self._table.get(instance)
+            if record is not None:
+                updates.append(record.update)
+            elif instance == own.address.instance:
+                updates.append(own)
+        target = request.origin.address
+        return [
+            self._send(
+                target, Gossip(tuple(updates[start : start + UPDATES_PER_SUPPLY]))
+            )
+            for start in range(0, len(updates), UPDATES_PER_SUPPLY)
+        ]
+
+    def gossip_targets(self) -> list[MemberAddress]:
+        """Return members to pass fresh updates to."""
+        members = self._members_by_region().get(self._address.region, [])
+        count = min(self._settings.gossip_fanout, len(members))
+        targets = self._rng.sample(members, count)
+        if self._is_representative():
+            targets.extend(self._foreign_targets())
+        return targets
+
+    def announcement_targets(self) -> list[MemberAddress]:
+        """Return members to tell of this instance's joining or leaving."""
+        members = self._members_by_region()
+        near = members.get(self._address.region, [])
+        count = min(2 * self._settings.gossip_fanout, len(near))
+        targets = self._rng.sample(near, count)
+        for region in members:
+            if region != self._address.region:
+                targets.append(self._rng.choice(self._representatives[region]))
+        return targets
+
+    def _send(self, target: MemberAddress, message: tuple[object, ...]) -> SendPeer:
+        return SendPeer(target.instance, target.host, target.peer_port, message)
+
+    def _members_by_region(self) -> dict[str, list[MemberAddress]]:
+        """Return the members that are not dead, without this instance."""
+        if self._members_version == self._table.version:
+            return self._members
+        members: dict[str, list[MemberAddress]] = {}
+        for record in self._table:
+            if record.state != MemberState.DEAD:
+                address = record.update.address
+                members.setdefault(address.region, []).append(address)
+        self._members = members
+        self._members_version = self._table.version
+        self._choose_representatives()
+        return members
+
+    def _choose_representatives(self) -> None:
+        everyone = {region: list(found) for region, found in self._members.items()}
+        everyone.setdefault(self._address.region, []).append(self._address)
+        self._representatives = {
+            region: choose_homes(region, found, self._settings.representatives)
+            for region, found in everyone.items()
+        }
+
+    def _is_representative(self) -> bool:
+        self._members_by_region()
+        return self._address in self._representatives[self._address.region]
+
+    def _foreign_targets(self) -> list[MemberAddress]:
+        members = self._members_by_region()
+        regions = [region for region in members if region != self._address.region]
+        if not regions:
+            return []
+        region = self._rng.choice(regions)
+        if self._rng.randrange(ANY_MEMBER_ONE_IN) == 0:
+            return [self._rng.choice(members[region])]
+        return [self._rng.choice(self._representatives[region])]
+
+    def _digest_regions(self, own: MemberUpdate) -> tuple[RegionDigest, ...]:
+        members = self._members_by_region()
+        digests = []
+        for region in sorted({*members, self._address.region}):
+            digest_hash = self._table.digest_hash(region)
+            count = len(members.get(region, ()))
+            if region == self._address.region:
+                digest_hash ^= hash_update(own) & HASH_MASK
+                count += 1
+            beat = self._beats.get(region, 0)
+            digests.append(RegionDigest(region, count, digest_hash, beat))
+        return tuple(digests)
+
+    def _find_differing(self, digest: Digest, own: MemberUpdate) -> list[str]:
+        theirs = {entry.region: entry.hash for entry in digest.regions}
+        ours = {entry.region: entry.hash for entry in self._digest_regions(own)}
+        regions = sorted({*theirs, *ours})
+        return [r for r in regions if theirs.get(r, 0) != ours.get(r, 0)]
+
+    def _follow_beats(self, digest: Digest, now_ms: int) -> None:
+        for entry in digest.regions:
+            if entry.beat > self._beats.get(entry.region, 0):
+                self._beats[entry.region] = entry.beat
+                self.heard_from(entry.region, now_ms)
+
+    def _is_settled(self, region: str, now_ms: int) -> bool:
+        changed_ms = self._table.hash_changed_ms.get(region)
+        if changed_ms is None:
+            return True
+        return now_ms - changed_ms >= self._settings.settle_ms
+
+    def _updates_of(self, region: str, own: MemberUpdate) -> list[MemberUpdate]:
+        updates = [record.update for record in self._table.in_region(region)]
+        if region == self._address.region:
+            updates.append(own)
+        return updates
+
+    def _stamps_of(self, region: str, own: MemberUpdate) -> tuple[MemberStamp, ...]:
+        return tuple(
+            MemberStamp(
+                update.address.instance,
+                update.address.incarnation,
+                update.counter,
+                update.state,
+            )
+            for update in self._updates_of(region, own)
+        )
+
+    def _lacking(self, stamps: Iterable[MemberStamp]) -> tuple[str, ...]:
+        lacking = []
+        for stamp in stamps:
+            if stamp.instance == self._address.instance:
+                continue
+            record = self._table.get(stamp.instance)
+            if (record is None and stamp.state != MemberState.DEAD) or (
+                record is not None and record.update.rank < stamp.rank
+            ):
+                lacking.append(stamp.instance)
+        return tuple(lacking)
+
+    def _find_silent(self, now_ms: int) -> None:
+        limit_ms = now_ms - self._settings.region_silence_ms
+        self._silent = frozenset(
+            region
+            for region, heard_ms in self._heard_ms.items()
+            if heard_ms <= limit_ms and region != self._address.region
+        )
--- /dev/null
+++ b/savorychute/membership/relayed_ack.py
@@ -0,0 +1,16 @@
+"""The answer to an indirect probe."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from savorychute.membership.member_update import MemberUpdate  # noqa: TC001
+from savorychute.wire.peer_messages import peer_message
+
+
+@peer_message(13)
+class RelayedAck(NamedTuple):
+    """Say that *target* answered; ``sequence`` is the requester's."""
+
+    sequence: int
+    target: MemberUpdate
--- /dev/null
+++ b/savorychute/membership/settings.py
@@ -0,0 +1,38 @@
+"""Settings of membership."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class MembershipSettings(NamedTuple):
+    """Periods, bounds and fan-outs.
+
+    ``probe_period_ms`` is the time between two probes, ``probe_timeout_ms``
+    the wait for a direct answer before others are asked to probe.
+    ``suspicion_ms`` is the time to refute a suspicion.  ``pause_ms`` is the
+    gap between two ticks from which on the instance takes itself to have been
+    paused.  ``updates_per_s`` and ``updates_burst`` bound what gossip sends.
+    """
+
+    probe_period_ms: int = 1_000
+    probe_timeout_ms: int = 300
+    indirect_probes: int = 3
+    suspicion_ms: int = 4_000
+    pause_ms: int = 700
+    gossip_period_ms: int = 250
+    gossip_fanout: int = 2
+    spread_factor: float = 2.0
+    updates_per_message: int = 8
+    updates_per_s: float = 30.0
+    updates_burst: int = 200
+    digest_period_ms: int = 2_000
+    representatives: int = 3
+    settle_ms: int = 3_000
+    region_silence_ms: int = 30_000
+    dead_retry_period_ms: int = 5_000
+    forget_dead_ms: int = 7_200_000
+    max_dead: int = 1_500
+    listing_period_ms: int = 20_000
+    first_listing_period_ms: int = 1_000
+    max_changes: int = 2_000
--- /dev/null
+++ b/tests/test_membership/test_membership_faults.py
@@ -0,0 +1,168 @@
+from __future__ import annotations
+
+from benches.capacity_roles.member_mesh import make_address, no_cut
+from savorychute.membership import MemberState, MemberUpdate
+from savorychute.membership.gossip import Gossip
+
+
+def everyone_agrees(mesh, instance, alive):
+    views = (member.view() for name, member in mesh.members.items() if name != instance)
+    return all(view.is_alive(instance) is alive for view in views)
+
+
+def test_all_members_of_the_list_are_alive_everywhere(start_mesh):
+    mesh = start_mesh(12, regions=2)
+    sizes = {len(member.view().alive) for member in mesh.members.values()}
+    assert sizes == {12}
+
+
+def test_killed_instance_is_found_dead_by_all_and_told_once(start_mesh):
+    """An instance's host burns; the platform's list goes on showing it.
+
+    Probes stay unanswered, nobody refutes the suspicion, and every member
+    takes it for dead although the list says otherwise.
+    """
+    mesh = start_mesh(12)
+    mesh.stop('entry-0004', listed=True)
+    took_ms = mesh.run_until(lambda: everyone_agrees(mesh, 'entry-0004', False), 30_000)
+    assert took_ms is not None
+    mesh.run(60_000)
+    assert everyone_agrees(mesh, 'entry-0004', False)
+
+
+def test_paused_instance_refutes_the_suspicion(start_mesh):
+    """An instance stands still for two seconds, as in a long collection.
+
+    A probe finds it silent and it is suspected.  When it wakes it raises its
+    counter, so that callers never lose it.
+    """
+    mesh = start_mesh(12)
+    mesh.pause('entry-0004', 2_000)
+    ever_dead = mesh.run_until(
+        lambda: not everyone_agrees(mesh, 'entry-0004', True), 10_000
+    )
+    assert ever_dead is None
+    assert all(not member.view().suspects for member in mesh.members.values())
+
+
+def test_waking_instance_accuses_nobody(start_mesh):
+    """An instance sleeps for a minute with a probe under way.
+
+    It wakes and finds the answer late.  If it trusted its clock it would
+    spread suspicions of healthy members.
+    """
+    mesh = start_mesh(12)
+    mesh.pause('entry-0004', 60_000)
+    mesh.run(60_000)
+    mesh.members['entry-0004'].take_changes()
+    mesh.run(2_000)
+    accused = [
+        change.instance
+        for change in mesh.members['entry-0004'].take_changes()
+        if change.to_state in ('suspect', 'dead')
+    ]
+    assert accused == []
+
+
+def test_old_gossip_does_not_bring_a_dead_member_back(start_mesh):
+    """A message from before a crash comes out of a slow link afterwards.
+
+    It says that the dead member is alive.  Believing it would send callers to
+    an address where nobody listens.
+    """
+    mesh = start_mesh(6)
+    old = MemberUpdate(mesh.addresses['entry-0004'])
+    mesh.stop('entry-0004')
+    mesh.run_until(lambda: everyone_agrees(mesh, 'entry-0004', False), 30_000)
+    member = mesh.members['entry-0001']
+    member.receive('entry-0002', Gossip((old,)), mesh.now_ms)
+    assert not member.view().is_alive('entry-0004')
+
+
+def test_restarted_instance_replaces_its_earlier_run(start_mesh):
+    """An instance crashes and starts again at another address at once.
+
+    News of the earlier run, still under way, must not hide the new one.
+    """
+    mesh = start_mesh(6)
+    earlier = mesh.addresses['entry-0004']
+    mesh.stop('entry-0004')
+    mesh.start(earlier._replace(incarnation=2, host='10.0.0.99'))
+    mesh.run(3_000)
+    member = mesh.members['entry-0001']
+    dead = MemberUpdate(earlier, 7, MemberState.DEAD)
+    member.receive('entry-0002', Gossip((dead,)), mesh.now_ms)
+    address = member.view().address_of('entry-0004')
+    assert address is not None
+    assert address.host == '10.0.0.99'
+
+
+def test_leaving_instance_is_out_of_all_views_within_three_seconds(start_mesh):
+    """An instance begins a graceful shutdown.
+
+    Callers who ask anybody for addresses must not be sent to it any more,
+    although it still runs, and also not while its silence is only suspected.
+    """
+    mesh = start_mesh(24, regions=3)
+    mesh.leave('entry-0004')
+    took_ms = mesh.run_until(lambda: everyone_agrees(mesh, 'entry-0004', False), 30_000)
+    assert took_ms is not None
+    assert took_ms <= 3_000
+    mesh.stop('entry-0004')
+    came_back = mesh.run_until(
+        lambda: not everyone_agrees(mesh, 'entry-0004', False), 20_000
+    )
+    assert came_back is None
+
+
+def test_sides_of_a_cut_find_each_other_again(start_mesh):
+    """Two failure domains lose each other for several minutes.
+
+    Both sides declare the other dead.  After the cut heals nobody would probe
+    the dead, and the system would stay split for ever.
+    """
+    mesh = start_mesh(12)
+    mesh.is_cut = lambda a, b: (
+        (a.failure_domain == 'region-0-hall-0')
+        != (b.failure_domain == 'region-0-hall-0')
+    )
+    mesh.run(300_000)
+    assert len(mesh.members['entry-0001'].view().alive) == 8
+    mesh.is_cut = no_cut
+    healed_ms = mesh.run_until(
+        lambda: all(len(m.view().alive) == 12 for m in mesh.members.values()), 60_000
+    )
+    assert healed_ms is not None
+
+
+def test_region_whose_members_were_all_replaced_during_a_cut(start_mesh):
+    """Two regions lose each other; one replaces all its instances meanwhile.
+
+    None of the known representatives exists any more.  The list names the new
+    ones, and both regions must see each other's members again.
+    """
+    mesh = start_mesh(8, regions=2)
+    mesh.is_cut = lambda a, b: a.region != b.region
+    mesh.run(60_000)
+    for number in range(1, 8, 2):
+        mesh.stop(f'entry-{number:04}')
+        mesh.start(make_address(number + 100, 2))
+    mesh.run(60_000)
+    assert {m.region for m in mesh.members['entry-0000'].view().alive} == {'region-0'}
+    mesh.is_cut = no_cut
+    everyone = set(mesh.members)
+    healed_ms = mesh.run_until(
+        lambda: all(
+            {m.instance for m in member.view().alive} == everyone
+            for member in mesh.members.values()
+        ),
+        90_000,
+    )
+    assert healed_ms is not None
+
+
+def test_offsets_travel_on_probes(start_mesh):
+    mesh = start_mesh(4)
+    mesh.members['entry-0002'].advertise(41)
+    mesh.run(10_000)
+    assert mesh.members['entry-0001'].peer_offsets()['entry-0002'] == 41
