Add stand-ins for endpoints and the platform

Cause: parts and daemon need endpoints, a log and a list to be tried against. Change: a model engine with continuous batching, a plain service, an append log and a lagging list as sans-I/O cores scripted by seed, and thin HTTP servers around them. Conclusion: the whole path can be built against them.

--- /dev/null
+++ b/savorychute/testing/engine_events.py
@@ -0,0 +1,51 @@
+"""What a stand-in engine emits."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class StreamAccepted(NamedTuple):
+    """The engine took up an attempt."""
+
+    attempt_id: str
+    stream_id: str
+
+
+class StreamRefused(NamedTuple):
+    """The engine did nothing with an attempt, and says so."""
+
+    attempt_id: str
+    status: int
+    leaving: bool
+    reason: str
+
+
+class StreamTokens(NamedTuple):
+    """Tokens ``offset`` to ``offset + token_count`` of an answer."""
+
+    attempt_id: str
+    stream_id: str
+    offset: int
+    token_count: int
+    text: str
+
+
+class StreamEnded(NamedTuple):
+    """The answer is whole."""
+
+    attempt_id: str
+    stream_id: str
+    prompt_tokens: int
+    total_tokens: int
+
+
+class StreamBroken(NamedTuple):
+    """The connection of an attempt breaks: crash, cancel or take-over."""
+
+    attempt_id: str
+    stream_id: str
+    reason: str
+
+
+EngineEvent = StreamAccepted | StreamRefused | StreamTokens | StreamEnded | StreamBroken
--- /dev/null
+++ b/savorychute/testing/engine_load.py
@@ -0,0 +1,21 @@
+"""A stand-in engine's load report."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class EngineLoad(NamedTuple):
+    """What the engine says of itself, ``age_ms`` old."""
+
+    age_ms: int
+    running: int
+    waiting: int
+    kv_free_share: float
+    step_ms: float
+    models: tuple[str, ...]
+    state: str
+    cache_sequence: int = 0
+    cached: tuple[int, ...] = ()
+    evicted: tuple[int, ...] = ()
+    cache_gap: bool = False
--- /dev/null
+++ b/savorychute/testing/order_gate.py
@@ -0,0 +1,69 @@
+"""How a stand-in engine takes orders."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from savorychute.testing.weight_store import WeightStore
+
+
+class EngineOrder(NamedTuple):
+    """An order: ``load``, ``unload`` or ``role``, with a fencing number."""
+
+    verb: str
+    target: str
+    fencing: int
+    expected_state: str = ''
+
+
+class OrderGate:
+    """The models and the role of an engine, changed by orders.
+
+    :param models: loaded at the start.
+    :param checks_fencing: whether an old fencing number is refused.
+    :param store: where models come from; shared by all engines.
+    """
+
+    def __init__(
+        self, models: tuple[str, ...], checks_fencing: bool, store: WeightStore
+    ) -> None:
+        self.checks_fencing = checks_fencing
+        self.role = 'both'
+        self.highest_fencing = -1
+        self.stale_orders = 0
+        self._store = store
+        self._models = dict.fromkeys(models, 0.0)
+
+    def models(self, now_ms: float) -> tuple[str, ...]:
+        """Return the models that are ready."""
+        return tuple(
+            name for name, ready_ms in self._models.items() if ready_ms <= now_ms
+        )
+
+    def state(self, now_ms: float) -> str:
+        """Return what an order's ``expected_state`` is compared with."""
+        return f'{self.role}:{",".join(sorted(self.models(now_ms)))}'
+
+    def take(self, order: EngineOrder, now_ms: float) -> str:
+        """Carry out an order and return ``done``, ``fenced`` or ``refused``."""
+        if order.fencing < self.highest_fencing:
+            self.stale_orders += 1
+            if self.checks_fencing:
+                return 'fenced'
+        self.highest_fencing = max(self.highest_fencing, order.fencing)
+        if order.expected_state and order.expected_state != self.state(now_ms):
+            return 'refused'
+        return self._apply(order, now_ms)
+
+    def _apply(self, order: EngineOrder, now_ms: float) -> str:
+        if order.verb == 'load':
+            if order.target not in self._models:
+                self._models[order.target] = self._store.fetch(now_ms)
+        elif order.verb == 'unload':
+            self._models.pop(order.target, None)
+        elif order.verb == 'role':
+            self.role = order.target
+        else:
+            return 'refused'
+        return 'done'
--- /dev/null
+++ b/savorychute/testing/plain_service.py
@@ -0,0 +1,160 @@
+"""A stand-in plain service that counts its executions."""
+
+from __future__ import annotations
+
+import heapq
+from typing import NamedTuple
+
+import xxhash
+
+from savorychute.testing.endpoint_down import EndpointDownError
+
+STATUS_OK = 200
+
+
+class ServiceSettings(NamedTuple):
+    """How long a call takes and how many run at once."""
+
+    name: str = 'service'
+    service_ms: float = 20.0
+    max_running: int = 16
+    max_waiting: int = 64
+
+
+class ServiceRequest(NamedTuple):
+    """One call."""
+
+    attempt_id: str
+    method: str
+    path: str
+    body: bytes
+
+
+class ServiceAccepted(NamedTuple):
+    """The service executes the call."""
+
+    attempt_id: str
+
+
+class ServiceRefused(NamedTuple):
+    """The service did nothing with the call, and says so."""
+
+    attempt_id: str
+    leaving: bool
+
+
+class ServiceAnswered(NamedTuple):
+    """The answer to a call."""
+
+    attempt_id: str
+    status: int
+    body: bytes
+
+
+class ServiceBroken(NamedTuple):
+    """The call's connection breaks."""
+
+    attempt_id: str
+
+
+ServiceEvent = ServiceAccepted | ServiceRefused | ServiceAnswered | ServiceBroken
+
+
+def write_service_answer(request: ServiceRequest) -> bytes:
+    """Return the answer, a function of the call alone."""
+    digest = xxhash.xxh64(request.body).hexdigest()
+    return f'{request.method} {request.path} {digest}'.encode()
+
+
+class PlainService:
+    """Executes a call when it takes it up, and answers some time later.
+
+    A call goes on when its caller is gone, as an ordinary service's does.
+    """
+
+    def __init__(self, settings: ServiceSettings) -> None:
+        self.settings = settings
+        self.is_up = True
+        self.leaving = False
+        self.refusing = False
+        self.silent = False
+        self.slowness = 1.0
+        self.executions: dict[str, int] = {}
+        self.bodies_executed: dict[bytes, int] = {}
+        self._waiting: list[ServiceRequest] = []
+        self._running: list[tuple[float, int, ServiceRequest]] = []
+        self._arrivals = 0
+
+    def submit(self, request: ServiceRequest, now_ms: float) -> list[ServiceEvent]:
+        """Take up a call, or refuse it and do nothing.
+
+        :raises EndpointDownError: if the service is down.
+        """
+        if not self.is_up:
+            raise EndpointDownError(f'{self.settings.name} is down')
+        events = self.advance(now_ms)
+        full = len(self._waiting) >= self.settings.max_waiting
+        if self.leaving or self.refusing or full:
+            return [*events, ServiceRefused(request.attempt_id, self.leaving)]
+        self._waiting.append(request)
+        if not self.silent:
+            events.append(ServiceAccepted(request.attempt_id))
+            self._fill(now_ms)
+        return events
+
+    def advance(self, now_ms: float) -> list[ServiceEvent]:
+        """Bring the service up to *now_ms* and return what it answers."""
+        events: list[ServiceEvent] = []
+        while not self.silent and self._running and self._running[0][0] <= now_ms:
+            done_ms, _, request = heapq.heappop(self._running)
+            body = write_service_answer(request)
+            events.append(ServiceAnswered(request.attempt_id, STATUS_OK, body))
+            self._fill(done_ms)
+        return events
+
+    def next_event_ms(self) -> float | None:
+        """Return when the service has something to do next, if at all."""
+        if self.silent or not self._running:
+            return None
+        return self._running[0][0]
+
+    def set_silent(self, silent: bool, now_ms: float) -> list[ServiceEvent]:
+        """Accept calls without a word, or execute what has piled up."""
+        self.silent = silent
+        if silent:
+            return []
+        events: list[ServiceEvent] = [
+            ServiceAccepted(request.attempt_id) for request in self._waiting
+        ]
+        self._fill(now_ms)
+        return events
+
+    def crash(self, now_ms: float) -> list[ServiceEvent]:
+        """Go down: all connections break; what was executed stays executed."""
+        events = self.advance(now_ms)
+        requests = [*self._waiting, *(entry[2] for entry in self._running)]
+        events += [ServiceBroken(request.attempt_id) for request in requests]
+        self._waiting.clear()
+        self._running.clear()
+        self.is_up = False
+        return events
+
+    def restart(self, now_ms: float) -> None:
+        """Come up again."""
+        del now_ms
+        self.is_up = True
+        self.silent = False
+
+    def _fill(self, now_ms: float) -> None:
+        while self._waiting and len(self._running) < self.settings.max_running:
+            request = self._waiting.pop(0)
+            self._execute(request)
+            self._arrivals += 1
+            done_ms = now_ms + self.settings.service_ms * self.slowness
+            heapq.heappush(self._running, (done_ms, self._arrivals, request))
+
+    def _execute(self, request: ServiceRequest) -> None:
+        attempt_id = request.attempt_id
+        self.executions[attempt_id] = self.executions.get(attempt_id, 0) + 1
+        body = request.body
+        self.bodies_executed[body] = self.bodies_executed.get(body, 0) + 1
--- /dev/null
+++ b/savorychute/testing/service_server.py
@@ -0,0 +1,103 @@
+"""A stand-in plain service over HTTP."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+from savorychute.testing.plain_service import (
+    PlainService,
+    ServiceAnswered,
+    ServiceBroken,
+    ServiceRefused,
+    ServiceRequest,
+)
+from savorychute.testing.pump import Pump
+from savorychute.testing.stand_in_http import LOOPBACK, loop_ms, serve
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Sequence
+
+    from savorychute.http.server_exchange import ServerExchange
+    from savorychute.testing.plain_service import ServiceEvent
+
+STATUS_UNAVAILABLE = 503
+
+
+class ServiceServer:
+    """Speaks HTTP for a :class:`PlainService`.
+
+    :param service: the service's core.
+    """
+
+    def __init__(self, service: PlainService) -> None:
+        self.service = service
+        self.port = 0
+        self._exchanges: dict[str, ServerExchange] = {}
+        self._pump = Pump(service.next_event_ms, self._advance)
+        self._numbered = 0
+
+    def handle(self, exchange: ServerExchange) -> None:
+        """Take one HTTP request."""
+        if not self.service.is_up:
+            exchange.abort()
+            return
+        self._numbered += 1
+        request = exchange.request
+        attempt_id = request.header('x-attempt-id') or f'n{self._numbered}'
+        self._exchanges[attempt_id] = exchange
+        call = ServiceRequest(attempt_id, request.method, request.target, request.body)
+        self.apply(self.service.submit(call, loop_ms()))
+
+    def apply(self, events: Sequence[ServiceEvent]) -> None:
+        """Send the service's events, for instance after a fault was set."""
+        for event in events:
+            self._send(event)
+        self._pump.rearm()
+
+    def crash(self) -> None:
+        """Crash the service: every open connection breaks."""
+        self.apply(self.service.crash(loop_ms()))
+
+    def stop(self) -> None:
+        """Stop the timer."""
+        self._pump.stop()
+
+    def _send(self, event: ServiceEvent) -> None:
+        exchange = self._exchanges.get(event.attempt_id)
+        if exchange is None:
+            return
+        if isinstance(event, ServiceAnswered):
+            exchange.respond(event.status, [('content-type', 'text/plain')], event.body)
+        elif isinstance(event, ServiceRefused):
+            headers = [('x-not-started', '1')]
+            if event.leaving:
+                headers.append(('x-leaving', '1'))
+            exchange.respond(STATUS_UNAVAILABLE, headers, b'')
+        elif isinstance(event, ServiceBroken):
+            exchange.abort()
+        else:
+            return
+        self._exchanges.pop(event.attempt_id, None)
+
+    def _advance(self) -> None:
+        self.apply(self.service.advance(loop_ms()))
+
+
+@asynccontextmanager
+async def serve_service(
+    service: PlainService, host: str = LOOPBACK, port: int = 0
+) -> AsyncIterator[ServiceServer]:
+    """Serve a plain service until the block ends.
+
+    :param service: the service's core.
+    :param host: the IP number to listen on.
+    :param port: the port, or 0 for one of the system's choice.
+    """
+    stand_in = ServiceServer(service)
+    async with serve(stand_in.handle, host, port) as http:
+        stand_in.port = http.port
+        try:
+            yield stand_in
+        finally:
+            stand_in.stop()
--- /dev/null
+++ b/savorychute/testing/stand_in_http.py
@@ -0,0 +1,47 @@
+"""What the stand-ins' HTTP servers share."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from savorychute.clock import SystemClock
+from savorychute.http.http_limits import HttpLimits
+from savorychute.http.http_server import HttpServer, listen
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+    from savorychute.http.server_exchange import ServerExchange
+
+JSON_HEADERS = (('content-type', 'application/json'),)
+LOOPBACK = '127.0.0.1'
+MS_PER_S = 1_000.0
+
+
+def respond_json(exchange: ServerExchange, status: int, document: object) -> None:
+    """Answer with a JSON document."""
+    exchange.respond(status, JSON_HEADERS, msgspec.json.encode(document))
+
+
+def loop_ms() -> float:
+    """Return the running loop's time in milliseconds."""
+    return asyncio.get_running_loop().time() * MS_PER_S
+
+
+@asynccontextmanager
+async def serve(
+    on_request: Callable[[ServerExchange], None], host: str, port: int
+) -> AsyncIterator[HttpServer]:
+    """Pass requests to a stand-in until the block ends.
+
+    :param on_request: called with each whole request.
+    :param host: the IP number to listen on.
+    :param port: the port, or 0 for one of the system's choice.
+    """
+    server = HttpServer(HttpLimits(), SystemClock(), on_request)
+    async with listen(server, host, port):
+        yield server
--- /dev/null
+++ b/tests/test_testing/test_engine.py
@@ -0,0 +1,228 @@
+"""The stand-in engine."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from savorychute.testing.answers import write_answer, write_tokens
+from savorychute.testing.endpoint_down import EndpointDownError
+from savorychute.testing.engine import ModelEngine
+from savorychute.testing.engine_events import (
+    StreamBroken,
+    StreamEnded,
+    StreamRefused,
+    StreamTokens,
+)
+from savorychute.testing.engine_request import EngineRequest
+from savorychute.testing.engine_settings import EngineSettings
+from savorychute.testing.order_gate import EngineOrder
+
+LONG_MS = 60_000
+
+
+@pytest.fixture
+def engine():
+    return ModelEngine(EngineSettings(), Random(1))
+
+
+def make_request(name, prompt='#tokens=20 water', **changes):
+    request = EngineRequest(name, f's-{name}', 'model', prompt, 0)
+    return request._replace(**changes)
+
+
+def text_of(events, attempt_id):
+    return ''.join(
+        event.text
+        for event in events
+        if isinstance(event, StreamTokens) and event.attempt_id == attempt_id
+    )
+
+
+def ended(events):
+    return [event.attempt_id for event in events if isinstance(event, StreamEnded)]
+
+
+def test_answer_is_whole_and_depends_on_the_prompt_only(engine):
+    events = engine.submit(make_request('a'), 0)
+    events += engine.submit(make_request('b', '#tokens=9 oil'), 0)
+    events += engine.advance(LONG_MS)
+    assert text_of(events, 'a') == write_answer('#tokens=20 water', 0)
+    assert text_of(events, 'b') == write_answer('#tokens=9 oil', 0)
+    assert sorted(ended(events)) == ['a', 'b']
+    assert engine.generated_tokens == 29
+
+
+def test_step_time_grows_with_the_batch():
+    settings = EngineSettings(step_ms=5, step_ms_per_stream=1, chunk_steps=1)
+    engine = ModelEngine(settings, Random(1))
+    engine.submit(make_request('a', '#tokens=100'), 0)
+    engine.advance(50)
+    alone_ms = engine.batch.step_ms
+    engine.submit(make_request('b', '#tokens=100'), 50)
+    engine.advance(60)
+    assert (alone_ms, engine.batch.step_ms) == (6, 7)
+
+
+def test_lower_priority_number_goes_first():
+    engine = ModelEngine(EngineSettings(max_running=1), Random(1))
+    engine.submit(make_request('first'), 0)
+    engine.submit(make_request('late', priority=3), 0)
+    engine.submit(make_request('urgent', priority=0), 0)
+    assert ended(engine.advance(LONG_MS)) == ['first', 'urgent', 'late']
+
+
+def test_closing_a_connection_frees_the_engine(engine):
+    engine.submit(make_request('a', '#tokens=1000'), 0)
+    engine.advance(100)
+    engine.close('a', 100)
+    assert engine.report(0, 100).running == 0
+    assert 0 < engine.generated_tokens < 50
+
+
+def test_kept_stream_resumes_without_making_a_token_twice(engine):
+    prompt = '#tokens=40 tap'
+    events = engine.submit(make_request('a', prompt, keep_on_close=True), 0)
+    events += engine.advance(100)
+    seen = text_of(events, 'a')
+    offset = seen.count(' ')
+    engine.close('a', 100)
+    resumed = engine.resume('s-a', 'b', offset, 500)
+    resumed += engine.advance(LONG_MS)
+    assert seen + text_of(resumed, 'b') == write_answer(prompt, 0)
+    assert engine.generated_tokens == 40
+
+
+def test_resume_takes_a_running_stream_over(engine):
+    events = engine.submit(make_request('a', '#tokens=40 tap'), 0)
+    events += engine.advance(60)
+    resumed = engine.resume('s-a', 'b', 0, 60)
+    assert StreamBroken('a', 's-a', 'taken over') in resumed
+    resumed += engine.advance(LONG_MS)
+    assert text_of(resumed, 'b') == write_answer('#tokens=40 tap', 0)
+
+
+def test_finished_stream_is_resumable_for_a_while(engine):
+    engine.submit(make_request('a', keep_on_close=True), 0)
+    engine.advance(1_000)
+    resumed = engine.resume('s-a', 'b', 3, 1_000)
+    assert text_of(resumed, 'b') == write_tokens('', 0, 0) + ''.join(
+        f' {token}' for token in write_answer('#tokens=20 water', 0).split()[3:]
+    )
+    assert isinstance(engine.resume('s-a', 'c', 0, 60_000)[-1], StreamRefused)
+
+
+def test_answer_goes_on_after_given_text(engine):
+    whole = write_answer('#tokens=20 water', 0)
+    head = ''.join(f' {token}' for token in whole.split()[:7])
+    request = make_request('a', continue_offset=7, continue_text=head)
+    events = [*engine.submit(request, 0), *engine.advance(LONG_MS)]
+    assert head + text_of(events, 'a') == whole
+    assert engine.generated_tokens == 13
+
+
+def test_text_of_another_answer_is_not_continued_in_silence(engine):
+    request = make_request('a', continue_offset=1, continue_text=' other.0')
+    events = [*engine.submit(request, 0), *engine.advance(LONG_MS)]
+    assert (
+        text_of(events, 'a').split()[0]
+        != write_answer('#tokens=20 water', 0).split()[1]
+    )
+
+
+def test_poison_crashes_the_engine_and_all_its_streams(engine):
+    engine.submit(make_request('bystander', '#tokens=1000'), 0)
+    engine.submit(make_request('bad', '#poison #tokens=1000'), 0)
+    events = engine.advance(LONG_MS)
+    broken = {event.attempt_id for event in events if isinstance(event, StreamBroken)}
+    assert broken == {'bystander', 'bad'}
+    assert engine.poison_crashes == 1
+    with pytest.raises(EndpointDownError):
+        engine.submit(make_request('c'), LONG_MS)
+
+
+def test_restarted_engine_answers_again(engine):
+    engine.submit(make_request('a'), 0)
+    engine.crash(20)
+    engine.restart(500)
+    events = [*engine.submit(make_request('b'), 500), *engine.advance(LONG_MS)]
+    assert text_of(events, 'b') == write_answer('#tokens=20 water', 0)
+    assert engine.report(0, LONG_MS).running == 0
+
+
+def test_leaving_engine_refuses_and_runs_nothing(engine):
+    engine.leaving = True
+    assert engine.submit(make_request('a'), 0) == [
+        StreamRefused('a', 503, True, 'leaving')
+    ]
+    assert engine.executions == {}
+
+
+def test_hung_engine_runs_late_what_it_was_sent(engine):
+    engine.set_silent(True, 0)
+    assert engine.submit(make_request('a'), 10) == []
+    assert engine.advance(5_000) == []
+    events = [*engine.set_silent(False, 5_000), *engine.advance(LONG_MS)]
+    assert ended(events) == ['a']
+
+
+def test_straggler_takes_longer():
+    times = []
+    for factor in (1, 5):
+        engine = ModelEngine(EngineSettings(), Random(1))
+        engine.set_straggle(factor, 0)
+        engine.submit(make_request('a'), 0)
+        while engine.next_event_ms() is not None:
+            last_ms = engine.next_event_ms()
+            engine.advance(last_ms)
+        times.append(last_ms)
+    assert times[1] == pytest.approx(5 * times[0], rel=0.01)
+
+
+def test_report_lags_behind():
+    engine = ModelEngine(EngineSettings(report_lag_ms=2_000), Random(1))
+    engine.report(0, 0)
+    engine.submit(make_request('a', '#tokens=4000'), 100)
+    engine.report(0, 1_000)
+    assert engine.report(0, 2_500).running == 0
+    late = engine.report(0, 3_100)
+    assert (late.running, late.age_ms) == (1, 2_100)
+
+
+def test_old_fencing_number_is_refused_only_by_engines_that_check():
+    outcomes = []
+    for checks in (True, False):
+        engine = ModelEngine(EngineSettings(checks_fencing=checks), Random(1))
+        engine.order(EngineOrder('load', 'x', 7), 0)
+        outcomes.append(engine.order(EngineOrder('unload', 'model', 3), 10))
+    assert outcomes == ['fenced', 'done']
+
+
+def test_cached_prefix_makes_the_first_token_earlier():
+    engine = ModelEngine(EngineSettings(prefill_tokens_per_s=1_000), Random(1))
+    prompt = 'p' * 4_096 + '#tokens=2'
+    engine.submit(make_request('a', prompt), 0)
+    engine.advance(10_000)
+    engine.submit(make_request('b', prompt), 10_000)
+    assert engine.batch.prefilled_tokens < 1_100
+    news = engine.report(0, 20_000)
+    assert len(news.cached) == 16
+    assert not news.cache_gap
+
+
+def test_lost_cache_events_show_as_a_gap():
+    settings = EngineSettings(cache_gap_share=0.5, cache_lag_ms=0)
+    engine = ModelEngine(settings, Random(1))
+    engine.submit(make_request('a', 'p' * 8_192 + '#tokens=2'), 0)
+    engine.advance(10_000)
+    assert engine.report(0, 10_000).cache_gap
+
+
+def test_full_memory_puts_the_least_important_stream_back():
+    engine = ModelEngine(EngineSettings(kv_tokens=120), Random(1))
+    events = engine.submit(make_request('low', '#tokens=90', priority=4), 0)
+    events += engine.submit(make_request('high', '#tokens=90'), 0)
+    events += engine.advance(LONG_MS)
+    assert ended(events) == ['high', 'low']
+    assert text_of(events, 'low').count(' ') == 90
