Route by predicted first token; bound retries, eject and quarantine

Cause: nothing chose endpoints or bounded the damage of failures. Change: endpoint book (own work reconciled with lagging reports, step time from token gaps, two-generation prefix view), three routers, learned output lengths, retry budget, ejector with cap and slow start, quarantine by fingerprint with gossip.

--- /dev/null
+++ b/savorychute/recovery/ejector_settings.py
@@ -0,0 +1,27 @@
+"""Settings of outlier ejection."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class EjectorSettings(NamedTuple):
+    """When endpoints are ejected, for how long, and how many at most.
+
+    ``ejected_share_max`` bounds ejection for errors, ``crashed_share_max`` for
+    crashes; neither ever ejects the last endpoint of a pool.  An ejection lasts
+    ``ejection_ms``, doubled at each in a row up to ``ejection_max_ms``; then the
+    share of work grows over ``ramp_ms``.
+    """
+
+    ejected_share_max: float = 0.5
+    crashed_share_max: float = 0.8
+    consecutive_failures: int = 5
+    failure_share: float = 0.5
+    failure_samples: int = 20
+    ejection_ms: int = 1_000
+    ejection_max_ms: int = 30_000
+    ramp_ms: int = 10_000
+    ramp_floor: float = 0.1
+    leaving_grace_ms: int = 1_000
+    suspicion_lifetime_ms: int = 600_000
--- /dev/null
+++ b/savorychute/recovery/poison_verdict.py
@@ -0,0 +1,19 @@
+"""What is believed of a request by its fingerprint."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+
+class PoisonVerdict(StrEnum):
+    """Whether a request may run, and how.
+
+    ``SUSPECT``: it was running where an endpoint crashed; it may run on its
+    preferred endpoint.  ``HELD``: it must not run now, but may later.
+    ``QUARANTINED``: it must not run.
+    """
+
+    CLEAR = 'clear'
+    SUSPECT = 'suspect'
+    HELD = 'held'
+    QUARANTINED = 'quarantined'
--- /dev/null
+++ b/savorychute/routing/__init__.py
@@ -0,0 +1,30 @@
+"""Which endpoint runs a request."""
+
+from __future__ import annotations
+
+from savorychute.routing.endpoint_book import EndpointBook
+from savorychute.routing.endpoint_state import EndpointState
+from savorychute.routing.least_outstanding_router import LeastOutstandingRouter
+from savorychute.routing.length_settings import LengthSettings
+from savorychute.routing.output_lengths import OutputLengths
+from savorychute.routing.predicted_router import PredictedRouter
+from savorychute.routing.round_robin_router import RoundRobinRouter
+from savorychute.routing.router import ROUTERS, Router
+from savorychute.routing.routing_choice import RoutingChoice
+from savorychute.routing.routing_request import RoutingRequest
+from savorychute.routing.routing_settings import RoutingSettings
+
+__all__ = [
+    'ROUTERS',
+    'EndpointBook',
+    'EndpointState',
+    'LeastOutstandingRouter',
+    'LengthSettings',
+    'OutputLengths',
+    'PredictedRouter',
+    'RoundRobinRouter',
+    'Router',
+    'RoutingChoice',
+    'RoutingRequest',
+    'RoutingSettings',
+]
--- /dev/null
+++ b/tests/test_recovery/test_retry_budget.py
@@ -0,0 +1,48 @@
+"""Tests of the retry budget."""
+
+from __future__ import annotations
+
+from savorychute.recovery import RetryBudget, RetrySettings
+
+
+def test_outage_costs_a_tenth_of_the_requests():
+    """Most of a pool is gone and every attempt fails.
+
+    If each were retried the rest of the pool would get a multiple of its load.
+    """
+    budget = RetryBudget(RetrySettings(burst=5.0, floor_per_s=0.1))
+    retries = 0
+    for now_ms in range(0, 10_000, 10):
+        budget.request('salt-lake-stores', now_ms)
+        retries += budget.try_spend('salt-lake-stores', 0.1, now_ms)
+
+    assert 100 <= retries <= 100 + 5 + 1
+
+
+def test_one_customer_does_not_spend_anothers_retries():
+    budget = RetryBudget(RetrySettings())
+    while budget.try_spend('a', 0.1, 0):
+        pass
+    assert budget.try_spend('b', 0.1, 0)
+
+
+def test_calm_hour_does_not_save_up_a_storm():
+    budget = RetryBudget(RetrySettings(burst=5.0))
+    for now_ms in range(0, 3_600_000, 100):
+        budget.request('a', now_ms)
+    retries = sum(budget.try_spend('a', 0.1, 3_600_000) for _ in range(50))
+    assert retries == 5
+
+
+def test_customer_with_few_requests_may_retry():
+    budget = RetryBudget(RetrySettings(burst=1.0, floor_per_s=0.1))
+    assert budget.try_spend('a', 0.1, 0)
+    assert not budget.try_spend('a', 0.1, 5_000)
+    assert budget.try_spend('a', 0.1, 10_000)
+
+
+def test_number_of_customers_is_bounded():
+    budget = RetryBudget(RetrySettings(customers=10))
+    for number in range(100):
+        budget.request(f'c{number}', 0)
+    assert len(budget) == 10
