--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,9 @@
 docs: $(STAMP)
 	$(BIN)/savorychute docs
 
+schema: $(STAMP)
+	$(BIN)/savorychute schema
+
 $(STAMP): requirements/lock.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check --requirement requirements/lock.txt
--- /dev/null
+++ b/savorychute/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/savorychute/cmd/contract.py
@@ -0,0 +1,73 @@
+"""The commands ``contract show``, ``contract amend`` and ``contract history``."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from savorychute.cmd import operator_verbs
+from savorychute.cmd.change_arguments import (
+    add_change_arguments,
+    read_document,
+    take_change_arguments,
+)
+from savorychute.cmd.command import COMMANDS
+from savorychute.cmd.operator_command import OperatorVerb
+
+if TYPE_CHECKING:
+    from argparse import ArgumentParser, Namespace
+
+
+class _CustomerVerb(OperatorVerb):
+    """A verb whose one argument is a customer."""
+
+    def add_own_arguments(self, parser: ArgumentParser) -> None:
+        """Add the customer."""
+        parser.add_argument('customer')
+
+    def make_document(self, arguments: Namespace) -> Any:
+        """Return the customer's name."""
+        return {'customer': arguments.customer}
+
+
+@COMMANDS.register('contract show')
+class ContractShow(_CustomerVerb):
+    """Print a contract and its version."""
+
+    summary = "print a customer's contract and its version"
+    verb = operator_verbs.CONTRACT_SHOW
+
+
+@COMMANDS.register('contract history')
+class ContractHistory(_CustomerVerb):
+    """Print a contract's changes."""
+
+    summary = "print the changes of a customer's contract"
+    verb = operator_verbs.CONTRACT_HISTORY
+
+
+@COMMANDS.register('contract amend')
+class ContractAmend(OperatorVerb):
+    """Replace a contract."""
+
+    summary = "replace a customer's contract, or make the first one"
+    verb = operator_verbs.CONTRACT_AMEND
+
+    def add_own_arguments(self, parser: ArgumentParser) -> None:
+        """Add the file and what every change has."""
+        parser.add_argument('file', type=Path, help='the contract, JSON with comments')
+        add_change_arguments(parser)
+
+    def make_document(self, arguments: Namespace) -> Any:
+        """Return the contract with the version that it replaces."""
+        document = read_document(arguments.file)
+        if arguments.base_version is None:
+            raise ValueError(
+                'contract amend needs --base-version; "contract show" prints it, '
+                '0 makes a new contract'
+            )
+        customer = document.get('customer')
+        if not isinstance(customer, str):
+            raise ValueError(f'{arguments.file}: expected a string "customer"')
+        change = take_change_arguments(arguments)
+        return {'customer': customer, 'document': document, **change}
--- /dev/null
+++ b/savorychute/cmd/inspection.py
@@ -0,0 +1,69 @@
+"""The commands that only look: instances, status, audit, explain."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from savorychute.cmd import operator_verbs
+from savorychute.cmd.command import COMMANDS
+from savorychute.cmd.operator_command import OperatorVerb
+
+if TYPE_CHECKING:
+    from argparse import ArgumentParser, Namespace
+
+
+@COMMANDS.register('instance list')
+class InstanceList(OperatorVerb):
+    """Print the instances."""
+
+    summary = 'print the instances and their state, as one of them sees it'
+    verb = operator_verbs.INSTANCE_LIST
+
+
+@COMMANDS.register('status')
+class Status(OperatorVerb):
+    """Print the state of an instance."""
+
+    summary = 'print the state of the instance that answers'
+    verb = operator_verbs.STATUS
+
+
+@COMMANDS.register('audit')
+class Audit(OperatorVerb):
+    """Print the audit trail."""
+
+    summary = 'print the audit trail of changes'
+    verb = operator_verbs.AUDIT
+
+    def add_own_arguments(self, parser: ArgumentParser) -> None:
+        """Add the filters."""
+        parser.add_argument('--item', help='such as "contract:malanadu"')
+        parser.add_argument('--operator', help="only this operator's changes")
+        parser.add_argument(
+            '--since-offset', type=int, metavar='N', help='only from this offset on'
+        )
+
+    def make_document(self, arguments: Namespace) -> Any:
+        """Return the filters that were given."""
+        filters = {
+            'item': arguments.item,
+            'operator': arguments.operator,
+            'since_offset': arguments.since_offset,
+        }
+        return {name: value for name, value in filters.items() if value is not None}
+
+
+@COMMANDS.register('explain')
+class Explain(OperatorVerb):
+    """Print the course of a request."""
+
+    summary = 'print why a request went where it went, or was refused'
+    verb = operator_verbs.EXPLAIN
+
+    def add_own_arguments(self, parser: ArgumentParser) -> None:
+        """Add the request."""
+        parser.add_argument('request_id')
+
+    def make_document(self, arguments: Namespace) -> Any:
+        """Return the request's id."""
+        return {'request_id': arguments.request_id}
--- /dev/null
+++ b/savorychute/cmd/operator_client.py
@@ -0,0 +1,130 @@
+"""Operators' commands over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import ssl
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import msgspec
+
+from savorychute.cmd.operator_verbs import OPERATOR_PATH, RESULT_CODE_HEADER
+from savorychute.result_code import ResultCode
+from savorychute.settings.readers import read_address
+from savorychute.util.http_exchange import HttpRequest, NotSentError, exchange
+
+if TYPE_CHECKING:
+    from argparse import ArgumentParser, Namespace
+    from collections.abc import Sequence
+
+    from savorychute.settings.network_address import NetworkAddress
+
+ADDRESS_VARIABLE = 'SAVORYCHUTE_INSTANCES'
+TOKEN_VARIABLE = 'SAVORYCHUTE_OPERATOR_TOKEN'
+DEFAULT_ADDRESS = '127.0.0.1:8080'
+DEFAULT_TIMEOUT_MS = 15_000
+CODES = {code.number: code for code in ResultCode}
+
+
+class OperatorAnswer(NamedTuple):
+    """What an instance answered to a command."""
+
+    code: ResultCode
+    document: dict[str, Any]
+
+
+class OperatorClient(NamedTuple):
+    """Whom to ask, as whom, and for how long."""
+
+    addresses: tuple[NetworkAddress, ...]
+    token: str
+    timeout_ms: int = DEFAULT_TIMEOUT_MS
+    tls: ssl.SSLContext | None = None
+
+    def call(self, verb: str, arguments: Any) -> OperatorAnswer:
+        """Send one command to the first instance that accepts a connection.
+
+        Another instance is tried only while nothing was sent, so that one
+        command never reaches two instances.
+
+        :param verb: a verb of :mod:`savorychute.cmd.operator_verbs`.
+        :param arguments: its document.
+        :raises NotSentError: if no instance accepted a connection.
+        :raises NoReplyError: if the command was sent and not answered.
+        """
+        body = msgspec.json.encode(arguments)
+        request = HttpRequest('POST', OPERATOR_PATH + verb, body, self.token)
+        return asyncio.run(self._call_first(request))
+
+    async def _call_first(self, request: HttpRequest) -> OperatorAnswer:
+        reasons: list[str] = []
+        for address in self.addresses:
+            try:
+                reply = await exchange(address, request, self.timeout_ms, self.tls)
+            except NotSentError as error:
+                reasons.append(str(error))
+                continue
+            number = reply.headers.get(RESULT_CODE_HEADER, '')
+            return OperatorAnswer(
+                _find_code(number, reply.status), _read_document(reply.body)
+            )
+        raise NotSentError('; '.join(reasons))
+
+
+def add_client_arguments(parser: ArgumentParser) -> None:
+    """Add the arguments that :func:`make_client` reads."""
+    parser.add_argument(
+        '--instances',
+        metavar='HOST:PORT,...',
+        help=f'instances to ask, in this order (else ${ADDRESS_VARIABLE})',
+    )
+    parser.add_argument(
+        '--token-file',
+        type=Path,
+        metavar='FILE',
+        help=f"file with the operator's token (else ${TOKEN_VARIABLE})",
+    )
+    parser.add_argument(
+        '--ca-file', metavar='FILE', help='use TLS and trust these certificates'
+    )
+    parser.add_argument(
+        '--timeout-ms', type=int, default=DEFAULT_TIMEOUT_MS, metavar='N'
+    )
+
+
+def make_client(arguments: Namespace) -> OperatorClient:
+    """Return a client from parsed arguments and the environment.
+
+    :raises ValueError: if an address is not ``host:port``.
+    :raises OSError: if a file cannot be read.
+    """
+    stated = arguments.instances or os.environ.get(ADDRESS_VARIABLE, DEFAULT_ADDRESS)
+    addresses = _read_addresses(stated.split(','))
+    if arguments.token_file:
+        token = arguments.token_file.read_text('utf-8').strip()
+    else:
+        token = os.environ.get(TOKEN_VARIABLE, '')
+    tls = None
+    if arguments.ca_file:
+        tls = ssl.create_default_context(cafile=arguments.ca_file)
+    return OperatorClient(addresses, token, arguments.timeout_ms, tls)
+
+
+def _read_addresses(items: Sequence[str]) -> tuple[NetworkAddress, ...]:
+    return tuple(read_address(item.strip()) for item in items)
+
+
+def _find_code(number: str, status: int) -> ResultCode:
+    if number.isascii() and number.isdigit() and int(number) in CODES:
+        return CODES[int(number)]
+    return ResultCode.OK if status < 300 else ResultCode.BAD_FIELD
+
+
+def _read_document(body: bytes) -> dict[str, Any]:
+    try:
+        document = msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        document = body.decode('utf-8', 'replace')
+    return document if isinstance(document, dict) else {'answer': document}
--- /dev/null
+++ b/savorychute/cmd/output.py
@@ -0,0 +1,91 @@
+"""Printing of documents for people and for programs."""
+
+from __future__ import annotations
+
+import json
+import sys
+from typing import TYPE_CHECKING, Any
+
+from rich.console import Console
+from rich.table import Table
+
+if TYPE_CHECKING:
+    from argparse import ArgumentParser
+
+WIDE_COLUMNS = 200
+
+
+def add_output_arguments(parser: ArgumentParser) -> None:
+    """Add ``--json``."""
+    parser.add_argument('--json', action='store_true', help='print one JSON object')
+
+
+def make_console() -> Console:
+    """Return a console on standard output, wide when that is no terminal."""
+    console = Console(highlight=False, markup=False)
+    if not console.is_terminal:
+        console = Console(highlight=False, markup=False, width=WIDE_COLUMNS)
+    return console
+
+
+def print_document(document: dict[str, Any], as_json: bool) -> None:
+    """Print *document* as one line of JSON, or as tables.
+
+    Lists of objects become tables; everything else a table of two columns.
+
+    :param document: a JSON object.
+    :param as_json: whether a program reads the output.
+    """
+    if as_json:
+        json.dump(document, sys.stdout, ensure_ascii=False)
+        sys.stdout.write('\n')
+        return
+    console = make_console()
+    plain = {}
+    for name, value in document.items():
+        if _is_object_list(value):
+            console.print(make_table(name, value))
+        else:
+            plain[name] = value
+    if plain:
+        console.print(_make_pairs(plain))
+
+
+def make_table(title: str, rows: list[dict[str, Any]]) -> Table:
+    """Return a table with a column for each name that occurs in *rows*."""
+    columns = list(dict.fromkeys(name for row in rows for name in row))
+    table = Table(title=title, title_justify='left')
+    for name in columns:
+        table.add_column(name, overflow='fold')
+    for row in rows:
+        table.add_row(*[show_value(row.get(name, '')) for name in columns])
+    return table
+
+
+def show_value(value: Any) -> str:
+    """Return a cell's text."""
+    if isinstance(value, str):
+        return value
+    if isinstance(value, float):
+        return f'{value:.4g}'
+    return json.dumps(value, ensure_ascii=False)
+
+
+def _make_pairs(pairs: dict[str, Any]) -> Table:
+    table = Table(show_header=False)
+    table.add_column('name')
+    table.add_column('value', overflow='fold')
+    for name, value in pairs.items():
+        if isinstance(value, dict):
+            table.add_row(name, json.dumps(value, ensure_ascii=False, indent=2))
+        else:
+            table.add_row(name, show_value(value))
+    return table
+
+
+def _is_object_list(value: Any) -> bool:
+    return (
+        isinstance(value, list)
+        and bool(value)
+        and all(isinstance(item, dict) for item in value)
+    )
--- /dev/null
+++ b/savorychute/cmd/serve.py
@@ -0,0 +1,30 @@
+"""The command ``serve``."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from savorychute.cmd.command import COMMANDS
+from savorychute.settings import read_settings
+
+if TYPE_CHECKING:
+    from argparse import ArgumentParser, Namespace
+
+
+@COMMANDS.register('serve')
+class Serve:
+    """Run an instance until it is told to leave."""
+
+    summary = 'run an instance; SIGTERM makes it leave gracefully'
+
+    def add_arguments(self, parser: ArgumentParser) -> None:
+        """Add the settings file."""
+        parser.add_argument('settings', type=Path)
+
+    def run(self, arguments: Namespace) -> int:
+        """Read the settings and run the daemon."""
+        # Imported late: other commands need no daemon and start faster.
+        from savorychute.daemon.main import run_daemon
+
+        return run_daemon(read_settings(arguments.settings))
--- a/savorychute/settings/__init__.py
+++ b/savorychute/settings/__init__.py
@@ -4,3 +4,5 @@
 
 from savorychute.settings.settings import Settings
 from savorychute.settings.settings_file import read_settings
+
+__all__ = ['Settings', 'read_settings']
--- /dev/null
+++ b/savorychute/util/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without a part of their own."""
--- /dev/null
+++ b/tests/test_cmd/conftest.py
@@ -0,0 +1,92 @@
+"""A stand-in for an instance that answers operators."""
+
+from __future__ import annotations
+
+import json
+import threading
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import NamedTuple
+
+import pytest
+
+from savorychute.cmd.main import main
+from savorychute.cmd.operator_client import ADDRESS_VARIABLE, TOKEN_VARIABLE
+
+
+class Received(NamedTuple):
+    """One command as the stand-in got it."""
+
+    path: str
+    token: str
+    document: dict
+
+
+class OperatorStandIn:
+    """Answers every command with what a test sets."""
+
+    def __init__(self) -> None:
+        self.received: list[Received] = []
+        self.answer: tuple[int, int, object] = (200, 0, {})
+        self.drops_answers = False
+        self.port = 0
+
+    def handle(self, handler: BaseHTTPRequestHandler) -> None:
+        """Note one command and answer it, or close without an answer."""
+        size = int(handler.headers['content-length'])
+        body = handler.rfile.read(size)
+        token = handler.headers.get('authorization', '')
+        self.received.append(Received(handler.path, token, json.loads(body)))
+        if self.drops_answers:
+            return
+        status, code, document = self.answer
+        payload = json.dumps(document).encode()
+        handler.send_response(status)
+        handler.send_header('x-result-code', str(code))
+        handler.send_header('content-length', str(len(payload)))
+        handler.end_headers()
+        handler.wfile.write(payload)
+
+
+@pytest.fixture
+def stand_in(monkeypatch):
+    double = OperatorStandIn()
+
+    class Handler(BaseHTTPRequestHandler):
+        def do_POST(self) -> None:
+            double.handle(self)
+
+        def log_message(self, *arguments: object) -> None:
+            pass
+
+    server = ThreadingHTTPServer(('127.0.0.1', 0), Handler)
+    double.port = server.server_address[1]
+    thread = threading.Thread(target=server.serve_forever, args=(0.02,))
+    thread.start()
+    monkeypatch.setenv(ADDRESS_VARIABLE, f'127.0.0.1:{double.port}')
+    monkeypatch.setenv(TOKEN_VARIABLE, 'operator-token')
+    yield double
+    server.shutdown()
+    thread.join()
+    server.server_close()
+
+
+@pytest.fixture
+def run(capsys):
+    """Run a command line; return its exit code, output and error output."""
+
+    def call(*argv: str) -> tuple[int, str, str]:
+        try:
+            code = main(argv)
+        except SystemExit as error:
+            code = int(error.code or 0)
+        captured = capsys.readouterr()
+        return code, captured.out, captured.err
+
+    return call
+
+
+@pytest.fixture
+def contract_file(tmp_path):
+    path = tmp_path / 'malanadu.jsonc'
+    path.write_text('{\n  // The pumps.\n  "customer": "malanadu", "classes": []\n}\n')
+    return str(path)
