Run keyed requests at most once, with issuer and witness

Cause: a caller whose answer is lost sends its request again, maybe to another instance; a non-idempotent request must not run a second time. Change: life of a request as a transition table; keys that name issuer and witness; the witness decides once between started and revoked; outcomes kept within bounds; continuation handles. Keys that callers bring are refused with NOT_READY so far.

--- a/savorychute/errors.py
+++ b/savorychute/errors.py
@@ -79,3 +79,15 @@
     """A scenario file has faults."""
 
     code = ResultCode.BAD_SCENARIO
+
+
+class IllegalTransitionError(SavorychuteError):
+    """A state machine was told to make a transition that it does not have.
+
+    :param request_id: whose life it is.
+    :param before: the present state.
+    :param after: the state asked for.
+    """
+
+    def __init__(self, request_id: str, before: str, after: str) -> None:
+        super().__init__(f'request {request_id}: no transition {before} to {after}')
--- /dev/null
+++ b/savorychute/requests/continuation_handle.py
@@ -0,0 +1,60 @@
+"""Handles with which callers resume a stream."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from typing import NamedTuple
+
+import msgspec
+
+from savorychute.errors import RequestError
+from savorychute.result_code import ResultCode
+
+HANDLE_PREFIX = 'h1.'
+MAX_HANDLE_CHARACTERS = 1024
+
+
+class ContinuationHandle(NamedTuple):
+    """A stream on an engine and the next token that the caller lacks.
+
+    The caller holds it, no instance does: any instance resumes the stream at
+    ``offset``.  ``customer`` is checked against the caller's token.
+    """
+
+    endpoint: str
+    stream_id: str
+    offset: int
+    customer: str = ''
+    class_name: str = ''
+    pool: str = ''
+
+    def encode(self) -> str:
+        """Return the handle as text that fits an HTTP header."""
+        data = base64.urlsafe_b64encode(msgspec.json.encode(self))
+        return HANDLE_PREFIX + data.decode().rstrip('=')
+
+
+def decode_handle(text: str) -> ContinuationHandle:
+    """Return the handle that *text* spells.
+
+    :param text: what :meth:`ContinuationHandle.encode` gave.
+    :raises RequestError: ``HANDLE_MALFORMED`` if it is no handle.
+    """
+    if not text.startswith(HANDLE_PREFIX) or len(text) > MAX_HANDLE_CHARACTERS:
+        raise _malformed(text)
+    data = text.removeprefix(HANDLE_PREFIX)
+    padding = '=' * (-len(data) % 4)
+    try:
+        raw = base64.urlsafe_b64decode(data + padding)
+        handle = msgspec.json.decode(raw, type=ContinuationHandle)
+    except (binascii.Error, ValueError):
+        raise _malformed(text) from None
+    if handle.offset < 0:
+        raise _malformed(text)
+    return handle
+
+
+def _malformed(text: str) -> RequestError:
+    message = f'continuation handle {text[:MAX_HANDLE_CHARACTERS]!r} cannot be read'
+    return RequestError(ResultCode.HANDLE_MALFORMED, message)
--- /dev/null
+++ b/savorychute/requests/key_keeper.py
@@ -0,0 +1,330 @@
+"""Runs each non-idempotent request at most once."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, cast
+
+from savorychute.actions.send_peer import SendPeer
+from savorychute.errors import RequestError
+from savorychute.ran import Ran
+from savorychute.requests.key_elsewhere import KeyElsewhere
+from savorychute.requests.key_issuer import KeyIssuer
+from savorychute.requests.key_phase import KeyPhase
+from savorychute.requests.key_question import KeyQuestion
+from savorychute.requests.key_refused import KeyRefused
+from savorychute.requests.key_store import KeyStore
+from savorychute.requests.key_verdict import KeyVerdict
+from savorychute.requests.keys_settled import KeysSettled
+from savorychute.requests.question_desk import QuestionDesk
+from savorychute.requests.redirect_memory import RedirectMemory
+from savorychute.requests.request_key import parse_key
+from savorychute.requests.settle_queue import SettleQueue
+from savorychute.requests.start_answer import StartAnswer
+from savorychute.requests.start_denied import StartDenied
+from savorychute.requests.start_desk import StartDesk
+from savorychute.requests.start_notice import StartNotice
+from savorychute.requests.stored_outcome import StoredOutcome
+from savorychute.requests.witness_book import WitnessBook
+from savorychute.result_code import ResultCode
+
+if TYPE_CHECKING:
+    import random
+
+    from savorychute.actions import Action
+    from savorychute.inputs.append_finished import AppendFinished
+    from savorychute.inputs.records_read import RecordsRead
+    from savorychute.member_address import MemberAddress
+    from savorychute.membership.member_view import MemberView
+    from savorychute.requests.key_outcome import KeyOutcome
+    from savorychute.requests.key_settings import KeySettings
+    from savorychute.requests.request_key import RequestKey
+
+
+class KeyKeeper:
+    """Decides, for each request that carries a key, whether it may run here.
+
+    Only the incarnation that issued a key, or whose claim of it is the first
+    in the log, ever runs a request under it.  See ``docs/design/at-most-once``.
+
+    :param settings: bounds.
+    :param address: this instance.
+    :param rng: source of the issuer's secret; a host that faces strangers
+        passes ``random.SystemRandom()``.
+    """
+
+    def __init__(
+        self, settings: KeySettings, address: MemberAddress, rng: random.Random
+    ) -> None:
+        self._settings = settings
+        self._address = address
+        self.issuer = KeyIssuer(address, rng)
+        self._store = KeyStore(settings)
+        self._book = WitnessBook(settings, address)
+        self._settled = SettleQueue(settings)
+        self._starts = StartDesk(
+            settings, address, self.issuer, self._store, self._settled
+        )
+        self._questions = QuestionDesk(settings, address, self._book)
+        self._redirects = RedirectMemory(settings)
+
+    def admit(
+        self,
+        request_id: str,
+        key_text: str,
+        fingerprint: str,
+        view: MemberView,
+        now_ms: int,
+    ) -> list[KeyOutcome | Action]:
+        """Decide whether a request may run under its key.
+
+        Ask before anything else refuses the request: a refusal that says 'not
+        run' about a key that ran elsewhere would be false.
+
+        :param request_id: the request.
+        :param key_text: its key, as the caller sent it.
+        :param fingerprint: of customer and body; a key stands for one request.
+        :param view: the members.
+        :param now_ms: the time.
+        :return: the outcome, or none while a witness or the log is asked.
+        """
+        try:
+            key = parse_key(key_text)
+        except RequestError as error:
+            return [KeyRefused(request_id, error.code, Ran.NOT_RUN, error.message)]
+        if not key.issued:
+            return self._admit_brought(request_id)
+        if self._is_own(key):
+            return list(self._admit_own(request_id, key, fingerprint, now_ms))
+        return self._admit_foreign(request_id, key, fingerprint, view, now_ms)
+
+    def announce_start(
+        self,
+        request_id: str,
+        endpoint: str,
+        stream_id: str,
+        view: MemberView,
+        now_ms: int,
+    ) -> list[KeyOutcome | Action]:
+        """Ask for permission to send a request to an endpoint.
+
+        :param request_id: a request that was told :class:`KeyMayRun`.
+        :param endpoint: where it is about to go.
+        :param stream_id: the stream that can be resumed there, or empty.
+        :param view: the members.
+        :param now_ms: the time.
+        """
+        record = self._store.find_runner(request_id)
+        if record is None:
+            message = 'the request holds no key'
+            code = ResultCode.KEY_REQUIRED
+            return [StartDenied(request_id, code, Ran.NOT_RUN, message)]
+        return self._starts.announce(record, endpoint, stream_id, view, now_ms)
+
+    def finish(
+        self, request_id: str, status: int, content_type: str, body: bytes, now_ms: int
+    ) -> list[KeyOutcome | Action]:
+        """Settle a key with the whole answer of its request.
+
+        :param request_id: the request.
+        :param status: the answer's HTTP status.
+        :param content_type: the answer's media type.
+        :param body: the whole body.
+        :param now_ms: the time.
+        """
+        outcome = StoredOutcome(status, content_type, body)
+        return self._settle(request_id, KeyPhase.RAN, ResultCode.OK, now_ms, outcome)
+
+    def not_run(
+        self,
+        request_id: str,
+        now_ms: int,
+        code: ResultCode = ResultCode.KEY_REVOKED,
+    ) -> list[KeyOutcome | Action]:
+        """Settle a key whose request certainly did not run; nothing will.
+
+        :param request_id: the request.
+        :param now_ms: the time.
+        :param code: what the request's own caller is told.
+        """
+        return self._settle(request_id, KeyPhase.NOT_RUN, code, now_ms)
+
+    def unknown(self, request_id: str, now_ms: int) -> list[KeyOutcome | Action]:
+        """Settle a key whose request may have run.
+
+        :param request_id: the request.
+        :param now_ms: the time.
+        """
+        code = ResultCode.OUTCOME_UNKNOWN
+        return self._settle(request_id, KeyPhase.UNKNOWN, code, now_ms)
+
+    def leave(self, request_id: str) -> None:
+        """Stop answering a request that waits; a run goes on.
+
+        :param request_id: a request whose caller left.
+        """
+        self._store.leave(request_id)
+        self._questions.leave(request_id)
+
+    def receive(
+        self,
+        sender: str,
+        message: object,
+        view: MemberView,  # noqa: ARG002 - all parts are called alike
+        now_ms: int,
+    ) -> list[KeyOutcome | Action]:
+        """Take a message from another instance.
+
+        :param sender: the other instance.
+        :param message: one of this package's peer messages.
+        :param view: the members.
+        :param now_ms: the time.
+        """
+        if isinstance(message, StartNotice):
+            return self._note_start(sender, message, now_ms)
+        if isinstance(message, StartAnswer):
+            return self._starts.answered(sender, message, now_ms)
+        if isinstance(message, KeyQuestion):
+            return self._answer_question(sender, message, now_ms)
+        if isinstance(message, KeyVerdict):
+            return self._questions.answered(sender, message)
+        if isinstance(message, KeysSettled):
+            self._note_settled(sender, message, now_ms)
+        return []
+
+    def append_finished(
+        self,
+        finished: AppendFinished,  # noqa: ARG002
+        now_ms: int,  # noqa: ARG002
+    ) -> list[KeyOutcome | Action]:
+        """Take the outcome of an append to the stream of claims.
+
+        :param finished: the outcome.
+        :param now_ms: the time.
+        """
+        return []
+
+    def records_read(
+        self,
+        read: RecordsRead,  # noqa: ARG002
+        now_ms: int,  # noqa: ARG002
+    ) -> list[KeyOutcome | Action]:
+        """Take records of the stream of claims.
+
+        :param read: the records.
+        :param now_ms: the time.
+        """
+        return []
+
+    def tick(self, view: MemberView, now_ms: int) -> list[KeyOutcome | Action]:
+        """Repeat what got no answer, give up what took too long, forget.
+
+        :param view: the members.
+        :param now_ms: the time.
+        """
+        results = self._starts.tick(now_ms)
+        results += self._questions.tick(now_ms)
+        results += self._settled.tick(view, now_ms)
+        self._book.expire(now_ms)
+        self._store.forget_old(now_ms)
+        return results
+
+    def _admit_brought(self, request_id: str) -> list[KeyOutcome | Action]:
+        message = 'keys that callers bring are not served yet'
+        return [KeyRefused(request_id, ResultCode.NOT_READY, Ran.UNKNOWN, message)]
+
+    def _admit_own(
+        self, request_id: str, key: RequestKey, fingerprint: str, now_ms: int
+    ) -> list[KeyOutcome]:
+        if not self.issuer.is_own(key):
+            message = f'request key {key.text!r} was not issued here'
+            code = ResultCode.KEY_MALFORMED
+            return [KeyRefused(request_id, code, Ran.NOT_RUN, message)]
+        record = self._store.find(key.sequence)
+        if record is not None:
+            return self._store.join(request_id, record, fingerprint)
+        if now_ms - key.issued_ms > self._settings.key_lifetime_ms:
+            message = f'request key {key.text!r} is older than what is remembered'
+            code = ResultCode.KEY_TOO_OLD
+            return [KeyRefused(request_id, code, Ran.UNKNOWN, message)]
+        return self._store.take_up(request_id, key, fingerprint)
+
+    def _admit_foreign(
+        self,
+        request_id: str,
+        key: RequestKey,
+        fingerprint: str,
+        view: MemberView,
+        now_ms: int,
+    ) -> list[KeyOutcome | Action]:
+        """Send the caller to the issuer, or ask the witness.
+
+        A caller that comes back could not reach the issuer, whatever the
+        member view says; the witness is asked then, which is safe even while
+        the issuer lives.
+        """
+        issuer = view.address_of(key.instance)
+        is_gone = issuer is None or issuer.incarnation > key.incarnation
+        if key.instance == self._address.instance:
+            is_gone = True
+        if not is_gone and not self._redirects.is_repeated(key.text, now_ms):
+            return [KeyElsewhere(request_id, cast('MemberAddress', issuer))]
+        return self._questions.ask(request_id, key, fingerprint, view, now_ms)
+
+    def _is_own(self, key: RequestKey) -> bool:
+        own = (self._address.instance, self._address.incarnation)
+        return own == (key.instance, key.incarnation)
+
+    def _settle(
+        self,
+        request_id: str,
+        phase: KeyPhase,
+        code: ResultCode,
+        now_ms: int,
+        outcome: StoredOutcome | None = None,
+    ) -> list[KeyOutcome | Action]:
+        record = self._store.find_runner(request_id)
+        if record is None:
+            return []
+        was_announced = record.phase is not KeyPhase.HELD
+        if was_announced and phase is not KeyPhase.UNKNOWN:
+            self._settled.add(record.key, ran=phase is KeyPhase.RAN)
+        self._starts.drop(request_id)
+        return list(self._store.settle(record, phase, code, now_ms, outcome))
+
+    def _note_start(
+        self, sender: str, notice: StartNotice, now_ms: int
+    ) -> list[KeyOutcome | Action]:
+        key = _parse_issued(notice.key)
+        if key is None or key.instance != sender:
+            return []
+        answer = self._book.note_start(key, notice, now_ms)
+        return [SendPeer(sender, notice.host, notice.peer_port, answer)]
+
+    def _answer_question(
+        self, sender: str, question: KeyQuestion, now_ms: int
+    ) -> list[KeyOutcome | Action]:
+        key = _parse_issued(question.key)
+        if key is None:
+            return []
+        verdict = self._book.answer(key, question.fingerprint, now_ms)
+        return [SendPeer(sender, question.host, question.peer_port, verdict)]
+
+    def _note_settled(self, sender: str, news: KeysSettled, now_ms: int) -> None:
+        for text in news.ran:
+            self._settle_noted(sender, text, True, now_ms)
+        for text in news.not_run:
+            self._settle_noted(sender, text, False, now_ms)
+
+    def _settle_noted(self, sender: str, text: str, ran: bool, now_ms: int) -> None:
+        key = _parse_issued(text)
+        if key is not None and key.instance == sender:
+            self._book.settle(key, ran, now_ms)
+
+
+def _parse_issued(text: str) -> RequestKey | None:
+    """Return the issued key in a peer message, or None if it is no such."""
+    try:
+        key = parse_key(text)
+    except RequestError:
+        return None
+    return key if key.issued else None
--- /dev/null
+++ b/savorychute/requests/key_question.py
@@ -0,0 +1,17 @@
+"""A question to the witness of a key."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from savorychute.wire.peer_messages import peer_message
+
+
+@peer_message(52)
+class KeyQuestion(NamedTuple):
+    """Has *key* been started?  If not, revoke it."""
+
+    key: str
+    fingerprint: str
+    host: str
+    peer_port: int
--- /dev/null
+++ b/savorychute/requests/settle_queue.py
@@ -0,0 +1,68 @@
+"""News of settled keys on their way to witnesses."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorychute.actions.send_peer import SendPeer
+from savorychute.requests.keys_settled import KeysSettled
+
+if TYPE_CHECKING:
+    from savorychute.actions import Action
+    from savorychute.membership.member_view import MemberView
+    from savorychute.requests.key_settings import KeySettings
+    from savorychute.requests.request_key import RequestKey
+
+MAX_KEYS_PER_MESSAGE = 64
+
+
+class SettleQueue:
+    """Collects news for each witness and sends it once an interval.
+
+    The news only makes a witness's answers better, so it is sent once and a
+    loss is harmless: without it the witness says 'may have run'.
+
+    :param settings: the interval.
+    """
+
+    def __init__(self, settings: KeySettings) -> None:
+        self._settings = settings
+        self._ran: dict[str, list[str]] = {}
+        self._not_run: dict[str, list[str]] = {}
+        self._next_ms: int | None = None
+
+    def add(self, key: RequestKey, ran: bool) -> None:
+        """Queue news of one key.
+
+        :param key: a key that its witness was told of.
+        :param ran: whether it ran to its end; if not, it certainly never ran.
+        """
+        if not key.witness:
+            return
+        news = self._ran if ran else self._not_run
+        texts = news.setdefault(key.witness, [])
+        if len(texts) < MAX_KEYS_PER_MESSAGE:
+            texts.append(key.text)
+
+    def tick(self, view: MemberView, now_ms: int) -> list[Action]:
+        """Send what is due.
+
+        :param view: the members.
+        :param now_ms: the time.
+        """
+        if self._next_ms is not None and now_ms < self._next_ms:
+            return []
+        self._next_ms = now_ms + self._settings.settle_interval_ms
+        actions: list[Action] = []
+        for instance in sorted({*self._ran, *self._not_run}):
+            address = view.address_of(instance)
+            if address is None:
+                continue
+            message = KeysSettled(
+                tuple(self._ran.get(instance, ())),
+                tuple(self._not_run.get(instance, ())),
+            )
+            actions.append(SendPeer(instance, address.host, address.peer_port, message))
+        self._ran.clear()
+        self._not_run.clear()
+        return actions
--- /dev/null
+++ b/tests/test_requests/conftest.py
@@ -0,0 +1,17 @@
+"""Shared fixtures of the request tests."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import pytest
+
+sys.path.insert(0, str(Path(__file__).parent))
+
+from key_scene import KeyScene
+
+
+@pytest.fixture
+def scene():
+    return KeyScene()
