Queue requests by tier, share and target; derive limits from contracts

Cause: nothing decided yet what waits, what starts next and what is shed.

Change: derive_limits; the admission policies 'tiered' (strict tiers, start-time fair queuing by pool share, earliest target inside a customer, guaranteed minimum of starts) and 'fifo'. Credits and customer limits are divided equally between the members that are alive, as a first version to build on.

--- /dev/null
+++ b/savorychute/admission/customer_flow.py
@@ -0,0 +1,118 @@
+"""One customer's waiting requests in one tier of one pool."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorychute.admission.class_queue import ClassQueue
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from savorychute.admission.queued_request import QueuedRequest
+
+
+class CustomerFlow:
+    """The classes of a customer that share a tier, earliest target first.
+
+    ``start_tag`` is its place in the fair order.  ``is_limited`` is true after
+    others of the tier could start and this flow could not, which tells a
+    customer at its own limits from a pool without capacity.
+
+    :param customer: the customer.
+    :param weight: its share against other customers.
+    :param start_tag: its first place in the fair order.
+    """
+
+    def __init__(self, customer: str, weight: float, start_tag: float) -> None:
+        self.customer = customer
+        self.weight = weight
+        self.start_tag = start_tag
+        self.is_limited = False
+        self.request_count = 0
+        self._classes: dict[str, ClassQueue] = {}
+
+    def add(self, request: QueuedRequest) -> ClassQueue:
+        """Let *request* wait and return the queue of its class.
+
+        :param request: of this customer and tier.
+        """
+        queue = self._classes.get(request.class_name)
+        if queue is None:
+            queue = ClassQueue(request.customer, request.class_name, request.tier)
+            self._classes[request.class_name] = queue
+        queue.add(request)
+        self.request_count += 1
+        return queue
+
+    def remove(self, request: QueuedRequest) -> None:
+        """Remove a request that waits here.
+
+        :param request: the request.
+        """
+        self._classes[request.class_name].remove(request.request_id)
+        self._forget(request)
+
+    def class_queue(self, class_name: str) -> ClassQueue | None:
+        """Return the queue of a class if it has waiting requests.
+
+        :param class_name: the class.
+        """
+        return self._classes.get(class_name)
+
+    def latest(self) -> QueuedRequest:
+        """Return the request that arrived last."""
+        newest = (queue.latest() for queue in self._classes.values())
+        return max(newest, key=lambda request: request.arrival_ms)
+
+    def head(self, now_ms: int) -> QueuedRequest | None:
+        """Return the request that would start first.
+
+        :param now_ms: the time.
+        """
+        queues = self._ordered(now_ms)
+        return queues[0].head(now_ms) if queues else None
+
+    def take(
+        self, now_ms: int, may_start: Callable[[QueuedRequest], bool]
+    ) -> QueuedRequest | None:
+        """Remove and return the first request that may start.
+
+        :param now_ms: the time.
+        :param may_start: says whether a request may start now.
+        """
+        for queue in self._ordered(now_ms):
+            request = queue.take(now_ms, may_start)
+            if request is not None:
+                self._forget(request)
+                return request
+        return None
+
+    def take_class(
+        self,
+        class_name: str,
+        now_ms: int,
+        may_start: Callable[[QueuedRequest], bool],
+    ) -> QueuedRequest | None:
+        """Remove and return the first request of one class that may start.
+
+        :param class_name: the class.
+        :param now_ms: the time.
+        :param may_start: says whether a request may start now.
+        """
+        queue = self._classes.get(class_name)
+        request = None if queue is None else queue.take(now_ms, may_start)
+        if request is not None:
+            self._forget(request)
+        return request
+
+    def _ordered(self, now_ms: int) -> list[ClassQueue]:
+        queues = list(self._classes.values())
+        if len(queues) > 1:
+            queues.sort(key=lambda queue: queue.peek(now_ms) or (True, 0, ''))
+        return queues
+
+    def _forget(self, request: QueuedRequest) -> None:
+        self.request_count -= 1
+        if not self._classes[request.class_name]:
+            del self._classes[request.class_name]
--- /dev/null
+++ b/savorychute/contracts/class_limits.py
@@ -0,0 +1,29 @@
+"""The limits of one class of requests."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class ClassLimits(NamedTuple):
+    """What a contract gives one class of one customer.
+
+    ``tier`` counts from 0, the highest.  ``minimum_share`` is the part of the
+    customer's starts that the class is guaranteed.  ``queue_requests`` and
+    ``queue_wait_ms`` bound its queue on one instance.  ``priority`` is what
+    engines are told; smaller is served first.
+    """
+
+    customer: str
+    name: str
+    tier: int
+    first_token_target_ms: int
+    token_gap_target_ms: int
+    timeout_ms: int
+    weight: float
+    idempotent: bool
+    patient: bool
+    minimum_share: float
+    queue_requests: int
+    queue_wait_ms: int
+    priority: int
--- /dev/null
+++ b/tests/test_admission/conftest.py
@@ -0,0 +1,102 @@
+"""Fixtures of admission tests."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from savorychute.admission import AdmissionSettings, QueuedRequest, TieredAdmission
+from savorychute.contracts.class_limits import ClassLimits
+from savorychute.contracts.customer_limits import CustomerLimits
+
+
+def build_class(customer, name, tier, *, patient=False, queue_requests=100_000):
+    return ClassLimits(
+        customer=customer,
+        name=name,
+        tier=tier,
+        first_token_target_ms=300 * (tier + 1),
+        token_gap_target_ms=50,
+        timeout_ms=10_000,
+        weight=1.0,
+        idempotent=True,
+        patient=patient,
+        minimum_share=0.05,
+        queue_requests=queue_requests,
+        queue_wait_ms=9_000,
+        priority=tier,
+    )
+
+
+def build_limits(shares, tiers=(0, 1, 2), **options):
+    """Return limits of customers that have one class, ``tN``, in each tier."""
+    return {
+        customer: CustomerLimits(
+            customer=customer,
+            pool_share=share,
+            requests_per_s=100.0,
+            concurrent_requests=100,
+            tokens_per_s=100_000.0,
+            retry_share=0.1,
+            seats=3,
+            classes={
+                f't{tier}': build_class(customer, f't{tier}', tier, **options)
+                for tier in tiers
+            },
+        )
+        for customer, share in shares.items()
+    }
+
+
+@pytest.fixture
+def make_request():
+    """Return a function that builds requests with ids counted up."""
+    count = 0
+
+    def make(customer='a', tier=0, arrival_ms=0, **changes):
+        nonlocal count
+        count += 1
+        request = QueuedRequest(
+            request_id=f'r{count}',
+            customer=customer,
+            class_name=f't{tier}',
+            tier=tier,
+            pool='m',
+            arrival_ms=arrival_ms,
+            deadline_ms=arrival_ms + 10_000,
+            first_token_target_ms=300 * (tier + 1),
+            size_bytes=100,
+            expected_tokens=100,
+            patient=False,
+            weight=1.0,
+            minimum_share=0.05,
+        )
+        return request._replace(**changes)
+
+    return make
+
+
+@pytest.fixture
+def make_queue():
+    """Return a function that builds a queue with limits for its customers."""
+
+    def make(shares=None, limit_options=None, **settings):
+        queue = TieredAdmission(AdmissionSettings(**settings), random.Random(1))
+        queue.set_limits(build_limits(shares or {'a': 0.1}, **(limit_options or {})))
+        return queue
+
+    return make
+
+
+@pytest.fixture
+def start_all():
+    """Return a function that starts all that waits and returns the order."""
+
+    def start(queue, pool='m', now_ms=0):
+        started = []
+        while (request := queue.next_start(pool, now_ms, lambda _: True)) is not None:
+            started.append(request)
+        return started
+
+    return start
--- /dev/null
+++ b/tests/test_admission/test_tiered.py
@@ -0,0 +1,238 @@
+"""Tests of the tiered queue."""
+
+from __future__ import annotations
+
+import pytest
+
+from savorychute.admission import RunningRequest
+from savorychute.result_code import ResultCode
+
+
+def test_higher_tier_starts_first(make_queue, make_request, start_all):
+    queue = make_queue()
+    low, high = make_request(tier=2), make_request(tier=0)
+    queue.offer(low, None, 0)
+    queue.offer(high, None, 0)
+
+    assert start_all(queue) == [high, low]
+
+
+def test_customers_share_starts_by_weight(make_queue, make_request, start_all):
+    queue = make_queue({'a': 0.3, 'b': 0.1})
+    for _ in range(40):
+        queue.offer(make_request('a'), None, 0)
+        queue.offer(make_request('b'), None, 0)
+
+    first = [request.customer for request in start_all(queue)[:40]]
+
+    assert 28 <= first.count('a') <= 32
+
+
+def test_earliest_target_first_inside_a_customer(make_queue, make_request, start_all):
+    queue = make_queue()
+    later = make_request(first_token_target_ms=900)
+    sooner = make_request(first_token_target_ms=200)
+    queue.offer(later, None, 0)
+    queue.offer(sooner, None, 0)
+
+    assert start_all(queue) == [sooner, later]
+
+
+def test_request_past_its_target_yields_to_one_in_time(
+    make_queue, make_request, start_all
+):
+    """Under overload each start goes to a request that has just missed its
+    target, and no class meets any target, although half could.  Cause: the
+    earliest deadline always belongs to the request that is already late.
+    """
+    queue = make_queue()
+    late = make_request(arrival_ms=0)
+    in_time = make_request(arrival_ms=300)
+    queue.offer(late, None, 0)
+    queue.offer(in_time, None, 300)
+
+    assert start_all(queue, now_ms=310) == [in_time, late]
+
+
+def test_customer_at_its_limit_holds_up_nobody_and_saves_no_turns(
+    make_queue, make_request, start_all
+):
+    """A customer reaches its contract's concurrency while its queue is long.
+    The others go on; once it may start again it must not take every start
+    in return for the ones that it was refused.
+    """
+    queue = make_queue({'a': 0.1, 'b': 0.1})
+    for _ in range(30):
+        queue.offer(make_request('a'), None, 0)
+        queue.offer(make_request('b'), None, 0)
+
+    for _ in range(10):
+        started = queue.next_start('m', 0, lambda request: request.customer == 'b')
+        assert started.customer == 'b'
+
+    after = [request.customer for request in start_all(queue)[:10]]
+    assert 4 <= after.count('a') <= 6
+
+
+def test_full_queue_evicts_the_lowest_tier_for_higher_work(make_queue, make_request):
+    queue = make_queue(max_requests=2)
+    first, second = make_request(tier=2), make_request(tier=2)
+    queue.offer(first, None, 0)
+    queue.offer(second, None, 0)
+
+    outcome = queue.offer(make_request(tier=1), None, 0)
+
+    assert outcome.admitted
+    assert [shed.request_id for shed in outcome.shed] == [second.request_id]
+    assert outcome.shed[0].code is ResultCode.QUEUE_FULL
+    assert outcome.shed[0].retry_after_ms > 0
+
+
+def test_full_queue_refuses_the_lowest_tier(make_queue, make_request):
+    queue = make_queue(max_requests=1)
+    queue.offer(make_request(tier=1), None, 0)
+
+    outcome = queue.offer(make_request(tier=2), None, 0)
+
+    assert not outcome.admitted
+    assert outcome.code is ResultCode.QUEUE_FULL
+    assert outcome.retry_after_ms > 0
+
+
+def test_nothing_is_evicted_for_a_request_that_would_not_fit(make_queue, make_request):
+    queue = make_queue(max_bytes=1_000)
+    queue.offer(make_request(tier=0, size_bytes=600), None, 0)
+    queue.offer(make_request(tier=2, size_bytes=300), None, 0)
+
+    outcome = queue.offer(make_request(tier=1, size_bytes=500), None, 0)
+
+    assert not outcome.admitted
+    assert outcome.shed == ()
+    assert queue.waiting('m') == {0: 1, 2: 1}
+
+
+def test_longest_customer_of_a_tier_makes_room_for_the_others(make_queue, make_request):
+    """One customer fills the whole queue in a burst and every other one is
+    refused until it has drained.  Cause: a bound without shares.
+    """
+    queue = make_queue({'a': 0.1, 'b': 0.1}, max_requests=10)
+    for _ in range(10):
+        queue.offer(make_request('a'), None, 0)
+
+    assert queue.offer(make_request('b'), None, 0).admitted
+    assert not queue.offer(make_request('a'), None, 0).admitted
+
+
+def test_class_queue_is_bounded(make_queue, make_request):
+    queue = make_queue(limit_options={'queue_requests': 2})
+    outcomes = [queue.offer(make_request(), None, 0) for _ in range(3)]
+
+    assert [outcome.admitted for outcome in outcomes] == [True, True, False]
+
+
+def test_expired_request_is_told_its_deadline_passed(make_queue, make_request):
+    queue = make_queue()
+    request = make_request(deadline_ms=500)
+    queue.offer(request, None, 0)
+
+    assert queue.expire(499) == []
+    (expired,) = queue.expire(500)
+    assert expired.request_id == request.request_id
+    assert expired.code is ResultCode.DEADLINE_PASSED
+    assert queue.pools() == []
+
+
+def test_request_is_given_up_when_a_start_would_come_too_late(make_queue, make_request):
+    queue = make_queue()
+    queue.offer(make_request(), None, 0)
+
+    (expired,) = queue.expire(9_000)
+
+    assert expired.code is ResultCode.OVERLOADED
+
+
+def measure_backlog(queue, make_request, count=60, interval_ms=100):
+    """Let the queue learn that the pool starts ten requests a second."""
+    for _ in range(count):
+        queue.offer(make_request('a', deadline_ms=10**6), None, 0)
+    for number in range(20):
+        queue.next_start('m', number * interval_ms, lambda _: True)
+
+
+def test_request_that_would_miss_its_target_is_shed_early(make_queue, make_request):
+    queue = make_queue()
+    measure_backlog(queue, make_request)
+
+    outcome = queue.offer(make_request('a', arrival_ms=2_000), 50.0, 2_000)
+
+    assert outcome.code is ResultCode.OVERLOADED
+    assert outcome.retry_after_ms >= 3_000
+
+
+def test_patient_request_waits_instead(make_queue, make_request):
+    queue = make_queue()
+    measure_backlog(queue, make_request)
+
+    patient = make_request('a', arrival_ms=2_000, patient=True)
+
+    assert queue.offer(patient, 50.0, 2_000).admitted
+
+
+def test_request_is_not_shed_while_lower_work_could_be_preempted(
+    make_queue, make_request
+):
+    queue = make_queue()
+    measure_backlog(queue, make_request)
+
+    request = make_request('a', arrival_ms=2_000)
+
+    assert queue.offer(request, 50.0, 2_000, can_preempt=True).admitted
+
+
+def test_slow_endpoints_alone_shed_nothing(make_queue, make_request):
+    """All endpoints of a model are slower than a class's target.  Refusing its
+    requests would leave them idle and answer nobody.
+    """
+    queue = make_queue()
+
+    assert queue.offer(make_request(), 60_000.0, 0).admitted
+
+
+@pytest.mark.parametrize(
+    'running, expected',
+    [
+        ([('x', 2, True, 5), ('y', 2, True, 9), ('z', 1, True, 9)], 'y'),
+        ([('x', 2, False, 5), ('z', 1, True, 9)], 'z'),
+        ([('x', 0, True, 5)], None),
+        ([('x', 2, False, 5)], None),
+    ],
+)
+def test_preemption_takes_the_youngest_of_the_lowest_tier(
+    make_queue, make_request, running, expected
+):
+    queue = make_queue()
+    queue.offer(make_request(tier=0), None, 0)
+
+    entries = [RunningRequest(*entry) for entry in running]
+
+    assert queue.preemption('m', entries, 100) == expected
+
+
+def test_one_waiting_request_preempts_one(make_queue, make_request):
+    """Each pass of the loop preempts one more stream for the same waiting
+    request, because the first victim has not left its endpoint yet.
+    """
+    queue = make_queue()
+    queue.offer(make_request(tier=0), None, 0)
+    entries = [RunningRequest(f'x{n}', 2, True, n) for n in range(3)]
+
+    assert queue.preemption('m', entries, 100) == 'x2'
+    assert queue.preemption('m', entries, 110) is None
+
+
+def test_nothing_is_preempted_for_a_customer_at_its_limits(make_queue, make_request):
+    queue = make_queue()
+    queue.offer(make_request(tier=0), None, 0)
+    entries = [RunningRequest('x', 2, True, 0)]
+
+    assert queue.preemption('m', entries, 100, may_start=lambda _: False) is None
