Pass requests through a daemon over HTTP

A request passes through a real socket on both sides in tests, with a small instance in place of the assembled one.

--- /dev/null
+++ b/savorychute/daemon/attempt_runner.py
@@ -0,0 +1,125 @@
+"""Attempts at endpoints over HTTP."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from savorychute.daemon.running_attempt import RunningAttempt
+from savorychute.endpoints import DIALECTS
+from savorychute.errors import UnknownVariantError
+from savorychute.http.client_pool import ServerAddress
+from savorychute.http.timed_call import submit_timed
+from savorychute.inputs import AttemptFailed
+
+if TYPE_CHECKING:
+    from savorychute.actions import CancelAttempt, StartAttempt
+    from savorychute.daemon.host import DaemonHost
+    from savorychute.http.client_pool import ClientPool
+
+CANCEL_TIMEOUT_MS = 2_000
+
+
+class AttemptRunner:
+    """Starts, cancels and slows down attempts.
+
+    :param host: gets the inputs.
+    :param pool: connections to endpoints.
+    """
+
+    def __init__(self, host: DaemonHost, pool: ClientPool) -> None:
+        self._host = host
+        self._pool = pool
+        self._attempts: dict[str, RunningAttempt] = {}
+        self._by_request: dict[str, RunningAttempt] = {}
+
+    @property
+    def in_progress(self) -> int:
+        """How many attempts have not ended."""
+        return len(self._attempts)
+
+    def start(self, start: StartAttempt) -> None:
+        """Send an attempt to its endpoint.
+
+        :param start: the attempt.
+        """
+        try:
+            dialect = DIALECTS.get(start.dialect)
+            request = dialect.build_attempt(start)
+        except (UnknownVariantError, msgspec.MsgspecError) as error:
+            self._host.deliver(_describe_unsent(start, str(error)))
+            return
+        attempt = RunningAttempt(start, dialect, self._host, self._forget)
+        self._attempts[start.attempt_id] = attempt
+        self._by_request[start.request_id] = attempt
+        attempt.call = self._pool.submit(
+            ServerAddress(start.host, start.port),
+            request,
+            attempt,
+            fresh=dialect.needs_fresh_connection(start),
+        )
+        attempt.start_timer()
+        if self._host.answers.is_paused(start.request_id):
+            attempt.pause()
+
+    def cancel(self, cancel: CancelAttempt) -> None:
+        """Stop an attempt; the instance hears no more of it.
+
+        The connection is cut first.  An engine that was asked to keep the
+        stream over a lost connection is told explicitly what to do with it.
+
+        :param cancel: which attempt, and whether its stream is kept.
+        """
+        attempt = self._attempts.get(cancel.attempt_id)
+        if attempt is None:
+            return
+        sent = attempt.stop()
+        if not sent:
+            return
+        start = attempt.start
+        request = attempt.dialect.build_cancel(start, cancel.keep_stream)
+        if request is not None:
+            submit_timed(
+                self._pool,
+                ServerAddress(start.host, start.port),
+                request,
+                CANCEL_TIMEOUT_MS,
+                lambda response: None,  # noqa: ARG005
+                lambda failure: None,  # noqa: ARG005
+            )
+
+    def pause(self, request_id: str) -> None:
+        """Stop reading a request's answer, so that its engine waits.
+
+        :param request_id: whose caller reads too slowly.
+        """
+        attempt = self._by_request.get(request_id)
+        if attempt is not None:
+            attempt.pause()
+
+    def resume(self, request_id: str) -> None:
+        """Read a request's answer again.
+
+        :param request_id: whose caller reads again.
+        """
+        attempt = self._by_request.get(request_id)
+        if attempt is not None:
+            attempt.resume()
+
+    def _forget(self, attempt: RunningAttempt) -> None:
+        start = attempt.start
+        self._attempts.pop(start.attempt_id, None)
+        if self._by_request.get(start.request_id) is attempt:
+            del self._by_request[start.request_id]
+
+
+def _describe_unsent(start: StartAttempt, reason: str) -> AttemptFailed:
+    return AttemptFailed(
+        attempt_id=start.attempt_id,
+        sent=False,
+        refused=False,
+        leaving=False,
+        crashed=False,
+        reason=reason,
+    )
--- /dev/null
+++ b/savorychute/daemon/host_settings.py
@@ -0,0 +1,41 @@
+"""Settings of a daemon's sockets."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from savorychute.http.client_pool import PoolSettings, ServerAddress
+from savorychute.http.http_limits import HttpLimits
+from savorychute.wire.peer_keys import PeerKeys  # noqa: TC001
+
+
+class HostSettings(NamedTuple):
+    """Where a daemon listens, whom it calls, and its bounds.
+
+    Ports of 0 are chosen by the system.  ``host`` is the IP number by which
+    others reach the instance; ``bind_host`` is listened on, or ``host`` if
+    empty.  ``leave_grace_ms`` is how long a leaving daemon goes on answering
+    callers who still have its address: the lifetime of discovery answers.
+    """
+
+    instance: str
+    region: str
+    failure_domain: str
+    host: str
+    log_address: ServerAddress
+    list_address: ServerAddress
+    peer_keys: PeerKeys
+    bind_host: str = ''
+    caller_port: int = 0
+    peer_port: int = 0
+    log_dialect: str = 'http'
+    list_dialect: str = 'http'
+    platform_timeout_ms: int = 3_000
+    poll_timeout_ms: int = 1_000
+    order_timeout_ms: int = 30_000
+    leave_grace_ms: int = 30_000
+    tls_certificate_file: str = ''
+    tls_key_file: str = ''
+    tls_reload_interval_ms: int = 60_000
+    http: HttpLimits = HttpLimits()
+    pool: PoolSettings = PoolSettings()
--- /dev/null
+++ b/savorychute/daemon/running_attempt.py
@@ -0,0 +1,127 @@
+"""One attempt under way."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from savorychute.http.call_failure import CallFailure
+from savorychute.inputs import AttemptSent
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from savorychute.actions import StartAttempt
+    from savorychute.daemon.host import DaemonHost
+    from savorychute.endpoints import Dialect
+    from savorychute.http.client_call import ClientCall
+    from savorychute.inputs import Input
+
+MS_PER_S = 1_000
+
+
+class RunningAttempt:
+    """Hands the events of one call to the instance.
+
+    :param start: the attempt.
+    :param dialect: the endpoint's protocol.
+    :param host: gets the inputs.
+    :param on_end: called when the attempt is over.
+    """
+
+    __slots__ = (
+        '_host',
+        '_on_end',
+        '_over',
+        '_reader',
+        '_timer',
+        'call',
+        'dialect',
+        'start',
+    )
+
+    def __init__(
+        self,
+        start: StartAttempt,
+        dialect: Dialect,
+        host: DaemonHost,
+        on_end: Callable[[RunningAttempt], None],
+    ) -> None:
+        self.start = start
+        self.dialect = dialect
+        self.call: ClientCall | None = None
+        self._host = host
+        self._on_end = on_end
+        self._reader = dialect.make_reader(start)
+        self._over = False
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start_timer(self) -> None:
+        """Bound the whole attempt by its timeout."""
+        loop = asyncio.get_running_loop()
+        delay_s = self.start.timeout_ms / MS_PER_S
+        self._timer = loop.call_later(delay_s, self._time_out)
+
+    def stop(self) -> bool:
+        """Cut the call; return whether a byte of the request was sent."""
+        sent = self.call is not None and self.call.sent
+        self._end()
+        if self.call is not None:
+            self.call.cancel()
+        return sent
+
+    def pause(self) -> None:
+        """Stop reading."""
+        if self.call is not None:
+            self.call.pause_reading()
+
+    def resume(self) -> None:
+        """Read again."""
+        if self.call is not None:
+            self.call.resume_reading()
+
+    def about_to_send(self) -> bool:
+        """Tell the instance; it may cancel, and then nothing is sent."""
+        self._host.deliver(AttemptSent(self.start.attempt_id))
+        return not self._over
+
+    def response_started(self, status: int, headers: dict[str, str]) -> None:
+        """Deliver the head."""
+        self._deliver(self._reader.read_head(status, headers))
+
+    def response_data(self, data: bytes) -> None:
+        """Deliver a part of the body."""
+        self._deliver(self._reader.read_data(data))
+
+    def response_ended(self) -> None:
+        """Deliver the end of the body."""
+        self._deliver(self._reader.read_end())
+
+    def call_failed(self, failure: CallFailure) -> None:
+        """Deliver the failure."""
+        self._deliver(self._reader.read_failure(failure))
+
+    def _deliver(self, inputs: Sequence[Input]) -> None:
+        if self._over:
+            return
+        closed = self._reader.closed
+        if closed:
+            self._end()
+        for delivered in inputs:
+            self._host.deliver(delivered)
+            if self._over and not closed:
+                return
+
+    def _end(self) -> None:
+        if self._over:
+            return
+        self._over = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self._on_end(self)
+
+    def _time_out(self) -> None:
+        sent = self.call is not None and self.call.sent
+        if self.call is not None:
+            self.call.cancel()
+        self.call_failed(CallFailure(sent=sent, broken=False, reason='timeout'))
--- /dev/null
+++ b/savorychute/endpoints/chat_documents.py
@@ -0,0 +1,64 @@
+"""The parts of the OpenAI-style documents that are read."""
+
+from __future__ import annotations
+
+from typing import NotRequired, TypedDict
+
+import msgspec  # noqa: TC002
+
+
+class ChatMessage(TypedDict):
+    """One message; other fields pass through unread."""
+
+    role: str
+    content: NotRequired[str | list[msgspec.Raw] | None]
+
+
+class ChatRequest(TypedDict):
+    """A caller's request; other fields pass through unread."""
+
+    model: str
+    messages: list[ChatMessage]
+    stream: NotRequired[bool]
+    max_tokens: NotRequired[int | None]
+
+
+class ChatUsage(TypedDict):
+    """Tokens of a whole answer."""
+
+    prompt_tokens: NotRequired[int]
+    completion_tokens: NotRequired[int]
+
+
+class ChatCompletion(TypedDict):
+    """A whole answer; the choices pass through unread."""
+
+    usage: NotRequired[ChatUsage | None]
+
+
+class ChatChunk(TypedDict):
+    """One event of a streamed answer; the choices pass through unread."""
+
+    token_count: NotRequired[int]
+
+
+class LoadDocument(TypedDict):
+    """An engine's load report."""
+
+    age_ms: int
+    running: int
+    waiting: int
+    kv_free_share: float
+    step_ms: float
+    models: list[str]
+    state: str
+    cache_sequence: int
+    cached: NotRequired[list[int]]
+    evicted: NotRequired[list[int]]
+    cache_gap: NotRequired[bool]
+
+
+class OrderDocument(TypedDict):
+    """An order's outcome."""
+
+    outcome: str
--- /dev/null
+++ b/savorychute/endpoints/openai_engine.py
@@ -0,0 +1,193 @@
+"""Model engines that speak the OpenAI-style protocol with extensions."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypedDict
+from urllib.parse import quote
+
+import msgspec
+
+from savorychute.endpoints.chat_documents import LoadDocument, OrderDocument
+from savorychute.endpoints.dialect import DIALECTS
+from savorychute.endpoints.stream_reader import StreamReader
+from savorychute.endpoints.whole_reader import WholeReader
+from savorychute.http.http_request import HttpRequest
+from savorychute.inputs import LoadReported, OrderFinished
+
+if TYPE_CHECKING:
+    from savorychute.actions import PollEndpoint, SendOrder, StartAttempt
+    from savorychute.endpoints.dialect import AnswerReader
+
+JSON_HEADER = ('content-type', 'application/json')
+OK_STATUS = 200
+CONFLICT_STATUS = 409
+FIRST_ERROR_STATUS = 400
+SERVER_ERROR_STATUS = 500
+
+_load_decoder = msgspec.json.Decoder(LoadDocument)
+_order_decoder = msgspec.json.Decoder(OrderDocument)
+_body_decoder = msgspec.json.Decoder(dict[str, msgspec.Raw])
+
+
+class ResumeBody(TypedDict):
+    """Where a resumed stream goes on."""
+
+    offset: int
+
+
+class CancelBody(TypedDict):
+    """Whether the engine keeps the stream for a later resume."""
+
+    keep: bool
+
+
+class OrderBody(TypedDict):
+    """An order to an engine."""
+
+    verb: str
+    target: str
+    fencing: int
+    expected_state: str
+
+
+class OpenAiEngine:
+    """Attempts as chat completions; streams that resume and cancel."""
+
+    def build_attempt(self, start: StartAttempt) -> HttpRequest:
+        """Return the chat completion, or the resume of its stream.
+
+        :param start: the attempt.
+        """
+        headers = [
+            JSON_HEADER,
+            ('x-attempt-id', start.attempt_id),
+            ('x-stream-id', start.stream_id),
+            ('x-timeout-ms', str(start.timeout_ms)),
+        ]
+        if start.stream and start.stream_id:
+            headers.append(('x-keep-on-close', '1'))
+        if start.resume_offset >= 0:
+            return HttpRequest(
+                'POST',
+                _stream_path(start.stream_id, 'resume'),
+                tuple(headers),
+                msgspec.json.encode(ResumeBody(offset=start.resume_offset)),
+            )
+        return HttpRequest(
+            'POST', '/v1/chat/completions', tuple(headers), _write_body(start)
+        )
+
+    def make_reader(self, start: StartAttempt) -> AnswerReader:
+        """Return a reader of events, or of one whole document.
+
+        :param start: the attempt.
+        """
+        if start.stream:
+            return StreamReader(start)
+        return WholeReader(start)
+
+    def needs_fresh_connection(self, start: StartAttempt) -> bool:  # noqa: ARG002
+        """Return false: a lost attempt can be asked for by its stream id."""
+        return False
+
+    def build_cancel(self, start: StartAttempt, keep: bool) -> HttpRequest | None:
+        """Return the cancel of a stream; the engine keeps it over a close.
+
+        :param start: the attempt.
+        :param keep: whether it may be resumed later.
+        """
+        if not start.stream or not start.stream_id:
+            return None
+        return HttpRequest(
+            'POST',
+            _stream_path(start.stream_id, 'cancel'),
+            (JSON_HEADER, ('x-attempt-id', start.attempt_id)),
+            msgspec.json.encode(CancelBody(keep=keep)),
+        )
+
+    def build_poll(self, poll: PollEndpoint) -> HttpRequest | None:
+        """Return the request for load and cache events.
+
+        :param poll: which events were seen.
+        """
+        return HttpRequest('GET', f'/v1/load?cursor={poll.cache_cursor}')
+
+    def read_load(self, endpoint: str, body: bytes) -> LoadReported | None:
+        """Return the load report, or none if it is malformed.
+
+        :param endpoint: whose it is.
+        :param body: the JSON document.
+        """
+        try:
+            document = _load_decoder.decode(body)
+        except (msgspec.DecodeError, RecursionError):
+            return None
+        return LoadReported(
+            endpoint=endpoint,
+            age_ms=document['age_ms'],
+            running=document['running'],
+            waiting=document['waiting'],
+            kv_free_share=document['kv_free_share'],
+            step_ms=document['step_ms'],
+            models=tuple(document['models']),
+            state=document['state'],
+            cache_sequence=document['cache_sequence'],
+            cached=tuple(document.get('cached', ())),
+            evicted=tuple(document.get('evicted', ())),
+            cache_gap=document.get('cache_gap', False),
+        )
+
+    def build_order(self, order: SendOrder) -> HttpRequest | None:
+        """Return the request that carries an order.
+
+        :param order: with its fencing number.
+        """
+        body = OrderBody(
+            verb=order.verb,
+            target=order.target,
+            fencing=order.fencing,
+            expected_state=order.expected_state,
+        )
+        return HttpRequest(
+            'POST', '/v1/orders', (JSON_HEADER,), msgspec.json.encode(body)
+        )
+
+    def read_order(self, order: SendOrder, status: int, body: bytes) -> OrderFinished:
+        """Return the outcome of an order.
+
+        :param order: what was asked.
+        :param status: the response's status.
+        :param body: the response's document.
+        """
+        outcome = 'unknown'
+        if status == OK_STATUS:
+            outcome = 'done'
+        elif status == CONFLICT_STATUS:
+            outcome = _read_conflict(body)
+        elif FIRST_ERROR_STATUS <= status < SERVER_ERROR_STATUS:
+            outcome = 'refused'
+        return OrderFinished(order.order_id, order.endpoint, outcome)
+
+
+DIALECTS.register('openai-engine')(OpenAiEngine())
+
+
+def _stream_path(stream_id: str, verb: str) -> str:
+    return f'/v1/streams/{quote(stream_id, safe="")}/{verb}'
+
+
+def _write_body(start: StartAttempt) -> bytes:
+    """Return the caller's document with the router's own fields set."""
+    fields = _body_decoder.decode(start.body)
+    fields['model'] = msgspec.Raw(msgspec.json.encode(start.model))
+    fields['priority'] = msgspec.Raw(msgspec.json.encode(start.priority))
+    fields['stream'] = msgspec.Raw(msgspec.json.encode(start.stream))
+    return msgspec.json.encode(fields)
+
+
+def _read_conflict(body: bytes) -> str:
+    try:
+        outcome = _order_decoder.decode(body)['outcome']
+    except (msgspec.DecodeError, RecursionError):
+        return 'refused'
+    return 'fenced' if outcome == 'fenced' else 'refused'
--- /dev/null
+++ b/savorychute/endpoints/refusals.py
@@ -0,0 +1,62 @@
+"""Refusals that prove that nothing ran."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorychute.inputs import AttemptFailed
+
+if TYPE_CHECKING:
+    from savorychute.http.call_failure import CallFailure
+
+REFUSAL_STATUSES = (429, 503)
+NOT_STARTED_HEADER = 'x-not-started'
+LEAVING_HEADER = 'x-leaving'
+SERVER_ERROR_STATUS = 500
+
+
+def is_refusal(status: int, headers: dict[str, str]) -> bool:
+    """Return whether a response proves that its request did not start.
+
+    A bare 503 proves nothing: a gateway in between may send it after the
+    endpoint has begun.
+    """
+    return status in REFUSAL_STATUSES and headers.get(NOT_STARTED_HEADER) == '1'
+
+
+def describe_refusal(
+    attempt_id: str, status: int, headers: dict[str, str]
+) -> AttemptFailed:
+    """Return the failure of an attempt that was refused."""
+    return AttemptFailed(
+        attempt_id=attempt_id,
+        sent=True,
+        refused=True,
+        leaving=headers.get(LEAVING_HEADER) == '1',
+        crashed=False,
+        reason=f'refused with status {status}',
+    )
+
+
+def describe_failure(attempt_id: str, failure: CallFailure) -> AttemptFailed:
+    """Return the failure of an attempt whose call failed."""
+    return AttemptFailed(
+        attempt_id=attempt_id,
+        sent=failure.sent,
+        refused=False,
+        leaving=False,
+        crashed=failure.broken,
+        reason=failure.reason,
+    )
+
+
+def describe_fault(attempt_id: str, reason: str) -> AttemptFailed:
+    """Return the failure of an attempt whose answer is no good."""
+    return AttemptFailed(
+        attempt_id=attempt_id,
+        sent=True,
+        refused=False,
+        leaving=False,
+        crashed=False,
+        reason=reason,
+    )
--- /dev/null
+++ b/savorychute/http/call_failure.py
@@ -0,0 +1,17 @@
+"""How an HTTP call failed."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class CallFailure(NamedTuple):
+    """A call that ended without a whole response.
+
+    ``sent`` is false only if no byte of the request was given to the network.
+    ``broken`` is true if the connection broke after that.
+    """
+
+    sent: bool
+    broken: bool
+    reason: str
--- /dev/null
+++ b/savorychute/http/client_call.py
@@ -0,0 +1,91 @@
+"""One HTTP call under way."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorychute.http.call_failure import CallFailure
+
+if TYPE_CHECKING:
+    import asyncio
+
+    from savorychute.http.client_connection import ClientConnection
+    from savorychute.http.http_request import HttpRequest
+    from savorychute.http.response_handler import ResponseHandler
+
+
+class ClientCall:
+    """A call from the wait for a connection to its end.
+
+    :param request: what to send.
+    :param handler: who gets the events.
+    """
+
+    __slots__ = (
+        '_connection',
+        '_paused',
+        'cancelled',
+        'connecting',
+        'handler',
+        'request',
+        'sent',
+    )
+
+    def __init__(self, request: HttpRequest, handler: ResponseHandler) -> None:
+        self.request = request
+        self.handler = handler
+        self.cancelled = False
+        self.sent = False
+        self.connecting: asyncio.Task[None] | None = None
+        self._connection: ClientConnection | None = None
+        self._paused = False
+
+    def begin(self, connection: ClientConnection) -> bool:
+        """Send the request unless it is no longer wanted.
+
+        The handler is asked at the last moment before the first byte: a
+        cancel that it brings about itself stops the call with nothing sent.
+
+        :param connection: a usable connection.
+        :returns: whether the connection is now in use.
+        """
+        if self.cancelled or not self.handler.about_to_send() or self.cancelled:
+            self.cancelled = True
+            return False
+        self._connection = connection
+        self.sent = True
+        connection.send(self.request, self.handler)
+        if self._paused:
+            connection.pause_reading()
+        return True
+
+    def fail_unsent(self, reason: str) -> None:
+        """Fail the call with no byte sent.
+
+        :param reason: why.
+        """
+        if self.cancelled:
+            return
+        self.cancelled = True
+        self.handler.call_failed(CallFailure(sent=False, broken=False, reason=reason))
+
+    def cancel(self) -> None:
+        """Stop the call; a connection in use is cut, no event follows."""
+        self.cancelled = True
+        if self.connecting is not None:
+            self.connecting.cancel()
+        if self._connection is not None:
+            self._connection.drop_call()
+            self._connection = None
+
+    def pause_reading(self) -> None:
+        """Stop reading the response, so that the server is slowed down."""
+        self._paused = True
+        if self._connection is not None:
+            self._connection.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read the response again."""
+        self._paused = False
+        if self._connection is not None:
+            self._connection.resume_reading()
--- /dev/null
+++ b/savorychute/http/client_connection.py
@@ -0,0 +1,171 @@
+"""One connection to a server."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, cast
+
+import h11
+
+from savorychute.http.call_failure import CallFailure
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from savorychute.http.http_request import HttpRequest
+    from savorychute.http.response_handler import ResponseHandler
+
+HEAD_BOUND_BYTES = 32 * 1024
+
+
+class ClientConnection(asyncio.Protocol):
+    """Carries one call at a time.
+
+    :param host_header: the value of the ``host`` header.
+    :param on_idle: called when the connection may take the next call.
+    :param on_lost: called when it is gone.
+    """
+
+    def __init__(
+        self,
+        host_header: str,
+        on_idle: Callable[[ClientConnection], None],
+        on_lost: Callable[[ClientConnection], None],
+    ) -> None:
+        self._host_header = host_header
+        self._on_idle = on_idle
+        self._on_lost = on_lost
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=HEAD_BOUND_BYTES
+        )
+        self._transport: asyncio.Transport | None = None
+        self._handler: ResponseHandler | None = None
+        self.idle_since_ms = 0
+
+    @property
+    def usable(self) -> bool:
+        """Whether the connection can take a call."""
+        return (
+            self._transport is not None
+            and not self._transport.is_closing()
+            and self._handler is None
+            and self._http.our_state is h11.IDLE
+        )
+
+    # -- the transport's callbacks
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the connected transport."""
+        self._transport = cast('asyncio.Transport', transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes from the server."""
+        if self._handler is None:
+            # Bytes that answer no request: the two sides disagree about where
+            # a response ended, so the next response could be taken for another
+            # request's.
+            self.abort()
+            return
+        self._http.receive_data(data)
+        self._advance()
+
+    def eof_received(self) -> bool:
+        """Take the server's end, which may end a response without a length."""
+        if self._handler is not None:
+            self._http.receive_data(b'')
+            self._advance()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the call in progress."""
+        self._fail(f'connection lost: {exc}' if exc else 'connection closed')
+        self._on_lost(self)
+
+    # -- called by the call
+
+    def send(self, request: HttpRequest, handler: ResponseHandler) -> None:
+        """Send a request; its response goes to *handler*.
+
+        :param request: the whole request.
+        :param handler: the receiver.
+        """
+        self._handler = handler
+        headers = [('host', self._host_header), *request.headers]
+        if not any(name == 'content-length' for name, _ in headers) and (
+            request.body or request.method not in ('GET', 'HEAD')
+        ):
+            headers.append(('content-length', str(len(request.body))))
+        head = h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+        data = self._http.send(head) or b''
+        if request.body:
+            data += self._http.send(h11.Data(data=request.body)) or b''
+        data += self._http.send(h11.EndOfMessage()) or b''
+        cast('asyncio.Transport', self._transport).write(data)
+
+    def pause_reading(self) -> None:
+        """Stop reading, so that the server is slowed down."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read again."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def drop_call(self) -> None:
+        """Forget the call in progress and cut the connection."""
+        self._handler = None
+        self.abort()
+
+    def abort(self) -> None:
+        """Cut the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    # -- reading
+
+    def _advance(self) -> None:
+        try:
+            while self._handler is not None and self._take_event(self._handler):
+                pass
+        except h11.RemoteProtocolError as error:
+            self._fail(f'malformed response: {error}')
+            self.abort()
+
+    def _take_event(self, handler: ResponseHandler) -> bool:
+        event = self._http.next_event()
+        if isinstance(event, h11.Data):
+            handler.response_data(bytes(event.data))
+            return True
+        if isinstance(event, h11.Response):
+            headers = {
+                name.decode('ascii'): value.decode('latin-1')
+                for name, value in event.headers
+            }
+            handler.response_started(event.status_code, headers)
+            return True
+        if isinstance(event, h11.EndOfMessage):
+            self._end(handler)
+            return False
+        return isinstance(event, h11.InformationalResponse)
+
+    def _end(self, handler: ResponseHandler) -> None:
+        self._handler = None
+        reusable = (
+            self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+        )
+        if reusable:
+            self._http.start_next_cycle()
+            self.resume_reading()
+            self._on_idle(self)
+        else:
+            self.abort()
+        handler.response_ended()
+
+    def _fail(self, reason: str) -> None:
+        handler = self._handler
+        self._handler = None
+        if handler is not None:
+            handler.call_failed(CallFailure(sent=True, broken=True, reason=reason))
--- /dev/null
+++ b/savorychute/http/http_response.py
@@ -0,0 +1,13 @@
+"""An HTTP response that was read whole."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class HttpResponse(NamedTuple):
+    """Status, headers with lower-case names, and the whole body."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
--- /dev/null
+++ b/savorychute/http/http_server.py
@@ -0,0 +1,141 @@
+"""A listening HTTP server."""
+
+from __future__ import annotations
+
+import asyncio
+import resource
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+from savorychute.http.server_connection import ServerConnection
+
+if TYPE_CHECKING:
+    import ssl
+    from collections.abc import AsyncIterator, Callable
+
+    from savorychute.clock import Clock
+    from savorychute.http.http_limits import HttpLimits
+    from savorychute.http.server_exchange import ServerExchange
+
+SWEEP_S = 0.25
+RESERVED_FILES = 64
+LISTEN_BACKLOG = 512
+
+
+class HttpServer:
+    """Connections, their bounds, and the caller of each request.
+
+    :param limits: bounds towards callers.
+    :param clock: the time for deadlines.
+    :param on_request: called with each whole request; must not block.
+    """
+
+    def __init__(
+        self,
+        limits: HttpLimits,
+        clock: Clock,
+        on_request: Callable[[ServerExchange], None],
+    ) -> None:
+        self.limits = limits
+        self.on_request = on_request
+        self.now_ms = clock.now_ms
+        self.closing = False
+        self.port = 0
+        self._connections: set[ServerConnection] = set()
+        self._bound = min(limits.connections, connections_by_files())
+        self._buffered_bytes = 0
+
+    @property
+    def open_connections(self) -> int:
+        """How many connections are open."""
+        return len(self._connections)
+
+    def add(self, connection: ServerConnection) -> bool:
+        """Take a connection; return false if there are too many.
+
+        :param connection: the one that was accepted.
+        """
+        self._connections.add(connection)
+        return len(self._connections) <= self._bound
+
+    def remove(self, connection: ServerConnection) -> None:
+        """Forget a connection that was lost.
+
+        :param connection: the one that was lost.
+        """
+        self._connections.discard(connection)
+
+    def reserve(self, size_bytes: int) -> bool:
+        """Count bytes of a body; return false if all bodies are too large.
+
+        :param size_bytes: how many more.
+        """
+        if self._buffered_bytes + size_bytes > self.limits.buffered_bytes:
+            return False
+        self._buffered_bytes += size_bytes
+        return True
+
+    def release(self, size_bytes: int) -> None:
+        """Give back reserved bytes.
+
+        :param size_bytes: how many fewer.
+        """
+        self._buffered_bytes -= size_bytes
+
+    def sweep(self) -> None:
+        """Give up callers that send or read too slowly."""
+        now_ms = self.now_ms()
+        for connection in tuple(self._connections):
+            connection.check_deadline(now_ms)
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is in progress."""
+        for connection in tuple(self._connections):
+            connection.close_if_idle()
+
+    def abort_all(self) -> None:
+        """Cut every connection."""
+        for connection in tuple(self._connections):
+            connection.abort()
+
+
+@asynccontextmanager
+async def listen(
+    server: HttpServer, host: str, port: int, tls: ssl.SSLContext | None = None
+) -> AsyncIterator[HttpServer]:
+    """Accept connections for *server* until the block ends.
+
+    :param server: who takes them; its ``port`` is set.
+    :param host: the IP number to listen on.
+    :param port: the port, or 0 for one of the system's choice.
+    :param tls: the context of encrypted connections, or none for plain ones.
+    """
+    loop = asyncio.get_running_loop()
+    listener = await loop.create_server(
+        lambda: ServerConnection(server), host, port, ssl=tls, backlog=LISTEN_BACKLOG
+    )
+    server.port = listener.sockets[0].getsockname()[1]
+    sweeper = loop.create_task(_sweep_forever(server))
+    try:
+        yield server
+    finally:
+        sweeper.cancel()
+        listener.close()
+        server.abort_all()
+
+
+async def _sweep_forever(server: HttpServer) -> None:
+    while True:
+        await asyncio.sleep(SWEEP_S)
+        server.sweep()
+
+
+def connections_by_files() -> int:
+    """Return how many callers the file descriptor limit permits.
+
+    A request needs a descriptor towards its caller and one towards its
+    endpoint; some are kept for the platform, peers and the loop itself.
+    Without the bound ``accept`` fails and callers wait for no answer.
+    """
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return max(1, (soft - RESERVED_FILES) // 2)
--- /dev/null
+++ b/savorychute/http/server_connection.py
@@ -0,0 +1,322 @@
+"""One caller's connection."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING, cast
+
+import h11
+
+from savorychute.http.error_answer import encode_error, error_headers
+from savorychute.http.http_request import HttpRequest
+from savorychute.http.server_exchange import ServerExchange
+from savorychute.ran import Ran
+from savorychute.result_code import ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from savorychute.http.http_server import HttpServer
+
+CONTINUE_STATUS = 100
+HEADERS_TOO_LARGE_HINT = 431
+WRITABLE_STATES = (h11.IDLE, h11.SEND_RESPONSE)
+
+
+class ServerConnection(asyncio.Protocol):
+    """Reads requests one by one and answers them in order.
+
+    Requests that a caller pipelines wait in h11's buffer, which is bounded:
+    beyond the bound the socket is not read until the answer is out.
+
+    :param server: the server that accepted the connection.
+    """
+
+    def __init__(self, server: HttpServer) -> None:
+        self._server = server
+        self._limits = server.limits
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.limits.header_bytes
+        )
+        self._transport: asyncio.Transport
+        self._exchange: ServerExchange | None = None
+        self._head: h11.Request | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._pipelined_bytes = 0
+        self._advancing = False
+        self._lingering = False
+        self._received_any = False
+        self._paused_since_ms: int | None = None
+        self._deadline_ms = 0
+        self.writing_paused = False
+
+    # -- the transport's callbacks
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the connection, or refuse it if there are too many."""
+        self._transport = cast('asyncio.Transport', transport)
+        self._bound_buffers()
+        self._wait(self._limits.idle_timeout_ms)
+        if not self._server.add(self):
+            self._refuse(ResultCode.CONNECTIONS_EXHAUSTED, 'try another instance')
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes from the caller."""
+        if self._lingering:
+            return
+        if self._exchange is not None:
+            self._hold_pipelined(data)
+            return
+        if not self._received_any:
+            self._received_any = True
+            self._wait(self._limits.header_timeout_ms)
+        self._http.receive_data(data)
+        self._advance()
+
+    def eof_received(self) -> bool:
+        """Take the caller's end as its leaving; the transport closes."""
+        self._leave()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
+        """Take the loss of the connection as the caller's leaving."""
+        self._leave()
+        self._drop_body()
+        self._server.remove(self)
+
+    def pause_writing(self) -> None:
+        """Pass on that the caller reads too slowly."""
+        self.writing_paused = True
+        self._paused_since_ms = self._server.now_ms()
+        if self._exchange is not None and self._exchange.on_pause is not None:
+            self._exchange.on_pause()
+
+    def resume_writing(self) -> None:
+        """Pass on that the caller reads again."""
+        self.writing_paused = False
+        self._paused_since_ms = None
+        if self._exchange is not None and self._exchange.on_resume is not None:
+            self._exchange.on_resume()
+
+    # -- called by the exchange
+
+    def send_head(self, status: int, headers: Sequence[tuple[str, str]]) -> None:
+        """Send a response's head."""
+        sent = list(headers)
+        if self._server.closing:
+            sent.append(('connection', 'close'))
+        self._write(h11.Response(status_code=status, headers=sent))
+
+    def send_data(self, data: bytes) -> None:
+        """Send a part of a response's body.
+
+        A caller that stops reading while the answer goes on would make the
+        buffer grow without end; at the bound the connection is given up.
+        """
+        self._write(h11.Data(data=data))
+        if self._transport.get_write_buffer_size() > self._limits.write_bound_bytes:
+            self._transport.abort()
+
+    def end_exchange(self) -> None:
+        """End a response and go on with the next request."""
+        self._write(h11.EndOfMessage())
+        self._exchange = None
+        self._pipelined_bytes = 0
+        if h11.MUST_CLOSE in (self._http.our_state, self._http.their_state):
+            self._transport.close()
+            return
+        if self._http.our_state is not h11.DONE:
+            self._transport.abort()
+            return
+        self._http.start_next_cycle()
+        self._received_any = False
+        self._wait(self._limits.idle_timeout_ms)
+        self._transport.resume_reading()
+        if not self._advancing:
+            asyncio.get_running_loop().call_soon(self._advance)
+
+    def abort(self) -> None:
+        """Cut the connection."""
+        self._transport.abort()
+
+    # -- called by the server
+
+    def check_deadline(self, now_ms: int) -> None:
+        """Give up a caller that sends or reads too slowly.
+
+        :param now_ms: the server's time.
+        """
+        if self._paused_since_ms is not None:
+            if now_ms - self._paused_since_ms >= self._limits.stalled_ms:
+                self._transport.abort()
+            return
+        if self._exchange is not None or now_ms < self._deadline_ms:
+            return
+        if self._lingering or not self._received_any:
+            self._transport.abort()
+            return
+        self._refuse(ResultCode.SLOW_CALLER, 'the request did not arrive in time')
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is being read or answered."""
+        if self._exchange is None and not self._received_any:
+            self._transport.close()
+
+    # -- reading
+
+    def _advance(self) -> None:
+        if self._transport.is_closing() or self._exchange is not None:
+            return
+        self._advancing = True
+        try:
+            while self._exchange is None and self._take_event():
+                pass
+        except h11.RemoteProtocolError as error:
+            self._refuse_malformed(error)
+        finally:
+            self._advancing = False
+
+    def _take_event(self) -> bool:
+        event = self._http.next_event()
+        if event is h11.NEED_DATA or event is h11.PAUSED:
+            if self._http.trailing_data[0] and not self._received_any:
+                self._received_any = True
+                self._wait(self._limits.header_timeout_ms)
+            return False
+        if isinstance(event, h11.Request):
+            return self._take_head(event)
+        if isinstance(event, h11.Data):
+            return self._take_body(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return self._take_end()
+        return False
+
+    def _take_head(self, head: h11.Request) -> bool:
+        self._head = head
+        self._received_any = True
+        self._wait(self._limits.body_timeout_ms)
+        if _announced_length(head) > self._limits.body_bytes:
+            self._refuse_body()
+            return False
+        if self._http.they_are_waiting_for_100_continue:
+            self._write(
+                h11.InformationalResponse(status_code=CONTINUE_STATUS, headers=[])
+            )
+        return True
+
+    def _take_body(self, data: bytes) -> bool:
+        if self._body_bytes + len(data) > self._limits.body_bytes:
+            self._refuse_body()
+            return False
+        if not self._server.reserve(len(data)):
+            self._refuse(ResultCode.MEMORY_EXHAUSTED, 'too many bodies in memory')
+            return False
+        self._body.append(bytes(data))
+        self._body_bytes += len(data)
+        return True
+
+    def _take_end(self) -> bool:
+        head = self._head
+        if head is None:
+            return False
+        request = HttpRequest(
+            method=head.method.decode('ascii'),
+            target=head.target.decode('latin-1'),
+            headers=tuple(
+                (name.decode('ascii'), value.decode('latin-1'))
+                for name, value in head.headers
+            ),
+            body=b''.join(self._body),
+        )
+        self._drop_body()
+        exchange = ServerExchange(request, self)
+        self._exchange = exchange
+        self._server.on_request(exchange)
+        return True
+
+    def _hold_pipelined(self, data: bytes) -> None:
+        self._http.receive_data(data)
+        self._pipelined_bytes += len(data)
+        if self._pipelined_bytes > self._limits.pipelined_bytes:
+            self._transport.pause_reading()
+
+    # -- refusing
+
+    def _refuse_malformed(self, error: h11.RemoteProtocolError) -> None:
+        code = ResultCode.MALFORMED_HTTP
+        if error.error_status_hint == HEADERS_TOO_LARGE_HINT:
+            code = ResultCode.HEADERS_TOO_LARGE
+        self._refuse(code, str(error))
+
+    def _refuse_body(self) -> None:
+        bound = self._limits.body_bytes
+        self._refuse(ResultCode.BODY_TOO_LARGE, f'more than {bound} bytes')
+
+    def _refuse(self, code: ResultCode, message: str) -> None:
+        """Answer with an error and stop reading.
+
+        Closing a socket with unread bytes resets the connection, and the
+        caller would lose the answer.  So only the writing half is closed, and
+        what still comes is thrown away for a while.
+        """
+        self._drop_body()
+        if self._http.our_state in WRITABLE_STATES:
+            body = encode_error(code, Ran.NOT_RUN, message)
+            headers = [
+                *error_headers(code, Ran.NOT_RUN),
+                ('content-length', str(len(body))),
+                ('connection', 'close'),
+            ]
+            self._write(h11.Response(status_code=code.status, headers=headers))
+            self._write(h11.Data(data=body))
+            self._write(h11.EndOfMessage())
+        if not self._transport.can_write_eof():
+            self._transport.close()
+            return
+        self._lingering = True
+        self._transport.write_eof()
+        self._wait(self._limits.linger_ms)
+
+    # -- small helpers
+
+    def _write(self, event: h11.Event) -> None:
+        data = self._http.send(event)
+        if data:
+            self._transport.write(data)
+
+    def _wait(self, timeout_ms: int) -> None:
+        self._deadline_ms = self._server.now_ms() + timeout_ms
+
+    def _leave(self) -> None:
+        exchange = self._exchange
+        self._exchange = None
+        if exchange is not None:
+            exchange.caller_left()
+
+    def _drop_body(self) -> None:
+        self._server.release(self._body_bytes)
+        self._body = []
+        self._body_bytes = 0
+        self._head = None
+
+    def _bound_buffers(self) -> None:
+        """Bound what waits for a caller that does not read.
+
+        The kernel grows a socket's send buffer to megabytes by itself; an
+        engine would go on generating far ahead of a caller that has stopped.
+        """
+        self._transport.set_write_buffer_limits(high=self._limits.write_buffer_bytes)
+        raw = self._transport.get_extra_info('socket')
+        if raw is not None:
+            raw.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, self._limits.send_buffer_bytes
+            )
+
+
+def _announced_length(head: h11.Request) -> int:
+    for name, value in head.headers:
+        if name == b'content-length':
+            return int(value)
+    return 0
--- /dev/null
+++ b/savorychute/http/server_exchange.py
@@ -0,0 +1,104 @@
+"""One request on a server connection, and its answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from savorychute.http.http_request import HttpRequest
+    from savorychute.http.server_connection import ServerConnection
+
+
+class ServerExchange:
+    """A caller's request and the means to answer it.
+
+    Every method is a no-op once the caller has left, so that an answer under
+    way needs no check before each step.
+
+    :param request: the whole request.
+    :param connection: the connection it came on.
+    """
+
+    __slots__ = (
+        '_connection',
+        'finished',
+        'left',
+        'on_left',
+        'on_pause',
+        'on_resume',
+        'request',
+        'started',
+    )
+
+    def __init__(self, request: HttpRequest, connection: ServerConnection) -> None:
+        self.request = request
+        self.started = False
+        self.finished = False
+        self.left = False
+        self.on_left: Callable[[], None] | None = None
+        self.on_pause: Callable[[], None] | None = None
+        self.on_resume: Callable[[], None] | None = None
+        self._connection = connection
+
+    def respond(
+        self, status: int, headers: Sequence[tuple[str, str]], body: bytes
+    ) -> None:
+        """Send a whole answer.
+
+        :param status: the HTTP status.
+        :param headers: headers besides the length.
+        :param body: the body.
+        """
+        length = ('content-length', str(len(body)))
+        self.start(status, [*headers, length])
+        self.send(body)
+        self.finish()
+
+    def start(self, status: int, headers: Sequence[tuple[str, str]]) -> None:
+        """Send the head; without a length the body goes in chunks.
+
+        :param status: the HTTP status.
+        :param headers: the headers.
+        """
+        if self.left or self.started:
+            return
+        self.started = True
+        self._connection.send_head(status, headers)
+
+    def send(self, data: bytes) -> None:
+        """Send a part of the body.
+
+        :param data: the bytes; nothing is sent for none.
+        """
+        if self.left or self.finished or not data:
+            return
+        self._connection.send_data(data)
+
+    def finish(self) -> None:
+        """End the answer; the connection takes its next request."""
+        if self.left or self.finished:
+            return
+        self.finished = True
+        self._connection.end_exchange()
+
+    def abort(self) -> None:
+        """Close the connection so that the caller sees a cut answer."""
+        if self.left or self.finished:
+            return
+        self.finished = True
+        self._connection.abort()
+
+    def caller_left(self) -> None:
+        """Note that nobody waits for the answer any more."""
+        if self.left or self.finished:
+            return
+        self.left = True
+        if self.on_left is not None:
+            self.on_left()
+
+    @property
+    def paused(self) -> bool:
+        """Whether the caller reads more slowly than the answer comes."""
+        return self._connection.writing_paused
--- /dev/null
+++ b/tests/test_daemon/daemon_fakes.py
@@ -0,0 +1,276 @@
+"""A tiny instance and small servers for the daemon's tests."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, NamedTuple
+
+import h11
+
+from savorychute.actions import (
+    CancelAttempt,
+    FinishResponse,
+    RefuseRequest,
+    SendChunk,
+    StartAttempt,
+    StartResponse,
+)
+from savorychute.clock import SystemClock
+from savorychute.daemon.host_settings import HostSettings
+from savorychute.daemon.run_host import run_host
+from savorychute.errors import RequestError
+from savorychute.http.client_pool import ServerAddress
+from savorychute.http.http_limits import HttpLimits
+from savorychute.http.http_server import HttpServer, listen
+from savorychute.inputs import (
+    AttemptChunk,
+    AttemptEnded,
+    AttemptFailed,
+    AttemptStarted,
+    CallerLeft,
+    CallerRequest,
+)
+from savorychute.ran import Ran
+from savorychute.result_code import ResultCode
+from savorychute.wire.peer_key import PeerKey
+from savorychute.wire.peer_keys import PeerKeys
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+    from savorychute.daemon.host import DaemonHost
+    from savorychute.http.server_exchange import ServerExchange
+    from savorychute.member_address import MemberAddress
+
+TOKEN = 'secret'
+NOWHERE = ServerAddress('127.0.0.1', 9)
+KEYS = PeerKeys(PeerKey(1, b'0123456789abcdef'))
+
+
+class Found(NamedTuple):
+    """What a fake instance answers to discovery."""
+
+    addresses: tuple[MemberAddress, ...]
+    lifetime_ms: int
+
+
+class PassingInstance:
+    """Sends every request to one endpoint and passes the answer on."""
+
+    def __init__(self, address: MemberAddress, endpoint: ServerAddress) -> None:
+        self.address = address
+        self.endpoint = endpoint
+        self.inputs: list[object] = []
+        self.next_tick_ms = 0
+        self.ready = True
+        self.requests: dict[str, CallerRequest] = {}
+        self.cancel_when_sent = False
+        self.timeout_ms = 5_000
+
+    def tick(self, now_ms: int) -> list[object]:
+        """Do nothing."""
+        self.next_tick_ms = now_ms + 1_000
+        return []
+
+    def discover(self, token: str) -> Found:
+        """Name the own address."""
+        if token != TOKEN:
+            raise RequestError(ResultCode.UNAUTHENTICATED, 'nobody')
+        return Found((self.address,), 1_000)
+
+    def issue_key(self, token: str, now_ms: int) -> str:
+        """Return some key."""
+        self.discover(token)
+        return f'key-{now_ms}'
+
+    def deliver(self, delivered: object, now_ms: int) -> list[object]:  # noqa: ARG002
+        """Pass requests to the endpoint and its answers back."""
+        self.inputs.append(delivered)
+        match delivered:
+            case CallerRequest():
+                return self._start(delivered)
+            case CallerLeft():
+                return [CancelAttempt(f'a-{delivered.request_id}')]
+            case AttemptStarted():
+                return [self._begin(delivered)]
+            case AttemptChunk():
+                request_id = delivered.attempt_id[2:]
+                return [SendChunk(request_id, delivered.offset, delivered.data)]
+            case AttemptEnded():
+                return [FinishResponse(delivered.attempt_id[2:])]
+            case AttemptFailed():
+                return [self._fail(delivered)]
+        if self.cancel_when_sent:
+            return [CancelAttempt(delivered.attempt_id)]
+        return []
+
+    def of(self, kind: type) -> list[object]:
+        """Return the inputs of one kind."""
+        return [each for each in self.inputs if isinstance(each, kind)]
+
+    def _start(self, request: CallerRequest) -> list[object]:
+        self.requests[request.request_id] = request
+        if request.token != TOKEN:
+            code = ResultCode.UNAUTHENTICATED
+            return [RefuseRequest(request.request_id, code, Ran.NOT_RUN, 'nobody')]
+        dialect = 'openai-engine' if request.model else 'plain-service'
+        return [
+            StartAttempt(
+                attempt_id=f'a-{request.request_id}',
+                request_id=request.request_id,
+                endpoint='engine',
+                dialect=dialect,
+                host=self.endpoint.host,
+                port=self.endpoint.port,
+                method=request.method,
+                path=request.path,
+                body=request.body,
+                model=request.model,
+                priority=3,
+                stream=request.stream,
+                stream_id=f's-{request.request_id}',
+                resume_offset=-1,
+                timeout_ms=self.timeout_ms,
+            )
+        ]
+
+    def _begin(self, started: AttemptStarted) -> StartResponse:
+        request_id = started.attempt_id[2:]
+        return StartResponse(
+            request_id,
+            started.status,
+            started.attempt_id,
+            'engine',
+            'handle',
+            started.content_type,
+        )
+
+    def _fail(self, failed: AttemptFailed) -> object:
+        request_id = failed.attempt_id[2:]
+        code = ResultCode.ENDPOINT_FAILED
+        ran = Ran.UNKNOWN if failed.sent and not failed.refused else Ran.NOT_RUN
+        if any(each.attempt_id == failed.attempt_id for each in self.of(AttemptChunk)):
+            return FinishResponse(request_id, code, ran, failed.reason)
+        return RefuseRequest(request_id, code, ran, failed.reason, 1_500)
+
+
+class SmallServer:
+    """A server whose answers are functions of the exchange."""
+
+    def __init__(self, answer: Callable[[ServerExchange], None]) -> None:
+        self.exchanges: list[ServerExchange] = []
+        self._answer = answer
+
+    def take(self, exchange: ServerExchange) -> None:
+        """Answer an exchange."""
+        self.exchanges.append(exchange)
+        self._answer(exchange)
+
+    @property
+    def targets(self) -> list[str]:
+        """Return the targets asked for."""
+        return [exchange.request.target for exchange in self.exchanges]
+
+
+@asynccontextmanager
+async def serve(server: SmallServer) -> AsyncIterator[ServerAddress]:
+    http = HttpServer(HttpLimits(), SystemClock(), server.take)
+    async with listen(http, '127.0.0.1', 0):
+        yield ServerAddress('127.0.0.1', http.port)
+
+
+@asynccontextmanager
+async def run_passing(
+    endpoint: ServerAddress = NOWHERE, **changes: object
+) -> AsyncIterator[tuple[DaemonHost, PassingInstance]]:
+    settings = HostSettings(
+        instance='i1',
+        region='kerala',
+        failure_domain='kochi-hall',
+        host='127.0.0.1',
+        log_address=NOWHERE,
+        list_address=NOWHERE,
+        peer_keys=KEYS,
+        leave_grace_ms=0,
+    )._replace(**changes)
+    made: list[PassingInstance] = []
+
+    def make(address: MemberAddress) -> PassingInstance:
+        made.append(PassingInstance(address, endpoint))
+        return made[0]
+
+    async with run_host(settings, make) as host:
+        yield host, made[0]
+
+
+class Answer(NamedTuple):
+    """One response as a caller saw it; ``whole`` if its end arrived."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+class RawCaller:
+    """A caller that writes bytes and reads responses by h11."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+        self._http = h11.Connection(h11.CLIENT)
+
+    def write_request(
+        self, method: str, target: str, headers: dict[str, str], body: bytes = b''
+    ) -> None:
+        """Write a whole request."""
+        fields = {'host': 'x', 'content-length': str(len(body)), **headers}
+        head = h11.Request(method=method, target=target, headers=list(fields.items()))
+        data = self._http.send(head) + self._http.send(h11.Data(data=body))
+        self._http.send(h11.EndOfMessage())
+        self.writer.write(data)
+
+    async def read_answer(self) -> Answer:
+        """Read until the answer ends or the connection does."""
+        status = 0
+        headers: dict[str, str] = {}
+        body = b''
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                try:
+                    self._http.receive_data(await self.reader.read(65_536))
+                except ConnectionError:
+                    return Answer(status, headers, body, False)
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+                headers = {
+                    name.decode(): value.decode() for name, value in event.headers
+                }
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                if self._http.our_state is h11.DONE is self._http.their_state:
+                    self._http.start_next_cycle()
+                return Answer(status, headers, body, True)
+            elif isinstance(event, h11.ConnectionClosed):
+                return Answer(status, headers, body, False)
+
+
+@asynccontextmanager
+async def call(port: int, **options: object) -> AsyncIterator[RawCaller]:
+    reader, writer = await asyncio.open_connection('127.0.0.1', port, **options)
+    try:
+        yield RawCaller(reader, writer)
+    finally:
+        writer.transport.abort()
+
+
+async def wait_until(condition: Callable[[], bool]) -> None:
+    """Wait for *condition*; a test that waits in vain fails by this bound."""
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.005)
