Log JSON lines without secrets; measure with bounded labels

A log line may hold only fields of one table, identifiers, and no value whose digest is that of a known token. Metrics are one table too; past 64 values of a label or 2,048 series of a metric new ones count as other.

--- /dev/null
+++ b/savorychute/metrics.py
@@ -0,0 +1,262 @@
+"""What an instance measures, rendered for ``/metrics``."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from typing import TYPE_CHECKING, Any
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+from savorychute.metric_row import MetricRow
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from savorychute.ran import Ran
+    from savorychute.result_code import ResultCode
+
+PREFIX = 'savorychute_'
+MAX_LABEL_VALUES = 64
+MAX_SERIES = 2_048
+OTHER = 'other'
+BUCKETS_MS = (1, 2, 5, 10, 20, 35, 52, 75, 100, 150, 220, 320, 500, 1000, 3000, 10000)
+
+METRICS = (
+    MetricRow(
+        'requests_total',
+        'counter',
+        ('customer', 'class', 'code', 'ran'),
+        'Requests that ended, by result code and whether they ran.',
+    ),
+    MetricRow(
+        'targets_total',
+        'counter',
+        ('customer', 'class', 'met'),
+        'Requests with a latency target, by whether it was met.',
+    ),
+    MetricRow(
+        'goodput_total', 'counter', ('customer', 'class'), 'Answers times their weight.'
+    ),
+    MetricRow(
+        'first_token_ms',
+        'histogram',
+        ('tier',),
+        'From a request to the first token of its answer.',
+    ),
+    MetricRow(
+        'token_gap_ms', 'histogram', ('tier',), 'Between two tokens of an answer.'
+    ),
+    MetricRow('queue_ms', 'histogram', ('tier',), 'From admission to the start.'),
+    MetricRow('tokens_total', 'counter', ('tier',), 'Tokens passed to callers.'),
+    MetricRow(
+        'wasted_tokens_total',
+        'counter',
+        ('reason',),
+        'Tokens generated for answers that were cut, duplicated or discarded.',
+    ),
+    MetricRow(
+        'attempts_total', 'counter', ('outcome',), 'Tries at endpoints, by outcome.'
+    ),
+    MetricRow('queued_requests', 'gauge', ('pool', 'tier'), 'Requests that wait.'),
+    MetricRow('open_requests', 'gauge', (), 'Requests not yet ended.'),
+    MetricRow('open_connections', 'gauge', (), "Callers' connections."),
+    MetricRow('buffered_bytes', 'gauge', (), 'Bodies and answers in memory.'),
+    MetricRow(
+        'available_credits', 'gauge', ('pool',), 'Starts granted and not yet used.'
+    ),
+    MetricRow('members', 'gauge', ('state',), 'Instances, by state.'),
+    MetricRow('endpoints', 'gauge', ('state',), 'Endpoints, by state.'),
+    MetricRow(
+        'configuration_offset', 'gauge', (), 'Offset up to which changes are in force.'
+    ),
+    MetricRow(
+        'peer_messages_total',
+        'counter',
+        ('direction', 'kind'),
+        'Messages between instances.',
+    ),
+    MetricRow(
+        'peer_bytes_total', 'counter', ('direction',), 'Their size, signed and packed.'
+    ),
+    MetricRow(
+        'refused_frames_total',
+        'counter',
+        ('code',),
+        'Frames from the peer port that were not taken.',
+    ),
+    MetricRow('log_appends_total', 'counter', ('stream', 'ok'), 'Appends to the log.'),
+    MetricRow('orders_total', 'counter', ('outcome',), 'Orders to engines.'),
+)
+
+_KINDS: dict[str, Any] = {'counter': Counter, 'gauge': Gauge, 'histogram': Histogram}
+
+
+class LabelBound:
+    """Keeps the number of a label's values bounded.
+
+    A customer that makes up names must not make the instance's memory grow:
+    past the bound every new value counts as ``other``.
+
+    :param limit: how many values are told apart.
+    """
+
+    def __init__(self, limit: int = MAX_LABEL_VALUES) -> None:
+        self._limit = limit
+        self._known: set[str] = set()
+
+    def admit(self, value: str) -> str:
+        """Return *value*, or ``other`` if there are too many already."""
+        if value in self._known:
+            return value
+        if len(self._known) >= self._limit:
+            return OTHER
+        self._known.add(value)
+        return value
+
+
+class _FastHistogram:
+    """Counts by bucket; an observation costs one bisection."""
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(BUCKETS_MS) + 1)
+        self.total = 0.0
+
+    def observe(self, value: float, count: int) -> None:
+        self.counts[bisect_left(BUCKETS_MS, value)] += count
+        self.total += value * count
+
+
+class Metrics:
+    """The metrics of one instance.
+
+    :param instance: the instance's name, a label of every series.
+    """
+
+    def __init__(self, instance: str) -> None:
+        self._registry = Registry()
+        self._collectors: dict[str, Any] = {}
+        self._bounds: dict[str, LabelBound] = {}
+        self._histograms: dict[str, dict[str, _FastHistogram]] = {}
+        for row in METRICS:
+            self._add(row, instance)
+
+    def _add(self, row: MetricRow, instance: str) -> None:
+        arguments: dict[str, Any] = {
+            'const_labels': {'instance': instance},
+            'registry': self._registry,
+        }
+        if row.kind == 'histogram':
+            arguments['buckets'] = [*BUCKETS_MS, float('inf')]
+            self._histograms[row.name] = {}
+        kind = _KINDS[row.kind]
+        self._collectors[row.name] = kind(PREFIX + row.name, row.doc, **arguments)
+
+    def count(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Add to a counter.
+
+        :param name: a counter of :data:`METRICS`.
+        :param amount: not negative.
+        :param labels: a value for each of its labels; ``class`` as ``class_name``.
+        """
+        collector = self._collectors[name]
+        collector.add(self._label(collector, labels), amount)
+
+    def set(self, name: str, value: float, **labels: str) -> None:
+        """Set a gauge.
+
+        :param name: a gauge of :data:`METRICS`.
+        :param value: the present value.
+        :param labels: a value for each of its labels.
+        """
+        collector = self._collectors[name]
+        collector.set(self._label(collector, labels), value)
+
+    def observe(self, name: str, value_ms: float, tier: int, count: int = 1) -> None:
+        """Add observations to a histogram.
+
+        :param name: a histogram of :data:`METRICS`.
+        :param value_ms: the duration observed.
+        :param tier: its one label.
+        :param count: how many observations had this value.
+        """
+        by_tier = self._histograms[name]
+        label = str(tier)
+        found = by_tier.get(label)
+        if found is None:
+            found = by_tier.setdefault(label, _FastHistogram())
+        found.observe(value_ms, count)
+
+    def finish_request(
+        self,
+        customer: str,
+        class_name: str,
+        code: ResultCode,
+        ran: Ran,
+        target_met: bool | None = None,
+        weight: float = 0.0,
+    ) -> None:
+        """Count a request that ended.
+
+        :param customer: whose it was.
+        :param class_name: its class.
+        :param code: how it ended.
+        :param ran: what the caller was told.
+        :param target_met: whether its latency target was met, None without one.
+        :param weight: what it counts for goodput, 0 if it was not answered.
+        """
+        self.count(
+            'requests_total',
+            customer=customer,
+            class_name=class_name,
+            code=str(code.number),
+            ran=ran.value,
+        )
+        if target_met is not None:
+            met = str(target_met).lower()
+            self.count(
+                'targets_total', customer=customer, class_name=class_name, met=met
+            )
+        if weight:
+            self.count(
+                'goodput_total', weight, customer=customer, class_name=class_name
+            )
+
+    def render(self, accept: Sequence[str] = ()) -> tuple[bytes, Mapping[str, str]]:
+        """Return the body and the headers of an answer to ``/metrics``.
+
+        :param accept: the values of the request's ``Accept`` headers.
+        """
+        for name, by_tier in self._histograms.items():
+            for tier, histogram in by_tier.items():
+                self._publish(name, tier, histogram)
+        body, headers = render(self._registry, list(accept))
+        return body, headers
+
+    def _publish(self, name: str, tier: str, histogram: _FastHistogram) -> None:
+        collector = self._collectors[name]
+        labels = {'tier': tier}
+        try:
+            published = collector.get_value(labels)
+        except KeyError:
+            collector.observe(labels, 0)
+            published = collector.get_value(labels)
+        below = 0
+        for bound, count in zip(published.buckets, histogram.counts, strict=True):
+            below += count
+            published.buckets[bound] = below
+        published.sum = histogram.total
+        published.observations = below
+
+    def _label(self, collector: Any, labels: dict[str, str]) -> dict[str, str]:
+        bounded = {
+            _spell(name): self._bounds.setdefault(name, LabelBound()).admit(str(value))
+            for name, value in labels.items()
+        }
+        # Values that are few each can still be many in combination.
+        if len(collector.values) >= MAX_SERIES and bounded not in collector.values:
+            return dict.fromkeys(bounded, OTHER)
+        return bounded
+
+
+def _spell(name: str) -> str:
+    return 'class' if name == 'class_name' else name
--- /dev/null
+++ b/tests/test_plumbing/test_logs.py
@@ -0,0 +1,120 @@
+"""Log lines can be followed by request, and hold no secret."""
+
+from __future__ import annotations
+
+import hashlib
+import io
+import json
+import logging
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from savorychute.logs import (
+    FIELDS,
+    REMOVED,
+    InstanceLog,
+    LogLevel,
+    capture_libraries,
+    open_log,
+)
+
+TOKEN = 'customer-token-4711'
+
+
+@pytest.fixture
+def lines():
+    """Collect the lines that are written during a test."""
+    file = io.BytesIO()
+    with open_log(file):
+        yield lambda: [json.loads(line) for line in file.getvalue().splitlines()]
+
+
+def test_line_names_instance_request_and_level(lines):
+    InstanceLog('a-1').info('request-received', 'q-1', customer='malanadu', tier=0)
+    [line] = lines()
+    assert line['message_type'] == 'request-received'
+    assert line['instance'] == 'a-1'
+    assert line['request_id'] == 'q-1'
+    assert line['level'] == 'info'
+    assert (line['customer'], line['tier']) == ('malanadu', 0)
+
+
+def test_one_request_is_followed_over_two_instances(lines):
+    InstanceLog('a-1').info('request-redirected', 'q-1')
+    InstanceLog('a-2').info('request-received', 'q-1')
+    InstanceLog('a-2').info('request-received', 'q-2')
+    followed = [line['instance'] for line in lines() if line['request_id'] == 'q-1']
+    assert followed == ['a-1', 'a-2']
+
+
+def test_level_of_the_settings_decides(lines):
+    log = InstanceLog('a-1', LogLevel.WARNING)
+    log.debug('one')
+    log.info('two')
+    log.warning('three')
+    log.error('four')
+    assert [line['level'] for line in lines()] == ['warning', 'error']
+
+
+def test_field_outside_the_table_is_dropped(lines):
+    InstanceLog('a-1').info('x', 'q-1', prompt='diagnose', authorization='Bearer-x')
+    assert not {'prompt', 'authorization'} & set(lines()[0])
+
+
+def test_token_in_a_harmless_field_is_removed(lines):
+    """A caller mixes up two headers and sends its token as its class.
+
+    The refusal is logged with the unknown class, so the log would hold a
+    token that works.  Its digest is known, so the value is removed.
+    """
+    log = InstanceLog('a-1')
+    log.protect([hashlib.sha256(TOKEN.encode()).hexdigest()])
+    log.info('request-refused', TOKEN, class_name=TOKEN, customer='malanadu')
+    [line] = lines()
+    assert TOKEN not in json.dumps(line)
+    assert line['class_name'] == REMOVED
+    assert line['customer'] == 'malanadu'
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(
+    field=st.sampled_from(sorted(FIELDS)),
+    words=st.lists(st.text(min_size=1, max_size=8), min_size=2, max_size=9),
+)
+def test_text_never_gets_through(field, words):
+    """An endpoint's error repeats the prompt, and a part logs it as a reason.
+
+    No field lets through anything with a blank in it.
+    """
+    prompt = ' '.join(words)
+    file = io.BytesIO()
+    with open_log(file):
+        InstanceLog('a-1').info('x', 'q-1', **{field: prompt})
+    assert json.loads(file.getvalue())[field] == REMOVED
+
+
+def test_bytes_are_removed(lines):
+    InstanceLog('a-1').info('x', reason=b'prompt')  # type: ignore[arg-type]
+    assert lines()[0]['reason'] == REMOVED
+
+
+def test_libraries_log_no_text(lines):
+    """A callback fails and asyncio logs the callback's whole representation.
+
+    With it would go the request that the callback holds.
+    """
+    log = InstanceLog('a-1')
+    with capture_libraries(log):
+        try:
+            raise ValueError('the prompt')
+        except ValueError:
+            logging.getLogger('asyncio').exception('in %r', 'the prompt')
+    [line] = lines()
+    assert 'prompt' not in json.dumps(line)
+    assert (line['logger'], line['error'], line['level']) == (
+        'asyncio',
+        'ValueError',
+        'error',
+    )
--- /dev/null
+++ b/tests/test_plumbing/test_metrics.py
@@ -0,0 +1,92 @@
+"""Metrics are rendered for Prometheus, and stay bounded."""
+
+from __future__ import annotations
+
+import pytest
+
+from savorychute.metrics import BUCKETS_MS, MAX_SERIES, METRICS, Metrics
+from savorychute.ran import Ran
+from savorychute.result_code import ResultCode
+
+
+@pytest.fixture
+def metrics():
+    return Metrics('a-1')
+
+
+@pytest.fixture
+def samples(metrics):
+    """Return the value of each series that is rendered."""
+
+    def read() -> dict[str, float]:
+        text = metrics.render()[0].decode()
+        rows = [line.rsplit(' ', 1) for line in text.splitlines() if line[0] != '#']
+        return {name: float(value) for name, value in rows}
+
+    return read
+
+
+def test_finished_request_counts_once_everywhere(metrics, samples):
+    metrics.finish_request('malanadu', 'diagnosis', ResultCode.OK, Ran.RAN, True, 2.5)
+    where = 'class="diagnosis"'
+    assert samples() == {
+        f'savorychute_requests_total{{{where},code="0",customer="malanadu",'
+        'instance="a-1",ran="ran"}': 1,
+        f'savorychute_targets_total{{{where},customer="malanadu",instance="a-1",'
+        'met="true"}': 1,
+        f'savorychute_goodput_total{{{where},customer="malanadu",instance="a-1"}}': 2.5,
+    }
+
+
+def test_refusal_without_a_target_counts_no_target(metrics, samples):
+    metrics.finish_request('a', 'b', ResultCode.OVERLOADED, Ran.NOT_RUN)
+    [only] = samples()
+    assert 'code="2001"' in only
+
+
+def test_histogram_is_cumulative(metrics, samples):
+    for value in (1, 1.5, 60, 99_999):
+        metrics.observe('token_gap_ms', value, tier=1)
+    for _ in range(2):
+        read = samples()
+        base = 'savorychute_token_gap_ms'
+        labels = 'instance="a-1",tier="1"'
+        assert read[f'{base}_count{{{labels}}}'] == 4
+        assert read[f'{base}_sum{{{labels}}}'] == 1 + 1.5 + 60 + 99_999
+        at = {
+            bound: read[f'{base}_bucket{{instance="a-1",le="{bound}",tier="1"}}']
+            for bound in ('1.0', '2.0', '52.0', '75.0', '10000.0', '+Inf')
+        }
+        assert list(at.values()) == [1, 2, 2, 3, 3, 4]
+
+
+def test_made_up_names_do_not_grow_the_memory(metrics, samples):
+    """A customer sends a new class name with every request.
+
+    Each one would be a series of its own, kept until the restart, until the
+    instance has no memory left.
+    """
+    for number in range(5_000):
+        metrics.finish_request('a', f'c-{number}', ResultCode.OVERLOADED, Ran.NOT_RUN)
+    read = samples()
+    assert len(read) == 65
+    assert sum(read.values()) == 5_000
+
+
+def test_combinations_are_bounded_too(metrics, samples):
+    for customer in range(60):
+        for name in range(60):
+            metrics.count(
+                'goodput_total', customer=f'c{customer}', class_name=f'{name}'
+            )
+    read = samples()
+    assert len(read) == MAX_SERIES + 1
+    assert sum(read.values()) == 3_600
+
+
+def test_every_metric_is_described(metrics):
+    text = metrics.render()[0].decode()
+    for row in METRICS:
+        assert f'# HELP savorychute_{row.name} {row.doc}' in text
+        assert row.kind != 'histogram' or row.labels == ('tier',)
+    assert list(BUCKETS_MS) == sorted(BUCKETS_MS)
