Send member states as plain integers

Cause: the codec refuses an enumeration, so no ping could be encoded. Change: states are plain integers in updates; a state of a later version is ignored.

--- a/savorychute/membership/member_table.py
+++ b/savorychute/membership/member_table.py
@@ -19,6 +19,7 @@
 
 # Cap'n Proto's signed integers hold 63 bits of a hash.
 HASH_MASK = (1 << 63) - 1
+STATES = frozenset(int(state) for state in MemberState)
 
 
 class MemberTable:
@@ -58,6 +59,8 @@
         :param update: the statement.
         :param why: the reason, for the audit trail.
         """
+        if update.state not in STATES:
+            return False  # A later version may know more states than this one.
         instance = update.address.instance
         known = self._records.get(instance)
         if known is not None and update.rank <= known.update.rank:
--- a/savorychute/membership/member_update.py
+++ b/savorychute/membership/member_update.py
@@ -17,7 +17,7 @@
 
     address: MemberAddress
     counter: int = 0
-    state: int = MemberState.ALIVE
+    state: int = int(MemberState.ALIVE)
 
     @property
     def rank(self) -> tuple[int, int, int]:
--- a/savorychute/membership/membership.py
+++ b/savorychute/membership/membership.py
@@ -121,7 +121,7 @@
         if self._own.state == MemberState.LEAVING:
             return []
         self._own = MemberUpdate(
-            self._own.address, self._own.counter + 1, MemberState.LEAVING
+            self._own.address, self._own.counter + 1, int(MemberState.LEAVING)
         )
         self._queue.add(self._own)
         return self._announce(now_ms)
