Frame tokens as events at the edge of the daemon

Chunks of a stream are plain text inside; the daemon writes the events towards callers with offset and token count. Leaving daemons close their listener last, after every request that was being read is answered. A body counts against the memory bound until its answer is out.

--- a/savorychute/daemon/attempt_runner.py
+++ b/savorychute/daemon/attempt_runner.py
@@ -46,7 +46,8 @@
         """
         try:
             dialect = DIALECTS.get(start.dialect)
-            request = dialect.build_attempt(start)
+            passed = self._host.answers.passed_headers(start.request_id)
+            request = dialect.build_attempt(start, passed)
         except (UnknownVariantError, msgspec.MsgspecError) as error:
             self._host.deliver(_describe_unsent(start, str(error)))
             return
@@ -89,6 +90,14 @@
                 lambda failure: None,  # noqa: ARG005
             )
 
+    def passed_headers(self, attempt_id: str) -> tuple[tuple[str, str], ...]:
+        """Return the endpoint's headers that the caller gets.
+
+        :param attempt_id: the attempt whose answer is passed on.
+        """
+        attempt = self._attempts.get(attempt_id)
+        return () if attempt is None else attempt.passed_headers
+
     def pause(self, request_id: str) -> None:
         """Stop reading a request's answer, so that its engine waits.
 
--- a/savorychute/daemon/caller_answers.py
+++ b/savorychute/daemon/caller_answers.py
@@ -5,7 +5,12 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from savorychute.http.error_answer import encode_error, error_headers
+from savorychute.daemon.token_event import (
+    END_EVENT,
+    EVENT_STREAM_TYPE,
+    encode_tokens,
+)
+from savorychute.http.error_answer import JSON_TYPE, encode_error, error_headers
 from savorychute.inputs import CallerLeft
 from savorychute.result_code import ResultCode
 
@@ -20,20 +25,21 @@
     from savorychute.http.server_exchange import ServerExchange
     from savorychute.inputs import CallerRequest
 
-EVENT_STREAM_TYPE = 'text/event-stream'
-END_EVENT = b'data: [DONE]\n\n'
+PASSED_REQUEST_HEADERS = ('accept', 'content-type', 'if-match', 'if-none-match')
 
 
 class OpenAnswer:
     """A caller's request that is not answered yet.
 
     :param exchange: the request on its connection.
+    :param streamed: whether the caller asked for a model's stream.
     """
 
-    __slots__ = ('events', 'exchange')
+    __slots__ = ('events', 'exchange', 'streamed')
 
-    def __init__(self, exchange: ServerExchange) -> None:
+    def __init__(self, exchange: ServerExchange, streamed: bool) -> None:
         self.exchange = exchange
+        self.streamed = streamed
         self.events = False
 
 
@@ -59,7 +65,7 @@
         :param request: what was read from it.
         """
         request_id = request.request_id
-        self._answers[request_id] = OpenAnswer(exchange)
+        self._answers[request_id] = OpenAnswer(exchange, request.stream)
         exchange.on_left = lambda: self._leave(request_id)
         exchange.on_pause = lambda: self._host.attempts.pause(request_id)
         exchange.on_resume = lambda: self._host.attempts.resume(request_id)
@@ -73,6 +79,20 @@
         answer = self._answers.get(request_id)
         return answer is not None and answer.exchange.paused
 
+    def passed_headers(self, request_id: str) -> tuple[tuple[str, str], ...]:
+        """Return the caller's headers that its endpoint gets.
+
+        :param request_id: the request.
+        """
+        answer = self._answers.get(request_id)
+        if answer is None:
+            return ()
+        return tuple(
+            (name, value)
+            for name, value in answer.exchange.request.headers
+            if name in PASSED_REQUEST_HEADERS
+        )
+
     def start(self, head: StartResponse) -> None:
         """Send the head of an answer.
 
@@ -81,7 +101,7 @@
         answer = self._answers.get(head.request_id)
         if answer is None:
             return
-        answer.events = head.content_type.startswith(EVENT_STREAM_TYPE)
+        answer.events = answer.streamed and head.status == HTTPStatus.OK
         headers = [
             ('x-request-id', head.request_id),
             ('x-attempt-id', head.attempt_id),
@@ -89,20 +109,28 @@
             ('x-result-code', '0'),
             ('x-ran', 'ran'),
         ]
-        if head.content_type:
-            headers.append(('content-type', head.content_type))
+        content_type = EVENT_STREAM_TYPE if answer.events else head.content_type
+        if answer.streamed and not answer.events:
+            content_type = JSON_TYPE
+        if content_type:
+            headers.append(('content-type', content_type))
+        headers += self._host.attempts.passed_headers(head.attempt_id)
         if head.handle:
             headers.append(('x-continuation-handle', head.handle))
         answer.exchange.start(head.status, headers)
 
     def send(self, chunk: SendChunk) -> None:
-        """Send a part of an answer.
+        """Send a part of an answer; tokens of a stream as an event.
 
-        :param chunk: the bytes.
+        :param chunk: the text, or the bytes of any other answer.
         """
         answer = self._answers.get(chunk.request_id)
-        if answer is not None:
-            answer.exchange.send(chunk.data)
+        if answer is None:
+            return
+        data = chunk.data
+        if answer.events:
+            data = encode_tokens(chunk.offset, chunk.token_count, data)
+        answer.exchange.send(data)
 
     def finish(self, finish: FinishResponse) -> None:
         """End an answer, so that a cut one is never taken for a whole one.
@@ -117,7 +145,9 @@
             return
         exchange = answer.exchange
         whole = finish.code is ResultCode.OK
-        if answer.events:
+        if not exchange.started:
+            self._answer_unstarted(exchange, finish)
+        elif answer.events:
             exchange.send(END_EVENT if whole else _encode_error_event(finish))
             exchange.finish()
         elif whole:
@@ -150,6 +180,15 @@
         body = encode_error(code, refusal.ran, refusal.message, refusal.handle)
         exchange.respond(status, headers, body)
 
+    def _answer_unstarted(
+        self, exchange: ServerExchange, finish: FinishResponse
+    ) -> None:
+        code = finish.code
+        headers = error_headers(code, finish.ran)
+        headers.append(('x-request-id', finish.request_id))
+        body = encode_error(code, finish.ran, finish.message, finish.handle)
+        exchange.respond(code.status, headers, body)
+
     def _leave(self, request_id: str) -> None:
         if self._answers.pop(request_id, None) is not None:
             self._host.deliver(CallerLeft(request_id))
--- a/savorychute/daemon/caller_api.py
+++ b/savorychute/daemon/caller_api.py
@@ -110,7 +110,8 @@
         self._host.answers.take(exchange, request)
 
     def _discover(self, exchange: ServerExchange, request_id: str) -> None:
-        found = self._host.instance.discover(read_token(exchange.request))
+        token = read_token(exchange.request)
+        found = self._host.instance.discover(token, self._host.clock.now_ms())
         document: InstancesDocument = {
             'instances': [
                 {
--- a/savorychute/daemon/host.py
+++ b/savorychute/daemon/host.py
@@ -149,7 +149,9 @@
         """Leave: finish what is in progress, however long it takes.
 
         Callers that still have this address are answered until their
-        discovery answers have run out; the instance sends them elsewhere.
+        discovery answers have run out; the instance sends them elsewhere.  A
+        request that is still being read when the listener closes is answered
+        too; how long its reading may take is bounded.
         """
         self.leaving = True
         self.deliver(ShutdownRequested())
@@ -157,6 +159,10 @@
         earliest_ms = self.clock.now_ms() + self.settings.leave_grace_ms
         while self.answers.in_progress or self.clock.now_ms() < earliest_ms:
             await asyncio.sleep(DRAIN_CHECK_S)
+        self.server.stop_listening()
+        while self.answers.in_progress or self.server.open_connections:
+            self.server.close_idle()
+            await asyncio.sleep(DRAIN_CHECK_S)
 
     def _perform(self, actions: Sequence[Action]) -> None:
         for action in actions:
--- a/savorychute/daemon/hosted_instance.py
+++ b/savorychute/daemon/hosted_instance.py
@@ -33,7 +33,7 @@
         """Let time pass and return what to do."""
         ...
 
-    def discover(self, token: str) -> DiscoveryAnswer:
+    def discover(self, token: str, now_ms: int) -> DiscoveryAnswer:
         """Return the addresses that the bearer of *token* is to use.
 
         :raises RequestError: if the token belongs to nobody.
--- a/savorychute/daemon/running_attempt.py
+++ b/savorychute/daemon/running_attempt.py
@@ -18,6 +18,13 @@
     from savorychute.inputs import Input
 
 MS_PER_S = 1_000
+PASSED_RESPONSE_HEADERS = (
+    'cache-control',
+    'content-disposition',
+    'etag',
+    'last-modified',
+    'location',
+)
 
 
 class RunningAttempt:
@@ -37,6 +44,7 @@
         '_timer',
         'call',
         'dialect',
+        'passed_headers',
         'start',
     )
 
@@ -49,6 +57,7 @@
     ) -> None:
         self.start = start
         self.dialect = dialect
+        self.passed_headers: tuple[tuple[str, str], ...] = ()
         self.call: ClientCall | None = None
         self._host = host
         self._on_end = on_end
@@ -87,6 +96,9 @@
 
     def response_started(self, status: int, headers: dict[str, str]) -> None:
         """Deliver the head."""
+        self.passed_headers = tuple(
+            (name, headers[name]) for name in PASSED_RESPONSE_HEADERS if name in headers
+        )
         self._deliver(self._reader.read_head(status, headers))
 
     def response_data(self, data: bytes) -> None:
@@ -102,15 +114,12 @@
         self._deliver(self._reader.read_failure(failure))
 
     def _deliver(self, inputs: Sequence[Input]) -> None:
-        if self._over:
-            return
-        closed = self._reader.closed
-        if closed:
-            self._end()
         for delivered in inputs:
-            self._host.deliver(delivered)
-            if self._over and not closed:
+            if self._over:
                 return
+            self._host.deliver(delivered)
+        if self._reader.closed:
+            self._end()
 
     def _end(self) -> None:
         if self._over:
--- /dev/null
+++ b/savorychute/daemon/token_event.py
@@ -0,0 +1,25 @@
+"""Tokens of a streamed answer as server-sent events."""
+
+from __future__ import annotations
+
+import msgspec
+
+EVENT_STREAM_TYPE = 'text/event-stream'
+END_EVENT = b'data: [DONE]\n\n'
+TOKEN_EVENT = (
+    b'id: %d\n'
+    b'data: {"choices":[{"index":0,"delta":{"content":%b}}],"token_count":%d}\n\n'
+)
+
+_encoder = msgspec.json.Encoder()
+
+
+def encode_tokens(offset: int, token_count: int, text: bytes) -> bytes:
+    """Return the event of some tokens.
+
+    :param offset: the first token's place in the whole answer.
+    :param token_count: how many tokens.
+    :param text: their text in UTF-8.
+    """
+    content = _encoder.encode(text.decode('utf-8', 'replace'))
+    return TOKEN_EVENT % (offset, content, token_count)
--- a/savorychute/endpoints/chat_documents.py
+++ b/savorychute/endpoints/chat_documents.py
@@ -36,9 +36,22 @@
     usage: NotRequired[ChatUsage | None]
 
 
+class ChatDelta(TypedDict):
+    """The text that an event adds."""
+
+    content: NotRequired[str | None]
+
+
+class ChatChoice(TypedDict):
+    """One choice of a streamed answer."""
+
+    delta: NotRequired[ChatDelta]
+
+
 class ChatChunk(TypedDict):
-    """One event of a streamed answer; the choices pass through unread."""
+    """One event of a streamed answer."""
 
+    choices: NotRequired[list[ChatChoice]]
     token_count: NotRequired[int]
 
 
--- a/savorychute/endpoints/dialect.py
+++ b/savorychute/endpoints/dialect.py
@@ -43,8 +43,14 @@
 class Dialect(Protocol):
     """One kind of endpoint; holds no state of its own."""
 
-    def build_attempt(self, start: StartAttempt) -> HttpRequest:
-        """Return the request that starts or resumes an attempt."""
+    def build_attempt(
+        self, start: StartAttempt, passed: Sequence[tuple[str, str]]
+    ) -> HttpRequest:
+        """Return the request that starts or resumes an attempt.
+
+        :param start: the attempt.
+        :param passed: headers of the caller that may go on to the endpoint.
+        """
         ...
 
     def make_reader(self, start: StartAttempt) -> AnswerReader:
--- a/savorychute/endpoints/openai_engine.py
+++ b/savorychute/endpoints/openai_engine.py
@@ -15,6 +15,8 @@
 from savorychute.inputs import LoadReported, OrderFinished
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from savorychute.actions import PollEndpoint, SendOrder, StartAttempt
     from savorychute.endpoints.dialect import AnswerReader
 
@@ -53,10 +55,15 @@
 class OpenAiEngine:
     """Attempts as chat completions; streams that resume and cancel."""
 
-    def build_attempt(self, start: StartAttempt) -> HttpRequest:
+    def build_attempt(
+        self,
+        start: StartAttempt,
+        passed: Sequence[tuple[str, str]],  # noqa: ARG002
+    ) -> HttpRequest:
         """Return the chat completion, or the resume of its stream.
 
         :param start: the attempt.
+        :param passed: not used; the body is a document of the router's own.
         """
         headers = [
             JSON_HEADER,
--- a/savorychute/endpoints/plain_service.py
+++ b/savorychute/endpoints/plain_service.py
@@ -32,18 +32,19 @@
 class PlainService:
     """Any method and path; offsets and counts are bytes."""
 
-    def build_attempt(self, start: StartAttempt) -> HttpRequest:
+    def build_attempt(
+        self, start: StartAttempt, passed: Sequence[tuple[str, str]]
+    ) -> HttpRequest:
         """Return the caller's request.
 
         :param start: the attempt.
+        :param passed: the caller's headers that go along.
         """
         headers = [
             ('x-attempt-id', start.attempt_id),
             ('x-timeout-ms', str(start.timeout_ms)),
         ]
-        if start.body:
-            headers.append(('content-type', 'application/json'))
-        return HttpRequest(start.method, start.path, tuple(headers), start.body)
+        return HttpRequest(start.method, start.path, (*headers, *passed), start.body)
 
     def make_reader(self, start: StartAttempt) -> AnswerReader:
         """Return a reader that passes bytes on.
--- a/savorychute/endpoints/stream_reader.py
+++ b/savorychute/endpoints/stream_reader.py
@@ -33,7 +33,7 @@
 
 
 class StreamReader:
-    """Passes each event on with the offset that the engine gave it.
+    """Passes each event's text on with the offset that the engine gave it.
 
     The whole answer is marked by ``[DONE]`` alone.  A connection that closes
     in order before it, as after a crash of a process in front of the engine,
@@ -104,11 +104,21 @@
         if event.event == 'error':
             self.closed = True
             return describe_fault(attempt_id, 'the engine sent an error event')
-        count = _chunk_decoder.decode(event.data).get('token_count', 1)
+        chunk = _chunk_decoder.decode(event.data)
+        count = chunk.get('token_count', 1)
         offset = int(event.event_id) if event.event_id else self.next_offset
         self.next_offset = offset + count
-        return AttemptChunk(attempt_id, offset, count, event.raw)
+        return AttemptChunk(attempt_id, offset, count, _read_text(chunk))
 
     def _follow_whole(self, inputs: Sequence[Input]) -> Sequence[Input]:
         self.closed = self._whole is not None and self._whole.closed
         return inputs
+
+
+def _read_text(chunk: ChatChunk) -> bytes:
+    return b''.join(
+        [
+            (choice.get('delta', {}).get('content') or '').encode()
+            for choice in chunk.get('choices', ())
+        ]
+    )
--- a/savorychute/http/client_pool.py
+++ b/savorychute/http/client_pool.py
@@ -9,6 +9,7 @@
 
 from savorychute.http.client_call import ClientCall
 from savorychute.http.client_connection import ClientConnection
+from savorychute.http.file_bound import connections_by_files
 
 if TYPE_CHECKING:
     import ssl
@@ -49,6 +50,7 @@
         self, settings: PoolSettings, clock: Clock, tls: ssl.SSLContext | None = None
     ) -> None:
         self._settings = settings
+        self._bound = min(settings.connections, connections_by_files())
         self._clock = clock
         self._tls = tls
         self._idle: dict[ServerAddress, list[ClientConnection]] = defaultdict(list)
@@ -106,7 +108,7 @@
             self._keep(address, kept)
 
     async def _connect(self, call: ClientCall, address: ServerAddress) -> None:
-        if self.open_connections >= self._settings.connections:
+        if self.open_connections >= self._bound:
             call.fail_unsent('too many connections')
             return
         self._connecting += 1
--- a/savorychute/http/http_server.py
+++ b/savorychute/http/http_server.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import resource
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
+from savorychute.http.file_bound import connections_by_files
 from savorychute.http.server_connection import ServerConnection
 
 if TYPE_CHECKING:
@@ -17,8 +17,8 @@
     from savorychute.http.http_limits import HttpLimits
     from savorychute.http.server_exchange import ServerExchange
 
+MS_PER_S = 1_000
 SWEEP_S = 0.25
-RESERVED_FILES = 64
 LISTEN_BACKLOG = 512
 
 
@@ -41,6 +41,7 @@
         self.now_ms = clock.now_ms
         self.closing = False
         self.port = 0
+        self.listener: asyncio.Server | None = None
         self._connections: set[ServerConnection] = set()
         self._bound = min(limits.connections, connections_by_files())
         self._buffered_bytes = 0
@@ -93,6 +94,11 @@
         for connection in tuple(self._connections):
             connection.close_if_idle()
 
+    def stop_listening(self) -> None:
+        """Accept no more connections; the open ones go on."""
+        if self.listener is not None:
+            self.listener.close()
+
     def abort_all(self) -> None:
         """Cut every connection."""
         for connection in tuple(self._connections):
@@ -111,9 +117,16 @@
     :param tls: the context of encrypted connections, or none for plain ones.
     """
     loop = asyncio.get_running_loop()
+    handshake_s = server.limits.header_timeout_ms / MS_PER_S if tls else None
     listener = await loop.create_server(
-        lambda: ServerConnection(server), host, port, ssl=tls, backlog=LISTEN_BACKLOG
+        lambda: ServerConnection(server),
+        host,
+        port,
+        ssl=tls,
+        backlog=LISTEN_BACKLOG,
+        ssl_handshake_timeout=handshake_s,
     )
+    server.listener = listener
     server.port = listener.sockets[0].getsockname()[1]
     sweeper = loop.create_task(_sweep_forever(server))
     try:
@@ -128,14 +141,3 @@
     while True:
         await asyncio.sleep(SWEEP_S)
         server.sweep()
-
-
-def connections_by_files() -> int:
-    """Return how many callers the file descriptor limit permits.
-
-    A request needs a descriptor towards its caller and one towards its
-    endpoint; some are kept for the platform, peers and the loop itself.
-    Without the bound ``accept`` fails and callers wait for no answer.
-    """
-    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return max(1, (soft - RESERVED_FILES) // 2)
--- a/savorychute/http/server_connection.py
+++ b/savorychute/http/server_connection.py
@@ -20,6 +20,7 @@
     from savorychute.http.http_server import HttpServer
 
 CONTINUE_STATUS = 100
+BODILESS_STATUSES = (204, 304)
 HEADERS_TOO_LARGE_HINT = 431
 WRITABLE_STATES = (h11.IDLE, h11.SEND_RESPONSE)
 
@@ -47,6 +48,7 @@
         self._pipelined_bytes = 0
         self._advancing = False
         self._lingering = False
+        self._bodiless = False
         self._received_any = False
         self._paused_since_ms: int | None = None
         self._deadline_ms = 0
@@ -107,6 +109,8 @@
         sent = list(headers)
         if self._server.closing:
             sent.append(('connection', 'close'))
+        is_head = self._exchange is not None and self._exchange.request.method == 'HEAD'
+        self._bodiless = is_head or status in BODILESS_STATUSES
         self._write(h11.Response(status_code=status, headers=sent))
 
     def send_data(self, data: bytes) -> None:
@@ -115,6 +119,8 @@
         A caller that stops reading while the answer goes on would make the
         buffer grow without end; at the bound the connection is given up.
         """
+        if self._bodiless:
+            return
         self._write(h11.Data(data=data))
         if self._transport.get_write_buffer_size() > self._limits.write_bound_bytes:
             self._transport.abort()
@@ -123,12 +129,10 @@
         """End a response and go on with the next request."""
         self._write(h11.EndOfMessage())
         self._exchange = None
+        self._drop_body()
         self._pipelined_bytes = 0
         if h11.MUST_CLOSE in (self._http.our_state, self._http.their_state):
-            self._transport.close()
-            return
-        if self._http.our_state is not h11.DONE:
-            self._transport.abort()
+            self._linger()
             return
         self._http.start_next_cycle()
         self._received_any = False
@@ -161,7 +165,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or answered."""
-        if self._exchange is None and not self._received_any:
+        if self._exchange is None and not self._received_any and not self._lingering:
             self._transport.close()
 
     # -- reading
@@ -230,7 +234,8 @@
             ),
             body=b''.join(self._body),
         )
-        self._drop_body()
+        self._body = []
+        self._head = None
         exchange = ServerExchange(request, self)
         self._exchange = exchange
         self._server.on_request(exchange)
@@ -255,12 +260,7 @@
         self._refuse(ResultCode.BODY_TOO_LARGE, f'more than {bound} bytes')
 
     def _refuse(self, code: ResultCode, message: str) -> None:
-        """Answer with an error and stop reading.
-
-        Closing a socket with unread bytes resets the connection, and the
-        caller would lose the answer.  So only the writing half is closed, and
-        what still comes is thrown away for a while.
-        """
+        """Answer with an error and take no more requests."""
         self._drop_body()
         if self._http.our_state in WRITABLE_STATES:
             body = encode_error(code, Ran.NOT_RUN, message)
@@ -272,10 +272,19 @@
             self._write(h11.Response(status_code=code.status, headers=headers))
             self._write(h11.Data(data=body))
             self._write(h11.EndOfMessage())
+        self._linger()
+
+    def _linger(self) -> None:
+        """Close the writing half and throw away what still comes.
+
+        Closing a socket with unread bytes resets the connection, and the
+        caller would lose the answer that it has not read yet.
+        """
         if not self._transport.can_write_eof():
             self._transport.close()
             return
         self._lingering = True
+        self._transport.resume_reading()
         self._transport.write_eof()
         self._wait(self._limits.linger_ms)
 
@@ -296,6 +305,7 @@
             exchange.caller_left()
 
     def _drop_body(self) -> None:
+        """Give back what the body took; an answer under way still holds it."""
         self._server.release(self._body_bytes)
         self._body = []
         self._body_bytes = 0
--- a/savorychute/http/sse_reader.py
+++ b/savorychute/http/sse_reader.py
@@ -16,12 +16,11 @@
 
 
 class SseEvent(NamedTuple):
-    """One event; ``raw`` is its text on the wire with the blank line."""
+    """One event; an id or a name that is missing is empty."""
 
     event_id: str
     event: str
     data: bytes
-    raw: bytes
 
 
 class EventTooLargeError(SavorychuteError):
@@ -75,4 +74,4 @@
             event_id = value.decode('utf-8', 'replace')
         elif field == b'event':
             event = value.decode('utf-8', 'replace')
-    return SseEvent(event_id, event, b'\n'.join(data), block + EVENT_END)
+    return SseEvent(event_id, event, b'\n'.join(data))
--- a/tests/test_daemon/daemon_fakes.py
+++ b/tests/test_daemon/daemon_fakes.py
@@ -73,7 +73,7 @@
         self.next_tick_ms = now_ms + 1_000
         return []
 
-    def discover(self, token: str) -> Found:
+    def discover(self, token: str, now_ms: int) -> Found:  # noqa: ARG002
         """Name the own address."""
         if token != TOKEN:
             raise RequestError(ResultCode.UNAUTHENTICATED, 'nobody')
@@ -81,7 +81,7 @@
 
     def issue_key(self, token: str, now_ms: int) -> str:
         """Return some key."""
-        self.discover(token)
+        self.discover(token, now_ms)
         return f'key-{now_ms}'
 
     def deliver(self, delivered: object, now_ms: int) -> list[object]:  # noqa: ARG002
@@ -96,7 +96,14 @@
                 return [self._begin(delivered)]
             case AttemptChunk():
                 request_id = delivered.attempt_id[2:]
-                return [SendChunk(request_id, delivered.offset, delivered.data)]
+                return [
+                    SendChunk(
+                        request_id,
+                        delivered.offset,
+                        delivered.data,
+                        delivered.token_count,
+                    )
+                ]
             case AttemptEnded():
                 return [FinishResponse(delivered.attempt_id[2:])]
             case AttemptFailed():
--- a/tests/test_daemon/test_caller_paths.py
+++ b/tests/test_daemon/test_caller_paths.py
@@ -10,8 +10,8 @@
 CHAT = {'model': 'm', 'messages': [{'role': 'user', 'content': 'why no water?'}]}
 HEADERS = {'authorization': f'Bearer {TOKEN}', 'x-request-class': 'diagnosis'}
 EVENTS = (
-    b'id: 0\ndata: {"choices":[{"delta":{"content":"air"}}],"token_count":1}\n\n',
-    b'id: 1\ndata: {"choices":[{"delta":{"content":" lock"}}],"token_count":1}\n\n',
+    b'id: 0\ndata: {"choices":[{"index":0,"delta":{"content":"air"}}],"token_count":1}\n\n',
+    b'id: 1\ndata: {"choices":[{"index":0,"delta":{"content":" \\"lock"}}],"token_count":2}\n\n',
 )
 
 
