Read operators' tokens by name; call by the package's HTTP client

An instance knows operators by name, so the setting is an object of digests; settings that no part reads are gone. The command line had an HTTP exchange of its own beside the daemon's client: it uses that client now. The schema has the messages of membership, configuration, requests and recovery.

--- a/savorychute/cmd/operator_client.py
+++ b/savorychute/cmd/operator_client.py
@@ -10,24 +10,38 @@
 
 import msgspec
 
+from savorychute.clock import SystemClock
 from savorychute.cmd.operator_verbs import OPERATOR_PATH, RESULT_CODE_HEADER
+from savorychute.http.call_failure import CallFailure
+from savorychute.http.client_pool import PoolSettings, ServerAddress, open_pool
+from savorychute.http.http_request import HttpRequest
+from savorychute.http.timed_call import fetch
 from savorychute.result_code import ResultCode
 from savorychute.settings.readers import read_address
-from savorychute.util.http_exchange import HttpRequest, NotSentError, exchange
 
 if TYPE_CHECKING:
     from argparse import ArgumentParser, Namespace
     from collections.abc import Sequence
 
+    from savorychute.http.http_response import HttpResponse
     from savorychute.settings.network_address import NetworkAddress
 
 ADDRESS_VARIABLE = 'SAVORYCHUTE_INSTANCES'
 TOKEN_VARIABLE = 'SAVORYCHUTE_OPERATOR_TOKEN'
 DEFAULT_ADDRESS = '127.0.0.1:8080'
 DEFAULT_TIMEOUT_MS = 15_000
+MIN_REFUSAL_STATUS = 300
 CODES = {code.number: code for code in ResultCode}
 
 
+class NotSentError(Exception):
+    """No connection came about, so no byte of a command left this host."""
+
+
+class NoReplyError(Exception):
+    """A command was sent, but no whole answer came back."""
+
+
 class OperatorAnswer(NamedTuple):
     """What an instance answered to a command."""
 
@@ -54,22 +68,26 @@
         :raises NotSentError: if no instance accepted a connection.
         :raises NoReplyError: if the command was sent and not answered.
         """
+        headers = (
+            ('content-type', 'application/json'),
+            ('authorization', f'Bearer {self.token}'),
+        )
         body = msgspec.json.encode(arguments)
-        request = HttpRequest('POST', OPERATOR_PATH + verb, body, self.token)
+        request = HttpRequest('POST', OPERATOR_PATH + verb, headers, body)
         return asyncio.run(self._call_first(request))
 
     async def _call_first(self, request: HttpRequest) -> OperatorAnswer:
+        bounds = PoolSettings(connect_timeout_ms=self.timeout_ms)
         reasons: list[str] = []
-        for address in self.addresses:
-            try:
-                reply = await exchange(address, request, self.timeout_ms, self.tls)
-            except NotSentError as error:
-                reasons.append(str(error))
-                continue
-            number = reply.headers.get(RESULT_CODE_HEADER, '')
-            return OperatorAnswer(
-                _find_code(number, reply.status), _read_document(reply.body)
-            )
+        with open_pool(bounds, SystemClock(), self.tls) as pool:
+            for address in self.addresses:
+                server = ServerAddress(*address)
+                reply = await fetch(pool, server, request, self.timeout_ms)
+                if not isinstance(reply, CallFailure):
+                    return _make_answer(reply)
+                if reply.sent:
+                    raise NoReplyError(f'{address}: {reply.reason}')
+                reasons.append(f'{address}: {reply.reason}')
         raise NotSentError('; '.join(reasons))
 
 
@@ -116,10 +134,15 @@
     return tuple(read_address(item.strip()) for item in items)
 
 
+def _make_answer(reply: HttpResponse) -> OperatorAnswer:
+    number = reply.headers.get(RESULT_CODE_HEADER, '')
+    return OperatorAnswer(_find_code(number, reply.status), _read_document(reply.body))
+
+
 def _find_code(number: str, status: int) -> ResultCode:
     if number.isascii() and number.isdigit() and int(number) in CODES:
         return CODES[int(number)]
-    return ResultCode.OK if status < 300 else ResultCode.BAD_FIELD
+    return ResultCode.OK if status < MIN_REFUSAL_STATUS else ResultCode.BAD_FIELD
 
 
 def _read_document(body: bytes) -> dict[str, Any]:
--- a/savorychute/cmd/operator_command.py
+++ b/savorychute/cmd/operator_command.py
@@ -6,10 +6,14 @@
 from typing import TYPE_CHECKING, Any
 
 from savorychute.cmd.exit_code import ExitCode
-from savorychute.cmd.operator_client import add_client_arguments, make_client
+from savorychute.cmd.operator_client import (
+    NoReplyError,
+    NotSentError,
+    add_client_arguments,
+    make_client,
+)
 from savorychute.cmd.output import add_output_arguments, print_document
 from savorychute.result_code import ResultCode
-from savorychute.util.http_exchange import NoReplyError, NotSentError
 
 if TYPE_CHECKING:
     from argparse import ArgumentParser, Namespace
--- a/savorychute/cmd/operator_verbs.py
+++ b/savorychute/cmd/operator_verbs.py
@@ -29,7 +29,7 @@
 
 
 class ContractShowArguments(TypedDict):
-    """Answered by ``{"customer", "version", "document"}``."""
+    """Answered by ``{"customer", "version", "document", "limits"}``."""
 
     customer: str
 
@@ -50,7 +50,7 @@
 
 
 class ContractHistoryArguments(TypedDict):
-    """Answered by ``{"customer", "changes": [...]}``, oldest first."""
+    """Answered by ``{"customer", "history": [...]}``, oldest first."""
 
     customer: str
 
@@ -93,7 +93,7 @@
 
 
 class ExplainArguments(TypedDict):
-    """Answered by ``{"request_id", "steps": [...]}``."""
+    """Answered by ``{"request_id", "history": [...]}``."""
 
     request_id: str
 
--- a/savorychute/settings/readers.py
+++ b/savorychute/settings/readers.py
@@ -76,18 +76,12 @@
     raise ValueError('an address such as "10.0.0.1:7000"')
 
 
-def read_token_hashes(value: Any) -> tuple[str, ...]:
-    """Return SHA-256 digests in hex."""
-    if not isinstance(value, list):
-        raise ValueError('a list of SHA-256 digests in hex')
-    for item in value:
-        if not isinstance(item, str) or not TOKEN_HASH.fullmatch(item):
-            raise ValueError('a list of SHA-256 digests, each 64 of 0-9 and a-f')
-    return tuple(value)
-
-
-def read_addresses(value: Any) -> tuple[NetworkAddress, ...]:
-    """Return a list of hosts and ports."""
-    if not isinstance(value, list):
-        raise ValueError('a list of addresses')
-    return tuple(read_address(item) for item in value)
+def read_token_hashes(value: Any) -> dict[str, str]:
+    """Return SHA-256 digests in hex by operator."""
+    if not isinstance(value, dict):
+        raise ValueError('an object of operators and SHA-256 digests in hex')
+    for operator, digest in value.items():
+        read_name(operator)
+        if not isinstance(digest, str) or not TOKEN_HASH.fullmatch(digest):
+            raise ValueError('a SHA-256 digest, 64 of 0-9 and a-f, for each operator')
+    return dict(value)
--- a/savorychute/settings/settings.py
+++ b/savorychute/settings/settings.py
@@ -18,12 +18,11 @@
     bind_host: str
     caller_port: int
     peer_port: int
-    operator_token_hashes: tuple[str, ...]
+    operator_token_hashes: dict[str, str]
     log_address: NetworkAddress
     log_dialect: str
     list_address: NetworkAddress
     list_dialect: str
-    seeds: tuple[NetworkAddress, ...]
     peer_keys: PeerKeys
     tls_certificate_file: str
     tls_key_file: str
@@ -34,28 +33,32 @@
     max_connections: int
     max_header_bytes: int
     max_body_bytes: int
-    max_answer_buffer_bytes: int
     max_buffers_bytes: int
     header_timeout_ms: int
     body_timeout_ms: int
     idle_timeout_ms: int
-    write_timeout_ms: int
+    stalled_timeout_ms: int
     connect_timeout_ms: int
     platform_timeout_ms: int
+    poll_timeout_ms: int
+    order_timeout_ms: int
+    leave_grace_ms: int
+    max_retries: int
+    first_progress_timeout_ms: int
+    gap_timeout_ms: int
+    max_queued_requests: int
+    max_queued_bytes: int
     probe_interval_ms: int
     probe_timeout_ms: int
     suspicion_ms: int
+    gossip_interval_ms: int
     listing_interval_ms: int
-    discovery_lifetime_ms: int
-    discovery_count: int
     configuration_poll_interval_ms: int
-    credit_interval_ms: int
-    credit_duration_ms: int
-    limit_interval_ms: int
-    limit_duration_ms: int
-    load_poll_interval_ms: int
     endpoint_subset: int
-    key_retention_ms: int
-    max_kept_outcomes: int
-    max_kept_outcomes_bytes: int
-    max_audit_entries: int
+    load_poll_interval_ms: int
+    ejection_ms: int
+    quarantine_lifetime_ms: int
+    key_lifetime_ms: int
+    outcome_lifetime_ms: int
+    max_outcomes: int
+    max_outcomes_bytes: int
--- a/savorychute/wire/messages.capnp
+++ b/savorychute/wire/messages.capnp
@@ -8,3 +8,210 @@
   kind @3 :UInt16;  # the tag of the message in the body
   body @4 :AnyPointer;
 }
+
+struct MemberAddress {
+  instance @0 :Text;
+  incarnation @1 :Int64;
+  region @2 :Text;
+  failureDomain @3 :Text;
+  host @4 :Text;
+  callerPort @5 :Int64;
+  peerPort @6 :Int64;
+}
+
+struct MemberUpdate {
+  address @0 :MemberAddress;
+  counter @1 :Int64;
+  state @2 :Int64;
+}
+
+struct Ping {  # tag 10
+  sequence @0 :Int64;
+  origin @1 :MemberUpdate;
+  configurationOffset @2 :Int64;
+  updates @3 :List(MemberUpdate);
+}
+
+struct Ack {  # tag 11
+  sequence @0 :Int64;
+  origin @1 :MemberUpdate;
+  configurationOffset @2 :Int64;
+  updates @3 :List(MemberUpdate);
+}
+
+struct PingRequest {  # tag 12
+  sequence @0 :Int64;
+  origin @1 :MemberUpdate;
+  target @2 :MemberAddress;
+}
+
+struct RelayedAck {  # tag 13
+  sequence @0 :Int64;
+  target @1 :MemberUpdate;
+}
+
+struct Gossip {  # tag 14
+  updates @0 :List(MemberUpdate);
+}
+
+struct RegionDigest {
+  region @0 :Text;
+  members @1 :Int64;
+  hash @2 :Int64;
+  beat @3 :Int64;
+}
+
+struct Digest {  # tag 15
+  origin @0 :MemberUpdate;
+  configurationOffset @1 :Int64;
+  regions @2 :List(RegionDigest);
+}
+
+struct MemberStamp {
+  instance @0 :Text;
+  incarnation @1 :Int64;
+  counter @2 :Int64;
+  state @3 :Int64;
+}
+
+struct RegionSummary {  # tag 16
+  origin @0 :MemberUpdate;
+  region @1 :Text;
+  stamps @2 :List(MemberStamp);
+}
+
+struct UpdateRequest {  # tag 17
+  origin @0 :MemberUpdate;
+  instances @1 :List(Text);
+}
+
+struct RecordsRequest {  # tag 20
+  afterOffset @0 :Int64;
+}
+
+struct PushedRecord {
+  offset @0 :Int64;
+  payload @1 :Data;
+}
+
+struct RecordsPush {  # tag 21
+  records @0 :List(PushedRecord);
+  newestOffset @1 :Int64;
+}
+
+struct OffsetNotice {  # tag 22
+  offset @0 :Int64;
+  digest @1 :Int64;
+  snapshotOffset @2 :Int64;
+  snapshotAgeMs @3 :Int64;
+}
+
+struct StateRequest {  # tag 23
+  offset @0 :Int64;
+  part @1 :Int64;
+}
+
+struct StatePart {  # tag 24
+  offset @0 :Int64;
+  part @1 :Int64;
+  parts @2 :Int64;
+  data @3 :Data;
+  snapshotOffset @4 :Int64;
+  snapshotAgeMs @5 :Int64;
+}
+
+struct EndpointUse {
+  endpoint @0 :Int64;
+  held @1 :Int64;
+  inUse @2 :Int64;
+}
+
+struct GroupReport {
+  group @0 :Int64;
+  homeEpoch @1 :Int64;
+  sequence @2 :Int64;
+  wantsSpare @3 :Bool;
+  running @4 :List(Int64);
+  waiting @5 :List(Int64);
+  uses @6 :List(EndpointUse);
+}
+
+struct CreditReport {  # tag 30
+  epoch @0 :Int64;
+  number @1 :Int64;
+  groups @2 :List(GroupReport);
+}
+
+struct EndpointLevel {
+  endpoint @0 :Int64;
+  level @1 :Int64;
+}
+
+struct GroupGrant {
+  group @0 :Int64;
+  sequence @1 :Int64;
+  mustAcknowledge @2 :Bool;
+  pressingTier @3 :Int64;
+  levels @4 :List(EndpointLevel);
+}
+
+struct CreditGrant {  # tag 31
+  homeEpoch @0 :Int64;
+  epoch @1 :Int64;
+  reportNumber @2 :Int64;
+  durationMs @3 :Int64;
+  groups @4 :List(GroupGrant);
+}
+
+struct StartNotice {  # tag 50
+  key @0 :Text;
+  fingerprint @1 :Text;
+  endpoint @2 :Text;
+  streamId @3 :Text;
+  host @4 :Text;
+  peerPort @5 :Int64;
+}
+
+struct StartAnswer {  # tag 51
+  key @0 :Text;
+  accepted @1 :Bool;
+  reason @2 :Text;
+}
+
+struct KeyQuestion {  # tag 52
+  key @0 :Text;
+  fingerprint @1 :Text;
+  host @2 :Text;
+  peerPort @3 :Int64;
+}
+
+struct KeyVerdict {  # tag 53
+  key @0 :Text;
+  fingerprint @1 :Text;
+  verdict @2 :Text;
+  endpoint @3 :Text;
+  streamId @4 :Text;
+}
+
+struct KeysSettled {  # tag 54
+  ran @0 :List(Text);
+  notRun @1 :List(Text);
+}
+
+struct PoisonEntry {
+  fingerprint @0 :Text;
+  round @1 :Int64;
+  endpoints @2 :List(Text);
+  crashes @3 :Int64;
+  quarantined @4 :Bool;
+  lifetimeMs @5 :Int64;
+}
+
+struct PoisonNews {  # tag 60
+  entries @0 :List(PoisonEntry);
+}
+
+struct PoisonDigest {  # tag 61
+  digest @0 :Int64;
+  entries @1 :Int64;
+}
