Take the number of seats from the derived limits

Cause: limits of a contract already say how many instances a customer gets. Change: answer_discovery takes seats in place of a share.

--- a/savorychute/membership/discovery.py
+++ b/savorychute/membership/discovery.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from math import ceil
 from typing import TYPE_CHECKING
 
 from savorychute.membership.discovery_answer import DiscoveryAnswer
@@ -15,23 +14,12 @@
     from savorychute.membership.member_view import MemberView
 
 
-def count_seats(settings: DiscoverySettings, pool_share: float, instances: int) -> int:
-    """Return how many instances of a region serve a customer.
-
-    :param settings: the lower bound and the slope.
-    :param pool_share: the customer's part of the pool, 0 to 1.
-    :param instances: how many instances the region has.
-    """
-    due = ceil(pool_share * instances * settings.seats_per_share)
-    return min(instances, max(settings.min_seats, due))
-
-
 def answer_discovery(
     customer: str,
     view: MemberView,
     settings: DiscoverySettings,
     rng: Random,
-    pool_share: float = 0.0,
+    seats: int = 0,
 ) -> DiscoveryAnswer:
     """Return where callers of a customer are to connect.
 
@@ -45,13 +33,13 @@
     :param view: the members; suspects and leaving ones are left out.
     :param settings: numbers of seats and lifetimes.
     :param rng: draws the order and the lifetime.
-    :param pool_share: the customer's part of the pool, 0 to 1.
+    :param seats: how many instances the customer gets; raised to
+        ``min_seats`` of the settings.
     """
     usable = [m for m in view.alive if m.instance not in view.suspects]
     near = [m for m in usable if m.region == view.own.region]
     far = [m for m in usable if m.region != view.own.region]
-    seats = count_seats(settings, pool_share, len(near))
-    chosen = list(choose_homes(customer, near, seats))
+    chosen = list(choose_homes(customer, near, max(settings.min_seats, seats)))
     rng.shuffle(chosen)
     chosen.extend(choose_homes(customer, far, _count_far(settings, len(chosen))))
     lifetime_ms = rng.randint(settings.min_lifetime_ms, settings.max_lifetime_ms)
