Decide keys that callers bring by the first claim in the log

Cause: callers without our client library bring UUIDv7 keys; some instance must own each of them without any agreement between instances. Change: claims in group commits on the stream claims, read back before a run; a lost append reply is looked up by reading; coverage of older claims is dated by what writers had seen; refusals before a claim is known say unknown, not not-run, because an earlier copy may have run elsewhere. Conclusion: both ways of keys stand behind one keeper.

--- a/savorychute/requests/key_keeper.py
+++ b/savorychute/requests/key_keeper.py
@@ -6,7 +6,10 @@
 
 from savorychute.actions.send_peer import SendPeer
 from savorychute.errors import RequestError
+from savorychute.membership.member_view import MemberView
 from savorychute.ran import Ran
+from savorychute.requests.claim_batch import CLAIMS_STREAM
+from savorychute.requests.claim_desk import ClaimDesk
 from savorychute.requests.key_elsewhere import KeyElsewhere
 from savorychute.requests.key_issuer import KeyIssuer
 from savorychute.requests.key_phase import KeyPhase
@@ -34,8 +37,8 @@
     from savorychute.inputs.append_finished import AppendFinished
     from savorychute.inputs.records_read import RecordsRead
     from savorychute.member_address import MemberAddress
-    from savorychute.membership.member_view import MemberView
     from savorychute.requests.key_outcome import KeyOutcome
+    from savorychute.requests.key_record import KeyRecord
     from savorychute.requests.key_settings import KeySettings
     from savorychute.requests.request_key import RequestKey
 
@@ -66,6 +69,17 @@
         )
         self._questions = QuestionDesk(settings, address, self._book)
         self._redirects = RedirectMemory(settings)
+        self._claims = ClaimDesk(settings, address, self._redirects)
+        self._wall_offset_ms = 0
+        self._view = MemberView(address, (address,))
+
+    def set_wall_clock(self, wall_ms: int, now_ms: int) -> None:
+        """Say what the wall clock shows; needed for keys that callers bring.
+
+        :param wall_ms: Unix time.
+        :param now_ms: the monotonic time at the same moment.
+        """
+        self._wall_offset_ms = wall_ms - now_ms
 
     def admit(
         self,
@@ -87,12 +101,15 @@
         :param now_ms: the time.
         :return: the outcome, or none while a witness or the log is asked.
         """
+        self._view = view
         try:
             key = parse_key(key_text)
         except RequestError as error:
             return [KeyRefused(request_id, error.code, Ran.NOT_RUN, error.message)]
         if not key.issued:
-            return self._admit_brought(request_id)
+            return self._claims.admit(
+                request_id, key, fingerprint, view, self._wall_ms(now_ms), now_ms
+            )
         if self._is_own(key):
             return list(self._admit_own(request_id, key, fingerprint, now_ms))
         return self._admit_foreign(request_id, key, fingerprint, view, now_ms)
@@ -113,7 +130,7 @@
         :param view: the members.
         :param now_ms: the time.
         """
-        record = self._store.find_runner(request_id)
+        record = self._find_runner(request_id)
         if record is None:
             message = 'the request holds no key'
             code = ResultCode.KEY_REQUIRED
@@ -164,12 +181,13 @@
         """
         self._store.leave(request_id)
         self._questions.leave(request_id)
+        self._claims.leave(request_id)
 
     def receive(
         self,
         sender: str,
         message: object,
-        view: MemberView,  # noqa: ARG002 - all parts are called alike
+        view: MemberView,
         now_ms: int,
     ) -> list[KeyOutcome | Action]:
         """Take a message from another instance.
@@ -179,6 +197,7 @@
         :param view: the members.
         :param now_ms: the time.
         """
+        self._view = view
         if isinstance(message, StartNotice):
             return self._note_start(sender, message, now_ms)
         if isinstance(message, StartAnswer):
@@ -192,28 +211,27 @@
         return []
 
     def append_finished(
-        self,
-        finished: AppendFinished,  # noqa: ARG002
-        now_ms: int,  # noqa: ARG002
+        self, finished: AppendFinished, now_ms: int
     ) -> list[KeyOutcome | Action]:
         """Take the outcome of an append to the stream of claims.
 
-        :param finished: the outcome.
+        :param finished: the outcome; those of other streams are ignored.
         :param now_ms: the time.
         """
-        return []
+        if finished.stream != CLAIMS_STREAM:
+            return []
+        return self._claims.append_finished(finished, now_ms)
 
-    def records_read(
-        self,
-        read: RecordsRead,  # noqa: ARG002
-        now_ms: int,  # noqa: ARG002
-    ) -> list[KeyOutcome | Action]:
+    def records_read(self, read: RecordsRead, now_ms: int) -> list[KeyOutcome | Action]:
         """Take records of the stream of claims.
 
-        :param read: the records.
+        :param read: the records; those of other streams are ignored.
         :param now_ms: the time.
         """
-        return []
+        if read.stream != CLAIMS_STREAM:
+            return []
+        wall_ms = self._wall_ms(now_ms)
+        return self._claims.records_read(read, self._view, wall_ms, now_ms)
 
     def tick(self, view: MemberView, now_ms: int) -> list[KeyOutcome | Action]:
         """Repeat what got no answer, give up what took too long, forget.
@@ -221,16 +239,23 @@
         :param view: the members.
         :param now_ms: the time.
         """
+        self._view = view
         results = self._starts.tick(now_ms)
         results += self._questions.tick(now_ms)
         results += self._settled.tick(view, now_ms)
+        results += self._claims.tick(self._wall_ms(now_ms), now_ms)
         self._book.expire(now_ms)
-        self._store.forget_old(now_ms)
+        self._store.forget_old(now_ms - self._settings.key_lifetime_ms, now_ms)
         return results
 
-    def _admit_brought(self, request_id: str) -> list[KeyOutcome | Action]:
-        message = 'keys that callers bring are not served yet'
-        return [KeyRefused(request_id, ResultCode.NOT_READY, Ran.UNKNOWN, message)]
+    def next_due_ms(self) -> int:
+        """Return the time at which :meth:`tick` has something to do."""
+        dues = [
+            self._claims.next_due_ms(),
+            self._starts.next_due_ms(),
+            self._questions.next_due_ms(),
+        ]
+        return min(due for due in dues if due is not None)
 
     def _admit_own(
         self, request_id: str, key: RequestKey, fingerprint: str, now_ms: int
@@ -270,6 +295,15 @@
             return [KeyElsewhere(request_id, cast('MemberAddress', issuer))]
         return self._questions.ask(request_id, key, fingerprint, view, now_ms)
 
+    def _wall_ms(self, now_ms: int) -> int:
+        return now_ms + self._wall_offset_ms
+
+    def _find_runner(self, request_id: str) -> KeyRecord | None:
+        record = self._store.find_runner(request_id)
+        if record is None:
+            record = self._claims.store.find_runner(request_id)
+        return record
+
     def _is_own(self, key: RequestKey) -> bool:
         own = (self._address.instance, self._address.incarnation)
         return own == (key.instance, key.incarnation)
@@ -282,9 +316,13 @@
         now_ms: int,
         outcome: StoredOutcome | None = None,
     ) -> list[KeyOutcome | Action]:
-        record = self._store.find_runner(request_id)
+        record = self._find_runner(request_id)
         if record is None:
             return []
+        if not record.key.issued:
+            if phase is KeyPhase.NOT_RUN:
+                self._claims.release(record.key)
+            return list(self._claims.store.settle(record, phase, code, now_ms, outcome))
         was_announced = record.phase is not KeyPhase.HELD
         if was_announced and phase is not KeyPhase.UNKNOWN:
             self._settled.add(record.key, ran=phase is KeyPhase.RAN)
--- a/savorychute/requests/key_store.py
+++ b/savorychute/requests/key_store.py
@@ -150,16 +150,16 @@
                 record.waiting = tuple(kept)
                 return
 
-    def forget_old(self, now_ms: int) -> None:
+    def forget_old(self, issued_before_ms: int, now_ms: int) -> None:
         """Drop settled keys under which nothing can start any more.
 
         Keys are kept in the order in which they were taken up, which nearly
         is that of their issue; one that is out of order waits for the next
         call.
 
+        :param issued_before_ms: keys issued earlier are refused by their age.
         :param now_ms: the time.
         """
-        issued_before_ms = now_ms - self._settings.key_lifetime_ms
         settled_before_ms = now_ms - self._settings.outcome_lifetime_ms
         old = []
         for sequence, record in self._records.items():
