--- /dev/null
+++ b/benches/wire.py
@@ -0,0 +1,123 @@
+"""Time to encode and decode a peer message, against JSON of the same."""
+
+from __future__ import annotations
+
+import statistics
+import tempfile
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import msgspec
+
+from benches.bench_row import BenchRow, make_row
+from savorychute.wire.message_codec import MessageCodec
+from savorychute.wire.peer_key import PeerKey
+from savorychute.wire.peer_keys import PeerKeys
+from savorychute.wire.schema_writer import write_schema
+from savorychute.wire.signature import open_frame, sign_envelope
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+ENTRIES = 16
+CALLS = 400
+NS_PER_US = 1_000
+KEYS = PeerKeys(PeerKey(1, b'0123456789abcdef0123456789abcdef'))
+
+
+class BenchEntry(NamedTuple):
+    """What an instance tells of one endpoint."""
+
+    endpoint: str
+    tier: int
+    requests: int
+    tokens: int
+    share: float
+
+
+class BenchReport(NamedTuple):
+    """A report on sixteen endpoints."""
+
+    pool: str
+    entries: tuple[BenchEntry, ...]
+
+
+class BenchPing(NamedTuple):
+    """A message with no list."""
+
+    sequence: int
+    target: str
+    offset: int
+
+
+def run(repeats: int, rng: random.Random) -> list[BenchRow]:
+    """Measure both ways.
+
+    :param repeats: how often each measurement is taken; the median counts.
+    :param rng: makes the values.
+    """
+    messages: dict[int, type] = {900: BenchReport, 901: BenchPing}
+    with tempfile.TemporaryDirectory() as directory:
+        path = Path(directory, 'bench.capnp')
+        path.write_text(write_schema(messages))
+        codec = MessageCodec(path, messages)
+    rows: list[BenchRow] = []
+    for name, message in (('ping', _make_ping(rng)), ('report', _make_report(rng))):
+        rows += _measure(name, message, codec, repeats)
+    return rows
+
+
+def _measure(
+    name: str, message: Any, codec: MessageCodec, repeats: int
+) -> list[BenchRow]:
+    def encode() -> bytes:
+        return sign_envelope(codec.encode('a-1', 1, 1, message), 'a-2', KEYS.signing)
+
+    frame = encode()
+    decoder = msgspec.json.Decoder(type(message))
+    text = msgspec.json.encode(message)
+
+    def decode() -> Any:
+        return codec.decode(open_frame(frame, 'a-2', KEYS))
+
+    assert decode().message == message
+    encode_us = _time(encode, repeats)
+    decode_us = _time(decode, repeats)
+    json_encode_us = _time(lambda: msgspec.json.encode(message), repeats)
+    json_decode_us = _time(lambda: decoder.decode(text), repeats)
+    return [
+        make_row(f'wire encode {name}', encode_us, 'us', json_encode_us),
+        make_row(f'wire decode {name}', decode_us, 'us', json_decode_us),
+        make_row(f'wire size {name}', len(frame), 'bytes', len(text)),
+    ]
+
+
+def _time(call: Callable[[], object], repeats: int) -> float:
+    """Return the median time of one call in microseconds."""
+    medians = []
+    for _ in range(repeats):
+        begin_ns = time.perf_counter_ns()
+        for _ in range(CALLS):
+            call()
+        medians.append((time.perf_counter_ns() - begin_ns) / CALLS / NS_PER_US)
+    return statistics.median(medians)
+
+
+def _make_ping(rng: random.Random) -> BenchPing:
+    return BenchPing(rng.randrange(1 << 20), 'kochi-hall-3', rng.randrange(1 << 20))
+
+
+def _make_report(rng: random.Random) -> BenchReport:
+    entries = tuple(
+        BenchEntry(
+            f'kochi-engine-{number}',
+            rng.randrange(5),
+            rng.randrange(64),
+            rng.randrange(100_000),
+            rng.random(),
+        )
+        for number in range(ENTRIES)
+    )
+    return BenchReport('pump-diagnosis', entries)
