--- a/savorychute/cmd/check.py
+++ b/savorychute/cmd/check.py
@@ -23,7 +23,7 @@
 
     def add_arguments(self, parser: ArgumentParser) -> None:
         """Add the file."""
-        parser.add_argument('settings', type=Path)
+        parser.add_argument('settings', type=Path, help='a file of settings')
         add_output_arguments(parser)
 
     def run(self, arguments: Namespace) -> int:
--- a/savorychute/cmd/contract.py
+++ b/savorychute/cmd/contract.py
@@ -23,7 +23,7 @@
 
     def add_own_arguments(self, parser: ArgumentParser) -> None:
         """Add the customer."""
-        parser.add_argument('customer')
+        parser.add_argument('customer', help="the customer's name")
 
     def make_document(self, arguments: Namespace) -> Any:
         """Return the customer's name."""
--- a/savorychute/cmd/endpoint.py
+++ b/savorychute/cmd/endpoint.py
@@ -45,7 +45,7 @@
 
     def add_own_arguments(self, parser: ArgumentParser) -> None:
         """Add the endpoint and what every change has."""
-        parser.add_argument('endpoint')
+        parser.add_argument('endpoint', help="the endpoint's name")
         add_change_arguments(parser)
 
     def make_document(self, arguments: Namespace) -> Any:
--- a/savorychute/cmd/inspection.py
+++ b/savorychute/cmd/inspection.py
@@ -62,7 +62,7 @@
 
     def add_own_arguments(self, parser: ArgumentParser) -> None:
         """Add the request."""
-        parser.add_argument('request_id')
+        parser.add_argument('request_id', help='the id that the answer carried')
 
     def make_document(self, arguments: Namespace) -> Any:
         """Return the request's id."""
--- a/savorychute/cmd/operator_client.py
+++ b/savorychute/cmd/operator_client.py
@@ -108,7 +108,11 @@
         '--ca-file', metavar='FILE', help='use TLS and trust these certificates'
     )
     parser.add_argument(
-        '--timeout-ms', type=int, default=DEFAULT_TIMEOUT_MS, metavar='N'
+        '--timeout-ms',
+        type=int,
+        default=DEFAULT_TIMEOUT_MS,
+        metavar='N',
+        help=f'for the whole command (else {DEFAULT_TIMEOUT_MS})',
     )
 
 
--- a/savorychute/cmd/serve.py
+++ b/savorychute/cmd/serve.py
@@ -20,7 +20,7 @@
 
     def add_arguments(self, parser: ArgumentParser) -> None:
         """Add the settings file."""
-        parser.add_argument('settings', type=Path)
+        parser.add_argument('settings', type=Path, help='a file of settings')
 
     def run(self, arguments: Namespace) -> int:
         """Read the settings and run the daemon."""
--- /dev/null
+++ b/savorychute/util/rst_table.py
@@ -0,0 +1,39 @@
+"""Tables of reStructuredText."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+def format_table(head: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
+    """Return a simple table.
+
+    :param head: the titles of the columns.
+    :param rows: the cells; the first one of a row must not be empty.
+    """
+    widths = [
+        max(len(row[column]) for row in (head, *rows)) for column in range(len(head))
+    ]
+    rule = '  '.join('=' * width for width in widths)
+    lines = [rule, _format_row(head, widths), rule]
+    lines += [_format_row(row, widths) for row in rows]
+    lines.append(rule)
+    return '\n'.join(lines) + '\n'
+
+
+def format_title(title: str, mark: str = '=') -> str:
+    """Return a heading and the blank line after it.
+
+    :param title: the text.
+    :param mark: what it is underlined with.
+    """
+    return f'{title}\n{mark * len(title)}\n\n'
+
+
+def _format_row(row: Sequence[str], widths: Sequence[int]) -> str:
+    # An empty cell at the end would leave blanks that editors strip.
+    cells = [cell.ljust(width) for cell, width in zip(row, widths, strict=True)]
+    return '  '.join(cells).rstrip()
--- a/savorychute/wire/replay_window.py
+++ b/savorychute/wire/replay_window.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 WINDOW_FRAMES = 1024
+MAX_SENDERS = 4096
 
 
 class ReplayWindow:
@@ -10,7 +11,7 @@
 
     Frames may arrive reordered by up to 1,024.  A sender's older incarnation
     is refused once a newer one was heard.  Memory: two integers and a bit
-    mask of 128 bytes for each sender.
+    mask of 128 bytes for each sender, of which the latest 4,096 are kept.
     """
 
     def __init__(self) -> None:
@@ -23,10 +24,13 @@
         :param incarnation: the sender's incarnation.
         :param sequence: the frame's number in that incarnation, from 1.
         """
-        known = self._senders.get(sender)
+        # Taken out and put back at the end, so that the first is the eldest.
+        known = self._senders.pop(sender, None)
         if known is None or incarnation > known[0]:
             self._senders[sender] = (incarnation, sequence, 1)
+            self._drop_eldest()
             return True
+        self._senders[sender] = known
         if incarnation < known[0]:
             return False
         return self._accept_in_window(sender, known, sequence)
@@ -35,6 +39,10 @@
         """Drop what is known of a sender that is gone for good."""
         self._senders.pop(sender, None)
 
+    def _drop_eldest(self) -> None:
+        if len(self._senders) > MAX_SENDERS:
+            del self._senders[next(iter(self._senders))]
+
     def _accept_in_window(
         self, sender: str, known: tuple[int, int, int], sequence: int
     ) -> bool:
--- a/tests/test_wire/test_peer_codec.py
+++ b/tests/test_wire/test_peer_codec.py
@@ -7,7 +7,7 @@
 from savorychute.errors import SignatureError
 from savorychute.wire import message_codec
 from savorychute.wire.peer_codec import PeerCodec
-from savorychute.wire.replay_window import WINDOW_FRAMES, ReplayWindow
+from savorychute.wire.replay_window import MAX_SENDERS, WINDOW_FRAMES, ReplayWindow
 
 
 @pytest.fixture
@@ -60,3 +60,15 @@
     assert window.accept('a', 9, 9)
     window.forget('a')
     assert window.accept('a', 1, 1)
+
+
+def test_memory_of_senders_is_bounded():
+    """Instances are replaced all day, each under a name of its own.
+
+    The window of every one that ever was would stay in memory for good.
+    """
+    window = ReplayWindow()
+    for number in range(MAX_SENDERS + 1):
+        assert window.accept(f'a-{number}', 1, 1)
+    assert not window.accept('a-1', 1, 1)
+    assert window.accept('a-0', 1, 1)
