Fold the configuration from the log and spread it between instances

Cause: an accepted change must be in force everywhere within seconds and never go back, with only the log and the instances' own exchange.

--- /dev/null
+++ b/benches/configuration_rig.py
@@ -0,0 +1,278 @@
+"""Many configuration keepers over a lossy network, on a virtual clock."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from savorychute.actions.append_record import AppendRecord
+from savorychute.actions.operator_reply import OperatorReply
+from savorychute.actions.read_records import ReadRecords
+from savorychute.actions.send_peer import SendPeer
+from savorychute.configuration.keeper import ConfigurationKeeper
+from savorychute.configuration.settings import ConfigurationSettings
+from savorychute.inputs.append_finished import AppendFinished
+from savorychute.inputs.log_record import LogRecord
+from savorychute.inputs.records_read import RecordsRead
+from savorychute.member_address import MemberAddress
+from savorychute.membership.member_view import MemberView
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+LOG_LATENCY_MS = 20
+NEAR_LATENCY_MS = 1
+FAR_LATENCY_MS = 40
+TICK_MS = 200
+
+
+def make_contract(customer: str, pool_share: float = 0.0005) -> dict[str, Any]:
+    """Return a contract as large as an ordinary one."""
+    token_hash = random.Random(customer).randbytes(32).hex()
+    classes = [
+        {
+            'name': name,
+            'tier': tier,
+            'first_token_target_ms': 320,
+            'token_gap_target_ms': 52,
+            'timeout_ms': 60_000,
+            'weight': 1.0,
+            'idempotent': tier != 1,
+            'patient': tier == 4,
+            'minimum_share': 0.05,
+        }
+        for tier, name in enumerate(['diagnosis', 'visit', 'scan', 'draft', 'audit'])
+    ]
+    return {
+        'customer': customer,
+        'token_hashes': [token_hash],
+        'pool_share': pool_share,
+        'requests_per_s': 20.0,
+        'concurrent_requests': 40,
+        'tokens_per_s': 4_000.0,
+        'models': ['small', 'large'],
+        'services': ['register'],
+        'classes': classes,
+        'retry_share': 0.1,
+    }
+
+
+def make_endpoint(name: str, state: str = 'active') -> dict[str, Any]:
+    """Return a model engine."""
+    return {
+        'endpoint': name,
+        'dialect': 'openai',
+        'host': '10.0.0.1',
+        'port': 8000,
+        'region': 'north',
+        'failure_domain': 'north-1',
+        'state': state,
+        'concurrent_requests': 64,
+        'models': ['small', 'large'],
+        'checks_fencing': True,
+    }
+
+
+class FakeLog:
+    """Streams of records with offsets, an outage switch and a retention."""
+
+    def __init__(self) -> None:
+        self.streams: dict[str, list[bytes]] = {}
+        self.first_offsets: dict[str, int] = {}
+        self.is_up = True
+        self.lose_replies = False
+        self.appends = 0
+
+    def append(self, action: AppendRecord) -> AppendFinished:
+        """Append, or refuse, or lose the reply."""
+        if not self.is_up:
+            return AppendFinished(action.append_id, action.stream, 'refused')
+        records = self.streams.setdefault(action.stream, [])
+        records.append(action.payload)
+        self.appends += 1
+        if self.lose_replies:
+            return AppendFinished(action.append_id, action.stream, 'unknown')
+        offset = len(records) - 1
+        return AppendFinished(action.append_id, action.stream, 'appended', offset)
+
+    def read(self, action: ReadRecords) -> RecordsRead:
+        """Return records from an offset on, without those that expired."""
+        if not self.is_up:
+            return RecordsRead(action.stream, ok=False)
+        records = self.streams.get(action.stream, [])
+        first = self.first_offsets.get(action.stream, 0)
+        start = max(first, action.from_offset)
+        taken = records[start : start + action.max_records]
+        return RecordsRead(
+            action.stream,
+            ok=True,
+            records=tuple(LogRecord(start + i, each) for i, each in enumerate(taken)),
+            first_offset=first,
+            end_offset=len(records),
+        )
+
+    def expire(self, stream: str, before_offset: int) -> None:
+        """Drop the records below an offset."""
+        self.first_offsets[stream] = before_offset
+        records = self.streams[stream]
+        for offset in range(before_offset):
+            records[offset] = b''
+
+
+class Applied(NamedTuple):
+    """When a member had a change in force."""
+
+    instance: str
+    item: str
+    version: int
+    at_ms: int
+
+
+class Rig:
+    """Members, a network with loss and delays, and a log."""
+
+    def __init__(
+        self,
+        seed: int = 1,
+        settings: ConfigurationSettings | None = None,
+        loss_share: float = 0.0,
+        tick_ms: int = TICK_MS,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.settings = settings or ConfigurationSettings()
+        self.loss_share = loss_share
+        self.tick_ms = tick_ms
+        self.log = FakeLog()
+        self.now_ms = 0
+        self.addresses: dict[str, MemberAddress] = {}
+        self.keepers: dict[str, ConfigurationKeeper] = {}
+        self.views: dict[str, MemberView] = {}
+        self.applied: list[Applied] = []
+        self.replies: dict[str, OperatorReply] = {}
+        self.messages = 0
+        self.reads = 0
+        self.log_is_cut_from: set[str] = set()
+        self.on_message: Callable[[str, SendPeer], None] | None = None
+        self._events: list[tuple[int, int, Callable[[], None]]] = []
+        self._count = 0
+
+    def add(self, name: str, region: str = 'north', domain: str = 'north-1') -> None:
+        """Start a member; all members see it at once."""
+        incarnation = self.now_ms + 1
+        address = MemberAddress(name, incarnation, region, domain, name, 1, 2)
+        self.addresses[name] = address
+        rng = random.Random(self.rng.random())
+        keeper = ConfigurationKeeper(self.settings, address, rng)
+        self.keepers[name] = keeper
+        self._refresh()
+        self.after(rng.randrange(self.tick_ms), lambda: self._tick(name, keeper))
+
+    def stop(self, name: str) -> None:
+        """End a member; all members see it at once."""
+        del self.addresses[name], self.keepers[name]
+        self._refresh()
+
+    def after(self, delay_ms: int, callback: Callable[[], None]) -> None:
+        """Call back later."""
+        self._count += 1
+        heapq.heappush(self._events, (self.now_ms + delay_ms, self._count, callback))
+
+    def run(self, until_ms: int) -> None:
+        """Advance the clock."""
+        while self._events and self._events[0][0] <= until_ms:
+            self.now_ms, _, callback = heapq.heappop(self._events)
+            callback()
+        self.now_ms = until_ms
+
+    def wait(self, duration_ms: int) -> None:
+        """Advance the clock by a duration."""
+        self.run(self.now_ms + duration_ms)
+
+    def propose(self, name: str, item: str, base: int, document: Any) -> str:
+        """Propose a change at a member and return the command's id."""
+        self._count += 1
+        command_id = f'command-{self._count}'
+        actions = self.keepers[name].propose(
+            command_id, 'asha', item, base, document, 'a test', self.now_ms
+        )
+        self.perform(name, actions)
+        return command_id
+
+    def perform(self, name: str, actions: list[Any]) -> None:
+        """Carry out a member's actions."""
+        keeper = self.keepers[name]
+        for change in keeper.take_changes():
+            self.applied.append(
+                Applied(name, change.item, change.to_version, self.now_ms)
+            )
+        for action in actions:
+            if isinstance(action, SendPeer):
+                self._send(name, action)
+            elif isinstance(action, ReadRecords):
+                self._read(name, keeper, action)
+            elif isinstance(action, AppendRecord):
+                self._append(name, keeper, action)
+            elif isinstance(action, OperatorReply):
+                self.replies[action.command_id] = action
+
+    def _refresh(self) -> None:
+        alive = tuple(sorted(self.addresses.values()))
+        by_instance = dict(self.addresses)
+        self.views = {
+            name: MemberView(address, alive, by_instance=by_instance)
+            for name, address in self.addresses.items()
+        }
+
+    def _tick(self, name: str, keeper: ConfigurationKeeper) -> None:
+        if self.keepers.get(name) is not keeper:
+            return
+        self.perform(name, keeper.tick(self.views[name], {}, self.now_ms))
+        self.after(self.tick_ms, lambda: self._tick(name, keeper))
+
+    def _send(self, name: str, action: SendPeer) -> None:
+        self.messages += 1
+        if self.on_message is not None:
+            self.on_message(name, action)
+        if self.rng.random() < self.loss_share:
+            return
+        target = self.addresses.get(action.instance)
+        if target is None:
+            return
+        is_near = target.region == self.addresses[name].region
+        delay_ms = NEAR_LATENCY_MS if is_near else FAR_LATENCY_MS
+        self.after(delay_ms, lambda: self._deliver(name, action))
+
+    def _deliver(self, sender: str, action: SendPeer) -> None:
+        keeper = self.keepers.get(action.instance)
+        if keeper is None:
+            return
+        view = self.views[action.instance]
+        actions = keeper.receive(sender, action.message, view, self.now_ms)
+        self.perform(action.instance, actions)
+
+    def _read(
+        self, name: str, keeper: ConfigurationKeeper, action: ReadRecords
+    ) -> None:
+        self.reads += 1
+        if name in self.log_is_cut_from:
+            read = RecordsRead(action.stream, ok=False)
+        else:
+            read = self.log.read(action)
+
+        def answer() -> None:
+            if self.keepers.get(name) is keeper:
+                self.perform(name, keeper.records_read(read, self.now_ms))
+
+        self.after(LOG_LATENCY_MS, answer)
+
+    def _append(
+        self, name: str, keeper: ConfigurationKeeper, action: AppendRecord
+    ) -> None:
+        finished = self.log.append(action)
+
+        def answer() -> None:
+            if self.keepers.get(name) is keeper:
+                self.perform(name, keeper.append_finished(finished, self.now_ms))
+
+        self.after(LOG_LATENCY_MS, answer)
--- /dev/null
+++ b/savorychute/configuration/configuration_store.py
@@ -0,0 +1,112 @@
+"""The fold with what goes with it: recent records, and changes to hand on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorychute.configuration.applied_change import AppliedChange
+from savorychute.configuration.fold import ConfigurationFold
+from savorychute.configuration.record_ring import RecordRing
+from savorychute.configuration.snapshot_codec import decode_state
+from savorychute.errors import MessageError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from savorychute.configuration.configuration_state import ConfigurationState
+    from savorychute.configuration.fold import FoldStep
+    from savorychute.inputs.log_record import LogRecord
+
+
+class ConfigurationStore:
+    """What this instance has of the configuration.
+
+    :param ring_bytes: how many bytes of records to keep for others.
+    """
+
+    def __init__(self, ring_bytes: int) -> None:
+        self.fold = ConfigurationFold()
+        self.ring = RecordRing(ring_bytes)
+        self.rejected = 0
+        self.repeated = 0
+        self.adopted = 0
+        self._changes: list[AppliedChange] = []
+        self._steps: list[FoldStep] = []
+
+    @property
+    def offset(self) -> int:
+        """The last offset that was folded, -1 for none."""
+        return self.fold.state.offset
+
+    def apply(self, record: LogRecord) -> bool:
+        """Fold a record, unless it is not the next one.
+
+        :param record: from the log or from another instance.
+        :returns: whether it was folded.
+        """
+        if record.offset != self.offset + 1:
+            return False
+        step = self.fold.apply(record)
+        self.ring.add(record)
+        self._steps.append(step)
+        if step.change is not None:
+            self._changes.append(step.change)
+        if step.verdict is not None and not step.verdict.accepted:
+            self.rejected += 1
+        self.repeated += step.repeated
+        return True
+
+    def adopt(self, data: bytes) -> bool:
+        """Take over an encoded state if it is later than the own.
+
+        A peer that is behind and a snapshot that was overtaken both show as
+        an older offset; taking it would take back a change that is in force.
+
+        :param data: the compressed state.
+        :returns: whether it was taken.
+        """
+        try:
+            state, verdicts = decode_state(data)
+        except MessageError:
+            return False
+        if state.offset <= self.offset:
+            return False
+        before = self.fold.state
+        self.fold.adopt(state, verdicts)
+        self.ring.clear()
+        self.adopted += 1
+        self._changes += self._differences(before, state)
+        return True
+
+    def take_changes(self) -> list[AppliedChange]:
+        """Return the changes since the last call."""
+        changes, self._changes = self._changes, []
+        return changes
+
+    def take_steps(self) -> list[FoldStep]:
+        """Return what the records did that were folded since the last call."""
+        steps, self._steps = self._steps, []
+        return steps
+
+    def _differences(
+        self, before: ConfigurationState, after: ConfigurationState
+    ) -> Iterator[AppliedChange]:
+        amended = {
+            each.version: each for each in self.fold.verdicts.all() if each.accepted
+        }
+        for item in sorted({*before.versions, *after.versions}):
+            old = before.versions.get(item, 0)
+            new = after.versions.get(item, 0)
+            if old == new:
+                continue
+            verdict = amended.get(new)
+            yield AppliedChange(
+                item=item,
+                from_version=old,
+                to_version=new or after.offset + 1,
+                document=after.document(item),
+                offset=after.offset,
+                operator=verdict.operator if verdict else '',
+                record_id=verdict.record_id if verdict else '',
+                why=verdict.why if verdict else '',
+            )
--- /dev/null
+++ b/savorychute/configuration/document_rules.py
@@ -0,0 +1,132 @@
+"""Rules that a document must keep whatever else is configured.
+
+The fold applies them, so they are part of what every instance must decide
+alike: no rule may depend on settings, clocks or installed extensions.
+"""
+
+from __future__ import annotations
+
+import math
+import re
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+MAX_NAME_CHARACTERS = 128
+MAX_TIER = 4
+MAX_CLASSES = 64
+MAX_TOKEN_HASHES = 256
+MAX_MS = 24 * 3_600_000
+MAX_COUNT = 2**53
+SHARE_UNITS = 10**9
+"""Shares are added as integer billionths, so that no order of addition matters."""
+
+ENDPOINT_STATES = ('active', 'draining', 'retired')
+SERVICE_PREFIX = 'service:'
+
+_NAME = re.compile(r'[^\s\x00-\x1f\x7f]+')
+_TOKEN_HASH = re.compile(r'[0-9a-f]{64}')
+
+
+def share_units(share: float) -> int:
+    """Return a share in billionths.
+
+    :param share: between 0 and 1.
+    """
+    return round(share * SHARE_UNITS)
+
+
+def unknown_fields(document: Mapping[str, Any], document_type: type) -> list[str]:
+    """Return the document's fields that its type does not have.
+
+    :param document: as it was read.
+    :param document_type: a TypedDict.
+    """
+    return sorted(set(document) - set(document_type.__annotations__))
+
+
+def check_name(field: str, value: str) -> list[str]:
+    """Return faults of a name.
+
+    :param field: where it stands.
+    :param value: the name.
+    """
+    if len(value) > MAX_NAME_CHARACTERS or not _NAME.fullmatch(value):
+        return [
+            f'{field}: {value[:40]!r} is no name of 1 to {MAX_NAME_CHARACTERS}'
+            ' printable characters without spaces'
+        ]
+    return []
+
+
+def check_names(field: str, values: Iterable[str]) -> list[str]:
+    """Return faults of a list of names, each of which may stand once.
+
+    :param field: where the list stands.
+    :param values: the names.
+    """
+    faults: list[str] = []
+    seen: set[str] = set()
+    for value in values:
+        faults += check_name(field, value)
+        if value in seen:
+            faults.append(f'{field}: {value!r} stands twice')
+        seen.add(value)
+    return faults
+
+
+def check_models(field: str, values: Iterable[str]) -> list[str]:
+    """Return faults of a list of models.
+
+    :param field: where the list stands.
+    :param values: the names of the models.
+    """
+    models = list(values)
+    faults = check_names(field, models)
+    for model in models:
+        if model.startswith(SERVICE_PREFIX):
+            faults.append(f'{field}: {model!r} begins like a service')
+    return faults
+
+
+def check_token_hashes(values: Iterable[str]) -> list[str]:
+    """Return faults of a contract's token hashes.
+
+    :param values: hex SHA-256 digests.
+    """
+    hashes = list(values)
+    faults = []
+    if len(hashes) > MAX_TOKEN_HASHES:
+        faults.append(f'token_hashes: more than {MAX_TOKEN_HASHES}')
+    if len(set(hashes)) != len(hashes):
+        faults.append('token_hashes: one stands twice')
+    for value in hashes:
+        if not _TOKEN_HASH.fullmatch(value):
+            faults.append(f'token_hashes: {value[:12]!r}... is no SHA-256 in hex')
+    return faults
+
+
+def check_between(field: str, value: float, least: float, most: float) -> list[str]:
+    """Return a fault if *value* is outside the range or not finite.
+
+    :param field: where the value stands.
+    :param value: the value.
+    :param least: the smallest that is allowed.
+    :param most: the largest that is allowed.
+    """
+    if math.isfinite(value) and least <= value <= most:
+        return []
+    return [f'{field}: {value} is not between {least} and {most}']
+
+
+def check_positive(field: str, value: float, most: float = MAX_COUNT) -> list[str]:
+    """Return a fault unless *value* is above 0 and finite.
+
+    :param field: where the value stands.
+    :param value: the value.
+    :param most: the largest that is allowed.
+    """
+    if math.isfinite(value) and 0 < value <= most:
+        return []
+    return [f'{field}: {value} is not above 0 and at most {most}']
--- /dev/null
+++ b/savorychute/configuration/document_table.py
@@ -0,0 +1,52 @@
+"""Documents by name, kept as bytes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from typing import Generic, TypeVar
+
+import msgspec
+
+D = TypeVar('D')
+
+
+class DocumentTable(Mapping[str, D], Generic[D]):
+    """A read-only mapping that decodes a document at each look-up.
+
+    A decoded contract takes about ten times the memory of its bytes, and most
+    are looked up only when they change.  Callers on the request path keep what
+    they derive from a document, not the document.
+
+    :param document_type: the TypedDict to decode to.
+    """
+
+    def __init__(self, document_type: type[D]) -> None:
+        self._decoder = msgspec.json.Decoder(document_type)
+        self._encoded: dict[str, bytes] = {}
+
+    def __getitem__(self, name: str) -> D:
+        return self._decoder.decode(self._encoded[name])
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._encoded)
+
+    def __len__(self) -> int:
+        return len(self._encoded)
+
+    def encoded(self, name: str) -> bytes | None:
+        """Return the document's canonical JSON, or None.
+
+        :param name: the customer or endpoint.
+        """
+        return self._encoded.get(name)
+
+    def put(self, name: str, encoded: bytes) -> None:
+        """Set the document of *name*.
+
+        :param encoded: its canonical JSON.
+        """
+        self._encoded[name] = encoded
+
+    def remove(self, name: str) -> None:
+        """Forget the document of *name*, which must exist."""
+        del self._encoded[name]
--- /dev/null
+++ b/savorychute/configuration/item_name.py
@@ -0,0 +1,30 @@
+"""Names of configuration items."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+CONTRACT = 'contract'
+ENDPOINT = 'endpoint'
+
+
+class ItemName(NamedTuple):
+    """The kind of an item, and the customer or endpoint that it is about."""
+
+    kind: str
+    name: str
+
+    def __str__(self) -> str:
+        return f'{self.kind}:{self.name}'
+
+
+def parse_item(text: str) -> ItemName | None:
+    """Return the parts of ``contract:<customer>`` or ``endpoint:<name>``.
+
+    :param text: the item as operators write it.
+    :returns: None if it is neither.
+    """
+    kind, _, name = text.partition(':')
+    if kind not in (CONTRACT, ENDPOINT) or not name:
+        return None
+    return ItemName(kind, name)
--- /dev/null
+++ b/savorychute/configuration/log_follower.py
@@ -0,0 +1,97 @@
+"""Follow the configuration stream of the log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, cast
+
+from savorychute.configuration.record_codec import decode_record
+from savorychute.configuration.snapshot_assembler import SnapshotAssembler
+from savorychute.configuration.snapshot_record import SNAPSHOT_KIND, SnapshotRecord
+
+if TYPE_CHECKING:
+    from savorychute.configuration.configuration_store import ConfigurationStore
+    from savorychute.configuration.log_reader import LogReader
+    from savorychute.configuration.snapshot_watch import SnapshotWatch
+    from savorychute.inputs.log_record import LogRecord
+    from savorychute.inputs.records_read import RecordsRead
+
+
+class LogFollower:
+    """Folds what the log answers, and finds a snapshot where records are gone.
+
+    :param store: what this instance has.
+    :param reader: the reads.
+    :param watch: the age of the newest snapshot.
+    """
+
+    def __init__(
+        self, store: ConfigurationStore, reader: LogReader, watch: SnapshotWatch
+    ) -> None:
+        self._store = store
+        self._reader = reader
+        self._watch = watch
+        self._assembler = SnapshotAssembler()
+        self._scan_offset: int | None = None
+        self.end_reached = False
+        self.log_is_behind = False
+
+    @property
+    def next_offset(self) -> int:
+        """The first offset to read."""
+        if self._scan_offset is not None:
+            return self._scan_offset
+        return self._store.offset + 1
+
+    def records_read(self, read: RecordsRead, now_ms: int) -> None:
+        """Take in an answer of the log.
+
+        An answer may be late and start anywhere; only a record that follows
+        the last one is folded.
+
+        :param read: the answer.
+        """
+        if not self._reader.finish(read, now_ms):
+            return
+        before = self.next_offset
+        if self._store.offset + 1 < read.first_offset:
+            self._scan(read, now_ms)
+        else:
+            self._scan_offset = None
+            for record in read.records:
+                self._store.apply(record)
+        # A log that lost its end gives offsets again.  Its records are not
+        # folded, since versions would go down; it shows here and in the status.
+        self.log_is_behind = read.end_offset <= self._store.offset
+        if self._store.offset + 1 >= read.end_offset:
+            self.end_reached = True
+        elif self.next_offset != before:
+            self._reader.hurry(now_ms)
+
+    def _scan(self, read: RecordsRead, now_ms: int) -> None:
+        """Look for a snapshot that stands for the records that are gone.
+
+        Shows at the start of an instance on an old log, and on one that heard
+        nothing for longer than the log keeps records.
+        """
+        if self._scan_offset is None:
+            self._assembler.clear()
+            self._scan_offset = read.first_offset
+        self._scan_offset = max(self._scan_offset, read.first_offset)
+        for record in read.records:
+            if record.offset != self._scan_offset:
+                continue
+            self._scan_offset += 1
+            if self._adopt_from(record, read.first_offset, now_ms):
+                self._scan_offset = None
+                return
+
+    def _adopt_from(self, record: LogRecord, first_kept: int, now_ms: int) -> bool:
+        decoded = decode_record(record.payload)
+        if decoded is None or decoded['kind'] != SNAPSHOT_KIND:
+            return False
+        part = cast('SnapshotRecord', decoded)
+        self._watch.note_part(part, record.offset, now_ms, fresh=False)
+        snapshot = self._assembler.add(part, record.offset)
+        if snapshot is None or snapshot.through_offset + 1 < first_kept:
+            return False
+        return self._store.adopt(snapshot.data)
--- /dev/null
+++ b/savorychute/configuration/peer_choice.py
@@ -0,0 +1,34 @@
+"""Choose instances to talk to."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorychute.actions.send_peer import SendPeer
+
+if TYPE_CHECKING:
+    import random
+
+    from savorychute.member_address import MemberAddress
+    from savorychute.membership.member_view import MemberView
+
+
+def choose_peers(
+    view: MemberView, count: int, rng: random.Random
+) -> list[MemberAddress]:
+    """Return up to *count* other members, chosen at random.
+
+    :param view: the members.
+    :param count: how many at most.
+    :param rng: the source of chance.
+    """
+    size = len(view.alive)
+    chosen = rng.sample(range(size), min(count + 1, size))
+    own = view.own.instance
+    peers = [view.alive[index] for index in chosen]
+    return [peer for peer in peers if peer.instance != own][:count]
+
+
+def send_to(peer: MemberAddress, message: tuple[object, ...]) -> SendPeer:
+    """Return the action that sends *message* to *peer*."""
+    return SendPeer(peer.instance, peer.host, peer.peer_port, message)
--- /dev/null
+++ b/savorychute/configuration/proposer.py
@@ -0,0 +1,207 @@
+"""Bring operators' changes into the log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from savorychute.actions.append_record import AppendRecord
+from savorychute.configuration.amendment_check import convert_document
+from savorychute.configuration.amendment_record import AMENDMENT_KIND, AmendmentRecord
+from savorychute.configuration.item_name import parse_item
+from savorychute.configuration.log_reader import CONFIGURATION_STREAM
+from savorychute.configuration.proposal import Proposal
+from savorychute.configuration.proposal_desk import (
+    APPEND_PREFIX,
+    ProposalDesk,
+    refuse_for_log,
+    reply,
+    reply_verdict,
+)
+from savorychute.configuration.record_codec import encode_record
+from savorychute.errors import InvalidChangeError
+from savorychute.result_code import ResultCode
+
+if TYPE_CHECKING:
+    import random
+
+    from savorychute.actions.operator_reply import OperatorReply
+    from savorychute.configuration.configuration_store import ConfigurationStore
+    from savorychute.configuration.log_budget import LogBudget
+    from savorychute.configuration.log_reader import LogReader
+    from savorychute.configuration.settings import ConfigurationSettings
+    from savorychute.configuration.verdict import Verdict
+    from savorychute.inputs.append_finished import AppendFinished
+    from savorychute.member_address import MemberAddress
+
+ID_BITS = 32
+
+
+class Proposer:
+    """Appends a change once and answers when its record was read back.
+
+    :param settings: timeouts.
+    :param address: this instance.
+    :param store: what this instance has.
+    :param reader: the reads of the log.
+    :param budget: counts the appends.
+    :param rng: makes record ids unlike those of an earlier run.
+    """
+
+    def __init__(
+        self,
+        settings: ConfigurationSettings,
+        address: MemberAddress,
+        store: ConfigurationStore,
+        reader: LogReader,
+        budget: LogBudget,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._address = address
+        self._store = store
+        self._reader = reader
+        self._budget = budget
+        self._rng = rng
+        self._desk = ProposalDesk()
+        self._count = 0
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a change waits for its verdict."""
+        return len(self._desk) > 0
+
+    def propose(
+        self,
+        command_id: str,
+        operator: str,
+        item: str,
+        base_version: int,
+        document: dict[str, Any] | None,
+        why: str,
+        now_ms: int,
+        record_id: str = '',
+    ) -> list[AppendRecord | OperatorReply]:
+        """Bring a change into the log, or answer at once why not.
+
+        :param command_id: the operator's command.
+        :param operator: who proposes.
+        :param item: the contract or endpoint.
+        :param base_version: the version that the operator saw, 0 for none.
+        :param document: the new document, None to remove the item.
+        :param why: the operator's reason.
+        :param record_id: that of an earlier proposal, to ask for its fate or
+            to propose it again without a second effect.
+        """
+        self._count += 1
+        record_id = record_id or self._make_id()
+        early = self._answer_early(
+            command_id, item, base_version, document, record_id, now_ms
+        )
+        if early is not None:
+            return [early]
+        is_waiting = self._desk.is_waiting(record_id)
+        deadline_ms = now_ms + self._settings.confirm_timeout_ms
+        self._desk.open(Proposal(command_id, record_id, item, deadline_ms))
+        if is_waiting:
+            return []
+        record = AmendmentRecord(
+            kind=AMENDMENT_KIND,
+            record_id=record_id,
+            operator=operator,
+            instance=self._address.instance,
+            item=item,
+            base_version=base_version,
+            seen_offset=self._store.offset,
+            document=document,
+            why=why,
+            at_ms=now_ms + self._settings.epoch_offset_ms,
+        )
+        self._budget.take('amendment', now_ms)
+        append_id = f'{APPEND_PREFIX}{record_id}'
+        return [AppendRecord(append_id, CONFIGURATION_STREAM, encode_record(record))]
+
+    def append_finished(
+        self, finished: AppendFinished, now_ms: int
+    ) -> list[OperatorReply]:
+        """Take in the outcome of an append and read on for the verdict.
+
+        :param finished: the outcome.
+        """
+        if finished.outcome == 'refused':
+            self._reader.fail(now_ms)
+        else:
+            self._reader.hurry(now_ms)
+        return self._desk.append_finished(finished)
+
+    def decide(self, verdict: Verdict) -> list[OperatorReply]:
+        """Answer those who wait for this verdict.
+
+        :param verdict: the fold's decision on a record that was read.
+        """
+        return self._desk.decide(verdict, self._store.fold.state)
+
+    def adopted(self) -> list[OperatorReply]:
+        """Answer those whose verdicts came with a state adopted whole."""
+        verdicts = self._store.fold.verdicts
+        return [
+            answer
+            for record_id in self._desk.waiting_ids()
+            if (verdict := verdicts.find(record_id)) is not None
+            for answer in self.decide(verdict)
+        ]
+
+    def expire(self, now_ms: int) -> list[OperatorReply]:
+        """Answer those who have waited too long."""
+        return self._desk.expire(now_ms)
+
+    def _answer_early(
+        self,
+        command_id: str,
+        item: str,
+        base_version: int,
+        document: dict[str, Any] | None,
+        record_id: str,
+        now_ms: int,
+    ) -> OperatorReply | None:
+        """Return the answer if it is certain without the log."""
+        state = self._store.fold.state
+        verdict = self._store.fold.verdicts.find(record_id)
+        if verdict is not None:
+            if verdict.item != item:
+                return _refuse(command_id, item, 'the record id is of another change')
+            return reply_verdict(command_id, verdict, state)
+        name = parse_item(item)
+        if name is None:
+            return _refuse(command_id, item, f'no item is called {item[:40]!r}')
+        if document is not None:
+            try:
+                convert_document(name, document)
+            except InvalidChangeError as error:
+                return _refuse(command_id, item, error.message)
+        version = state.versions.get(item, 0)
+        # A version that this instance has seen pass never comes back, so the
+        # fold would reject the change too.  A base that it has not seen yet
+        # means that this instance is behind, and the log decides.
+        if base_version != version and base_version <= state.offset + 1:
+            answer = {
+                'record_id': record_id,
+                'item': item,
+                'accepted': False,
+                'version': version,
+                'document': state.document(item),
+                'message': f'based on {base_version}, which is not in force',
+            }
+            return reply(command_id, answer, ResultCode.VERSION_CONFLICT)
+        if self._reader.is_down(now_ms) and not self._desk.is_waiting(record_id):
+            return refuse_for_log(Proposal(command_id, record_id, item, now_ms))
+        return None
+
+    def _make_id(self) -> str:
+        address = self._address
+        salt = self._rng.getrandbits(ID_BITS)
+        return f'{address.instance}.{address.incarnation}.{self._count}.{salt:08x}'
+
+
+def _refuse(command_id: str, item: str, message: str) -> OperatorReply:
+    answer = {'item': item, 'accepted': False, 'message': message}
+    return reply(command_id, answer, ResultCode.INVALID_CHANGE)
--- /dev/null
+++ b/savorychute/configuration/state_request.py
@@ -0,0 +1,15 @@
+"""A pull of the whole state."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from savorychute.wire.peer_messages import peer_message
+
+
+@peer_message(23)
+class StateRequest(NamedTuple):
+    """Send me one part of your state at *offset*."""
+
+    offset: int
+    part: int
--- /dev/null
+++ b/savorychute/configuration/verdict.py
@@ -0,0 +1,30 @@
+"""What the fold made of a record."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from savorychute.result_code import ResultCode
+
+
+class Verdict(NamedTuple):
+    """The fold's decision on one record, the same on every instance.
+
+    ``code`` is ``OK`` for an accepted amendment.  ``version`` is the item's
+    version after the record; for a rejected one that is the version in force.
+    """
+
+    offset: int
+    record_id: str
+    item: str
+    operator: str
+    code: ResultCode
+    version: int
+    message: str
+    why: str
+    at_ms: int
+
+    @property
+    def accepted(self) -> bool:
+        """Whether the amendment is in force."""
+        return self.code is ResultCode.OK
--- /dev/null
+++ b/tests/test_configuration/conftest.py
@@ -0,0 +1,59 @@
+"""Fixtures of the configuration's tests."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from benches.configuration_rig import Rig
+from savorychute.configuration.amendment_record import AMENDMENT_KIND, AmendmentRecord
+from savorychute.configuration.fold import ConfigurationFold
+from savorychute.inputs.log_record import LogRecord
+
+
+@pytest.fixture
+def fold():
+    return ConfigurationFold()
+
+
+@pytest.fixture
+def rig():
+    """Three instances that are ready, on an empty log."""
+    rig = Rig(seed=3)
+    for name in ('a', 'b', 'c'):
+        rig.add(name)
+    rig.wait(7_000)
+    return rig
+
+
+@pytest.fixture
+def amend():
+    """Fold an amendment and return the step."""
+
+    def amend_fold(
+        fold: ConfigurationFold,
+        item: str,
+        base_version: int,
+        document: dict[str, Any] | None,
+        record_id: str = '',
+        **fields: Any,
+    ) -> Any:
+        offset = fold.state.offset + 1
+        record = AmendmentRecord(
+            kind=AMENDMENT_KIND,
+            record_id=record_id or f'r{offset}',
+            operator='asha',
+            instance='a',
+            item=item,
+            base_version=base_version,
+            seen_offset=fold.state.offset,
+            document=document,
+            why='a test',
+            at_ms=0,
+        )
+        payload = msgspec.json.encode({**record, **fields})
+        return fold.apply(LogRecord(offset, payload))
+
+    return amend_fold
