Drive whole systems on a virtual clock and check promises

Cause: decisions under load and faults have to be measured and checked without sockets and the same way each time. Change: a heap of timed calls, links with delays and cuts, hosts for instances and endpoints, callers that act like the client library, both users systems, and the promises as checks.

--- /dev/null
+++ b/savorychute/testing/call_try.py
@@ -0,0 +1,138 @@
+"""One try of a call at one instance, as the client library makes it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorychute.requests.continuation_handle import decode_handle
+from savorychute.result_code import ResultCode
+
+if TYPE_CHECKING:
+    from savorychute.actions import (
+        FinishResponse,
+        RefuseRequest,
+        SendChunk,
+        StartResponse,
+    )
+    from savorychute.ran import Ran
+    from savorychute.testing.call import Call
+    from savorychute.testing.callers import Callers
+    from savorychute.testing.instance_host import InstanceHost
+
+ELSEWHERE_CODES = frozenset(
+    (ResultCode.WRONG_INSTANCE, ResultCode.SHUTTING_DOWN, ResultCode.NOT_READY)
+)
+
+
+class CallTry:
+    """Takes what one instance answers and tells :class:`Callers` how it ended.
+
+    :param callers: decides what follows.
+    :param call: the call.
+    :param host: the instance that is asked.
+    :param request_id: the request's id at that instance.
+    """
+
+    def __init__(
+        self, callers: Callers, call: Call, host: InstanceHost, request_id: str
+    ) -> None:
+        self.call = call
+        self.host = host
+        self.request_id = request_id
+        self.sent_ms = callers.world.heap.now_ms
+        self.is_open = True
+        self._callers = callers
+        self._begun = False
+        self._streamed = call.call_class.stream and not call.call_class.service
+
+    def started(self, response: StartResponse) -> None:
+        """Take the head of an answer."""
+        if not self.is_open:
+            return
+        if response.handle:
+            self.call.handle = response.handle
+        if not self._streamed:
+            self.call.text = b''
+
+    def received(self, chunk: SendChunk) -> None:
+        """Take a part of an answer."""
+        if not self.is_open:
+            return
+        call = self.call
+        now_ms = self._callers.world.heap.now_ms
+        if call.first_token_ms is None:
+            call.first_token_ms = now_ms
+        else:
+            call.worst_gap_ms = max(call.worst_gap_ms, now_ms - call.last_token_ms)
+        call.last_token_ms = now_ms
+        if self._streamed:
+            self._splice(chunk)
+        call.text += chunk.data
+        self._begun = True
+
+    def finished(self, finish: FinishResponse) -> None:
+        """Take the end of an answer that was begun."""
+        if not self.is_open:
+            return
+        self.is_open = False
+        if finish.code is ResultCode.OK:
+            self._callers.answered(self.call, self)
+            return
+        if finish.handle:
+            self.call.handle = finish.handle
+        self._callers.failed(self.call, finish.code, finish.ran, '', self)
+
+    def refused(self, refuse: RefuseRequest) -> None:
+        """Take a refusal."""
+        if not self.is_open:
+            return
+        self.is_open = False
+        if refuse.handle:
+            self.call.handle = refuse.handle
+        self._callers.failed(self.call, refuse.code, refuse.ran, refuse.location, self)
+
+    def broken(self) -> None:
+        """Note that the connection broke."""
+        if self.is_open:
+            self.is_open = False
+            self._callers.try_broke(self.call, self)
+
+    def leave(self) -> None:
+        """Close the connection from the caller's side."""
+        if self.is_open:
+            self.is_open = False
+            world = self._callers.world
+            world.heap.call_later(
+                world.network.settings.client_ms, self.host.caller_left, self.request_id
+            )
+
+    def _splice(self, chunk: SendChunk) -> None:
+        """Put a chunk where its offset says; the caller keeps no token twice.
+
+        A caller knows where each event begins.  After a resume it goes on from
+        the beginning of the last event that it had.
+        """
+        call = self.call
+        tokens = call.text.count(b' ')
+        if chunk.offset < tokens and not self._begun:
+            kept = call.text.split(b' ')[1 : chunk.offset + 1]
+            call.text = b''.join(b' ' + token for token in kept)
+        elif chunk.offset != tokens:
+            self._callers.world.note_breach(
+                f'call {call.call_id}: chunk at {chunk.offset} after {tokens} tokens'
+            )
+        call.chunk_offset = chunk.offset
+
+
+def continue_handle(call: Call) -> str:
+    """Return the handle that asks for what the caller lacks."""
+    if not call.handle:
+        return ''
+    handle = decode_handle(call.handle)
+    return handle._replace(offset=call.chunk_offset).encode()
+
+
+def is_final(code: ResultCode, ran: Ran, location: str) -> bool:
+    """Return whether a refusal leaves nothing to try elsewhere."""
+    del ran
+    return code not in ELSEWHERE_CODES and not location
--- /dev/null
+++ b/savorychute/testing/callers.py
@@ -0,0 +1,241 @@
+"""All callers of a virtual run: what their client library does for them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from savorychute.endpoints.prompt_blocks import estimate_tokens, hash_prefixes
+from savorychute.errors import SavorychuteError
+from savorychute.inputs import CallerRequest
+from savorychute.ran import Ran
+from savorychute.result_code import ResultCode
+from savorychute.testing.call_try import CallTry, continue_handle, is_final
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from savorychute.testing.call import Call
+    from savorychute.testing.instance_host import InstanceHost
+    from savorychute.testing.world import World
+
+CHAT_PATH = '/v1/chat/completions'
+MAX_TRIES = 8
+AGAIN_MS = 50.0
+PATIENCE_MS = 3_000.0
+PAUSE_NOTICED_MS = 3_000.0
+
+
+class KnownInstances(NamedTuple):
+    """A discovery answer and when it runs out."""
+
+    names: tuple[str, ...]
+    until_ms: float
+
+
+class Callers:
+    """Sends calls, and goes on when an instance fails.
+
+    :param world: the run.
+    :param rng: picks instances.
+    """
+
+    def __init__(self, world: World, rng: Random) -> None:
+        self.world = world
+        self.calls: list[Call] = []
+        self.refusals = 0
+        self.failovers = 0
+        self._rng = rng
+        self._known: dict[str, KnownInstances] = {}
+        self._numbered = 0
+        self._open: dict[str, CallTry] = {}
+
+    def begin(self, call: Call) -> None:
+        """Make a call now."""
+        call.begun_ms = self.world.heap.now_ms
+        self.calls.append(call)
+        timeout_ms = call.call_class.timeout_ms + PATIENCE_MS
+        self.world.heap.call_later(timeout_ms, self._give_up, call)
+        self._try(call, '')
+
+    def answered(self, call: Call, call_try: CallTry) -> None:
+        """Take a whole answer and compare it with what is due."""
+        del call_try
+        if call.text != call.answer:
+            self.world.note_breach(
+                f'call {call.call_id}: {len(call.text)} bytes passed off as the'
+                f' whole answer of {len(call.answer)}'
+            )
+        self._end(call, 'answered', ResultCode.OK)
+
+    def failed(
+        self,
+        call: Call,
+        code: ResultCode,
+        ran: Ran,
+        location: str,
+        call_try: CallTry,
+    ) -> None:
+        """Go on after a refusal or a cut answer, or take it as the end."""
+        self._open.pop(call.call_id, None)
+        if not is_final(code, ran, location):
+            self._again(call, code, ran, location, call_try.host.name)
+        elif code is ResultCode.ANSWER_TRUNCATED and call.handle:
+            self._again(call, code, ran, '', call_try.host.name)
+        else:
+            self._end(call, str(ran), code)
+
+    def try_broke(self, call: Call, call_try: CallTry) -> None:
+        """Go on at another instance after a connection broke."""
+        self._open.pop(call.call_id, None)
+        self.failovers += 1
+        code = ResultCode.OUTCOME_UNKNOWN
+        self._again(call, code, Ran.UNKNOWN, '', call_try.host.name)
+
+    def notice_pause(self, host: InstanceHost) -> None:
+        """Let callers leave an instance that has been silent for too long."""
+        if not host.is_paused:
+            return
+        for call_try in list(self._open.values()):
+            if call_try.host is host and call_try.is_open:
+                call_try.leave()
+                self.try_broke(call_try.call, call_try)
+
+    def _again(
+        self, call: Call, code: ResultCode, ran: Ran, location: str, tried: str
+    ) -> None:
+        if call.is_over:
+            return
+        late = self.world.heap.now_ms >= call.deadline_ms
+        if call.tries >= MAX_TRIES or late:
+            self._end(call, str(ran), code)
+            return
+        self._forget_instance(call.customer, tried)
+        self.world.heap.call_later(AGAIN_MS, self._try, call, location)
+
+    def _try(self, call: Call, location: str) -> None:
+        if call.is_over:
+            return
+        call.tries += 1
+        host = self._pick(call, location)
+        if host is None:
+            self._again(call, ResultCode.NOT_READY, Ran.NOT_RUN, '', '')
+            return
+        delay_ms = self.world.network.settings.client_ms
+        needs_key = not call.call_class.idempotent and not call.key
+        if needs_key:
+            self.world.heap.call_later(delay_ms, self._ask_key, call, host)
+            return
+        self._send(call, host)
+
+    def _ask_key(self, call: Call, host: InstanceHost) -> None:
+        """Let the instance that will get the call issue its key."""
+        delay_ms = self.world.network.settings.client_ms
+        key = ''
+        if host.is_up and not host.is_paused:
+            key = self.world.issue_key(host, call.customer)
+        if not key:
+            self._again(call, ResultCode.NOT_READY, Ran.NOT_RUN, '', host.name)
+            return
+        call.key = key
+        self.world.heap.call_later(delay_ms, self._send, call, host)
+
+    def _send(self, call: Call, host: InstanceHost) -> None:
+        if call.is_over:
+            return
+        self._numbered += 1
+        request_id = f'{host.name}-{host.address.incarnation:x}-{self._numbered:x}'
+        call_try = CallTry(self, call, host, request_id)
+        self._open[call.call_id] = call_try
+        request = self._write_request(call, request_id)
+        self.world.note_request(request_id, call)
+        delay_ms = self.world.network.settings.client_ms
+        self.world.heap.call_later(delay_ms, self._arrive, call_try, request)
+
+    def _arrive(self, call_try: CallTry, request: CallerRequest) -> None:
+        if not call_try.is_open:
+            return
+        if call_try.host.is_up:
+            call_try.host.take_request(request, call_try)
+            if call_try.host.is_paused:
+                self.world.heap.call_later(
+                    PAUSE_NOTICED_MS, self.notice_pause, call_try.host
+                )
+            return
+        delay_ms = self.world.network.settings.client_ms
+        self.world.heap.call_later(delay_ms, call_try.broken)
+
+    def _write_request(self, call: Call, request_id: str) -> CallerRequest:
+        wanted = call.call_class
+        is_chat = not wanted.service
+        return CallerRequest(
+            request_id=request_id,
+            token=f'token-{call.customer}',
+            class_name=wanted.name,
+            model=self.world.model if is_chat else '',
+            service=wanted.service,
+            method='POST',
+            path=CHAT_PATH if is_chat else f'/{wanted.name}',
+            body=call.body,
+            stream=wanted.stream and is_chat,
+            prompt_tokens=estimate_tokens(call.prompt) if is_chat else 0,
+            max_tokens=self.world.max_tokens if is_chat else 0,
+            prefix_hashes=hash_prefixes(call.prompt) if is_chat else (),
+            key=call.key,
+            handle=continue_handle(call) if wanted.idempotent else '',
+        )
+
+    def _pick(self, call: Call, location: str) -> InstanceHost | None:
+        if location:
+            host, _, port = location.rpartition(':')
+            return self.world.find_caller_port(host, int(port))
+        known = self._known.get(call.customer)
+        now_ms = self.world.heap.now_ms
+        if known is None or known.until_ms <= now_ms or not known.names:
+            known = self._discover(call.customer)
+        if known is None:
+            return None
+        return self.world.instances[self._rng.choice(known.names)]
+
+    def _discover(self, customer: str) -> KnownInstances | None:
+        """Ask any instance that answers; a caller knows a few of old."""
+        hosts = [
+            host
+            for host in self.world.instances.values()
+            if host.is_up and not host.is_paused and not host.is_leaving
+        ]
+        self._rng.shuffle(hosts)
+        for host in hosts:
+            try:
+                answer = self.world.discover(host, customer)
+            except SavorychuteError:
+                continue
+            names = tuple(member.instance for member in answer.addresses)
+            known = KnownInstances(names, self.world.heap.now_ms + answer.lifetime_ms)
+            if names:
+                self._known[customer] = known
+                return known
+        return None
+
+    def _forget_instance(self, customer: str, name: str) -> None:
+        known = self._known.get(customer)
+        if known is not None and name in known.names:
+            names = tuple(each for each in known.names if each != name)
+            self._known[customer] = known._replace(names=names)
+
+    def _give_up(self, call: Call) -> None:
+        if call.is_over:
+            return
+        call_try = self._open.pop(call.call_id, None)
+        if call_try is not None:
+            call_try.leave()
+        self._end(call, 'nothing', ResultCode.CALLER_LEFT)
+
+    def _end(self, call: Call, told: str, code: ResultCode) -> None:
+        if call.is_over:
+            return
+        self._open.pop(call.call_id, None)
+        call.ended_ms = self.world.heap.now_ms
+        call.told = told
+        call.code = code
+        if told != 'answered':
+            self.refusals += 1
--- /dev/null
+++ b/savorychute/testing/drive.py
@@ -0,0 +1,41 @@
+"""Make instances for a virtual run."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorychute.instance import Instance, InstanceSettings
+from savorychute.testing.world import World, hash_operator_token
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from savorychute.member_address import MemberAddress
+    from savorychute.testing.topology import Topology
+    from savorychute.testing.world import InstanceFactory
+
+
+def make_world(
+    topology: Topology, seed: int, settings: InstanceSettings | None = None
+) -> World:
+    """Return a run of real instances, not configured yet.
+
+    :param settings: of every instance; the defaults if there are none.
+    """
+    base = settings or InstanceSettings()
+    return World(topology, seed, make_factory(base))
+
+
+def make_factory(settings: InstanceSettings) -> InstanceFactory:
+    """Return what makes instances with these settings."""
+    hashes = {'operator': hash_operator_token()}
+
+    def make(address: MemberAddress, rng: Random, epoch_offset_ms: int) -> Instance:
+        configuration = settings.configuration._replace(epoch_offset_ms=epoch_offset_ms)
+        audit = settings.audit._replace(epoch_offset_ms=epoch_offset_ms)
+        own = settings._replace(
+            operator_token_hashes=hashes, configuration=configuration, audit=audit
+        )
+        return Instance(own, address, rng)
+
+    return make
--- /dev/null
+++ b/savorychute/testing/instance_host.py
@@ -0,0 +1,377 @@
+"""An instance of a virtual run: carries out its actions on the heap."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING, Any
+
+from savorychute.actions import (
+    AppendRecord,
+    CancelAttempt,
+    FetchListing,
+    FinishResponse,
+    OperatorReply,
+    PollEndpoint,
+    ReadRecords,
+    RefuseRequest,
+    SendChunk,
+    SendOrder,
+    SendPeer,
+    StartAttempt,
+    StartResponse,
+)
+from savorychute.inputs import (
+    AppendFinished,
+    AttemptEnded,
+    AttemptFailed,
+    AttemptSent,
+    CallerLeft,
+    ListingFetched,
+    OrderFinished,
+    PeerReceived,
+    RecordsRead,
+)
+from savorychute.testing.connection import Connection
+from savorychute.testing.endpoint_down import EndpointDownError
+from savorychute.testing.engine_host import EngineHost
+from savorychute.testing.ledger import Telling
+from savorychute.testing.order_gate import EngineOrder
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from savorychute.actions import Action
+    from savorychute.inputs import CallerRequest, Input
+    from savorychute.instance import Instance
+    from savorychute.member_address import MemberAddress
+    from savorychute.testing.call_try import CallTry
+    from savorychute.testing.world import World
+
+CONNECT_TIMEOUT_MS = 1_000.0
+LOST_REPLY_MS = 2_000.0
+SHORTEST_TICK_MS = 1.0
+
+
+class InstanceHost:
+    """One process: its instance, clock, connections and callers.
+
+    :param world: the run.
+    :param address: who and where it is.
+    :param instance: what is driven.
+    :param clock_ms: what its clock shows when the run begins.
+    """
+
+    def __init__(
+        self,
+        world: World,
+        address: MemberAddress,
+        instance: Instance,
+        clock_ms: float,
+    ) -> None:
+        self.world = world
+        self.address = address
+        self.instance = instance
+        self.is_up = True
+        self.is_paused = False
+        self.is_leaving = False
+        self.clock_ms = clock_ms
+        self.served_since_ms = world.heap.now_ms
+        self.connections: dict[str, Connection] = {}
+        self.tries: dict[str, CallTry] = {}
+        self._inputs: deque[Input] = deque()
+        self._draining = False
+        self._tick_due_ms: float | None = None
+        self._performers: dict[type, Callable[[Any], None]] = {
+            AppendRecord: self._append,
+            CancelAttempt: self._cancel,
+            FetchListing: self._fetch_listing,
+            FinishResponse: self._finish,
+            OperatorReply: world.operator_replied,
+            PollEndpoint: self._poll,
+            ReadRecords: self._read,
+            RefuseRequest: self._refuse,
+            SendChunk: self._send_chunk,
+            SendOrder: self._order,
+            SendPeer: self._send_peer,
+            StartAttempt: self._start,
+            StartResponse: self._start_response,
+        }
+
+    @property
+    def name(self) -> str:
+        """The instance's name."""
+        return self.address.instance
+
+    @property
+    def failure_domain(self) -> str:
+        """Where it is."""
+        return self.address.failure_domain
+
+    def now_ms(self) -> int:
+        """Return what the instance's own clock shows."""
+        return int(self.world.heap.now_ms + self.clock_ms)
+
+    def versions(self) -> dict[str, int]:
+        """Return the version of each item in force; a look inside."""
+        return self.instance._parts.configuration.state.versions
+
+    def deliver(self, told: Input) -> None:
+        """Give the instance an input, or keep it until a pause is over."""
+        if not self.is_up:
+            return
+        self._inputs.append(told)
+        self._drain()
+
+    def take_request(self, request: CallerRequest, call_try: CallTry) -> None:
+        """Take a caller's request on a connection of its own."""
+        self.tries[request.request_id] = call_try
+        self.world.tier_watch.arrived(self.name, request.request_id, call_try.call)
+        self.deliver(request)
+
+    def caller_left(self, request_id: str) -> None:
+        """Note that a caller closed its connection."""
+        if self.tries.pop(request_id, None) is not None:
+            self.world.note_left(self, request_id)
+            self.deliver(CallerLeft(request_id))
+
+    def start(self) -> None:
+        """Begin to tick."""
+        self._tick()
+
+    def pause(self) -> None:
+        """Stop the process; what arrives waits in its sockets."""
+        self.is_paused = True
+
+    def wake(self) -> None:
+        """Let the process go on."""
+        self.is_paused = False
+        self.served_since_ms = self.world.heap.now_ms
+        self._drain()
+        self._tick()
+
+    def jump_clock(self, jump_ms: float) -> None:
+        """Let the clock jump ahead, as after a suspend of the machine."""
+        self.clock_ms += jump_ms
+
+    def crash(self) -> None:
+        """End the process: every connection of it breaks."""
+        self.is_up = False
+        self._inputs.clear()
+        for connection in list(self.connections.values()):
+            connection.close()
+        self.connections.clear()
+        delay_ms = self.world.network.settings.client_ms
+        for call_try in list(self.tries.values()):
+            self.world.heap.call_later(delay_ms, call_try.broken)
+        self.tries.clear()
+        self.world.tier_watch.forget(self.name)
+
+    def _drain(self) -> None:
+        if self._draining or self.is_paused:
+            return
+        self._draining = True
+        while self._inputs and self.is_up:
+            told = self._inputs.popleft()
+            self._perform(self.instance.deliver(told, self.now_ms()))
+        self._draining = False
+        self._arm_tick()
+
+    def _tick(self) -> None:
+        self._tick_due_ms = None
+        if not self.is_up or self.is_paused:
+            return
+        self._draining = True
+        self._perform(self.instance.tick(self.now_ms()))
+        self._draining = False
+        self._drain()
+
+    def _arm_tick(self) -> None:
+        heap = self.world.heap
+        wait_ms = max(SHORTEST_TICK_MS, self.instance.next_tick_ms - self.now_ms())
+        due_ms = heap.now_ms + wait_ms
+        if self._tick_due_ms is None or due_ms < self._tick_due_ms:
+            self._tick_due_ms = due_ms
+            heap.call_at(due_ms, self._tick_if_due, due_ms)
+
+    def _tick_if_due(self, due_ms: float) -> None:
+        if self._tick_due_ms == due_ms:
+            self._tick()
+
+    def _perform(self, actions: Sequence[Action]) -> None:
+        for action in actions:
+            self._performers[type(action)](action)
+
+    # -- endpoints
+
+    def _start(self, start: StartAttempt) -> None:
+        world = self.world
+        endpoint = world.endpoints[start.endpoint]
+        domain = self.failure_domain
+        connection = Connection(
+            world.heap, world.network, start, endpoint, domain, self._receive
+        )
+        self.connections[start.attempt_id] = connection
+        world.note_start(self, start)
+        if not world.network.is_reachable(domain, endpoint.failure_domain):
+            world.heap.call_later(
+                CONNECT_TIMEOUT_MS, connection.fail, False, False, 'connect timeout'
+            )
+            return
+        if not endpoint.core.is_up:
+            delay_ms = 2 * world.network.delay_ms(domain, endpoint.failure_domain)
+            world.heap.call_later(delay_ms, connection.fail, False, False, 'refused')
+            return
+        self._inputs.append(AttemptSent(start.attempt_id))
+        if self._draining:
+            world.heap.call_later(0, self._send_unless_cancelled, connection)
+        else:
+            self._drain()
+            self._send_unless_cancelled(connection)
+
+    def _send_unless_cancelled(self, connection: Connection) -> None:
+        if connection.is_open and self.is_up:
+            connection.send_request()
+
+    def _receive(self, connection: Connection, told: Input) -> None:
+        if isinstance(told, AttemptEnded | AttemptFailed):
+            connection.is_open = False
+            self.connections.pop(connection.start.attempt_id, None)
+        self.deliver(told)
+
+    def _cancel(self, cancel: CancelAttempt) -> None:
+        connection = self.connections.pop(cancel.attempt_id, None)
+        if connection is not None:
+            self.world.note_cancel(self, connection.start, cancel.keep_stream)
+            connection.cancel(cancel.keep_stream)
+
+    def _poll(self, poll: PollEndpoint) -> None:
+        world = self.world
+        endpoint = world.endpoints.get(poll.endpoint)
+        if endpoint is None:
+            return
+        if not world.network.is_reachable(self.failure_domain, endpoint.failure_domain):
+            return
+        delay_ms = world.network.delay_ms(self.failure_domain, endpoint.failure_domain)
+        world.heap.call_later(delay_ms, self._answer_poll, poll, delay_ms)
+
+    def _answer_poll(self, poll: PollEndpoint, delay_ms: float) -> None:
+        report = self.world.endpoints[poll.endpoint].poll(poll.cache_cursor)
+        if report is not None:
+            self.world.heap.call_later(delay_ms, self.deliver, report)
+
+    def _order(self, order: SendOrder) -> None:
+        world = self.world
+        endpoint = world.endpoints[order.endpoint]
+        delay_ms = world.network.delay_ms(self.failure_domain, endpoint.failure_domain)
+        world.heap.call_later(delay_ms, self._carry_order, order, delay_ms)
+
+    def _carry_order(self, order: SendOrder, delay_ms: float) -> None:
+        world = self.world
+        endpoint = world.endpoints[order.endpoint]
+        outcome = 'refused'
+        if isinstance(endpoint, EngineHost):
+            taken = EngineOrder(
+                order.verb, order.target, order.fencing, order.expected_state
+            )
+            try:
+                outcome = endpoint.engine.order(taken, world.heap.now_ms)
+            except EndpointDownError:
+                outcome = 'unknown'
+        finished = OrderFinished(order.order_id, order.endpoint, outcome)
+        world.heap.call_later(delay_ms, self.deliver, finished)
+
+    # -- the platform
+
+    def _append(self, append: AppendRecord) -> None:
+        self.world.heap.call_later(
+            self.world.log.delay_ms / 2, self._carry_append, append
+        )
+
+    def _carry_append(self, append: AppendRecord) -> None:
+        world = self.world
+        answer = world.log.append(append.stream, append.payload, world.heap.now_ms)
+        outcome = 'appended' if answer.outcome == 'appended' else 'refused'
+        delay_ms = world.log.delay_ms / 2
+        if answer.outcome == 'lost':
+            outcome = 'unknown'
+            delay_ms = LOST_REPLY_MS
+        offset = answer.offset if outcome == 'appended' else -1
+        finished = AppendFinished(append.append_id, append.stream, outcome, offset)
+        world.heap.call_later(delay_ms, self.deliver, finished)
+
+    def _read(self, read: ReadRecords) -> None:
+        self.world.heap.call_later(self.world.log.delay_ms / 2, self._carry_read, read)
+
+    def _carry_read(self, read: ReadRecords) -> None:
+        world = self.world
+        answer = world.log.read(
+            read.stream, read.from_offset, read.max_records, world.heap.now_ms
+        )
+        result = RecordsRead(read.stream, False)
+        if answer is not None:
+            result = RecordsRead(read.stream, True, *answer)
+        world.heap.call_later(world.log.delay_ms / 2, self.deliver, result)
+
+    def _fetch_listing(self, _fetch: FetchListing) -> None:
+        world = self.world
+        listing = world.listing.fetch(world.heap.now_ms)
+        fetched = ListingFetched(False)
+        if listing is not None:
+            fetched = ListingFetched(True, listing.live, listing.leaving)
+        world.heap.call_later(world.log.settings.latency_ms, self.deliver, fetched)
+
+    # -- other instances
+
+    def _send_peer(self, send: SendPeer) -> None:
+        world = self.world
+        target = world.find_peer(send.host, send.peer_port)
+        if target is None:
+            return
+        received = PeerReceived(self.name, send.message)
+        for delay_ms in world.network.peer_delays(
+            self.failure_domain, target.failure_domain
+        ):
+            world.heap.call_later(delay_ms, target.deliver, received)
+
+    # -- callers
+
+    def _start_response(self, response: StartResponse) -> None:
+        call_try = self.tries.get(response.request_id)
+        if call_try is not None:
+            self._to_caller(call_try.started, response)
+
+    def _send_chunk(self, chunk: SendChunk) -> None:
+        call_try = self.tries.get(chunk.request_id)
+        if call_try is not None:
+            self._to_caller(call_try.received, chunk)
+
+    def _finish(self, finish: FinishResponse) -> None:
+        call_try = self.tries.pop(finish.request_id, None)
+        if call_try is not None:
+            self._note_telling(call_try, finish)
+            self._to_caller(call_try.finished, finish)
+
+    def _refuse(self, refuse: RefuseRequest) -> None:
+        call_try = self.tries.pop(refuse.request_id, None)
+        if call_try is not None:
+            self._note_telling(call_try, refuse)
+            self._to_caller(call_try.refused, refuse)
+
+    def _note_telling(
+        self, call_try: CallTry, told: FinishResponse | RefuseRequest
+    ) -> None:
+        world = self.world
+        telling = Telling(
+            world.heap.now_ms,
+            self.name,
+            told.request_id,
+            call_try.call.call_id,
+            told.code,
+            told.ran,
+        )
+        world.note_telling(telling)
+
+    def _to_caller(self, function: Callable[..., None], told: object) -> None:
+        self.world.heap.call_later(
+            self.world.network.settings.client_ms, function, told
+        )
