Add the audit trail, leases in the log and fenced orders

Cause: operators must see who changed what, and an engine must never take orders of two instances at once.

Change: audit entries bounded in memory, the lasting ones batched into the log within the shared budget, and searched there; leases as claims that stand by a compare-and-set over offsets, measured by durations only; orders that carry the fencing number and the end of the lease, and that are sent again when a report contradicts them.

--- /dev/null
+++ b/savorychute/audit/__init__.py
@@ -0,0 +1,1 @@
+"""The audit trail: who changed what, when, and why."""
--- /dev/null
+++ b/savorychute/audit/audit_search.py
@@ -0,0 +1,62 @@
+"""A search of the log's audit stream for one operator."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorychute.actions.read_records import ReadRecords
+from savorychute.audit.audit_record import AUDIT_STREAM, decode_audit_record
+
+if TYPE_CHECKING:
+    from savorychute.audit.audit_query import AuditQuery
+    from savorychute.audit.audit_settings import AuditSettings
+    from savorychute.audit.recorded_entry import RecordedEntry
+    from savorychute.inputs.records_read import RecordsRead
+
+
+class AuditSearch:
+    """Reads the stream to its end, or until the answer is full.
+
+    :param command_id: the operator's command.
+    :param query: what is asked for.
+    :param settings: sizes of reads and of the answer.
+    """
+
+    def __init__(
+        self, command_id: str, query: AuditQuery, settings: AuditSettings
+    ) -> None:
+        self.command_id = command_id
+        self.query = query
+        self.found: list[RecordedEntry] = []
+        self._settings = settings
+        self.next_offset = max(0, query.since_offset)
+
+    def read(self) -> ReadRecords:
+        """Return the next read."""
+        return ReadRecords(AUDIT_STREAM, self.next_offset, self._settings.read_records)
+
+    def take(self, read: RecordsRead) -> bool:
+        """Take in an answer, and return whether the search is at its end.
+
+        :param read: what the log answered.
+        """
+        before = self.next_offset
+        self.next_offset = max(self.next_offset, read.first_offset)
+        for record in read.records:
+            if record.offset != self.next_offset:
+                continue
+            self.next_offset += 1
+            self._search(record.offset, record.payload)
+            if len(self.found) >= self._settings.max_results:
+                return True
+        is_stuck = self.next_offset == before
+        return is_stuck or self.next_offset >= read.end_offset
+
+    def _search(self, offset: int, payload: bytes) -> None:
+        record = decode_audit_record(payload)
+        if record is None:
+            return
+        for recorded in record['entries']:
+            placed = recorded._replace(offset=offset)
+            if self.query.matches(placed):
+                self.found.append(placed)
--- /dev/null
+++ b/savorychute/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases in the log, and the fenced orders that they permit."""
--- /dev/null
+++ b/savorychute/leases/lease_term.py
@@ -0,0 +1,22 @@
+"""The accepted claim of a lease."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class LeaseTerm(NamedTuple):
+    """Who has a lease, as the log says and one instance has read it.
+
+    ``fencing`` is the offset of the holder's first claim, ``offset`` that of
+    its last claim.  ``read_ms`` is when this instance read the latter.
+    """
+
+    name: str
+    holder: str
+    fencing: int
+    offset: int
+    claim_id: str
+    duration_ms: int
+    read_ms: int
+    released: bool = False
--- /dev/null
+++ b/tests/test_audit/test_audit_trail.py
@@ -0,0 +1,151 @@
+"""The audit trail keeps, writes and finds entries."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from benches.configuration_rig import FakeLog
+from savorychute.actions.append_record import AppendRecord
+from savorychute.actions.operator_reply import OperatorReply
+from savorychute.actions.read_records import ReadRecords
+from savorychute.audit.audit_entry import AuditEntry
+from savorychute.audit.audit_kind import AuditKind
+from savorychute.audit.audit_query import AuditQuery
+from savorychute.audit.audit_settings import AuditSettings
+from savorychute.audit.audit_trail import AuditTrail
+from savorychute.configuration.log_budget import LogBudget, LogBudgetSettings
+from savorychute.result_code import ResultCode
+
+
+def make_entry(item: str, operator: str = 'asha', lasting: bool = True) -> AuditEntry:
+    return AuditEntry(AuditKind.AMENDMENT, item, operator, '1', '2', 'why', lasting)
+
+
+def settle(trail: AuditTrail, log: FakeLog, actions: list, now_ms: int) -> list:
+    """Carry out actions until only answers to operators are left."""
+    replies = []
+    while actions:
+        action = actions.pop(0)
+        if isinstance(action, AppendRecord):
+            actions += trail.append_finished(log.append(action), now_ms)
+        elif isinstance(action, ReadRecords):
+            actions += trail.records_read(log.read(action), now_ms)
+        elif isinstance(action, OperatorReply):
+            replies.append(action)
+    return replies
+
+
+def entries_of(reply: OperatorReply) -> list:
+    return msgspec.json.decode(reply.document)['entries']
+
+
+@pytest.fixture
+def log():
+    return FakeLog()
+
+
+@pytest.fixture
+def trail():
+    return AuditTrail(AuditSettings(batch_entries=3, max_pending=5), 'a.1')
+
+
+def test_lasting_entries_are_written_in_batches(trail, log):
+    for number in range(4):
+        trail.record(make_entry(f'contract:{number}'), now_ms=10)
+    settle(trail, log, trail.tick(20), 20)
+    assert log.appends == 1
+    settle(trail, log, trail.tick(30), 30)
+    assert log.appends == 1
+    settle(trail, log, trail.tick(2_000), 2_000)
+    assert log.appends == 2
+    assert [each.offset for each in trail.query()] == [0, 0, 0, 1]
+
+
+def test_query_filters_by_item_operator_and_offset(trail, log):
+    trail.record(make_entry('contract:a', 'asha'), now_ms=1)
+    trail.record(make_entry('contract:b', 'binu'), now_ms=2)
+    settle(trail, log, trail.tick(2_000), 2_000)
+    trail.record(make_entry('contract:a', 'binu'), now_ms=3_000)
+    settle(trail, log, trail.tick(9_000), 9_000)
+    assert len(trail.query(item='contract:a')) == 2
+    assert len(trail.query(operator='binu')) == 2
+    assert [each.offset for each in trail.query(since_offset=1)] == [1]
+
+
+def test_passing_entries_stay_out_of_the_log(trail, log):
+    trail.record(make_entry('member:b', '', lasting=False), now_ms=1)
+    settle(trail, log, trail.tick(5_000), 5_000)
+    assert log.appends == 0
+    assert len(trail.query(item='member:b')) == 1
+
+
+def test_search_finds_what_other_instances_wrote(trail, log):
+    trail.record(make_entry('contract:a'), now_ms=1)
+    settle(trail, log, trail.tick(2_000), 2_000)
+    log.append(AppendRecord('x', 'audit', b'garbage'))
+    other = AuditTrail(AuditSettings(read_records=1), 'b.1')
+    other.record(make_entry('contract:a', lasting=False), now_ms=3_000)
+    query = AuditQuery(item='contract:a')
+    replies = settle(other, log, other.request('c1', query, 4_000), 4_000)
+    assert [each['instance'] for each in entries_of(replies[0])] == ['a.1', 'b.1']
+    assert replies[0].code is ResultCode.OK
+
+
+def test_batch_written_twice_is_shown_once(trail, log):
+    """The reply to an append is lost, and the batch is sent again."""
+    log.lose_replies = True
+    trail.record(make_entry('contract:a'), now_ms=1)
+    settle(trail, log, trail.tick(2_000), 2_000)
+    log.lose_replies = False
+    settle(trail, log, trail.tick(60_000), 60_000)
+    assert log.appends == 2
+    other = AuditTrail(AuditSettings(), 'b.1')
+    request = other.request('c1', AuditQuery(), 61_000)
+    assert len(entries_of(settle(other, log, request, 61_000)[0])) == 1
+
+
+def test_search_during_an_outage_says_that_it_is_incomplete(trail, log):
+    log.is_up = False
+    trail.record(make_entry('contract:a'), now_ms=1)
+    request = trail.request('c1', AuditQuery(), 10)
+    reply = settle(trail, log, request, 10)[0]
+    assert reply.code is ResultCode.LOG_UNAVAILABLE
+    assert len(entries_of(reply)) == 1
+
+
+def test_search_without_an_answer_of_the_log_ends(trail):
+    assert trail.request('c1', AuditQuery(), 10)
+    assert trail.tick(1_000) == []
+    reply = trail.tick(4_000)[0]
+    assert reply.code is ResultCode.LOG_UNAVAILABLE
+
+
+def test_long_outage_drops_the_oldest_and_counts_them(trail, log):
+    """The log is down for hours while the configuration's drains go on.
+
+    Memory is bounded, so entries are given up, but never silently.
+    """
+    log.is_up = False
+    for number in range(20):
+        trail.record(make_entry(f'contract:{number}'), now_ms=number)
+        settle(trail, log, trail.tick(number * 10_000), number * 10_000)
+    assert trail.dropped == 13
+    log.is_up = True
+    for step in range(10):
+        now_ms = 1_000_000 + step * 10_000
+        settle(trail, log, trail.tick(now_ms), now_ms)
+    kept = [each.entry.item for each in trail.query() if each.offset >= 0]
+    assert len(kept) == 7
+    assert kept[-1] == 'contract:19'
+
+
+def test_batches_keep_within_the_budget(log):
+    budget = LogBudget(LogBudgetSettings(log_appends_per_s=10, burst_appends=1))
+    trail = AuditTrail(AuditSettings(batch_delay_ms=0), 'a.1', budget)
+    budget.set_members(10)
+    for now_ms in range(0, 100_000, 100):
+        trail.record(make_entry('contract:a'), now_ms)
+        settle(trail, log, trail.tick(now_ms), now_ms)
+    assert budget.appends_per_s == pytest.approx(0.1)
+    assert 9 <= log.appends <= 11
