--- a/savorychute/wire/message_codec.py
+++ b/savorychute/wire/message_codec.py
@@ -11,7 +11,7 @@
 from savorychute.wire.decoded_message import DecodedMessage
 from savorychute.wire.peer_messages import PEER_MESSAGES
 from savorychute.wire.schema_writer import SCHEMA_PATH
-from savorychute.wire.signature import open_frame, sign_envelope
+from savorychute.wire.signature import HEAD, open_frame, sign_envelope
 from savorychute.wire.struct_codec import StructCodec
 
 if TYPE_CHECKING:
@@ -19,9 +19,12 @@
 
     from savorychute.wire.peer_keys import PeerKeys
 
-MAX_FRAME_BYTES = 1 << 20
-MAX_DECODED_WORDS = 1 << 20
+MAX_FRAME_BYTES = 1 << 19
+# Packed bytes can unpack to a thousand times as much, and a list of a million
+# empty records holds up the loop for more than a second.
+MAX_DECODED_WORDS = 1 << 17
 MAX_NESTING = 16
+MAX_ENVELOPE_BYTES = MAX_FRAME_BYTES - HEAD.size
 # What the codec raises on bytes that do not fit the schema: its own exception,
 # text that is not UTF-8, an enum without that value, a number out of range.
 DECODE_FAULTS = (capnp.KjException, ValueError, TypeError, OverflowError)
@@ -149,6 +152,11 @@
     :raises MessageError: if the message cannot be encoded.
     """
     envelope = load_codec().encode(sender, incarnation, sequence, message)
+    if len(envelope) > MAX_ENVELOPE_BYTES:
+        raise MessageError(
+            f'a {type(message).__name__} of {len(envelope)} bytes is longer than '
+            f'{MAX_ENVELOPE_BYTES}'
+        )
     return sign_envelope(envelope, receiver, keys.signing)
 
 
--- a/savorychute/wire/messages.capnp
+++ b/savorychute/wire/messages.capnp
@@ -147,12 +147,22 @@
   level @1 :Int64;
 }
 
+struct EndpointLoad {
+  endpoint @0 :Int64;
+  ageMs @1 :Int64;
+  running @2 :Int64;
+  waiting @3 :Int64;
+  kvFreeShare @4 :Float64;
+  stepMs @5 :Float64;
+}
+
 struct GroupGrant {
   group @0 :Int64;
   sequence @1 :Int64;
   mustAcknowledge @2 :Bool;
   pressingTier @3 :Int64;
   levels @4 :List(EndpointLevel);
+  loads @5 :List(EndpointLoad);
 }
 
 struct CreditGrant {  # tag 31
--- a/tests/test_wire/test_message_codec.py
+++ b/tests/test_wire/test_message_codec.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
+import random
 from typing import NamedTuple
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from wire_messages import TEST_MESSAGES, make_report
 
 from savorychute.errors import MessageError
-from savorychute.wire.message_codec import MessageCodec
+from savorychute.wire import message_codec
+from savorychute.wire.message_codec import (
+    MAX_FRAME_BYTES,
+    MessageCodec,
+    decode_message,
+    encode_message,
+)
 from savorychute.wire.schema_writer import write_schema
 
 
@@ -98,6 +108,55 @@
     assert older.decode(packed).message == ('b',)
 
 
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(data=st.data())
+def test_damaged_message_raises_nothing_else(damaged_codec, data):
+    """An instance with a defect signs a message that is damaged.
+
+    The signature holds, so the decoder meets the damage.  The receiver must
+    refuse the message and live on, whatever the damage is.
+    """
+    codec, packed = damaged_codec
+    damaged = bytearray(packed)
+    for _ in range(data.draw(st.integers(1, 5))):
+        position = data.draw(st.integers(0, len(damaged) - 1))
+        damaged[position] = data.draw(st.integers(0, 255))
+    try:
+        decoded = codec.decode(bytes(damaged))
+    except MessageError:
+        return
+    assert type(decoded.message).__name__ in ('Report', 'Entry')
+
+
+def test_message_that_would_hold_up_the_loop_is_refused(codec, report):
+    """Packing shortens a long list of zeros to a few bytes.
+
+    A frame far below the bound on its size would then keep the receiver's
+    only thread busy for seconds, so the unpacked size is bounded too.
+    """
+    packed = codec.encode('a', 0, 0, report._replace(offsets=(0,) * 500_000))
+    assert len(packed) < MAX_FRAME_BYTES / 10
+    with pytest.raises(MessageError, match='does not fit'):
+        codec.decode(packed)
+
+
+def test_frame_beyond_the_bound_is_not_sent(monkeypatch, codec, report, keys):
+    monkeypatch.setattr(message_codec, 'load_codec', lambda: codec)
+    noise = random.Random(7).randbytes(MAX_FRAME_BYTES)
+    with pytest.raises(MessageError, match='a Report of'):
+        encode_message('a-1', 0, report._replace(digest=noise), keys)
+    with pytest.raises(MessageError, match='too long'):
+        decode_message(noise + b'x', keys)
+
+
+@pytest.fixture(scope='module')
+def damaged_codec(tmp_path_factory):
+    path = tmp_path_factory.mktemp('wire') / 'messages.capnp'
+    path.write_text(write_schema(TEST_MESSAGES))
+    codec = MessageCodec(path, TEST_MESSAGES)
+    return codec, codec.encode('a-1', 3, 9, make_report())
+
+
 def _make_codec(path, record):
     messages = {900: record}
     path.write_text(write_schema(messages))
