Turn an instance's events into log lines and metrics

The table of metrics had rows that nothing could fill. It now has those that the events, the status and the host's counters give, and one object connects them. Digests of tokens of a new contract are kept out of the log from the moment it is in force.

--- /dev/null
+++ b/savorychute/host_sample.py
@@ -0,0 +1,14 @@
+"""What a host counts on its sockets."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class HostSample(NamedTuple):
+    """Totals since the start, and the connections open now."""
+
+    open_connections: int = 0
+    peer_sent_bytes: int = 0
+    peer_dropped: int = 0
+    peer_rejected: int = 0
--- a/savorychute/metrics.py
+++ b/savorychute/metrics.py
@@ -44,48 +44,52 @@
         'From a request to the first token of its answer.',
     ),
     MetricRow(
-        'token_gap_ms', 'histogram', ('tier',), 'Between two tokens of an answer.'
+        'token_gap_ms',
+        'histogram',
+        ('tier',),
+        'Between two tokens, as the mean of an answer, counted for each token.',
+    ),
+    MetricRow(
+        'request_ms', 'histogram', ('tier',), 'From a request to the end of its answer.'
     ),
-    MetricRow('queue_ms', 'histogram', ('tier',), 'From admission to the start.'),
     MetricRow('tokens_total', 'counter', ('tier',), 'Tokens passed to callers.'),
     MetricRow(
         'wasted_tokens_total',
         'counter',
-        ('reason',),
+        ('tier',),
         'Tokens generated for answers that were cut, duplicated or discarded.',
     ),
-    MetricRow(
-        'attempts_total', 'counter', ('outcome',), 'Tries at endpoints, by outcome.'
-    ),
+    MetricRow('attempts_total', 'counter', ('tier',), 'Tries at endpoints.'),
     MetricRow('queued_requests', 'gauge', ('pool', 'tier'), 'Requests that wait.'),
     MetricRow('open_requests', 'gauge', (), 'Requests not yet ended.'),
     MetricRow('open_connections', 'gauge', (), "Callers' connections."),
-    MetricRow('buffered_bytes', 'gauge', (), 'Bodies and answers in memory.'),
-    MetricRow(
-        'available_credits', 'gauge', ('pool',), 'Starts granted and not yet used.'
-    ),
     MetricRow('members', 'gauge', ('state',), 'Instances, by state.'),
     MetricRow('endpoints', 'gauge', ('state',), 'Endpoints, by state.'),
+    MetricRow('contracts', 'gauge', (), 'Contracts in force.'),
     MetricRow(
         'configuration_offset', 'gauge', (), 'Offset up to which changes are in force.'
     ),
+    MetricRow('log_reachable', 'gauge', (), "1 if the platform's log answers, else 0."),
     MetricRow(
-        'peer_messages_total',
-        'counter',
-        ('direction', 'kind'),
-        'Messages between instances.',
+        'configuration_changes_total', 'counter', ('kind',), 'Changes put into force.'
+    ),
+    MetricRow(
+        'member_changes_total', 'counter', ('state',), 'Members, by their new state.'
     ),
     MetricRow(
-        'peer_bytes_total', 'counter', ('direction',), 'Their size, signed and packed.'
+        'endpoint_ejections_total', 'counter', (), 'Ejections of failing endpoints.'
     ),
+    MetricRow('quarantines_total', 'counter', (), 'Requests that were quarantined.'),
+    MetricRow('peer_sent_bytes_total', 'counter', (), 'Signed messages to instances.'),
     MetricRow(
-        'refused_frames_total',
+        'peer_dropped_total',
         'counter',
-        ('code',),
-        'Frames from the peer port that were not taken.',
+        (),
+        'Messages to instances not sent for lack of room.',
+    ),
+    MetricRow(
+        'peer_rejected_total', 'counter', (), 'Frames from the peer port not taken.'
     ),
-    MetricRow('log_appends_total', 'counter', ('stream', 'ok'), 'Appends to the log.'),
-    MetricRow('orders_total', 'counter', ('outcome',), 'Orders to engines.'),
 )
 
 _KINDS: dict[str, Any] = {'counter': Counter, 'gauge': Gauge, 'histogram': Histogram}
@@ -161,6 +165,16 @@
         collector = self._collectors[name]
         collector.add(self._label(collector, labels), amount)
 
+    def raise_to(self, name: str, total: float, **labels: str) -> None:
+        """Bring a counter up to a total that is counted elsewhere.
+
+        :param name: a counter of :data:`METRICS`.
+        :param total: never less than before.
+        :param labels: a value for each of its labels.
+        """
+        collector = self._collectors[name]
+        collector.set(self._label(collector, labels), total)
+
     def set(self, name: str, value: float, **labels: str) -> None:
         """Set a gauge.
 
@@ -171,6 +185,13 @@
         collector = self._collectors[name]
         collector.set(self._label(collector, labels), value)
 
+    def clear(self, name: str) -> None:
+        """Forget a gauge's series, so that one that has gone does not stay.
+
+        :param name: a gauge of :data:`METRICS`.
+        """
+        self._collectors[name].values.clear()
+
     def observe(self, name: str, value_ms: float, tier: int, count: int = 1) -> None:
         """Add observations to a histogram.
 
--- /dev/null
+++ b/savorychute/telemetry.py
@@ -0,0 +1,201 @@
+"""An instance's events as log lines and metrics."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, cast
+
+from savorychute.daemon.metrics_text import MetricsText
+from savorychute.ran import Ran
+from savorychute.result_code import ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from savorychute.audit.audit_entry import AuditEntry
+    from savorychute.configuration.applied_change import AppliedChange
+    from savorychute.contracts.contract_document import ContractDocument
+    from savorychute.events import EventManager
+    from savorychute.host_sample import HostSample
+    from savorychute.inputs import CallerRequest
+    from savorychute.instance.request_outcome import RequestOutcome
+    from savorychute.instance.status import StatusDocument
+    from savorychute.logs import InstanceLog
+    from savorychute.member_address import MemberAddress
+    from savorychute.membership.member_change import MemberChange
+    from savorychute.metrics import Metrics
+    from savorychute.recovery.endpoint_change import EndpointChange
+
+CONTRACT_KIND = 'contract'
+
+
+class Telemetry:
+    """Connects an instance's events to its log and its metrics.
+
+    :param log: where lines go.
+    :param metrics: what counts.
+    :param token_hashes: digests of operators' tokens, which never get logged.
+    """
+
+    def __init__(
+        self, log: InstanceLog, metrics: Metrics, token_hashes: Iterable[str] = ()
+    ) -> None:
+        self._log = log
+        self._metrics = metrics
+        self._operator_hashes = frozenset(token_hashes)
+        self._customer_hashes: dict[str, frozenset[str]] = {}
+        self._read_status: Callable[[], StatusDocument] | None = None
+        self._read_host: Callable[[], HostSample] | None = None
+        self._log.protect(self._operator_hashes)
+
+    def watch(self, events: EventManager) -> None:
+        """Connect to every event that is logged or counted.
+
+        :param events: those of one instance.
+        """
+        events.connect('request-received', self._receive_request)
+        events.connect('request-finished', self._finish_request)
+        events.connect('configuration-applied', self._apply_change)
+        events.connect('member-changed', self._change_member)
+        events.connect('endpoint-ejected', self._eject_endpoint)
+        events.connect('endpoint-readmitted', self._readmit_endpoint)
+        events.connect('request-quarantined', self._quarantine_request)
+        events.connect('instance-leaving', self._leave)
+
+    def sample_from(
+        self,
+        read_status: Callable[[], StatusDocument],
+        read_host: Callable[[], HostSample] | None = None,
+    ) -> None:
+        """Say where gauges are read whenever metrics are rendered.
+
+        :param read_status: returns the instance's state in figures.
+        :param read_host: returns what the host counts on its sockets.
+        """
+        self._read_status = read_status
+        self._read_host = read_host
+
+    def render(self, accept: str) -> MetricsText:
+        """Return the metrics of this moment.
+
+        :param accept: the content types that the caller takes.
+        """
+        if self._read_status is not None:
+            self._sample_status(self._read_status())
+        if self._read_host is not None:
+            self._sample_host(self._read_host())
+        body, headers = self._metrics.render([accept] if accept else [])
+        return MetricsText(headers['Content-Type'], body)
+
+    def _receive_request(self, request: CallerRequest) -> None:
+        self._log.debug(
+            'request-received',
+            request.request_id,
+            class_name=request.class_name,
+            model=request.model,
+            service=request.service,
+            bytes=len(request.body),
+        )
+
+    def _finish_request(self, outcome: RequestOutcome) -> None:
+        self._log.info(
+            'request-finished',
+            outcome.request_id,
+            customer=outcome.customer,
+            class_name=outcome.class_name,
+            tier=outcome.tier,
+            code=outcome.code.number,
+            ran=outcome.ran.value,
+            duration_ms=outcome.duration_ms,
+            tokens=outcome.tokens,
+            count=outcome.attempts,
+        )
+        self._count_request(outcome)
+
+    def _count_request(self, outcome: RequestOutcome) -> None:
+        metrics = self._metrics
+        answered = outcome.code is ResultCode.OK and outcome.ran is Ran.RAN
+        metrics.finish_request(
+            outcome.customer,
+            outcome.class_name,
+            outcome.code,
+            outcome.ran,
+            outcome.target_met,
+            outcome.weight if answered else 0.0,
+        )
+        tier = str(outcome.tier)
+        metrics.count('attempts_total', outcome.attempts, tier=tier)
+        metrics.count('tokens_total', outcome.tokens, tier=tier)
+        metrics.count('wasted_tokens_total', outcome.wasted_tokens, tier=tier)
+        metrics.observe('request_ms', outcome.duration_ms, outcome.tier)
+        if outcome.first_token_ms >= 0:
+            metrics.observe('first_token_ms', outcome.first_token_ms, outcome.tier)
+        if outcome.tokens > 1:
+            gaps = outcome.tokens - 1
+            metrics.observe('token_gap_ms', outcome.token_gap_ms, outcome.tier, gaps)
+
+    def _apply_change(self, change: AppliedChange) -> None:
+        kind, _, name = change.item.partition(':')
+        if kind == CONTRACT_KIND:
+            self._protect_customer(name, change)
+        self._metrics.count('configuration_changes_total', kind=kind)
+        self._log.info(
+            'configuration-applied',
+            item=change.item,
+            version=change.to_version,
+            offset=change.offset,
+            operator=change.operator,
+            record_id=change.record_id,
+        )
+
+    def _protect_customer(self, customer: str, change: AppliedChange) -> None:
+        hashes: Iterable[str] = ()
+        if change.document is not None:
+            hashes = cast('ContractDocument', change.document)['token_hashes']
+        self._customer_hashes[customer] = frozenset(hashes)
+        self._log.protect(self._operator_hashes.union(*self._customer_hashes.values()))
+
+    def _change_member(self, change: MemberChange) -> None:
+        self._metrics.count('member_changes_total', state=change.to_state)
+        self._log.info(
+            'member-changed',
+            member=change.instance,
+            incarnation=change.incarnation,
+            from_state=change.from_state,
+            to_state=change.to_state,
+        )
+
+    def _eject_endpoint(self, change: EndpointChange) -> None:
+        self._metrics.count('endpoint_ejections_total')
+        self._log.warning('endpoint-ejected', endpoint=change.endpoint)
+
+    def _readmit_endpoint(self, change: EndpointChange) -> None:
+        self._log.info('endpoint-readmitted', endpoint=change.endpoint)
+
+    def _quarantine_request(self, entry: AuditEntry) -> None:
+        self._metrics.count('quarantines_total')
+        self._log.warning('request-quarantined', item=entry.item)
+
+    def _leave(self, address: MemberAddress) -> None:
+        self._log.info('instance-leaving', incarnation=address.incarnation)
+
+    def _sample_status(self, status: StatusDocument) -> None:
+        metrics = self._metrics
+        metrics.set('configuration_offset', status['configuration_offset'])
+        metrics.set('contracts', status['contracts'])
+        metrics.set('log_reachable', int(status['log_reachable']))
+        metrics.set('open_requests', status['requests_in_progress'])
+        metrics.set('members', status['members'], state='alive')
+        metrics.set('members', status['suspects'], state='suspect')
+        metrics.set('endpoints', status['endpoints'], state='known')
+        metrics.set('endpoints', status['usable_endpoints'], state='usable')
+        metrics.clear('queued_requests')
+        for pool, by_tier in status['waiting_by_pool'].items():
+            for tier, count in by_tier.items():
+                metrics.set('queued_requests', count, pool=pool, tier=tier)
+
+    def _sample_host(self, sample: HostSample) -> None:
+        metrics = self._metrics
+        metrics.set('open_connections', sample.open_connections)
+        metrics.raise_to('peer_sent_bytes_total', sample.peer_sent_bytes)
+        metrics.raise_to('peer_dropped_total', sample.peer_dropped)
+        metrics.raise_to('peer_rejected_total', sample.peer_rejected)
