Refuse bad input and classify failed calls at the sockets

Cause: malformed, oversize, slow or endless input must get a numbered answer and have no effect, and 'not run' hangs on knowing whether a byte was sent. Change: tests bring about each case over real sockets. They found two faults, both mended: bytes beyond a response stayed on a kept connection and were taken for the next response, and a message that does not fit its schema would have stopped the actions after it.

--- a/savorychute/daemon/peer_link.py
+++ b/savorychute/daemon/peer_link.py
@@ -50,6 +50,11 @@
         self._senders: dict[tuple[str, int], FrameSender] = {}
         self._receivers: set[FrameProtocol] = set()
 
+    @property
+    def open_receivers(self) -> int:
+        """How many connections of peers, or of strangers, are open."""
+        return len(self._receivers)
+
     def send(self, action: SendPeer) -> None:
         """Send a message without any guarantee.
 
@@ -59,7 +64,7 @@
             frame = self._codec.encode(action.instance, action.message)
         except MessageError:
             self.dropped += 1
-            raise
+            return
         address = (action.host, action.peer_port)
         self.sent_bytes += len(frame)
         if len(frame) <= DATAGRAM_BYTES:
--- a/savorychute/http/client_connection.py
+++ b/savorychute/http/client_connection.py
@@ -73,7 +73,7 @@
         """Take the server's end, which may end a response without a length."""
         if self._handler is not None:
             self._http.receive_data(b'')
-            self._advance()
+            self._advance('connection closed')
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -126,12 +126,12 @@
 
     # -- reading
 
-    def _advance(self) -> None:
+    def _advance(self, fault: str = 'malformed response') -> None:
         try:
             while self._handler is not None and self._take_event(self._handler):
                 pass
         except h11.RemoteProtocolError as error:
-            self._fail(f'malformed response: {error}')
+            self._fail(f'{fault}: {error}')
             self.abort()
 
     def _take_event(self, handler: ResponseHandler) -> bool:
@@ -152,11 +152,14 @@
         return isinstance(event, h11.InformationalResponse)
 
     def _end(self, handler: ResponseHandler) -> None:
+        """Hand over the end, and keep the connection if it is in order.
+
+        Bytes beyond the response answer no request.  On a kept connection
+        they would be taken for the response to the next one.
+        """
         self._handler = None
-        reusable = (
-            self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
-        )
-        if reusable:
+        done = self._http.our_state is h11.DONE is self._http.their_state
+        if done and not self._http.trailing_data[0]:
             self._http.start_next_cycle()
             self.resume_reading()
             self._on_idle(self)
--- a/savorychute/http/http_server.py
+++ b/savorychute/http/http_server.py
@@ -42,38 +42,38 @@
         self.closing = False
         self.port = 0
         self.listener: asyncio.Server | None = None
-        self._connections: set[ServerConnection] = set()
+        self.connections: set[ServerConnection] = set()
         self._bound = min(limits.connections, connections_by_files())
-        self._buffered_bytes = 0
+        self.buffered_bytes = 0
 
     @property
     def open_connections(self) -> int:
         """How many connections are open."""
-        return len(self._connections)
+        return len(self.connections)
 
     def add(self, connection: ServerConnection) -> bool:
         """Take a connection; return false if there are too many.
 
         :param connection: the one that was accepted.
         """
-        self._connections.add(connection)
-        return len(self._connections) <= self._bound
+        self.connections.add(connection)
+        return len(self.connections) <= self._bound
 
     def remove(self, connection: ServerConnection) -> None:
         """Forget a connection that was lost.
 
         :param connection: the one that was lost.
         """
-        self._connections.discard(connection)
+        self.connections.discard(connection)
 
     def reserve(self, size_bytes: int) -> bool:
         """Count bytes of a body; return false if all bodies are too large.
 
         :param size_bytes: how many more.
         """
-        if self._buffered_bytes + size_bytes > self.limits.buffered_bytes:
+        if self.buffered_bytes + size_bytes > self.limits.buffered_bytes:
             return False
-        self._buffered_bytes += size_bytes
+        self.buffered_bytes += size_bytes
         return True
 
     def release(self, size_bytes: int) -> None:
@@ -81,17 +81,17 @@
 
         :param size_bytes: how many fewer.
         """
-        self._buffered_bytes -= size_bytes
+        self.buffered_bytes -= size_bytes
 
     def sweep(self) -> None:
         """Give up callers that send or read too slowly."""
         now_ms = self.now_ms()
-        for connection in tuple(self._connections):
+        for connection in tuple(self.connections):
             connection.check_deadline(now_ms)
 
     def close_idle(self) -> None:
         """Close the connections on which no request is in progress."""
-        for connection in tuple(self._connections):
+        for connection in tuple(self.connections):
             connection.close_if_idle()
 
     def stop_listening(self) -> None:
@@ -101,7 +101,7 @@
 
     def abort_all(self) -> None:
         """Cut every connection."""
-        for connection in tuple(self._connections):
+        for connection in tuple(self.connections):
             connection.abort()
 
 
--- a/savorychute/http/server_connection.py
+++ b/savorychute/http/server_connection.py
@@ -20,6 +20,7 @@
     from savorychute.http.http_server import HttpServer
 
 CONTINUE_STATUS = 100
+REFUSAL_RETRY_MS = 1_000
 BODILESS_STATUSES = (204, 304)
 HEADERS_TOO_LARGE_HINT = 431
 WRITABLE_STATES = (h11.IDLE, h11.SEND_RESPONSE)
@@ -45,7 +46,7 @@
         self._head: h11.Request | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
-        self._pipelined_bytes = 0
+        self.pipelined_bytes = 0
         self._advancing = False
         self._lingering = False
         self._bodiless = False
@@ -130,7 +131,7 @@
         self._write(h11.EndOfMessage())
         self._exchange = None
         self._drop_body()
-        self._pipelined_bytes = 0
+        self.pipelined_bytes = 0
         if h11.MUST_CLOSE in (self._http.our_state, self._http.their_state):
             self._linger()
             return
@@ -243,8 +244,8 @@
 
     def _hold_pipelined(self, data: bytes) -> None:
         self._http.receive_data(data)
-        self._pipelined_bytes += len(data)
-        if self._pipelined_bytes > self._limits.pipelined_bytes:
+        self.pipelined_bytes += len(data)
+        if self.pipelined_bytes > self._limits.pipelined_bytes:
             self._transport.pause_reading()
 
     # -- refusing
@@ -265,7 +266,7 @@
         if self._http.our_state in WRITABLE_STATES:
             body = encode_error(code, Ran.NOT_RUN, message)
             headers = [
-                *error_headers(code, Ran.NOT_RUN),
+                *error_headers(code, Ran.NOT_RUN, REFUSAL_RETRY_MS),
                 ('content-length', str(len(body))),
                 ('connection', 'close'),
             ]
--- a/tests/test_daemon/daemon_fakes.py
+++ b/tests/test_daemon/daemon_fakes.py
@@ -67,6 +67,7 @@
         self.requests: dict[str, CallerRequest] = {}
         self.cancel_when_sent = False
         self.timeout_ms = 5_000
+        self.heads: dict[str, AttemptStarted] = {}
 
     def tick(self, now_ms: int) -> list[object]:
         """Do nothing."""
@@ -93,19 +94,22 @@
             case CallerLeft():
                 return [CancelAttempt(f'a-{delivered.request_id}')]
             case AttemptStarted():
-                return [self._begin(delivered)]
+                self.heads[delivered.attempt_id] = delivered
+                return []
             case AttemptChunk():
                 request_id = delivered.attempt_id[2:]
                 return [
+                    *self._begin(delivered.attempt_id),
                     SendChunk(
                         request_id,
                         delivered.offset,
                         delivered.data,
                         delivered.token_count,
-                    )
+                    ),
                 ]
             case AttemptEnded():
-                return [FinishResponse(delivered.attempt_id[2:])]
+                finish = FinishResponse(delivered.attempt_id[2:])
+                return [*self._begin(delivered.attempt_id), finish]
             case AttemptFailed():
                 return [self._fail(delivered)]
         if self.cancel_when_sent:
@@ -142,16 +146,21 @@
             )
         ]
 
-    def _begin(self, started: AttemptStarted) -> StartResponse:
-        request_id = started.attempt_id[2:]
-        return StartResponse(
-            request_id,
-            started.status,
-            started.attempt_id,
-            'engine',
-            'handle',
-            started.content_type,
-        )
+    def _begin(self, attempt_id: str) -> list[StartResponse]:
+        """Send the head with the first part, once."""
+        started = self.heads.pop(attempt_id, None)
+        if started is None:
+            return []
+        return [
+            StartResponse(
+                attempt_id[2:],
+                started.status,
+                attempt_id,
+                'engine',
+                'handle',
+                started.content_type,
+            )
+        ]
 
     def _fail(self, failed: AttemptFailed) -> object:
         request_id = failed.attempt_id[2:]
@@ -246,7 +255,10 @@
         headers: dict[str, str] = {}
         body = b''
         while True:
-            event = self._http.next_event()
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError:
+                return Answer(status, headers, body, False)
             if event is h11.NEED_DATA:
                 try:
                     self._http.receive_data(await self.reader.read(65_536))
@@ -268,8 +280,9 @@
 
 
 @asynccontextmanager
-async def call(port: int, **options: object) -> AsyncIterator[RawCaller]:
-    reader, writer = await asyncio.open_connection('127.0.0.1', port, **options)
+async def call(port: int | None, **options: object) -> AsyncIterator[RawCaller]:
+    host = '127.0.0.1' if port else None
+    reader, writer = await asyncio.open_connection(host, port, **options)
     try:
         yield RawCaller(reader, writer)
     finally:
--- /dev/null
+++ b/tests/test_daemon/test_bad_input.py
@@ -0,0 +1,258 @@
+"""Tests of input that is at fault: a 4xx with a code, and no effect."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+from daemon_fakes import TOKEN, SmallServer, call, run_passing, serve, wait_until
+
+from savorychute.http.http_limits import HttpLimits
+from savorychute.inputs import CallerRequest
+
+HEADERS = {'authorization': f'Bearer {TOKEN}', 'x-request-class': 'diagnosis'}
+CHAT_PATH = '/v1/chat/completions'
+CHAT = b'{"model":"m","messages":[]}'
+SMALL = HttpLimits(header_bytes=4_096, body_bytes=4_096, buffered_bytes=6_000)
+CHAT_HEAD = b'POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n'
+
+
+def answer_ok(exchange):
+    exchange.respond(200, [('content-type', 'application/json')], b'{}')
+
+
+def send_raw(raw, limits=SMALL):
+    """Send bytes to a daemon; return the answer and the instance."""
+
+    async def main():
+        async with (
+            run_passing(http=limits) as (host, instance),
+            call(host.address.caller_port) as caller,
+        ):
+            caller.writer.write(raw)
+            return await caller.read_answer(), instance
+
+    return asyncio.run(main())
+
+
+def frame(body):
+    return CHAT_HEAD + b'content-length: %d\r\n\r\n%b' % (len(body), body)
+
+
+@pytest.mark.parametrize(
+    'raw, status, code',
+    [
+        (b'\x16\x03\x01\x02\x00\x01\x00\r\n\r\n', 400, '1001'),
+        (b'GET /healthz\r\n\r\n', 400, '1001'),
+        (b'GET /healthz HTTP/1.1\r\n\r\n', 400, '1001'),
+        (CHAT_HEAD + b'content-length: -1\r\n\r\n', 400, '1001'),
+        (CHAT_HEAD + b'content-length: 1\r\ncontent-length: 2\r\n\r\n', 400, '1001'),
+        (CHAT_HEAD + b'transfer-encoding: chunked\r\n\r\nzz\r\n', 400, '1001'),
+        (CHAT_HEAD + b'x-long: ' + b'a' * 9_000, 431, '1009'),
+        (CHAT_HEAD + b'content-length: 9000\r\n\r\n', 413, '1010'),
+        (
+            CHAT_HEAD + b'transfer-encoding: chunked\r\n\r\n1388\r\n' + b'a' * 5_000,
+            413,
+            '1010',
+        ),
+        (frame(b''), 400, '1002'),
+        (frame(b'{"model":'), 400, '1002'),
+        (frame(b'\xff\xfe'), 400, '1002'),
+        (frame(b'{"model":"m","messages":[],"x":' + b'[' * 4_000), 400, '1002'),
+        (frame(b'{"model":"m","messages":' + b'[' * 4_000), 400, '1003'),
+        (frame(b'[]'), 400, '1003'),
+        (frame(b'{"model":7,"messages":[]}'), 400, '1003'),
+        (frame(b'{"model":"","messages":[]}'), 400, '1003'),
+        (frame(b'{"model":"m"}'), 400, '1003'),
+        (frame(b'{"model":"m","messages":[],"max_tokens":-1}'), 400, '1003'),
+        (frame(b'{"model":"m","messages":[],"stream":"yes"}'), 400, '1003'),
+        (b'GET /v1/chat/completions HTTP/1.1\r\nhost: x\r\n\r\n', 405, '1012'),
+        (b'GET /nothing HTTP/1.1\r\nhost: x\r\n\r\n', 404, '1008'),
+        (b'GET /v1/services/ HTTP/1.1\r\nhost: x\r\n\r\n', 404, '1008'),
+        (b'CONNECT x:1 HTTP/1.1\r\nhost: x\r\n\r\n', 404, '1008'),
+    ],
+)
+def test_bad_input_is_refused_without_effect(raw, status, code):
+    answer, instance = send_raw(raw)
+
+    assert (answer.status, answer.headers['x-result-code']) == (status, code)
+    assert answer.headers['x-ran'] == 'not-run'
+    assert json.loads(answer.body)['error']['code'] == int(code)
+    assert instance.of(CallerRequest) == []
+
+
+def test_slow_sender_gets_an_answer():
+    """Slow sender.
+
+    A caller sends half a request and then nothing.  Without a bound each such
+    caller holds a connection for ever, and a few hundred of them keep all
+    others out.  It gets 408 and loses the connection.
+    """
+    answer, instance = send_raw(
+        CHAT_HEAD + b'content-length: 100\r\n\r\n{"mod',
+        HttpLimits(body_timeout_ms=50),
+    )
+
+    assert (answer.status, answer.headers['x-result-code']) == (408, '1011')
+    assert instance.of(CallerRequest) == []
+
+
+def test_silent_connection_is_closed():
+    async def main():
+        limits = HttpLimits(idle_timeout_ms=50)
+        async with (
+            run_passing(http=limits) as (host, _),
+            call(host.address.caller_port) as caller,
+        ):
+            try:
+                data = await asyncio.wait_for(caller.reader.read(100), 10)
+            except ConnectionResetError:
+                data = b''
+            await wait_until(lambda: host.server.open_connections == 0)
+            return data
+
+    assert asyncio.run(main()) == b''
+
+
+def test_bodies_in_memory_are_bounded_over_all_connections():
+    """Many large bodies at once.
+
+    Callers each send most of a permitted body and wait.  Single bounds hold,
+    but all bodies together would fill the instance's memory.  The one that
+    passes the common bound is refused; the others still get their answers.
+    """
+
+    async def main():
+        engine = SmallServer(answer_ok)
+        body = CHAT[:-1] + b',"pad":"' + b'a' * 3_000 + b'"}'
+        async with (
+            serve(engine) as address,
+            run_passing(address, http=SMALL) as (host, _),
+            call(host.address.caller_port) as first,
+            call(host.address.caller_port) as second,
+        ):
+            whole = frame(body).replace(
+                b'host: x', b'host: x\r\nauthorization: Bearer secret'
+            )
+            first.writer.write(whole[:-10])
+            await wait_until(lambda: host.server.buffered_bytes > 2_000)
+            second.writer.write(whole)
+            refused = await second.read_answer()
+            first.writer.write(whole[-10:])
+            return refused, await first.read_answer(), host.server.buffered_bytes
+
+    refused, answered, left_bytes = asyncio.run(main())
+
+    assert (refused.status, refused.headers['x-result-code']) == (503, '2014')
+    assert answered.status == 200
+    assert left_bytes == 0
+
+
+def test_connections_beyond_the_bound_get_a_clear_refusal():
+    async def main():
+        limits = HttpLimits(connections=2)
+        async with (
+            run_passing(http=limits) as (host, _),
+            call(host.address.caller_port),
+            call(host.address.caller_port) as second,
+            call(host.address.caller_port) as third,
+        ):
+            refused = await third.read_answer()
+            second.write_request('GET', '/healthz', {})
+            return refused, await second.read_answer()
+
+    refused, answered = asyncio.run(main())
+
+    assert (refused.status, refused.headers['x-result-code']) == (503, '2009')
+    assert int(refused.headers['retry-after']) >= 1
+    assert answered.status == 200
+
+
+def test_pipelined_requests_are_answered_in_order():
+    async def main():
+        async with (
+            run_passing() as (host, _),
+            call(host.address.caller_port) as caller,
+        ):
+            paths = (b'/healthz', b'/nothing', b'/readyz', b'/v1/keys')
+            caller.writer.write(
+                b''.join(b'GET %b HTTP/1.1\r\nhost: x\r\n\r\n' % path for path in paths)
+            )
+            return await _read_until(caller, b'1012')
+
+    data = asyncio.run(main())
+
+    places = [data.index(mark) for mark in (b'\r\nok', b'no path', b'ready', b'1012')]
+    assert places == sorted(places)
+
+
+async def _read_until(caller, mark):
+    data = b''
+    async with asyncio.timeout(10):
+        while mark not in data:
+            data += await caller.reader.read(65_536)
+    return data
+
+
+def test_pipelined_bytes_are_bounded():
+    """Pipelining without end.
+
+    While one request waits for a slow engine, its caller sends further
+    requests without reading.  They would pile up in memory; at the bound the
+    socket is read no more, and the caller's own buffers fill.
+    """
+
+    async def main():
+        engine = SmallServer(id)
+        async with (
+            serve(engine) as address,
+            run_passing(address, http=HttpLimits(pipelined_bytes=10_000)) as (host, _),
+            call(host.address.caller_port) as caller,
+        ):
+            caller.write_request('POST', CHAT_PATH, HEADERS, CHAT)
+            await wait_until(lambda: len(engine.exchanges) == 1)
+            line = b'GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n'
+            caller.writer.write(line * 1_000_000)
+            connection = next(iter(host.server.connections))
+            await wait_until(lambda: connection.pipelined_bytes > 10_000)
+            for _ in range(20):
+                await asyncio.sleep(0.005)
+            return connection.pipelined_bytes
+
+    assert asyncio.run(main()) < 10_000 + 512 * 1024
+
+
+def test_pipelined_requests_go_on_after_the_bound_was_passed():
+    async def main():
+        engine = SmallServer(answer_ok)
+        async with (
+            serve(engine) as address,
+            run_passing(address, http=HttpLimits(pipelined_bytes=100)) as (host, _),
+            call(host.address.caller_port) as caller,
+        ):
+            caller.write_request('POST', CHAT_PATH, HEADERS, CHAT)
+            count = 200
+            line = b'GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n'
+            caller.writer.write(line * count)
+            data = b''
+            async with asyncio.timeout(10):
+                while data.count(b'\r\nok\n') < count:
+                    data += await caller.reader.read(65_536)
+            return data.count(b'HTTP/1.1 200')
+
+    assert asyncio.run(main()) == 201
+
+
+def test_head_request_gets_no_body():
+    async def main():
+        async with (
+            run_passing() as (host, _),
+            call(host.address.caller_port) as caller,
+        ):
+            caller.write_request('HEAD', '/nothing', {})
+            return await caller.read_answer()
+
+    answer = asyncio.run(main())
+
+    assert (answer.status, answer.headers['x-result-code']) == (404, '1008')
--- /dev/null
+++ b/tests/test_http/test_client_pool.py
@@ -0,0 +1,267 @@
+"""Tests of calls to servers that fail in every way."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager, suppress
+
+import pytest
+
+from savorychute.clock import ManualClock, SystemClock
+from savorychute.http.call_failure import CallFailure
+from savorychute.http.client_pool import PoolSettings, ServerAddress, open_pool
+from savorychute.http.http_request import HttpRequest
+from savorychute.http.http_response import HttpResponse
+from savorychute.http.timed_call import fetch
+
+GET = HttpRequest('GET', '/')
+OK = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+
+
+@asynccontextmanager
+async def raw_server(handle):
+    """A server whose *handle* gets reader, writer and the connection's number."""
+    numbers = iter(range(1_000))
+
+    async def accept(reader, writer):
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            await handle(reader, writer, next(numbers))
+        writer.close()
+
+    server = await asyncio.start_server(accept, '127.0.0.1', 0)
+    async with server:
+        yield ServerAddress('127.0.0.1', server.sockets[0].getsockname()[1])
+
+
+async def read_head(reader):
+    return await reader.readuntil(b'\r\n\r\n')
+
+
+def call_one(handle, timeout_ms=5_000, **bounds):
+    async def main():
+        async with raw_server(handle) as address:
+            with open_pool(PoolSettings(**bounds), SystemClock()) as pool:
+                return await fetch(pool, address, GET, timeout_ms)
+
+    return asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    'response, reason',
+    [
+        (b'', 'connection closed'),
+        (b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf', 'connection closed'),
+        (
+            b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n',
+            'connection closed',
+        ),
+        (b'nonsense\r\n\r\n', 'illegal status line'),
+        (b'HTTP/1.1 200 OK\r\nx: ' + b'a' * 99_000, 'Receive buffer too long'),
+        (
+            b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n' + b'1' * 99_000,
+            'Receive buffer too long',
+        ),
+    ],
+)
+def test_response_that_is_no_good_fails_as_sent_and_broken(response, reason):
+    async def handle(reader, writer, number):
+        await read_head(reader)
+        writer.write(response)
+        await writer.drain()
+
+    failure = call_one(handle)
+
+    assert isinstance(failure, CallFailure)
+    assert (failure.sent, failure.broken) == (True, True)
+    assert reason in failure.reason
+
+
+def test_response_without_a_length_ends_with_the_connection():
+    async def handle(reader, writer, number):
+        await read_head(reader)
+        writer.write(b'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nall of it')
+
+    response = call_one(handle)
+
+    assert isinstance(response, HttpResponse)
+    assert response.body == b'all of it'
+
+
+def test_closed_port_is_a_call_not_sent():
+    async def main():
+        async with raw_server(None) as address:
+            pass
+        with open_pool(PoolSettings(), SystemClock()) as pool:
+            return await fetch(pool, address, GET, 5_000)
+
+    failure = asyncio.run(main())
+
+    assert (failure.sent, failure.broken) == (False, False)
+
+
+def test_silent_server_times_out_as_sent():
+    async def handle(reader, writer, number):
+        await reader.read()
+
+    failure = call_one(handle, timeout_ms=50)
+
+    assert (failure.sent, failure.broken, failure.reason) == (True, False, 'timeout')
+
+
+def test_connections_are_bounded_and_the_refusal_is_not_sent():
+    async def handle(reader, writer, number):
+        await reader.read()
+
+    failure = call_one(handle, connections=0)
+
+    assert (failure.sent, failure.reason) == (False, 'too many connections')
+
+
+def test_connection_is_reused_until_it_was_idle_too_long():
+    clock = ManualClock()
+    numbers = []
+
+    async def handle(reader, writer, number):
+        while await read_head(reader):
+            numbers.append(number)
+            writer.write(OK)
+
+    async def main():
+        async with raw_server(handle) as address:
+            with open_pool(PoolSettings(idle_ms=1_000), clock) as pool:
+                await fetch(pool, address, GET, 5_000)
+                await fetch(pool, address, GET, 5_000)
+                clock.advance_to(1_001)
+                await fetch(pool, address, GET, 5_000)
+
+    asyncio.run(main())
+
+    assert numbers == [0, 0, 1]
+
+
+def test_reused_connection_closed_before_any_response_counts_as_sent():
+    """Keep-alive race.
+
+    A service closes an idle connection at the very moment at which it is used
+    again.  The bytes have left, so the service may have run the request; a
+    silent second try on a fresh connection would book a visit twice.
+    """
+    numbers = []
+
+    async def handle(reader, writer, number):
+        await read_head(reader)
+        numbers.append(number)
+        writer.write(OK)
+        await read_head(reader)
+        numbers.append(number)
+
+    async def main():
+        async with raw_server(handle) as address:
+            with open_pool(PoolSettings(), SystemClock()) as pool:
+                first = await fetch(pool, address, GET, 5_000)
+                return first, await fetch(pool, address, GET, 5_000)
+
+    first, second = asyncio.run(main())
+
+    assert first.status == 200
+    assert (second.sent, second.broken) == (True, True)
+    assert numbers == [0, 0]
+
+
+def test_kept_connection_that_is_already_closed_is_replaced():
+    numbers = []
+
+    async def handle(reader, writer, number):
+        await read_head(reader)
+        numbers.append(number)
+        writer.write(OK)
+
+    async def main():
+        async with raw_server(handle) as address:
+            with open_pool(PoolSettings(), SystemClock()) as pool:
+                await fetch(pool, address, GET, 5_000)
+                async with asyncio.timeout(10):
+                    while pool.open_connections:
+                        await asyncio.sleep(0.002)
+                return await fetch(pool, address, GET, 5_000)
+
+    assert asyncio.run(main()).status == 200
+    assert numbers == [0, 1]
+
+
+def test_bytes_that_answer_no_request_end_the_connection():
+    """Response splitting.
+
+    A server sends two responses to one request.  Kept, the second would be
+    taken for the answer to the next caller's request.
+    """
+    numbers = []
+
+    async def handle(reader, writer, number):
+        while await read_head(reader):
+            numbers.append(number)
+            writer.write(OK + OK.replace(b'ok', b'no'))
+
+    async def main():
+        async with raw_server(handle) as address:
+            with open_pool(PoolSettings(), SystemClock()) as pool:
+                first = await fetch(pool, address, GET, 5_000)
+                second = await fetch(pool, address, GET, 5_000)
+                return first.body, second.body
+
+    assert asyncio.run(main()) == (b'ok', b'ok')
+    assert numbers == [0, 1]
+
+
+class Recorder:
+    """A handler that may refuse to send."""
+
+    def __init__(self, wanted):
+        self.wanted = wanted
+        self.events = []
+
+    def about_to_send(self):
+        """Note the question and answer it."""
+        self.events.append('about-to-send')
+        return self.wanted
+
+    def response_started(self, status, _headers):
+        """Note the status."""
+        self.events.append(status)
+
+    def response_data(self, data):
+        """Note the part."""
+        self.events.append(data)
+
+    def response_ended(self):
+        """Note the end."""
+        self.events.append('ended')
+
+    def call_failed(self, failure):
+        """Note the failure."""
+        self.events.append(failure)
+
+
+def test_call_that_is_no_longer_wanted_sends_nothing_and_keeps_the_connection():
+    numbers = []
+
+    async def handle(reader, writer, number):
+        while await read_head(reader):
+            numbers.append(number)
+            writer.write(OK)
+
+    async def main():
+        async with raw_server(handle) as address:
+            with open_pool(PoolSettings(), SystemClock()) as pool:
+                unwanted = Recorder(False)
+                pool.submit(address, GET, unwanted)
+                async with asyncio.timeout(10):
+                    while not unwanted.events:
+                        await asyncio.sleep(0.002)
+                await fetch(pool, address, GET, 5_000)
+                return unwanted.events, pool.open_connections
+
+    events, connections = asyncio.run(main())
+
+    assert events == ['about-to-send']
+    assert (numbers, connections) == ([0], 1)
