--- a/savorychute/testing/event_heap.py
+++ b/savorychute/testing/event_heap.py
@@ -15,18 +15,20 @@
     def __init__(self) -> None:
         self.now_ms = 0.0
         self.calls = 0
-        self._entries: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]]
+        self._entries: list[tuple[float, int, Callable[..., object], tuple[Any, ...]]]
         self._entries = []
         self._entered = 0
 
-    def call_at(self, at_ms: float, function: Callable[..., None], *args: Any) -> None:
+    def call_at(
+        self, at_ms: float, function: Callable[..., object], *args: Any
+    ) -> None:
         """Call *function* at a time; one that has passed means now."""
         self._entered += 1
         entry = (max(at_ms, self.now_ms), self._entered, function, args)
         heapq.heappush(self._entries, entry)
 
     def call_later(
-        self, delay_ms: float, function: Callable[..., None], *args: Any
+        self, delay_ms: float, function: Callable[..., object], *args: Any
     ) -> None:
         """Call *function* after a delay."""
         self.call_at(self.now_ms + delay_ms, function, *args)
--- /dev/null
+++ b/savorychute/testing/faults/registry.py
@@ -0,0 +1,109 @@
+"""The registry of faults and commands."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from savorychute.errors import ScenarioError
+from savorychute.registry import Registry
+from savorychute.testing.engine_host import EngineHost
+from savorychute.testing.service_host import ServiceHost
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from savorychute.testing.call import CallClass
+    from savorychute.testing.endpoint_host import EndpointHost
+    from savorychute.testing.faults.fault_step import FaultStep
+    from savorychute.testing.instance_host import InstanceHost
+    from savorychute.testing.topology import Topology
+    from savorychute.testing.workload import Workload
+    from savorychute.testing.world import World
+
+HOME_PREFIX = 'home-of:'
+TIER_PREFIX = 'tier:'
+MOST_DEMANDED = 'most-demanded'
+
+
+class Stage(NamedTuple):
+    """What a fault acts on."""
+
+    world: World
+    workload: Workload
+
+
+FAULTS: Registry[Callable[[Stage, FaultStep], None]] = Registry('fault or command')
+
+
+def find_endpoint(world: World, name: str) -> EndpointHost:
+    """Return an endpoint; the first engine if *name* is empty.
+
+    :raises ScenarioError: if there is none of that name.
+    """
+    if not name:
+        return find_engine(world, name)
+    if name not in world.endpoints:
+        raise ScenarioError(f'no endpoint {name!r}')
+    return world.endpoints[name]
+
+
+def find_engine(world: World, name: str) -> EngineHost:
+    """Return an engine; the first if *name* is empty.
+
+    :raises ScenarioError: if there is none of that name.
+    """
+    for host in world.endpoints.values():
+        if isinstance(host, EngineHost) and name in ('', host.name):
+            return host
+    raise ScenarioError(f'no engine {name!r}')
+
+
+def find_service(world: World, name: str) -> ServiceHost:
+    """Return a plain service; the first if *name* is empty.
+
+    :raises ScenarioError: if there is none of that name.
+    """
+    for host in world.endpoints.values():
+        if isinstance(host, ServiceHost) and name in ('', host.name):
+            return host
+    raise ScenarioError(f'no service {name!r}')
+
+
+def find_instance(world: World, name: str) -> InstanceHost:
+    """Return an instance; the first that serves if *name* is empty.
+
+    ``home-of:<endpoint>`` is the one that grants use of the endpoint.
+
+    :raises ScenarioError: if there is none of that name.
+    """
+    if name.startswith(HOME_PREFIX):
+        return find_home(world, name.removeprefix(HOME_PREFIX))
+    for host in world.instances.values():
+        if name == host.name or (not name and host.is_serving):
+            return host
+    raise ScenarioError(f'no instance {name!r}')
+
+
+def find_home(world: World, endpoint: str) -> InstanceHost:
+    """Return the instance that is an endpoint's home.
+
+    :raises ScenarioError: if no instance takes itself for it.
+    """
+    for host in world.instances.values():
+        if host.is_serving and host.is_home_of(endpoint):
+            return host
+    raise ScenarioError(f'no instance is home of {endpoint!r}')
+
+
+def find_class(topology: Topology, name: str) -> CallClass:
+    """Return a class by name, ``tier:<number>`` or ``most-demanded``.
+
+    :raises ScenarioError: if there is none.
+    """
+    models = [each for each in topology.classes if not each.service]
+    if name in ('', MOST_DEMANDED):
+        return max(models, key=lambda each: each.demand)
+    for each in topology.classes:
+        if name in (each.name, f'{TIER_PREFIX}{each.tier}'):
+            return each
+    raise ScenarioError(f'no class {name!r} in {topology.name}')
--- a/savorychute/testing/instance_host.py
+++ b/savorychute/testing/instance_host.py
@@ -107,6 +107,17 @@
         """Where it is."""
         return self.address.failure_domain
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether it takes requests."""
+        return self.is_up and not self.is_paused and not self.is_leaving
+
+    def is_home_of(self, endpoint: str) -> bool:
+        """Return whether it takes itself for an endpoint's home; a look inside."""
+        ledger = self.instance._parts.credits
+        group = ledger._book.group_of(endpoint)
+        return group is not None and ledger._homes.find(group.key) is not None
+
     def now_ms(self) -> int:
         """Return what the instance's own clock shows."""
         return int(self.world.heap.now_ms + self.clock_ms)
--- /dev/null
+++ b/savorychute/testing/scenario_file.py
@@ -0,0 +1,127 @@
+"""Reading of scenario files."""
+
+from __future__ import annotations
+
+import re
+from importlib import resources
+from typing import TYPE_CHECKING
+
+import json5
+import msgspec
+
+from savorychute.errors import ScenarioError, UnknownVariantError
+from savorychute.settings.line_index import index_lines
+from savorychute.testing.faults import FAULTS
+from savorychute.testing.measures import ClassFigures, RunFigures
+from savorychute.testing.profiles import PROFILES
+from savorychute.testing.promises import PROMISES
+from savorychute.testing.scenario import Scenario
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from pathlib import Path
+
+    from savorychute.settings.line_index import LineIndex
+    from savorychute.settings.line_index import Path as ValuePath
+    from savorychute.testing.scenario import Expectation
+
+ALL_PROMISES = 'all'
+SUFFIX = '.jsonc'
+BUNDLED = 'savorychute.testing.scenarios'
+PATH_IN_MESSAGE = re.compile(r'`(\$[^`]*)`')
+PATH_STEP = re.compile(r'\.(\w+)|\[(\d+)\]')
+
+
+def read_scenario(path: Path) -> Scenario:
+    """Return the scenario in a file.
+
+    :raises ScenarioError: with file, line and what is wrong, one line each.
+    """
+    try:
+        text = path.read_text('utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise ScenarioError(f'{path}: cannot be read: {error}') from error
+    return parse_scenario(text, str(path))
+
+
+def read_bundled(name: str) -> Scenario:
+    """Return a scenario that comes with the package.
+
+    :raises ScenarioError: if there is none of that name.
+    """
+    found = resources.files(BUNDLED).joinpath(f'{name}{SUFFIX}')
+    if not found.is_file():
+        known = ', '.join(list_bundled())
+        raise ScenarioError(f'no scenario {name!r}; known: {known}')
+    return parse_scenario(found.read_text('utf-8'), name)
+
+
+def list_bundled() -> list[str]:
+    """Return the names of the scenarios that come with the package."""
+    names = [entry.name for entry in resources.files(BUNDLED).iterdir()]
+    return sorted(name.removesuffix(SUFFIX) for name in names if name.endswith(SUFFIX))
+
+
+def parse_scenario(text: str, name: str) -> Scenario:
+    """Return the scenario in a text.
+
+    :param text: JSON with comments.
+    :param name: the file's name for messages.
+    :raises ScenarioError: with file, line and what is wrong, one line each.
+    """
+    try:
+        document = json5.loads(text, allow_duplicate_keys=False)
+    except ValueError as error:
+        raise ScenarioError(f'{name}: {error}') from error
+    index = index_lines(text)
+    try:
+        scenario = msgspec.convert(document, Scenario)
+    except msgspec.ValidationError as error:
+        line = _find_line(str(error), index)
+        raise ScenarioError(f'{name}:{line}: {error}') from error
+    faults = [
+        f'{name}:{index.lines.get(path, 1)}: {text}'
+        for path, text in _find_faults(scenario)
+    ]
+    if faults:
+        raise ScenarioError('\n'.join(faults))
+    return scenario
+
+
+def _find_line(message: str, index: LineIndex) -> int:
+    """Return the line of the value that a message is about."""
+    found = PATH_IN_MESSAGE.search(message)
+    steps = PATH_STEP.findall(found.group(1)) if found else []
+    path: ValuePath = tuple(name if name else int(number) for name, number in steps)
+    while path and path not in index.lines:
+        path = path[:-1]
+    return index.lines.get(path, 1)
+
+
+def _find_faults(scenario: Scenario) -> Iterator[tuple[ValuePath, str]]:
+    for number, system in enumerate(scenario.systems):
+        if system not in PROFILES:
+            yield ('systems', number), _unknown('system', system, tuple(PROFILES))
+    for number, step in enumerate(scenario.at):
+        if step.do not in FAULTS:
+            yield ('at', number, 'do'), _unknown('fault', step.do, tuple(FAULTS))
+    for number, expectation in enumerate(scenario.expect):
+        for fault in _check_expectation(expectation):
+            yield ('expect', number), fault
+
+
+def _check_expectation(expectation: Expectation) -> Iterator[str]:
+    if bool(expectation.promise) == bool(expectation.measure):
+        yield 'an expectation has either a promise or a measure'
+    promise = expectation.promise
+    if promise and promise != ALL_PROMISES and promise not in PROMISES:
+        yield _unknown('promise', promise, tuple(PROMISES))
+    fields = ClassFigures._fields if expectation.class_name else RunFigures._fields
+    if expectation.measure and expectation.measure not in fields:
+        yield _unknown('measure', expectation.measure, fields)
+    if expectation.measure and expectation.at_least is expectation.at_most is None:
+        yield 'a measure needs "at_least" or "at_most"'
+
+
+def _unknown(kind: str, name: str, known: tuple[str, ...]) -> str:
+    return UnknownVariantError(kind, name, known).message
--- /dev/null
+++ b/savorychute/testing/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios that come with the package."""
--- a/savorychute/testing/world.py
+++ b/savorychute/testing/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from random import Random
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
@@ -99,6 +100,11 @@
         self.sent_ms_by_request: dict[str, float] = {}
         self.cut_by_shutdown: dict[str, int] = {}
         self.reachable_since_ms = 0.0
+        self.poison_calls: set[str] = set()
+        self.documents = {
+            document['customer']: dict(document) for document in topology.contracts
+        }
+        self.class_rates: dict[str, float] = {}
         self.attempts = 0
         self._make_instance = make_instance
         self._started_instances = 0
@@ -219,7 +225,7 @@
         self._commands += 1
         command_id = f'command-{self._commands}'
         body = msgspec.json.encode(arguments)
-        host = self.instances[instance] if instance else self._first_serving()
+        host = self.instances[instance] if instance else self.first_serving()
         told = OperatorCommand(command_id, OPERATOR_TOKEN, verb, body)
         self.heap.call_later(self.network.settings.client_ms, host.deliver, told)
         return command_id
@@ -251,9 +257,13 @@
         self.endpoints[endpoint].leave()
         self.listing.mark_leaving(endpoint, self.heap.now_ms)
 
-    def _first_serving(self) -> InstanceHost:
+    def first_serving(self) -> InstanceHost:
+        """Return an instance that takes requests.
+
+        :raises SavorychuteError: if there is none.
+        """
         for host in self.instances.values():
-            if host.is_up and not host.is_paused and not host.is_leaving:
+            if host.is_serving:
                 return host
         raise SavorychuteError('no instance serves')
 
@@ -305,6 +315,19 @@
             return
         self.heap.call_later(CONFIGURE_STEP_MS, self._end_if_idle, host)
 
+    def replace_instance(self, host: InstanceHost, domain: str) -> None:
+        """Start a new instance in place of one that is gone."""
+        self.listing.delete(host.name, self.heap.now_ms)
+        self.start_instance(domain)
+
+    def note_unreachable(self) -> None:
+        """Note that instances may be unable to learn of changes."""
+        self.reachable_since_ms = math.inf
+
+    def note_reachable(self) -> None:
+        """Note that they can learn of changes again."""
+        self.reachable_since_ms = self.heap.now_ms
+
     # -- notes of the hosts
 
     def note_request(self, request_id: str, call: Call) -> None:
