Assemble a complete instance out of the parts

Cause: the parts stood alone; nothing took a request from arrival to answer. Change: Instance with deliver and tick; desks for intake, queue, keys, attempts, operators, peers and log, one module each. Conclusion: the thin path stands; the other parts deepen behind it.

--- /dev/null
+++ b/savorychute/instance/__init__.py
@@ -0,0 +1,6 @@
+"""A complete instance, assembled from the parts."""
+
+from __future__ import annotations
+
+from savorychute.instance.core import Instance
+from savorychute.instance.instance_settings import InstanceSettings
--- /dev/null
+++ b/savorychute/instance/directory.py
@@ -0,0 +1,140 @@
+"""What follows from the configuration in force, ready for look-ups."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from typing import TYPE_CHECKING
+
+from savorychute.contracts.limits import derive_limits
+from savorychute.instance.customer_entry import CustomerEntry
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from savorychute.configuration.applied_change import AppliedChange
+    from savorychute.contracts.contract_document import ContractDocument
+    from savorychute.contracts.customer_limits import CustomerLimits
+    from savorychute.contracts.endpoint_document import EndpointDocument
+
+CONTRACT_PREFIX = 'contract:'
+ENDPOINT_PREFIX = 'endpoint:'
+ACTIVE = 'active'
+DIGEST_LENGTH = 12
+
+
+def hash_token(token: str) -> str:
+    """Return the hex SHA-256 digest under which a token is kept."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def digest_customer(customer: str) -> str:
+    """Return the prefix that the customer's stream ids carry."""
+    digest = hashlib.sha256(customer.encode()).hexdigest()
+    return digest[:DIGEST_LENGTH]
+
+
+class Directory:
+    """Customers by token, their limits, and usable endpoints.
+
+    It follows the configuration change by change; at 1,400 contracts deriving
+    everything anew for each of 1,500 changes a day would be wasted work.
+    """
+
+    def __init__(self) -> None:
+        self.limits: dict[str, CustomerLimits] = {}
+        self.endpoints: dict[str, EndpointDocument] = {}
+        self._entries: dict[str, CustomerEntry] = {}
+        self._customers: dict[str, str] = {}
+        self._refused: set[str] = set()
+        self._listed: frozenset[str] = frozenset()
+
+    def apply(self, changes: Iterable[AppliedChange]) -> None:
+        """Follow the configuration.
+
+        :param changes: in the order in which they came into force.
+        """
+        for change in changes:
+            if change.item.startswith(CONTRACT_PREFIX):
+                customer = change.item.removeprefix(CONTRACT_PREFIX)
+                self._drop_customer(customer)
+                if change.document is not None:
+                    self._add_customer(customer, change.document)  # type: ignore[arg-type]
+            elif change.item.startswith(ENDPOINT_PREFIX):
+                self._set_endpoint(change)
+
+    def find_customer(self, token: str) -> CustomerLimits | None:
+        """Return the limits of the customer whose token this is.
+
+        The look-up is by the token's hash, and the hash is compared in
+        constant time, so the time taken tells nothing about valid tokens.
+        """
+        token_hash = hash_token(token)
+        customer = self._customers.get(token_hash)
+        if customer is None:
+            return None
+        entry = self._entries[customer]
+        known = entry.token_hashes
+        if not any(hmac.compare_digest(token_hash, other) for other in known):
+            return None
+        return entry.limits
+
+    def may_use(self, customer: str, model: str, service: str) -> bool:
+        """Return whether the contract names the model or service."""
+        entry = self._entries[customer]
+        if model:
+            return model in entry.models
+        return service in entry.services
+
+    def is_usable(self, endpoint: str) -> bool:
+        """Return whether the endpoint may get new work.
+
+        An endpoint stops getting work by whichever is known first: an
+        operator's drain, the platform's list, or its own refusal.
+        """
+        document = self.endpoints.get(endpoint)
+        if document is None or document['state'] != ACTIVE:
+            return False
+        return endpoint not in self._refused and endpoint not in self._listed
+
+    def note_refusal(self, endpoint: str) -> None:
+        """Remember that the endpoint itself said that it is leaving."""
+        self._refused.add(endpoint)
+
+    def note_return(self, endpoint: str) -> None:
+        """Forget a refusal, after the endpoint reported itself active."""
+        self._refused.discard(endpoint)
+
+    def note_listing(self, leaving: frozenset[str]) -> None:
+        """Remember who leaves according to the platform's list."""
+        self._listed = leaving
+
+    def _add_customer(self, customer: str, document: ContractDocument) -> None:
+        limits = derive_limits(document)
+        hashes = tuple(document['token_hashes'])
+        self.limits[customer] = limits
+        self._entries[customer] = CustomerEntry(
+            limits=limits,
+            token_hashes=hashes,
+            models=frozenset(document['models']),
+            services=frozenset(document.get('services', ())),
+        )
+        for token_hash in hashes:
+            self._customers[token_hash] = customer
+
+    def _drop_customer(self, customer: str) -> None:
+        self.limits.pop(customer, None)
+        entry = self._entries.pop(customer, None)
+        if entry is None:
+            return
+        for token_hash in entry.token_hashes:
+            if self._customers.get(token_hash) == customer:
+                del self._customers[token_hash]
+
+    def _set_endpoint(self, change: AppliedChange) -> None:
+        endpoint = change.item.removeprefix(ENDPOINT_PREFIX)
+        if change.document is None:
+            self.endpoints.pop(endpoint, None)
+            self._refused.discard(endpoint)
+            return
+        self.endpoints[endpoint] = change.document  # type: ignore[assignment]
--- /dev/null
+++ b/savorychute/instance/housekeeping.py
@@ -0,0 +1,141 @@
+"""The periodic work of an instance's parts, and news that feeds them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorychute.audit.audit_entry import AuditEntry
+from savorychute.audit.audit_kind import AuditKind
+from savorychute.recovery import EndpointHealth
+
+if TYPE_CHECKING:
+    from savorychute.actions import Action
+    from savorychute.inputs import ListingFetched, LoadReported, OrderFinished
+    from savorychute.instance.key_desk import KeyDesk
+    from savorychute.instance.parts import Parts
+
+ACTIVE = 'active'
+
+
+class Housekeeping:
+    """Tick the parts in an order in which each finds the others up to date.
+
+    :param parts: the parts of the instance.
+    """
+
+    def __init__(self, parts: Parts, key_desk: KeyDesk) -> None:
+        self._parts = parts
+        self._key_desk = key_desk
+
+    def tick(self, now_ms: int) -> list[Action]:
+        """Tick every part once."""
+        parts = self._parts
+        parts.membership.advertise(parts.configuration.advertised_offset)
+        actions = parts.membership.tick(now_ms)
+        view = parts.membership.view()
+        actions += parts.configuration.tick(
+            view, parts.membership.peer_offsets(), now_ms
+        )
+        self.follow_configuration(now_ms)
+        self._follow_members(now_ms)
+        self._report_demand(now_ms)
+        actions += parts.credits.tick(view, now_ms)
+        actions += parts.limiter.tick(view, now_ms)
+        outcomes = parts.keys.tick(view, now_ms)
+        actions += self._key_desk.follow(outcomes, now_ms)
+        actions += parts.quarantine.tick(view, now_ms)
+        actions += parts.book.due_polls(now_ms)
+        actions += parts.audit.tick(now_ms)
+        self._follow_endpoints()
+        return actions
+
+    def leave(self, now_ms: int) -> list[Action]:
+        """Tell the others, and hand over what this instance is home of."""
+        parts = self._parts
+        actions = parts.membership.leave(now_ms)
+        view = parts.membership.view()
+        actions += parts.credits.leave(view, now_ms)
+        actions += parts.limiter.leave(view, now_ms)
+        return actions
+
+    def note_listing(self, listing: ListingFetched, now_ms: int) -> list[Action]:
+        """Take in the platform's list."""
+        parts = self._parts
+        if listing.ok:
+            parts.directory.note_listing(listing.leaving)
+        return parts.membership.apply_listing(listing, now_ms)
+
+    def note_load(self, report: LoadReported, now_ms: int) -> list[Action]:
+        """Take in an endpoint's load report."""
+        parts = self._parts
+        parts.book.report(report, now_ms)
+        parts.ejector.report(report, now_ms)
+        if report.state == ACTIVE:
+            parts.directory.note_return(report.endpoint)
+        else:
+            parts.directory.note_refusal(report.endpoint)
+        return []
+
+    def note_order(self, _finished: OrderFinished, _now_ms: int) -> list[Action]:
+        """Take in how an order ended."""
+        return []
+
+    def follow_configuration(self, now_ms: int) -> None:
+        """Let the parts follow the configuration, if it changed."""
+        parts = self._parts
+        changes = parts.configuration.take_changes()
+        if not changes:
+            return
+        directory = parts.directory
+        directory.apply(changes)
+        parts.admission.set_limits(directory.limits)
+        parts.limiter.set_limits(directory.limits)
+        parts.credits.set_endpoints(directory.endpoints)
+        parts.book.set_endpoints(directory.endpoints)
+        parts.ejector.set_endpoints(directory.endpoints)
+        for change in changes:
+            entry = AuditEntry(
+                kind=AuditKind.AMENDMENT,
+                item=change.item,
+                operator=change.operator,
+                from_version=str(change.from_version),
+                to_version=str(change.to_version),
+                why=change.why,
+            )
+            self._audit(entry, now_ms)
+            parts.events.emit('configuration-applied', change)
+
+    def _follow_members(self, now_ms: int) -> None:
+        parts = self._parts
+        for change in parts.membership.take_changes():
+            entry = AuditEntry(
+                kind=AuditKind.MEMBERSHIP,
+                item=f'instance:{change.instance}',
+                operator='',
+                from_version=change.from_state,
+                to_version=change.to_state,
+                why=change.why,
+            )
+            self._audit(entry, now_ms)
+            parts.events.emit('member-changed', change)
+
+    def _follow_endpoints(self) -> None:
+        for change in self._parts.ejector.take_changes():
+            is_out = change.after is EndpointHealth.EJECTED
+            name = 'endpoint-ejected' if is_out else 'endpoint-readmitted'
+            self._parts.events.emit(name, change)
+
+    def _report_demand(self, now_ms: int) -> None:
+        """Tell the credit ledger what waits and runs, by pool and tier."""
+        parts = self._parts
+        pools = set(parts.admission.pools()) | set(parts.table.running_pools())
+        for pool in pools:
+            by_tier = dict(parts.admission.waiting(pool))
+            for tracked in parts.table.running(pool):
+                tier = tracked.limits.tier
+                by_tier[tier] = by_tier.get(tier, 0) + 1
+            parts.credits.set_demand(pool, by_tier, now_ms)
+
+    def _audit(self, entry: AuditEntry, now_ms: int) -> None:
+        self._parts.audit.record(entry, now_ms)
+        self._parts.events.emit('audit-recorded', entry)
--- /dev/null
+++ b/savorychute/instance/instance_settings.py
@@ -0,0 +1,50 @@
+"""The settings of every part of an instance."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from savorychute.admission import AdmissionSettings
+from savorychute.audit.audit_settings import AuditSettings
+from savorychute.configuration.log_budget import LogBudgetSettings
+from savorychute.configuration.settings import ConfigurationSettings
+from savorychute.credits import CreditSettings
+from savorychute.limits import LimitSettings
+from savorychute.membership import DiscoverySettings, MembershipSettings
+from savorychute.recovery import EjectorSettings, QuarantineSettings, RetrySettings
+from savorychute.requests import KeySettings
+from savorychute.routing import LengthSettings, RoutingSettings
+
+
+class InstanceSettings(NamedTuple):
+    """What an instance is made from.
+
+    ``operator_token_hashes`` maps an operator's name to the hex SHA-256 digest
+    of its token.  An attempt without any sign of life is given up after
+    ``first_progress_timeout_ms``, or after ``gap_timeout_ms`` once its answer
+    has begun.
+    """
+
+    operator_token_hashes: dict[str, str] = {}
+    admission_name: str = 'tiered'
+    router_name: str = 'predicted'
+    tick_period_ms: int = 100
+    max_retries: int = 3
+    refusal_retry_ms: int = 1_000
+    first_progress_timeout_ms: int = 10_000
+    gap_timeout_ms: int = 3_000
+    explained_requests: int = 1_000
+    admission: AdmissionSettings = AdmissionSettings()
+    audit: AuditSettings = AuditSettings()
+    configuration: ConfigurationSettings = ConfigurationSettings()
+    credits: CreditSettings = CreditSettings()
+    ejection: EjectorSettings = EjectorSettings()
+    keys: KeySettings = KeySettings()
+    lengths: LengthSettings = LengthSettings()
+    limiter: LimitSettings = LimitSettings()
+    log_budget: LogBudgetSettings = LogBudgetSettings()
+    membership: MembershipSettings = MembershipSettings()
+    quarantine: QuarantineSettings = QuarantineSettings()
+    retries: RetrySettings = RetrySettings()
+    routing: RoutingSettings = RoutingSettings()
+    discovery: DiscoverySettings = DiscoverySettings()
--- /dev/null
+++ b/savorychute/instance/intake.py
@@ -0,0 +1,164 @@
+"""Take in callers' requests: who asks, what for, and may it wait here."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+from savorychute.actions import RefuseRequest
+from savorychute.errors import RequestError
+from savorychute.instance.directory import digest_customer
+from savorychute.instance.tracked_request import TrackedRequest
+from savorychute.ran import Ran
+from savorychute.requests.continuation_handle import decode_handle
+from savorychute.result_code import ResultCode
+
+if TYPE_CHECKING:
+    from savorychute.actions import Action
+    from savorychute.contracts.customer_limits import CustomerLimits
+    from savorychute.inputs import CallerRequest
+    from savorychute.instance.dispatcher import Dispatcher
+    from savorychute.instance.key_desk import KeyDesk
+    from savorychute.instance.parts import Parts
+    from savorychute.instance.queue_desk import QueueDesk
+
+FINGERPRINT_BYTES = 12
+#: Result codes below this one say that the request itself is at fault.
+FIRST_REFUSAL_NUMBER = 2000
+
+
+class Intake:
+    """The first steps of a request's life.
+
+    :param parts: the parts of the instance.
+    """
+
+    def __init__(
+        self,
+        parts: Parts,
+        dispatcher: Dispatcher,
+        key_desk: KeyDesk,
+        queue_desk: QueueDesk,
+    ) -> None:
+        self._parts = parts
+        self._dispatcher = dispatcher
+        self._key_desk = key_desk
+        self._queue_desk = queue_desk
+        self.leaving = False
+
+    def receive(self, request: CallerRequest, now_ms: int) -> list[Action]:
+        """Check a request and put it into the queue, or refuse it.
+
+        :param request: read completely.
+        """
+        try:
+            tracked = self._check(request, now_ms)
+        except RequestError as error:
+            return [self._refuse(request, error)]
+        parts = self._parts
+        parts.table.add(tracked)
+        parts.budget.request(tracked.limits.customer, now_ms)
+        parts.events.emit('request-received', request)
+        if tracked.limits.idempotent:
+            return self.enqueue(tracked, now_ms)
+        return self._key_desk.admit(tracked, now_ms)
+
+    def enqueue(self, tracked: TrackedRequest, now_ms: int) -> list[Action]:
+        """Queue a request whose key, if it needs one, permits a run."""
+        actions = self._queue_desk.put(tracked, now_ms)
+        return actions + self._dispatcher.pump(tracked.pool, now_ms)
+
+    def _check(self, request: CallerRequest, now_ms: int) -> TrackedRequest:
+        parts = self._parts
+        if not parts.configuration.ready:
+            raise RequestError(ResultCode.NOT_READY, ResultCode.NOT_READY.meaning)
+        if self.leaving:
+            code = ResultCode.SHUTTING_DOWN
+            raise RequestError(code, code.meaning)
+        limits = parts.directory.find_customer(request.token)
+        if limits is None:
+            code = ResultCode.UNAUTHENTICATED
+            raise RequestError(code, code.meaning)
+        class_limits = limits.classes.get(request.class_name)
+        if class_limits is None:
+            raise RequestError(
+                ResultCode.UNKNOWN_CLASS,
+                f'the contract of {limits.customer} has no class'
+                f' {request.class_name!r}',
+            )
+        self._check_target(request, limits)
+        if not class_limits.idempotent and not request.key:
+            code = ResultCode.KEY_REQUIRED
+            raise RequestError(code, f'class {request.class_name!r}: {code.meaning}')
+        fingerprint = self._take_fingerprint(limits.customer, request)
+        tracked = TrackedRequest(request, class_limits, fingerprint, now_ms)
+        if request.handle:
+            self._take_handle(tracked, limits.customer)
+        return tracked
+
+    def _check_target(self, request: CallerRequest, limits: CustomerLimits) -> None:
+        if self._parts.directory.may_use(
+            limits.customer, request.model, request.service
+        ):
+            return
+        target = request.model or request.service
+        raise RequestError(
+            ResultCode.UNKNOWN_MODEL,
+            f'the contract of {limits.customer} does not name {target!r}',
+        )
+
+    def _take_handle(self, tracked: TrackedRequest, customer: str) -> None:
+        """Note which stream the caller wants to go on with.
+
+        Stream ids begin with a digest of the customer they belong to.  A
+        handle with another customer's stream is refused here, so a forged
+        handle reads nobody else's answer.
+        """
+        handle = decode_handle(tracked.request.handle)
+        owner = digest_customer(customer)
+        if not tracked.resumable or not handle.stream_id.startswith(f'{owner}.'):
+            code = ResultCode.HANDLE_MALFORMED
+            raise RequestError(code, 'the handle names no stream of this customer')
+        tracked.resume_at = handle
+        tracked.delivered_tokens = handle.offset
+
+    def _take_fingerprint(self, customer: str, request: CallerRequest) -> str:
+        digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+        digest.update(customer.encode())
+        digest.update(request.method.encode())
+        digest.update(request.path.encode())
+        digest.update(request.body)
+        return digest.hexdigest()
+
+    def _refuse(self, request: CallerRequest, error: RequestError) -> Action:
+        """Refuse a request that never became one of ours."""
+        location = ''
+        if error.code in (ResultCode.SHUTTING_DOWN, ResultCode.NOT_READY):
+            location = self._find_other_instance()
+        return RefuseRequest(
+            request_id=request.request_id,
+            code=error.code,
+            ran=self._tell_ran(request, error.code),
+            message=error.message,
+            retry_after_ms=self._parts.settings.refusal_retry_ms,
+            location=location,
+        )
+
+    def _tell_ran(self, request: CallerRequest, code: ResultCode) -> Ran:
+        """Return what may be said of a request that was not looked into.
+
+        With a key or a handle an earlier try may have run elsewhere, unless
+        the request itself is at fault and could have run nowhere.
+        """
+        is_faulty = code.number < FIRST_REFUSAL_NUMBER
+        if is_faulty or not (request.handle or request.key):
+            return Ran.NOT_RUN
+        return Ran.UNKNOWN
+
+    def _find_other_instance(self) -> str:
+        view = self._parts.membership.view()
+        own = self._parts.address.instance
+        for member in view.alive:
+            if member.instance != own and member.instance not in view.leaving:
+                return f'{member.host}:{member.caller_port}'
+        return ''
--- /dev/null
+++ b/savorychute/instance/operator_commands/contracts.py
@@ -0,0 +1,66 @@
+"""Commands on contracts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from savorychute.errors import RequestError
+from savorychute.instance.operator_commands.amendment import read_base_version
+from savorychute.instance.operator_verbs import OPERATOR_VERBS
+from savorychute.result_code import ResultCode
+
+if TYPE_CHECKING:
+    from savorychute.actions import Action
+    from savorychute.instance.operator_call import OperatorCall
+
+
+@OPERATOR_VERBS.register('contract-show')
+def show_contract(call: OperatorCall) -> list[Action]:
+    """Return a contract, its version and the limits that follow from it."""
+    customer = call.require_text('customer')
+    item = f'contract:{customer}'
+    state = call.parts.configuration.state
+    document = state.contracts.get(customer)
+    limits = call.parts.directory.limits.get(customer)
+    if document is None or limits is None:
+        raise RequestError(ResultCode.NOT_FOUND, f'no contract of {customer!r}')
+    classes = {name: limits._asdict() for name, limits in limits.classes.items()}
+    answer = {
+        'customer': customer,
+        'version': state.versions[item],
+        'document': document,
+        'limits': {**limits._asdict(), 'classes': classes},
+    }
+    return [call.reply(answer)]
+
+
+@OPERATOR_VERBS.register('contract-amend')
+def amend_contract(call: OperatorCall) -> list[Action]:
+    """Propose a contract's next version; the reply follows the read-back."""
+    customer = call.require_text('customer')
+    document = call.arguments.get('document')
+    if not isinstance(document, dict):
+        raise RequestError(
+            ResultCode.BAD_FIELD, 'argument "document" must be an object'
+        )
+    return call.parts.configuration.propose(
+        call.command_id,
+        call.operator,
+        f'contract:{customer}',
+        read_base_version(call),
+        document,
+        call.require_text('why'),
+        call.now_ms,
+        call.arguments.get('record_id') or '',
+    )
+
+
+@OPERATOR_VERBS.register('contract-history')
+def show_history(call: OperatorCall) -> list[Action]:
+    """Return the verdicts on a contract's amendments, oldest first."""
+    customer = call.require_text('customer')
+    verdicts = call.parts.configuration.history(f'contract:{customer}')
+    entries: list[dict[str, Any]] = [
+        {**verdict._asdict(), 'code': verdict.code.name} for verdict in verdicts
+    ]
+    return [call.reply({'customer': customer, 'history': entries})]
--- /dev/null
+++ b/savorychute/instance/peer_desk.py
@@ -0,0 +1,75 @@
+"""Hand peer messages to the parts they belong to."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from savorychute.actions import Action
+    from savorychute.inputs import PeerReceived
+    from savorychute.instance.key_desk import KeyDesk
+    from savorychute.instance.parts import Parts
+
+PACKAGE_PLACE = 1
+
+
+class PeerDesk:
+    """Dispatch by the package that defines the message's type.
+
+    :param parts: the parts of the instance.
+    """
+
+    def __init__(self, parts: Parts, key_desk: KeyDesk) -> None:
+        self._parts = parts
+        self._key_desk = key_desk
+        self._receivers = {
+            'membership': self._receive_membership,
+            'configuration': self._receive_configuration,
+            'credits': self._receive_credits,
+            'limits': self._receive_limits,
+            'recovery': self._receive_recovery,
+            'requests': self._receive_requests,
+        }
+
+    def receive(self, received: PeerReceived, now_ms: int) -> list[Action]:
+        """Give a message to its part; one of an unknown kind is dropped."""
+        package = type(received.message).__module__.split('.')[PACKAGE_PLACE]
+        receiver = self._receivers.get(package)
+        if receiver is None:
+            return []
+        return receiver(received, now_ms)
+
+    def _receive_membership(self, received: PeerReceived, now_ms: int) -> list[Action]:
+        membership = self._parts.membership
+        return membership.receive(received.sender, received.message, now_ms)
+
+    def _receive_configuration(
+        self, received: PeerReceived, now_ms: int
+    ) -> list[Action]:
+        parts = self._parts
+        return parts.configuration.receive(
+            received.sender, received.message, parts.membership.view(), now_ms
+        )
+
+    def _receive_credits(self, received: PeerReceived, now_ms: int) -> list[Action]:
+        parts = self._parts
+        return parts.credits.receive(
+            received.sender, received.message, parts.membership.view(), now_ms
+        )
+
+    def _receive_limits(self, received: PeerReceived, now_ms: int) -> list[Action]:
+        parts = self._parts
+        return parts.limiter.receive(
+            received.sender, received.message, parts.membership.view(), now_ms
+        )
+
+    def _receive_recovery(self, received: PeerReceived, now_ms: int) -> list[Action]:
+        quarantine = self._parts.quarantine
+        return quarantine.receive(received.sender, received.message, now_ms)
+
+    def _receive_requests(self, received: PeerReceived, now_ms: int) -> list[Action]:
+        parts = self._parts
+        outcomes = parts.keys.receive(
+            received.sender, received.message, parts.membership.view(), now_ms
+        )
+        return self._key_desk.follow(outcomes, now_ms)
--- /dev/null
+++ b/savorychute/instance/queue_desk.py
@@ -0,0 +1,123 @@
+"""Put requests into the queue, and answer those that have to give way."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorychute.admission import QueuedRequest
+from savorychute.instance.request_audit import note_quarantine
+from savorychute.requests.request_state import RequestState
+from savorychute.result_code import ResultCode
+
+if TYPE_CHECKING:
+    from savorychute.actions import Action
+    from savorychute.admission import ShedRequest
+    from savorychute.instance.parts import Parts
+    from savorychute.instance.responder import Responder
+    from savorychute.instance.tracked_request import TrackedRequest
+
+
+class QueueDesk:
+    """The way into the queue, for first and for further attempts.
+
+    :param parts: the parts of the instance.
+    """
+
+    def __init__(self, parts: Parts, responder: Responder) -> None:
+        self._parts = parts
+        self._responder = responder
+
+    def put(self, tracked: TrackedRequest, now_ms: int) -> list[Action]:
+        """Queue a request, or give it up at once if it can't be in time.
+
+        :param tracked: a request without an attempt.
+        """
+        if self._parts.quarantine.is_quarantined(tracked.fingerprint, now_ms):
+            note_quarantine(self._parts, tracked, now_ms)
+            code = ResultCode.QUARANTINED
+            return self._responder.give_up(tracked, code, code.meaning, now_ms)
+        is_first = tracked.attempt_count == 0
+        if is_first:
+            wait_ms = self._find_rate_wait(tracked, now_ms)
+            if wait_ms > tracked.limits.queue_wait_ms:
+                return self._responder.give_up(
+                    tracked,
+                    ResultCode.RATE_LIMITED,
+                    f'the contract of {tracked.limits.customer} permits no more now',
+                    now_ms,
+                    wait_ms,
+                )
+        predicted_ms = self._predict(tracked, now_ms) if is_first else None
+        outcome = self._parts.admission.offer(
+            self._describe(tracked), predicted_ms, now_ms
+        )
+        actions = self.answer_shed(outcome.shed, now_ms)
+        if not outcome.admitted:
+            code = outcome.code or ResultCode.OVERLOADED
+            actions += self._responder.give_up(
+                tracked, code, code.meaning, now_ms, outcome.retry_after_ms
+            )
+            return actions
+        tracked.life.move(RequestState.QUEUED, now_ms, f'queued for {tracked.pool}')
+        return actions
+
+    def answer_shed(
+        self, shed_requests: tuple[ShedRequest, ...], now_ms: int
+    ) -> list[Action]:
+        """Tell callers at once that their requests left the queue unrun.
+
+        :param shed_requests: what admission took out of the queue.
+        """
+        actions: list[Action] = []
+        for shed in shed_requests:
+            tracked = self._parts.table.find(shed.request_id)
+            if tracked is None:
+                continue
+            actions += self._responder.give_up(
+                tracked, shed.code, shed.code.meaning, now_ms, shed.retry_after_ms
+            )
+        return actions
+
+    def _find_rate_wait(self, tracked: TrackedRequest, now_ms: int) -> int:
+        return self._parts.limiter.check(
+            tracked.limits.customer, self._expect_tokens(tracked), now_ms
+        )
+
+    def _predict(self, tracked: TrackedRequest, now_ms: int) -> float | None:
+        if not tracked.expects_tokens:
+            return None
+        parts = self._parts
+        return parts.router.predict(
+            tracked.pool,
+            parts.credits.candidates(tracked.pool),
+            tracked.request.prompt_tokens,
+            now_ms,
+        )
+
+    def _expect_tokens(self, tracked: TrackedRequest) -> int:
+        request = tracked.request
+        if not tracked.expects_tokens:
+            return 0
+        limits = tracked.limits
+        output_tokens = self._parts.lengths.expect(
+            limits.customer, limits.name, request.max_tokens
+        )
+        return request.prompt_tokens + output_tokens
+
+    def _describe(self, tracked: TrackedRequest) -> QueuedRequest:
+        limits = tracked.limits
+        return QueuedRequest(
+            request_id=tracked.request_id,
+            customer=limits.customer,
+            class_name=limits.name,
+            tier=limits.tier,
+            pool=tracked.pool,
+            arrival_ms=tracked.life.received_ms,
+            deadline_ms=tracked.deadline_ms,
+            first_token_target_ms=limits.first_token_target_ms,
+            size_bytes=len(tracked.request.body),
+            expected_tokens=self._expect_tokens(tracked),
+            patient=limits.patient,
+            weight=limits.weight,
+            minimum_share=limits.minimum_share,
+        )
--- /dev/null
+++ b/savorychute/instance/request_audit.py
@@ -0,0 +1,30 @@
+"""Audit entries that requests give rise to."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorychute.audit.audit_entry import AuditEntry
+from savorychute.audit.audit_kind import AuditKind
+
+if TYPE_CHECKING:
+    from savorychute.instance.parts import Parts
+    from savorychute.instance.tracked_request import TrackedRequest
+
+
+def note_quarantine(parts: Parts, tracked: TrackedRequest, now_ms: int) -> None:
+    """Record that a request was quarantined, and tell extensions.
+
+    The fingerprint stands for the request; its text is never recorded.
+    """
+    entry = AuditEntry(
+        kind=AuditKind.QUARANTINE,
+        item=f'request:{tracked.fingerprint}',
+        operator='',
+        from_version='',
+        to_version='quarantined',
+        why='attempts coincided with crashes of two endpoints',
+        lasting=True,
+    )
+    parts.audit.record(entry, now_ms)
+    parts.events.emit('request-quarantined', entry)
--- /dev/null
+++ b/savorychute/instance/status.py
@@ -0,0 +1,60 @@
+"""An instance's state in figures."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypedDict
+
+if TYPE_CHECKING:
+    from savorychute.instance.parts import Parts
+
+
+class StatusDocument(TypedDict):
+    """What ``savorychute status`` shows."""
+
+    instance: str
+    incarnation: int
+    region: str
+    failure_domain: str
+    ready: bool
+    configuration_offset: int
+    contracts: int
+    endpoints: int
+    usable_endpoints: int
+    members: int
+    suspects: int
+    requests_in_progress: int
+    waiting_by_pool: dict[str, dict[str, int]]
+    log_reachable: bool
+
+
+def describe_status(parts: Parts, now_ms: int) -> StatusDocument:
+    """Return the figures of this moment."""
+    view = parts.membership.view()
+    directory = parts.directory
+    usable = [
+        name
+        for name in directory.endpoints
+        if directory.is_usable(name) and parts.ejector.allowed(name, now_ms)
+    ]
+    waiting = {
+        pool: {
+            str(tier): count for tier, count in parts.admission.waiting(pool).items()
+        }
+        for pool in parts.admission.pools()
+    }
+    return StatusDocument(
+        instance=parts.address.instance,
+        incarnation=parts.address.incarnation,
+        region=parts.address.region,
+        failure_domain=parts.address.failure_domain,
+        ready=parts.configuration.ready,
+        configuration_offset=parts.configuration.state.offset,
+        contracts=len(directory.limits),
+        endpoints=len(directory.endpoints),
+        usable_endpoints=len(usable),
+        members=len(view.alive),
+        suspects=len(view.suspects),
+        requests_in_progress=len(parts.table),
+        waiting_by_pool=waiting,
+        log_reachable=not parts.configuration.status(now_ms).log_is_down,
+    )
--- /dev/null
+++ b/savorychute/instance/tracked_request.py
@@ -0,0 +1,94 @@
+"""A caller's request while an instance is responsible for it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorychute.requests.request_life import RequestLife
+
+if TYPE_CHECKING:
+    from savorychute.contracts.class_limits import ClassLimits
+    from savorychute.inputs import CallerRequest
+    from savorychute.instance.attempt import Attempt
+    from savorychute.requests.continuation_handle import ContinuationHandle
+
+
+class TrackedRequest:
+    """The state of one request, from its arrival to its answer.
+
+    :param request: as the caller sent it.
+    :param limits: what its contract says of its class.
+    :param fingerprint: customer and body as one hash; the same request sent
+        again under a new id has the same one.
+    :param now_ms: when it arrived.
+    """
+
+    __slots__ = (
+        'attempt',
+        'attempt_count',
+        'buffer',
+        'caller_left',
+        'deadline_ms',
+        'delivered_text',
+        'delivered_tokens',
+        'failed_endpoints',
+        'failures',
+        'fingerprint',
+        'first_token_ms',
+        'gap_sum_ms',
+        'gap_worst_ms',
+        'holds_key',
+        'life',
+        'limits',
+        'pool',
+        'request',
+        'responding',
+        'resume_at',
+        'resume_tries',
+        'token_ms',
+        'wasted_tokens',
+    )
+
+    def __init__(
+        self, request: CallerRequest, limits: ClassLimits, fingerprint: str, now_ms: int
+    ) -> None:
+        self.request = request
+        self.limits = limits
+        self.fingerprint = fingerprint
+        self.pool = request.model or f'service:{request.service}'
+        self.life = RequestLife(
+            request.request_id, now_ms, resumes=bool(request.handle)
+        )
+        self.deadline_ms = now_ms + limits.timeout_ms
+        self.attempt: Attempt | None = None
+        self.attempt_count = 0
+        self.failures = 0
+        self.resume_tries = 0
+        self.failed_endpoints: set[str] = set()
+        self.resume_at: ContinuationHandle | None = None
+        self.responding = False
+        self.caller_left = False
+        self.holds_key = False
+        self.delivered_tokens = 0
+        self.delivered_text = bytearray()
+        self.buffer = bytearray()
+        self.wasted_tokens = 0
+        self.first_token_ms = -1
+        self.token_ms = -1
+        self.gap_sum_ms = 0
+        self.gap_worst_ms = 0
+
+    @property
+    def request_id(self) -> str:
+        """The request's id."""
+        return self.request.request_id
+
+    @property
+    def resumable(self) -> bool:
+        """Whether its stream may be paused and taken up again."""
+        return self.request.stream and self.limits.idempotent
+
+    @property
+    def expects_tokens(self) -> bool:
+        """Whether a model makes its answer."""
+        return bool(self.request.model)
