--- a/savorychute/settings/settings.py
+++ b/savorychute/settings/settings.py
@@ -53,6 +53,9 @@
     suspicion_ms: int
     gossip_interval_ms: int
     listing_interval_ms: int
+    discovery_seats: int
+    discovery_min_lifetime_ms: int
+    discovery_max_lifetime_ms: int
     configuration_poll_interval_ms: int
     endpoint_subset: int
     load_poll_interval_ms: int
--- a/savorychute/settings/table.py
+++ b/savorychute/settings/table.py
@@ -144,6 +144,13 @@
     _duration('suspicion_ms', 4_000, 'From suspicion of an instance to its death.'),
     _duration('gossip_interval_ms', 250, 'How often news of members is passed on.'),
     _duration('listing_interval_ms', 20_000, 'How often the list is fetched.'),
+    _count('discovery_seats', 3, 'Instances of a region in an answer to a caller.'),
+    _duration(
+        'discovery_min_lifetime_ms', 30_000, 'Least time that a caller keeps them.'
+    ),
+    _duration(
+        'discovery_max_lifetime_ms', 90_000, 'Greatest time; each answer draws one.'
+    ),
     _duration(
         'configuration_poll_interval_ms',
         1_000,
