Run the assembled instance as a process of its own

Cause: the parts stood beside the sockets without a program around both. Change: run_daemon and run_instance wire settings, instance, log, metrics and sockets; SIGTERM and SIGINT drain, SIGHUP and a timer reload the TLS keys. A test starts the process against stand-ins, configures it through the log, asks for addresses and metrics, and ends it in the middle of a stream. Conclusion: the whole path runs; nothing is cut and the exit code is 0.

--- a/savorychute/daemon/caller_api.py
+++ b/savorychute/daemon/caller_api.py
@@ -110,8 +110,7 @@
         self._host.answers.take(exchange, request)
 
     def _discover(self, exchange: ServerExchange, request_id: str) -> None:
-        token = read_token(exchange.request)
-        found = self._host.instance.discover(token, self._host.clock.now_ms())
+        found = self._host.instance.discover(read_token(exchange.request))
         document: InstancesDocument = {
             'instances': [
                 {
--- a/savorychute/daemon/host.py
+++ b/savorychute/daemon/host.py
@@ -76,6 +76,7 @@
         self.settings = settings
         self.clock = clock
         self.server = server
+        self.peers = peers
         self.leaving = False
         self.tls: TlsKeys | None = None
         self.metrics: Callable[[str], MetricsText] | None = None
--- a/savorychute/daemon/hosted_instance.py
+++ b/savorychute/daemon/hosted_instance.py
@@ -25,7 +25,7 @@
         """Whether there is a configuration to serve with."""
         ...
 
-    def deliver(self, delivered: Input, now_ms: int) -> Sequence[Action]:
+    def deliver(self, message: Input, now_ms: int) -> Sequence[Action]:
         """Take an input and return what to do."""
         ...
 
@@ -33,7 +33,7 @@
         """Let time pass and return what to do."""
         ...
 
-    def discover(self, token: str, now_ms: int) -> DiscoveryAnswer:
+    def discover(self, token: str) -> DiscoveryAnswer:
         """Return the addresses that the bearer of *token* is to use.
 
         :raises RequestError: if the token belongs to nobody.
--- /dev/null
+++ b/savorychute/daemon/main.py
@@ -0,0 +1,131 @@
+"""The daemon as a process of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import sys
+import time
+from contextlib import ExitStack, asynccontextmanager
+from typing import TYPE_CHECKING
+
+from savorychute.clock import NS_PER_MS, SystemClock
+from savorychute.daemon.run_host import run_host
+from savorychute.daemon.tls import keep_reloading
+from savorychute.host_sample import HostSample
+from savorychute.instance import Instance
+from savorychute.logs import InstanceLog, LogLevel, capture_libraries, open_log
+from savorychute.metrics import Metrics
+from savorychute.settings.part_settings import (
+    make_host_settings,
+    make_instance_settings,
+)
+from savorychute.telemetry import Telemetry
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from savorychute.clock import Clock
+    from savorychute.daemon.host import DaemonHost
+    from savorychute.instance.instance_settings import InstanceSettings
+    from savorychute.member_address import MemberAddress
+    from savorychute.settings.settings import Settings
+
+EXIT_OK = 0
+SEED_BITS = 64
+
+
+def run_daemon(settings: Settings) -> int:
+    """Run an instance until it is told to leave; return the exit code.
+
+    SIGTERM and SIGINT make it leave gracefully, however often they come.
+    SIGHUP reads certificate and key anew.
+
+    :param settings: of the instance.
+    """
+    log = InstanceLog(settings.instance, LogLevel[settings.log_level.upper()])
+    with ExitStack() as stack:
+        stack.enter_context(open_log(sys.stdout.buffer))
+        stack.enter_context(capture_libraries(log))
+        asyncio.run(_serve(settings, log))
+    return EXIT_OK
+
+
+@asynccontextmanager
+async def run_instance(
+    settings: Settings,
+    log: InstanceLog,
+    clock: Clock | None = None,
+    rng: random.Random | None = None,
+) -> AsyncIterator[DaemonHost]:
+    """Run an assembled instance with sockets, log and metrics.
+
+    Any number of them runs in one loop.
+
+    :param settings: of the instance.
+    :param log: where its lines go.
+    :param clock: the time that the instance is told.
+    :param rng: the source of its random choices.
+    """
+    clock = clock or SystemClock()
+    rng = rng or random.Random(random.SystemRandom().getrandbits(SEED_BITS))
+    telemetry = Telemetry(
+        log, Metrics(settings.instance), settings.operator_token_hashes.values()
+    )
+    part_settings = _set_epoch(make_instance_settings(settings), clock)
+    made: list[Instance] = []
+
+    def make(address: MemberAddress) -> Instance:
+        instance = Instance(part_settings, address, rng)
+        telemetry.watch(instance.events)
+        made.append(instance)
+        return instance
+
+    async with run_host(make_host_settings(settings), make, clock) as host:
+        telemetry.sample_from(
+            lambda: made[0].status(clock.now_ms()), lambda: sample_host(host)
+        )
+        host.metrics = telemetry.render
+        address = host.address
+        log.info(
+            'instance-started',
+            address=f'{address.host}:{address.caller_port}',
+            incarnation=address.incarnation,
+            region=address.region,
+            failure_domain=address.failure_domain,
+        )
+        yield host
+
+
+def sample_host(host: DaemonHost) -> HostSample:
+    """Return what a host counts on its sockets.
+
+    :param host: the host of one instance.
+    """
+    return HostSample(
+        open_connections=host.server.open_connections,
+        peer_sent_bytes=host.peers.sent_bytes,
+        peer_dropped=host.peers.dropped,
+        peer_rejected=host.peers.rejected,
+    )
+
+
+async def _serve(settings: Settings, log: InstanceLog) -> None:
+    loop = asyncio.get_running_loop()
+    told_to_leave = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, told_to_leave.set)
+    async with run_instance(settings, log) as host:
+        interval_ms = settings.tls_reload_interval_ms
+        async with keep_reloading(host.tls, interval_ms, log) as reload:
+            loop.add_signal_handler(signal.SIGHUP, reload)
+            await told_to_leave.wait()
+            await host.drain()
+    log.info('instance-stopped')
+
+
+def _set_epoch(settings: InstanceSettings, clock: Clock) -> InstanceSettings:
+    """Tell the parts what to add to the clock for Unix time."""
+    offset_ms = time.time_ns() // NS_PER_MS - clock.now_ms()
+    return settings._replace(epoch_offset_ms=offset_ms)
--- a/savorychute/daemon/tls.py
+++ b/savorychute/daemon/tls.py
@@ -2,7 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import ssl
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+    from savorychute.logs import InstanceLog
+
+MS_PER_S = 1_000
 
 
 class TlsKeys:
@@ -45,3 +55,35 @@
     ) -> None:
         """Give a connection the newest context, whichever name it asks for."""
         connection.context = self._current
+
+
+@asynccontextmanager
+async def keep_reloading(
+    keys: TlsKeys | None, interval_ms: int, log: InstanceLog
+) -> AsyncIterator[Callable[[], None]]:
+    """Reload keys from time to time until the block ends.
+
+    :param keys: the keys, or none without TLS.
+    :param interval_ms: the time between two reloads.
+    :param log: where a failed reload is reported.
+    :returns: a function that reloads at once.
+    """
+
+    def reload() -> None:
+        if keys is None:
+            return
+        try:
+            keys.reload()
+        except OSError as error:
+            log.warning('tls-reload-failed', error=type(error).__name__)
+
+    async def reload_forever() -> None:
+        while True:
+            await asyncio.sleep(interval_ms / MS_PER_S)
+            reload()
+
+    task = asyncio.get_running_loop().create_task(reload_forever())
+    try:
+        yield reload
+    finally:
+        task.cancel()
--- a/tests/test_daemon/daemon_fakes.py
+++ b/tests/test_daemon/daemon_fakes.py
@@ -74,7 +74,7 @@
         self.next_tick_ms = now_ms + 1_000
         return []
 
-    def discover(self, token: str, now_ms: int) -> Found:  # noqa: ARG002
+    def discover(self, token: str) -> Found:
         """Name the own address."""
         if token != TOKEN:
             raise RequestError(ResultCode.UNAUTHENTICATED, 'nobody')
@@ -82,7 +82,7 @@
 
     def issue_key(self, token: str, now_ms: int) -> str:
         """Return some key."""
-        self.discover(token, now_ms)
+        self.discover(token)
         return f'key-{now_ms}'
 
     def deliver(self, delivered: object, now_ms: int) -> list[object]:  # noqa: ARG002
--- /dev/null
+++ b/tests/test_daemon/test_process.py
@@ -0,0 +1,213 @@
+"""Tests of a daemon that runs as a process of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import signal
+import sys
+from contextlib import asynccontextmanager
+from random import Random
+
+from daemon_fakes import call, wait_until
+
+from savorychute.testing.append_log import AppendLog, LogSettings
+from savorychute.testing.engine import ModelEngine
+from savorychute.testing.engine_server import serve_engine
+from savorychute.testing.engine_settings import EngineSettings
+from savorychute.testing.instance_list import InstanceList
+from savorychute.testing.list_server import serve_list
+from savorychute.testing.log_server import serve_log
+
+TOKEN = 'customer-token'
+OPERATOR_TOKEN = 'operator-token'
+OPERATOR = {'authorization': f'Bearer {OPERATOR_TOKEN}'}
+CALLER = {'authorization': f'Bearer {TOKEN}', 'x-request-class': 'diagnosis'}
+CONTRACT = {
+    'customer': 'malanadu',
+    'token_hashes': [hashlib.sha256(TOKEN.encode()).hexdigest()],
+    'pool_share': 1.0,
+    'requests_per_s': 100.0,
+    'concurrent_requests': 50,
+    'tokens_per_s': 100_000.0,
+    'models': ['model'],
+    'classes': [
+        {
+            'name': 'diagnosis',
+            'tier': 0,
+            'first_token_target_ms': 500,
+            'token_gap_target_ms': 100,
+            'timeout_ms': 20_000,
+            'weight': 1.0,
+            'idempotent': True,
+        }
+    ],
+}
+
+
+def make_settings(log_port, list_port):
+    return {
+        'instance': 'entry-1',
+        'region': 'kerala',
+        'failure_domain': 'kochi-hall',
+        'host': '127.0.0.1',
+        'caller_port': 0,
+        'peer_port': 0,
+        'log_address': f'127.0.0.1:{log_port}',
+        'list_address': f'127.0.0.1:{list_port}',
+        'peer_keys': [{'key_id': 1, 'secret': '00' * 16}],
+        'operator_token_hashes': {
+            'anna': hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
+        },
+        'leave_grace_ms': 0,
+    }
+
+
+class Daemon:
+    """A daemon's process and what it logged."""
+
+    def __init__(self, process):
+        self.process = process
+        self.lines = []
+
+    async def read_port(self):
+        """Return the port of callers."""
+        async for line in self.process.stdout:
+            entry = json.loads(line)
+            self.lines.append(entry)
+            if entry['message_type'] == 'instance-started':
+                return int(entry['address'].rpartition(':')[2])
+        raise AssertionError((await self.process.stderr.read()).decode())
+
+
+@asynccontextmanager
+async def run_process(path, settings):
+    path.write_text(json.dumps(settings))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'savorychute',
+        'serve',
+        str(path),
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    try:
+        yield Daemon(process)
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
+async def ask(port, method, target, headers, document=None):
+    body = json.dumps(document).encode() if document is not None else b''
+    async with call(port) as caller:
+        caller.write_request(method, target, headers, body)
+        return await caller.read_answer()
+
+
+async def operate(port, verb, arguments):
+    """Give a command; until the daemon has read the log it refuses them."""
+    async with asyncio.timeout(20):
+        while True:
+            path = f'/v1/operator/{verb}'
+            answer = await ask(port, 'POST', path, OPERATOR, arguments)
+            if answer.headers['x-result-code'] != '2007':
+                break
+            await asyncio.sleep(0.05)
+    assert answer.status == 200, answer
+    return json.loads(answer.body)
+
+
+async def configure(port, engine_port):
+    endpoint = {
+        'endpoint': 'engine',
+        'dialect': 'openai-engine',
+        'host': '127.0.0.1',
+        'port': engine_port,
+        'region': 'kerala',
+        'failure_domain': 'kochi-hall',
+        'state': 'active',
+        'concurrent_requests': 16,
+        'models': ['model'],
+    }
+    await operate(
+        port,
+        'contract-amend',
+        {
+            'customer': 'malanadu',
+            'base_version': 0,
+            'document': CONTRACT,
+            'why': 'first',
+        },
+    )
+    await operate(
+        port, 'endpoint-add', {'document': endpoint, 'base_version': 0, 'why': 'first'}
+    )
+
+
+async def wait_for_answer(port, document):
+    async with asyncio.timeout(20):
+        while True:
+            answer = await ask(port, 'POST', '/v1/chat/completions', CALLER, document)
+            if answer.status == 200:
+                return answer
+            await asyncio.sleep(0.1)
+
+
+def test_process_answers_streams_and_leaves_without_cutting_one(tmp_path):
+    """Restart of an instance.
+
+    Operators replace a running instance with SIGTERM while an answer streams.
+    The stream goes on to its end, and the process exits with 0.
+    """
+
+    async def main():
+        engine = ModelEngine(EngineSettings(step_ms=20.0), Random(1))
+        log = AppendLog(LogSettings(latency_ms=1.0), Random(2))
+        async with (
+            serve_log(log) as log_server,
+            serve_list(InstanceList(0.0)) as list_server,
+            serve_engine(engine) as engine_server,
+            run_process(
+                tmp_path / 'settings.json',
+                make_settings(log_server.port, list_server.port),
+            ) as daemon,
+        ):
+            port = await daemon.read_port()
+            await configure(port, engine_server.port)
+            content = '#tokens=100'
+            document = {
+                'model': 'model',
+                'messages': [{'role': 'user', 'content': content}],
+            }
+            whole = await wait_for_answer(port, document)
+            found = await ask(port, 'GET', '/v1/instances', CALLER)
+            metrics = await ask(port, 'GET', '/metrics', {})
+            async with call(port) as caller:
+                body = json.dumps({**document, 'stream': True}).encode()
+                caller.write_request('POST', '/v1/chat/completions', CALLER, body)
+                await wait_until(lambda: engine.generated_tokens > 110)
+                daemon.process.send_signal(signal.SIGTERM)
+                streamed = await caller.read_answer()
+            async with asyncio.timeout(20):
+                code = await daemon.process.wait()
+            errors = await daemon.process.stderr.read()
+            return port, found, metrics, whole, streamed, code, errors
+
+    port, found, metrics, whole, streamed, code, errors = asyncio.run(main())
+
+    assert (code, errors) == (0, b'')
+    assert json.loads(found.body)['instances'] == [
+        {'host': '127.0.0.1', 'port': port, 'failure_domain': 'kochi-hall'}
+    ]
+    assert b'savorychute_requests_total' in metrics.body
+    assert streamed.whole
+    *events, end = streamed.body.strip().split(b'\n\n')
+    assert end == b'data: [DONE]'
+    chunks = [json.loads(event.split(b'data: ')[1]) for event in events]
+    text = ''.join(chunk['choices'][0]['delta']['content'] for chunk in chunks)
+    assert text == json.loads(whole.body)['choices'][0]['message']['content']
+    assert sum(chunk['token_count'] for chunk in chunks) == 100
