Give every part Unix time by one setting

Cause: three parts need the wall clock and each host set two of them by hand; keys that callers bring had none, so their age was taken as zero. Change: epoch_offset_ms of the instance reaches configuration, audit and keys. Conclusion: one place to set it.

--- a/savorychute/instance/parts.py
+++ b/savorychute/instance/parts.py
@@ -63,6 +63,11 @@
 
     name = address.instance
     log_budget = LogBudget(settings.log_budget)
+    epoch_offset_ms = settings.epoch_offset_ms
+    configuration = settings.configuration._replace(epoch_offset_ms=epoch_offset_ms)
+    audit = settings.audit._replace(epoch_offset_ms=epoch_offset_ms)
+    keys = KeyKeeper(settings.keys, address, fork())
+    keys.set_wall_clock(epoch_offset_ms, 0)
     book = EndpointBook(
         settings.routing, fork(), address.failure_domain, address.region
     )
@@ -73,10 +78,8 @@
         directory=Directory(),
         table=RequestTable(),
         membership=Membership(settings.membership, address, fork()),
-        configuration=ConfigurationKeeper(
-            settings.configuration, address, fork(), log_budget
-        ),
-        audit=AuditTrail(settings.audit, f'{name}.{address.incarnation}', log_budget),
+        configuration=ConfigurationKeeper(configuration, address, fork(), log_budget),
+        audit=AuditTrail(audit, f'{name}.{address.incarnation}', log_budget),
         admission=ADMISSIONS.get(settings.admission_name)(settings.admission, fork()),
         credits=CreditLedger(settings.credits, name, fork()),
         limiter=CustomerLimiter(settings.limiter, name, fork()),
@@ -86,5 +89,5 @@
         budget=RetryBudget(settings.retries),
         ejector=Ejector(settings.ejection, fork()),
         quarantine=Quarantine(settings.quarantine, name, fork()),
-        keys=KeyKeeper(settings.keys, address, fork()),
+        keys=keys,
     )
--- a/savorychute/testing/drive.py
+++ b/savorychute/testing/drive.py
@@ -31,10 +31,8 @@
     hashes = {'operator': hash_operator_token()}
 
     def make(address: MemberAddress, rng: Random, epoch_offset_ms: int) -> Instance:
-        configuration = settings.configuration._replace(epoch_offset_ms=epoch_offset_ms)
-        audit = settings.audit._replace(epoch_offset_ms=epoch_offset_ms)
         own = settings._replace(
-            operator_token_hashes=hashes, configuration=configuration, audit=audit
+            operator_token_hashes=hashes, epoch_offset_ms=epoch_offset_ms
         )
         return Instance(own, address, rng)
 
