Grant the use of endpoints from a home instance, by tier and demand

Cause: the first version divided each endpoint's concurrency equally between members, whatever they needed, so a burst at one of eight instances could use an eighth of the pool.

Change: endpoints that serve the same pools form groups of about 16 with one home each. Instances report use and demand once a second or under pressure; the home divides by tier, keeps a float and a reserve for starving lower work, raises a level only by what is promised to nobody, and counts what it takes back until that is acknowledged or has ended. Grants count from the report that they answer, so they end at the holder before they end in the home's books. A new home assumes unreported credit in use for one grant's life; a minority scales its capacity down; an unreachable home leaves an allowance.

--- /dev/null
+++ b/savorychute/credits/group_book.py
@@ -0,0 +1,190 @@
+"""The groups of endpoints and what this instance holds of them."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from savorychute.credits.endpoint_group import build_groups, hash_name
+from savorychute.credits.group_holding import GroupHolding, Use, to_tuple
+from savorychute.credits.pool_demand import PoolDemand
+from savorychute.credits.subset import Candidate, choose_subset
+
+if TYPE_CHECKING:
+    from savorychute.contracts.endpoint_document import EndpointDocument
+    from savorychute.credits.endpoint_group import EndpointGroup
+    from savorychute.credits.settings import CreditSettings
+
+#: An instance that used a group this long ago still gets spare credit.
+SPARE_MEMORY_MS = 60_000
+
+
+class GroupBook:
+    """Groups, holdings, attempts and demand of one instance.
+
+    :param settings: sizes.
+    :param instance: this instance's name.
+    """
+
+    def __init__(self, settings: CreditSettings, instance: str) -> None:
+        self.settings = settings
+        self.instance = instance
+        self.region = ''
+        self.is_leaving = False
+        self.endpoints: dict[str, EndpointDocument] = {}
+        self.holdings: dict[str, GroupHolding] = {}
+        self.demand = PoolDemand(settings.demand_memory_ms)
+        self._group_of: dict[str, EndpointGroup] = {}
+        self._by_number: dict[int, str] = {}
+        self._candidates: dict[str, tuple[Candidate, ...]] = {}
+        self._uses: dict[str, Use] = {}
+        self._used_ms: dict[str, int] = {}
+
+    def set_endpoints(self, endpoints: dict[str, EndpointDocument]) -> list[str]:
+        """Replace the endpoints; return the keys of groups that are not as before.
+
+        :param endpoints: by name.
+        """
+        groups = build_groups(endpoints, self.settings.group_size)
+        self.endpoints = dict(endpoints)
+        self._candidates.clear()
+        self._group_of = {
+            name: group for group in groups.values() for name in group.names.values()
+        }
+        before = self.holdings
+        changed = [k for k, h in before.items() if groups.get(k) != h.group]
+        self.holdings = {
+            key: before[key]
+            if key in before and key not in changed
+            else self._open_holding(group)
+            for key, group in groups.items()
+        }
+        self._by_number = {group.number: key for key, group in groups.items()}
+        return changed
+
+    def set_region(self, region: str) -> None:
+        """Note where this instance is.
+
+        :param region: its region.
+        """
+        if region != self.region:
+            self.region = region
+            self._candidates.clear()
+
+    def group_of(self, endpoint: str) -> EndpointGroup | None:
+        """Return the group of an endpoint that may be used.
+
+        :param endpoint: its name.
+        """
+        group = self._group_of.get(endpoint)
+        if group is None or self.endpoints[endpoint]['state'] != 'active':
+            return None
+        return group
+
+    def find(self, number: int) -> GroupHolding | None:
+        """Return the holding of the group that messages give this number.
+
+        :param number: the hash of the group's key.
+        """
+        return self.holdings.get(self._by_number.get(number, ''))
+
+    def choose(self, pool: str) -> tuple[Candidate, ...]:
+        """Return the endpoints of a pool that this instance uses.
+
+        :param pool: a model or ``service:`` and a service.
+        """
+        chosen = self._candidates.get(pool)
+        if chosen is None:
+            chosen = choose_subset(
+                self.instance,
+                self.region,
+                [h.group for h in self.holdings.values() if pool in h.group.pools],
+                self.endpoints,
+                self.settings.subset_size,
+            )
+            self._candidates[pool] = chosen
+        return chosen
+
+    def start(self, endpoint: str, attempt_id: str, use: Use, now_ms: int) -> None:
+        """Count an attempt.
+
+        :param endpoint: where it runs.
+        :param attempt_id: the attempt.
+        :param use: what it uses.
+        :param now_ms: the time.
+        """
+        self._uses[attempt_id] = use
+        self._used_ms[use.group] = now_ms
+        self.holdings[self._group_of[endpoint].key].start(use)
+
+    def end(self, attempt_id: str) -> None:
+        """Count an attempt no longer; an unknown one is ignored.
+
+        :param attempt_id: the attempt.
+        """
+        use = self._uses.pop(attempt_id, None)
+        holding = None if use is None else self.holdings.get(use.group)
+        if use is not None and holding is not None:
+            holding.end(use)
+
+    def wants_spare(self, holding: GroupHolding, now_ms: int) -> bool:
+        """Return whether credit beyond the demand is welcome.
+
+        :param holding: of the group.
+        :param now_ms: the time.
+        """
+        used_ms = self._used_ms.get(holding.group.key)
+        is_recent = used_ms is not None and now_ms - used_ms < SPARE_MEMORY_MS
+        return not self.is_leaving and (is_recent or holding.is_used)
+
+    def waiting(self, holding: GroupHolding) -> tuple[int, ...]:
+        """Return how many requests wait for a group, by tier.
+
+        :param holding: of the group.
+        """
+        wanted: dict[int, float] = {}
+        for pool in holding.group.pools:
+            share = self._share_of(pool, holding.group)
+            for tier, count in self.demand.of(pool).items():
+                wanted[tier] = wanted.get(tier, 0.0) + count * share
+        return to_tuple(
+            {
+                tier: math.ceil(count) - holding.running.get(tier, 0)
+                for tier, count in wanted.items()
+            }
+        )
+
+    def _open_holding(self, group: EndpointGroup) -> GroupHolding:
+        """Return a holding that counts what runs at the group's endpoints.
+
+        An amended endpoint may have moved to another group while attempts run.
+        """
+        holding = GroupHolding(group, self.settings.grant_ms)
+        for attempt_id, use in list(self._uses.items()):
+            if use.endpoint in group.names:
+                moved = use._replace(group=group.key)
+                self._uses[attempt_id] = moved
+                holding.start(moved)
+        return holding
+
+    def _share_of(self, pool: str, group: EndpointGroup) -> float:
+        """Return the part of a pool's demand that goes to a group."""
+        total = 0
+        own = 0
+        for candidate in self.choose(pool):
+            capacity = self.endpoints[candidate.endpoint]['concurrent_requests']
+            total += capacity
+            if candidate.group == group.key:
+                own += capacity
+        return own / total if total else 0.0
+
+
+def make_use(group: EndpointGroup, endpoint: str, tier: int, tokens: int) -> Use:
+    """Return what an attempt uses.
+
+    :param group: the endpoint's.
+    :param endpoint: its name.
+    :param tier: of the request.
+    :param tokens: how many it may generate.
+    """
+    return Use(group.key, hash_name(endpoint), tier, tokens)
--- /dev/null
+++ b/savorychute/credits/group_holding.py
@@ -0,0 +1,170 @@
+"""What one instance holds and uses of one group."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from savorychute.credits.endpoint_use import EndpointUse
+from savorychute.credits.group_report import GroupReport
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from savorychute.credits.endpoint_group import EndpointGroup
+    from savorychute.credits.group_grant import GroupGrant
+
+
+class Use(NamedTuple):
+    """One attempt's use of an endpoint."""
+
+    group: str
+    endpoint: int
+    tier: int
+    tokens: int
+
+
+class GroupHolding:
+    """Levels granted by the group's home, and what runs under them.
+
+    :param group: the endpoints.
+    :param grant_ms: how long a grant lasts.
+    """
+
+    def __init__(self, group: EndpointGroup, grant_ms: int) -> None:
+        self.group = group
+        self.grant_ms = grant_ms
+        self.home = ''
+        self.home_epoch = 0
+        self.sequence = 0
+        self.pressing_tier = -1
+        self.must_report = False
+        self.reported_ms: int | None = None
+        self.reported_waiting: tuple[int, ...] = ()
+        self.in_use: dict[int, int] = {}
+        self.running: dict[int, int] = {}
+        self.tokens: dict[int, int] = {}
+        self._levels: dict[int, int] = {}
+        self._expires_ms = 0
+        self._unanswered_ms: int | None = None
+
+    @property
+    def is_used(self) -> bool:
+        """Whether anything runs."""
+        return any(self.in_use.values())
+
+    def set_home(self, home: str) -> None:
+        """Follow a change of the home; credits in hand stay until they end.
+
+        :param home: an instance.
+        """
+        if home != self.home:
+            self.home = home
+            self._unanswered_ms = None
+            self.home_epoch = 0
+            self.sequence = 0
+            self.must_report = True
+
+    def level(self, endpoint: int, now_ms: int) -> int | None:
+        """Return the granted level, or ``None`` if no grant is in force.
+
+        :param endpoint: its hash.
+        :param now_ms: the time.
+        """
+        if now_ms >= self._expires_ms:
+            return None
+        return self._levels.get(endpoint, 0)
+
+    def has_ended(self, now_ms: int) -> bool:
+        """Return whether the home has not answered for the life of a grant.
+
+        :param now_ms: the time.
+        """
+        if self._unanswered_ms is None or now_ms < self._expires_ms:
+            return False
+        return now_ms - self._unanswered_ms >= self.grant_ms
+
+    def apply(self, home_epoch: int, grant: GroupGrant, expires_ms: int) -> bool:
+        """Put a grant in force; return whether it was new.
+
+        :param home_epoch: of the home's run.
+        :param grant: from this group's home.
+        :param expires_ms: counted from the report that the grant answers, so
+            that it ends here before it ends in the home's books.
+        """
+        if home_epoch == self.home_epoch and grant.sequence <= self.sequence:
+            return False
+        self.home_epoch = home_epoch
+        self.sequence = grant.sequence
+        self.pressing_tier = grant.pressing_tier
+        self._unanswered_ms = None
+        self._levels = {entry.endpoint: entry.level for entry in grant.levels}
+        self._expires_ms = expires_ms
+        self.must_report = self.must_report or grant.must_acknowledge
+        return True
+
+    def give_up_unused(self) -> None:
+        """Hold no more than what runs."""
+        self._levels = {
+            endpoint: min(level, self.in_use.get(endpoint, 0))
+            for endpoint, level in self._levels.items()
+        }
+
+    def start(self, use: Use) -> None:
+        """Count an attempt.
+
+        :param use: what it uses.
+        """
+        self._count(use, 1)
+
+    def end(self, use: Use) -> None:
+        """Count an attempt no longer.
+
+        :param use: what it used.
+        """
+        self._count(use, -1)
+
+    def list_running(self) -> tuple[int, ...]:
+        """Return how many requests run, from tier 0 on."""
+        return to_tuple(self.running)
+
+    def build_report(
+        self, waiting: Sequence[int], now_ms: int, *, wants_spare: bool
+    ) -> GroupReport:
+        """Return what the home has to know.
+
+        :param waiting: requests that wait, by tier.
+        :param now_ms: the time.
+        :param wants_spare: whether more than the demand is welcome.
+        """
+        if self._unanswered_ms is None:
+            self._unanswered_ms = now_ms
+        uses = []
+        for endpoint in self.group.names:
+            held = self.level(endpoint, now_ms) or 0
+            in_use = self.in_use.get(endpoint, 0)
+            if held or in_use:
+                uses.append(EndpointUse(endpoint, held, in_use))
+        return GroupReport(
+            group=self.group.number,
+            home_epoch=self.home_epoch,
+            sequence=self.sequence,
+            wants_spare=wants_spare,
+            running=self.list_running(),
+            waiting=tuple(waiting),
+            uses=tuple(uses),
+        )
+
+    def _count(self, use: Use, step: int) -> None:
+        endpoint, tier = use.endpoint, use.tier
+        self.in_use[endpoint] = self.in_use.get(endpoint, 0) + step
+        self.running[tier] = self.running.get(tier, 0) + step
+        self.tokens[endpoint] = self.tokens.get(endpoint, 0) + step * use.tokens
+
+
+def to_tuple(by_tier: dict[int, int]) -> tuple[int, ...]:
+    """Return counts from tier 0 on, without zeros at the end.
+
+    :param by_tier: counts by tier.
+    """
+    tiers = [tier for tier, count in by_tier.items() if count > 0]
+    return tuple(by_tier.get(tier, 0) for tier in range(max(tiers, default=-1) + 1))
--- a/savorychute/credits/settings.py
+++ b/savorychute/credits/settings.py
@@ -8,7 +8,30 @@
 class CreditSettings(NamedTuple):
     """Durations and sizes of credits.
 
-    ``subset_size`` is how many endpoints of a pool an instance uses at most.
+    ``subset_size`` is how many endpoints of a pool an instance uses at most,
+    ``group_size`` how many endpoints share a home.  A grant lasts ``grant_ms``
+    from the report that it answers.  ``float_share`` of the spare capacity
+    stays with the home, to answer sudden demand without a reclaim.
+    ``guaranteed_share`` of a group goes to instances whose lower-tier work
+    would get nothing.  A home that sees a minority of the members of the last
+    ``remember_ms`` scales the capacity down.
+
+    Demand of a new highest tier is reported after ``pressure_interval_ms``,
+    demand that has grown after ``growth_interval_ms``.
     """
 
     subset_size: int = 16
+    group_size: int = 16
+    grant_ms: int = 4_000
+    report_interval_ms: int = 1_000
+    idle_report_interval_ms: int = 2_000
+    pressure_interval_ms: int = 50
+    growth_interval_ms: int = 250
+    pushes_per_s: int = 20
+    division_interval_ms: int = 500
+    urgent_division_interval_ms: int = 20
+    demand_memory_ms: int = 2_000
+    float_share: float = 0.25
+    guaranteed_share: float = 0.05
+    survival_share: float = 0.5
+    remember_ms: int = 120_000
