--- a/savorychute/daemon/tls.py
+++ b/savorychute/daemon/tls.py
@@ -25,7 +25,7 @@
     def __init__(self, certificate_file: str, key_file: str) -> None:
         self._certificate_file = certificate_file
         self._key_file = key_file
-        self._current = self._load()
+        self.current = self._load()
         self.listening = self._load()
         self.listening.sni_callback = self._choose
 
@@ -38,7 +38,7 @@
 
         :raises OSError: if a file cannot be read or is no good.
         """
-        self._current = self._load()
+        self.current = self._load()
 
     def _load(self) -> ssl.SSLContext:
         context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
@@ -54,7 +54,7 @@
         context: ssl.SSLContext,  # noqa: ARG002
     ) -> None:
         """Give a connection the newest context, whichever name it asks for."""
-        connection.context = self._current
+        connection.context = self.current
 
 
 @asynccontextmanager
--- a/savorychute/http/server_connection.py
+++ b/savorychute/http/server_connection.py
@@ -279,14 +279,13 @@
         """Close the writing half and throw away what still comes.
 
         Closing a socket with unread bytes resets the connection, and the
-        caller would lose the answer that it has not read yet.
+        caller would lose the answer that it has not read yet.  TLS cannot
+        close one half; there the caller closes when it has the answer.
         """
-        if not self._transport.can_write_eof():
-            self._transport.close()
-            return
         self._lingering = True
         self._transport.resume_reading()
-        self._transport.write_eof()
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
         self._wait(self._limits.linger_ms)
 
     # -- small helpers
