--- /dev/null
+++ b/savorychute/testing/solo.py
@@ -0,0 +1,225 @@
+"""A single instance that is driven by hand."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from typing import TYPE_CHECKING, TypeVar
+
+from savorychute.actions import AppendRecord, FetchListing, ReadRecords
+from savorychute.configuration.amendment_record import AMENDMENT_KIND, AmendmentRecord
+from savorychute.configuration.record_codec import encode_record
+from savorychute.inputs import (
+    AppendFinished,
+    CallerRequest,
+    ListingFetched,
+    RecordsRead,
+)
+from savorychute.inputs.log_record import LogRecord
+from savorychute.instance import Instance, InstanceSettings
+from savorychute.member_address import MemberAddress
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from savorychute.actions import Action
+    from savorychute.contracts.contract_document import ContractDocument
+    from savorychute.contracts.endpoint_document import EndpointDocument
+    from savorychute.inputs import Input
+
+A = TypeVar('A')
+
+TICK_MS = 100
+CUSTOMER = 'acme'
+TOKEN = 'token-acme'
+OTHER_CUSTOMER = 'zeta'
+OTHER_TOKEN = 'token-zeta'
+OPERATOR_TOKEN = 'token-operator'
+ADDRESS = MemberAddress('entry-1', 1, 'north', 'hall-1', '10.0.0.1', 8080, 8081)
+
+
+def hash_text(text: str) -> str:
+    """Return the hex SHA-256 digest under which a token is kept."""
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def make_contract(
+    customer: str = CUSTOMER, token: str = TOKEN, pool_share: float = 0.5
+) -> ContractDocument:
+    """Return a contract with an urgent, a patient and a non-idempotent class."""
+    return {
+        'customer': customer,
+        'token_hashes': [hash_text(token)],
+        'pool_share': pool_share,
+        'requests_per_s': 100.0,
+        'concurrent_requests': 50,
+        'tokens_per_s': 50_000.0,
+        'models': ['small'],
+        'services': ['desk'],
+        'classes': [
+            {
+                'name': 'urgent',
+                'tier': 0,
+                'first_token_target_ms': 500,
+                'token_gap_target_ms': 50,
+                'timeout_ms': 10_000,
+                'weight': 3.0,
+                'idempotent': True,
+            },
+            {
+                'name': 'booking',
+                'tier': 1,
+                'first_token_target_ms': 500,
+                'token_gap_target_ms': 50,
+                'timeout_ms': 5_000,
+                'weight': 2.0,
+                'idempotent': False,
+            },
+            {
+                'name': 'audit',
+                'tier': 4,
+                'first_token_target_ms': 30_000,
+                'token_gap_target_ms': 500,
+                'timeout_ms': 60_000,
+                'weight': 1.0,
+                'idempotent': True,
+                'patient': True,
+                'minimum_share': 0.1,
+            },
+        ],
+    }
+
+
+def make_engine(name: str, state: str = 'active', slots: int = 4) -> EndpointDocument:
+    """Return a model engine's entry."""
+    return {
+        'endpoint': name,
+        'dialect': 'openai-engine',
+        'host': '10.0.1.1',
+        'port': 7000,
+        'region': 'north',
+        'failure_domain': 'hall-1',
+        'state': state,
+        'concurrent_requests': slots,
+        'models': ['small'],
+    }
+
+
+def make_request(request_id: str, class_name: str = 'urgent') -> CallerRequest:
+    """Return a streamed chat request."""
+    return CallerRequest(
+        request_id=request_id,
+        token=TOKEN,
+        class_name=class_name,
+        model='small',
+        service='',
+        method='POST',
+        path='/v1/chat/completions',
+        body=b'{"model":"small","messages":[{"role":"user","content":"hi"}]}',
+        stream=True,
+        prompt_tokens=8,
+        max_tokens=32,
+    )
+
+
+class Solo:
+    """An instance with a log of its own; every other action is collected.
+
+    :param contracts: put into the log before the start.
+    :param endpoints: put into the log before the start.
+    :param settings: of the instance.
+    """
+
+    def __init__(
+        self,
+        contracts: Iterable[ContractDocument] = (),
+        endpoints: Iterable[EndpointDocument] = (),
+        settings: InstanceSettings | None = None,
+    ) -> None:
+        hashes = {'operator': hash_text(OPERATOR_TOKEN)}
+        settings = (settings or InstanceSettings())._replace(
+            operator_token_hashes=hashes
+        )
+        self.instance = Instance(settings, ADDRESS, random.Random(1))
+        self.now_ms = 0
+        self.actions: list[Action] = []
+        self._streams: dict[str, list[bytes]] = {}
+        for contract in contracts:
+            self.append_document(f'contract:{contract["customer"]}', dict(contract))
+        for endpoint in endpoints:
+            self.append_document(f'endpoint:{endpoint["endpoint"]}', dict(endpoint))
+
+    def append_document(
+        self, item: str, document: dict[str, object], base_version: int = 0
+    ) -> None:
+        """Put an amendment into the log, as another instance would."""
+        records = self._streams.setdefault('configuration', [])
+        record: AmendmentRecord = {
+            'kind': AMENDMENT_KIND,
+            'record_id': f'record-{len(records)}',
+            'operator': 'operator',
+            'instance': 'elsewhere',
+            'item': item,
+            'base_version': base_version,
+            'seen_offset': len(records) - 1,
+            'document': document,
+            'why': 'test',
+            'at_ms': 0,
+        }
+        records.append(encode_record(record))
+
+    def deliver(self, message: Input) -> list[Action]:
+        """Deliver an input and return the actions that the log does not take."""
+        return self._carry_out(self.instance.deliver(message, self.now_ms))
+
+    def run_for(self, duration_ms: int) -> list[Action]:
+        """Tick for a while and return the actions that the log does not take."""
+        end_ms = self.now_ms + duration_ms
+        actions: list[Action] = []
+        while self.now_ms < end_ms:
+            self.now_ms += TICK_MS
+            actions += self._carry_out(self.instance.tick(self.now_ms))
+        return actions
+
+    def find(self, kind: type[A]) -> list[A]:
+        """Return all collected actions of a kind."""
+        return [action for action in self.actions if isinstance(action, kind)]
+
+    def _carry_out(self, actions: Iterable[Action]) -> list[Action]:
+        left: list[Action] = []
+        for action in actions:
+            answer = self._answer(action)
+            if answer is None:
+                self.actions.append(action)
+                left.append(action)
+            else:
+                left += self.deliver(answer)
+        return left
+
+    def _answer(self, action: Action) -> Input | None:
+        """Return the platform's answer, or None for an action of another kind."""
+        if isinstance(action, FetchListing):
+            return ListingFetched(ok=True, live=(ADDRESS,))
+        if isinstance(action, ReadRecords):
+            return self._read(action)
+        if isinstance(action, AppendRecord):
+            records = self._streams.setdefault(action.stream, [])
+            records.append(action.payload)
+            offset = len(records) - 1
+            return AppendFinished(action.append_id, action.stream, 'appended', offset)
+        return None
+
+    def _read(self, read: ReadRecords) -> RecordsRead:
+        records = self._streams.get(read.stream, [])
+        start = max(0, read.from_offset)
+        chosen = records[start : start + read.max_records]
+        return RecordsRead(
+            stream=read.stream,
+            ok=True,
+            records=tuple(
+                LogRecord(start + place, payload)
+                for place, payload in enumerate(chosen)
+            ),
+            first_offset=0,
+            end_offset=len(records),
+        )
--- /dev/null
+++ b/tests/test_instance/test_embedding_page.py
@@ -0,0 +1,19 @@
+"""Runs the example of the page on embedding."""
+
+from __future__ import annotations
+
+import textwrap
+from pathlib import Path
+
+PAGE = Path(__file__).parents[2] / 'docs' / 'reference' / 'embedding.rst'
+MARKER = '.. code-block:: python\n'
+
+
+def test_example_prints_what_the_page_says(capsys):
+    page = PAGE.read_text()
+    rest = page.split(MARKER, 1)[1]
+    block = rest.split('\nIt prints', 1)[0]
+
+    exec(compile(textwrap.dedent(block), str(PAGE), 'exec'), {})
+
+    assert capsys.readouterr().out == 'FinishResponse\n'
