Take over load reports that come with grants of credit

Cause: homes pass on what they measured of their endpoints, but nothing took the reports out of the ledger, so users knew only what they polled themselves. Change: reports go from the ledger to the endpoint book at each tick, and own polls to the ledger.

--- a/savorychute/instance/housekeeping.py
+++ b/savorychute/instance/housekeeping.py
@@ -40,6 +40,7 @@
         self._follow_members(now_ms)
         self._report_demand(now_ms)
         actions += parts.credits.tick(view, now_ms)
+        self._follow_relayed_loads(now_ms)
         actions += parts.limiter.tick(view, now_ms)
         outcomes = parts.keys.tick(view, now_ms)
         actions += self._key_desk.follow(outcomes, now_ms)
@@ -70,6 +71,7 @@
         parts = self._parts
         parts.book.report(report, now_ms)
         parts.ejector.report(report, now_ms)
+        parts.credits.observe(report)
         if report.state == ACTIVE:
             parts.directory.note_return(report.endpoint)
         else:
@@ -105,6 +107,11 @@
             self._audit(entry, now_ms)
             parts.events.emit('configuration-applied', change)
 
+    def _follow_relayed_loads(self, now_ms: int) -> None:
+        """Take over load reports that came with grants of credit."""
+        for report in self._parts.credits.take_reports():
+            self._parts.book.report(report, now_ms)
+
     def _follow_members(self, now_ms: int) -> None:
         parts = self._parts
         for change in parts.membership.take_changes():
