Add a client library that carries a call to a whole answer

Cause: there is no balancer, so callers must ask for addresses, fail over, carry keys and resume streams by themselves. Change: savorychute.client does so. It sends again only what cannot have run, is idempotent, or has a key, and says 'not run' only if that is true of all its tries together. A stream is joined by offsets; a gap or a cut raises.

--- /dev/null
+++ b/savorychute/client/__init__.py
@@ -0,0 +1,25 @@
+"""A client library for callers, built on asyncio.
+
+It asks the system which instances to use and keeps the answer, gets request
+keys, goes on to another instance when one fails, and resumes streams.
+"""
+
+from __future__ import annotations
+
+from savorychute.client.call_error import CallError
+from savorychute.client.calls import ChatCall, ServiceCall
+from savorychute.client.client import Client, open_client
+from savorychute.client.client_settings import ClientSettings
+from savorychute.client.tokens import Tokens
+from savorychute.client.whole_answer import WholeAnswer
+
+__all__ = [
+    'CallError',
+    'ChatCall',
+    'Client',
+    'ClientSettings',
+    'ServiceCall',
+    'Tokens',
+    'WholeAnswer',
+    'open_client',
+]
