--- a/savorychute/telemetry.py
+++ b/savorychute/telemetry.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING, cast
 
 from savorychute.daemon.metrics_text import MetricsText
-from savorychute.ran import Ran
 from savorychute.result_code import ResultCode
 
 if TYPE_CHECKING:
@@ -113,7 +112,9 @@
 
     def _count_request(self, outcome: RequestOutcome) -> None:
         metrics = self._metrics
-        answered = outcome.code is ResultCode.OK and outcome.ran is Ran.RAN
+        # An answer that is kept for its key and given again has no attempt; it
+        # was counted when it ran.
+        answered = outcome.code is ResultCode.OK and outcome.attempts > 0
         metrics.finish_request(
             outcome.customer,
             outcome.class_name,
--- /dev/null
+++ b/tests/test_cmd/test_tutorial.py
@@ -0,0 +1,166 @@
+"""The tutorial's files and steps, with processes of their own."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import re
+import signal
+import subprocess
+import sys
+import time
+from contextlib import contextmanager
+from http import HTTPStatus
+from pathlib import Path
+
+import pytest
+
+from savorychute.cmd.exit_code import ExitCode
+from savorychute.cmd.operator_client import ADDRESS_VARIABLE, TOKEN_VARIABLE
+
+FILES = Path(__file__).parents[2] / 'docs' / 'tutorial'
+CUSTOMER_HEADERS = {'authorization': 'Bearer malanadu-token'}
+CHAT = {
+    'model': 'pump-diagnosis',
+    'messages': [{'role': 'user', 'content': 'the pump at the east field is dry'}],
+    'max_tokens': 20,
+}
+
+
+@contextmanager
+def start(*argv: str):
+    """Run a command as a process of its own; end it if it does not."""
+    process = subprocess.Popen(
+        [sys.executable, '-m', 'savorychute', *argv],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        yield process
+    finally:
+        process.kill()
+        process.communicate()
+
+
+@pytest.fixture(scope='module')
+def platform():
+    """Run the stand-ins; return their ports by name."""
+    zeros = ('--log-port', '--list-port', '--engine-port', '--service-port')
+    argv = [item for option in zeros for item in (option, '0')]
+    with start('stand-ins', *argv) as process:
+        lines = [process.stdout.readline().split() for _ in range(5)]
+        yield {name: int(port) for name, port in lines}
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(20) == 0
+
+
+@pytest.fixture(scope='module')
+def directory(platform, tmp_path_factory):
+    """Copy the tutorial's files with the ports that the system chose."""
+    ports = {
+        '7000': platform['log'],
+        '7001': platform['list'],
+        '7100': platform['engine-1'],
+        '7200': platform['visit-log'],
+        '8080': 0,
+        '8081': 0,
+    }
+    copied = tmp_path_factory.mktemp('tutorial')
+    for path in FILES.glob('*.jsonc'):
+        text = re.sub(
+            r'\b(7000|7001|7100|7200|8080|8081)\b',
+            lambda found: str(ports[found[0]]),
+            path.read_text(),
+        )
+        (copied / path.name).write_text(text)
+    return copied
+
+
+@pytest.fixture
+def instance(directory, monkeypatch):
+    """Run the instance; return its process and its callers' port."""
+    with start('serve', str(directory / 'kochi-1.jsonc')) as process:
+        line = json.loads(process.stdout.readline())
+        assert line['message_type'] == 'instance-started'
+        monkeypatch.setenv(ADDRESS_VARIABLE, line['address'])
+        monkeypatch.setenv(TOKEN_VARIABLE, 'operator-token')
+        yield process, int(line['address'].rpartition(':')[2])
+
+
+def call(port, method, path, body=None, **headers):
+    """Send one request; return status, headers and body."""
+    connection = http.client.HTTPConnection('127.0.0.1', port, timeout=20)
+    sent = {**CUSTOMER_HEADERS, **{k.replace('_', '-'): v for k, v in headers.items()}}
+    connection.request(method, path, json.dumps(body) if body else None, sent)
+    reply = connection.getresponse()
+    answer = reply.read().decode()
+    connection.close()
+    return reply.status, reply.headers, answer
+
+
+def test_files_have_no_faults(run):
+    path = FILES / 'kochi-1.jsonc'
+    assert run('check', str(path)) == (ExitCode.OK, f'{path}: no faults\n', '')
+
+
+def test_tutorial(run, directory, instance):
+    process, port = instance
+    while call(port, 'GET', '/readyz')[0] != HTTPStatus.OK:
+        time.sleep(0.02)
+    contract = str(directory / 'malanadu.jsonc')
+    amend = ('contract', 'amend', contract, '--base-version', '0', '--why', 'first')
+    assert run(*amend)[0] == ExitCode.OK
+    for name in ('engine-1', 'visit-log'):
+        path = str(directory / f'{name}.jsonc')
+        assert run('endpoint', 'add', path, '--why', 'first')[0] == ExitCode.OK
+
+    chat = '/v1/chat/completions'
+    status, headers, answer = call(
+        port, 'POST', chat, CHAT, x_request_class='diagnosis'
+    )
+    assert (status, headers['x-result-code'], headers['x-endpoint']) == (
+        200,
+        '0',
+        'engine-1',
+    )
+    assert json.loads(answer)['choices'][0]['message']['content']
+    request_id = headers['x-request-id']
+    code, out, _ = run('explain', request_id, '--json')
+    assert code == ExitCode.OK
+    assert json.loads(out)['outcome']['code'] == 'OK'
+
+    key = json.loads(call(port, 'POST', '/v1/keys')[2])['key']
+    visits = '/v1/services/visit-log/visits'
+    booked = [
+        call(
+            port,
+            'POST',
+            visits,
+            {'pump': 7},
+            x_request_class='visit',
+            x_request_key=key,
+        )
+        for _ in range(2)
+    ]
+    assert booked[0][0] == booked[1][0] == 200
+    assert booked[0][2] == booked[1][2]
+    assert booked[0][1]['x-attempt-id']
+    assert not booked[1][1]['x-attempt-id']
+
+    status, headers, _ = call(port, 'POST', chat, CHAT, x_request_class='dignosis')
+    assert (status, headers['x-result-code']) == (400, '1006')
+    assert 'savorychute_goodput_total{class="visit"' in call(port, 'GET', '/metrics')[2]
+
+    drain = ('endpoint', 'drain', 'engine-1', '--why', 'repair')
+    assert run(*drain)[0] == ExitCode.OK
+    listed = json.loads(run('endpoint', 'list', '--json')[1])['endpoints']
+    usable = {entry['endpoint']: entry['usable'] for entry in listed}
+    assert usable == {'engine-1': False, 'visit-log-1': True}
+
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(20) == 0
+    lines = process.stdout.read()
+    assert 'instance-stopped' in lines
+    assert 'east field' not in lines
+    assert 'malanadu-token' not in lines
--- a/tests/test_plumbing/test_telemetry.py
+++ b/tests/test_plumbing/test_telemetry.py
@@ -103,6 +103,19 @@
     assert any('code="2001"' in name for name in read)
 
 
+def test_kept_answer_counts_once_for_goodput(events, telemetry):
+    """A caller loses the answer to a booking and asks again by the same key.
+
+    It gets the kept answer.  Counted again, lost connections would look like
+    useful work.
+    """
+    events.emit('request-finished', ANSWERED)
+    events.emit('request-finished', ANSWERED._replace(attempts=0, tokens=0))
+    read = read_metrics(telemetry)
+    [goodput] = [value for name, value in read.items() if name.startswith('goodput')]
+    assert goodput == 2
+
+
 def test_new_contract_protects_its_token(events, telemetry):
     """A contract with a new token comes into force while an instance runs.
 
