Show a small site in trouble; end the circle of redirects at a leaving issuer

Cause: nothing showed the whole path over sockets. A leaving issuer settles its own keys as not run.

--- a/savorychute/cmd/operator_client.py
+++ b/savorychute/cmd/operator_client.py
@@ -3,32 +3,30 @@
 from __future__ import annotations
 
 import asyncio
-import os
-import ssl
-from pathlib import Path
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import msgspec
 
 from savorychute.clock import SystemClock
+from savorychute.cmd.connection_arguments import (
+    read_instances,
+    read_tls,
+    read_token,
+)
 from savorychute.cmd.operator_verbs import OPERATOR_PATH, RESULT_CODE_HEADER
 from savorychute.http.call_failure import CallFailure
 from savorychute.http.client_pool import PoolSettings, ServerAddress, open_pool
 from savorychute.http.http_request import HttpRequest
 from savorychute.http.timed_call import fetch
 from savorychute.result_code import ResultCode
-from savorychute.settings.readers import read_address
 
 if TYPE_CHECKING:
-    from argparse import ArgumentParser, Namespace
-    from collections.abc import Sequence
+    from argparse import Namespace
 
     from savorychute.http.http_response import HttpResponse
     from savorychute.settings.network_address import NetworkAddress
 
-ADDRESS_VARIABLE = 'SAVORYCHUTE_INSTANCES'
 TOKEN_VARIABLE = 'SAVORYCHUTE_OPERATOR_TOKEN'
-DEFAULT_ADDRESS = '127.0.0.1:8080'
 DEFAULT_TIMEOUT_MS = 15_000
 MIN_REFUSAL_STATUS = 300
 CODES = {code.number: code for code in ResultCode}
@@ -68,13 +66,17 @@
         :raises NotSentError: if no instance accepted a connection.
         :raises NoReplyError: if the command was sent and not answered.
         """
+        return asyncio.run(self.send(verb, arguments))
+
+    async def send(self, verb: str, arguments: Any) -> OperatorAnswer:
+        """Do the same as :meth:`call` inside a running loop."""
         headers = (
             ('content-type', 'application/json'),
             ('authorization', f'Bearer {self.token}'),
         )
         body = msgspec.json.encode(arguments)
         request = HttpRequest('POST', OPERATOR_PATH + verb, headers, body)
-        return asyncio.run(self._call_first(request))
+        return await self._call_first(request)
 
     async def _call_first(self, request: HttpRequest) -> OperatorAnswer:
         bounds = PoolSettings(connect_timeout_ms=self.timeout_ms)
@@ -91,51 +93,18 @@
         raise NotSentError('; '.join(reasons))
 
 
-def add_client_arguments(parser: ArgumentParser) -> None:
-    """Add the arguments that :func:`make_client` reads."""
-    parser.add_argument(
-        '--instances',
-        metavar='HOST:PORT,...',
-        help=f'instances to ask, in this order (else ${ADDRESS_VARIABLE})',
-    )
-    parser.add_argument(
-        '--token-file',
-        type=Path,
-        metavar='FILE',
-        help=f"file with the operator's token (else ${TOKEN_VARIABLE})",
-    )
-    parser.add_argument(
-        '--ca-file', metavar='FILE', help='use TLS and trust these certificates'
-    )
-    parser.add_argument(
-        '--timeout-ms',
-        type=int,
-        default=DEFAULT_TIMEOUT_MS,
-        metavar='N',
-        help=f'for the whole command (else {DEFAULT_TIMEOUT_MS})',
-    )
-
-
 def make_client(arguments: Namespace) -> OperatorClient:
     """Return a client from parsed arguments and the environment.
 
     :raises ValueError: if an address is not ``host:port``.
     :raises OSError: if a file cannot be read.
     """
-    stated = arguments.instances or os.environ.get(ADDRESS_VARIABLE, DEFAULT_ADDRESS)
-    addresses = _read_addresses(stated.split(','))
-    if arguments.token_file:
-        token = arguments.token_file.read_text('utf-8').strip()
-    else:
-        token = os.environ.get(TOKEN_VARIABLE, '')
-    tls = None
-    if arguments.ca_file:
-        tls = ssl.create_default_context(cafile=arguments.ca_file)
-    return OperatorClient(addresses, token, arguments.timeout_ms, tls)
-
-
-def _read_addresses(items: Sequence[str]) -> tuple[NetworkAddress, ...]:
-    return tuple(read_address(item.strip()) for item in items)
+    return OperatorClient(
+        read_instances(arguments),
+        read_token(arguments, TOKEN_VARIABLE),
+        arguments.timeout_ms,
+        read_tls(arguments),
+    )
 
 
 def _make_answer(reply: HttpResponse) -> OperatorAnswer:
--- /dev/null
+++ b/savorychute/demo/demo_class.py
@@ -0,0 +1,36 @@
+"""What the demonstration's callers ask, and how often."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from savorychute.testing.call import CallClass  # noqa: TC001
+from savorychute.testing.profiles import HOOGHLY_CLASSES, MALANADU_CLASSES
+
+SERVICE = 'register'
+
+
+class DemoClass(NamedTuple):
+    """A customer's class and the rate of its calls."""
+
+    customer: str
+    call_class: CallClass
+    rate_per_s: float
+
+
+def list_classes(rate_per_s: float) -> list[DemoClass]:
+    """Return every class of both customers.
+
+    :param rate_per_s: of all calls of one customer together.
+    """
+    classes = []
+    for customer, call_classes in (
+        ('malanadu', MALANADU_CLASSES),
+        ('hooghly', HOOGHLY_CLASSES),
+    ):
+        for call_class in call_classes:
+            service = SERVICE if call_class.service else ''
+            stated = call_class._replace(service=service)
+            rate = rate_per_s * call_class.demand
+            classes.append(DemoClass(customer, stated, rate))
+    return classes
--- /dev/null
+++ b/savorychute/demo/documents.py
@@ -0,0 +1,97 @@
+"""The documents that the demonstration's operator enters."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+from savorychute.demo.demo_class import SERVICE
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from savorychute.contracts.class_document import ClassDocument
+    from savorychute.contracts.contract_document import ContractDocument
+    from savorychute.contracts.endpoint_document import EndpointDocument
+    from savorychute.demo.demo_class import DemoClass
+    from savorychute.testing.call import CallClass
+
+MODEL = 'model'
+REGION = 'demo'
+POOL_SHARE = 0.5
+
+
+def make_token(customer: str) -> str:
+    """Return the bearer token of a customer's callers."""
+    return f'demo-token-of-{customer}'
+
+
+def make_contract(customer: str, classes: Sequence[DemoClass]) -> ContractDocument:
+    """Return a customer's contract.
+
+    :param classes: of both customers.
+    """
+    token = make_token(customer)
+    return {
+        'customer': customer,
+        'token_hashes': [hashlib.sha256(token.encode()).hexdigest()],
+        'pool_share': POOL_SHARE,
+        'requests_per_s': 200.0,
+        'concurrent_requests': 200,
+        'tokens_per_s': 100_000.0,
+        'models': [MODEL],
+        'services': [SERVICE],
+        'classes': [
+            _make_class(each.call_class)
+            for each in classes
+            if each.customer == customer
+        ],
+    }
+
+
+def make_engine_entry(
+    endpoint: str, failure_domain: str, port: int, concurrent_requests: int
+) -> EndpointDocument:
+    """Return an engine's entry."""
+    return {
+        'endpoint': endpoint,
+        'dialect': 'openai-engine',
+        'host': '127.0.0.1',
+        'port': port,
+        'region': REGION,
+        'failure_domain': failure_domain,
+        'state': 'active',
+        'concurrent_requests': concurrent_requests,
+        'models': [MODEL],
+    }
+
+
+def make_service_entry(
+    endpoint: str, failure_domain: str, port: int
+) -> EndpointDocument:
+    """Return a plain service's entry."""
+    return {
+        'endpoint': endpoint,
+        'dialect': 'plain-service',
+        'host': '127.0.0.1',
+        'port': port,
+        'region': REGION,
+        'failure_domain': failure_domain,
+        'state': 'active',
+        'concurrent_requests': 16,
+        'service': SERVICE,
+    }
+
+
+def _make_class(call_class: CallClass) -> ClassDocument:
+    return {
+        'name': call_class.name,
+        'tier': call_class.tier,
+        'first_token_target_ms': call_class.first_token_target_ms,
+        'token_gap_target_ms': call_class.token_gap_target_ms,
+        'timeout_ms': call_class.timeout_ms,
+        'weight': call_class.weight,
+        'idempotent': call_class.idempotent,
+        'patient': call_class.patient,
+        'minimum_share': call_class.minimum_share,
+    }
--- /dev/null
+++ b/savorychute/demo/site.py
@@ -0,0 +1,170 @@
+"""The demonstration's site: stand-ins and daemons in one loop."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+import secrets
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import TYPE_CHECKING
+
+from savorychute.cmd.operator_client import OperatorClient
+from savorychute.config import NetworkAddress, build_settings
+from savorychute.daemon.main import run_instance
+from savorychute.demo.documents import REGION
+from savorychute.http.client_pool import ServerAddress
+from savorychute.logs import InstanceLog, LogLevel
+from savorychute.testing.append_log import AppendLog, LogSettings
+from savorychute.testing.engine import ModelEngine
+from savorychute.testing.engine_server import EngineServer, serve_engine
+from savorychute.testing.engine_settings import EngineSettings
+from savorychute.testing.instance_list import InstanceList
+from savorychute.testing.list_server import serve_list
+from savorychute.testing.log_server import serve_log
+from savorychute.testing.plain_service import PlainService, ServiceSettings
+from savorychute.testing.service_server import serve_service
+from savorychute.testing.stand_in_http import loop_ms
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from savorychute.daemon.host import DaemonHost
+
+DOMAINS = ('hall-a', 'hall-b', 'hall-c')
+ENGINES = 6
+INSTANCES = 4
+OPERATOR = 'demo'
+LIST_LAG_MS = 500.0
+#: Short, so that the graceful restart fits into the demonstration.
+DISCOVERY_LIFETIME_MS = 2_000
+STEP_MS = 20.0
+CHUNK_STEPS = 4
+
+
+class Site:
+    """Everything that runs, and handles to disturb it.
+
+    :param seed: of every random choice of the stand-ins.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.log = AppendLog(LogSettings(), self._fork())
+        self.listing = InstanceList(lag_ms=LIST_LAG_MS)
+        self.engines: dict[str, EngineServer] = {}
+        self.domains: dict[str, str] = {}
+        self.service = PlainService(ServiceSettings())
+        self.service_port = 0
+        self.hosts: dict[str, DaemonHost] = {}
+        self._log_port = 0
+        self._list_port = 0
+        self._operator_token = secrets.token_hex(16)
+        self._peer_secret = secrets.token_hex(32)
+        self._stacks: dict[str, AsyncExitStack] = {}
+
+    @property
+    def operator(self) -> OperatorClient:
+        """A client for operators' commands, to the instances that are up."""
+        addresses = tuple(
+            NetworkAddress(host.address.host, host.address.caller_port)
+            for host in self.hosts.values()
+        )
+        return OperatorClient(addresses, self._operator_token)
+
+    @property
+    def seeds(self) -> tuple[ServerAddress, ...]:
+        """Addresses that callers know from the start."""
+        return tuple(
+            ServerAddress(host.address.host, host.address.caller_port)
+            for host in self.hosts.values()
+        )
+
+    def count_generated_tokens(self) -> int:
+        """Return how many tokens all engines made so far."""
+        return sum(each.engine.generated_tokens for each in self.engines.values())
+
+    async def start_stand_ins(self, stack: AsyncExitStack) -> None:
+        """Start the platform's log and list, the engines and the service."""
+        log = await stack.enter_async_context(serve_log(self.log))
+        listing = await stack.enter_async_context(serve_list(self.listing))
+        service = await stack.enter_async_context(serve_service(self.service))
+        self._log_port = log.port
+        self._list_port = listing.port
+        self.service_port = service.port
+        for number in range(ENGINES):
+            name = f'engine-{number + 1}'
+            settings = EngineSettings(
+                name=name, step_ms=STEP_MS, chunk_steps=CHUNK_STEPS
+            )
+            engine = ModelEngine(settings, self._fork())
+            server = await stack.enter_async_context(serve_engine(engine))
+            self.engines[name] = server
+            self.domains[name] = DOMAINS[number % len(DOMAINS)]
+
+    async def start_instance(self, name: str, failure_domain: str) -> None:
+        """Start a daemon and enter it in the platform's list."""
+        settings = build_settings(
+            {
+                'instance': name,
+                'region': REGION,
+                'failure_domain': failure_domain,
+                'host': '127.0.0.1',
+                'caller_port': 0,
+                'peer_port': 0,
+                'log_address': f'127.0.0.1:{self._log_port}',
+                'list_address': f'127.0.0.1:{self._list_port}',
+                'operator_token_hashes': {OPERATOR: _hash(self._operator_token)},
+                'peer_keys': [{'key_id': 1, 'secret': self._peer_secret}],
+                'leave_grace_ms': DISCOVERY_LIFETIME_MS,
+                'discovery_min_lifetime_ms': DISCOVERY_LIFETIME_MS // 2,
+                'discovery_max_lifetime_ms': DISCOVERY_LIFETIME_MS,
+            }
+        )
+        stack = AsyncExitStack()
+        log = InstanceLog(name, LogLevel.ERROR)
+        host = await stack.enter_async_context(
+            run_instance(settings, log, rng=self._fork())
+        )
+        self.hosts[name] = host
+        self._stacks[name] = stack
+        self.listing.put(host.address, loop_ms())
+
+    async def stop_instance(self, name: str) -> None:
+        """Let an instance leave gracefully."""
+        host = self.hosts.pop(name)
+        self.listing.mark_leaving(name, loop_ms())
+        await host.drain()
+        await self._stacks.pop(name).aclose()
+        self.listing.delete(name, loop_ms())
+
+    async def close(self) -> None:
+        """Stop all daemons at once."""
+        for stack in self._stacks.values():
+            await stack.aclose()
+        self._stacks.clear()
+        self.hosts.clear()
+
+    def _fork(self) -> random.Random:
+        return random.Random(self.rng.getrandbits(64))
+
+
+@asynccontextmanager
+async def open_site(seed: int) -> AsyncIterator[Site]:
+    """Run a site until the block ends.
+
+    :param seed: of every random choice of the stand-ins.
+    """
+    site = Site(seed)
+    async with AsyncExitStack() as stack:
+        await site.start_stand_ins(stack)
+        try:
+            for number in range(INSTANCES):
+                domain = DOMAINS[number % len(DOMAINS)]
+                await site.start_instance(f'entry-{number + 1}', domain)
+            yield site
+        finally:
+            await site.close()
+
+
+def _hash(token: str) -> str:
+    return hashlib.sha256(token.encode()).hexdigest()
--- /dev/null
+++ b/savorychute/demo/tally.py
@@ -0,0 +1,81 @@
+"""How all calls of the demonstration ended."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, TypedDict
+
+from savorychute.demo.class_tally import ClassTally
+
+if TYPE_CHECKING:
+    from savorychute.demo.demo_class import DemoClass
+
+DIGITS = 4
+
+
+class DemoResult(TypedDict):
+    """The demonstration's last line."""
+
+    answered: int
+    refused: int
+    unknown: int
+    lost: int
+    duplicated: int
+    truncated: int
+    goodput: float
+    wasted_tokens_ratio: float
+    attainment: dict[str, float]
+    refusals: dict[str, int]
+
+
+class Tally:
+    """Counts by customer and class.
+
+    :param classes: what callers ask.
+    """
+
+    def __init__(self, classes: list[DemoClass]) -> None:
+        self.classes = {
+            self.name_of(each): ClassTally(each.call_class.tier, each.call_class.weight)
+            for each in classes
+        }
+        self.refusals: Counter[str] = Counter()
+
+    @staticmethod
+    def name_of(demo_class: DemoClass) -> str:
+        """Return the name under which a class is shown."""
+        return f'{demo_class.customer}/{demo_class.call_class.name}'
+
+    @property
+    def calls(self) -> int:
+        """How many calls have ended."""
+        return sum(each.calls for each in self.classes.values())
+
+    def summarise(
+        self, duplicated: int, generated_tokens: int, duration_ms: int
+    ) -> DemoResult:
+        """Return the figures.
+
+        :param duplicated: non-idempotent calls that ran more than once.
+        :param generated_tokens: what all engines made.
+        :param duration_ms: from the first call to the last answer.
+        """
+        tallies = self.classes.values()
+        useful_tokens = sum(each.answered_tokens for each in tallies)
+        wasted_tokens = max(0, generated_tokens - useful_tokens)
+        weighted = sum(each.answered * each.weight for each in tallies)
+        return DemoResult(
+            answered=sum(each.answered for each in tallies),
+            refused=sum(each.refused for each in tallies),
+            unknown=sum(each.unknown for each in tallies),
+            lost=sum(each.lost for each in tallies),
+            duplicated=duplicated,
+            truncated=sum(each.truncated for each in tallies),
+            goodput=round(weighted * 1_000 / max(1, duration_ms), DIGITS),
+            wasted_tokens_ratio=round(wasted_tokens / max(1, generated_tokens), DIGITS),
+            attainment={
+                name: round(each.attainment, DIGITS)
+                for name, each in self.classes.items()
+            },
+            refusals=dict(self.refusals),
+        )
--- a/savorychute/instance/core.py
+++ b/savorychute/instance/core.py
@@ -129,7 +129,7 @@
         responder.connect(key_desk.follow)
         queue_desk = QueueDesk(parts, responder)
         self._dispatcher = Dispatcher(parts, key_desk, queue_desk)
-        self._intake = Intake(parts, self._dispatcher, key_desk, queue_desk)
+        self._intake = Intake(parts, responder, self._dispatcher, key_desk, queue_desk)
         key_desk.connect(self._intake.enqueue, self._dispatcher.send)
         self._attempt_desk = AttemptDesk(parts, responder, self._dispatcher, queue_desk)
         self._operator_desk = OperatorDesk(parts, explanations)
--- a/savorychute/instance/intake.py
+++ b/savorychute/instance/intake.py
@@ -21,6 +21,7 @@
     from savorychute.instance.key_desk import KeyDesk
     from savorychute.instance.parts import Parts
     from savorychute.instance.queue_desk import QueueDesk
+    from savorychute.instance.responder import Responder
 
 FINGERPRINT_BYTES = 12
 #: Result codes below this one say that the request itself is at fault.
@@ -36,11 +37,13 @@
     def __init__(
         self,
         parts: Parts,
+        responder: Responder,
         dispatcher: Dispatcher,
         key_desk: KeyDesk,
         queue_desk: QueueDesk,
     ) -> None:
         self._parts = parts
+        self._responder = responder
         self._dispatcher = dispatcher
         self._key_desk = key_desk
         self._queue_desk = queue_desk
@@ -60,19 +63,36 @@
         parts.budget.request(tracked.limits.customer, now_ms)
         parts.events.emit('request-received', request)
         if tracked.limits.idempotent:
+            if self.leaving:
+                return self._turn_away(tracked, now_ms)
             return self.enqueue(tracked, now_ms)
         return self._key_desk.admit(tracked, now_ms)
 
     def enqueue(self, tracked: TrackedRequest, now_ms: int) -> list[Action]:
-        """Queue a request whose key, if it needs one, permits a run."""
+        """Queue a request whose key, if it needs one, permits a run.
+
+        Only the issuer decides its keys.  If it sent their requests elsewhere
+        while it leaves, the others would send them back here, and the caller
+        would be redirected in a circle.  So it settles them as not run, which
+        it alone can say, and the caller gets a new key elsewhere.
+        """
+        if self.leaving:
+            return self._turn_away(tracked, now_ms)
         actions = self._queue_desk.put(tracked, now_ms)
         return actions + self._dispatcher.pump(tracked.pool, now_ms)
 
+    def _turn_away(self, tracked: TrackedRequest, now_ms: int) -> list[Action]:
+        code = ResultCode.SHUTTING_DOWN
+        location = '' if tracked.holds_key else self._find_other_instance()
+        return self._responder.give_up(
+            tracked, code, code.meaning, now_ms, location=location
+        )
+
     def _check(self, request: CallerRequest, now_ms: int) -> TrackedRequest:
         parts = self._parts
         if not parts.configuration.ready:
             raise RequestError(ResultCode.NOT_READY, ResultCode.NOT_READY.meaning)
-        if self.leaving:
+        if self.leaving and not request.key:
             code = ResultCode.SHUTTING_DOWN
             raise RequestError(code, code.meaning)
         limits = parts.directory.find_customer(request.token)
--- a/tests/test_instance/test_core.py
+++ b/tests/test_instance/test_core.py
@@ -291,6 +291,24 @@
     assert solo.find(FinishResponse) == [FinishResponse('r1')]
 
 
+def test_leaving_issuer_settles_its_own_keys(solo):
+    """A caller would be redirected in a circle until it gives up.
+
+    The caller has a key of an instance that is told to leave before the
+    request comes.  Sent elsewhere, the request would be sent back here,
+    because only the issuer decides the key.
+    """
+    key = solo.instance.issue_key('token-acme', solo.now_ms)
+    solo.deliver(ShutdownRequested())
+
+    actions = solo.deliver(make_request('r1', 'booking')._replace(key=key))
+
+    refusal = next(each for each in actions if isinstance(each, RefuseRequest))
+    assert refusal.code is ResultCode.SHUTTING_DOWN
+    assert refusal.ran is Ran.NOT_RUN
+    assert not refusal.location
+
+
 def test_drained_endpoint_gets_nothing_new(solo):
     code, _ = call_operator(solo, 'endpoint-drain', endpoint='engine-1', why='repair')
     assert code is ResultCode.OK
