Measure members for the capacity page; end gossip that all know

Cause: after a start of 530 instances at once some went on for 80 s at 3 KB/s, repeating what all knew. Change: a copy heard from others counts as sent, an update is dropped after 15 s, and what a digest brought is not passed on.

--- a/benches/capacity_roles/member_mesh.py
+++ b/benches/capacity_roles/member_mesh.py
@@ -52,6 +52,8 @@
         self.paused_until_ms: dict[str, int] = {}
         self.is_cut: Callable[[MemberAddress, MemberAddress], bool] = no_cut
         self.on_send: Callable[[str, str, tuple[object, ...]], None] | None = None
+        self.on_tick: Callable[[str], None] | None = None
+        self.on_deliver: Callable[[str, str, tuple[object, ...]], None] | None = None
         self._ticks: list[tuple[int, str]] = []
         self._deliveries: list[Delivery] = []
         self._number = 0
@@ -137,6 +139,8 @@
         if until_ms > self.now_ms:
             heapq.heappush(self._ticks, (until_ms, instance))
             return
+        if self.on_tick is not None:
+            self.on_tick(instance)
         self._carry_out(instance, self.members[instance].tick(self.now_ms))
         heapq.heappush(self._ticks, (self.now_ms + TICK_MS, instance))
 
@@ -149,6 +153,8 @@
             # After the tick of the same moment: a woken process ticks first.
             heapq.heappush(self._deliveries, delivery._replace(at_ms=until_ms + 1))
             return
+        if self.on_deliver is not None:
+            self.on_deliver(delivery.sender, delivery.target, delivery.message)
         actions = member.receive(delivery.sender, delivery.message, self.now_ms)
         self._carry_out(delivery.target, actions)
 
--- a/savorychute/membership/membership.py
+++ b/savorychute/membership/membership.py
@@ -64,7 +64,6 @@
         self._last_tick_ms: int | None = None
         self._view: MemberView | None = None
         self._view_key: tuple[object, ...] = ()
-        self._queue.add(self._own)
 
     def view(self) -> MemberView:
         """Return the members now; the same object until something changes."""
@@ -123,7 +122,7 @@
         self._own = MemberUpdate(
             self._own.address, self._own.counter + 1, int(MemberState.LEAVING)
         )
-        self._queue.add(self._own)
+        self._queue.add(self._own, now_ms)
         return self._announce(now_ms)
 
     def receive(
@@ -151,7 +150,7 @@
             self._prober.acknowledged(message.target.address.instance, message.sequence)
             return []
         if isinstance(message, Gossip):
-            self._apply(message.updates, 'gossip', now_ms)
+            self._apply(message.updates, 'gossip', now_ms, message.bulk)
             return []
         if isinstance(message, Digest):
             self._note_offset(sender, message.configuration_offset)
@@ -215,23 +214,37 @@
         """
         last_ms = self._last_tick_ms
         self._last_tick_ms = now_ms
-        if last_ms is None or now_ms - last_ms < self._settings.pause_ms:
+        if last_ms is None:
+            self._queue.add(self._own, now_ms)
+            return
+        if now_ms - last_ms < self._settings.pause_ms:
             return
         self._prober.postpone(now_ms - last_ms)
         self._table.postpone(now_ms - last_ms)
         self._sync.postpone(now_ms - last_ms)
 
-    def _apply(self, updates: tuple[MemberUpdate, ...], why: str, now_ms: int) -> None:
+    def _apply(
+        self,
+        updates: tuple[MemberUpdate, ...],
+        why: str,
+        now_ms: int,
+        bulk: bool = False,
+    ) -> None:
         for update in updates:
-            if update.address.instance == self._own.address.instance:
-                self._refute(update)
+            instance = update.address.instance
+            if instance == self._own.address.instance:
+                self._refute(update, now_ms)
+                continue
+            known = self._table.get(instance)
+            if not self._table.apply(update, why, now_ms):
+                self._queue.hear(update)
                 continue
-            if self._table.apply(update, why, now_ms):
-                self._queue.add(update)
-                if update.state == MemberState.DEAD:
-                    self._peer_offsets.pop(update.address.instance, None)
+            if known is not None or not bulk:
+                self._queue.add(update, now_ms)
+            if update.state == MemberState.DEAD:
+                self._peer_offsets.pop(instance, None)
 
-    def _refute(self, update: MemberUpdate) -> None:
+    def _refute(self, update: MemberUpdate, now_ms: int) -> None:
         """Contradict a suspicion or a death of this incarnation."""
         own = self._own
         if update.address.incarnation != own.address.incarnation:
@@ -239,7 +252,7 @@
         if update.rank <= own.rank:
             return
         self._own = own._replace(counter=update.counter + 1)
-        self._queue.add(self._own)
+        self._queue.add(self._own, now_ms)
 
     def _answer_ping(self, ping: Ping, now_ms: int) -> list[Action]:
         self._note_offset(ping.origin.address.instance, ping.configuration_offset)
--- a/savorychute/membership/region_sync.py
+++ b/savorychute/membership/region_sync.py
@@ -163,7 +163,7 @@
             actions.append(self._send(target, UpdateRequest(own, lacking)))
         for start in range(0, len(newer), UPDATES_PER_SUPPLY):
             updates = tuple(newer[start : start + UPDATES_PER_SUPPLY])
-            actions.append(self._send(target, Gossip(updates)))
+            actions.append(self._send(target, Gossip(updates, True)))
         return actions
 
     def supply(self, request: UpdateRequest, own: MemberUpdate) -> list[Action]:
@@ -182,7 +182,7 @@
         target = request.origin.address
         return [
             self._send(
-                target, Gossip(tuple(updates[start : start + UPDATES_PER_SUPPLY]))
+                target, Gossip(tuple(updates[start : start + UPDATES_PER_SUPPLY]), True)
             )
             for start in range(0, len(updates), UPDATES_PER_SUPPLY)
         ]
--- a/savorychute/membership/settings.py
+++ b/savorychute/membership/settings.py
@@ -26,6 +26,7 @@
     updates_per_message: int = 8
     updates_per_s: float = 30.0
     updates_burst: int = 200
+    max_update_age_ms: int = 15_000
     digest_period_ms: int = 2_000
     representatives: int = 3
     settle_ms: int = 3_000
--- a/savorychute/membership/update_queue.py
+++ b/savorychute/membership/update_queue.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from math import ceil, log2
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from savorychute.clock import MS_PER_S
 
@@ -12,6 +12,14 @@
     from savorychute.membership.settings import MembershipSettings
 
 
+class WaitingUpdate(NamedTuple):
+    """An update, since when it waits, and how often it was sent or heard."""
+
+    update: MemberUpdate
+    since_ms: int
+    sent: int = 0
+
+
 class UpdateQueue:
     """The newest update of each member, with how often it was sent.
 
@@ -23,19 +31,34 @@
 
     def __init__(self, settings: MembershipSettings) -> None:
         self._settings = settings
-        self._waiting: dict[str, tuple[MemberUpdate, int]] = {}
+        self._waiting: dict[str, WaitingUpdate] = {}
         self._tokens = float(settings.updates_burst)
         self._refilled_ms: int | None = None
 
     def __len__(self) -> int:
         return len(self._waiting)
 
-    def add(self, update: MemberUpdate) -> None:
+    def add(self, update: MemberUpdate, now_ms: int) -> None:
         """Queue an update in place of an older one of the same member.
 
         :param update: the update to pass on.
         """
-        self._waiting[update.address.instance] = (update, 0)
+        self._waiting[update.address.instance] = WaitingUpdate(update, now_ms)
+
+    def hear(self, update: MemberUpdate) -> None:
+        """Count a copy that came from another member as if it were sent.
+
+        What arrives again and again is known already (Demers et al., "Epidemic
+        Algorithms for Replicated Database Maintenance", 1987: rumours with
+        feedback).  Without this a start of all instances keeps everybody busy
+        repeating to each other what all know.
+
+        :param update: an update that told nothing new.
+        """
+        waiting = self._waiting.get(update.address.instance)
+        if waiting is not None and waiting.update == update:
+            heard = waiting._replace(sent=waiting.sent + 1)
+            self._waiting[update.address.instance] = heard
 
     def take(self, members: int, now_ms: int) -> tuple[MemberUpdate, ...]:
         """Return the updates of the next message, the least sent first.
@@ -46,16 +69,25 @@
             return ()
         self._refill(now_ms)
         count = min(self._settings.updates_per_message, int(self._tokens))
-        order = sorted(self._waiting.items(), key=lambda item: item[1][1])
         limit = ceil(self._settings.spread_factor * log2(members + 2))
+        self._drop_known(limit, now_ms)
+        order = sorted(self._waiting.items(), key=lambda item: item[1].sent)
         taken = order[:count]
-        for instance, (update, sent) in taken:
-            if sent + 1 >= limit:
-                del self._waiting[instance]
-            else:
-                self._waiting[instance] = (update, sent + 1)
+        for instance, waiting in taken:
+            self._waiting[instance] = waiting._replace(sent=waiting.sent + 1)
         self._tokens -= len(taken)
-        return tuple(update for _, (update, _) in taken)
+        return tuple(waiting.update for _, waiting in taken)
+
+    def _drop_known(self, limit: int, now_ms: int) -> None:
+        """Drop what was sent often enough, or so old that digests carry it."""
+        oldest_ms = now_ms - self._settings.max_update_age_ms
+        known = [
+            instance
+            for instance, waiting in self._waiting.items()
+            if waiting.sent >= limit or waiting.since_ms < oldest_ms
+        ]
+        for instance in known:
+            del self._waiting[instance]
 
     def _refill(self, now_ms: int) -> None:
         if self._refilled_ms is not None:
--- a/savorychute/wire/messages.capnp
+++ b/savorychute/wire/messages.capnp
@@ -52,6 +52,7 @@
 
 struct Gossip {  # tag 14
   updates @0 :List(MemberUpdate);
+  bulk @1 :Bool;
 }
 
 struct RegionDigest {
