Send a request from the command line

A caller had to write HTTP by hand. "savorychute call" uses the client library: discovery, keys, failover and resume unasked; exit codes tell a refusal from an unknown outcome. The arguments of connections are in one place.

--- a/savorychute/cmd/operator_client.py
+++ b/savorychute/cmd/operator_client.py
@@ -21,6 +21,7 @@
 from savorychute.result_code import ResultCode
 
 if TYPE_CHECKING:
+    import ssl
     from argparse import Namespace
 
     from savorychute.http.http_response import HttpResponse
--- a/savorychute/cmd/operator_command.py
+++ b/savorychute/cmd/operator_command.py
@@ -5,11 +5,13 @@
 import sys
 from typing import TYPE_CHECKING, Any
 
+from savorychute.cmd.connection_arguments import add_connection_arguments
 from savorychute.cmd.exit_code import ExitCode
 from savorychute.cmd.operator_client import (
+    DEFAULT_TIMEOUT_MS,
+    TOKEN_VARIABLE,
     NoReplyError,
     NotSentError,
-    add_client_arguments,
     make_client,
 )
 from savorychute.cmd.output import add_output_arguments, print_document
@@ -34,7 +36,7 @@
     def add_arguments(self, parser: ArgumentParser) -> None:
         """Add the verb's arguments and those of every operator's command."""
         self.add_own_arguments(parser)
-        add_client_arguments(parser)
+        add_connection_arguments(parser, TOKEN_VARIABLE, DEFAULT_TIMEOUT_MS)
         add_output_arguments(parser)
 
     def add_own_arguments(self, parser: ArgumentParser) -> None:
--- a/tests/test_cmd/conftest.py
+++ b/tests/test_cmd/conftest.py
@@ -9,8 +9,9 @@
 
 import pytest
 
+from savorychute.cmd.connection_arguments import ADDRESS_VARIABLE
 from savorychute.cmd.main import main
-from savorychute.cmd.operator_client import ADDRESS_VARIABLE, TOKEN_VARIABLE
+from savorychute.cmd.operator_client import TOKEN_VARIABLE
 
 
 class Received(NamedTuple):
--- a/tests/test_cmd/test_tutorial.py
+++ b/tests/test_cmd/test_tutorial.py
@@ -15,8 +15,9 @@
 
 import pytest
 
+from savorychute.cmd.connection_arguments import ADDRESS_VARIABLE
 from savorychute.cmd.exit_code import ExitCode
-from savorychute.cmd.operator_client import ADDRESS_VARIABLE, TOKEN_VARIABLE
+from savorychute.cmd.operator_client import TOKEN_VARIABLE
 
 FILES = Path(__file__).parents[2] / 'docs' / 'tutorial'
 CUSTOMER_HEADERS = {'authorization': 'Bearer malanadu-token'}
@@ -85,6 +86,7 @@
         assert line['message_type'] == 'instance-started'
         monkeypatch.setenv(ADDRESS_VARIABLE, line['address'])
         monkeypatch.setenv(TOKEN_VARIABLE, 'operator-token')
+        monkeypatch.setenv('SAVORYCHUTE_TOKEN', 'malanadu-token')
         yield process, int(line['address'].rpartition(':')[2])
 
 
@@ -130,6 +132,21 @@
     assert code == ExitCode.OK
     assert json.loads(out)['outcome']['code'] == 'OK'
 
+    ask = ('call', 'diagnosis', '--model', 'pump-diagnosis', 'no water')
+    code, out, _ = run(*ask, '--max-tokens', '8', '--json')
+    assert code == ExitCode.OK
+    assert json.loads(out)['tokens'] == 8
+    assert len(run(*ask, '--max-tokens', '8')[1].split()) == 8
+    book = ('call', 'visit', '--service', 'visit-log', '--path', '/visits', '--once')
+    code, out, _ = run(*book, '{"pump": 7}')
+    assert code == ExitCode.OK
+    assert out.startswith('POST /visits')
+    wrong = ('call', 'dignosis', '--model', 'pump-diagnosis', 'x')
+    code, out, err = run(*wrong, '--timeout-ms', '500', '--json')
+    assert code == ExitCode.REFUSED
+    assert json.loads(out)['error']['code'] == 1006
+    assert 'not-run' in err
+
     key = json.loads(call(port, 'POST', '/v1/keys')[2])['key']
     visits = '/v1/services/visit-log/visits'
     booked = [
--- a/tests/test_cmd/test_with_instance.py
+++ b/tests/test_cmd/test_with_instance.py
@@ -10,8 +10,9 @@
 
 import pytest
 
+from savorychute.cmd.connection_arguments import ADDRESS_VARIABLE
 from savorychute.cmd.exit_code import ExitCode
-from savorychute.cmd.operator_client import ADDRESS_VARIABLE, TOKEN_VARIABLE
+from savorychute.cmd.operator_client import TOKEN_VARIABLE
 from savorychute.config import Settings, build_settings
 from savorychute.daemon.run_host import run_host
 from savorychute.instance import Instance
