--- a/savorychute/testing/call.py
+++ b/savorychute/testing/call.py
@@ -85,6 +85,11 @@
         """Whether the caller has the whole answer."""
         return self.is_over and self.told == 'answered'
 
+    @property
+    def ending(self) -> str:
+        """How it ended, in words."""
+        return f'{self.told} {self.code.name if self.code else ""}'.strip()
+
     @property
     def deadline_ms(self) -> float:
         """When the caller no longer waits."""
--- a/savorychute/testing/call_try.py
+++ b/savorychute/testing/call_try.py
@@ -6,6 +6,7 @@
 
 from savorychute.requests.continuation_handle import decode_handle
 from savorychute.result_code import ResultCode
+from savorychute.testing.matrix import steps
 
 if TYPE_CHECKING:
     from savorychute.actions import (
@@ -60,6 +61,7 @@
             return
         call = self.call
         now_ms = self._callers.world.heap.now_ms
+        self._callers.world.reached(steps.STREAMING, call.call_id, self.host)
         if call.first_token_ms is None:
             call.first_token_ms = now_ms
         else:
--- a/savorychute/testing/callers.py
+++ b/savorychute/testing/callers.py
@@ -10,6 +10,7 @@
 from savorychute.ran import Ran
 from savorychute.result_code import ResultCode
 from savorychute.testing.call_try import CallTry, continue_handle, is_final
+from savorychute.testing.matrix import steps
 
 if TYPE_CHECKING:
     from random import Random
@@ -59,7 +60,7 @@
 
     def answered(self, call: Call, call_try: CallTry) -> None:
         """Take a whole answer and compare it with what is due."""
-        del call_try
+        self.world.reached(steps.ANSWERED, call.call_id, call_try.host)
         if call.text != call.answer:
             self.world.note_breach(
                 f'call {call.call_id}: {len(call.text)} bytes passed off as the'
@@ -130,6 +131,7 @@
     def _ask_key(self, call: Call, host: InstanceHost) -> None:
         """Let the instance that will get the call issue its key."""
         delay_ms = self.world.network.settings.client_ms
+        self.world.reached(steps.KEYED, call.call_id, host)
         key = ''
         if host.is_up and not host.is_paused:
             key = self.world.issue_key(host, call.customer)
--- a/savorychute/testing/configuration_watch.py
+++ b/savorychute/testing/configuration_watch.py
@@ -43,7 +43,14 @@
         self._look()
 
     def note_accepted(self, item: str, version: int) -> None:
-        """Note that an operator was told of a version."""
+        """Note that an operator was told of a version.
+
+        Two operators who are both told that theirs is the same version have
+        both been told that they won a race; one of them is wrong.
+        """
+        for accepted in self._accepted:
+            if (accepted.item, accepted.version) == (item, version):
+                self._breaches.append(f'{item} version {version} accepted twice')
         self._accepted.append(Accepted(self._world.heap.now_ms, item, version))
 
     def find_breaches(self) -> Iterator[str]:
--- a/savorychute/testing/endpoint_host.py
+++ b/savorychute/testing/endpoint_host.py
@@ -128,6 +128,8 @@
             self.heap.now_ms, self.name, attempt_id, start.request_id, marker
         )
         self.ledger.executions.append(execution)
+        if self.ledger.on_execution is not None:
+            self.ledger.on_execution(execution)
 
     def note_leaving(self) -> None:
         """Note that an instance was told that the endpoint is leaving."""
--- a/savorychute/testing/instance_host.py
+++ b/savorychute/testing/instance_host.py
@@ -22,6 +22,7 @@
 )
 from savorychute.inputs import (
     AppendFinished,
+    AttemptChunk,
     AttemptEnded,
     AttemptFailed,
     AttemptSent,
@@ -31,10 +32,12 @@
     PeerReceived,
     RecordsRead,
 )
+from savorychute.requests.start_notice import StartNotice
 from savorychute.testing.connection import Connection
 from savorychute.testing.endpoint_down import EndpointDownError
 from savorychute.testing.engine_host import EngineHost
 from savorychute.testing.ledger import Telling
+from savorychute.testing.matrix import steps
 from savorychute.testing.order_gate import EngineOrder
 
 if TYPE_CHECKING:
@@ -47,6 +50,7 @@
     from savorychute.testing.call_try import CallTry
     from savorychute.testing.world import World
 
+CONFIGURATION_STREAM = 'configuration'
 CONNECT_TIMEOUT_MS = 1_000.0
 LOST_REPLY_MS = 2_000.0
 SHORTEST_TICK_MS = 1.0
@@ -136,6 +140,7 @@
     def take_request(self, request: CallerRequest, call_try: CallTry) -> None:
         """Take a caller's request on a connection of its own."""
         self.tries[request.request_id] = call_try
+        self.world.reached(steps.RECEIVED, call_try.call.call_id, self)
         self.world.tier_watch.arrived(self.name, request.request_id, call_try.call)
         self.deliver(request)
 
@@ -241,12 +246,16 @@
 
     def _send_unless_cancelled(self, connection: Connection) -> None:
         if connection.is_open and self.is_up:
+            self.world.note_sent(self, connection.start)
             connection.send_request()
 
     def _receive(self, connection: Connection, told: Input) -> None:
         if isinstance(told, AttemptEnded | AttemptFailed):
             connection.is_open = False
             self.connections.pop(connection.start.attempt_id, None)
+        if isinstance(told, AttemptChunk | AttemptEnded):
+            is_end = isinstance(told, AttemptEnded)
+            self.world.note_answer(self, connection.start, is_end)
         self.deliver(told)
 
     def _cancel(self, cancel: CancelAttempt) -> None:
@@ -294,6 +303,8 @@
     # -- the platform
 
     def _append(self, append: AppendRecord) -> None:
+        if append.stream == CONFIGURATION_STREAM:
+            self.world.reached(steps.APPENDING, steps.ANY_COMMAND, self)
         self.world.heap.call_later(
             self.world.log.delay_ms / 2, self._carry_append, append
         )
@@ -309,6 +320,8 @@
         offset = answer.offset if outcome == 'appended' else -1
         finished = AppendFinished(append.append_id, append.stream, outcome, offset)
         world.heap.call_later(delay_ms, self.deliver, finished)
+        if append.stream == CONFIGURATION_STREAM:
+            world.reached(steps.APPENDED, steps.ANY_COMMAND, self)
 
     def _read(self, read: ReadRecords) -> None:
         self.world.heap.call_later(self.world.log.delay_ms / 2, self._carry_read, read)
@@ -339,6 +352,8 @@
         if target is None:
             return
         received = PeerReceived(self.name, send.message)
+        if isinstance(send.message, StartNotice):
+            world.reached(steps.ANNOUNCED, steps.ANY_CALL, self)
         for delay_ms in world.network.peer_delays(
             self.failure_domain, target.failure_domain
         ):
@@ -349,6 +364,7 @@
     def _start_response(self, response: StartResponse) -> None:
         call_try = self.tries.get(response.request_id)
         if call_try is not None:
+            self.world.tier_watch.answering(self.name, response.request_id)
             self._to_caller(call_try.started, response)
 
     def _send_chunk(self, chunk: SendChunk) -> None:
--- a/savorychute/testing/ledger.py
+++ b/savorychute/testing/ledger.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from savorychute.ran import Ran
     from savorychute.result_code import ResultCode
 
@@ -51,6 +53,7 @@
         self.tellings: list[Telling] = []
         self.leaving_ms: dict[str, float] = {}
         self.breaches: list[str] = []
+        self.on_execution: Callable[[Execution], None] | None = None
 
     def note_breach(self, at_ms: float, text: str) -> None:
         """Note a promise that was broken, found while the run goes on."""
--- /dev/null
+++ b/savorychute/testing/matrix/__init__.py
@@ -0,0 +1,1 @@
+"""The fault matrix: every fault at every step."""
--- /dev/null
+++ b/savorychute/testing/matrix/probe.py
@@ -0,0 +1,73 @@
+"""Watches one call or command and acts when it reaches a step."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorychute.testing.matrix import steps
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from savorychute.testing.instance_host import InstanceHost
+    from savorychute.testing.ledger import Execution
+    from savorychute.testing.world import World
+
+QUEUED_AFTER_MS = 30.0
+SPREADING_AFTER_MS = 5.0
+
+
+class Probe:
+    """Calls back once, the first time that its subject reaches its step.
+
+    :param world: the run.
+    :param subject: the call's or command's id.
+    :param step: the step to wait for.
+    :param on_step: called then.
+    """
+
+    def __init__(
+        self, world: World, subject: str, step: str, on_step: Callable[[Probe], None]
+    ) -> None:
+        self.subject = subject
+        self.step = step
+        self.instance = ''
+        self.endpoint = ''
+        self.has_fired = False
+        self._world = world
+        self._on_step = on_step
+        self._is_under_way = False
+        world.ledger.on_execution = self._note_execution
+
+    def reached(self, step: str, subject: str, host: InstanceHost | None) -> None:
+        """Take in that something got so far.
+
+        A start notice or an append does not say whose it is; it counts if the
+        subject is under way.
+        """
+        if subject == self.subject:
+            self._is_under_way = True
+            if host is not None:
+                self.instance = host.name
+        elif not subject.startswith('*') or not self._is_under_way:
+            return
+        if step == steps.RECEIVED and self.step == steps.QUEUED:
+            self._world.heap.call_later(QUEUED_AFTER_MS, self._fire)
+        elif step == steps.REPLIED and self.step == steps.SPREADING:
+            self._world.heap.call_later(SPREADING_AFTER_MS, self._fire)
+        elif step == self.step:
+            self._world.heap.call_later(0, self._fire)
+
+    def note_endpoint(self, subject: str, endpoint: str) -> None:
+        """Remember where the subject runs."""
+        if subject == self.subject:
+            self.endpoint = endpoint
+
+    def _note_execution(self, execution: Execution) -> None:
+        if execution.marker == self.subject:
+            self.reached(steps.ACCEPTED, self.subject, None)
+
+    def _fire(self) -> None:
+        if not self.has_fired:
+            self.has_fired = True
+            self._on_step(self)
--- a/savorychute/testing/world.py
+++ b/savorychute/testing/world.py
@@ -22,6 +22,7 @@
 from savorychute.testing.instance_host import InstanceHost
 from savorychute.testing.instance_list import InstanceList
 from savorychute.testing.ledger import Ledger
+from savorychute.testing.matrix import steps
 from savorychute.testing.network import Network
 from savorychute.testing.plain_service import PlainService
 from savorychute.testing.service_host import ServiceHost
@@ -35,6 +36,7 @@
     from savorychute.testing.call import Call
     from savorychute.testing.endpoint_host import EndpointHost
     from savorychute.testing.ledger import Telling
+    from savorychute.testing.matrix.probe import Probe
     from savorychute.testing.topology import Topology
 
 OPERATOR_TOKEN = 'token-operator'
@@ -106,6 +108,8 @@
         }
         self.class_rates: dict[str, float] = {}
         self.attempts = 0
+        self.probe: Probe | None = None
+        self.last_fault_ms = 0.0
         self._make_instance = make_instance
         self._started_instances = 0
         self._commands = 0
@@ -227,12 +231,18 @@
         body = msgspec.json.encode(arguments)
         host = self.instances[instance] if instance else self.first_serving()
         told = OperatorCommand(command_id, OPERATOR_TOKEN, verb, body)
-        self.heap.call_later(self.network.settings.client_ms, host.deliver, told)
+        delay_ms = self.network.settings.client_ms
+        self.heap.call_later(delay_ms, self._arrive_command, host, told)
         return command_id
 
+    def _arrive_command(self, host: InstanceHost, told: OperatorCommand) -> None:
+        self.reached(steps.COMMANDED, told.command_id, host)
+        host.deliver(told)
+
     def operator_replied(self, reply: OperatorReply) -> None:
         """Keep an operator's answer; remember what was accepted."""
         self.replies[reply.command_id] = Reply(self.heap.now_ms, reply)
+        self.reached(steps.REPLIED, reply.command_id, None)
         if reply.code is not ResultCode.OK:
             return
         verdict = msgspec.json.decode(reply.document, type=dict)
@@ -330,6 +340,15 @@
 
     # -- notes of the hosts
 
+    def reached(self, step: str, subject: str, host: InstanceHost | None) -> None:
+        """Tell the run's probe, if there is one, that something got so far.
+
+        :param step: a name of :mod:`savorychute.testing.matrix.steps`.
+        :param subject: the call or command.
+        """
+        if self.probe is not None:
+            self.probe.reached(step, subject, host)
+
     def note_request(self, request_id: str, call: Call) -> None:
         """Note which call a request belongs to."""
         self.calls_by_request[request_id] = call
@@ -339,6 +358,9 @@
         """Note that an instance began an attempt."""
         self.attempts += 1
         call = self.calls_by_request[start.request_id]
+        if self.probe is not None:
+            self.probe.note_endpoint(call.call_id, start.endpoint)
+            self.probe.reached(steps.STARTED, call.call_id, host)
         self.tier_watch.started(host.name, start, call)
 
     def note_cancel(self, host: InstanceHost, start: StartAttempt, keep: bool) -> None:
@@ -351,6 +373,19 @@
         code = ResultCode.CALLER_LEFT
         self.tier_watch.ended(self.heap.now_ms, host.name, request_id, code)
 
+    def note_sent(self, host: InstanceHost, start: StartAttempt) -> None:
+        """Note that the first byte of an attempt leaves."""
+        if self.probe is not None:
+            call = self.calls_by_request[start.request_id]
+            self.probe.reached(steps.SENT, call.call_id, host)
+
+    def note_answer(self, host: InstanceHost, start: StartAttempt, ended: bool) -> None:
+        """Note that something of an answer reached its instance."""
+        if self.probe is not None:
+            call = self.calls_by_request[start.request_id]
+            step = steps.ENDING if ended else steps.FIRST_TOKEN
+            self.probe.reached(step, call.call_id, host)
+
     def note_telling(self, telling: Telling) -> None:
         """Note what an instance told a caller."""
         self.ledger.tellings.append(telling)
