Preempt before shedding, and take preempted work back without judging it

Cause: under 1.5x overload an instance shed tier 2 work as OVERLOADED while a pausable tier 3 stream ran there: admission was not told that preemption could make room, one pump paused one stream at most, and retries and paused streams went through the shedding estimate again. Change: can_preempt is passed; up to 8 pauses a pump; restore() for what was taken in before; nothing is paused for a customer at its limits. Ruled out: the guaranteed minimum starts; the breaches name OVERLOADED at the offer.

--- a/savorychute/admission/admission.py
+++ b/savorychute/admission/admission.py
@@ -46,6 +46,16 @@
         """
         ...
 
+    def restore(self, request: QueuedRequest, now_ms: int) -> None:
+        """Take back a request that was started or running, at its old place.
+
+        It is not refused: it was preempted, or its start failed before
+        anything was sent, and its caller was promised nothing less.
+
+        :param request: as it was when it left the queue.
+        :param now_ms: the time.
+        """
+
     def next_start(
         self,
         pool: str,
@@ -86,13 +96,19 @@
         ...
 
     def preemption(
-        self, pool: str, running: Sequence[RunningRequest], now_ms: int
+        self,
+        pool: str,
+        running: Sequence[RunningRequest],
+        now_ms: int,
+        may_start: Callable[[QueuedRequest], bool] | None = None,
     ) -> str | None:
         """Return the running request to preempt, if any.
 
         :param pool: where requests wait and run.
         :param running: what runs there.
         :param now_ms: the time.
+        :param may_start: says whether the waiting request could start if it
+            had an endpoint; any could if there is no such function.
         """
         ...
 
--- a/savorychute/admission/fifo.py
+++ b/savorychute/admission/fifo.py
@@ -62,6 +62,13 @@
         self._bytes += request.size_bytes
         return OfferOutcome(True)
 
+    def restore(self, request: QueuedRequest, now_ms: int) -> None:  # noqa: ARG002
+        """Take a request back, in front of the others."""
+        queue = self._queues.pop(request.pool, {})
+        self._queues[request.pool] = {request.request_id: request, **queue}
+        self._pool_of[request.request_id] = request.pool
+        self._bytes += request.size_bytes
+
     def next_start(
         self,
         pool: str,
@@ -123,6 +130,7 @@
         pool: str,  # noqa: ARG002
         running: Sequence[RunningRequest],  # noqa: ARG002
         now_ms: int,  # noqa: ARG002
+        may_start: Callable[[QueuedRequest], bool] | None = None,  # noqa: ARG002
     ) -> str | None:
         """Preempt nothing."""
         return None
--- a/savorychute/admission/tiered.py
+++ b/savorychute/admission/tiered.py
@@ -79,6 +79,10 @@
         self._add(request)
         return OfferOutcome(True, shed=shed)
 
+    def restore(self, request: QueuedRequest, now_ms: int) -> None:  # noqa: ARG002
+        """Take back a request that was started or running."""
+        self._add(request)
+
     def next_start(
         self,
         pool: str,
--- a/savorychute/instance/attempt_desk.py
+++ b/savorychute/instance/attempt_desk.py
@@ -240,7 +240,7 @@
             )
         self._prepare_resume(tracked, attempt, failed)
         parts.table.detach(tracked)
-        return self._queue_desk.put(tracked, now_ms)
+        return self._queue_desk.put_back(tracked, now_ms)
 
     def _may_retry(
         self, tracked: TrackedRequest, failed: AttemptFailed, now_ms: int
--- a/savorychute/instance/dispatcher.py
+++ b/savorychute/instance/dispatcher.py
@@ -25,6 +25,7 @@
 
 #: A bound on the starts of one pump, so that one call never takes long.
 MAX_STARTS_PER_PUMP = 64
+MAX_PREEMPTIONS_PER_PUMP = 8
 NO_RESUME = -1
 
 
@@ -45,8 +46,10 @@
         :param pool: a model's name, or ``service:`` and a service's name.
         """
         actions = self._start_waiting(pool, now_ms)
-        freed = self._preempt(pool, now_ms)
-        if freed:
+        for _ in range(MAX_PREEMPTIONS_PER_PUMP):
+            freed = self._preempt(pool, now_ms)
+            if not freed:
+                break
             actions += freed
             actions += self._start_waiting(pool, now_ms)
         return actions
@@ -115,7 +118,7 @@
         tracked = parts.table.find(queued.request_id)
         if tracked is None:
             return True
-        if parts.limiter.check(queued.customer, queued.expected_tokens, now_ms) > 0:
+        if not self._is_permitted(queued, now_ms):
             return False
         tier = queued.tier
         free = [name for name in usable if parts.credits.available(name, tier) > 0]
@@ -129,6 +132,11 @@
         )
         return preferred is not None
 
+    def _is_permitted(self, queued: QueuedRequest, now_ms: int) -> bool:
+        """Return whether the customer's limits permit a start now."""
+        limiter = self._parts.limiter
+        return limiter.check(queued.customer, queued.expected_tokens, now_ms) <= 0
+
     def _grant(
         self,
         tracked: TrackedRequest,
@@ -150,7 +158,7 @@
             endpoint, attempt_id, queued.tier, queued.expected_tokens, now_ms
         ):
             tracked.attempt_count -= 1
-            parts.admission.offer(queued, None, now_ms)
+            parts.admission.restore(queued, now_ms)
             return []
         attempt = self._make_attempt(tracked, attempt_id, endpoint, now_ms)
         tracked.attempt = attempt
@@ -243,12 +251,16 @@
             RunningRequest(
                 request_id=tracked.request_id,
                 tier=tracked.limits.tier,
-                resumable=tracked.resumable and tracked.responding,
+                resumable=tracked.is_pausable,
                 started_ms=tracked.life.received_ms,
             )
             for tracked in parts.table.running(pool)
         ]
-        request_id = parts.admission.preemption(pool, running, now_ms)
+
+        def may_start(queued: QueuedRequest) -> bool:
+            return self._is_permitted(queued, now_ms)
+
+        request_id = parts.admission.preemption(pool, running, now_ms, may_start)
         if request_id is None:
             return []
         tracked = parts.table.find(request_id)
@@ -268,4 +280,4 @@
         parts.limiter.finish(tracked.request_id, 0, now_ms)
         parts.table.detach(tracked)
         cancel = CancelAttempt(attempt.attempt_id, keep_stream=True)
-        return [cancel, *self._queue_desk.put(tracked, now_ms)]
+        return [cancel, *self._queue_desk.put_back(tracked, now_ms)]
--- a/savorychute/instance/queue_desk.py
+++ b/savorychute/instance/queue_desk.py
@@ -36,20 +36,20 @@
             note_quarantine(self._parts, tracked, now_ms)
             code = ResultCode.QUARANTINED
             return self._responder.give_up(tracked, code, code.meaning, now_ms)
-        is_first = tracked.attempt_count == 0
-        if is_first:
-            wait_ms = self._find_rate_wait(tracked, now_ms)
-            if wait_ms > tracked.limits.queue_wait_ms:
-                return self._responder.give_up(
-                    tracked,
-                    ResultCode.RATE_LIMITED,
-                    f'the contract of {tracked.limits.customer} permits no more now',
-                    now_ms,
-                    wait_ms,
-                )
-        predicted_ms = self._predict(tracked, now_ms) if is_first else None
+        wait_ms = self._find_rate_wait(tracked, now_ms)
+        if wait_ms > tracked.limits.queue_wait_ms:
+            return self._responder.give_up(
+                tracked,
+                ResultCode.RATE_LIMITED,
+                f'the contract of {tracked.limits.customer} permits no more now',
+                now_ms,
+                wait_ms,
+            )
         outcome = self._parts.admission.offer(
-            self._describe(tracked), predicted_ms, now_ms
+            self._describe(tracked),
+            self._predict(tracked, now_ms),
+            now_ms,
+            can_preempt=self._can_preempt(tracked),
         )
         actions = self.answer_shed(outcome.shed, now_ms)
         if not outcome.admitted:
@@ -61,6 +61,22 @@
         tracked.life.move(RequestState.QUEUED, now_ms, f'queued for {tracked.pool}')
         return actions
 
+    def put_back(self, tracked: TrackedRequest, now_ms: int) -> list[Action]:
+        """Queue a request again that was taken in before.
+
+        It keeps its place by its arrival and is not judged anew: shedding it
+        now would waste the work that was done for it.
+
+        :param tracked: a request without an attempt.
+        """
+        if self._parts.quarantine.is_quarantined(tracked.fingerprint, now_ms):
+            note_quarantine(self._parts, tracked, now_ms)
+            code = ResultCode.QUARANTINED
+            return self._responder.give_up(tracked, code, code.meaning, now_ms)
+        self._parts.admission.restore(self._describe(tracked), now_ms)
+        tracked.life.move(RequestState.QUEUED, now_ms, f'queued for {tracked.pool}')
+        return []
+
     def answer_shed(
         self, shed_requests: tuple[ShedRequest, ...], now_ms: int
     ) -> list[Action]:
@@ -78,6 +94,13 @@
             )
         return actions
 
+    def _can_preempt(self, tracked: TrackedRequest) -> bool:
+        tier = tracked.limits.tier
+        return any(
+            other.limits.tier > tier and other.is_pausable
+            for other in self._parts.table.running(tracked.pool)
+        )
+
     def _find_rate_wait(self, tracked: TrackedRequest, now_ms: int) -> int:
         return self._parts.limiter.check(
             tracked.limits.customer, self._expect_tokens(tracked), now_ms
--- a/savorychute/instance/tracked_request.py
+++ b/savorychute/instance/tracked_request.py
@@ -88,6 +88,11 @@
         """Whether its stream may be paused and taken up again."""
         return self.request.stream and self.limits.idempotent
 
+    @property
+    def is_pausable(self) -> bool:
+        """Whether it runs and can be paused without making a token twice."""
+        return self.resumable and self.responding and self.attempt is not None
+
     @property
     def expects_tokens(self) -> bool:
         """Whether a model makes its answer."""
