Check names of variants and rules between settings before a start

"check" accepted an unknown router, half a TLS pair and a probe that times out after the next one; the daemon then failed, or worked badly. All of them are faults with their line now.

--- a/savorychute/settings/settings_file.py
+++ b/savorychute/settings/settings_file.py
@@ -11,6 +11,7 @@
 
 from savorychute.errors import SettingsError
 from savorychute.settings.line_index import LineIndex, index_lines
+from savorychute.settings.rules import RULES
 from savorychute.settings.setting import REQUIRED, Setting
 from savorychute.settings.settings import Settings
 from savorychute.settings.table import SETTINGS
@@ -63,9 +64,12 @@
         except ValueError as error:
             place = f'{name}:{index.lines.get((setting.name,), 1)}'
             faults.append(f'{place}: {_describe(setting, document)}, expected {error}')
+    if not faults:
+        settings = Settings(**values)
+        faults = _find_broken_rules(settings, name, index)
     if faults:
         raise SettingsError(sorted(faults, key=_line_of))
-    return Settings(**values)
+    return settings
 
 
 def _parse_document(text: str, name: str) -> dict[str, Any]:
@@ -97,6 +101,19 @@
     return faults
 
 
+def _find_broken_rules(settings: Settings, name: str, index: LineIndex) -> list[str]:
+    """Return a fault for each rule between settings that does not hold."""
+    faults = []
+    for rule in RULES:
+        if not rule.holds(settings):
+            place = f'{name}:{index.lines.get((rule.name,), 1)}'
+            shown = json.dumps(getattr(settings, rule.name))
+            faults.append(
+                f'{place}: "{rule.name}" is {shown}, expected {rule.expectation}'
+            )
+    return faults
+
+
 def _read_value(setting: Setting, document: dict[str, Any]) -> Any:
     if setting.name in document:
         return setting.read(document[setting.name])
--- a/savorychute/settings/table.py
+++ b/savorychute/settings/table.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING, Any
+
 from savorychute.settings.peer_key_reader import read_peer_keys
 from savorychute.settings.readers import (
     read_address,
@@ -13,6 +15,15 @@
 )
 from savorychute.settings.scope import Scope
 from savorychute.settings.setting import REQUIRED, Setting
+from savorychute.settings.variant_readers import (
+    read_admission,
+    read_list_dialect,
+    read_log_dialect,
+    read_router,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 LOG_LEVELS = ('debug', 'info', 'warning', 'error')
 MAX_DURATION_MS = 86_400_000
@@ -56,8 +67,12 @@
     return Setting(name, default, '', Scope.DEPLOYMENT, kind, reader, doc)
 
 
-def _variant(name: str, default: str, doc: str) -> Setting:
-    return Setting(name, default, '', Scope.DEPLOYMENT, 'name', read_name, doc)
+def _variant(
+    name: str, default: str, reader: Callable[[Any], str], doc: str
+) -> Setting:
+    return Setting(
+        name, default, '', Scope.DEPLOYMENT, 'a registered name', reader, doc
+    )
 
 
 SETTINGS: tuple[Setting, ...] = (
@@ -86,9 +101,9 @@
         'Digest of the bearer token of each operator.',
     ),
     _address('log_address', "The platform's log."),
-    _variant('log_dialect', 'http', 'The protocol of the log.'),
+    _variant('log_dialect', 'http', read_log_dialect, 'The protocol of the log.'),
     _address('list_address', "The platform's list of instances."),
-    _variant('list_dialect', 'http', 'The protocol of the list.'),
+    _variant('list_dialect', 'http', read_list_dialect, 'The protocol of the list.'),
     Setting(
         'peer_keys',
         REQUIRED,
@@ -110,8 +125,8 @@
         read_choice(LOG_LEVELS),
         'The least severe level that is logged.',
     ),
-    _variant('router', 'predicted', 'How an endpoint is chosen.'),
-    _variant('admission', 'tiered', 'How requests wait and are shed.'),
+    _variant('router', 'predicted', read_router, 'How an endpoint is chosen.'),
+    _variant('admission', 'tiered', read_admission, 'How requests wait and are shed.'),
     _count('max_connections', 4096, 'Open connections of callers.'),
     _size('max_header_bytes', 32_768, 'Header section of one request.'),
     _size('max_body_bytes', 4 << 20, 'Body of one request.'),
--- a/tests/test_settings/test_settings_file.py
+++ b/tests/test_settings/test_settings_file.py
@@ -91,6 +91,48 @@
     assert 'a.jsonc:11: "region" appears twice, expected once' in fault_list(text)
 
 
+@pytest.mark.parametrize(
+    'added, fault',
+    [
+        (
+            '"tls_certificate_file": "chain.pem"',
+            'a.jsonc:1: "tls_key_file" is "", expected set together with '
+            '"tls_certificate_file", or neither',
+        ),
+        (
+            '"probe_timeout_ms": 1000',
+            'a.jsonc:2: "probe_timeout_ms" is 1000, expected less than '
+            '"probe_interval_ms"',
+        ),
+        (
+            '"discovery_max_lifetime_ms": 5',
+            'a.jsonc:2: "discovery_max_lifetime_ms" is 5, expected not less than '
+            '"discovery_min_lifetime_ms"',
+        ),
+        (
+            '"caller_port": 8081',
+            'a.jsonc:1: "peer_port" is 8081, expected different from "caller_port"',
+        ),
+        (
+            '"max_buffers_bytes": 1024',
+            'a.jsonc:1: "max_body_bytes" is 4194304, expected not more than '
+            '"max_buffers_bytes"',
+        ),
+        (
+            '"router": "fastest"',
+            'a.jsonc:2: "router" is "fastest", expected one of least-outstanding, '
+            'predicted, round-robin',
+        ),
+        (
+            '"log_dialect": "carrier-pigeon"',
+            'a.jsonc:2: "log_dialect" is "carrier-pigeon", expected one of http',
+        ),
+    ],
+)
+def test_rules_between_settings(fault_list, added, fault):
+    assert fault_list(MINIMAL.replace('{\n', f'{{\n  {added},\n', 1)) == [fault]
+
+
 def test_broken_text_names_its_place(fault_list):
     [fault] = fault_list(MINIMAL.replace('"a-1",', '"a-1"'))
     assert fault.startswith('a.jsonc:4 ')
