--- /dev/null
+++ b/benches/telemetry.py
@@ -0,0 +1,89 @@
+"""Cost of a log line and of an observation."""
+
+from __future__ import annotations
+
+import io
+import statistics
+import time
+from typing import TYPE_CHECKING
+
+import msgspec
+from aioprometheus import Histogram, Registry
+
+from benches.bench_row import BenchRow, make_row
+from savorychute.logs import InstanceLog, LogLevel, open_log
+from savorychute.metrics import BUCKETS_MS, Metrics
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+CALLS = 2_000
+NS_PER_US = 1_000
+TIER = 1
+
+
+def run(repeats: int, rng: random.Random) -> list[BenchRow]:
+    """Measure both, against the plainest ways to do the same.
+
+    :param repeats: how often each measurement is taken; the median counts.
+    :param rng: makes the values.
+    """
+    values = [rng.uniform(1, 100) for _ in range(CALLS)]
+    return [_measure_histogram(values, repeats), *_measure_log(repeats)]
+
+
+def _measure_histogram(values: list[float], repeats: int) -> BenchRow:
+    metrics = Metrics('a-1')
+    library = Histogram(
+        'gap', 'Gaps.', registry=Registry(), buckets=[*BUCKETS_MS, float('inf')]
+    )
+    labels = {'tier': str(TIER)}
+
+    def observe() -> None:
+        for value in values:
+            metrics.observe('token_gap_ms', value, TIER)
+
+    def observe_by_library() -> None:
+        for value in values:
+            library.observe(labels, value)
+
+    own_us = _time(observe, repeats)
+    library_us = _time(observe_by_library, repeats)
+    return make_row('metrics observe', own_us, 'us', library_us)
+
+
+def _measure_log(repeats: int) -> list[BenchRow]:
+    file = io.BytesIO()
+    log = InstanceLog('a-1', LogLevel.INFO)
+    plain = {'level': 'info', 'customer': 'malanadu', 'tier': TIER, 'request_id': 'q-1'}
+
+    def write() -> None:
+        for _ in range(CALLS):
+            log.info('request-finished', 'q-1', customer='malanadu', tier=TIER)
+        file.seek(0)
+
+    def skip() -> None:
+        for _ in range(CALLS):
+            log.debug('request-finished', 'q-1', customer='malanadu', tier=TIER)
+
+    def encode() -> None:
+        for _ in range(CALLS):
+            msgspec.json.encode(plain)
+
+    with open_log(file):
+        baseline_us = _time(encode, repeats)
+        return [
+            make_row('log line', _time(write, repeats), 'us', baseline_us),
+            make_row('log line below level', _time(skip, repeats), 'us', baseline_us),
+        ]
+
+
+def _time(call: Callable[[], None], repeats: int) -> float:
+    """Return the median time in microseconds for one of :data:`CALLS`."""
+    times = []
+    for _ in range(repeats):
+        begin_ns = time.perf_counter_ns()
+        call()
+        times.append((time.perf_counter_ns() - begin_ns) / CALLS / NS_PER_US)
+    return statistics.median(times)
--- a/benches/wire.py
+++ b/benches/wire.py
@@ -5,12 +5,14 @@
 import statistics
 import tempfile
 import time
+from contextlib import suppress
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import msgspec
 
 from benches.bench_row import BenchRow, make_row
+from savorychute.errors import SignatureError
 from savorychute.wire.message_codec import MessageCodec
 from savorychute.wire.peer_key import PeerKey
 from savorychute.wire.peer_keys import PeerKeys
@@ -23,6 +25,7 @@
 
 ENTRIES = 16
 CALLS = 400
+STRANGER_BYTES = 200
 NS_PER_US = 1_000
 KEYS = PeerKeys(PeerKey(1, b'0123456789abcdef0123456789abcdef'))
 
@@ -66,7 +69,23 @@
     rows: list[BenchRow] = []
     for name, message in (('ping', _make_ping(rng)), ('report', _make_report(rng))):
         rows += _measure(name, message, codec, repeats)
-    return rows
+    return [*rows, _measure_stranger(repeats)]
+
+
+def _measure_stranger(repeats: int) -> BenchRow:
+    """Measure the refusal of a frame that another key signed."""
+    frame = sign_envelope(bytes(STRANGER_BYTES), 'a-2', PeerKey(1, b'another' * 4))
+
+    def refuse() -> None:
+        with suppress(SignatureError):
+            open_frame(frame, 'a-2', KEYS)
+
+    def accept() -> None:
+        open_frame(own, 'a-2', KEYS)
+
+    own = sign_envelope(bytes(STRANGER_BYTES), 'a-2', KEYS.signing)
+    refuse_us = _time(refuse, repeats)
+    return make_row('wire refuse stranger', refuse_us, 'us', _time(accept, repeats))
 
 
 def _measure(
