--- a/tests/test_admission/conftest.py
+++ b/tests/test_admission/conftest.py
@@ -7,46 +7,7 @@
 import pytest
 
 from savorychute.admission import AdmissionSettings, QueuedRequest, TieredAdmission
-from savorychute.contracts.class_limits import ClassLimits
-from savorychute.contracts.customer_limits import CustomerLimits
-
-
-def build_class(customer, name, tier, *, patient=False, queue_requests=100_000):
-    return ClassLimits(
-        customer=customer,
-        name=name,
-        tier=tier,
-        first_token_target_ms=300 * (tier + 1),
-        token_gap_target_ms=50,
-        timeout_ms=10_000,
-        weight=1.0,
-        idempotent=True,
-        patient=patient,
-        minimum_share=0.05,
-        queue_requests=queue_requests,
-        queue_wait_ms=9_000,
-        priority=tier,
-    )
-
-
-def build_limits(shares, tiers=(0, 1, 2), **options):
-    """Return limits of customers that have one class, ``tN``, in each tier."""
-    return {
-        customer: CustomerLimits(
-            customer=customer,
-            pool_share=share,
-            requests_per_s=100.0,
-            concurrent_requests=100,
-            tokens_per_s=100_000.0,
-            retry_share=0.1,
-            seats=3,
-            classes={
-                f't{tier}': build_class(customer, f't{tier}', tier, **options)
-                for tier in tiers
-            },
-        )
-        for customer, share in shares.items()
-    }
+from tests.test_admission.limits_factory import build_limits
 
 
 @pytest.fixture
--- /dev/null
+++ b/tests/test_admission/test_laws.py
@@ -0,0 +1,264 @@
+"""The laws of the queue over random histories."""
+
+from __future__ import annotations
+
+import copy
+import math
+import random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from savorychute.admission import (
+    AdmissionSettings,
+    QueuedRequest,
+    RunningRequest,
+    TieredAdmission,
+)
+from savorychute.result_code import ResultCode
+from tests.test_admission.limits_factory import build_limits
+
+CUSTOMERS = {'a': 0.5, 'b': 0.3, 'c': 0.01}
+TIERS = (0, 1, 2)
+MAX_REQUESTS = 16
+MAX_BYTES = 1_000
+ONE_IN = 4
+
+customers = st.sampled_from(sorted(CUSTOMERS))
+tiers = st.sampled_from(TIERS)
+
+
+class QueueMachine(RuleBasedStateMachine):
+    """Offers, starts, expiry and removal in any order."""
+
+    queue_settings = AdmissionSettings(
+        max_requests=MAX_REQUESTS, max_bytes=MAX_BYTES, guaranteed_one_in=ONE_IN
+    )
+
+    def __init__(self):
+        super().__init__()
+        self.queue = TieredAdmission(self.queue_settings, random.Random(5))
+        self.queue.set_limits(build_limits(CUSTOMERS, TIERS))
+        self.waiting = {}
+        self.now_ms = 0
+        self.count = 0
+
+    def build(self, customer, tier, size_bytes=10, *, patient=False):
+        """Return a new request."""
+        self.count += 1
+        return QueuedRequest(
+            request_id=f'r{self.count}',
+            customer=customer,
+            class_name=f't{tier}',
+            tier=tier,
+            pool='m',
+            arrival_ms=self.now_ms,
+            deadline_ms=self.now_ms + 5_000,
+            first_token_target_ms=300 * (tier + 1),
+            size_bytes=size_bytes,
+            expected_tokens=100,
+            patient=patient,
+            weight=1.0,
+            minimum_share=0.05,
+        )
+
+    def offer(self, request, **options):
+        """Offer a request and follow what becomes of it."""
+        outcome = self.queue.offer(request, 20.0, self.now_ms, **options)
+        for shed in outcome.shed:
+            del self.waiting[shed.request_id]
+        if outcome.admitted:
+            self.waiting[request.request_id] = request
+        return outcome
+
+    def start(self, refused=()):
+        """Start a request of a customer that is not refused."""
+        request = self.queue.next_start(
+            'm', self.now_ms, lambda r: r.customer not in refused
+        )
+        if request is not None:
+            del self.waiting[request.request_id]
+        return request
+
+    @rule(step_ms=st.integers(1, 400))
+    def pass_time(self, step_ms):
+        """Let time pass and requests expire."""
+        self.now_ms += step_ms
+        for shed in self.queue.expire(self.now_ms):
+            request = self.waiting.pop(shed.request_id)
+            is_past = request.deadline_ms <= self.now_ms
+            assert (shed.code is ResultCode.DEADLINE_PASSED) == is_past
+
+    @invariant()
+    def nothing_is_lost(self):
+        """Compare with what must be waiting."""
+        by_tier = {}
+        for request in self.waiting.values():
+            by_tier[request.tier] = by_tier.get(request.tier, 0) + 1
+        assert self.queue.waiting('m') == by_tier
+
+
+class FirstLaw(QueueMachine):
+    """No higher work is given up while lower work could make room for it.
+
+    Users would see a pump-site diagnosis refused while a report nobody waits
+    for keeps its place.  It happens when bounds or estimates look at the
+    newcomer alone.
+    """
+
+    @rule(
+        customer=customers,
+        tier=tiers,
+        size_bytes=st.integers(1, 600),
+        patient=st.booleans(),
+        can_preempt=st.booleans(),
+    )
+    def offer_one(self, customer, tier, size_bytes, patient, can_preempt):
+        """Offer a request, and see that a refusal spares no lower work."""
+        request = self.build(customer, tier, size_bytes, patient=patient)
+        before = dict(self.waiting)
+        twin = copy.deepcopy(self.queue)
+        outcome = self.offer(request, can_preempt=can_preempt)
+        for shed in outcome.shed:
+            self.check_victim(request, before[shed.request_id])
+            assert shed.retry_after_ms > 0
+        if outcome.admitted:
+            return
+        assert outcome.retry_after_ms > 0
+        if outcome.code is ResultCode.OVERLOADED:
+            assert not can_preempt
+            assert not patient
+        for other in before.values():
+            if other.tier > tier:
+                twin.remove(other.request_id)
+        assert not twin.offer(request, 20.0, self.now_ms).admitted
+
+    def check_victim(self, request, victim):
+        """See that what made room is of the lowest tier."""
+        assert victim.tier >= request.tier
+        assert all(other.tier <= victim.tier for other in self.waiting.values())
+
+    @rule(refused=st.sets(customers, max_size=2))
+    def start_one(self, refused):
+        """Start what may start."""
+        self.start(refused)
+
+    @rule(tier=tiers, interval_ms=st.integers(30, 200))
+    def work_off_backlog(self, tier, interval_ms):
+        """Let the queue learn how fast the pool starts requests."""
+        for _ in range(MAX_REQUESTS - len(self.waiting)):
+            self.offer(self.build('a', tier, patient=True))
+        for _ in range(12):
+            self.pass_time(interval_ms)
+            self.start()
+
+    @rule(tier=tiers, running_tier=tiers)
+    def preempt_for_urgent(self, tier, running_tier):
+        """Preempt when a request has waited for a good part of its target."""
+        self.offer(self.build('a', tier), can_preempt=True)
+        self.pass_time(100 * (tier + 1))
+        self.preempt([(running_tier, True, 0)], set())
+
+    @rule(
+        running=st.lists(st.tuples(tiers, st.booleans(), st.integers(0, 50))),
+        refused=st.sets(customers, max_size=2),
+    )
+    def preempt(self, running, refused):
+        """Ask for a preemption."""
+        entries = [
+            RunningRequest(f'x{self.count}-{n}', *entry)
+            for n, entry in enumerate(running)
+        ]
+        chosen = self.queue.preemption(
+            'm', entries, self.now_ms, lambda r: r.customer not in refused
+        )
+        if chosen is None:
+            return
+        victim = next(entry for entry in entries if entry.request_id == chosen)
+        assert victim.resumable
+        startable = [r for r in self.waiting.values() if r.customer not in refused]
+        assert any(r.tier < victim.tier for r in startable)
+        assert all(e.tier <= victim.tier for e in entries if e.resumable)
+
+    @invariant()
+    def bounds_hold(self):
+        """See that the queue is bounded."""
+        assert len(self.waiting) <= MAX_REQUESTS
+        assert sum(r.size_bytes for r in self.waiting.values()) <= MAX_BYTES
+
+
+class SecondLaw(QueueMachine):
+    """Each class that may start is started within a stated bound of starts.
+
+    Users would see an auditor's summary wait for ever while pump-site work
+    keeps coming.  It happens with strict tiers alone, and with a guarantee
+    that is forgotten whenever a waiting request times out.
+    """
+
+    queue_settings = AdmissionSettings(
+        max_requests=100, guaranteed_one_in=ONE_IN, guarantee_floor=0.1
+    )
+    bound = math.ceil(1 / 0.1) + ONE_IN * (len(CUSTOMERS) * len(TIERS) + 1)
+
+    def __init__(self):
+        super().__init__()
+        self.passed_over = {}
+        self.out_of_order = 0
+        self.starts = 0
+
+    @rule(count=st.integers(1, 3))
+    def offer_to_all(self, count):
+        """Let every class wait."""
+        for customer in CUSTOMERS:
+            for tier in TIERS:
+                self.offer_some(customer, tier, count)
+
+    @rule(customer=customers, tier=tiers, count=st.integers(1, 5))
+    def offer_some(self, customer, tier, count):
+        """Let a class wait."""
+        for _ in range(count):
+            self.offer(self.build(customer, tier, patient=True))
+
+    @rule(count=st.integers(1, 40), flood=customers)
+    def start_under_flood(self, count, flood):
+        """Start while one customer's top tier never runs empty."""
+        for _ in range(count):
+            self.offer(self.build(flood, 0, patient=True))
+            self.check_start(self.start(), ())
+
+    @rule(refused=st.sets(customers, max_size=2))
+    def start_one(self, refused):
+        """Start what may start."""
+        self.check_start(self.start(refused), refused)
+
+    def check_start(self, started, refused):
+        """Count for how many starts each class was passed over."""
+        startable = {
+            (r.customer, r.tier)
+            for r in self.waiting.values()
+            if r.customer not in refused
+        }
+        if started is None:
+            assert not startable
+            return
+        self.starts += 1
+        if any(tier < started.tier for _, tier in startable):
+            self.out_of_order += 1
+        assert self.out_of_order <= self.starts / ONE_IN + 1
+        key = (started.customer, started.tier)
+        self.passed_over = {
+            other: self.passed_over.get(other, 0) + 1
+            for other in startable
+            if other != key
+        }
+        assert all(count <= self.bound for count in self.passed_over.values())
+
+
+laws = settings(
+    max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestFirstLaw = FirstLaw.TestCase
+TestFirstLaw.settings = laws
+TestSecondLaw = SecondLaw.TestCase
+TestSecondLaw.settings = laws
--- a/tests/test_admission/test_tiered.py
+++ b/tests/test_admission/test_tiered.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
-from savorychute.admission import RunningRequest
+from savorychute.admission import ADMISSIONS, AdmissionSettings, RunningRequest
 from savorychute.result_code import ResultCode
 
 
@@ -236,3 +238,39 @@
     entries = [RunningRequest('x', 2, True, 0)]
 
     assert queue.preemption('m', entries, 100, may_start=lambda _: False) is None
+
+
+def test_class_whose_requests_time_out_is_still_due(make_queue, make_request):
+    """Each request of a low class times out shortly before the class is due a
+    start, and the next one begins to wait anew: the class never starts.
+    """
+    queue = make_queue({'a': 0.1, 'b': 0.1}, guarantee_floor=0.1)
+    for _ in range(30):
+        queue.offer(make_request('a', tier=0), None, 0)
+    first = make_request('b', tier=2)
+    queue.offer(first, None, 0)
+    for _ in range(8):
+        queue.next_start('m', 0, lambda _: True)
+    queue.remove(first.request_id)
+
+    queue.offer(make_request('b', tier=2), None, 0)
+    started = [queue.next_start('m', 0, lambda _: True) for _ in range(8)]
+
+    assert 'b' in [request.customer for request in started]
+
+
+@pytest.mark.parametrize('name', ['tiered', 'fifo'])
+def test_restored_request_is_never_refused(make_request, name):
+    """A preempted stream comes back to a queue that has filled up meanwhile.
+    Its caller already holds a part of the answer and must not be told that
+    the request was not run.
+    """
+    queue = ADMISSIONS.get(name)(AdmissionSettings(max_requests=1), random.Random(1))
+    request = make_request()
+    queue.offer(request, None, 0)
+    queue.next_start('m', 0, lambda _: True)
+    queue.offer(make_request(), None, 0)
+
+    queue.restore(request, 10)
+
+    assert queue.next_start('m', 10, lambda _: True) == request
