Print what others wrote as it is, and check certificates before a token goes

In tables a reason like ":smile:" became a picture and escape sequences reached the terminal. Both stay text now. Tests cover the tables, and commands by TLS with the right certificate and with a stranger's.

--- a/savorychute/cmd/output.py
+++ b/savorychute/cmd/output.py
@@ -22,10 +22,8 @@
 
 def make_console() -> Console:
     """Return a console on standard output, wide when that is no terminal."""
-    console = Console(highlight=False, markup=False)
-    if not console.is_terminal:
-        console = Console(highlight=False, markup=False, width=WIDE_COLUMNS)
-    return console
+    width = None if sys.stdout.isatty() else WIDE_COLUMNS
+    return Console(highlight=False, markup=False, emoji=False, width=width)
 
 
 def print_document(document: dict[str, Any], as_json: bool) -> None:
@@ -63,8 +61,12 @@
 
 
 def show_value(value: Any) -> str:
-    """Return a cell's text."""
-    if isinstance(value, str):
+    """Return a cell's text.
+
+    Control characters are escaped: in what somebody else wrote they could
+    make the terminal show something that is not there.
+    """
+    if isinstance(value, str) and value.isprintable():
         return value
     if isinstance(value, float):
         return f'{value:.4g}'
--- a/tests/test_cmd/conftest.py
+++ b/tests/test_cmd/conftest.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import json
+import ssl
 import threading
+from contextlib import contextmanager
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
 from typing import NamedTuple
 
 import pytest
@@ -13,6 +16,9 @@
 from savorychute.cmd.main import main
 from savorychute.cmd.operator_client import TOKEN_VARIABLE
 
+# For these tests alone; its one name is 127.0.0.1.
+CERTIFICATE = Path(__file__).parent / 'certificates' / 'loopback.pem'
+
 
 class Received(NamedTuple):
     """One command as the stand-in got it."""
@@ -50,6 +56,24 @@
 
 @pytest.fixture
 def stand_in(monkeypatch):
+    with serve_stand_in(None) as double:
+        monkeypatch.setenv(ADDRESS_VARIABLE, f'127.0.0.1:{double.port}')
+        monkeypatch.setenv(TOKEN_VARIABLE, 'operator-token')
+        yield double
+
+
+@pytest.fixture
+def tls_stand_in(monkeypatch):
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(CERTIFICATE, CERTIFICATE.with_suffix('.key'))
+    with serve_stand_in(context) as double:
+        monkeypatch.setenv(ADDRESS_VARIABLE, f'127.0.0.1:{double.port}')
+        monkeypatch.setenv(TOKEN_VARIABLE, 'operator-token')
+        yield double
+
+
+@contextmanager
+def serve_stand_in(tls: ssl.SSLContext | None):
     double = OperatorStandIn()
 
     class Handler(BaseHTTPRequestHandler):
@@ -61,10 +85,10 @@
 
     server = ThreadingHTTPServer(('127.0.0.1', 0), Handler)
     double.port = server.server_address[1]
+    if tls is not None:
+        server.socket = tls.wrap_socket(server.socket, server_side=True)
     thread = threading.Thread(target=server.serve_forever, args=(0.02,))
     thread.start()
-    monkeypatch.setenv(ADDRESS_VARIABLE, f'127.0.0.1:{double.port}')
-    monkeypatch.setenv(TOKEN_VARIABLE, 'operator-token')
     yield double
     server.shutdown()
     thread.join()
--- a/tests/test_cmd/test_operator_commands.py
+++ b/tests/test_cmd/test_operator_commands.py
@@ -4,12 +4,14 @@
 
 import json
 import socket
+from pathlib import Path
 
 import pytest
 
 from savorychute.cmd.exit_code import ExitCode
 from savorychute.cmd.operator_verbs import VERB_ARGUMENTS
 
+CERTIFICATE = Path(__file__).parent / 'certificates' / 'loopback.pem'
 CHANGE = ('--why', 'more pumps', '--record-id', 'r-1')
 SIMPLE = [
     (('contract', 'show', 'malanadu'), 'contract-show', {'customer': 'malanadu'}),
@@ -126,6 +128,22 @@
     assert stand_in.received[0].token == 'Bearer from-file'
 
 
+def test_command_over_tls(run, tls_stand_in):
+    assert run('status', '--ca-file', str(CERTIFICATE))[0] == ExitCode.OK
+    assert tls_stand_in.received[0].token == 'Bearer operator-token'
+
+
+def test_certificate_of_a_stranger_gets_no_token(run, tls_stand_in):
+    """Somebody else listens at an instance's address, with TLS.
+
+    The certificate is checked before the command is sent, so the operator's
+    token does not reach the stranger.
+    """
+    stranger = CERTIFICATE.parents[2] / 'test_daemon/certificates/first.pem'
+    assert run('status', '--ca-file', str(stranger))[0] == ExitCode.UNREACHABLE
+    assert tls_stand_in.received == []
+
+
 @pytest.mark.parametrize(
     'argv',
     [
