Shed what would not be started in time instead of all that would be late

Change: a request is shed when its estimate passes a point between its target (late_share 0) and its longest wait (late_share 1, the default).

--- a/savorychute/admission/tiered.py
+++ b/savorychute/admission/tiered.py
@@ -194,7 +194,7 @@
     def _predict_lateness_ms(
         self, request: QueuedRequest, predicted_wait_ms: float | None
     ) -> float:
-        """Return by how much a newcomer would miss its target, or 0.
+        """Return by how much a newcomer to be shed would miss its target, or 0.
 
         A pool where nothing waits starts the newcomer at once; refusing it
         there would leave capacity unused, however slow the endpoints are.
@@ -205,8 +205,23 @@
         wait_ms = queue.estimate_wait_ms(request, self._weight(request.customer))
         if wait_ms <= 0:
             return 0.0
-        target_ms = self.settings.shed_factor * request.first_token_target_ms
-        return max(0.0, wait_ms + (predicted_wait_ms or 0.0) - target_ms)
+        first_token_ms = wait_ms + (predicted_wait_ms or 0.0)
+        if first_token_ms <= self._choose_limit_ms(request):
+            return 0.0
+        return first_token_ms - request.first_token_target_ms
+
+    def _choose_limit_ms(self, request: QueuedRequest) -> float:
+        """Return the estimate from which on a newcomer is shed.
+
+        It lies between its target, beyond which the answer is late, and its
+        longest wait, beyond which there is none.
+        """
+        target_ms = request.first_token_target_ms
+        limits = self._class_limits(request)
+        if limits is None:
+            return target_ms
+        span_ms = max(0, limits.queue_wait_ms - target_ms)
+        return target_ms + self.settings.late_share * span_ms
 
     def _make_room(self, request: QueuedRequest) -> tuple[ShedRequest, ...] | None:
         """Evict what has to go for *request*, or return ``None``.
