Never wait for the reader of the log

A log pipe that nobody empties blocked the write, and with it the only thread: peers would have taken the instance for dead.

--- a/savorychute/logs.py
+++ b/savorychute/logs.py
@@ -21,7 +21,9 @@
 from typing import IO, TYPE_CHECKING
 
 import eliot
-from eliot import FileDestination, add_destinations, remove_destination
+from eliot import add_destinations, remove_destination
+
+from savorychute.log_writer import LogWriter
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -183,12 +185,13 @@
 
     :param file: open for bytes; stays open.
     """
-    destination = FileDestination(file=file)
+    destination = LogWriter(file)
     add_destinations(destination)
     try:
         yield
     finally:
         remove_destination(destination)
+        destination.flush()
 
 
 @contextmanager
