Ask the instance that had a request why it went where it went

"explain" asked whichever instance accepted the connection, which rarely knew the request. The id names the instance, and any instance knows its address.

--- a/savorychute/cmd/inspection.py
+++ b/savorychute/cmd/inspection.py
@@ -7,10 +7,16 @@
 from savorychute.cmd import operator_verbs
 from savorychute.cmd.command import COMMANDS
 from savorychute.cmd.operator_command import OperatorVerb
+from savorychute.settings.network_address import NetworkAddress
 
 if TYPE_CHECKING:
     from argparse import ArgumentParser, Namespace
 
+    from savorychute.cmd.operator_client import OperatorClient
+
+# Incarnation and number follow the instance's name.
+REQUEST_ID_PARTS = 2
+
 
 @COMMANDS.register('instance list')
 class InstanceList(OperatorVerb):
@@ -67,3 +73,17 @@
     def make_document(self, arguments: Namespace) -> Any:
         """Return the request's id."""
         return {'request_id': arguments.request_id}
+
+    def direct(self, client: OperatorClient, document: Any) -> OperatorClient:
+        """Ask the instance that had the request: its id begins with the name.
+
+        Any instance knows where the others are.  If that one is gone the
+        first is asked, which then says that it does not know the request.
+        """
+        owner = document['request_id'].rsplit('-', REQUEST_ID_PARTS)[0]
+        listed = client.call(operator_verbs.INSTANCE_LIST, {}).document
+        for entry in listed.get('instances', ()):
+            if entry['instance'] == owner:
+                address = NetworkAddress(entry['host'], entry['caller_port'])
+                return client._replace(addresses=(address,))
+        return client
--- a/savorychute/cmd/operator_command.py
+++ b/savorychute/cmd/operator_command.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from argparse import ArgumentParser, Namespace
 
-    from savorychute.cmd.operator_client import OperatorAnswer
+    from savorychute.cmd.operator_client import OperatorAnswer, OperatorClient
 
 
 class OperatorVerb:
@@ -46,6 +46,10 @@
         """Return the verb's document; :class:`ValueError` if it is wrong."""
         return {}
 
+    def direct(self, client: OperatorClient, document: Any) -> OperatorClient:  # noqa: ARG002
+        """Return the client for the instance that is to be asked."""
+        return client
+
     def run(self, arguments: Namespace) -> int:
         """Send the command and print what came back."""
         try:
@@ -55,6 +59,7 @@
             print(f'savorychute: {error}', file=sys.stderr)
             return ExitCode.USAGE
         try:
+            client = self.direct(client, document)
             answer = client.call(self.verb, document)
         except NotSentError as error:
             print(f'no instance reached: {error}', file=sys.stderr)
--- a/tests/test_cmd/test_operator_commands.py
+++ b/tests/test_cmd/test_operator_commands.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 import pytest
+from operator_stand_in import serve_stand_in
 
 from savorychute.cmd.exit_code import ExitCode
 from savorychute.cmd.operator_verbs import VERB_ARGUMENTS
@@ -19,7 +20,6 @@
     (('endpoint', 'list'), 'endpoint-list', {}),
     (('instance', 'list'), 'instance-list', {}),
     (('status',), 'status', {}),
-    (('explain', 'q-7'), 'explain', {'request_id': 'q-7'}),
     (
         ('audit', '--item', 'contract:a', '--since-offset', '9'),
         'audit',
@@ -53,6 +53,33 @@
     assert set(document) <= set(VERB_ARGUMENTS[verb].__annotations__)
 
 
+def test_explain_asks_the_instance_that_had_the_request(run, stand_in):
+    """An operator asks about a request, and the first instance never saw it.
+
+    Only the one that answered it knows why it went where it went; its name is
+    in the request's id, and any instance knows its address.
+    """
+    with serve_stand_in(None) as owner:
+        entry = {'instance': 'kochi-2', 'host': '127.0.0.1', 'caller_port': owner.port}
+        stand_in.answer = (200, 0, {'instances': [entry]})
+        owner.answer = (200, 0, {'request_id': 'kochi-2-5f-7', 'history': []})
+        code, out, _ = run('explain', 'kochi-2-5f-7', '--json')
+        assert code == ExitCode.OK
+        assert json.loads(out)['request_id'] == 'kochi-2-5f-7'
+        assert [each.path for each in stand_in.received] == [
+            '/v1/operator/instance-list'
+        ]
+        assert [each.document for each in owner.received] == [
+            {'request_id': 'kochi-2-5f-7'}
+        ]
+
+
+def test_explain_asks_the_first_when_the_owner_is_gone(run, stand_in):
+    stand_in.answer = (404, 1008, {'message': 'did not end here'})
+    assert run('explain', 'kochi-9-5f-7')[0] == ExitCode.REFUSED
+    assert stand_in.received[-1].document == {'request_id': 'kochi-9-5f-7'}
+
+
 def test_amendment_carries_the_whole_contract(run, stand_in, contract_file):
     stand_in.answer = (200, 0, {'item': 'contract:malanadu', 'version': 4})
     code, out, _ = run(
