--- a/savorychute/cmd/docs.py
+++ b/savorychute/cmd/docs.py
@@ -18,7 +18,7 @@
 class Docs:
     """Write the pages of the reference that come from the code."""
 
-    summary = 'write the reference of settings, codes, metrics and commands'
+    summary = 'write the pages of the reference that come from the code'
 
     def add_arguments(self, parser: ArgumentParser) -> None:
         """Add the directory and ``--check``."""
--- a/savorychute/cmd/reference_pages.py
+++ b/savorychute/cmd/reference_pages.py
@@ -9,6 +9,7 @@
 from savorychute.cmd.command import COMMANDS
 from savorychute.cmd.exit_code import ExitCode
 from savorychute.cmd.parser import load_commands
+from savorychute.cmd.scenario_page import write_scenario_page
 from savorychute.logs import FIELDS
 from savorychute.metrics import BUCKETS_MS, MAX_LABEL_VALUES, MAX_SERIES, METRICS
 from savorychute.ran import Ran
@@ -129,6 +130,7 @@
     'result-codes.rst': write_result_codes_page,
     'metrics.rst': write_metrics_page,
     'command-line.rst': write_command_line_page,
+    'scenarios.rst': lambda: NOTE + write_scenario_page(),
 }
 
 
