Write a response's head and end together with their neighbours

Cause: an answer of one token took four writes, each a call of the system of about 0.1 ms here, and every input computed the next tick anew. Change: the head goes with the first part, the end with the last; the tick's timer is moved only if the tick moved.

--- a/benches/daemon_rig.py
+++ b/benches/daemon_rig.py
@@ -8,7 +8,7 @@
 import os
 import sys
 import tempfile
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING, NamedTuple
@@ -255,7 +255,8 @@
                 await _configure(port, engine.port)
                 yield DaemonProcess(process.pid, port)
             finally:
-                process.kill()
+                with suppress(ProcessLookupError):
+                    process.kill()
                 await process.wait()
                 if drain is not None:
                     await drain
@@ -276,6 +277,7 @@
             'bench': hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
         },
         'gap_timeout_ms': 600_000,
+        'leave_grace_ms': 0,
     }
 
 
--- a/savorychute/daemon/caller_answers.py
+++ b/savorychute/daemon/caller_answers.py
@@ -148,8 +148,7 @@
         if not exchange.started:
             self._answer_unstarted(exchange, finish)
         elif answer.events:
-            exchange.send(END_EVENT if whole else _encode_error_event(finish))
-            exchange.finish()
+            exchange.finish(END_EVENT if whole else _encode_error_event(finish))
         elif whole:
             exchange.finish()
         else:
--- a/savorychute/daemon/host.py
+++ b/savorychute/daemon/host.py
@@ -88,6 +88,7 @@
         self._inputs: deque[Input] = deque()
         self._draining = False
         self._timer: asyncio.TimerHandle | None = None
+        self._tick_due_ms = 0
         self._performers: dict[type, Callable[[Any], None]] = {
             AppendRecord: self._platform.append,
             CancelAttempt: self.attempts.cancel,
@@ -175,14 +176,14 @@
         self._schedule_tick()
 
     def _schedule_tick(self) -> None:
-        if self._draining:
+        due_ms = self.instance.next_tick_ms
+        if self._draining or (self._timer is not None and due_ms >= self._tick_due_ms):
             return
-        wait_ms = self.instance.next_tick_ms - self.clock.now_ms()
+        self._tick_due_ms = due_ms
+        wait_ms = due_ms - self.clock.now_ms()
         wait_ms = min(max(wait_ms, SHORTEST_TICK_MS), LONGEST_TICK_MS)
         loop = asyncio.get_running_loop()
         due_s = loop.time() + wait_ms / MS_PER_S
         if self._timer is not None:
-            if self._timer.when() <= due_s:
-                return
             self._timer.cancel()
         self._timer = loop.call_at(due_s, self._tick)
--- a/savorychute/http/server_connection.py
+++ b/savorychute/http/server_connection.py
@@ -48,6 +48,7 @@
         self._body_bytes = 0
         self.pipelined_bytes = 0
         self._advancing = False
+        self._held = b''
         self._lingering = False
         self._bodiless = False
         self._received_any = False
@@ -112,17 +113,25 @@
             sent.append(('connection', 'close'))
         is_head = self._exchange is not None and self._exchange.request.method == 'HEAD'
         self._bodiless = is_head or status in BODILESS_STATUSES
-        self._write(h11.Response(status_code=status, headers=sent))
+        self._hold(h11.Response(status_code=status, headers=sent))
+        asyncio.get_running_loop().call_soon(self._release)
 
-    def send_data(self, data: bytes) -> None:
+    def send_data(self, data: bytes, last: bool = False) -> None:
         """Send a part of a response's body.
 
         A caller that stops reading while the answer goes on would make the
         buffer grow without end; at the bound the connection is given up.
+
+        :param data: the bytes.
+        :param last: whether the end follows at once, to be written with them.
         """
         if self._bodiless:
             return
-        self._write(h11.Data(data=data))
+        event = h11.Data(data=data)
+        if last:
+            self._hold(event)
+            return
+        self._write(event)
         if self._transport.get_write_buffer_size() > self._limits.write_bound_bytes:
             self._transport.abort()
 
@@ -291,10 +300,20 @@
     # -- small helpers
 
     def _write(self, event: h11.Event) -> None:
-        data = self._http.send(event)
+        data = self._held + (self._http.send(event) or b'')
+        self._held = b''
         if data:
             self._transport.write(data)
 
+    def _hold(self, event: h11.Event) -> None:
+        """Keep bytes for the next write; each write is a call of the system."""
+        self._held += self._http.send(event) or b''
+
+    def _release(self) -> None:
+        if self._held and not self._transport.is_closing():
+            self._transport.write(self._held)
+        self._held = b''
+
     def _wait(self, timeout_ms: int) -> None:
         self._deadline_ms = self._server.now_ms() + timeout_ms
 
--- a/savorychute/http/server_exchange.py
+++ b/savorychute/http/server_exchange.py
@@ -53,8 +53,7 @@
         """
         length = ('content-length', str(len(body)))
         self.start(status, [*headers, length])
-        self.send(body)
-        self.finish()
+        self.finish(body)
 
     def start(self, status: int, headers: Sequence[tuple[str, str]]) -> None:
         """Send the head; without a length the body goes in chunks.
@@ -76,11 +75,16 @@
             return
         self._connection.send_data(data)
 
-    def finish(self) -> None:
-        """End the answer; the connection takes its next request."""
+    def finish(self, data: bytes = b'') -> None:
+        """End the answer; the connection takes its next request.
+
+        :param data: the last part of the body.
+        """
         if self.left or self.finished:
             return
         self.finished = True
+        if data:
+            self._connection.send_data(data, last=True)
         self._connection.end_exchange()
 
     def abort(self) -> None:
