--- /dev/null
+++ b/tests/test_http/test_sse_reader.py
@@ -0,0 +1,55 @@
+"""Tests of reading server-sent events."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from savorychute.http.sse_reader import EventTooLargeError, SseEvent, SseReader
+
+STREAM = (
+    b'id: 0\r\ndata: {"a": 1}\r\n\r\n'
+    b': a comment\n\n'
+    b'event: error\ndata: one\ndata: two\n\n'
+    b'data:no blank\nunknown: x\n\n'
+)
+EVENTS = [
+    SseEvent('0', '', b'{"a": 1}'),
+    SseEvent('', '', b''),
+    SseEvent('', 'error', b'one\ntwo'),
+    SseEvent('', '', b'no blank'),
+]
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(st.sets(st.integers(0, len(STREAM))))
+def test_events_do_not_depend_on_where_the_bytes_are_cut(cuts):
+    reader = SseReader()
+    events = []
+    bounds = [0, *sorted(cuts), len(STREAM)]
+    for start, stop in pairwise(bounds):
+        events += reader.feed(STREAM[start:stop])
+
+    assert events == EVENTS
+
+
+def test_event_without_end_is_bounded():
+    reader = SseReader(bound_bytes=100)
+    reader.feed(b'data: ' + b'a' * 90)
+
+    with pytest.raises(EventTooLargeError):
+        reader.feed(b'a' * 20)
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(st.lists(st.binary(max_size=40), max_size=10))
+def test_no_bytes_raise_anything_else(parts):
+    reader = SseReader(bound_bytes=50)
+    try:
+        for part in parts:
+            reader.feed(part)
+    except EventTooLargeError:
+        return
