Give the tables of metrics and log fields files of their own

metrics.py had grown to 283 lines with four things in it. The bound on series of a metric stays, so memory is bounded as before.

--- a/benches/telemetry.py
+++ b/benches/telemetry.py
@@ -12,7 +12,8 @@
 
 from benches.bench_row import BenchRow, make_row
 from savorychute.logs import InstanceLog, LogLevel, open_log
-from savorychute.metrics import BUCKETS_MS, Metrics
+from savorychute.metric_table import BUCKETS_MS
+from savorychute.metrics import Metrics
 
 if TYPE_CHECKING:
     import random
--- a/savorychute/cmd/reference_pages.py
+++ b/savorychute/cmd/reference_pages.py
@@ -10,12 +10,14 @@
 from savorychute.cmd.exit_code import ExitCode
 from savorychute.cmd.parser import load_commands
 from savorychute.cmd.scenario_page import write_scenario_page
-from savorychute.logs import FIELDS
-from savorychute.metrics import BUCKETS_MS, MAX_LABEL_VALUES, MAX_SERIES, METRICS
+from savorychute.log_fields import FIELDS
+from savorychute.metric_table import BUCKETS_MS, METRICS
+from savorychute.metrics import MAX_SERIES
 from savorychute.ran import Ran
 from savorychute.result_code import ResultCode
 from savorychute.settings.setting import REQUIRED
 from savorychute.settings.table import SETTINGS
+from savorychute.util.label_bound import MAX_LABEL_VALUES
 from savorychute.util.rst_table import format_table, format_title
 
 if TYPE_CHECKING:
--- a/savorychute/logs.py
+++ b/savorychute/logs.py
@@ -2,7 +2,7 @@
 
 A line has the fields of eliot (``timestamp``, ``task_uuid``, ``task_level``,
 ``message_type``), then ``level``, ``instance``, ``request_id`` and those of
-:data:`FIELDS` that the event has.  Three guards keep secrets out:
+:data:`savorychute.log_fields.FIELDS` that the event has.  Three guards keep secrets out:
 
 * A field that is not in the table is dropped: no field carries a body, a
   header, a query or the text of a foreign exception.
@@ -23,6 +23,7 @@
 import eliot
 from eliot import add_destinations, remove_destination
 
+from savorychute.log_fields import FIELDS
 from savorychute.log_writer import LogWriter
 
 if TYPE_CHECKING:
@@ -33,46 +34,6 @@
 IDENTIFIER = re.compile(r'[A-Za-z0-9_.:/@+=,#-]{0,128}')
 REMOVED = '<removed>'
 
-FIELDS: dict[str, str] = {
-    'address': 'host and port of the other side',
-    'admitted': 'whether a request was admitted',
-    'attempt_id': 'one try of a request at an endpoint',
-    'bytes': 'a size',
-    'class_name': 'a class of a contract',
-    'code': 'the number of a result code',
-    'count': 'how many',
-    'customer': 'a customer',
-    'duration_ms': 'how long it took',
-    'endpoint': 'an endpoint',
-    'error': "an exception's type",
-    'failure_domain': 'a failure domain',
-    'fencing': 'the fencing number of an order',
-    'from_state': 'the state before',
-    'incarnation': 'the incarnation of an instance',
-    'item': 'what a change concerns',
-    'lease': 'the name of a lease',
-    'logger': 'the name of a library that logged',
-    'member': 'another instance',
-    'model': 'a model',
-    'offset': "an offset in the platform's log",
-    'operator': "an operator's name",
-    'ran': 'what the caller was told about execution',
-    'reason': 'an identifier of the cause',
-    'record_id': 'the id of a record',
-    'region': 'a region',
-    'retry_after_ms': 'when the caller may try again',
-    'service': 'a plain service',
-    'state': 'a state of a request, instance or endpoint',
-    'status': 'an HTTP status',
-    'stream': "a stream of the platform's log",
-    'stream_id': "the endpoint's own name of a stream",
-    'tier': 'a tier',
-    'to_state': 'the state after',
-    'tokens': 'a number of generated tokens',
-    'version': 'the version of a contract or an endpoint',
-    'waited_ms': 'how long it waited',
-}
-
 
 class LogLevel(IntEnum):
     """How much a line matters."""
@@ -126,7 +87,7 @@
         :param level: how much it matters.
         :param event: a constant name, the line's ``message_type``.
         :param request_id: the request that it belongs to, or empty.
-        :param fields: those of :data:`FIELDS`; others are dropped.
+        :param fields: those of :data:`savorychute.log_fields.FIELDS`; others are dropped.
         """
         if level < self.level:
             return
--- a/savorychute/metrics.py
+++ b/savorychute/metrics.py
@@ -2,134 +2,27 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left
 from typing import TYPE_CHECKING, Any
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-from savorychute.metric_row import MetricRow
+from savorychute.metric_table import BUCKETS_MS, METRICS
+from savorychute.util.bucket_counts import BucketCounts
+from savorychute.util.label_bound import OTHER, LabelBound
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
+    from savorychute.metric_row import MetricRow
     from savorychute.ran import Ran
     from savorychute.result_code import ResultCode
 
 PREFIX = 'savorychute_'
-MAX_LABEL_VALUES = 64
 MAX_SERIES = 2_048
-OTHER = 'other'
-BUCKETS_MS = (1, 2, 5, 10, 20, 35, 52, 75, 100, 150, 220, 320, 500, 1000, 3000, 10000)
-
-METRICS = (
-    MetricRow(
-        'requests_total',
-        'counter',
-        ('customer', 'class', 'code', 'ran'),
-        'Requests that ended, by result code and whether they ran.',
-    ),
-    MetricRow(
-        'targets_total',
-        'counter',
-        ('customer', 'class', 'met'),
-        'Requests with a latency target, by whether it was met.',
-    ),
-    MetricRow(
-        'goodput_total', 'counter', ('customer', 'class'), 'Answers times their weight.'
-    ),
-    MetricRow(
-        'first_token_ms',
-        'histogram',
-        ('tier',),
-        'From a request to the first token of its answer.',
-    ),
-    MetricRow(
-        'token_gap_ms',
-        'histogram',
-        ('tier',),
-        'Between two tokens, as the mean of an answer, counted for each token.',
-    ),
-    MetricRow(
-        'request_ms', 'histogram', ('tier',), 'From a request to the end of its answer.'
-    ),
-    MetricRow('tokens_total', 'counter', ('tier',), 'Tokens passed to callers.'),
-    MetricRow(
-        'wasted_tokens_total',
-        'counter',
-        ('tier',),
-        'Tokens generated for answers that were cut, duplicated or discarded.',
-    ),
-    MetricRow('attempts_total', 'counter', ('tier',), 'Tries at endpoints.'),
-    MetricRow('queued_requests', 'gauge', ('pool', 'tier'), 'Requests that wait.'),
-    MetricRow('open_requests', 'gauge', (), 'Requests not yet ended.'),
-    MetricRow('open_connections', 'gauge', (), "Callers' connections."),
-    MetricRow('members', 'gauge', ('state',), 'Instances, by state.'),
-    MetricRow('endpoints', 'gauge', ('state',), 'Endpoints, by state.'),
-    MetricRow('contracts', 'gauge', (), 'Contracts in force.'),
-    MetricRow(
-        'configuration_offset', 'gauge', (), 'Offset up to which changes are in force.'
-    ),
-    MetricRow('log_reachable', 'gauge', (), "1 if the platform's log answers, else 0."),
-    MetricRow(
-        'configuration_changes_total', 'counter', ('kind',), 'Changes put into force.'
-    ),
-    MetricRow(
-        'member_changes_total', 'counter', ('state',), 'Members, by their new state.'
-    ),
-    MetricRow(
-        'endpoint_ejections_total', 'counter', (), 'Ejections of failing endpoints.'
-    ),
-    MetricRow('quarantines_total', 'counter', (), 'Requests that were quarantined.'),
-    MetricRow('peer_sent_bytes_total', 'counter', (), 'Signed messages to instances.'),
-    MetricRow(
-        'peer_dropped_total',
-        'counter',
-        (),
-        'Messages to instances not sent for lack of room.',
-    ),
-    MetricRow(
-        'peer_rejected_total', 'counter', (), 'Frames from the peer port not taken.'
-    ),
-)
 
 _KINDS: dict[str, Any] = {'counter': Counter, 'gauge': Gauge, 'histogram': Histogram}
 
 
-class LabelBound:
-    """Keeps the number of a label's values bounded.
-
-    A customer that makes up names must not make the instance's memory grow:
-    past the bound every new value counts as ``other``.
-
-    :param limit: how many values are told apart.
-    """
-
-    def __init__(self, limit: int = MAX_LABEL_VALUES) -> None:
-        self._limit = limit
-        self._known: set[str] = set()
-
-    def admit(self, value: str) -> str:
-        """Return *value*, or ``other`` if there are too many already."""
-        if value in self._known:
-            return value
-        if len(self._known) >= self._limit:
-            return OTHER
-        self._known.add(value)
-        return value
-
-
-class _FastHistogram:
-    """Counts by bucket; an observation costs one bisection."""
-
-    def __init__(self) -> None:
-        self.counts = [0] * (len(BUCKETS_MS) + 1)
-        self.total = 0.0
-
-    def observe(self, value: float, count: int) -> None:
-        self.counts[bisect_left(BUCKETS_MS, value)] += count
-        self.total += value * count
-
-
 class Metrics:
     """The metrics of one instance.
 
@@ -140,7 +33,7 @@
         self._registry = Registry()
         self._collectors: dict[str, Any] = {}
         self._bounds: dict[str, LabelBound] = {}
-        self._histograms: dict[str, dict[str, _FastHistogram]] = {}
+        self._histograms: dict[str, dict[str, BucketCounts]] = {}
         for row in METRICS:
             self._add(row, instance)
 
@@ -158,7 +51,7 @@
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Add to a counter.
 
-        :param name: a counter of :data:`METRICS`.
+        :param name: a counter of :data:`savorychute.metric_table.METRICS`.
         :param amount: not negative.
         :param labels: a value for each of its labels; ``class`` as ``class_name``.
         """
@@ -168,7 +61,7 @@
     def raise_to(self, name: str, total: float, **labels: str) -> None:
         """Bring a counter up to a total that is counted elsewhere.
 
-        :param name: a counter of :data:`METRICS`.
+        :param name: a counter of :data:`savorychute.metric_table.METRICS`.
         :param total: never less than before.
         :param labels: a value for each of its labels.
         """
@@ -178,7 +71,7 @@
     def set(self, name: str, value: float, **labels: str) -> None:
         """Set a gauge.
 
-        :param name: a gauge of :data:`METRICS`.
+        :param name: a gauge of :data:`savorychute.metric_table.METRICS`.
         :param value: the present value.
         :param labels: a value for each of its labels.
         """
@@ -188,14 +81,14 @@
     def clear(self, name: str) -> None:
         """Forget a gauge's series, so that one that has gone does not stay.
 
-        :param name: a gauge of :data:`METRICS`.
+        :param name: a gauge of :data:`savorychute.metric_table.METRICS`.
         """
         self._collectors[name].values.clear()
 
     def observe(self, name: str, value_ms: float, tier: int, count: int = 1) -> None:
         """Add observations to a histogram.
 
-        :param name: a histogram of :data:`METRICS`.
+        :param name: a histogram of :data:`savorychute.metric_table.METRICS`.
         :param value_ms: the duration observed.
         :param tier: its one label.
         :param count: how many observations had this value.
@@ -204,7 +97,7 @@
         label = str(tier)
         found = by_tier.get(label)
         if found is None:
-            found = by_tier.setdefault(label, _FastHistogram())
+            found = by_tier.setdefault(label, BucketCounts(BUCKETS_MS))
         found.observe(value_ms, count)
 
     def finish_request(
@@ -253,7 +146,7 @@
         body, headers = render(self._registry, list(accept))
         return body, headers
 
-    def _publish(self, name: str, tier: str, histogram: _FastHistogram) -> None:
+    def _publish(self, name: str, tier: str, histogram: BucketCounts) -> None:
         collector = self._collectors[name]
         labels = {'tier': tier}
         try:
