--- a/savorychute/testing/call.py
+++ b/savorychute/testing/call.py
@@ -72,6 +72,9 @@
         self.chunk_offset = 0
         self.chunk_start = 0
         self.tries = 0
+        self.failures = 0
+        self.redirects = 0
+        self.waits = 0
         self.code: ResultCode | None = None
         self.told = ''
 
--- a/savorychute/testing/call_try.py
+++ b/savorychute/testing/call_try.py
@@ -7,6 +7,7 @@
 from savorychute.requests.continuation_handle import decode_handle
 from savorychute.result_code import ResultCode
 from savorychute.testing.matrix import steps
+from savorychute.testing.refusal import Refusal
 
 if TYPE_CHECKING:
     from savorychute.actions import (
@@ -15,15 +16,10 @@
         SendChunk,
         StartResponse,
     )
-    from savorychute.ran import Ran
     from savorychute.testing.call import Call
     from savorychute.testing.callers import Callers
     from savorychute.testing.instance_host import InstanceHost
 
-ELSEWHERE_CODES = frozenset(
-    (ResultCode.WRONG_INSTANCE, ResultCode.SHUTTING_DOWN, ResultCode.NOT_READY)
-)
-
 
 class CallTry:
     """Takes what one instance answers and tells :class:`Callers` how it ended.
@@ -82,7 +78,8 @@
             return
         if finish.handle:
             self.call.handle = finish.handle
-        self._callers.failed(self.call, finish.code, finish.ran, '', self)
+        cut = Refusal(finish.code, finish.ran, is_cut=True)
+        self._callers.failed(self.call, cut, self)
 
     def refused(self, refuse: RefuseRequest) -> None:
         """Take a refusal."""
@@ -91,7 +88,10 @@
         self.is_open = False
         if refuse.handle:
             self.call.handle = refuse.handle
-        self._callers.failed(self.call, refuse.code, refuse.ran, refuse.location, self)
+        refusal = Refusal(
+            refuse.code, refuse.ran, refuse.retry_after_ms, refuse.location
+        )
+        self._callers.failed(self.call, refusal, self)
 
     def broken(self) -> None:
         """Note that the connection broke."""
@@ -132,9 +132,3 @@
         return ''
     handle = decode_handle(call.handle)
     return handle._replace(offset=call.chunk_offset).encode()
-
-
-def is_final(code: ResultCode, ran: Ran, location: str) -> bool:
-    """Return whether a refusal leaves nothing to try elsewhere."""
-    del ran
-    return code not in ELSEWHERE_CODES and not location
--- a/savorychute/testing/callers.py
+++ b/savorychute/testing/callers.py
@@ -9,8 +9,9 @@
 from savorychute.inputs import CallerRequest
 from savorychute.ran import Ran
 from savorychute.result_code import ResultCode
-from savorychute.testing.call_try import CallTry, continue_handle, is_final
+from savorychute.testing.call_try import CallTry, continue_handle
 from savorychute.testing.matrix import steps
+from savorychute.testing.refusal import BROKEN, UNREADY, Refusal
 
 if TYPE_CHECKING:
     from random import Random
@@ -20,12 +21,18 @@
     from savorychute.testing.world import World
 
 CHAT_PATH = '/v1/chat/completions'
-MAX_TRIES = 8
-AGAIN_MS = 50.0
+MAX_FAILURES = 5
+MAX_REDIRECTS = 5
+MIN_BACK_OFF_MS = 20.0
+MAX_BACK_OFF_MS = 2_000.0
 PATIENCE_MS = 3_000.0
 PAUSE_NOTICED_MS = 3_000.0
 
 
+ELSEWHERE_CODES = frozenset((ResultCode.SHUTTING_DOWN, ResultCode.NOT_READY))
+SPENT_KEY_CODES = frozenset((ResultCode.KEY_REVOKED, ResultCode.KEY_TOO_OLD))
+
+
 class KnownInstances(NamedTuple):
     """A discovery answer and when it runs out."""
 
@@ -68,29 +75,36 @@
             )
         self._end(call, 'answered', ResultCode.OK)
 
-    def failed(
-        self,
-        call: Call,
-        code: ResultCode,
-        ran: Ran,
-        location: str,
-        call_try: CallTry,
-    ) -> None:
-        """Go on after a refusal or a cut answer, or take it as the end."""
+    def failed(self, call: Call, refusal: Refusal, call_try: CallTry) -> None:
+        """Go on after a refusal or a cut answer, or take it as the end.
+
+        The rules are those of :class:`savorychute.client.call_run.CallRun`.
+        """
         self._open.pop(call.call_id, None)
-        if not is_final(code, ran, location):
-            self._again(call, code, ran, location, call_try.host.name)
-        elif code is ResultCode.ANSWER_TRUNCATED and call.handle:
-            self._again(call, code, ran, '', call_try.host.name)
+        if refusal.location and call.redirects < MAX_REDIRECTS:
+            call.redirects += 1
+            self._again(call, refusal, 0.0, refusal.location)
+        elif refusal.code in ELSEWHERE_CODES:
+            self._forget_instance(call.customer, call_try.host.name)
+            self._again(call, refusal, self._back_off_ms(call))
+        elif refusal.code in SPENT_KEY_CODES and refusal.ran is Ran.NOT_RUN:
+            call.key = ''
+            self._again(call, refusal, 0.0)
+        elif refusal.is_cut:
+            self._repeat(call, refusal, self._back_off_ms(call))
+        elif refusal.ran is Ran.NOT_RUN and refusal.retry_after_ms > 0:
+            self._again(call, refusal, refusal.retry_after_ms)
+        elif call.call_class.idempotent and refusal.retry_after_ms > 0:
+            self._repeat(call, refusal, refusal.retry_after_ms)
         else:
-            self._end(call, str(ran), code)
+            self._end(call, str(refusal.ran), refusal.code)
 
     def try_broke(self, call: Call, call_try: CallTry) -> None:
         """Go on at another instance after a connection broke."""
         self._open.pop(call.call_id, None)
         self.failovers += 1
-        code = ResultCode.OUTCOME_UNKNOWN
-        self._again(call, code, Ran.UNKNOWN, '', call_try.host.name)
+        self._forget_instance(call.customer, call_try.host.name)
+        self._repeat(call, BROKEN, self._back_off_ms(call))
 
     def notice_pause(self, host: InstanceHost) -> None:
         """Let callers leave an instance that has been silent for too long."""
@@ -101,17 +115,29 @@
                 call_try.leave()
                 self.try_broke(call_try.call, call_try)
 
+    def _repeat(self, call: Call, refusal: Refusal, wait_ms: float) -> None:
+        """Try again although the request may have run."""
+        call.failures += 1
+        if call.failures > MAX_FAILURES:
+            self._end(call, str(refusal.ran), refusal.code)
+            return
+        self._again(call, refusal, wait_ms)
+
     def _again(
-        self, call: Call, code: ResultCode, ran: Ran, location: str, tried: str
+        self, call: Call, refusal: Refusal, wait_ms: float, location: str = ''
     ) -> None:
         if call.is_over:
             return
-        late = self.world.heap.now_ms >= call.deadline_ms
-        if call.tries >= MAX_TRIES or late:
-            self._end(call, str(ran), code)
+        heap = self.world.heap
+        if heap.now_ms + wait_ms >= call.deadline_ms:
+            self._end(call, str(refusal.ran), refusal.code)
             return
-        self._forget_instance(call.customer, tried)
-        self.world.heap.call_later(AGAIN_MS, self._try, call, location)
+        heap.call_later(wait_ms, self._try, call, location)
+
+    def _back_off_ms(self, call: Call) -> float:
+        call.waits += 1
+        longest_ms = min(MAX_BACK_OFF_MS, MIN_BACK_OFF_MS * 2 ** min(call.waits, 16))
+        return self._rng.uniform(0.0, longest_ms)
 
     def _try(self, call: Call, location: str) -> None:
         if call.is_over:
@@ -119,7 +145,7 @@
         call.tries += 1
         host = self._pick(call, location)
         if host is None:
-            self._again(call, ResultCode.NOT_READY, Ran.NOT_RUN, '', '')
+            self._again(call, UNREADY, self._back_off_ms(call))
             return
         delay_ms = self.world.network.settings.client_ms
         needs_key = not call.call_class.idempotent and not call.key
@@ -136,7 +162,8 @@
         if host.is_up and not host.is_paused:
             key = self.world.issue_key(host, call.customer)
         if not key:
-            self._again(call, ResultCode.NOT_READY, Ran.NOT_RUN, '', host.name)
+            self._forget_instance(call.customer, host.name)
+            self._again(call, UNREADY, self._back_off_ms(call))
             return
         call.key = key
         self.world.heap.call_later(delay_ms, self._send, call, host)
--- a/savorychute/testing/faults/load_faults.py
+++ b/savorychute/testing/faults/load_faults.py
@@ -31,6 +31,7 @@
     wanted = find_class(world.topology, step.class_name)
     call = stage.workload.make_call(wanted, step.target, poison=True)
     world.poison_calls.add(call.call_id)
+    world.poisons += 1
     world.callers.begin(call)
     for number in range(1, step.count):
         delay_ms = number * (step.delay_ms or POISON_AGAIN_MS)
--- a/savorychute/testing/matrix/cell_faults.py
+++ b/savorychute/testing/matrix/cell_faults.py
@@ -119,6 +119,7 @@
         FaultStep(do='poison', class_name='tier:0', count=3, delay_ms=700),
         FaultStep(do='restart-crashed', ms=1_500),
         FaultStep(do='restart-crashed', ms=4_000),
+        FaultStep(do='restart-crashed', ms=12_000),
     ]
 
 
--- a/savorychute/testing/promises.py
+++ b/savorychute/testing/promises.py
@@ -8,6 +8,7 @@
 from savorychute.ran import Ran
 from savorychute.registry import Registry
 from savorychute.result_code import ResultCode
+from savorychute.testing.engine_host import EngineHost
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -16,6 +17,7 @@
 
 PROMISES: Registry[Callable[[World], Iterator[str]]] = Registry('promise')
 
+MOST_POISON_CRASHES = 2
 LEAVING_BOUND_MS = 3_000.0
 NEVER_RUNS_CODES = frozenset((ResultCode.WRONG_INSTANCE,))
 
@@ -125,6 +127,18 @@
     yield from world.configuration_watch.find_breaches()
 
 
+@PROMISES.register('poison-is-bounded')
+def check_poison(world: World) -> Iterator[str]:
+    """One poison request crashes at most two endpoints, over all instances."""
+    crashes = sum(
+        host.engine.poison_crashes
+        for host in world.endpoints.values()
+        if isinstance(host, EngineHost)
+    )
+    if crashes > MOST_POISON_CRASHES * world.poisons:
+        yield f'{crashes} crashes by {world.poisons} poison requests'
+
+
 @PROMISES.register('shutdown-cuts-nothing')
 def check_shutdown(world: World) -> Iterator[str]:
     """A graceful shutdown cuts off no request in progress."""
--- a/savorychute/testing/world.py
+++ b/savorychute/testing/world.py
@@ -103,6 +103,7 @@
         self.cut_by_shutdown: dict[str, int] = {}
         self.reachable_since_ms = 0.0
         self.poison_calls: set[str] = set()
+        self.poisons = 0
         self.documents = {
             document['customer']: dict(document) for document in topology.contracts
         }
