Keep away from an endpoint that just refused; serve the queue while leaving

With credit only at the endpoint that refused or failed, all 3 retries went back to it within milliseconds; and a leaving instance gave its credit back at once and then shed what waited. Change: a failed endpoint is avoided for 2 s while another one is usable; a leaving instance keeps its credit for up to 2 s while work waits, then sends the rest elsewhere (module departure). Ruled out: the retry budget, which has its floor.

--- a/savorychute/instance/attempt_desk.py
+++ b/savorychute/instance/attempt_desk.py
@@ -189,6 +189,7 @@
     ) -> None:
         parts = self._parts
         tracked.failures += 1
+        tracked.failed_ms = now_ms
         tracked.failed_endpoints.add(attempt.endpoint)
         if failed.leaving:
             parts.directory.note_refusal(attempt.endpoint)
--- a/savorychute/instance/core.py
+++ b/savorychute/instance/core.py
@@ -8,6 +8,7 @@
 from savorychute.actions import CancelAttempt
 from savorychute.errors import RequestError
 from savorychute.instance.attempt_desk import AttemptDesk
+from savorychute.instance.departure import Departure
 from savorychute.instance.dispatcher import Dispatcher
 from savorychute.instance.explanations import Explanations
 from savorychute.instance.housekeeping import Housekeeping
@@ -70,7 +71,7 @@
     @property
     def ready(self) -> bool:
         """Whether callers may be served."""
-        return self._parts.configuration.ready and not self._intake.leaving
+        return self._parts.configuration.ready and not self._departure.has_begun
 
     @property
     def idle(self) -> bool:
@@ -89,6 +90,7 @@
         """Do what is due by time; call it at :attr:`next_tick_ms` or later."""
         self._next_tick_ms = now_ms + self._settings.tick_period_ms
         actions = self._housekeeping.tick(now_ms)
+        actions += self._departure.tick(now_ms)
         actions += self._timers.check(now_ms)
         return actions + self._pump_all(now_ms)
 
@@ -128,8 +130,16 @@
         key_desk = KeyDesk(parts, responder)
         responder.connect(key_desk.follow)
         queue_desk = QueueDesk(parts, responder)
+        self._departure = Departure(parts, responder)
         self._dispatcher = Dispatcher(parts, key_desk, queue_desk)
-        self._intake = Intake(parts, responder, self._dispatcher, key_desk, queue_desk)
+        self._intake = Intake(
+            parts,
+            responder,
+            self._dispatcher,
+            key_desk,
+            queue_desk,
+            self._departure,
+        )
         key_desk.connect(self._intake.enqueue, self._dispatcher.send)
         self._attempt_desk = AttemptDesk(parts, responder, self._dispatcher, queue_desk)
         self._operator_desk = OperatorDesk(parts, explanations)
@@ -193,11 +203,7 @@
         self, _request: inputs.ShutdownRequested, now_ms: int
     ) -> list[Action]:
         """Leave: nothing new is taken, everything in progress is finished."""
-        if self._intake.leaving:
-            return []
-        self._intake.leaving = True
-        self.events.emit('instance-leaving', self.address)
-        return self._housekeeping.leave(now_ms)
+        return self._departure.begin(now_ms)
 
     def _pump_all(self, now_ms: int) -> list[Action]:
         actions: list[Action] = []
--- a/savorychute/instance/dispatcher.py
+++ b/savorychute/instance/dispatcher.py
@@ -121,7 +121,8 @@
         if not self._is_permitted(queued, now_ms):
             return False
         tier = queued.tier
-        free = [name for name in usable if parts.credits.available(name, tier) > 0]
+        eligible = self._list_eligible(tracked, usable, now_ms)
+        free = [name for name in eligible if parts.credits.available(name, tier) > 0]
         verdict = parts.quarantine.verdict(tracked.fingerprint, now_ms)
         if verdict is PoisonVerdict.CLEAR:
             return bool(free)
@@ -132,6 +133,23 @@
         )
         return preferred is not None
 
+    def _list_eligible(
+        self, tracked: TrackedRequest, usable: list[str], now_ms: int
+    ) -> list[str]:
+        """Return where a request may go, given where it failed before.
+
+        If this instance holds credit only at the endpoint that just refused
+        or failed the request, going back there at once uses up all its tries
+        within milliseconds.  So it waits a while for credit elsewhere.
+        """
+        if not tracked.failed_endpoints or tracked.resume_at is not None:
+            return usable
+        fresh = [name for name in usable if name not in tracked.failed_endpoints]
+        waited_ms = now_ms - tracked.failed_ms
+        if fresh and waited_ms < self._parts.settings.avoid_failed_ms:
+            return fresh
+        return usable
+
     def _is_permitted(self, queued: QueuedRequest, now_ms: int) -> bool:
         """Return whether the customer's limits permit a start now."""
         limiter = self._parts.limiter
@@ -148,7 +166,7 @@
         parts = self._parts
         free = [
             endpoint
-            for endpoint in usable
+            for endpoint in self._list_eligible(tracked, usable, now_ms)
             if parts.credits.available(endpoint, queued.tier) > 0
         ]
         endpoint = self._choose(tracked, queued, free, now_ms)
@@ -196,8 +214,6 @@
         resume_at = tracked.resume_at
         if resume_at is not None and resume_at.endpoint in free:
             return resume_at.endpoint
-        fresh = [name for name in free if name not in tracked.failed_endpoints]
-        eligible = fresh or free
         quarantine = self._parts.quarantine
         if quarantine.verdict(tracked.fingerprint, now_ms) is not PoisonVerdict.CLEAR:
             return quarantine.preferred_endpoint(tracked.fingerprint, free, now_ms)
@@ -210,7 +226,7 @@
                 prefix_hashes=tracked.request.prefix_hashes,
                 tier=queued.tier,
             ),
-            eligible,
+            free,
             now_ms,
         )
         return None if choice is None else choice.endpoint
--- a/savorychute/instance/housekeeping.py
+++ b/savorychute/instance/housekeeping.py
@@ -50,15 +50,6 @@
         self._follow_endpoints()
         return actions
 
-    def leave(self, now_ms: int) -> list[Action]:
-        """Tell the others, and hand over what this instance is home of."""
-        parts = self._parts
-        actions = parts.membership.leave(now_ms)
-        view = parts.membership.view()
-        actions += parts.credits.leave(view, now_ms)
-        actions += parts.limiter.leave(view, now_ms)
-        return actions
-
     def note_listing(self, listing: ListingFetched, now_ms: int) -> list[Action]:
         """Take in the platform's list."""
         parts = self._parts
--- a/savorychute/instance/instance_settings.py
+++ b/savorychute/instance/instance_settings.py
@@ -22,7 +22,8 @@
     ``operator_token_hashes`` maps an operator's name to the hex SHA-256 digest
     of its token.  An attempt without any sign of life is given up after
     ``first_progress_timeout_ms``, or after ``gap_timeout_ms`` once its answer
-    has begun.  ``epoch_offset_ms`` added to ``now_ms`` gives Unix time; it is
+    has begun.  A leaving instance starts
+    what waits for ``handover_ms`` and then sends it elsewhere.  ``epoch_offset_ms`` added to ``now_ms`` gives Unix time; it is
     shown to people and bounds the age of keys that callers bring.
     """
 
@@ -32,9 +33,11 @@
     tick_period_ms: int = 100
     max_retries: int = 3
     refusal_retry_ms: int = 1_000
+    avoid_failed_ms: int = 2_000
     epoch_offset_ms: int = 0
     first_progress_timeout_ms: int = 10_000
     gap_timeout_ms: int = 3_000
+    handover_ms: int = 2_000
     explained_requests: int = 1_000
     admission: AdmissionSettings = AdmissionSettings()
     audit: AuditSettings = AuditSettings()
--- a/savorychute/instance/intake.py
+++ b/savorychute/instance/intake.py
@@ -17,6 +17,7 @@
     from savorychute.actions import Action
     from savorychute.contracts.customer_limits import CustomerLimits
     from savorychute.inputs import CallerRequest
+    from savorychute.instance.departure import Departure
     from savorychute.instance.dispatcher import Dispatcher
     from savorychute.instance.key_desk import KeyDesk
     from savorychute.instance.parts import Parts
@@ -41,13 +42,14 @@
         dispatcher: Dispatcher,
         key_desk: KeyDesk,
         queue_desk: QueueDesk,
+        departure: Departure,
     ) -> None:
         self._parts = parts
         self._responder = responder
         self._dispatcher = dispatcher
         self._key_desk = key_desk
         self._queue_desk = queue_desk
-        self.leaving = False
+        self._departure = departure
 
     def receive(self, request: CallerRequest, now_ms: int) -> list[Action]:
         """Check a request and put it into the queue, or refuse it.
@@ -63,7 +65,7 @@
         parts.budget.request(tracked.limits.customer, now_ms)
         parts.events.emit('request-received', request)
         if tracked.limits.idempotent:
-            if self.leaving:
+            if self._departure.has_begun:
                 return self._turn_away(tracked, now_ms)
             return self.enqueue(tracked, now_ms)
         return self._key_desk.admit(tracked, now_ms)
@@ -76,14 +78,14 @@
         would be redirected in a circle.  So it settles them as not run, which
         it alone can say, and the caller gets a new key elsewhere.
         """
-        if self.leaving:
+        if self._departure.has_begun:
             return self._turn_away(tracked, now_ms)
         actions = self._queue_desk.put(tracked, now_ms)
         return actions + self._dispatcher.pump(tracked.pool, now_ms)
 
     def _turn_away(self, tracked: TrackedRequest, now_ms: int) -> list[Action]:
         code = ResultCode.SHUTTING_DOWN
-        location = '' if tracked.holds_key else self._find_other_instance()
+        location = '' if tracked.holds_key else self._departure.find_other_instance()
         return self._responder.give_up(
             tracked, code, code.meaning, now_ms, location=location
         )
@@ -92,7 +94,7 @@
         parts = self._parts
         if not parts.configuration.ready:
             raise RequestError(ResultCode.NOT_READY, ResultCode.NOT_READY.meaning)
-        if self.leaving and not request.key:
+        if self._departure.has_begun and not request.key:
             code = ResultCode.SHUTTING_DOWN
             raise RequestError(code, code.meaning)
         limits = parts.directory.find_customer(request.token)
@@ -154,7 +156,7 @@
         """Refuse a request that never became one of ours."""
         location = ''
         if error.code in (ResultCode.SHUTTING_DOWN, ResultCode.NOT_READY):
-            location = self._find_other_instance()
+            location = self._departure.find_other_instance()
         return RefuseRequest(
             request_id=request.request_id,
             code=error.code,
@@ -174,11 +176,3 @@
         if is_faulty or not (request.handle or request.key):
             return Ran.NOT_RUN
         return Ran.UNKNOWN
-
-    def _find_other_instance(self) -> str:
-        view = self._parts.membership.view()
-        own = self._parts.address.instance
-        for member in view.alive:
-            if member.instance != own and member.instance not in view.leaving:
-                return f'{member.host}:{member.caller_port}'
-        return ''
--- a/savorychute/instance/tracked_request.py
+++ b/savorychute/instance/tracked_request.py
@@ -32,6 +32,7 @@
         'delivered_text',
         'delivered_tokens',
         'failed_endpoints',
+        'failed_ms',
         'failures',
         'fingerprint',
         'first_token_ms',
@@ -63,6 +64,7 @@
         self.attempt: Attempt | None = None
         self.attempt_count = 0
         self.failures = 0
+        self.failed_ms = now_ms
         self.resume_tries = 0
         self.failed_endpoints: set[str] = set()
         self.resume_at: ContinuationHandle | None = None
--- a/tests/test_instance/test_core.py
+++ b/tests/test_instance/test_core.py
@@ -291,6 +291,31 @@
     assert solo.find(FinishResponse) == [FinishResponse('r1')]
 
 
+def test_refused_request_waits_for_credit_elsewhere():
+    """A caller would be refused although another endpoint is about to be free.
+
+    One endpoint is full of other requests, the other one refuses.  Going back
+    to it at once would use up all tries within milliseconds.
+    """
+    solo = Solo(
+        contracts=[make_contract()],
+        endpoints=[make_engine('engine-1', slots=1), make_engine('engine-2', slots=1)],
+    )
+    solo.run_for(READY_MS)
+    first = start_stream(solo, 'r1')
+    solo.deliver(make_request('r2')._replace(body=b'{"other":1}'))
+    refused = solo.find(StartAttempt)[-1]
+    solo.deliver(AttemptSent(refused.attempt_id))
+    solo.deliver(make_failure(refused.attempt_id, refused=True))
+    solo.run_for(500)
+    assert len(solo.find(StartAttempt)) == 2
+
+    solo.deliver(AttemptEnded(first.attempt_id, 2))
+
+    assert solo.find(StartAttempt)[-1].endpoint == first.endpoint
+    assert solo.find(StartAttempt)[-1].request_id == 'r2'
+
+
 def test_leaving_issuer_settles_its_own_keys(solo):
     """A caller would be redirected in a circle until it gives up.
 
