--- a/tests/test_cmd/test_tutorial.py
+++ b/tests/test_cmd/test_tutorial.py
@@ -8,6 +8,7 @@
 import signal
 import subprocess
 import sys
+import textwrap
 import time
 from contextlib import contextmanager
 from http import HTTPStatus
@@ -19,7 +20,9 @@
 from savorychute.cmd.exit_code import ExitCode
 from savorychute.cmd.operator_client import TOKEN_VARIABLE
 
-FILES = Path(__file__).parents[2] / 'docs' / 'tutorial'
+DOCS = Path(__file__).parents[2] / 'docs'
+FILES = DOCS / 'tutorial'
+GUIDE = DOCS / 'usage' / 'callers.rst'
 CUSTOMER_HEADERS = {'authorization': 'Bearer malanadu-token'}
 CHAT = {
     'model': 'pump-diagnosis',
@@ -90,6 +93,20 @@
         yield process, int(line['address'].rpartition(':')[2])
 
 
+def check_callers_guide(port):
+    """Run the program of the callers' guide as a process of its own."""
+    text = GUIDE.read_text('utf-8').split('.. code-block:: python\n', 1)[1]
+    program = textwrap.dedent(text.split('\n\nWhat an end means', 1)[0])
+    done = subprocess.run(
+        [sys.executable, '-c', program.replace('8080', str(port))],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    assert done.returncode == 0, done.stderr
+    assert done.stdout.endswith('200 visit-log-1\n')
+
+
 def call(port, method, path, body=None, **headers):
     """Send one request; return status, headers and body."""
     connection = http.client.HTTPConnection('127.0.0.1', port, timeout=20)
@@ -141,6 +158,7 @@
     code, out, _ = run(*book, '{"pump": 7}')
     assert code == ExitCode.OK
     assert out.startswith('POST /visits')
+    check_callers_guide(port)
     wrong = ('call', 'dignosis', '--model', 'pump-diagnosis', 'x')
     code, out, err = run(*wrong, '--timeout-ms', '500', '--json')
     assert code == ExitCode.REFUSED
--- a/tests/test_wire/test_schema_writer.py
+++ b/tests/test_wire/test_schema_writer.py
@@ -10,6 +10,16 @@
 from savorychute.wire.peer_packages import load_peer_messages
 from savorychute.wire.schema_writer import SCHEMA_PATH, write_schema
 
+RANGES = {
+    'membership': 1,
+    'configuration': 2,
+    'credits': 3,
+    'limits': 4,
+    'requests': 5,
+    'recovery': 6,
+    'leases': 7,
+}
+
 
 def test_committed_schema_is_current():
     assert SCHEMA_PATH.read_text() == write_schema(load_peer_messages())
@@ -21,6 +31,20 @@
         assert codec._find_struct(tag).struct is not None
 
 
+def test_every_tag_is_in_the_range_of_its_part():
+    """Two parts, written side by side, take one tag for two messages.
+
+    The later import would fail, on that day or after a merge; ranges keep
+    them apart.
+    """
+    strays = [
+        f'{message.__module__} {tag}'
+        for tag, message in load_peer_messages().items()
+        if tag // 10 != RANGES[message.__module__.split('.')[1]]
+    ]
+    assert strays == []
+
+
 def test_field_without_a_form_is_refused():
     class Wrong(NamedTuple):
         shares: dict[str, int]
