Spread the news of leaving endpoints; leave silent ones sooner

Cause: an instance learnt that an endpoint leaves by its own refusal or by the platform list, fetched every 20 s: new work was offered up to 14 s late. A silent endpoint was waited for 10 s, longer than some deadlines, and then tried again. A request that engines had not started was refused when the retry budget was spent. Whether an endpoint leaves is kept in one place, the ejector.

--- a/savorychute/admission/tiered.py
+++ b/savorychute/admission/tiered.py
@@ -81,6 +81,7 @@
 
     def restore(self, request: QueuedRequest, now_ms: int) -> None:  # noqa: ARG002
         """Take back a request that was started or running."""
+        self._preempting.pop(request.request_id, None)
         self._add(request)
 
     def next_start(
--- a/savorychute/instance/attempt.py
+++ b/savorychute/instance/attempt.py
@@ -18,6 +18,7 @@
         'attempt_id',
         'content_type',
         'endpoint',
+        'is_silent',
         'next_offset',
         'progress_ms',
         'resumed',
@@ -44,6 +45,7 @@
         self.resumed = resumed
         self.progress_ms = now_ms
         self.sent = False
+        self.is_silent = False
         self.started = False
         self.status = 0
         self.content_type = ''
--- a/savorychute/instance/attempt_desk.py
+++ b/savorychute/instance/attempt_desk.py
@@ -141,6 +141,7 @@
             # At once: other instances have to know of a suspect before its
             # caller has sent it again to one of them.
             actions += parts.quarantine.tick(parts.membership.view(), now_ms)
+        actions += parts.leaving.send(parts.membership.view())
         return actions + self._dispatcher.pump(tracked.pool, now_ms)
 
     def _enter_streaming(self, tracked: TrackedRequest, now_ms: int) -> None:
@@ -161,7 +162,9 @@
         tracked.token_ms = now_ms
         self._parts.book.progress(attempt.attempt_id, tokens, now_ms)
 
-    def _abandon(self, attempt: Attempt, reason: str, now_ms: int) -> list[Action]:
+    def _abandon(
+        self, attempt: Attempt, reason: str, now_ms: int, is_silent: bool = False
+    ) -> list[Action]:
         """Give up an attempt that still runs, and go on as after a failure."""
         failed = AttemptFailed(
             attempt_id=attempt.attempt_id,
@@ -171,6 +174,7 @@
             crashed=False,
             reason=reason,
         )
+        attempt.is_silent = is_silent
         cancel = CancelAttempt(attempt.attempt_id)
         return [cancel, *self.fail(failed, now_ms)]
 
@@ -178,7 +182,7 @@
         """Give up an attempt whose endpoint says nothing any more."""
         silent_ms = now_ms - attempt.progress_ms
         reason = f'endpoint silent for {silent_ms} ms'
-        return self._abandon(attempt, reason, now_ms)
+        return self._abandon(attempt, reason, now_ms, is_silent=True)
 
     def _note_failure(
         self,
@@ -192,8 +196,8 @@
         tracked.failed_ms = now_ms
         tracked.failed_endpoints.add(attempt.endpoint)
         if failed.leaving:
-            parts.directory.note_refusal(attempt.endpoint)
             parts.ejector.leave(attempt.endpoint, now_ms)
+            parts.leaving.note(attempt.endpoint, now_ms)
         elif not failed.refused:
             parts.ejector.failed(attempt.endpoint, now_ms, failed.crashed)
         if failed.crashed and failed.sent:
@@ -256,12 +260,22 @@
             return False
         if failed.leaving:
             return True
-        if tracked.failures > parts.settings.max_retries:
+        settings = parts.settings
+        is_unrun = failed.refused or not failed.sent
+        most = settings.max_unrun_retries if is_unrun else settings.max_retries
+        if tracked.failures > most:
             return False
         limits = parts.directory.limits.get(tracked.limits.customer)
         if limits is None:
             return False
-        return parts.budget.try_spend(limits.customer, limits.retry_share, now_ms)
+        if parts.budget.try_spend(limits.customer, limits.retry_share, now_ms):
+            return True
+        if not is_unrun:
+            return False
+        # Nothing was lost yet, so the request waits instead of being refused;
+        # the wait keeps retries from growing into a storm.
+        tracked.held_until_ms = now_ms + settings.refusal_retry_ms
+        return True
 
     def _prepare_resume(
         self, tracked: TrackedRequest, attempt: Attempt, failed: AttemptFailed
@@ -276,6 +290,9 @@
             return
         if not attempt.started or failed.refused or tracked.resume_tries > 0:
             return
+        if attempt.is_silent:
+            # A resume there would wait in vain for as long again.
+            return
         tracked.resume_tries += 1
         tracked.resume_at = ContinuationHandle(
             attempt.endpoint, attempt.stream_id, tracked.delivered_tokens
--- a/savorychute/instance/directory.py
+++ b/savorychute/instance/directory.py
@@ -46,7 +46,6 @@
         self.endpoints: dict[str, EndpointDocument] = {}
         self._entries: dict[str, CustomerEntry] = {}
         self._customers: dict[str, str] = {}
-        self._refused: set[str] = set()
         self._listed: frozenset[str] = frozenset()
 
     def apply(self, changes: Iterable[AppliedChange]) -> None:
@@ -89,21 +88,13 @@
     def is_usable(self, endpoint: str) -> bool:
         """Return whether the endpoint may get new work.
 
-        An endpoint stops getting work by whichever is known first: an
-        operator's drain, the platform's list, or its own refusal.
+        It may not if an operator drains it or the platform's list says that
+        it leaves; what it says itself is known to the ejector.
         """
         document = self.endpoints.get(endpoint)
         if document is None or document['state'] != ACTIVE:
             return False
-        return endpoint not in self._refused and endpoint not in self._listed
-
-    def note_refusal(self, endpoint: str) -> None:
-        """Remember that the endpoint itself said that it is leaving."""
-        self._refused.add(endpoint)
-
-    def note_return(self, endpoint: str) -> None:
-        """Forget a refusal, after the endpoint reported itself active."""
-        self._refused.discard(endpoint)
+        return endpoint not in self._listed
 
     def note_listing(self, leaving: frozenset[str]) -> None:
         """Remember who leaves according to the platform's list."""
@@ -135,6 +126,5 @@
         endpoint = change.item.removeprefix(ENDPOINT_PREFIX)
         if change.document is None:
             self.endpoints.pop(endpoint, None)
-            self._refused.discard(endpoint)
             return
         self.endpoints[endpoint] = change.document  # type: ignore[assignment]
--- a/savorychute/instance/dispatcher.py
+++ b/savorychute/instance/dispatcher.py
@@ -118,6 +118,8 @@
         tracked = parts.table.find(queued.request_id)
         if tracked is None:
             return True
+        if now_ms < tracked.held_until_ms:
+            return False
         if not self._is_permitted(queued, now_ms):
             return False
         tier = queued.tier
--- a/savorychute/instance/housekeeping.py
+++ b/savorychute/instance/housekeeping.py
@@ -64,10 +64,9 @@
         parts.ejector.report(report, now_ms)
         parts.credits.observe(report)
         if report.state == ACTIVE:
-            parts.directory.note_return(report.endpoint)
-        else:
-            parts.directory.note_refusal(report.endpoint)
-        return []
+            return []
+        parts.leaving.note(report.endpoint, now_ms)
+        return parts.leaving.send(parts.membership.view())
 
     def note_order(self, _finished: OrderFinished, _now_ms: int) -> list[Action]:
         """Take in how an order ended."""
--- a/savorychute/instance/instance_settings.py
+++ b/savorychute/instance/instance_settings.py
@@ -20,9 +20,9 @@
     """What an instance is made from.
 
     ``operator_token_hashes`` maps an operator's name to the hex SHA-256 digest
-    of its token.  An attempt without any sign of life is given up after
-    ``first_progress_timeout_ms``, or after ``gap_timeout_ms`` once its answer
-    has begun.  A leaving instance starts
+    of its token.  An attempt without any sign of life is given up after a
+    multiple of its class's targets, at most ``first_progress_timeout_ms``, or
+    ``gap_timeout_ms`` once its answer has begun.  A leaving instance starts
     what waits for ``handover_ms`` and then sends it elsewhere.  ``epoch_offset_ms`` added to ``now_ms`` gives Unix time; it is
     shown to people and bounds the age of keys that callers bring.
     """
@@ -32,6 +32,7 @@
     router_name: str = 'predicted'
     tick_period_ms: int = 100
     max_retries: int = 3
+    max_unrun_retries: int = 8
     refusal_retry_ms: int = 1_000
     avoid_failed_ms: int = 2_000
     epoch_offset_ms: int = 0
--- a/savorychute/instance/parts.py
+++ b/savorychute/instance/parts.py
@@ -15,7 +15,7 @@
 from savorychute.instance.request_table import RequestTable
 from savorychute.limits import CustomerLimiter
 from savorychute.membership import Membership
-from savorychute.recovery import Ejector, Quarantine, RetryBudget
+from savorychute.recovery import Ejector, LeavingSpread, Quarantine, RetryBudget
 from savorychute.requests import KeyKeeper
 from savorychute.routing import ROUTERS, EndpointBook, OutputLengths, Router
 
@@ -43,6 +43,7 @@
     lengths: OutputLengths
     budget: RetryBudget
     ejector: Ejector
+    leaving: LeavingSpread
     quarantine: Quarantine
     keys: KeyKeeper
 
@@ -88,6 +89,7 @@
         lengths=OutputLengths(settings.lengths),
         budget=RetryBudget(settings.retries),
         ejector=Ejector(settings.ejection, fork()),
+        leaving=LeavingSpread(name, fork()),
         quarantine=Quarantine(settings.quarantine, name, fork()),
         keys=keys,
     )
--- a/savorychute/instance/peer_desk.py
+++ b/savorychute/instance/peer_desk.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from savorychute.recovery import LeavingNews
+
 if TYPE_CHECKING:
     from savorychute.actions import Action
     from savorychute.inputs import PeerReceived
@@ -64,8 +66,14 @@
         )
 
     def _receive_recovery(self, received: PeerReceived, now_ms: int) -> list[Action]:
-        quarantine = self._parts.quarantine
-        return quarantine.receive(received.sender, received.message, now_ms)
+        parts = self._parts
+        message = received.message
+        if isinstance(message, LeavingNews):
+            for endpoint in message.endpoints:
+                if parts.leaving.note(endpoint, now_ms):
+                    parts.ejector.leave(endpoint, now_ms)
+            return parts.leaving.send(parts.membership.view())
+        return parts.quarantine.receive(received.sender, message, now_ms)
 
     def _receive_requests(self, received: PeerReceived, now_ms: int) -> list[Action]:
         parts = self._parts
--- a/savorychute/instance/timers.py
+++ b/savorychute/instance/timers.py
@@ -17,6 +17,13 @@
     from savorychute.instance.tracked_request import TrackedRequest
 
 
+#: How many times its target an endpoint may be silent.  Less would give up
+#: stragglers, whose work would be wasted; more would miss the deadline.
+FIRST_TOKEN_PATIENCE = 4
+GAP_PATIENCE = 40
+LEAST_PATIENCE_MS = 1_500
+
+
 class Timers:
     """Deadlines of requests, and endpoints that have gone silent.
 
@@ -73,10 +80,15 @@
         would gain nothing: it has until its deadline.
         """
         settings = self._parts.settings
-        if not tracked.limits.idempotent:
-            return tracked.limits.timeout_ms
+        limits = tracked.limits
+        if not limits.idempotent:
+            return limits.timeout_ms
         if not tracked.expects_tokens or not tracked.request.stream:
-            return tracked.limits.timeout_ms
+            return limits.timeout_ms
         if attempt.tokens == 0:
-            return settings.first_progress_timeout_ms
-        return settings.gap_timeout_ms
+            patience_ms = FIRST_TOKEN_PATIENCE * limits.first_token_target_ms
+            longest_ms = settings.first_progress_timeout_ms
+        else:
+            patience_ms = GAP_PATIENCE * limits.token_gap_target_ms
+            longest_ms = settings.gap_timeout_ms
+        return min(max(patience_ms, LEAST_PATIENCE_MS), longest_ms)
--- a/savorychute/instance/tracked_request.py
+++ b/savorychute/instance/tracked_request.py
@@ -38,6 +38,7 @@
         'first_token_ms',
         'gap_sum_ms',
         'gap_worst_ms',
+        'held_until_ms',
         'holds_key',
         'life',
         'limits',
@@ -65,6 +66,7 @@
         self.attempt_count = 0
         self.failures = 0
         self.failed_ms = now_ms
+        self.held_until_ms = now_ms
         self.resume_tries = 0
         self.failed_endpoints: set[str] = set()
         self.resume_at: ContinuationHandle | None = None
--- a/savorychute/recovery/ejector.py
+++ b/savorychute/recovery/ejector.py
@@ -203,8 +203,13 @@
 
     def _refresh(self, endpoint: str, record: HealthRecord, now_ms: int) -> None:
         health = record.health
+        lifetime_ms = self._settings.leaving_lifetime_ms
         if health is EndpointHealth.EJECTED and now_ms >= record.until_ms:
             self._return(endpoint, record, 'its time is over', now_ms)
+        elif health is EndpointHealth.LEAVING and (
+            now_ms >= record.until_ms + lifetime_ms
+        ):
+            self._return(endpoint, record, 'nothing was heard since', now_ms)
         elif health is EndpointHealth.RAMPING and (
             now_ms >= record.since_ms + self._settings.ramp_ms
         ):
--- a/savorychute/recovery/ejector_settings.py
+++ b/savorychute/recovery/ejector_settings.py
@@ -11,7 +11,8 @@
     ``ejected_share_max`` bounds ejection for errors, ``crashed_share_max`` for
     crashes; neither ever ejects the last endpoint of a pool.  An ejection lasts
     ``ejection_ms``, doubled at each in a row up to ``ejection_max_ms``; then the
-    share of work grows over ``ramp_ms``.
+    share of work grows over ``ramp_ms``.  An endpoint that said it is leaving is
+    tried again after ``leaving_lifetime_ms`` if it makes no load reports.
     """
 
     ejected_share_max: float = 0.5
@@ -24,4 +25,5 @@
     ramp_ms: int = 10_000
     ramp_floor: float = 0.1
     leaving_grace_ms: int = 1_000
+    leaving_lifetime_ms: int = 600_000
     suspicion_lifetime_ms: int = 600_000
--- a/savorychute/wire/messages.capnp
+++ b/savorychute/wire/messages.capnp
@@ -174,6 +174,48 @@
   groups @4 :List(GroupGrant);
 }
 
+struct ShareReport {
+  customer @0 :Text;
+  homeEpoch @1 :Int64;
+  sequence @2 :Int64;
+  held @3 :Int64;
+  floor @4 :Int64;
+  floorLeftMs @5 :Int64;
+  inUse @6 :Int64;
+  wanted @7 :Int64;
+  wantsSpare @8 :Bool;
+}
+
+struct LimitReport {  # tag 40
+  epoch @0 :Int64;
+  number @1 :Int64;
+  shares @2 :List(ShareReport);
+  vetoers @3 :List(Text);
+  lost @4 :List(Text);
+  lossAgeMs @5 :Int64 = -1;
+}
+
+struct ShareGrant {
+  customer @0 :Text;
+  sequence @1 :Int64;
+  mustAcknowledge @2 :Bool;
+  units @3 :Int64;
+  floor @4 :Int64;
+}
+
+struct LimitGrant {  # tag 41
+  homeEpoch @0 :Int64;
+  epoch @1 :Int64;
+  reportNumber @2 :Int64;
+  durationMs @3 :Int64;
+  floorMs @4 :Int64;
+  shares @5 :List(ShareGrant);
+}
+
+struct LimitAsk {  # tag 42
+  customers @0 :List(Text);
+}
+
 struct StartNotice {  # tag 50
   key @0 :Text;
   fingerprint @1 :Text;
@@ -226,3 +268,7 @@
   digest @0 :Int64;
   entries @1 :Int64;
 }
+
+struct LeavingNews {  # tag 62
+  endpoints @0 :List(Text);
+}
