Keep a lease when an old order of the same holder is fenced

Cause: a holder that lapsed and got the lease again gave it up whenever an order of its earlier lease was refused with 'fenced'; with orders long under way it never kept the lease.

Change: only the fenced number itself ends the lease. Models that come or go without an order of the holder are counted for each endpoint.

--- a/savorychute/leases/lease_keeper.py
+++ b/savorychute/leases/lease_keeper.py
@@ -106,13 +106,17 @@
         self._budget.take('lease', now_ms)
         return [self._append(record)]
 
-    def surrender(self, name: str, why: str) -> None:
+    def surrender(self, name: str, fencing: int, why: str) -> None:
         """Stop holding at once, because somebody else was seen to hold it.
 
+        An order of an earlier lease that is fenced by this instance's own
+        later one says nothing against the later one.
+
         :param name: the lease.
+        :param fencing: the number that turned out to be old.
         :param why: what was seen.
         """
-        if name in self._hold_until_ms:
+        if name in self._hold_until_ms and self._fencing[name] == fencing:
             self._stop(name, SURRENDERED, why)
 
     def holds(self, name: str, now_ms: int) -> int | None:
@@ -127,6 +131,10 @@
             return None
         return self._fencing[name]
 
+    def holds_any(self, now_ms: int) -> bool:
+        """Return whether any lease is held now."""
+        return any(now_ms < until_ms for until_ms in self._hold_until_ms.values())
+
     def held_until_ms(self, name: str) -> int:
         """Return when a lease that is held ends, 0 if it is not held."""
         return self._hold_until_ms.get(name, 0)
--- a/savorychute/leases/order_desk.py
+++ b/savorychute/leases/order_desk.py
@@ -45,7 +45,9 @@
         self._readings: dict[str, EndpointReading] = {}
         self._results: deque[OrderResult] = deque(maxlen=settings.max_order_history)
         self._count = 0
+        self._watched_since_ms: int | None = None
         self.late_orders_by_endpoint: Counter[str] = Counter()
+        self.unexplained_by_endpoint: Counter[str] = Counter()
 
     def set_endpoints(self, endpoints: Mapping[str, EndpointDocument]) -> None:
         """Take over the endpoints of the configuration.
@@ -57,6 +59,9 @@
             del self._readings[name]
         for key in [key for key in self._settled if key[0] not in endpoints]:
             del self._settled[key]
+        for counter in (self.late_orders_by_endpoint, self.unexplained_by_endpoint):
+            for name in [name for name in counter if name not in endpoints]:
+                del counter[name]
 
     def results(self) -> tuple[OrderResult, ...]:
         """Return how the last orders ended, oldest first."""
@@ -83,7 +88,7 @@
             return []
         if finished.outcome == 'fenced':
             why = f'{finished.endpoint} has seen a newer fencing number'
-            self._keeper.surrender(order.request.lease, why)
+            self._keeper.surrender(order.request.lease, order.fencing, why)
         if finished.outcome in ('done', 'unknown'):
             self._settle(order, finished.outcome == 'done', now_ms)
         return [self._end(order, finished.outcome)]
@@ -101,6 +106,8 @@
         if before is not None and before.as_of_ms > as_of_ms:
             return []
         self._readings[report.endpoint] = reading
+        if before is not None:
+            self._count_unexplained(report.endpoint, before, reading)
         outcomes: list[SendOrder | OrderResult] = []
         for (endpoint, target), order in list(self._settled.items()):
             if endpoint == report.endpoint:
@@ -109,6 +116,10 @@
 
     def tick(self, now_ms: int) -> list[SendOrder | OrderResult]:
         """End orders that were never answered."""
+        if not self._keeper.holds_any(now_ms):
+            self._watched_since_ms = None
+        elif self._watched_since_ms is None:
+            self._watched_since_ms = now_ms
         late = [
             order
             for order in self._sent.values()
@@ -153,6 +164,27 @@
                 settled_ms=now_ms, took_effect=took_effect
             )
 
+    def _count_unexplained(
+        self, endpoint: str, before: EndpointReading, reading: EndpointReading
+    ) -> None:
+        """Count models that came or went without an order of this holder.
+
+        An old holder's late order to an endpoint that does not check shows
+        here when it is about a model that this holder has not touched.  An
+        engine that starts anew shows alike.
+        """
+        since_ms = self._watched_since_ms
+        if since_ms is None or before.as_of_ms < since_ms:
+            return
+        own = {target for name, target in self._settled if name == endpoint}
+        own |= {
+            order.request.target
+            for order in self._sent.values()
+            if order.request.endpoint == endpoint
+        }
+        changed = (before.models ^ reading.models) - own
+        self.unexplained_by_endpoint[endpoint] += len(changed)
+
     def _put_right(
         self, order: SentOrder, target: str, reading: EndpointReading, now_ms: int
     ) -> list[SendOrder | OrderResult]:
--- a/tests/test_leases/test_order_desk.py
+++ b/tests/test_leases/test_order_desk.py
@@ -98,3 +98,36 @@
     (again,) = desk.report(make_report(['large']), now_ms + 10)
     assert again.verb == UNLOAD
     assert desk.late_orders_by_endpoint == {}
+
+
+def test_own_old_order_that_is_fenced_leaves_the_new_lease_alone(
+    candidates, holder, desk
+):
+    """The holder lapses with an order under way, and gets the lease again.
+
+    Its new order overtakes the old one, which the endpoint then refuses.  Were
+    that taken for a rival, the lease would be given up each time.
+    """
+    (order,) = desk.request_order(make_request(), candidates.now_ms)
+    candidates.log.is_up = False
+    candidates.run(20_000)
+    candidates.log.is_up = True
+    for name, keeper in candidates.keepers.items():
+        if keeper is not holder:
+            candidates.paused.add(name)
+    candidates.run(10_000)
+    fencing = holder.holds('placement', candidates.now_ms)
+    assert fencing > order.fencing
+    desk.order_finished(OrderFinished(order.order_id, 'e', 'fenced'), candidates.now_ms)
+    assert holder.holds('placement', candidates.now_ms) == fencing
+
+
+def test_change_that_nobody_here_ordered_is_counted(candidates, desk):
+    """An earlier holder's order about another model arrives after its lease."""
+    desk.tick(candidates.now_ms)
+    desk.report(make_report(['small']), candidates.now_ms + 1)
+    desk.request_order(make_request(), candidates.now_ms + 2)
+    desk.report(make_report(['small', 'large']), candidates.now_ms + 3)
+    assert desk.unexplained_by_endpoint['e'] == 0
+    desk.report(make_report(['large']), candidates.now_ms + 4)
+    assert desk.unexplained_by_endpoint['e'] == 1
