--- a/savorychute/configuration/log_follower.py
+++ b/savorychute/configuration/log_follower.py
@@ -15,6 +15,10 @@
     from savorychute.inputs.log_record import LogRecord
     from savorychute.inputs.records_read import RecordsRead
 
+READS_BEHIND = 3
+"""How many answers in a row must end before the own offset to be believed; a
+single one may have been overtaken by news from another instance."""
+
 
 class LogFollower:
     """Folds what the log answers, and finds a snapshot where records are gone.
@@ -33,7 +37,16 @@
         self._assembler = SnapshotAssembler()
         self._scan_offset: int | None = None
         self.end_reached = False
-        self.log_is_behind = False
+        self._reads_behind = 0
+
+    @property
+    def log_is_behind(self) -> bool:
+        """Whether the log ends before records that are in force.
+
+        A log that lost its end gives their offsets again.  The new records are
+        not folded, since versions would go down; operators must know.
+        """
+        return self._reads_behind >= READS_BEHIND
 
     @property
     def next_offset(self) -> int:
@@ -59,9 +72,8 @@
             self._scan_offset = None
             for record in read.records:
                 self._store.apply(record)
-        # A log that lost its end gives offsets again.  Its records are not
-        # folded, since versions would go down; it shows here and in the status.
-        self.log_is_behind = read.end_offset <= self._store.offset
+        is_behind = read.end_offset <= self._store.offset
+        self._reads_behind = self._reads_behind + 1 if is_behind else 0
         if self._store.offset + 1 >= read.end_offset:
             self.end_reached = True
         elif self.next_offset != before:
--- /dev/null
+++ b/tests/test_configuration/test_join.py
@@ -0,0 +1,235 @@
+"""A new instance waits for the newest, and nothing ever takes it back."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from benches.configuration_rig import Rig, make_contract
+from savorychute.configuration.configuration_store import ConfigurationStore
+from savorychute.configuration.fold import ConfigurationFold
+from savorychute.configuration.keeper import ConfigurationKeeper
+from savorychute.configuration.log_follower import LogFollower
+from savorychute.configuration.log_reader import LogReader
+from savorychute.configuration.offset_notice import OffsetNotice
+from savorychute.configuration.record_codec import encode_record
+from savorychute.configuration.records_request import RecordsRequest
+from savorychute.configuration.settings import ConfigurationSettings
+from savorychute.configuration.snapshot_codec import encode_state
+from savorychute.configuration.snapshot_record import SNAPSHOT_KIND, SnapshotRecord
+from savorychute.configuration.snapshot_watch import SnapshotWatch
+from savorychute.configuration.state_part import StatePart
+from savorychute.inputs.log_record import LogRecord
+from savorychute.inputs.records_read import RecordsRead
+from savorychute.member_address import MemberAddress
+from savorychute.membership.member_view import MemberView
+
+SETTINGS = ConfigurationSettings()
+
+
+def make_address(name, domain='north-1'):
+    return MemberAddress(name, 1, 'north', domain, name, 1, 2)
+
+
+@pytest.fixture
+def folds(amend):
+    """Folds through one, two and three contracts."""
+
+    def fold_contracts(count):
+        fold = ConfigurationFold()
+        for number in range(count):
+            amend(fold, f'contract:{number}', 0, make_contract(f'{number}'))
+        return fold
+
+    return [fold_contracts(count) for count in (1, 2, 3)]
+
+
+def state_part(fold):
+    return StatePart(fold.state.offset, 0, 1, encode_state(fold), -1, 0)
+
+
+@pytest.fixture
+def view():
+    alive = tuple(make_address(name) for name in 'abcd')
+    return MemberView(alive[3], alive)
+
+
+@pytest.fixture
+def joiner(view):
+    keeper = ConfigurationKeeper(SETTINGS, view.own, random.Random(1))
+    keeper.tick(view, {}, 0)
+    return keeper
+
+
+def notice(fold):
+    return OffsetNotice(fold.state.offset, fold.state.digest, -1, 0)
+
+
+def test_joiner_is_not_ready_with_the_state_of_a_peer_that_is_behind(
+    joiner, view, folds
+):
+    """The first instance that answers was cut off for a while.
+
+    Another one is known to be further; serving from the older state would put
+    limits in force again that an operator has replaced.
+    """
+    joiner.receive('a', notice(folds[2]), view, 100)
+    joiner.receive('b', notice(folds[1]), view, 110)
+    joiner.receive('c', notice(folds[1]), view, 120)
+    joiner.receive('b', state_part(folds[1]), view, 200)
+    joiner.tick(view, {}, 300)
+    assert joiner.state.offset == 1
+    assert not joiner.ready
+    assert joiner.advertised_offset == -1
+    joiner.receive('a', state_part(folds[2]), view, 400)
+    joiner.tick(view, {}, 500)
+    assert joiner.ready
+    assert joiner.advertised_offset == 2
+
+
+def test_joiner_hears_several_peers_before_it_is_ready(joiner, view, folds):
+    joiner.receive('a', notice(folds[0]), view, 100)
+    joiner.receive('a', state_part(folds[0]), view, 200)
+    joiner.tick(view, {}, 300)
+    assert not joiner.ready
+    joiner.receive('b', notice(folds[0]), view, 400)
+    joiner.receive('c', notice(folds[0]), view, 400)
+    joiner.tick(view, {}, 500)
+    assert joiner.ready
+
+
+def test_offset_on_the_pings_of_the_membership_counts(joiner, view, folds):
+    for peer in 'abc':
+        joiner.receive(peer, notice(folds[0]), view, 100)
+    joiner.receive('a', state_part(folds[0]), view, 200)
+    joiner.tick(view, {'b': 1}, 300)
+    assert not joiner.ready
+
+
+def test_pull_goes_to_another_peer_when_one_does_not_answer(joiner, view, folds):
+    """The instance that is furthest ahead dies right after it said so."""
+    actions = joiner.receive('a', notice(folds[2]), view, 100)
+    assert [each.instance for each in actions] == ['a']
+    assert actions[0].message == RecordsRequest(-1)
+    assert joiner.receive('b', notice(folds[1]), view, 200) == []
+    pulls = [
+        each.instance
+        for each in joiner.tick(view, {}, 700)
+        if isinstance(getattr(each, 'message', None), RecordsRequest)
+    ]
+    assert pulls == ['b']
+
+
+def test_older_state_is_never_adopted(folds):
+    """A transfer of the state is overtaken by pushes of single records."""
+    store = ConfigurationStore(10_000)
+    assert store.adopt(encode_state(folds[2]))
+    assert not store.adopt(encode_state(folds[1]))
+    assert not store.adopt(encode_state(folds[2]))
+    assert store.offset == 2
+    assert len(store.take_changes()) == 3
+
+
+def test_state_of_a_sender_that_is_no_member_is_ignored(joiner, view, folds):
+    assert joiner.receive('x', state_part(folds[2]), view, 100) == []
+    assert joiner.state.offset == -1
+
+
+@pytest.fixture
+def follower():
+    store = ConfigurationStore(10_000)
+    reader = LogReader(SETTINGS, random.Random(1))
+    return store, LogFollower(store, reader, SnapshotWatch(SETTINGS))
+
+
+def snapshot_at(offset, fold):
+    record = SnapshotRecord(
+        kind=SNAPSHOT_KIND,
+        snapshot_id=f's{offset}',
+        through_offset=fold.state.offset,
+        part=0,
+        parts=1,
+        data=encode_state(fold),
+    )
+    return LogRecord(offset, encode_record(record))
+
+
+def test_snapshot_with_a_gap_behind_it_is_not_used(follower, folds):
+    """A slow writer's snapshot came late, and the log lost what it lacks.
+
+    It holds offset 0, the log begins at 3: what 1 and 2 did is unknown.
+    """
+    store, log = follower
+    old = snapshot_at(3, folds[0])
+    log.records_read(RecordsRead('configuration', True, (old,), 3, 5), 0)
+    assert store.offset == -1
+    assert not log.end_reached
+    new = snapshot_at(4, folds[2])
+    log.records_read(RecordsRead('configuration', True, (new,), 3, 5), 0)
+    assert store.offset == 2
+    assert log.next_offset == 3
+    log.records_read(RecordsRead('configuration', True, (old, new), 3, 5), 0)
+    assert store.offset == 4
+    assert log.end_reached
+
+
+def test_log_that_lost_its_end_takes_nothing_back_and_is_reported(follower, folds):
+    """The platform restores the log from an older copy."""
+    store, log = follower
+    store.adopt(encode_state(folds[2]))
+    for _ in range(3):
+        assert not log.log_is_behind
+        records = (LogRecord(0, b'new'), LogRecord(1, b'newer'))
+        log.records_read(RecordsRead('configuration', True, records, 0, 2), 0)
+    assert store.offset == 2
+    assert log.log_is_behind
+
+
+def test_snapshot_is_due_by_age_by_distance_and_by_loss():
+    settings = SETTINGS._replace(snapshot_interval_ms=1_000, snapshot_records=50)
+    watch = SnapshotWatch(settings)
+    watch.start(0)
+    watch.hear(10, 400, 0)
+    assert not watch.is_due(20, 0, 500)
+    assert watch.is_due(20, 0, 600)
+    assert watch.is_due(60, 0, 500)
+    assert not watch.is_due(20, 10, 500)
+    assert watch.is_due(20, 11, 500)
+
+
+def test_age_of_a_snapshot_is_handed_on_as_a_duration():
+    """All instances are replaced one by one, faster than snapshots come due.
+
+    If each counted from its own start, none would ever write one.
+    """
+    watch = SnapshotWatch(SETTINGS)
+    watch.start(1_000_000)
+    watch.hear(5, 300_000, 1_000_000)
+    assert watch.age_ms(1_000_500) == 300_500
+
+
+def test_join_during_a_log_outage_works_from_peers():
+    rig = Rig(seed=4)
+    for number in range(4):
+        rig.add(f'i{number}')
+    rig.wait(7_000)
+    rig.propose('i0', 'contract:m', 0, make_contract('m'))
+    rig.wait(3_000)
+    rig.log.is_up = False
+    rig.add('n0')
+    rig.wait(3_000)
+    assert rig.keepers['n0'].ready
+    assert rig.keepers['n0'].state.digest == rig.keepers['i0'].state.digest
+
+
+def test_nothing_is_served_with_neither_log_nor_peer():
+    rig = Rig(seed=4)
+    rig.log.is_up = False
+    rig.add('n0')
+    rig.add('n1')
+    rig.wait(60_000)
+    assert not any(keeper.ready for keeper in rig.keepers.values())
+    rig.log.is_up = True
+    rig.wait(10_000)
+    assert all(keeper.ready for keeper in rig.keepers.values())
