Answer a waiting request at once when it is quarantined

Cause: a request that waits, held as a suspect, was answered only at its deadline after another instance had convicted it. Change: the timers look at waiting requests too. Conclusion: a request that is given up gets its final answer at once.

--- a/savorychute/instance/timers.py
+++ b/savorychute/instance/timers.py
@@ -54,12 +54,21 @@
         attempt = tracked.attempt
         if now_ms >= tracked.deadline_ms:
             return self._end_late(tracked, attempt, now_ms)
-        if attempt is None or not attempt.sent:
+        if attempt is None:
+            return self._check_waiting(tracked, now_ms)
+        if not attempt.sent:
             return []
         if now_ms - attempt.progress_ms < self._find_patience_ms(tracked, attempt):
             return []
         return self._attempt_desk.abandon_silent(attempt, now_ms)
 
+    def _check_waiting(self, tracked: TrackedRequest, now_ms: int) -> list[Action]:
+        """Answer a request at once that was quarantined while it waited."""
+        if not self._parts.quarantine.is_quarantined(tracked.fingerprint, now_ms):
+            return []
+        code = ResultCode.QUARANTINED
+        return self._responder.give_up(tracked, code, code.meaning, now_ms)
+
     def _end_late(
         self, tracked: TrackedRequest, attempt: Attempt | None, now_ms: int
     ) -> list[Action]:
