--- a/savorychute/daemon/host.py
+++ b/savorychute/daemon/host.py
@@ -87,6 +87,7 @@
         self._engines = EngineControl(self, pool)
         self._inputs: deque[Input] = deque()
         self._draining = False
+        self._stopped = False
         self._timer: asyncio.TimerHandle | None = None
         self._tick_due_ms = 0
         self._performers: dict[type, Callable[[Any], None]] = {
@@ -126,6 +127,8 @@
 
         :param delivered: the input.
         """
+        if self._stopped:
+            return
         self._inputs.append(delivered)
         if self._draining:
             return
@@ -143,7 +146,12 @@
         self._tick()
 
     def stop(self) -> None:
-        """End ticking."""
+        """End ticking and take no more inputs.
+
+        Connections that are cut from here on are the host's own doing and no
+        news of callers or endpoints.
+        """
+        self._stopped = True
         if self._timer is not None:
             self._timer.cancel()
 
--- a/tests/test_daemon/test_process.py
+++ b/tests/test_daemon/test_process.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import json
 import signal
 import sys
@@ -11,6 +10,14 @@
 from random import Random
 
 from daemon_fakes import call, wait_until
+from system_rig import (
+    CALLER,
+    ask,
+    configure,
+    describe_engine,
+    make_settings,
+    wait_for_answer,
+)
 
 from savorychute.testing.append_log import AppendLog, LogSettings
 from savorychute.testing.engine import ModelEngine
@@ -20,49 +27,6 @@
 from savorychute.testing.list_server import serve_list
 from savorychute.testing.log_server import serve_log
 
-TOKEN = 'customer-token'
-OPERATOR_TOKEN = 'operator-token'
-OPERATOR = {'authorization': f'Bearer {OPERATOR_TOKEN}'}
-CALLER = {'authorization': f'Bearer {TOKEN}', 'x-request-class': 'diagnosis'}
-CONTRACT = {
-    'customer': 'malanadu',
-    'token_hashes': [hashlib.sha256(TOKEN.encode()).hexdigest()],
-    'pool_share': 1.0,
-    'requests_per_s': 100.0,
-    'concurrent_requests': 50,
-    'tokens_per_s': 100_000.0,
-    'models': ['model'],
-    'classes': [
-        {
-            'name': 'diagnosis',
-            'tier': 0,
-            'first_token_target_ms': 500,
-            'token_gap_target_ms': 100,
-            'timeout_ms': 20_000,
-            'weight': 1.0,
-            'idempotent': True,
-        }
-    ],
-}
-
-
-def make_settings(log_port, list_port):
-    return {
-        'instance': 'entry-1',
-        'region': 'kerala',
-        'failure_domain': 'kochi-hall',
-        'host': '127.0.0.1',
-        'caller_port': 0,
-        'peer_port': 0,
-        'log_address': f'127.0.0.1:{log_port}',
-        'list_address': f'127.0.0.1:{list_port}',
-        'peer_keys': [{'key_id': 1, 'secret': '00' * 16}],
-        'operator_token_hashes': {
-            'anna': hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
-        },
-        'leave_grace_ms': 0,
-    }
-
 
 class Daemon:
     """A daemon's process and what it logged."""
@@ -101,62 +65,6 @@
         await process.wait()
 
 
-async def ask(port, method, target, headers, document=None):
-    body = json.dumps(document).encode() if document is not None else b''
-    async with call(port) as caller:
-        caller.write_request(method, target, headers, body)
-        return await caller.read_answer()
-
-
-async def operate(port, verb, arguments):
-    """Give a command; until the daemon has read the log it refuses them."""
-    async with asyncio.timeout(20):
-        while True:
-            path = f'/v1/operator/{verb}'
-            answer = await ask(port, 'POST', path, OPERATOR, arguments)
-            if answer.headers['x-result-code'] != '2007':
-                break
-            await asyncio.sleep(0.05)
-    assert answer.status == 200, answer
-    return json.loads(answer.body)
-
-
-async def configure(port, engine_port):
-    endpoint = {
-        'endpoint': 'engine',
-        'dialect': 'openai-engine',
-        'host': '127.0.0.1',
-        'port': engine_port,
-        'region': 'kerala',
-        'failure_domain': 'kochi-hall',
-        'state': 'active',
-        'concurrent_requests': 16,
-        'models': ['model'],
-    }
-    await operate(
-        port,
-        'contract-amend',
-        {
-            'customer': 'malanadu',
-            'base_version': 0,
-            'document': CONTRACT,
-            'why': 'first',
-        },
-    )
-    await operate(
-        port, 'endpoint-add', {'document': endpoint, 'base_version': 0, 'why': 'first'}
-    )
-
-
-async def wait_for_answer(port, document):
-    async with asyncio.timeout(20):
-        while True:
-            answer = await ask(port, 'POST', '/v1/chat/completions', CALLER, document)
-            if answer.status == 200:
-                return answer
-            await asyncio.sleep(0.1)
-
-
 def test_process_answers_streams_and_leaves_without_cutting_one(tmp_path):
     """Restart of an instance.
 
@@ -177,7 +85,7 @@
             ) as daemon,
         ):
             port = await daemon.read_port()
-            await configure(port, engine_server.port)
+            await configure(port, describe_engine('engine', engine_server.port))
             content = '#tokens=100'
             document = {
                 'model': 'model',
