--- /dev/null
+++ b/benches/capacity_roles/claims_role.py
@@ -0,0 +1,182 @@
+"""The role of a writer and reader of claims in the log."""
+
+from __future__ import annotations
+
+import uuid
+from random import Random
+from typing import TYPE_CHECKING
+
+from benches.capacity_roles.fake_log import FakeLog
+from benches.capacity_roles.measuring import allocated_bytes
+from benches.capacity_roles.part_mesh import PartMesh, choose_sampled
+from benches.capacity_roles.role_sample import RoleSample
+from benches.capacity_roles.roles import role
+from benches.capacity_roles.site import make_members, make_view
+from benches.capacity_roles.target import SIZES, Target
+from savorychute.actions import AppendRecord, ReadRecords
+from savorychute.clock import MS_PER_S
+from savorychute.requests.claim import Claim
+from savorychute.requests.claim_batch import ClaimBatch
+from savorychute.requests.claim_index import ClaimIndex
+from savorychute.requests.claim_owner import ClaimOwner
+from savorychute.requests.key_keeper import KeyKeeper
+from savorychute.requests.key_may_run import KeyMayRun
+from savorychute.requests.key_settings import KeySettings
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from savorychute.actions import Action
+    from savorychute.member_address import MemberAddress
+
+TICK_MS = 50
+WARM_UP_MS = 4_000
+WINDOW_MS = 3_000
+WINDOWS = 3
+SAMPLED = 16
+# Assumed: one request in a hundred is not idempotent and brings its own key.
+CLAIMED_SHARE = 0.01
+FINGERPRINT = 'f' * 32
+WALL_OFFSET_MS = 1_700_000_000_000
+VERSION_BITS = 7 << 76
+VARIANT_BITS = 2 << 62
+RANDOM_BITS = 62
+TIME_SHIFT = 80
+
+
+class DrivenClaims:
+    """A key keeper whose callers bring their own keys.
+
+    :param own: where the instance is.
+    :param alive: all members.
+    :param log: shared by all.
+    :param rate_per_ms: of requests with such keys.
+    :param rng: makes the load.
+    """
+
+    def __init__(
+        self,
+        own: MemberAddress,
+        alive: tuple[MemberAddress, ...],
+        log: FakeLog,
+        rate_per_ms: float,
+        rng: Random,
+    ) -> None:
+        self.keeper = KeyKeeper(KeySettings(), own, rng)
+        self.keeper.set_wall_clock(WALL_OFFSET_MS, 0)
+        self.admitted = 0
+        self._view = make_view(own, alive)
+        self._log = log
+        self._rng = rng
+        self._rate_per_ms = rate_per_ms
+        self._arrival_ms = rng.expovariate(rate_per_ms)
+
+    def prepare(self, now_ms: int) -> None:
+        """Do nothing; requests are admitted within the tick that is timed."""
+
+    def tick(self, now_ms: int) -> Sequence[Action]:
+        """Admit the requests that came, and tick the keeper."""
+        results: list[object] = []
+        while self._arrival_ms <= now_ms:
+            self._arrival_ms += self._rng.expovariate(self._rate_per_ms)
+            key = make_key(WALL_OFFSET_MS + now_ms, self._rng)
+            results += self.keeper.admit(key, key, FINGERPRINT, self._view, now_ms)
+        results += self.keeper.tick(self._view, now_ms)
+        return self._follow(results, now_ms)
+
+    def receive(
+        self, sender: str, message: tuple[object, ...], now_ms: int
+    ) -> Sequence[Action]:
+        """Pass a message on."""
+        results = self.keeper.receive(sender, message, self._view, now_ms)
+        return self._follow(results, now_ms)
+
+    def carry_out(self, action: Action, now_ms: int) -> Sequence[Action]:
+        """Ask the log."""
+        if isinstance(action, ReadRecords):
+            read = self._log.read(action)
+            return self._follow(self.keeper.records_read(read, now_ms), now_ms)
+        if isinstance(action, AppendRecord):
+            finished = self._log.append(action)
+            return self._follow(self.keeper.append_finished(finished, now_ms), now_ms)
+        return []
+
+    def _follow(self, results: Sequence[object], now_ms: int) -> list[Action]:
+        """Finish at once what may run."""
+        actions: list[Action] = []
+        for result in results:
+            if isinstance(result, KeyMayRun):
+                self.admitted += 1
+                self.keeper.finish(result.request_id, 200, 'text/plain', b'', now_ms)
+            elif isinstance(result, (AppendRecord, ReadRecords)):
+                actions.append(result)
+        return actions
+
+
+@role(
+    'claim writer and reader',
+    'one append for the claims of 20 ms of one instance; every instance reads '
+    'the stream of claims (assumed: 1 % of requests bring their own key, 150 a '
+    'second)',
+    'the log: at 0.28 claims a second for each instance hardly two fall into one '
+    'append, and every instance reads all of them; keys issued by instances '
+    'need no append and are the way for all but few callers',
+    SIZES,
+)
+def measure_claims(instances: int) -> RoleSample:
+    """Measure keepers at the assumed rate of claims.
+
+    :param instances: the size of the system.
+    """
+    alive = make_members(instances)
+    log = FakeLog()
+    target = Target(instances)
+    rate_per_ms = target.requests_per_s * CLAIMED_SHARE / instances / MS_PER_S
+    parts = {
+        own.instance: DrivenClaims(own, alive, log, rate_per_ms, Random(number))
+        for number, own in enumerate(alive)
+    }
+    mesh = PartMesh(parts, choose_sampled(list(parts), SAMPLED), TICK_MS)
+    mesh.run(WARM_UP_MS)
+    log.reset_counts()
+    costs = mesh.measure(WINDOW_MS, WINDOWS)
+    if not any(part.admitted for part in parts.values()):
+        raise RuntimeError('no claim was admitted')
+    each = instances * WINDOWS * WINDOW_MS / MS_PER_S
+    return RoleSample(
+        instances,
+        state_bytes=allocated_bytes(lambda: build_index(instances)),
+        processor_us_per_s=costs.processor_us_per_s,
+        log_appends_per_s=log.appends / each,
+        log_reads_per_s=log.reads / each,
+        log_read_bytes_per_s=log.read_bytes / each,
+    )
+
+
+def build_index(instances: int) -> ClaimIndex:
+    """Return the claims of one key lifetime, or as many as are kept.
+
+    :param instances: the size of the system.
+    """
+    settings = KeySettings()
+    rate_per_s = Target(instances).requests_per_s * CLAIMED_SHARE
+    wanted = int(rate_per_s * settings.claim_lifetime_ms / MS_PER_S)
+    rng = Random(1)
+    index = ClaimIndex(settings)
+    index.start(0, WALL_OFFSET_MS)
+    for number in range(min(settings.max_claims, wanted)):
+        owner = ClaimOwner(f'entry-{number % instances:04}', 1)
+        key = uuid.UUID(make_key(WALL_OFFSET_MS, rng)).hex
+        claims = (Claim(key, f'{rng.getrandbits(128):032x}'),)
+        index.fold(ClaimBatch(f'{number}', owner, WALL_OFFSET_MS, 0, claims))
+    return index
+
+
+def make_key(wall_ms: int, rng: Random) -> str:
+    """Return a key as callers bring it, a UUID of version 7.
+
+    :param wall_ms: the time in it.
+    :param rng: of the random bits.
+    """
+    value = wall_ms << TIME_SHIFT | VERSION_BITS | VARIANT_BITS
+    return str(uuid.UUID(int=value | rng.getrandbits(RANDOM_BITS)))
--- /dev/null
+++ b/benches/capacity_roles/fake_log.py
@@ -0,0 +1,55 @@
+"""A log in memory, shared by all instances of a measurement."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorychute.inputs import AppendFinished, RecordsRead
+from savorychute.inputs.log_record import LogRecord
+
+if TYPE_CHECKING:
+    from savorychute.actions import AppendRecord, ReadRecords
+
+
+class FakeLog:
+    """Answers at once, and counts what it is asked."""
+
+    def __init__(self) -> None:
+        self.streams: dict[str, list[bytes]] = {}
+        self.appends = 0
+        self.reads = 0
+        self.read_bytes = 0
+
+    def append(self, action: AppendRecord) -> AppendFinished:
+        """Append a record.
+
+        :param action: the record and its stream.
+        """
+        records = self.streams.setdefault(action.stream, [])
+        records.append(action.payload)
+        self.appends += 1
+        offset = len(records) - 1
+        return AppendFinished(action.append_id, action.stream, 'appended', offset)
+
+    def read(self, action: ReadRecords) -> RecordsRead:
+        """Return records.
+
+        :param action: from where, and how many at most.
+        """
+        records = self.streams.get(action.stream, [])
+        start = max(0, action.from_offset)
+        found = records[start : start + action.max_records]
+        self.reads += 1
+        self.read_bytes += sum(len(payload) for payload in found)
+        return RecordsRead(
+            action.stream,
+            ok=True,
+            records=tuple(LogRecord(start + i, each) for i, each in enumerate(found)),
+            end_offset=len(records),
+        )
+
+    def reset_counts(self) -> None:
+        """Begin to count anew."""
+        self.appends = 0
+        self.reads = 0
+        self.read_bytes = 0
--- a/benches/capacity_roles/quantities.py
+++ b/benches/capacity_roles/quantities.py
@@ -31,6 +31,8 @@
         CONTROL_LIMIT_BYTES_PER_S,
     ),
     Quantity('processor_us_per_s', 'processor, µs/s', PROCESSOR_LIMIT_US_PER_S),
+    Quantity('busiest_loop_ms', 'longest stand-still of a loop, ms'),
     Quantity('log_appends_per_s', 'log appends/s'),
     Quantity('log_reads_per_s', 'log reads/s'),
+    Quantity('log_read_bytes_per_s', 'log, bytes read/s', CONTROL_LIMIT_BYTES_PER_S),
 )
--- /dev/null
+++ b/benches/capacity_roles/site.py
@@ -0,0 +1,124 @@
+"""Instances, endpoints and contracts of a system of a given size."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from benches.capacity_roles.member_mesh import DOMAINS_PER_REGION, make_address
+from benches.capacity_roles.target import (
+    TARGET_CUSTOMERS,
+    TARGET_MODELS,
+    TARGET_REQUESTS_PER_S,
+    TARGET_TIERS,
+    Target,
+)
+from savorychute.contracts.class_document import ClassDocument
+from savorychute.contracts.contract_document import ContractDocument
+from savorychute.membership import MemberView
+
+if TYPE_CHECKING:
+    from savorychute.contracts.endpoint_document import EndpointDocument
+    from savorychute.member_address import MemberAddress
+
+CONCURRENT_REQUESTS = 80
+SERVICE_ONE_IN = 50
+
+
+def make_members(instances: int) -> tuple[MemberAddress, ...]:
+    """Return the addresses of all instances, sorted.
+
+    :param instances: how many.
+    """
+    regions = Target(instances).regions
+    return tuple(sorted(make_address(n, regions) for n in range(instances)))
+
+
+def make_view(own: MemberAddress, alive: tuple[MemberAddress, ...]) -> MemberView:
+    """Return the view of one instance.
+
+    :param own: its address.
+    :param alive: all members.
+    """
+    by_instance = {address.instance: address for address in alive}
+    return MemberView(own, alive, by_instance=by_instance)
+
+
+def make_endpoints(instances: int) -> dict[str, EndpointDocument]:
+    """Return the endpoints in proportion to the instances.
+
+    :param instances: how many.
+    """
+    target = Target(instances)
+    return {
+        document['endpoint']: document
+        for document in (
+            make_endpoint(number, target.regions) for number in range(target.endpoints)
+        )
+    }
+
+
+def make_endpoint(number: int, regions: int) -> EndpointDocument:
+    """Return one endpoint; models and regions take turns.
+
+    :param number: from 0.
+    :param regions: how many regions there are.
+    """
+    region = number % regions
+    turn = number // regions
+    document: EndpointDocument = {
+        'endpoint': f'engine-{number:04}',
+        'dialect': 'openai',
+        'host': f'10.{100 + region}.{turn // 250}.{turn % 250 + 1}',
+        'port': 8000,
+        'region': f'region-{region}',
+        'failure_domain': f'region-{region}-hall-{turn % DOMAINS_PER_REGION}',
+        'state': 'active',
+        'concurrent_requests': CONCURRENT_REQUESTS,
+    }
+    if turn % SERVICE_ONE_IN == SERVICE_ONE_IN - 1:
+        document['dialect'] = 'plain'
+        document['service'] = 'register'
+    else:
+        document['models'] = [f'model-{turn % TARGET_MODELS}']
+    return document
+
+
+def make_contracts(instances: int) -> dict[str, ContractDocument]:
+    """Return the contracts in proportion to the instances.
+
+    :param instances: how many.
+    """
+    count = Target(instances).customers
+    contracts = (make_contract(number, count) for number in range(count))
+    return {contract['customer']: contract for contract in contracts}
+
+
+def make_contract(number: int, customers: int) -> ContractDocument:
+    """Return one contract with a class of each tier.
+
+    :param number: from 0.
+    :param customers: how many share the pool.
+    """
+    rate_per_s = TARGET_REQUESTS_PER_S / TARGET_CUSTOMERS
+    classes = [
+        ClassDocument(
+            name=f'class-{tier}',
+            tier=tier,
+            first_token_target_ms=320 * (tier + 1),
+            token_gap_target_ms=52,
+            timeout_ms=60_000,
+            weight=1.0,
+            idempotent=tier % 2 == 0,
+        )
+        for tier in range(TARGET_TIERS)
+    ]
+    return ContractDocument(
+        customer=f'customer-{number:04}',
+        token_hashes=[f'{number:064x}'],
+        pool_share=1 / (customers + 1),
+        requests_per_s=2 * rate_per_s,
+        concurrent_requests=200,
+        tokens_per_s=400 * rate_per_s,
+        models=[f'model-{model}' for model in range(TARGET_MODELS)],
+        classes=classes,
+    )
