Shorten the cells of the fault matrix

Cause: a cell spent most of its time idle. Change: the small system settles in 1.5 s, the aftermath ends with its calls. Figures: function calls of one cell 497,000 before, 348,000 after.

--- a/savorychute/testing/matrix/cell.py
+++ b/savorychute/testing/matrix/cell.py
@@ -153,7 +153,7 @@
         stage.workload.call_at(world.heap.now_ms, find_kind(world, name))
         for name in (*CALL_KINDS, 'urgent')
     ]
-    world.run_for(AFTERMATH_MS)
+    run_until_idle(world, AFTERMATH_MS)
     return [
         Breach('recovers', f'{call.call_class.name} afterwards ended as {call.ending}')
         for call in calls
--- a/savorychute/testing/profiles.py
+++ b/savorychute/testing/profiles.py
@@ -30,6 +30,7 @@
 SERVICE_PORT = 7_500
 RATE_HEADROOM = 3.0
 SHARE_IN_USE = 0.96
+SMALL_SETTLE_MS = 1_500.0
 
 
 class Sizes(NamedTuple):
@@ -345,4 +346,4 @@
         requests_per_s=20.0,
         customer_weights=(2.0, 1.0),
     )
-    return build_topology(sizes, SMALL_CLASSES)
+    return build_topology(sizes, SMALL_CLASSES)._replace(settle_ms=SMALL_SETTLE_MS)
