Tell a slow caller from a silent endpoint; keep ticking after a defect

Cause: while a caller does not read, the host does not read from the engine. After 1.5 to 3 s the instance took that for the engine's silence, ran the answer anew elsewhere and counted a failure against the engine. And one tick that raised was the last one. Change: the host reports paused attempts every 250 ms (AttemptPaused); the time counts neither as silence nor as a gap. A tick or an action that raises is reported, and the next ones are carried out. Conclusion: a caller in a tunnel harms nobody else.

--- a/savorychute/daemon/attempt_runner.py
+++ b/savorychute/daemon/attempt_runner.py
@@ -11,7 +11,7 @@
 from savorychute.errors import UnknownVariantError
 from savorychute.http.client_pool import ServerAddress
 from savorychute.http.timed_call import submit_timed
-from savorychute.inputs import AttemptFailed
+from savorychute.inputs import AttemptFailed, AttemptPaused
 
 if TYPE_CHECKING:
     from savorychute.actions import CancelAttempt, StartAttempt
@@ -19,6 +19,7 @@
     from savorychute.http.client_pool import ClientPool
 
 CANCEL_TIMEOUT_MS = 2_000
+PAUSE_REPORT_MS = 250
 
 
 class AttemptRunner:
@@ -31,6 +32,7 @@
     def __init__(self, host: DaemonHost, pool: ClientPool) -> None:
         self._host = host
         self._pool = pool
+        self._report_ms = 0
         self._attempts: dict[str, RunningAttempt] = {}
         self._by_request: dict[str, RunningAttempt] = {}
 
@@ -116,6 +118,18 @@
         if attempt is not None:
             attempt.resume()
 
+    def report_paused(self, now_ms: int) -> None:
+        """Tell the instance now and then which answers wait for their caller.
+
+        :param now_ms: the host's time.
+        """
+        if now_ms < self._report_ms:
+            return
+        self._report_ms = now_ms + PAUSE_REPORT_MS
+        paused = [each for each in self._attempts.values() if each.paused]
+        for attempt in paused:
+            self._host.deliver(AttemptPaused(attempt.start.attempt_id))
+
     def _forget(self, attempt: RunningAttempt) -> None:
         start = attempt.start
         self._attempts.pop(start.attempt_id, None)
--- a/savorychute/daemon/host.py
+++ b/savorychute/daemon/host.py
@@ -175,13 +175,38 @@
             await asyncio.sleep(DRAIN_CHECK_S)
 
     def _perform(self, actions: Sequence[Action]) -> None:
+        """Carry out actions; one that raises does not keep back the others.
+
+        Among them may be the final answers of callers that have nothing to do
+        with the one that failed.
+        """
         for action in actions:
-            self._performers[type(action)](action)
+            try:
+                self._performers[type(action)](action)
+            except Exception as error:
+                self._report(error, f'{type(action).__name__} failed')
 
     def _tick(self) -> None:
+        """Let time pass; a tick that raises must not be the last one."""
         self._timer = None
-        self._perform(self.instance.tick(self.clock.now_ms()))
-        self._schedule_tick()
+        now_ms = self.clock.now_ms()
+        try:
+            self.attempts.report_paused(now_ms)
+            self._perform(self.instance.tick(now_ms))
+        except Exception as error:
+            self._report(error, 'tick failed')
+            self._retry_tick()
+        else:
+            self._schedule_tick()
+
+    def _report(self, error: Exception, message: str) -> None:
+        context = {'message': message, 'exception': error}
+        asyncio.get_running_loop().call_exception_handler(context)
+
+    def _retry_tick(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._tick_due_ms = self.clock.now_ms() + LONGEST_TICK_MS
+        self._timer = loop.call_later(LONGEST_TICK_MS / MS_PER_S, self._tick)
 
     def _schedule_tick(self) -> None:
         due_ms = self.instance.next_tick_ms
--- a/savorychute/daemon/running_attempt.py
+++ b/savorychute/daemon/running_attempt.py
@@ -45,6 +45,7 @@
         'call',
         'dialect',
         'passed_headers',
+        'paused',
         'start',
     )
 
@@ -57,6 +58,7 @@
     ) -> None:
         self.start = start
         self.dialect = dialect
+        self.paused = False
         self.passed_headers: tuple[tuple[str, str], ...] = ()
         self.call: ClientCall | None = None
         self._host = host
@@ -81,11 +83,13 @@
 
     def pause(self) -> None:
         """Stop reading."""
+        self.paused = True
         if self.call is not None:
             self.call.pause_reading()
 
     def resume(self) -> None:
         """Read again."""
+        self.paused = False
         if self.call is not None:
             self.call.resume_reading()
 
--- a/savorychute/inputs/__init__.py
+++ b/savorychute/inputs/__init__.py
@@ -6,6 +6,7 @@
 from savorychute.inputs.attempt_chunk import AttemptChunk
 from savorychute.inputs.attempt_ended import AttemptEnded
 from savorychute.inputs.attempt_failed import AttemptFailed
+from savorychute.inputs.attempt_paused import AttemptPaused
 from savorychute.inputs.attempt_sent import AttemptSent
 from savorychute.inputs.attempt_started import AttemptStarted
 from savorychute.inputs.caller_left import CallerLeft
@@ -23,6 +24,7 @@
     | AttemptChunk
     | AttemptEnded
     | AttemptFailed
+    | AttemptPaused
     | AttemptSent
     | AttemptStarted
     | CallerLeft
--- a/savorychute/instance/attempt_desk.py
+++ b/savorychute/instance/attempt_desk.py
@@ -16,6 +16,7 @@
     from savorychute.inputs import (
         AttemptChunk,
         AttemptEnded,
+        AttemptPaused,
         AttemptSent,
         AttemptStarted,
     )
@@ -85,6 +86,21 @@
         )
         return []
 
+    def note_paused(self, paused: AttemptPaused, now_ms: int) -> list[Action]:
+        """Note that an endpoint is silent because of a slow caller.
+
+        Taken for the endpoint's own silence, one caller in a tunnel would get
+        its attempt given up, run anew elsewhere, and endpoint after endpoint
+        ejected.  Its time counts neither as silence nor as a gap.
+        """
+        tracked = self._parts.table.find_attempt(paused.attempt_id)
+        if tracked is None or tracked.attempt is None:
+            return []
+        tracked.attempt.progress_ms = now_ms
+        if tracked.token_ms >= 0:
+            tracked.token_ms = now_ms
+        return []
+
     def pass_chunk(self, chunk: AttemptChunk, now_ms: int) -> list[Action]:
         """Pass a part of the answer on, if it is the one that is due.
 
--- a/savorychute/instance/core.py
+++ b/savorychute/instance/core.py
@@ -156,6 +156,7 @@
             inputs.AttemptChunk: attempts.pass_chunk,
             inputs.AttemptEnded: attempts.end,
             inputs.AttemptFailed: attempts.fail,
+            inputs.AttemptPaused: attempts.note_paused,
             inputs.AttemptSent: attempts.note_sent,
             inputs.AttemptStarted: attempts.note_started,
             inputs.CallerLeft: self._drop_caller,
--- a/tests/test_daemon/test_callers.py
+++ b/tests/test_daemon/test_callers.py
@@ -105,6 +105,16 @@
         asyncio.get_running_loop().call_later(0.0005, self._more, exchange)
 
 
+async def connect_small(port):
+    """Return a connected socket with a small receive buffer."""
+    small = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    small.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
+    small.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(small, ('127.0.0.1', port))
+    return small
+
+
 def test_caller_that_stops_reading_slows_the_engine_and_is_given_up():
     """Caller stops reading.
 
@@ -117,16 +127,11 @@
     async def main():
         engine = CountingServer()
         limits = HttpLimits(stalled_ms=300, send_buffer_bytes=16_384)
-        small = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        small.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
         async with (
             serve(engine) as address,
             run_passing(address, http=limits) as (host, instance),
         ):
-            small.setblocking(False)
-            await asyncio.get_running_loop().sock_connect(
-                small, ('127.0.0.1', host.address.caller_port)
-            )
+            small = await connect_small(host.address.caller_port)
             async with call(None, sock=small, limit=1) as caller:
                 caller.write_request('POST', CHAT_PATH, HEADERS, STREAM)
                 await wait_until(lambda: instance.of(CallerLeft))
