Measure how all instances recover, and ask around less often

Cause: with the log down, an instance that starts told its offset to four others each half second for as long as that lasted, and read the log each second though it is no poller.

Change: after the first five seconds it asks around as often as others and reads every ten seconds.

--- a/benches/configuration_rig.py
+++ b/benches/configuration_rig.py
@@ -151,6 +151,9 @@
         self.reads = 0
         self.log_is_cut_from: set[str] = set()
         self.late_append_ms = 0
+        self.log_latency_ms = LOG_LATENCY_MS
+        self.cut_regions: set[str] = set()
+        self.read_records = 0
         self.on_message: Callable[[str, SendPeer], None] | None = None
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._count = 0
@@ -237,7 +240,10 @@
         target = self.addresses.get(action.instance)
         if target is None:
             return
-        is_near = target.region == self.addresses[name].region
+        region = self.addresses[name].region
+        is_near = target.region == region
+        if not is_near and self.cut_regions & {region, target.region}:
+            return
         delay_ms = NEAR_LATENCY_MS if is_near else FAR_LATENCY_MS
         self.after(delay_ms, lambda: self._deliver(name, action))
 
@@ -257,12 +263,13 @@
             read = RecordsRead(action.stream, ok=False)
         else:
             read = self.log.read(action)
+        self.read_records += len(read.records)
 
         def answer() -> None:
             if self.keepers.get(name) is keeper:
                 self.perform(name, keeper.records_read(read, self.now_ms))
 
-        self.after(LOG_LATENCY_MS, answer)
+        self.after(self.log_latency_ms, answer)
 
     def _append(
         self, name: str, keeper: ConfigurationKeeper, action: AppendRecord
@@ -277,7 +284,7 @@
             if self.keepers.get(name) is keeper:
                 self.perform(name, keeper.append_finished(finished, self.now_ms))
 
-        self.after(LOG_LATENCY_MS, answer)
+        self.after(self.log_latency_ms, answer)
 
     def _append_late(self, action: AppendRecord) -> None:
         self.log.append(action)
--- a/savorychute/configuration/keeper.py
+++ b/savorychute/configuration/keeper.py
@@ -259,10 +259,11 @@
     def _read_log(self, view: MemberView, polls: bool, now_ms: int) -> list[Action]:
         if self._waits_for_peers(view, polls, now_ms):
             return []
-        is_hasty = polls or self._proposer.is_waiting or not self._ready
         interval_ms = self._settings.idle_poll_interval_ms
-        if is_hasty:
+        if polls or self._proposer.is_waiting:
             interval_ms = self._settings.poll_interval_ms
+        elif not self._ready:
+            interval_ms = self._settings.join_poll_interval_ms
         return [*self._reader.tick(self._follower.next_offset, interval_ms, now_ms)]
 
     def _waits_for_peers(self, view: MemberView, polls: bool, now_ms: int) -> bool:
--- a/savorychute/configuration/settings.py
+++ b/savorychute/configuration/settings.py
@@ -24,7 +24,9 @@
     :param ring_bytes: how many bytes of records are kept for others.
     :param listing_wait_ms: how long a new instance waits for others to appear.
     :param join_notice_interval_ms: how often it asks around.
-    :param join_wait_ms: when it reads the log itself though it is no poller.
+    :param join_wait_ms: when it reads the log itself though it is no poller, and
+        asks around no more often than others tell their offsets.
+    :param join_poll_interval_ms: how often it reads the log from then on.
     :param part_bytes: size of the parts in which peers hand over the state.
     :param snapshot_interval_ms: age at which a snapshot is renewed; a quarter
         of the log's retention.
@@ -50,6 +52,7 @@
     listing_wait_ms: int = 500
     join_notice_interval_ms: int = 500
     join_wait_ms: int = 5_000
+    join_poll_interval_ms: int = 10_000
     part_bytes: int = 32_768
     snapshot_interval_ms: int = 6 * 3_600_000
     snapshot_records: int = 2_000
--- a/savorychute/configuration/spreader.py
+++ b/savorychute/configuration/spreader.py
@@ -50,7 +50,8 @@
         self._rng = rng
         self.offsets = PeerOffsets()
         self.divergences = 0
-        self._notice_due_ms: int | None = None
+        self._started_ms: int | None = None
+        self._notice_due_ms = 0
         self._pushed_offset = store.offset
         self._asked: str | None = None
         self._asked_ms = 0
@@ -154,13 +155,12 @@
     def _send_notices(
         self, view: MemberView, ready: bool, now_ms: int
     ) -> list[SendPeer]:
-        interval_ms = self._settings.join_notice_interval_ms
-        if ready:
-            interval_ms = self._settings.notice_interval_ms
-        if self._notice_due_ms is None:
-            # The first one asks around without delay; a start of everything at
-            # once is spread out by the starts themselves.
-            self._notice_due_ms = now_ms
+        if self._started_ms is None:
+            self._started_ms = self._notice_due_ms = now_ms
+        is_joining = now_ms - self._started_ms < self._settings.join_wait_ms
+        interval_ms = self._settings.notice_interval_ms
+        if is_joining and not ready:
+            interval_ms = self._settings.join_notice_interval_ms
         if now_ms < self._notice_due_ms:
             return []
         self._notice_due_ms = now_ms + round(
