Hold one lease a region and send orders under it

Cause: leases and fenced orders stood as parts, but no instance claimed a lease or watched what engines made of orders. Change: the member that rendezvous hashing picks wants the lease of its region; orders carry the offset of the claim; reports are compared with orders; leases and orders are audited; a leaving holder releases its lease.

--- a/savorychute/instance/housekeeping.py
+++ b/savorychute/instance/housekeeping.py
@@ -6,6 +6,7 @@
 
 from savorychute.audit.audit_entry import AuditEntry
 from savorychute.audit.audit_kind import AuditKind
+from savorychute.instance.lease_desk import LeaseDesk
 from savorychute.recovery import EndpointHealth
 
 if TYPE_CHECKING:
@@ -26,6 +27,7 @@
     def __init__(self, parts: Parts, key_desk: KeyDesk) -> None:
         self._parts = parts
         self._key_desk = key_desk
+        self._lease_desk = LeaseDesk(parts)
 
     def tick(self, now_ms: int) -> list[Action]:
         """Tick every part once."""
@@ -46,6 +48,7 @@
         actions += self._key_desk.follow(outcomes, now_ms)
         actions += parts.quarantine.tick(view, now_ms)
         actions += parts.book.due_polls(now_ms)
+        actions += self._lease_desk.tick(now_ms)
         actions += parts.audit.tick(now_ms)
         self._follow_endpoints()
         return actions
@@ -63,14 +66,15 @@
         parts.book.report(report, now_ms)
         parts.ejector.report(report, now_ms)
         parts.credits.observe(report)
+        actions = self._lease_desk.note_load(report, now_ms)
         if report.state == ACTIVE:
-            return []
+            return actions
         parts.leaving.note(report.endpoint, now_ms)
-        return parts.leaving.send(parts.membership.view())
+        return actions + parts.leaving.send(parts.membership.view())
 
-    def note_order(self, _finished: OrderFinished, _now_ms: int) -> list[Action]:
+    def note_order(self, finished: OrderFinished, now_ms: int) -> list[Action]:
         """Take in how an order ended."""
-        return []
+        return self._lease_desk.note_order(finished, now_ms)
 
     def follow_configuration(self, now_ms: int) -> None:
         """Let the parts follow the configuration, if it changed."""
@@ -85,6 +89,7 @@
         parts.credits.set_endpoints(directory.endpoints)
         parts.book.set_endpoints(directory.endpoints)
         parts.ejector.set_endpoints(directory.endpoints)
+        parts.orders.set_endpoints(directory.endpoints)
         for change in changes:
             entry = AuditEntry(
                 kind=AuditKind.AMENDMENT,
--- a/savorychute/instance/instance_settings.py
+++ b/savorychute/instance/instance_settings.py
@@ -9,6 +9,7 @@
 from savorychute.configuration.log_budget import LogBudgetSettings
 from savorychute.configuration.settings import ConfigurationSettings
 from savorychute.credits import CreditSettings
+from savorychute.leases.lease_settings import LeaseSettings
 from savorychute.limits import LimitSettings
 from savorychute.membership import DiscoverySettings, MembershipSettings
 from savorychute.recovery import EjectorSettings, QuarantineSettings, RetrySettings
@@ -46,6 +47,7 @@
     credits: CreditSettings = CreditSettings()
     ejection: EjectorSettings = EjectorSettings()
     keys: KeySettings = KeySettings()
+    leases: LeaseSettings = LeaseSettings()
     lengths: LengthSettings = LengthSettings()
     limiter: LimitSettings = LimitSettings()
     log_budget: LogBudgetSettings = LogBudgetSettings()
--- a/savorychute/instance/log_desk.py
+++ b/savorychute/instance/log_desk.py
@@ -13,6 +13,7 @@
 AUDIT = 'audit'
 CLAIMS = 'claims'
 CONFIGURATION = 'configuration'
+LEASES = 'leases'
 
 
 class LogDesk:
@@ -32,6 +33,8 @@
             return parts.configuration.append_finished(finished, now_ms)
         if finished.stream == AUDIT:
             return parts.audit.append_finished(finished, now_ms)
+        if finished.stream == LEASES:
+            return parts.leases.append_finished(finished, now_ms)
         if finished.stream == CLAIMS:
             outcomes = parts.keys.append_finished(finished, now_ms)
             return self._key_desk.follow(outcomes, now_ms)
@@ -44,6 +47,8 @@
             return parts.configuration.records_read(read, now_ms)
         if read.stream == AUDIT:
             return parts.audit.records_read(read, now_ms)
+        if read.stream == LEASES:
+            return parts.leases.records_read(read, now_ms)
         if read.stream == CLAIMS:
             outcomes = parts.keys.records_read(read, now_ms)
             return self._key_desk.follow(outcomes, now_ms)
--- a/savorychute/instance/parts.py
+++ b/savorychute/instance/parts.py
@@ -13,6 +13,8 @@
 from savorychute.events import EventManager
 from savorychute.instance.directory import Directory
 from savorychute.instance.request_table import RequestTable
+from savorychute.leases.lease_keeper import LeaseKeeper
+from savorychute.leases.order_desk import OrderDesk
 from savorychute.limits import CustomerLimiter
 from savorychute.membership import Membership
 from savorychute.recovery import Ejector, LeavingSpread, Quarantine, RetryBudget
@@ -46,6 +48,8 @@
     leaving: LeavingSpread
     quarantine: Quarantine
     keys: KeyKeeper
+    leases: LeaseKeeper
+    orders: OrderDesk
 
 
 def assemble_parts(
@@ -69,6 +73,7 @@
     audit = settings.audit._replace(epoch_offset_ms=epoch_offset_ms)
     keys = KeyKeeper(settings.keys, address, fork())
     keys.set_wall_clock(epoch_offset_ms, 0)
+    leases = LeaseKeeper(settings.leases, name, fork(), log_budget)
     book = EndpointBook(
         settings.routing, fork(), address.failure_domain, address.region
     )
@@ -92,4 +97,6 @@
         leaving=LeavingSpread(name, fork()),
         quarantine=Quarantine(settings.quarantine, name, fork()),
         keys=keys,
+        leases=leases,
+        orders=OrderDesk(settings.leases, leases),
     )
