--- a/savorychute/requests/key_keeper.py
+++ b/savorychute/requests/key_keeper.py
@@ -263,7 +263,7 @@
         if not self.issuer.is_own(key):
             message = f'request key {key.text!r} was not issued here'
             code = ResultCode.KEY_MALFORMED
-            return [KeyRefused(request_id, code, Ran.NOT_RUN, message)]
+            return [KeyRefused(request_id, code, Ran.UNKNOWN, message)]
         record = self._store.find(key.sequence)
         if record is not None:
             return self._store.join(request_id, record, fingerprint)
--- a/tests/test_requests/test_claims.py
+++ b/tests/test_requests/test_claims.py
@@ -7,6 +7,9 @@
 
 from savorychute.ran import Ran
 from savorychute.requests import KeyElsewhere, KeyMayRun, KeyReplay, KeySettings
+from savorychute.requests.claim_batch import ClaimBatch
+from savorychute.requests.claim_index import ClaimIndex
+from savorychute.requests.claim_owner import ClaimOwner
 from savorychute.result_code import ResultCode
 
 
@@ -176,3 +179,58 @@
     claims.expired = 1
     (refused,) = claims.land()
     assert code_and_ran(refused) == (ResultCode.LOG_UNAVAILABLE, Ran.UNKNOWN)
+
+
+def test_restarted_owner_does_not_run_its_old_claim(claims):
+    """A renewal is booked twice.
+
+    Its instance ran it, crashed and came back with nothing in memory; the
+    claim in the log bears the instance's name.
+    """
+    key = claims.make_key()
+    claims.admit('a', 'r1', key)
+    claims.land()
+    claims.start('a', 2)
+    claims.wait('a', 1)
+    claims.wait('a', 1)
+    (refused,) = claims.admit('a', 'r2', key)
+    assert code_and_ran(refused) == (ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN)
+
+
+def test_claim_dropped_for_room_is_not_claimed_anew():
+    """A renewal is booked twice.
+
+    So many claims came after the first one that an instance dropped it, took
+    the key for a new one and claimed it.
+    """
+    claims = ClaimScene(KeySettings(max_claims=2))
+    key = claims.make_key()
+    claims.admit('a', 'r0', key)
+    claims.land()
+    for number in range(1, 4):
+        claims.wait('a', claims.settings.claim_batch_ms)
+        claims.admit('a', f'r{number}', claims.make_key())
+        claims.land()
+    claims.crash('a')
+    claims.wait('b', claims.settings.claim_idle_interval_ms)
+    claims.wait('b', claims.settings.claim_idle_interval_ms)
+    (refused,) = claims.admit('b', 'r9', key)
+    assert code_and_ran(refused) == (ResultCode.NOT_READY, Ran.UNKNOWN)
+    assert claims.appends == []
+
+
+def test_only_what_a_writer_had_seen_dates_older_claims():
+    """A renewal is booked twice.
+
+    A new instance takes claims before its first offset for older than they
+    are, and claims a key among them.
+    """
+    settings = KeySettings()
+    margin_ms = 2 * settings.clock_margin_ms
+    index = ClaimIndex(settings)
+    index.start(10, 100_000)
+    owner = ClaimOwner('a', 1)
+    index.fold(ClaimBatch('1', owner, 50_000, 9, ()))
+    assert index.floor_ms == 100_000 + margin_ms
+    index.fold(ClaimBatch('2', owner, 60_000, 10, ()))
+    assert index.floor_ms == 60_000 + margin_ms
