--- a/savorychute/http/client_connection.py
+++ b/savorychute/http/client_connection.py
@@ -8,6 +8,7 @@
 import h11
 
 from savorychute.http.call_failure import CallFailure
+from savorychute.http.http_request import encode_headers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -96,7 +97,9 @@
         ):
             headers.append(('content-length', str(len(request.body))))
         head = h11.Request(
-            method=request.method, target=request.target, headers=headers
+            method=request.method,
+            target=request.target,
+            headers=encode_headers(headers),
         )
         data = self._http.send(head) or b''
         if request.body:
--- a/savorychute/http/http_request.py
+++ b/savorychute/http/http_request.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 
 class HttpRequest(NamedTuple):
@@ -25,3 +28,16 @@
             if key == name:
                 return value
         return ''
+
+
+def encode_headers(
+    headers: Iterable[tuple[str, str]],
+) -> list[tuple[bytes, bytes]]:
+    """Return headers as they were on the wire.
+
+    Values are read as Latin-1, in which every byte is a character; written as
+    ASCII, a file name with an accent would lose its answer.
+
+    :param headers: names and values.
+    """
+    return [(name.encode('ascii'), value.encode('latin-1')) for name, value in headers]
--- a/savorychute/http/server_connection.py
+++ b/savorychute/http/server_connection.py
@@ -9,7 +9,7 @@
 import h11
 
 from savorychute.http.error_answer import encode_error, error_headers
-from savorychute.http.http_request import HttpRequest
+from savorychute.http.http_request import HttpRequest, encode_headers
 from savorychute.http.server_exchange import ServerExchange
 from savorychute.ran import Ran
 from savorychute.result_code import ResultCode
@@ -19,6 +19,8 @@
 
     from savorychute.http.http_server import HttpServer
 
+MESSAGE_CHARS = 200
+HTTP_VERSION = b'1.1'
 CONTINUE_STATUS = 100
 REFUSAL_RETRY_MS = 1_000
 BODILESS_STATUSES = (204, 304)
@@ -47,7 +49,6 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self.pipelined_bytes = 0
-        self._advancing = False
         self._held = b''
         self._lingering = False
         self._bodiless = False
@@ -108,9 +109,9 @@
 
     def send_head(self, status: int, headers: Sequence[tuple[str, str]]) -> None:
         """Send a response's head."""
-        sent = list(headers)
+        sent = encode_headers(headers)
         if self._server.closing:
-            sent.append(('connection', 'close'))
+            sent.append((b'connection', b'close'))
         is_head = self._exchange is not None and self._exchange.request.method == 'HEAD'
         self._bodiless = is_head or status in BODILESS_STATUSES
         self._hold(h11.Response(status_code=status, headers=sent))
@@ -148,8 +149,7 @@
         self._received_any = False
         self._wait(self._limits.idle_timeout_ms)
         self._transport.resume_reading()
-        if not self._advancing:
-            asyncio.get_running_loop().call_soon(self._advance)
+        asyncio.get_running_loop().call_soon(self._advance)
 
     def abort(self) -> None:
         """Cut the connection."""
@@ -181,16 +181,18 @@
     # -- reading
 
     def _advance(self) -> None:
+        """Read up to the end of one request.
+
+        The next one is read in a later turn of the loop, so that a caller that
+        pipelines thousands of small requests does not hold up all others.
+        """
         if self._transport.is_closing() or self._exchange is not None:
             return
-        self._advancing = True
         try:
-            while self._exchange is None and self._take_event():
+            while self._take_event():
                 pass
         except h11.RemoteProtocolError as error:
             self._refuse_malformed(error)
-        finally:
-            self._advancing = False
 
     def _take_event(self) -> bool:
         event = self._http.next_event()
@@ -211,6 +213,11 @@
         self._head = head
         self._received_any = True
         self._wait(self._limits.body_timeout_ms)
+        if head.http_version != HTTP_VERSION:
+            # An answer of unknown length ends with the connection in HTTP/1.0,
+            # so a cut answer would look like a whole one.
+            self._refuse(ResultCode.MALFORMED_HTTP, 'HTTP/1.1 is needed')
+            return False
         if _announced_length(head) > self._limits.body_bytes:
             self._refuse_body()
             return False
@@ -249,7 +256,7 @@
         exchange = ServerExchange(request, self)
         self._exchange = exchange
         self._server.on_request(exchange)
-        return True
+        return False
 
     def _hold_pipelined(self, data: bytes) -> None:
         self._http.receive_data(data)
@@ -263,7 +270,7 @@
         code = ResultCode.MALFORMED_HTTP
         if error.error_status_hint == HEADERS_TOO_LARGE_HINT:
             code = ResultCode.HEADERS_TOO_LARGE
-        self._refuse(code, str(error))
+        self._refuse(code, str(error)[:MESSAGE_CHARS])
 
     def _refuse_body(self) -> None:
         bound = self._limits.body_bytes
--- a/tests/test_daemon/daemon_fakes.py
+++ b/tests/test_daemon/daemon_fakes.py
@@ -22,6 +22,7 @@
 from savorychute.errors import RequestError
 from savorychute.http.client_pool import ServerAddress
 from savorychute.http.http_limits import HttpLimits
+from savorychute.http.http_request import encode_headers
 from savorychute.http.http_server import HttpServer, listen
 from savorychute.inputs import (
     AttemptChunk,
@@ -244,7 +245,8 @@
     ) -> None:
         """Write a whole request."""
         fields = {'host': 'x', 'content-length': str(len(body)), **headers}
-        head = h11.Request(method=method, target=target, headers=list(fields.items()))
+        pairs = encode_headers(fields.items())
+        head = h11.Request(method=method, target=target, headers=pairs)
         data = self._http.send(head) + self._http.send(h11.Data(data=body))
         self._http.send(h11.EndOfMessage())
         self.writer.write(data)
@@ -267,7 +269,8 @@
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 headers = {
-                    name.decode(): value.decode() for name, value in event.headers
+                    name.decode(): value.decode('latin-1')
+                    for name, value in event.headers
                 }
             elif isinstance(event, h11.Data):
                 body += bytes(event.data)
--- a/tests/test_daemon/test_bad_input.py
+++ b/tests/test_daemon/test_bad_input.py
@@ -46,6 +46,7 @@
         (b'\x16\x03\x01\x02\x00\x01\x00\r\n\r\n', 400, '1001'),
         (b'GET /healthz\r\n\r\n', 400, '1001'),
         (b'GET /healthz HTTP/1.1\r\n\r\n', 400, '1001'),
+        (b'GET /healthz HTTP/1.0\r\nhost: x\r\n\r\n', 400, '1001'),
         (CHAT_HEAD + b'content-length: -1\r\n\r\n', 400, '1001'),
         (CHAT_HEAD + b'content-length: 1\r\ncontent-length: 2\r\n\r\n', 400, '1001'),
         (CHAT_HEAD + b'transfer-encoding: chunked\r\n\r\nzz\r\n', 400, '1001'),
--- a/tests/test_daemon/test_caller_paths.py
+++ b/tests/test_daemon/test_caller_paths.py
@@ -100,6 +100,25 @@
     assert sent.body == b'{"visit": 7}'
 
 
+def test_headers_in_latin_1_pass_both_ways():
+    """File name with an accent.
+
+    A service names a file with an accent.  Written as ASCII the head could not
+    be sent, and the caller would wait for an answer that never came.
+    """
+    name = 'attachment; filename="révision"'
+    answer, _, engine = run_one(
+        lambda exchange: exchange.respond(200, [('content-disposition', name)], b'x'),
+        'POST',
+        '/v1/services/desk/files',
+        {**HEADERS, 'content-type': 'text/é'},
+        b'x',
+    )
+
+    assert answer.headers['content-disposition'] == name
+    assert engine.exchanges[0].request.header('content-type') == 'text/é'
+
+
 def test_discovery_names_the_addresses():
     answer, _, _ = run_one(answer_events, 'GET', '/v1/instances', HEADERS)
 
