Spread appends over the log's share instead of saving them up

Cause: with token buckets all instances had saved up a burst; a failure that all of them notice, or a restart of everything, would have made 530 times four appends within a second, on a log that takes about 300.

Change: an instance appends at slots of its own random phase, one per period of n members over the share; urgent uses go at once and push the next slot back. The keeper tells the budget the number of members.

--- a/savorychute/configuration/keeper.py
+++ b/savorychute/configuration/keeper.py
@@ -62,6 +62,8 @@
         self._ready = False
         self._adopted = 0
         budget = budget or LogBudget(LogBudgetSettings())
+        budget.set_phase(rng.random())
+        self._budget = budget
         writer = f'{address.instance}.{address.incarnation}'
         self._store = ConfigurationStore(settings.ring_bytes)
         self._watch = SnapshotWatch(settings)
@@ -178,6 +180,7 @@
         :param peer_offsets: offsets that came with the membership's pings.
         """
         self._view = view
+        self._budget.set_members(len(view.alive))
         if self._started_ms is None:
             self._started_ms = now_ms
             self._watch.start(now_ms)
--- a/savorychute/configuration/snapshot_writer.py
+++ b/savorychute/configuration/snapshot_writer.py
@@ -83,10 +83,10 @@
         if begun_ms is not None and begun_ms >= self._planned_ms:
             self._plan(urgent, now_ms)
             return []
-        if now_ms < self._start_ms:
+        if now_ms < self._start_ms or not self._budget.take('snapshot', now_ms):
             return []
         self._begin(fold)
-        return self._continue(now_ms)
+        return [self._send(now_ms)]
 
     def append_finished(self, finished: AppendFinished) -> None:
         """Take in the outcome of an append of this writer.
@@ -138,9 +138,12 @@
             return []
         if not self._budget.take('snapshot', now_ms):
             return []
+        return [self._send(now_ms)]
+
+    def _send(self, now_ms: int) -> AppendRecord:
         self._sent_ms = now_ms
         payload = encode_record(self._records[self._next_part])
-        return [AppendRecord(self._append_id(), CONFIGURATION_STREAM, payload)]
+        return AppendRecord(self._append_id(), CONFIGURATION_STREAM, payload)
 
     def _append_id(self) -> str:
         record = self._records[self._next_part]
