Soak real daemons as processes; wait for the aftermath of a cell

Cause: promises were checked on a virtual clock only; the check of recovery looked before its calls had begun. Change: make soak kills, stops, replaces and restarts daemons by process id under load and counts how each call ended; a cell waits for its last calls.

--- /dev/null
+++ b/benches/soak.py
@@ -0,0 +1,250 @@
+"""A bounded soak: real daemons as processes, killed, stopped and replaced.
+
+``make soak`` runs it for a minute; ``python -m benches.soak --seconds 600`` for
+longer.  The last line is one JSON object with the counts.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import random
+import sys
+from collections import Counter
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from benches.soak_site import ProcessSite, make_directory
+from savorychute.client import ClientSettings, open_client
+from savorychute.demo.caller import Caller
+from savorychute.demo.demo_class import SERVICE, list_classes
+from savorychute.demo.documents import (
+    make_contract,
+    make_engine_entry,
+    make_service_entry,
+    make_token,
+)
+from savorychute.demo.site import DOMAINS
+from savorychute.demo.tally import Tally
+from savorychute.errors import SavorychuteError
+from savorychute.result_code import ResultCode
+from savorychute.testing.stand_in_http import loop_ms
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from savorychute.client import Client
+    from savorychute.demo.demo_class import DemoClass
+
+CUSTOMERS = ('malanadu', 'hooghly')
+INSTANCES = 4
+RATE_PER_S = 8.0
+MEAN_TOKENS = 30
+TROUBLE_GAP_S = 4.0
+PAUSE_S = 4.0
+OUTAGE_S = 3.0
+READY_TIMEOUT_S = 40.0
+ORDER_AGAIN_S = 0.5
+END_TIMEOUT_S = 200.0
+
+
+class Soak:
+    """The load, the troubles and the counts.
+
+    :param site: what is disturbed.
+    :param seconds: how long there is load.
+    :param rng: decides lengths, times and what is hit.
+    """
+
+    def __init__(self, site: ProcessSite, seconds: float, rng: random.Random) -> None:
+        self._site = site
+        self._seconds = seconds
+        self._rng = rng
+        self._classes = list_classes(RATE_PER_S)
+        self._tally = Tally(self._classes)
+        self._troubles: Counter[str] = Counter()
+        self._calls: list[asyncio.Task[None]] = []
+        self._numbered = 0
+        self._started = INSTANCES
+
+    async def run(self) -> dict[str, Any]:
+        """Configure the site, disturb it under load, and return the counts."""
+        for number in range(INSTANCES):
+            domain = DOMAINS[number % len(DOMAINS)]
+            await self._site.start_instance(f'entry-{number + 1}', domain)
+        await self._configure()
+        async with AsyncExitStack() as stack:
+            clients = {
+                customer: await stack.enter_async_context(
+                    open_client(ClientSettings(self._site.seeds, make_token(customer)))
+                )
+                for customer in CUSTOMERS
+            }
+            async with asyncio.TaskGroup() as group:
+                for each in self._classes:
+                    group.create_task(self._load(clients[each.customer], each))
+                group.create_task(self._disturb())
+            async with asyncio.timeout(END_TIMEOUT_S):
+                await asyncio.gather(*self._calls)
+        return self._sum_up()
+
+    async def _configure(self) -> None:
+        classes = self._classes
+        for customer in CUSTOMERS:
+            await self._order(
+                'contract-amend',
+                customer=customer,
+                base_version=0,
+                document=make_contract(customer, classes),
+                why='soak',
+            )
+        for name, engine in self._site.engines.items():
+            domain = self._site.domains[name]
+            entry = make_engine_entry(name, domain, engine.port, 16)
+            await self._order(
+                'endpoint-add', document=entry, base_version=0, why='soak'
+            )
+        entry = make_service_entry(f'{SERVICE}-1', DOMAINS[0], self._site.service_port)
+        await self._order('endpoint-add', document=entry, base_version=0, why='soak')
+        await asyncio.sleep(3)
+
+    async def _order(self, verb: str, **arguments: object) -> None:
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while True:
+                code = await self._send(verb, arguments)
+                if code is ResultCode.OK:
+                    return
+                self._troubles[f'operator heard {code.name}'] += 1
+                await asyncio.sleep(ORDER_AGAIN_S)
+
+    async def _send(self, verb: str, arguments: object) -> ResultCode:
+        try:
+            answer = await self._site.operator.send(verb, arguments)
+        except SavorychuteError as error:
+            return error.code
+        return answer.code
+
+    async def _load(self, client: Client, demo_class: DemoClass) -> None:
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + self._seconds
+        while loop.time() < end_s:
+            await asyncio.sleep(self._rng.expovariate(demo_class.rate_per_s))
+            self._numbered += 1
+            tokens = max(1, int(self._rng.expovariate(1 / MEAN_TOKENS)))
+            caller = Caller(client, demo_class, f'soak-{self._numbered}', tokens)
+            self._calls.append(asyncio.create_task(caller.run(self._tally)))
+
+    async def _disturb(self) -> None:
+        troubles: list[Callable[[], Awaitable[None]]] = [
+            self._kill,
+            self._pause,
+            self._crash_engine,
+            self._replace,
+            self._log_outage,
+        ]
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + self._seconds - TROUBLE_GAP_S
+        number = 0
+        while loop.time() < end_s:
+            await asyncio.sleep(TROUBLE_GAP_S)
+            trouble = troubles[number % len(troubles)]
+            self._troubles[trouble.__name__.strip('_')] += 1
+            print(f'{loop_ms():.0f} ms: {trouble.__name__.strip("_")}', flush=True)
+            await trouble()
+            number += 1
+
+    def _pick(self) -> str:
+        return self._rng.choice(sorted(self._site.daemons))
+
+    async def _start_another(self) -> None:
+        self._started += 1
+        domain = DOMAINS[self._started % len(DOMAINS)]
+        await self._site.start_instance(f'entry-{self._started}', domain)
+
+    async def _kill(self) -> None:
+        await self._site.kill_instance(self._pick())
+        await self._start_another()
+
+    async def _pause(self) -> None:
+        await self._site.pause_instance(self._pick(), PAUSE_S)
+
+    async def _replace(self) -> None:
+        name = self._pick()
+        await self._start_another()
+        await self._site.stop_instance(name)
+
+    async def _crash_engine(self) -> None:
+        engine = self._site.engines[self._rng.choice(sorted(self._site.engines))]
+        engine.crash()
+        await asyncio.sleep(OUTAGE_S)
+        engine.engine.restart(loop_ms())
+
+    async def _log_outage(self) -> None:
+        self._site.log.is_up = False
+        await asyncio.sleep(OUTAGE_S)
+        self._site.log.is_up = True
+
+    def _sum_up(self) -> dict[str, Any]:
+        ran_twice = [
+            count for count in self._site.service.bodies_executed.values() if count > 1
+        ]
+        result: dict[str, Any] = dict(
+            self._tally.summarise(
+                len(ran_twice) + self._count_repeated_streams(),
+                self._site.count_generated_tokens(),
+                int(self._seconds * 1_000),
+            )
+        )
+        result['calls'] = self._tally.calls
+        result['troubles'] = dict(self._troubles)
+        result['exit_codes_after_term'] = self._site.exit_codes
+        return result
+
+    def _count_repeated_streams(self) -> int:
+        """Return how many non-idempotent prompts ran more than once."""
+        names = tuple(
+            f'{each.call_class.name}:'
+            for each in self._classes
+            if not each.call_class.idempotent and not each.call_class.service
+        )
+        runs: Counter[str] = Counter()
+        for server in self._site.engines.values():
+            for prompt, count in server.engine.prompts_executed.items():
+                if prompt.startswith(names):
+                    runs[prompt] += count
+        return sum(1 for count in runs.values() if count > 1)
+
+
+async def run_soak(seconds: float, seed: int) -> dict[str, Any]:
+    """Run a soak and return its counts.
+
+    :param seconds: how long there is load.
+    :param seed: of load, troubles and stand-ins; sockets make no two runs alike.
+    """
+    with make_directory() as directory:
+        site = ProcessSite(seed, Path(directory))
+        async with AsyncExitStack() as stack:
+            await site.start_stand_ins(stack)
+            try:
+                return await Soak(site, seconds, random.Random(seed)).run()
+            finally:
+                await site.close()
+
+
+def main() -> int:
+    """Run the soak from the command line; fail if a promise broke."""
+    parser = argparse.ArgumentParser(prog='python -m benches.soak')
+    parser.add_argument('--seconds', type=float, default=60.0)
+    parser.add_argument('--seed', type=int, default=1)
+    arguments = parser.parse_args()
+    result = asyncio.run(run_soak(arguments.seconds, arguments.seed))
+    print(json.dumps(result))
+    broken = result['lost'] + result['duplicated'] + result['truncated']
+    left_badly = any(code != 0 for code in result['exit_codes_after_term'])
+    return 1 if broken or left_badly else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/benches/soak_site.py
@@ -0,0 +1,180 @@
+"""A site whose daemons are processes of their own."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import signal
+import socket
+import sys
+import tempfile
+from typing import TYPE_CHECKING, Any
+
+from savorychute.demo.documents import REGION
+from savorychute.demo.site import OPERATOR, Site
+from savorychute.member_address import MemberAddress
+from savorychute.testing.stand_in_http import LOOPBACK, loop_ms
+
+if TYPE_CHECKING:
+    from asyncio.subprocess import Process
+    from pathlib import Path
+
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 120.0
+SHORT_LIFETIME_MS = 1_000
+LONG_LIFETIME_MS = 2_000
+
+
+class DaemonProcess:
+    """A daemon's process and where it listens.
+
+    :param process: started by the site, signalled by its own id only.
+    :param address: read from its log.
+    """
+
+    def __init__(self, process: Process, address: MemberAddress) -> None:
+        self.process = process
+        self.address = address
+        self.reader: asyncio.Task[None] | None = None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal if the process still runs."""
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+
+class ProcessSite(Site):
+    """Starts each daemon by ``savorychute serve``.
+
+    :param seed: of the stand-ins.
+    :param directory: where settings files go.
+    """
+
+    def __init__(self, seed: int, directory: Path) -> None:
+        super().__init__(seed)
+        self.daemons: dict[str, DaemonProcess] = {}
+        self.exit_codes: list[int] = []
+        self._directory = directory
+
+    async def start_instance(self, name: str, failure_domain: str) -> None:
+        """Start a daemon and enter it in the platform's list."""
+        settings = self._write_settings(name, failure_domain)
+        path = self._directory / f'{name}.jsonc'
+        path.write_text(json.dumps(settings))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'savorychute',
+            'serve',
+            str(path),
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+        async with asyncio.timeout(START_TIMEOUT_S):
+            incarnation = await _read_incarnation(process)
+        address = MemberAddress(
+            instance=name,
+            incarnation=incarnation,
+            region=REGION,
+            failure_domain=failure_domain,
+            host=LOOPBACK,
+            caller_port=settings['caller_port'],
+            peer_port=settings['peer_port'],
+        )
+        daemon = DaemonProcess(process, address)
+        daemon.reader = asyncio.create_task(_discard(process))
+        self.daemons[name] = daemon
+        self.hosts[name] = daemon  # type: ignore[assignment]
+        self.listing.put(address, loop_ms())
+
+    async def stop_instance(self, name: str) -> None:
+        """Let a daemon leave gracefully and note its exit code."""
+        daemon = self.daemons.pop(name)
+        self.hosts.pop(name)
+        self.listing.mark_leaving(name, loop_ms())
+        daemon.signal(signal.SIGTERM)
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            self.exit_codes.append(await daemon.process.wait())
+        self.listing.delete(name, loop_ms())
+
+    async def kill_instance(self, name: str) -> None:
+        """End a daemon without a warning."""
+        daemon = self.daemons.pop(name)
+        self.hosts.pop(name)
+        daemon.signal(signal.SIGKILL)
+        await daemon.process.wait()
+        self.listing.delete(name, loop_ms())
+
+    async def pause_instance(self, name: str, pause_s: float) -> None:
+        """Stop a daemon's process and let it go on later."""
+        daemon = self.daemons[name]
+        daemon.signal(signal.SIGSTOP)
+        await asyncio.sleep(pause_s)
+        daemon.signal(signal.SIGCONT)
+
+    async def close(self) -> None:
+        """End every daemon that this site started."""
+        for name in list(self.daemons):
+            await self.kill_instance(name)
+
+    def _write_settings(self, name: str, failure_domain: str) -> dict[str, Any]:
+        caller_port, peer_port = _find_free_ports()
+        return {
+            **self.base_settings(),
+            'instance': name,
+            'failure_domain': failure_domain,
+            'caller_port': caller_port,
+            'peer_port': peer_port,
+        }
+
+    def base_settings(self) -> dict[str, Any]:
+        """Return the settings that all daemons share."""
+        return {
+            'region': REGION,
+            'host': LOOPBACK,
+            'log_address': f'{LOOPBACK}:{self._log_port}',
+            'list_address': f'{LOOPBACK}:{self._list_port}',
+            'operator_token_hashes': {OPERATOR: self.operator_hash()},
+            'peer_keys': [{'key_id': 1, 'secret': self._peer_secret}],
+            'leave_grace_ms': LONG_LIFETIME_MS,
+            'discovery_min_lifetime_ms': SHORT_LIFETIME_MS,
+            'discovery_max_lifetime_ms': LONG_LIFETIME_MS,
+        }
+
+    def operator_hash(self) -> str:
+        """Return the digest of the operator's token."""
+        return hashlib.sha256(self._operator_token.encode()).hexdigest()
+
+
+def make_directory() -> tempfile.TemporaryDirectory[str]:
+    """Return a directory for settings files that goes away by itself."""
+    return tempfile.TemporaryDirectory(prefix='savorychute-soak-')
+
+
+async def _read_incarnation(process: Process) -> int:
+    assert process.stdout is not None
+    async for line in process.stdout:
+        entry = json.loads(line)
+        if entry.get('message_type') == 'instance-started':
+            return int(entry['incarnation'])
+    raise RuntimeError(f'the daemon ended with {await process.wait()}')
+
+
+async def _discard(process: Process) -> None:
+    """Read the log to its end, so that the pipe never blocks the daemon."""
+    assert process.stdout is not None
+    async for _ in process.stdout:
+        pass
+
+
+def _find_free_ports() -> list[int]:
+    """Return ports that are free now; the system gives them out in turn."""
+    sockets = [socket.socket() for _ in range(2)]
+    try:
+        for each in sockets:
+            each.bind((LOOPBACK, 0))
+        return [int(each.getsockname()[1]) for each in sockets]
+    finally:
+        for each in sockets:
+            each.close()
--- a/savorychute/testing/engine.py
+++ b/savorychute/testing/engine.py
@@ -51,6 +51,7 @@
         self.crashes = 0
         self.poison_crashes = 0
         self.executions: dict[str, int] = {}
+        self.prompts_executed: dict[str, int] = {}
         self.orders = OrderGate(
             settings.models, settings.checks_fencing, store or WeightStore()
         )
@@ -241,6 +242,8 @@
         attempt_id = request.attempt_id
         self._attempts[attempt_id] = stream
         self.executions[attempt_id] = self.executions.get(attempt_id, 0) + 1
+        count = self.prompts_executed.get(request.prompt, 0)
+        self.prompts_executed[request.prompt] = count + 1
         self.batch.enqueue(stream, now_ms)
 
     def _withdraw(self, attempt_id: str) -> None:
--- a/savorychute/testing/matrix/cell.py
+++ b/savorychute/testing/matrix/cell.py
@@ -31,6 +31,7 @@
 SECOND_FAULT_MS = 40.0
 CROWD_CALLS = 60
 RECOVERY_MS = 10_000.0
+AFTERMATH_BEGINS_MS = 10.0
 AFTERMATH_MS = 6_000.0
 MOST_MS = 60_000.0
 
@@ -153,6 +154,7 @@
         stage.workload.call_at(world.heap.now_ms, find_kind(world, name))
         for name in (*CALL_KINDS, 'urgent')
     ]
+    world.run_for(AFTERMATH_BEGINS_MS)
     run_until_idle(world, AFTERMATH_MS)
     return [
         Breach('recovers', f'{call.call_class.name} afterwards ended as {call.ending}')
