Divide customers' limits between instances by demand, by escrow

Cause: the first version gave each instance an equal part of a contract, used or not, and all of it to each instance that saw nobody else.

Change: a customer's home grants units of one concurrent request, each with its part of rate and tokens. A new home divides what members report until all have reported. Grants need a majority of the voters and no veto of a member that lacks one; a cut-off instance keeps a floor of a fifth for two minutes.

--- a/savorychute/limits/limiter.py
+++ b/savorychute/limits/limiter.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING, NamedTuple
 
-from savorychute.clock import MS_PER_S
-from savorychute.limits.token_bucket import TokenBucket
+from savorychute.limits.customer_meter import CustomerMeter
+from savorychute.limits.share_desk import ShareDesk
 
 if TYPE_CHECKING:
     import random
@@ -16,8 +15,7 @@
     from savorychute.limits.settings import LimitSettings
     from savorychute.membership import MemberView
 
-#: How long to wait for a request in progress to end, when nothing is known.
-BUSY_RETRY_MS = 250
+EPOCH_BITS = 31
 
 
 class _Use(NamedTuple):
@@ -30,7 +28,7 @@
 
     :param settings: durations and sizes.
     :param instance: this instance's name.
-    :param rng: spreads reports over time.
+    :param rng: the source of this run's epoch.
     """
 
     def __init__(
@@ -38,20 +36,24 @@
     ) -> None:
         self.settings = settings
         self.instance = instance
-        self._rng = rng
-        self._limits: dict[str, CustomerLimits] = {}
+        self._desk = ShareDesk(settings, instance, rng.getrandbits(EPOCH_BITS) | 1)
+        self._meters: dict[str, CustomerMeter] = {}
         self._uses: dict[str, _Use] = {}
-        self._in_use: dict[str, int] = {}
-        self._requests: dict[str, TokenBucket] = {}
-        self._tokens: dict[str, TokenBucket] = {}
-        self._member_count = 1
+        self._now_ms = 0
 
     def set_limits(self, limits: dict[str, CustomerLimits]) -> None:
-        """Replace the limits of all customers.
+        """Replace the limits of all customers; what runs stays counted.
 
         :param limits: by customer.
         """
-        self._limits = limits
+        for customer, entry in limits.items():
+            meter = self._meters.get(customer)
+            if meter is None:
+                meter = CustomerMeter(entry, self.settings, self._now_ms)
+                self._meters[customer] = meter
+            meter.set_limits(entry, self._now_ms)
+        self._meters = {c: m for c, m in self._meters.items() if c in limits}
+        self._desk.set_meters(self._meters, self._now_ms)
 
     def check(self, customer: str, tokens: int, now_ms: int) -> int:
         """Return 0 if a request may start, else when to ask again, in ms.
@@ -60,18 +62,12 @@
         :param tokens: how many it is expected to use.
         :param now_ms: the time.
         """
-        limits = self._limits.get(customer)
-        if limits is None:
+        self._now_ms = max(self._now_ms, now_ms)
+        meter = self._meters.get(customer)
+        if meter is None:
             return self.settings.max_retry_after_ms
-        self._refresh(limits, now_ms)
-        concurrent = max(1, limits.concurrent_requests // self._member_count)
-        if self._in_use.get(customer, 0) >= concurrent:
-            return BUSY_RETRY_MS
-        wait_ms = max(
-            self._requests[customer].wait_ms(1, now_ms),
-            self._tokens[customer].wait_ms(tokens, now_ms),
-        )
-        return math.ceil(min(wait_ms, self.settings.max_retry_after_ms))
+        meter.set_units(self._desk.units(customer, now_ms), now_ms)
+        return meter.wait_ms(tokens, now_ms)
 
     def start(self, customer: str, request_id: str, tokens: int, now_ms: int) -> None:
         """Count a request that starts.
@@ -82,10 +78,9 @@
         :param now_ms: the time.
         """
         self._uses[request_id] = _Use(customer, tokens)
-        self._in_use[customer] = self._in_use.get(customer, 0) + 1
-        if customer in self._requests:
-            self._requests[customer].spend(1, now_ms)
-            self._tokens[customer].spend(tokens, now_ms)
+        meter = self._meters.get(customer)
+        if meter is not None:
+            meter.start(tokens, now_ms)
 
     def finish(self, request_id: str, tokens_used: int, now_ms: int) -> None:
         """Settle a request that has ended.
@@ -95,18 +90,26 @@
         :param now_ms: the time.
         """
         use = self._uses.pop(request_id, None)
-        if use is None:
-            return
-        self._in_use[use.customer] -= 1
-        if use.customer in self._tokens:
-            self._tokens[use.customer].spend(tokens_used - use.tokens, now_ms)
+        meter = None if use is None else self._meters.get(use.customer)
+        if use is not None and meter is not None:
+            meter.finish(use.tokens, tokens_used, now_ms)
+
+    def set_demand(self, customer: str, waiting: int) -> None:
+        """Note how many requests of a customer wait here.
+
+        :param customer: whose requests they are.
+        :param waiting: their number.
+        """
+        meter = self._meters.get(customer)
+        if meter is not None:
+            meter.waiting = waiting
 
     def receive(
         self,
-        sender: str,  # noqa: ARG002
-        message: tuple[object, ...],  # noqa: ARG002
-        view: MemberView,  # noqa: ARG002
-        now_ms: int,  # noqa: ARG002
+        sender: str,
+        message: tuple[object, ...],
+        view: MemberView,
+        now_ms: int,
     ) -> list[Action]:
         """Take in a peer message.
 
@@ -115,35 +118,25 @@
         :param view: who is alive.
         :param now_ms: the time.
         """
-        return []
+        self._now_ms = max(self._now_ms, now_ms)
+        self._desk.set_view(view, now_ms)
+        return self._desk.receive(sender, message, view, now_ms)
 
-    def tick(self, view: MemberView, now_ms: int) -> list[Action]:  # noqa: ARG002
+    def tick(self, view: MemberView, now_ms: int) -> list[Action]:
         """Do what is due.
 
         :param view: who is alive.
         :param now_ms: the time.
         """
-        self._member_count = max(1, len(view.alive))
-        return []
+        self._now_ms = max(self._now_ms, now_ms)
+        self._desk.set_view(view, now_ms)
+        return self._desk.tick(view, now_ms)
 
-    def leave(self, view: MemberView, now_ms: int) -> list[Action]:  # noqa: ARG002
+    def leave(self, view: MemberView, now_ms: int) -> list[Action]:
         """Return what is unused, before this instance goes.
 
-        :param view: who is alive.
+        :param view: who is alive, without this instance.
         :param now_ms: the time.
         """
-        return []
-
-    def _refresh(self, limits: CustomerLimits, now_ms: int) -> None:
-        """Bring the buckets to this instance's share."""
-        customer = limits.customer
-        share = 1 / self._member_count
-        burst_s = self.settings.burst_ms / MS_PER_S
-        for buckets, per_s in (
-            (self._requests, limits.requests_per_s),
-            (self._tokens, limits.tokens_per_s),
-        ):
-            capacity = max(1.0, per_s * share * burst_s)
-            if customer not in buckets:
-                buckets[customer] = TokenBucket(capacity, now_ms)
-            buckets[customer].set_rate(per_s * share, capacity, now_ms)
+        self._now_ms = max(self._now_ms, now_ms)
+        return self._desk.leave(view, now_ms)
--- /dev/null
+++ b/savorychute/limits/share_holding.py
@@ -0,0 +1,123 @@
+"""An instance's share of one customer's limits."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorychute.limits.share_report import ShareReport
+
+if TYPE_CHECKING:
+    from savorychute.limits.share_grant import ShareGrant
+
+
+class ShareHolding:
+    """Units that a home has granted, and until when.
+
+    :param customer: whose limits these are.
+    """
+
+    def __init__(self, customer: str) -> None:
+        self.customer = customer
+        self.home = ''
+        self.home_epoch = 0
+        self.sequence = 0
+        self.must_report = False
+        self.reported_ms: int | None = None
+        self.reported_wanted = 0
+        self.reported_in_use = 0
+        self._units = 0
+        self._expires_ms = 0
+        self._floor = 0
+        self._floor_ends_ms = 0
+
+    def set_home(self, home: str) -> None:
+        """Follow a change of the home; the share stays until it ends.
+
+        :param home: an instance, or empty if there is none.
+        """
+        if home != self.home:
+            self.home = home
+            self.home_epoch = 0
+            self.sequence = 0
+            self.must_report = True
+
+    def units(self, now_ms: int) -> int:
+        """Return how many units may be used.
+
+        :param now_ms: the time.
+        """
+        if now_ms < self._expires_ms:
+            return self._units
+        return self._floor if now_ms < self._floor_ends_ms else 0
+
+    def floor(self, now_ms: int) -> int:
+        """Return how many units stay without a renewal.
+
+        :param now_ms: the time.
+        """
+        return self._floor if now_ms < self._floor_ends_ms else 0
+
+    def apply(
+        self, home_epoch: int, grant: ShareGrant, expires_ms: int, floor_ends_ms: int
+    ) -> None:
+        """Put a grant in force, unless it is older than the last one.
+
+        :param home_epoch: of the home's run.
+        :param grant: from this customer's home.
+        :param expires_ms: when the units end.
+        :param floor_ends_ms: when the floor ends.
+        """
+        if home_epoch == self.home_epoch and grant.sequence <= self.sequence:
+            return
+        self.home_epoch = home_epoch
+        self.sequence = grant.sequence
+        self.must_report = self.must_report or grant.must_acknowledge
+        self._units = grant.units
+        self._expires_ms = expires_ms
+        self._floor = grant.floor
+        self._floor_ends_ms = floor_ends_ms
+
+    def keep_floor(self, floor: int, ends_ms: int) -> None:
+        """Keep a floor of what this instance held as the home.
+
+        :param floor: how many units.
+        :param ends_ms: until when.
+        """
+        self._units = floor
+        self._expires_ms = 0
+        self._floor = floor
+        self._floor_ends_ms = ends_ms
+
+    def give_up(self, keep: int) -> None:
+        """Return all units but some.
+
+        :param keep: how many are still in use.
+        """
+        self._units = min(self._units, keep)
+        self._floor = min(self._floor, keep)
+
+    def build_report(
+        self, in_use: int, wanted: int, now_ms: int, *, wants_spare: bool
+    ) -> ShareReport:
+        """Return what the home has to know.
+
+        :param in_use: requests in progress.
+        :param wanted: units that the demand needs.
+        :param now_ms: the time.
+        :param wants_spare: whether more than that is welcome.
+        """
+        self.must_report = False
+        self.reported_ms = now_ms
+        self.reported_wanted = wanted
+        self.reported_in_use = in_use
+        return ShareReport(
+            customer=self.customer,
+            home_epoch=self.home_epoch,
+            sequence=self.sequence,
+            held=self.units(now_ms),
+            floor=self.floor(now_ms),
+            floor_left_ms=max(0, self._floor_ends_ms - now_ms),
+            in_use=in_use,
+            wanted=wanted,
+            wants_spare=wants_spare,
+        )
--- a/savorychute/wire/messages.capnp
+++ b/savorychute/wire/messages.capnp
@@ -210,6 +210,7 @@
   durationMs @3 :Int64;
   floorMs @4 :Int64;
   shares @5 :List(ShareGrant);
+  vetoers @6 :List(Text);
 }
 
 struct LimitAsk {  # tag 42
