Keep a request in doubt until its key is decided

Cause: a copy of a keyed request that waits for the first one, or for a witness, could be ended by its deadline with not-run although the first one runs; and an answer that was not kept whole could be replayed in part. Change: RequestLife takes keyed and decide_key; KeyKeeper.finish takes None for a body that was not kept.

--- a/savorychute/requests/key_keeper.py
+++ b/savorychute/requests/key_keeper.py
@@ -138,17 +138,25 @@
         return self._starts.announce(record, endpoint, stream_id, view, now_ms)
 
     def finish(
-        self, request_id: str, status: int, content_type: str, body: bytes, now_ms: int
+        self,
+        request_id: str,
+        status: int,
+        content_type: str,
+        body: bytes | None,
+        now_ms: int,
     ) -> list[KeyOutcome | Action]:
         """Settle a key with the whole answer of its request.
 
         :param request_id: the request.
         :param status: the answer's HTTP status.
         :param content_type: the answer's media type.
-        :param body: the whole body.
+        :param body: the whole body, or None if it was not kept; a part of it
+            must not be given, because it would be replayed as the whole.
         :param now_ms: the time.
         """
-        outcome = StoredOutcome(status, content_type, body)
+        outcome = None
+        if body is not None:
+            outcome = StoredOutcome(status, content_type, body)
         return self._settle(request_id, KeyPhase.RAN, ResultCode.OK, now_ms, outcome)
 
     def not_run(
--- a/savorychute/requests/request_life.py
+++ b/savorychute/requests/request_life.py
@@ -25,16 +25,23 @@
     :param received_ms: when it was read completely.
     :param resumes: true if the caller brought a continuation handle, so that
         the request has run before it came here.
+    :param keyed: true if the caller brought a request key; an earlier try may
+        have run elsewhere until :meth:`decide_key` says what became of it.
     """
 
     def __init__(
-        self, request_id: str, received_ms: int, resumes: bool = False
+        self,
+        request_id: str,
+        received_ms: int,
+        resumes: bool = False,
+        keyed: bool = False,
     ) -> None:
         self.request_id = request_id
         self.received_ms = received_ms
         self.state = RequestState.RECEIVED
         self.dropped_events = 0
         self._ran_before = resumes
+        self._key_undecided = keyed
         self._doubted: set[str] = set()
         self._early: list[RequestEvent] = []
         self._late: deque[RequestEvent] = deque(maxlen=LATE_EVENTS)
@@ -42,7 +49,9 @@
     @property
     def may_claim_not_run(self) -> bool:
         """Whether it is certain that no endpoint started the request."""
-        return not self._ran_before and not self._doubted
+        if self._ran_before or self._key_undecided:
+            return False
+        return not self._doubted
 
     @property
     def is_final(self) -> bool:
@@ -90,6 +99,14 @@
         """
         self._doubted.discard(attempt_id)
 
+    def decide_key(self) -> None:
+        """Note that the key keeper permitted a run, or vouched for 'not run'.
+
+        Before that, a deadline or a quarantine that ends the request must not
+        say 'not run': a first try under the same key may be running.
+        """
+        self._key_undecided = False
+
     def _check(self, state: RequestState, attempt_id: str) -> None:
         if state not in TRANSITIONS[self.state]:
             raise IllegalTransitionError(self.request_id, self.state, state)
--- a/tests/test_requests/test_issued_keys.py
+++ b/tests/test_requests/test_issued_keys.py
@@ -151,3 +151,18 @@
     with pytest.raises(RequestError) as raised:
         parse_key(text)
     assert raised.value.code is ResultCode.KEY_MALFORMED
+
+
+def test_answer_that_was_not_kept_is_not_replayed_in_part(scene):
+    """A caller takes an empty answer for the whole one.
+
+    The answer was streamed or too large to keep, its caller lost it and asks
+    again under the same key.
+    """
+    key = scene.issue('a')
+    scene.admit('a', 'r1', key)
+    scene.announce('a', 'r1')
+    scene.deliver()
+    scene.keepers['a'].finish('r1', 200, 'text/plain', None, scene.now_ms)
+    (refused,) = scene.admit('a', 'r2', key)
+    assert (refused.code, refused.ran) == (ResultCode.OUTCOME_FORGOTTEN, Ran.RAN)
--- a/tests/test_requests/test_request_life.py
+++ b/tests/test_requests/test_request_life.py
@@ -93,3 +93,17 @@
 def test_malformed_handle_is_refused(text):
     with pytest.raises(RequestError):
         decode_handle(text)
+
+
+def test_undecided_key_cannot_be_called_not_run():
+    """A caller is told 'not run' while its request runs.
+
+    It sends its request again under the same key; the copy waits for the first
+    one's outcome, and its own deadline passes.
+    """
+    life = RequestLife('r', 0, keyed=True)
+    assert life.ran is Ran.UNKNOWN
+    with pytest.raises(IllegalTransitionError):
+        life.move(RequestState.NOT_RUN, 1, 'deadline')
+    life.decide_key()
+    life.move(RequestState.NOT_RUN, 1, 'shed')
