--- a/benches/limiter_rig.py
+++ b/benches/limiter_rig.py
@@ -91,6 +91,12 @@
         self._views[name] = view
         self._post(name, self.limiters[name].leave(view, self.now_ms))
 
+    def see_nobody(self, name):
+        """Let an instance see that it is leaving and that nobody else is there."""
+        self._views[name] = MemberView(
+            build_address(name), (), leaving=frozenset({name})
+        )
+
     def cut(self, side):
         """Put instances on another side of a cut, or back with 0."""
         for name, number in side.items():
--- a/savorychute/credits/group_home.py
+++ b/savorychute/credits/group_home.py
@@ -247,8 +247,9 @@
             is_silent = age_ms > FORGOTTEN_AFTER_GRANTS * self.settings.grant_ms
             if is_silent or (instance not in alive and record.has_expired(now_ms)):
                 del self._records[instance]
-                for endpoint, amount in self._committed.pop(instance).items():
-                    self._totals[endpoint] -= amount
+                for endpoint, amount in self._committed.pop(instance, {}).items():
+                    if endpoint in self._totals:
+                        self._totals[endpoint] -= amount
 
     def total_committed(self, endpoint: int) -> int:
         """Return what others may run at an endpoint.
@@ -270,16 +271,21 @@
 
     def _recount(self, instance: str, now_ms: int) -> None:
         """Bring the totals up to date with one holder."""
-        record = self._records[instance]
-        before = self._committed.get(instance, {})
-        counted = {key: record.committed(key, now_ms) for key in self._capacities}
+        before = self._committed.setdefault(instance, {})
+        counted = self._records[instance].committed(now_ms)
+        if counted == before:
+            return
+        for endpoint, amount in before.items():
+            if endpoint in self._totals:
+                self._totals[endpoint] -= amount
         for endpoint, amount in counted.items():
-            self._totals[endpoint] += amount - before.get(endpoint, 0)
+            if endpoint in self._totals:
+                self._totals[endpoint] += amount
         self._committed[instance] = counted
 
     def _clip(self, instance: str, endpoint: int, target: int, now_ms: int) -> int:
         """Return *target*, or what can be granted of it now."""
-        committed = self._committed[instance][endpoint]
+        committed = self._committed[instance].get(endpoint, 0)
         if target <= committed:
             return target
         if self._is_locked(now_ms):
--- a/savorychute/credits/holder_record.py
+++ b/savorychute/credits/holder_record.py
@@ -61,21 +61,20 @@
         """
         self._offers.append(offer)
 
-    def committed(self, endpoint: int, now_ms: int) -> int:
-        """Return the most that the instance may run at an endpoint.
+    def committed(self, now_ms: int) -> dict[int, int]:
+        """Return the most that the instance may run, by endpoint.
 
         Any grant that was sent and not yet acknowledged may be in force, or
         the one before it; what runs goes on running whatever is granted.
 
-        :param endpoint: its hash.
         :param now_ms: the time.
         """
-        most = self._in_use.get(endpoint, 0)
+        most = dict(self._in_use)
         if now_ms < self._held_until_ms:
-            most = max(most, self._held.get(endpoint, 0))
+            _raise_to(most, self._held)
         for offer in self._offers:
             if now_ms < offer.expires_ms:
-                most = max(most, offer.levels.get(endpoint, 0))
+                _raise_to(most, offer.levels)
         return most
 
     def last_levels(self) -> dict[int, int]:
@@ -97,3 +96,9 @@
         :param now_ms: the time.
         """
         self._offers = [o for o in self._offers if now_ms < o.expires_ms]
+
+
+def _raise_to(most: dict[int, int], levels: dict[int, int]) -> None:
+    for endpoint, level in levels.items():
+        if level > most.get(endpoint, 0):
+            most[endpoint] = level
--- a/savorychute/credits/home_desk.py
+++ b/savorychute/credits/home_desk.py
@@ -90,8 +90,8 @@
         for key, home in self._homes.items():
             region = self._book.holdings[key].group.region
             home.scale = self._members.share_alive(region, now_ms)
-            home.drop_lost(present, now_ms)
-            self._divide(home, now_ms, pushes, urgent=False)
+            if self._divide(home, now_ms, pushes, urgent=False):
+                home.drop_lost(present, now_ms)
         return self._push(pushes, view, now_ms)
 
     def receive_report(
@@ -128,7 +128,7 @@
         pushes: dict[str, list[GroupHome]],
         *,
         urgent: bool,
-    ) -> None:
+    ) -> bool:
         holding = home.holding
         own_urgent = home.set_own_waiting(self._book.waiting(holding))
         is_divided = home.divide_if_due(now_ms, urgent=urgent or own_urgent)
@@ -136,6 +136,7 @@
             holding.pressing_tier = home.pressing_tier
             for instance in home.list_pushes(now_ms):
                 pushes.setdefault(instance, []).append(home)
+        return is_divided
 
     def _push(
         self, pushes: dict[str, list[GroupHome]], view: MemberView, now_ms: int
--- a/savorychute/credits/settings.py
+++ b/savorychute/credits/settings.py
@@ -28,7 +28,7 @@
     pressure_interval_ms: int = 50
     growth_interval_ms: int = 250
     pushes_per_s: int = 20
-    division_interval_ms: int = 500
+    division_interval_ms: int = 1_000
     urgent_division_interval_ms: int = 20
     demand_memory_ms: int = 2_000
     float_share: float = 0.25
--- a/savorychute/limits/electorate.py
+++ b/savorychute/limits/electorate.py
@@ -58,12 +58,14 @@
         is_first = self._seen is None
         had_majority = self.has_majority()
         self._seen = view.alive
-        alive = frozenset(member.instance for member in view.alive)
+        members = {member.instance for member in view.alive}
+        # A leaving instance is not in its own view, but it still has a vote.
+        alive = frozenset(members | {view.own.instance})
         fresh = alive - self.alive
         for instance in self.alive - alive:
             gone = self._left if instance in view.leaving else self._lost
-            if instance != view.own.instance:
-                gone[instance] = now_ms
+            gone[instance] = now_ms
+            if gone is self._lost:
                 self.last_loss_ms = now_ms
         for instance in alive | view.leaving:
             self._lost.pop(instance, None)
@@ -71,7 +73,7 @@
             self._lift_veto(instance, now_ms)
         self.alive = alive
         if had_majority:
-            self._voters -= view.leaving
+            self._voters -= view.leaving - {view.own.instance}
         if is_first:
             self._voters = set(alive)
         elif self.has_majority():
--- a/savorychute/limits/share_desk.py
+++ b/savorychute/limits/share_desk.py
@@ -161,7 +161,7 @@
         can_grant = self._view is not None and self._electorate.may_grant()
         for customer, holding in self._holdings.items():
             home = self._table.home_of(f'limits:{customer}')
-            name = '' if home is None else home.instance
+            name = self.instance if home is None else home.instance
             if name != self.instance or not can_grant:
                 self._close(customer, now_ms)
             holding.set_home(name)
--- a/tests/test_limits/test_limiter.py
+++ b/tests/test_limits/test_limiter.py
@@ -252,3 +252,17 @@
     rig.run(6_000, lambda: assert_within_contract(rig))
 
     assert sum(rig.units(name) for name in 'abcd') >= 30
+
+
+def test_only_instance_finishes_its_queue_while_it_leaves(make_rig):
+    """The only instance shuts down gracefully while requests wait.  Taking
+    itself for no member any more, it would find no home for the customer and
+    refuse work that it could still do.
+    """
+    rig = make_rig('a', settle_ms=100)
+    rig.see_nobody('a')
+    rig.greed['a'] = 20
+
+    rig.run(100)
+
+    assert rig.in_use() == 20
