--- a/savorychute/cmd/operator_command.py
+++ b/savorychute/cmd/operator_command.py
@@ -74,10 +74,7 @@
         record_id = document.get('record_id')
         if record_id is None:
             return ExitCode.UNREACHABLE
-        print(
-            f'send it again with --record-id {record_id}: it takes effect once',
-            file=sys.stderr,
-        )
+        _print_hint(record_id)
         return ExitCode.UNCONFIRMED
 
     def report(self, answer: OperatorAnswer, arguments: Namespace) -> ExitCode:
@@ -92,11 +89,21 @@
             f'{_find_message(answer.document)}',
             file=sys.stderr,
         )
+        if answer.code is ResultCode.VERSION_CONFLICT and 'version' in answer.document:
+            print(f'in force is version {answer.document["version"]}', file=sys.stderr)
         if answer.code is ResultCode.CHANGE_UNCONFIRMED:
+            _print_hint(answer.document.get('record_id', ''))
             return ExitCode.UNCONFIRMED
         return ExitCode.REFUSED
 
 
+def _print_hint(record_id: str) -> None:
+    print(
+        f'send it again with --record-id {record_id}: it takes effect once',
+        file=sys.stderr,
+    )
+
+
 def _find_message(document: dict[str, Any]) -> str:
     """Return what an error document says, wherever the instance put it."""
     error = document.get('error', document)
--- a/tests/test_cmd/test_operator_commands.py
+++ b/tests/test_cmd/test_operator_commands.py
@@ -109,19 +109,22 @@
 
 
 def test_refusal_shows_code_and_reason(run, stand_in):
-    stand_in.answer = (409, 4001, {'message': 'the current version is 5'})
+    conflict = {'message': 'based on 3', 'version': 5}
+    stand_in.answer = (409, 4001, conflict)
     code, out, err = run('endpoint', 'drain', 'engine-1', '--why', 'x')
     assert code == ExitCode.REFUSED
     assert out == ''
     assert err.startswith('error 4001: ')
-    assert 'the current version is 5' in err
+    assert 'based on 3' in err
+    assert err.endswith('in force is version 5\n')
 
 
 def test_unconfirmed_change_has_its_own_exit_code(run, stand_in):
     stand_in.answer = (202, 4003, {'record_id': 'r-1'})
-    code, out, _ = run('endpoint', 'drain', 'engine-1', *CHANGE, '--json')
+    code, out, err = run('endpoint', 'drain', 'engine-1', *CHANGE, '--json')
     assert code == ExitCode.UNCONFIRMED
     assert json.loads(out) == {'record_id': 'r-1'}
+    assert '--record-id r-1' in err
 
 
 def test_lost_answer_names_the_record_to_send_again(run, stand_in):
