Let given-up answers come late in the fault matrix

Change: a fault that delays cancels and delivers given-up answers, and a matrix fault that hangs an endpoint until it is given up. A poison request is sent again when the one before has ended, as a caller does.

--- a/savorychute/testing/connection.py
+++ b/savorychute/testing/connection.py
@@ -55,6 +55,10 @@
 class Connection:
     """An attempt's connection: the request goes out, the answer comes back.
 
+    While the network's ``cancel_delay_ms`` is set, a cancel takes that long to
+    be carried out, and what the endpoint sends meanwhile still reaches the
+    instance: an answer that it has given up.
+
     :param start: the attempt.
     :param endpoint: where it goes.
     :param domain: the instance's failure domain.
@@ -75,6 +79,7 @@
         self.is_open = True
         self.is_sent = False
         self._heap = heap
+        self._network = network
         self._receive = receive
         self._out = Pipe(heap, network, domain, endpoint.failure_domain)
         self._back = Pipe(heap, network, endpoint.failure_domain, domain)
@@ -90,14 +95,14 @@
         if self.is_open:
             self.is_open = False
             if self.is_sent:
-                self._out.send(self.endpoint.close, self.start.attempt_id)
+                self._send_late(self.endpoint.close, self.start.attempt_id)
 
     def cancel(self, keep: bool) -> None:
         """Close, and tell the endpoint what to do with the stream."""
         if self.is_open:
             self.is_open = False
             if self.is_sent:
-                self._out.send(self.endpoint.cancel, self.start, keep)
+                self._send_late(self.endpoint.cancel, self.start, keep)
 
     def fail(self, sent: bool, crashed: bool, reason: str) -> None:
         """Report at the instance's side that the attempt failed."""
@@ -105,6 +110,10 @@
         failed = AttemptFailed(attempt_id, sent, False, False, crashed, reason)
         self._deliver(failed)
 
+    def _send_late(self, function: Callable[..., None], *args: Any) -> None:
+        delay_ms = self._network.cancel_delay_ms
+        self._heap.call_later(delay_ms, self._out.send, function, *args)
+
     def _arrive(self) -> None:
         if self.endpoint.core.is_up:
             self.endpoint.submit(self.start, self._answer)
@@ -115,7 +124,7 @@
         self._back.send(self._deliver, told)
 
     def _deliver(self, told: Input) -> None:
-        if self.is_open:
+        if self.is_open or self._network.cancel_delay_ms:
             self._receive(self, told)
 
     def _time_out(self) -> None:
--- a/savorychute/testing/faults/load_faults.py
+++ b/savorychute/testing/faults/load_faults.py
@@ -12,6 +12,7 @@
     from savorychute.testing.faults.fault_step import FaultStep
 
 POISON_AGAIN_MS = 500.0
+POISON_CHECK_MS = 20.0
 
 
 @FAULTS.register('burst')
@@ -30,16 +31,27 @@
     world = stage.world
     wanted = find_class(world.topology, step.class_name)
     call = stage.workload.make_call(wanted, step.target, poison=True)
-    world.poison_calls.add(call.call_id)
     world.poisons += 1
-    world.callers.begin(call)
-    for number in range(1, step.count):
-        delay_ms = number * (step.delay_ms or POISON_AGAIN_MS)
-        world.heap.call_later(delay_ms, _send_again, stage, call, number)
+    _send_poison(stage, call, 1, step)
 
 
-def _send_again(stage: Stage, call: Call, number: int) -> None:
+def _send_poison(stage: Stage, call: Call, number: int, step: FaultStep) -> None:
+    stage.world.poison_calls.add(call.call_id)
+    stage.world.callers.begin(call)
+    if number < step.count:
+        _send_again_when_over(stage, call, number, step)
+
+
+def _send_again_when_over(
+    stage: Stage, call: Call, number: int, step: FaultStep
+) -> None:
     """Send the same body as a new request, as a caller that got no answer."""
+    heap = stage.world.heap
+    if not call.is_over:
+        heap.call_later(
+            POISON_CHECK_MS, _send_again_when_over, stage, call, number, step
+        )
+        return
     again = make_chat_call(
         f'{call.call_id}.{number}',
         call.customer,
@@ -47,8 +59,8 @@
         call.prompt,
         stage.world.max_tokens,
     )
-    stage.world.poison_calls.add(again.call_id)
-    stage.world.callers.begin(again)
+    delay_ms = step.delay_ms or POISON_AGAIN_MS
+    heap.call_later(delay_ms, _send_poison, stage, again, number + 1, step)
 
 
 @FAULTS.register('surge')
--- a/savorychute/testing/faults/network_faults.py
+++ b/savorychute/testing/faults/network_faults.py
@@ -56,6 +56,19 @@
     _heal_later(world, step)
 
 
+@FAULTS.register('cancels-late')
+def delay_cancels(stage: Stage, step: FaultStep) -> None:
+    """Let cancels take *delay_ms*, while given-up answers still arrive."""
+    network = stage.world.network
+    network.cancel_delay_ms = step.delay_ms
+
+    def end() -> None:
+        network.cancel_delay_ms = 0.0
+
+    if step.for_ms:
+        stage.world.heap.call_later(step.for_ms, end)
+
+
 def _set_faults(world: World, faults: PeerFaults, for_ms: float) -> None:
     world.network.peer_faults = faults
 
--- a/savorychute/testing/matrix/cell_faults.py
+++ b/savorychute/testing/matrix/cell_faults.py
@@ -61,6 +61,15 @@
     return [FaultStep(do='endpoint-silent', target=aim.endpoint, for_ms=4_000)]
 
 
+@CELL_FAULTS.register('crossed-answers')
+def _crossed_answers(aim: Aim) -> list[FaultStep]:
+    """Hang the endpoint until it is given up; its answer then comes as well."""
+    return [
+        FaultStep(do='cancels-late', delay_ms=5_000, for_ms=12_000),
+        FaultStep(do='endpoint-silent', target=aim.endpoint, for_ms=3_500),
+    ]
+
+
 @CELL_FAULTS.register('endpoint-refuses')
 def _endpoint_refuses(aim: Aim) -> list[FaultStep]:
     return [FaultStep(do='endpoint-refuses', target=aim.endpoint, for_ms=3_000)]
--- a/savorychute/testing/network.py
+++ b/savorychute/testing/network.py
@@ -43,6 +43,7 @@
         self.settings = settings
         self.peer_faults = NO_PEER_FAULTS
         self.peer_messages = 0
+        self.cancel_delay_ms = 0.0
         self._rng = rng
         self._cuts: set[tuple[str, str]] = set()
 
