Admit voters only when all have seen them; keep idle customers asleep

A member lost before its first report could hold a floor that the home did not count.

Change: a new member is pending for twice the detection time and counts only if it is lost; lost members that had not reported keep floors reserved. Customers share 128 slots of homes, and idle ones are not looked at. Work that ends under a share taken back is reported at once, and so is demand that sank.

Of two members that start together neither may be lost for 16 s without a stop of new grants.

--- a/savorychute/credits/group_holding.py
+++ b/savorychute/credits/group_holding.py
@@ -43,6 +43,7 @@
         self.in_use: dict[int, int] = {}
         self.running: dict[int, int] = {}
         self.tokens: dict[int, int] = {}
+        self._reported_in_use: dict[int, int] = {}
         self._levels: dict[int, int] = {}
         self._expires_ms = 0
         self._unanswered_ms: int | None = None
@@ -74,6 +75,18 @@
             return None
         return self._levels.get(endpoint, 0)
 
+    def owes(self, now_ms: int) -> bool:
+        """Return whether credit that was taken back has come free since.
+
+        :param now_ms: the time.
+        """
+        return any(
+            self.in_use.get(endpoint, 0)
+            < reported
+            > (self.level(endpoint, now_ms) or 0)
+            for endpoint, reported in self._reported_in_use.items()
+        )
+
     def has_ended(self, now_ms: int) -> bool:
         """Return whether the home has not answered for the life of a grant.
 
@@ -138,6 +151,7 @@
         """
         if self._unanswered_ms is None:
             self._unanswered_ms = now_ms
+        self._reported_in_use = {e: n for e, n in self.in_use.items() if n > 0}
         uses = []
         for endpoint in self.group.names:
             held = self.level(endpoint, now_ms) or 0
--- a/savorychute/credits/report_desk.py
+++ b/savorychute/credits/report_desk.py
@@ -112,6 +112,8 @@
             return True
         settings = self._book.settings
         age_ms = now_ms - holding.reported_ms
+        if age_ms >= settings.owing_interval_ms and holding.owes(now_ms):
+            return True
         if any(waiting) and age_ms >= settings.pressure_interval_ms:
             before = holding.reported_waiting
             if _first(waiting) < _first(before):
--- a/savorychute/limits/customer_meter.py
+++ b/savorychute/limits/customer_meter.py
@@ -17,7 +17,9 @@
 RATE_MEMORY_MS = 2_000
 #: Demand is asked for with this margin, and grows by it while it is refused.
 DEMAND_MARGIN = 1.25
-GROWTH_FACTOR = 1.5
+GROWTH_FACTOR = 3
+#: A first demand asks for one of this many parts of the contract.
+FIRST_ASK_PARTS = 8
 #: How long to wait for a request in progress to end, when nothing is known.
 BUSY_RETRY_MS = 250
 #: How long to wait for a first share.
@@ -143,7 +145,8 @@
         by_rate = DEMAND_MARGIN * max(by_requests, by_tokens) * self.total
         needed = max(self.in_use + self.waiting, math.ceil(by_rate - 0.1))
         if self.was_refused:
-            needed = max(needed, math.ceil(GROWTH_FACTOR * self._units) + 1)
+            step = max(1, self.total // FIRST_ASK_PARTS)
+            needed = max(needed, GROWTH_FACTOR * self._units + step)
         return min(needed, self.total)
 
     def _decay(self, now_ms: int) -> None:
--- a/savorychute/limits/electorate.py
+++ b/savorychute/limits/electorate.py
@@ -23,6 +23,9 @@
     lost voters after a while, or many small losses would end all grants; a
     minority keeps them much longer.
 
+    A new member is *pending* until all must have seen it: some may count it
+    already and others not know it yet.
+
     A new instance takes those that it sees first for the voters, and may be
     wrong.  Therefore every member that lacks a majority *vetoes* grants in its
     reports, and a veto outlives its origin.
@@ -38,6 +41,7 @@
         self.last_loss_ms = NEVER_MS
         self.told_loss_ms = NEVER_MS
         self._voters: set[str] = set()
+        self._pending: dict[str, int] = {}
         self._lost: dict[str, int] = {}
         self._left: dict[str, int] = {}
         self._vetoes: dict[str, int] = {}
@@ -73,11 +77,12 @@
             self._lift_veto(instance, now_ms)
         self.alive = alive
         if had_majority:
-            self._voters -= view.leaving - {view.own.instance}
+            for instance in view.leaving - {view.own.instance}:
+                self._voters.discard(instance)
+                self._pending.pop(instance, None)
         if is_first:
-            self._voters = set(alive)
-        elif self.has_majority():
-            self._voters |= alive
+            self._voters = set(members - {view.own.instance}) or set(alive)
+        self._pending.update((i, now_ms) for i in fresh - self._voters)
         return fresh
 
     def take_vetoes(self, sender: str, vetoers: Iterable[str], now_ms: int) -> None:
@@ -101,18 +106,16 @@
     ) -> list[str]:
         """Take in the losses that a report names; return those not known here.
 
-        A new instance has not seen them itself.  What this one has seen, it saw
-        at about the same time.
+        A new instance has not seen them itself.  Losses longer ago than names
+        are reported for may still leave floors.
 
         :param lost: members that the sender has lost lately.
         :param loss_age_ms: how long ago it lost one, or -1 for never.
         :param now_ms: the time.
         """
         told_ms = now_ms - loss_age_ms
-        if (
-            loss_age_ms >= 0
-            and told_ms > self.last_loss_ms + self.settings.detection_ms
-        ):
+        is_older_than_names = loss_age_ms >= self.settings.unknown_ms
+        if is_older_than_names and told_ms > self.last_loss_ms:
             self.last_loss_ms = told_ms
             self.told_loss_ms = told_ms
         fresh = [i for i in lost if i not in self.alive and i not in self._lost]
@@ -131,12 +134,16 @@
         return not self._vetoes and self.has_majority()
 
     def has_majority(self) -> bool:
-        """Return whether most of the voters are alive."""
-        alive = len(self._voters & self.alive)
-        missing = self._voters - self.alive
-        if alive == len(missing) > 0:
-            return min(self._voters) not in missing
-        return alive > len(missing)
+        """Return whether most of the voters are alive.
+
+        A pending member counts only if it is lost, so the answer is right for
+        those who count it as well as for those who do not know it.
+        """
+        missing = (self._voters | self._pending.keys()) - self.alive
+        present = len(self._voters & self.alive)
+        if present == len(missing) > 0:
+            return min(self._voters & self.alive) < min(missing)
+        return present > len(missing)
 
     def list_lost(self) -> list[str]:
         """Return the members that were lost and are not forgotten."""
@@ -169,10 +176,19 @@
         else:
             if self._majority_since_ms == NEVER_MS:
                 self._majority_since_ms = now_ms
+            self._admit_settled(now_ms)
             if now_ms - self._majority_since_ms >= self.settings.forget_ms:
                 self._drop_before(now_ms - self.settings.forget_ms)
         self._vetoes = {o: ms for o, ms in self._vetoes.items() if ms > now_ms}
 
+    def _admit_settled(self, now_ms: int) -> None:
+        """Make voters of those that all others must have seen by now."""
+        for instance, since_ms in list(self._pending.items()):
+            is_settled = now_ms - since_ms >= 2 * self.settings.detection_ms
+            if is_settled and instance in self.alive:
+                del self._pending[instance]
+                self._voters.add(instance)
+
     def _lift_veto(self, origin: str, now_ms: int) -> None:
         """End a veto when all have had time to see what its origin sees.
 
@@ -188,3 +204,4 @@
             if lost_ms <= oldest_ms:
                 del self._lost[instance]
                 self._voters.discard(instance)
+                self._pending.pop(instance, None)
--- a/savorychute/limits/settings.py
+++ b/savorychute/limits/settings.py
@@ -29,6 +29,7 @@
     minority_forget_ms: int = 7_200_000
     report_interval_ms: int = 1_000
     pressure_interval_ms: int = 50
+    sunk_interval_ms: int = 250
     division_interval_ms: int = 500
     urgent_division_interval_ms: int = 20
     turn_ms: int = 2_000
--- a/savorychute/limits/share_desk.py
+++ b/savorychute/limits/share_desk.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import xxhash
+
 from savorychute.credits.send_peer import send_to
 from savorychute.limits.electorate import Electorate
 from savorychute.limits.limit_ask import LimitAsk
@@ -20,6 +22,8 @@
     from savorychute.limits.share_grant import ShareGrant
     from savorychute.limits.share_report import ShareReport
 
+SLOTS = 128
+
 
 class ShareDesk:
     """Reports to customers' homes, and is the home of some.
@@ -40,6 +44,7 @@
         self._meters: dict[str, CustomerMeter] = {}
         self._holdings: dict[str, ShareHolding] = {}
         self._homes: dict[str, ShareHome] = {}
+        self._awake: set[str] = set()
         self._view: MemberView | None = None
         self._could_grant = True
         self._vetoers: tuple[str, ...] = ()
@@ -64,7 +69,8 @@
                 del self._homes[customer]
             else:
                 home.total = meters[customer].total
-        self._table.set_keys({f'limits:{customer}': '' for customer in meters})
+        self._table.set_keys({find_slot(customer): '' for customer in meters})
+        self._awake.update(meters)
         self._follow_homes(now_ms)
 
     def units(self, customer: str, now_ms: int) -> int:
@@ -73,6 +79,7 @@
         :param customer: one of the meters'.
         :param now_ms: the time.
         """
+        self._awake.add(customer)
         home = self._homes.get(customer)
         if home is None:
             return self._holdings[customer].units(now_ms)
@@ -99,8 +106,9 @@
             return
         self._could_grant = may_grant
         self._follow_homes(now_ms)
-        if fresh:
-            for home in self._homes.values():
+        for home in self._homes.values():
+            home.follow_members(self._electorate.alive, now_ms)
+            if fresh:
                 home.expect(fresh, now_ms)
 
     def receive(
@@ -129,8 +137,9 @@
         """
         pushes: dict[str, list[ShareHome]] = {}
         for customer, home in self._homes.items():
-            home.drop_lost(now_ms)
-            self._divide(customer, home, pushes, now_ms)
+            if home.is_used or customer in self._awake:
+                home.drop_lost(now_ms)
+                self._divide(customer, home, pushes, now_ms)
         actions = self._push(pushes, view, now_ms)
         actions += self._send_reports(view, now_ms)
         actions += self._ask_silent(view, now_ms)
@@ -147,6 +156,7 @@
         for customer, holding in self._holdings.items():
             holding.give_up(self._meters[customer].in_use)
             holding.must_report = True
+        self._awake.update(self._holdings)
         return self._send_reports(view, now_ms)
 
     def _follow_vetoes(self) -> None:
@@ -156,15 +166,18 @@
             self._vetoers = vetoers
             for holding in self._holdings.values():
                 holding.must_report = True
+            self._awake.update(self._holdings)
 
     def _follow_homes(self, now_ms: int) -> None:
         can_grant = self._view is not None and self._electorate.may_grant()
         for customer, holding in self._holdings.items():
-            home = self._table.home_of(f'limits:{customer}')
+            home = self._table.home_of(find_slot(customer))
             name = self.instance if home is None else home.instance
             if name != self.instance or not can_grant:
                 self._close(customer, now_ms)
             holding.set_home(name)
+            if holding.must_report:
+                self._awake.add(customer)
             if name == self.instance and can_grant:
                 self._open(customer, now_ms)
 
@@ -221,9 +234,11 @@
         self._take_vetoes(sender, message.vetoers, now_ms)
         losses = self._electorate.take_losses(message.lost, message.loss_age_ms, now_ms)
         for own_home in self._homes.values():
-            if losses:
-                own_home.expect(losses, now_ms)
             own_home.note_loss(self._electorate.told_loss_ms)
+            unknown = [i for i in losses if not own_home.knows(i)]
+            if unknown:
+                own_home.expect(unknown, now_ms)
+                own_home.note_loss(now_ms)
         pushes: dict[str, list[ShareHome]] = {}
         answered: list[ShareHome] = []
         for report in message.shares:
@@ -296,6 +311,7 @@
                 sent_ms + message.duration_ms,
                 sent_ms + message.floor_ms,
             )
+            self._awake.add(grant.customer)
             if self._is_leaving:
                 holding.give_up(self._meters[grant.customer].in_use)
         return self._send_reports(view, now_ms)
@@ -321,16 +337,24 @@
             holding = self._holdings.get(customer)
             if holding is not None and holding.home == sender:
                 holding.must_report = True
+                self._awake.add(customer)
         return self._send_reports(view, now_ms)
 
     def _send_reports(self, view: MemberView, now_ms: int) -> list[Action]:
         due: dict[str, list[ShareReport]] = {}
-        for customer, holding in self._holdings.items():
-            if holding.home in ('', self.instance):
+        for customer in list(self._awake):
+            holding = self._holdings.get(customer)
+            if holding is None:
+                self._awake.discard(customer)
                 continue
             meter = self._meters[customer]
             wants_spare = self._is_recent(meter, now_ms)
-            if not self._is_due(holding, meter, now_ms, wants_spare=wants_spare):
+            is_at_home = holding.home in ('', self.instance)
+            if is_at_home or not self._is_due(
+                holding, meter, now_ms, wants_spare=wants_spare
+            ):
+                if not wants_spare and meter.in_use == 0:
+                    self._awake.discard(customer)
                 continue
             wanted = meter.wanted(now_ms)
             report = holding.build_report(
@@ -375,8 +399,13 @@
         if self._is_leaving and meter.in_use != holding.reported_in_use:
             return True
         age_ms = now_ms - holding.reported_ms
-        is_pressed = age_ms >= self.settings.pressure_interval_ms and meter.was_refused
-        if is_pressed and meter.wanted(now_ms) > holding.reported_wanted:
+        if age_ms >= self.settings.pressure_interval_ms:
+            if holding.owes(meter.in_use, now_ms):
+                return True
+            if meter.was_refused and meter.wanted(now_ms) > holding.reported_wanted:
+                return True
+        has_sunk = 2 * meter.wanted(now_ms) < holding.reported_wanted
+        if has_sunk and age_ms >= self.settings.sunk_interval_ms:
             return True
         is_used = wants_spare or meter.in_use > 0 or meter.was_refused
         return is_used and age_ms >= self.settings.report_interval_ms
@@ -390,6 +419,17 @@
             del self._sent_ms[number]
 
 
+def find_slot(customer: str) -> str:
+    """Return the key by which a customer's home is chosen.
+
+    Customers share a fixed number of slots, because choosing a home costs a
+    hash for each member.
+
+    :param customer: its name.
+    """
+    return f'limits:{xxhash.xxh32_intdigest(customer.encode()) % SLOTS}'
+
+
 def _without_regions(view: MemberView) -> MemberView:
     """Return the view as if all were in one region.
 
--- a/savorychute/limits/share_holding.py
+++ b/savorychute/limits/share_holding.py
@@ -57,6 +57,14 @@
         """
         return self._floor if now_ms < self._floor_ends_ms else 0
 
+    def owes(self, in_use: int, now_ms: int) -> bool:
+        """Return whether units that were taken back have come free since.
+
+        :param in_use: requests in progress.
+        :param now_ms: the time.
+        """
+        return in_use < self.reported_in_use > self.units(now_ms)
+
     def apply(
         self, home_epoch: int, grant: ShareGrant, expires_ms: int, floor_ends_ms: int
     ) -> None:
--- a/savorychute/limits/share_home.py
+++ b/savorychute/limits/share_home.py
@@ -68,6 +68,18 @@
         self._known = held
         self.note_loss(last_loss_ms)
 
+    @property
+    def is_used(self) -> bool:
+        """Whether any other instance holds or wants something."""
+        return bool(self._records)
+
+    def knows(self, instance: str) -> bool:
+        """Return whether what a member may use is in the books.
+
+        :param instance: a member.
+        """
+        return instance in self._records or instance in self._silent_until
+
     def expect(self, members: Iterable[str], now_ms: int) -> None:
         """Note members that may hold shares this home does not know of.
 
@@ -83,6 +95,15 @@
                 until_ms = now_ms + self.settings.unknown_ms
                 self._silent_until[instance] = until_ms
 
+    def follow_members(self, alive: frozenset[str], now_ms: int) -> None:
+        """Note members that were lost before they reported.
+
+        :param alive: who is there.
+        :param now_ms: the time.
+        """
+        if self._silent_until.keys() - alive:
+            self.note_loss(now_ms)
+
     def note_loss(self, last_loss_ms: int) -> None:
         """Note that a lost member may hold a floor.
 
@@ -112,12 +133,13 @@
         elif message.number <= record.number:
             return False
         before = record.committed(now_ms)
+        is_less = report.wanted < record.wanted and self._is_short(now_ms)
         is_more = report.wanted > max(record.wanted, record.last_units())
         record.take_report(message.number, report, self.settings, now_ms)
         if self._silent_until.pop(instance, None) is not None:
             self._known += record.committed(now_ms) - before
         has_freed = record.committed(now_ms) < before and self._is_short(now_ms)
-        self._is_urgent = self._is_urgent or is_more or has_freed
+        self._is_urgent = self._is_urgent or is_more or is_less or has_freed
         return True
 
     def set_own(self, in_use: int, wanted: int, *, wants_spare: bool) -> None:
--- a/tests/test_limits/conftest.py
+++ b/tests/test_limits/conftest.py
@@ -12,7 +12,7 @@
 def make_rig():
     """Return a function that builds a rig whose instances know each other."""
 
-    def make(names='abcdefgh', *, greed=0, settle_ms=10_000, limits=None):
+    def make(names='abcdefgh', *, greed=0, settle_ms=20_000, limits=None):
         rig = LimiterRig(LimitSettings(), limits or build_limits())
         rig.hold_ms = 400
         for name in names:
--- a/tests/test_limits/test_limiter.py
+++ b/tests/test_limits/test_limiter.py
@@ -32,13 +32,27 @@
 
 def test_instances_in_use_share_the_whole_contract(make_rig):
     rig = make_rig()
-    for name in 'abc':
+    users = [name for name in rig.limiters if name != rig.home()][:3]
+    for name in users:
         rig.greed[name] = EVERYTHING
 
-    rig.run(300, lambda: assert_within_contract(rig))
+    rig.run(600, lambda: assert_within_contract(rig))
 
     assert rig.in_use() == CONCURRENT
-    assert min(rig.units(name) for name in 'abc') >= 12
+    assert min(rig.units(name) for name in users) >= 12
+
+
+def test_home_in_use_gives_up_what_is_due_to_others(make_rig):
+    rig = make_rig()
+    home = rig.home()
+    users = [home, *(name for name in rig.limiters if name != home)][:3]
+    for name in users:
+        rig.greed[name] = EVERYTHING
+
+    rig.run(600, lambda: assert_within_contract(rig))
+
+    assert rig.in_use() >= CONCURRENT - 1
+    assert min(rig.units(name) for name in users) >= 12
 
 
 def test_share_follows_the_demand(make_rig):
