--- a/savorychute/configuration/settings.py
+++ b/savorychute/configuration/settings.py
@@ -17,6 +17,8 @@
     :param confirm_timeout_ms: how long an operator waits for the read-back.
     :param log_down_ms: how long after a failure the log counts as down.
     :param notice_interval_ms: how often a member tells another its offset.
+    :param news_notice_interval_ms: how often it does so while there is news.
+    :param news_ms: for how long a change counts as news.
     :param pull_timeout_ms: when a pull counts as lost.
     :param push_fanout: how many members are told of news at once.
     :param push_bytes: how much news is pushed rather than announced.
@@ -44,6 +46,8 @@
     confirm_timeout_ms: int = 5_000
     log_down_ms: int = 5_000
     notice_interval_ms: int = 2_000
+    news_notice_interval_ms: int = 1_000
+    news_ms: int = 4_000
     pull_timeout_ms: int = 500
     push_fanout: int = 4
     push_bytes: int = 16_384
--- a/savorychute/configuration/spreader.py
+++ b/savorychute/configuration/spreader.py
@@ -21,6 +21,7 @@
     from savorychute.membership.member_view import MemberView
 
 MAX_PUSHED_RECORDS = 8
+NEWS_NOTICES = 2
 
 
 class Spreader:
@@ -52,6 +53,7 @@
         self.divergences = 0
         self._started_ms: int | None = None
         self._notice_due_ms = 0
+        self._news_until_ms = 0
         self._pushed_offset = store.offset
         self._asked: str | None = None
         self._asked_ms = 0
@@ -103,6 +105,8 @@
             self._pushed_offset, self._settings.push_bytes
         )
         self._pushed_offset = offset
+        self._news_until_ms = now_ms + self._settings.news_ms
+        self._hurry_notice(now_ms)
         peers = choose_peers(view, self._settings.push_fanout, self._rng)
         is_whole = bool(records) and records[-1].offset == offset
         if is_whole and len(records) <= MAX_PUSHED_RECORDS:
@@ -157,16 +161,32 @@
     ) -> list[SendPeer]:
         if self._started_ms is None:
             self._started_ms = self._notice_due_ms = now_ms
-        is_joining = now_ms - self._started_ms < self._settings.join_wait_ms
-        interval_ms = self._settings.notice_interval_ms
-        if is_joining and not ready:
-            interval_ms = self._settings.join_notice_interval_ms
         if now_ms < self._notice_due_ms:
             return []
+        interval_ms, count = self._pace(ready, now_ms)
         self._notice_due_ms = now_ms + round(
             interval_ms * self._rng.uniform(0.75, 1.25)
         )
-        count = 1 if ready else self._settings.push_fanout
         peers = choose_peers(view, count, self._rng)
         notice = self.notice(ready, now_ms)
         return [send_to(peer, notice) for peer in peers]
+
+    def _hurry_notice(self, now_ms: int) -> None:
+        interval_ms = self._settings.news_notice_interval_ms
+        latest_ms = now_ms + round(interval_ms * self._rng.uniform(0.75, 1.25))
+        self._notice_due_ms = min(self._notice_due_ms, latest_ms)
+
+    def _pace(self, ready: bool, now_ms: int) -> tuple[int, int]:
+        """Return the time to the next notices, and how many to send.
+
+        The pushes of a change miss about one member in fifty when a tenth of
+        all messages is lost.  Until the change is old, everybody asks around
+        more often, so that none of those waits long.
+        """
+        settings = self._settings
+        started_ms = self._started_ms or 0
+        if not ready and now_ms - started_ms < settings.join_wait_ms:
+            return settings.join_notice_interval_ms, settings.push_fanout
+        if now_ms < self._news_until_ms:
+            return settings.news_notice_interval_ms, NEWS_NOTICES
+        return settings.notice_interval_ms, 1
