Send grants before a lost holder is forgotten

Cause: a home divided, chose a dead holder for a new grant and forgot it in the same tick; the look-up raised and the rest of the tick was lost. Seen on sockets when an instance was replaced under load. Change: holders are forgotten after the grants are sent.

--- a/savorychute/credits/home_desk.py
+++ b/savorychute/credits/home_desk.py
@@ -86,13 +86,18 @@
         :param now_ms: the time.
         """
         pushes: dict[str, list[GroupHome]] = {}
+        divided: list[GroupHome] = []
         present = frozenset(member.instance for member in view.alive) | view.leaving
         for key, home in self._homes.items():
             region = self._book.holdings[key].group.region
             home.scale = self._members.share_alive(region, now_ms)
             if self._divide(home, now_ms, pushes, urgent=False):
-                home.drop_lost(present, now_ms)
-        return self._push(pushes, view, now_ms)
+                divided.append(home)
+        actions = self._push(pushes, view, now_ms)
+        # Only now: a holder that is forgotten may be among those to be sent to.
+        for home in divided:
+            home.drop_lost(present, now_ms)
+        return actions
 
     def receive_report(
         self, sender: str, message: CreditReport, view: MemberView, now_ms: int
