--- a/savorychute/wire/messages.capnp
+++ b/savorychute/wire/messages.capnp
@@ -30,6 +30,7 @@
   origin @1 :MemberUpdate;
   configurationOffset @2 :Int64;
   updates @3 :List(MemberUpdate);
+  load @4 :Int64;
 }
 
 struct Ack {  # tag 11
@@ -37,6 +38,7 @@
   origin @1 :MemberUpdate;
   configurationOffset @2 :Int64;
   updates @3 :List(MemberUpdate);
+  load @4 :Int64;
 }
 
 struct PingRequest {  # tag 12
