--- a/savorychute/limits/electorate.py
+++ b/savorychute/limits/electorate.py
@@ -12,6 +12,9 @@
 
 NEVER_MS = -1
 
+#: After how many detection times all must have seen a member.
+SETTLE_DETECTIONS = 2
+
 
 class Electorate:
     """Decides whether this side of a possible cut may grant.
@@ -26,7 +29,7 @@
     A new member is *pending* until all must have seen it: some may count it
     already and others not know it yet.
 
-    A new instance takes those that it sees first for the voters, and may be
+    A new instance takes all that it sees at first for voters, and may be
     wrong.  Therefore every member that lacks a majority *vetoes* grants in its
     reports, and a veto outlives its origin.
 
@@ -46,6 +49,7 @@
         self._left: dict[str, int] = {}
         self._vetoes: dict[str, int] = {}
         self._majority_since_ms = NEVER_MS
+        self._started_ms = 0
         self._seen: object = None
 
     def set_view(self, view: MemberView, now_ms: int) -> frozenset[str]:
@@ -81,10 +85,16 @@
                 self._voters.discard(instance)
                 self._pending.pop(instance, None)
         if is_first:
-            self._voters = set(members - {view.own.instance}) or set(alive)
+            self._started_ms = now_ms
+        if now_ms - self._started_ms < self._settle_ms:
+            self._voters |= fresh
         self._pending.update((i, now_ms) for i in fresh - self._voters)
         return fresh
 
+    @property
+    def _settle_ms(self) -> int:
+        return SETTLE_DETECTIONS * self.settings.detection_ms
+
     def take_vetoes(self, sender: str, vetoers: Iterable[str], now_ms: int) -> None:
         """Take in the vetoes of a report.
 
@@ -184,7 +194,7 @@
     def _admit_settled(self, now_ms: int) -> None:
         """Make voters of those that all others must have seen by now."""
         for instance, since_ms in list(self._pending.items()):
-            is_settled = now_ms - since_ms >= 2 * self.settings.detection_ms
+            is_settled = now_ms - since_ms >= self._settle_ms
             if is_settled and instance in self.alive:
                 del self._pending[instance]
                 self._voters.add(instance)
