Find replaced members sooner, ask before a death, pass over busy instances

Cause: members that were new to a round of probes waited for the next one; a missed refutation killed living members; discovery knew no loads.

--- a/savorychute/membership/membership.py
+++ b/savorychute/membership/membership.py
@@ -52,6 +52,8 @@
         self._own = MemberUpdate(address)
         self._configuration_offset = -1
         self._peer_offsets: dict[str, int] = {}
+        self._load = 0
+        self._peer_loads: dict[str, int] = {}
         self._table = MemberTable(settings)
         self._queue = UpdateQueue(settings)
         self._prober = Prober(settings, self._table, rng)
@@ -74,17 +76,27 @@
             self._view_key = key
         return self._view
 
-    def advertise(self, configuration_offset: int) -> None:
-        """Tell the others, on each probe, how far this instance has read.
+    def advertise(self, configuration_offset: int, load: int = 0) -> None:
+        """Tell the others, on each probe, how far and how busy this instance is.
 
         :param configuration_offset: the log offset that was read last.
+        :param load: requests in progress, or any other unit that all use.
         """
         self._configuration_offset = configuration_offset
+        self._load = load
 
     def peer_offsets(self) -> dict[str, int]:
         """Return the offsets that members advertised last."""
         return self._peer_offsets
 
+    def peer_loads(self) -> dict[str, int]:
+        """Return the loads that members of the region advertised, and the own.
+
+        They are as old as the last probe between the two: in the mean half as
+        many seconds as the region has members.
+        """
+        return {**self._peer_loads, self._own.address.instance: self._load}
+
     def take_changes(self) -> list[MemberChange]:
         """Return the changes since the last call, for the audit trail."""
         changes = list(self._table.changes)
@@ -243,6 +255,7 @@
                 self._queue.add(update, now_ms)
             if update.state == MemberState.DEAD:
                 self._peer_offsets.pop(instance, None)
+                self._peer_loads.pop(instance, None)
 
     def _refute(self, update: MemberUpdate, now_ms: int) -> None:
         """Contradict a suspicion or a death of this incarnation."""
@@ -255,14 +268,16 @@
         self._queue.add(self._own, now_ms)
 
     def _answer_ping(self, ping: Ping, now_ms: int) -> list[Action]:
-        self._note_offset(ping.origin.address.instance, ping.configuration_offset)
+        self._note_peer(ping)
         self._apply(ping.updates, 'gossip', now_ms)
         updates = self._updates_for(ping.origin, now_ms)
-        ack = Ack(ping.sequence, self._own, self._configuration_offset, updates)
+        ack = Ack(
+            ping.sequence, self._own, self._configuration_offset, updates, self._load
+        )
         return [send_to(ping.origin.address, ack)]
 
     def _take_ack(self, ack: Ack, now_ms: int) -> list[Action]:
-        self._note_offset(ack.origin.address.instance, ack.configuration_offset)
+        self._note_peer(ack)
         self._apply(ack.updates, 'gossip', now_ms)
         return self._prober.take_ack(ack)
 
@@ -278,7 +293,14 @@
 
     def _ping_of(self, sequence: int, target: MemberAddress, now_ms: int) -> Ping:
         updates = self._updates_for(MemberUpdate(target), now_ms)
-        return Ping(sequence, self._own, self._configuration_offset, updates)
+        return Ping(
+            sequence, self._own, self._configuration_offset, updates, self._load
+        )
+
+    def _note_peer(self, message: Ping | Ack) -> None:
+        instance = message.origin.address.instance
+        self._note_offset(instance, message.configuration_offset)
+        self._peer_loads[instance] = message.load
 
     def _note_offset(self, instance: str, configuration_offset: int) -> None:
         self._peer_offsets[instance] = configuration_offset
--- a/savorychute/membership/ping.py
+++ b/savorychute/membership/ping.py
@@ -10,9 +10,13 @@
 
 @peer_message(10)
 class Ping(NamedTuple):
-    """Ask for an :class:`Ack` with the same sequence number."""
+    """Ask for an :class:`Ack` with the same sequence number.
+
+    ``load`` is how busy the sender is, in the unit of the host's choice.
+    """
 
     sequence: int
     origin: MemberUpdate
     configuration_offset: int
     updates: tuple[MemberUpdate, ...] = ()
+    load: int = 0
--- a/savorychute/membership/prober.py
+++ b/savorychute/membership/prober.py
@@ -59,10 +59,13 @@
         self._rng = rng
         self._sequence = UNTRACKED_SEQUENCE
         self._round: list[str] = []
+        self._scheduled: set[str] = set()
+        self._seen_version = -1
         self._probe: Probe | None = None
         self._relays: dict[int, Relay] = {}
         self._next_probe_ms = 0
         self._verdicts: list[MemberUpdate] = []
+        self._challenged: dict[str, MemberUpdate] = {}
 
     def tick(
         self, own: MemberAddress, make_ping: MakePing, now_ms: int
@@ -79,6 +82,7 @@
             actions.extend(self._start_probe(own, make_ping, now_ms))
         elif self._is_overdue(now_ms):
             actions.extend(self._ask_others(own, make_ping, now_ms))
+        actions.extend(self._challenge_suspects(make_ping, now_ms))
         self._expire_relays(now_ms)
         return actions
 
@@ -164,19 +168,55 @@
         return [self._ping(target, make_ping, now_ms)]
 
     def _next_target(self, own: MemberAddress) -> MemberAddress | None:
+        self._schedule_new(own)
         for _ in range(2):
             while self._round:
                 record = self._table.get(self._round.pop())
                 if record is not None and record.state != MemberState.DEAD:
                     return record.update.address
-            self._round = [
-                record.update.address.instance
-                for record in self._table.in_region(own.region)
-                if record.state != MemberState.DEAD
-            ]
-            self._rng.shuffle(self._round)
+            self._scheduled.clear()
+            self._seen_version = -1
+            self._schedule_new(own)
         return None
 
+    def _schedule_new(self, own: MemberAddress) -> None:
+        """Put members that are new into the current round, at random places.
+
+        Waiting for the next round would leave members that were replaced all
+        at once unprobed for as many seconds as there are members.
+        """
+        if self._seen_version == self._table.version:
+            return
+        self._seen_version = self._table.version
+        for record in self._table.in_region(own.region):
+            instance = record.update.address.instance
+            if record.state != MemberState.DEAD and instance not in self._scheduled:
+                self._scheduled.add(instance)
+                self._round.insert(self._rng.randint(0, len(self._round)), instance)
+
+    def _challenge_suspects(self, make_ping: MakePing, now_ms: int) -> list[Action]:
+        """Ping each suspect once more before its time to refute is over.
+
+        The failure: a member misses the refutation by lost messages and
+        declares a living member dead.  The ping carries the suspicion, so the
+        answer carries the refutation.
+        """
+        suspects = self._table.in_state(MemberState.SUSPECT)
+        limit_ms = now_ms - self._settings.suspicion_ms + self._settings.challenge_ms
+        actions: list[Action] = []
+        challenged = {}
+        for record in suspects:
+            instance = record.update.address.instance
+            if record.since_ms > limit_ms:
+                continue
+            challenged[instance] = record.update
+            if self._challenged.get(instance) != record.update:
+                target = record.update.address
+                ping = make_ping(UNTRACKED_SEQUENCE, target, now_ms)
+                actions.append(SendPeer(instance, target.host, target.peer_port, ping))
+        self._challenged = challenged
+        return actions
+
     def _is_overdue(self, now_ms: int) -> bool:
         probe = self._probe
         if probe is None or probe.indirect:
--- a/savorychute/membership/settings.py
+++ b/savorychute/membership/settings.py
@@ -10,7 +10,8 @@
 
     ``probe_period_ms`` is the time between two probes, ``probe_timeout_ms``
     the wait for a direct answer before others are asked to probe.
-    ``suspicion_ms`` is the time to refute a suspicion.  ``pause_ms`` is the
+    ``suspicion_ms`` is the time to refute a suspicion; ``challenge_ms`` before
+    its end each member pings the suspect once more.  ``pause_ms`` is the
     gap between two ticks from which on the instance takes itself to have been
     paused.  ``updates_per_s`` and ``updates_burst`` bound what gossip sends.
     """
@@ -18,7 +19,8 @@
     probe_period_ms: int = 1_000
     probe_timeout_ms: int = 300
     indirect_probes: int = 3
-    suspicion_ms: int = 4_000
+    suspicion_ms: int = 3_000
+    challenge_ms: int = 1_200
     pause_ms: int = 700
     gossip_period_ms: int = 250
     gossip_fanout: int = 2
--- a/tests/test_membership/test_membership_faults.py
+++ b/tests/test_membership/test_membership_faults.py
@@ -1,8 +1,19 @@
 from __future__ import annotations
 
+from random import Random
+
 from benches.capacity_roles.member_mesh import make_address, no_cut
-from savorychute.membership import MemberState, MemberUpdate
+from savorychute.actions import SendPeer
+from savorychute.inputs import ListingFetched
+from savorychute.membership import (
+    Membership,
+    MembershipSettings,
+    MemberState,
+    MemberUpdate,
+)
+from savorychute.membership.ack import Ack
 from savorychute.membership.gossip import Gossip
+from savorychute.membership.ping import Ping
 
 
 def everyone_agrees(mesh, instance, alive):
@@ -166,3 +177,38 @@
     mesh.members['entry-0002'].advertise(41)
     mesh.run(10_000)
     assert mesh.members['entry-0001'].peer_offsets()['entry-0002'] == 41
+
+
+def test_loads_travel_on_probes(start_mesh):
+    mesh = start_mesh(4)
+    mesh.members['entry-0002'].advertise(1, load=17)
+    mesh.run(10_000)
+    assert mesh.members['entry-0001'].peer_loads()['entry-0002'] == 17
+
+
+def test_missed_refutation_is_asked_for_before_a_death():
+    """A member is suspected, refutes, and one other misses the refutation.
+
+    Every message of gossip to that other is lost.  Its own last ping to the
+    suspect must bring the refutation before it declares a living member dead.
+    """
+    settings = MembershipSettings(probe_period_ms=60_000, gossip_period_ms=600_000)
+    own, address = make_address(0), make_address(4)
+    member = Membership(settings, own, Random(1))
+    member.tick(0)
+    member.apply_listing(ListingFetched(True, (own, address)), 0)
+    suspicion = MemberUpdate(address, 0, int(MemberState.SUSPECT))
+    member.receive('entry-0002', Gossip((suspicion,)), 100)
+    asked = [
+        action.message
+        for now_ms in range(150, settings.suspicion_ms, 50)
+        for action in member.tick(now_ms)
+        if isinstance(action, SendPeer) and isinstance(action.message, Ping)
+    ]
+    assert len(asked) == 1
+    assert suspicion in asked[0].updates
+    ack = Ack(asked[0].sequence, MemberUpdate(address, 1), -1)
+    member.receive('entry-0004', ack, settings.suspicion_ms)
+    member.tick(settings.suspicion_ms + 200)
+    assert member.view().is_alive('entry-0004')
+    assert not member.view().suspects
--- a/tests/test_membership/test_rendezvous.py
+++ b/tests/test_membership/test_rendezvous.py
@@ -67,3 +67,24 @@
         assert {a.instance for a in answer.addresses} == seats
     assert 'entry-0002' not in seats
     assert len({answer.lifetime_ms for answer in answers}) > 10
+
+
+def test_busy_instance_is_passed_over_in_proportion():
+    """Two large customers share one instance, and its queue grows.
+
+    Their callers ask again and must be sent elsewhere as often as brings the
+    instance back to the mean, neither never nor always.
+    """
+    alive = tuple(make_address(number) for number in range(30))
+    view = MemberView(alive[0], alive)
+    settings = DiscoverySettings(far_seats=0)
+    home = choose_homes('customer-1', alive, 1)[0].instance
+    loads = {address.instance: 10 for address in alive}
+    loads[home] = 40
+    answers = [
+        answer_discovery('customer-1', view, settings, Random(seed), 3, loads)
+        for seed in range(400)
+    ]
+    named = sum(home in {a.instance for a in each.addresses} for each in answers)
+    assert 60 <= named <= 160
+    assert all(len(each.addresses) == 3 for each in answers)
