--- a/tests/test_configuration/test_keeper.py
+++ b/tests/test_configuration/test_keeper.py
@@ -82,3 +82,65 @@
     rig.wait(7_000)
     assert rig.keepers['d'].ready
     assert rig.keepers['d'].state.digest == rig.keepers['a'].state.digest
+
+
+def propose_again(rig, name, record_id, item='contract:m'):
+    command_id = f'again-{name}-{rig.now_ms}'
+    actions = rig.keepers[name].propose(
+        command_id, 'asha', item, 0, make_contract('m'), 'x', rig.now_ms, record_id
+    )
+    rig.perform(name, actions)
+    return command_id
+
+
+def test_change_proposed_again_by_its_record_id_has_one_effect(rig):
+    """The reply is lost and the append is stuck on the way for ten seconds.
+
+    The operator is told 'unconfirmed', proposes again at another instance with
+    the record id, and gets an answer; then the first append arrives as well.
+    """
+    rig.late_append_ms = 10_000
+    first = rig.propose('a', 'contract:m', 0, make_contract('m'))
+    rig.wait(6_000)
+    answer = msgspec.json.decode(rig.replies[first].document)
+    assert rig.replies[first].code is ResultCode.CHANGE_UNCONFIRMED
+    rig.late_append_ms = 0
+    second = propose_again(rig, 'b', answer['record_id'])
+    rig.wait(2_000)
+    assert rig.replies[second].code is ResultCode.OK
+    rig.wait(10_000)
+    third = propose_again(rig, 'c', answer['record_id'])
+    assert rig.replies[third].code is ResultCode.OK
+    assert rig.log.appends == 2
+    keeper = rig.keepers['a']
+    assert [each.version for each in keeper.history('contract:m')] == [1]
+    assert keeper.status(rig.now_ms).repeated_records == 1
+
+
+def test_record_id_of_another_change_is_refused(rig):
+    first = rig.propose('a', 'contract:m', 0, make_contract('m'))
+    rig.wait(3_000)
+    record_id = msgspec.json.decode(rig.replies[first].document)['record_id']
+    second = propose_again(rig, 'a', record_id, item='contract:n')
+    assert rig.replies[second].code is ResultCode.INVALID_CHANGE
+
+
+def test_two_commands_may_wait_for_one_record(rig):
+    first = propose_again(rig, 'a', 'r-1')
+    rig.now_ms += 1
+    second = propose_again(rig, 'a', 'r-1')
+    rig.wait(3_000)
+    assert rig.replies[first].code is ResultCode.OK
+    assert rig.replies[second].code is ResultCode.OK
+    assert rig.log.appends == 1
+
+
+def test_rejected_change_stays_visible_with_its_reason(rig):
+    rig.propose('a', 'contract:m', 0, make_contract('m', 0.7))
+    rig.wait(3_000)
+    rig.propose('b', 'contract:n', 0, make_contract('n', 0.7))
+    rig.wait(3_000)
+    for keeper in rig.keepers.values():
+        (verdict,) = keeper.rejected()
+        assert verdict.item == 'contract:n'
+        assert 'above 1' in verdict.message
--- a/tests/test_leases/test_lease_faults.py
+++ b/tests/test_leases/test_lease_faults.py
@@ -26,6 +26,7 @@
     stop_margin_ms=0, order_flight_ms=0, poll_interval_ms=500, claim_backoff_ms=0
 )
 MAX_ORDER_FLIGHT_MS = 20_000
+RETENTION_MS = 40_000
 LEASE = 'placement'
 
 
@@ -63,6 +64,7 @@
             for number, rate in enumerate(rates)
         ]
         self.log = FakeLog()
+        self.appended_ms = []
         self.loss_share = 0.0
         self.max_delay_ms = 50
         self.now_ms = 0
@@ -93,12 +95,29 @@
         assert len(holders) <= 1, [each.name for each in holders]
         self.holders.update(each.name for each in holders)
 
+    def expire(self):
+        """Let the log drop what is older than its retention."""
+        oldest_ms = self.now_ms - RETENTION_MS
+        count = sum(at_ms < oldest_ms for at_ms in self.appended_ms)
+        if count:
+            self.log.expire('leases', count)
+
+    def replace(self, number):
+        """Start an instance anew under the same name."""
+        old = self.candidates[number]
+        self.count += 1
+        fresh = Candidate(old.name, old.rate, 1_000 + self.count)
+        self.candidates[number] = fresh
+        self.start(fresh)
+
     def start(self, candidate):
         """Begin an instance's ticks."""
         self.after(self.rng.randrange(STEP_MS), lambda: self.tick(candidate))
 
     def tick(self, candidate):
         """Let an instance work, unless it is paused."""
+        if candidate not in self.candidates:
+            return
         if self.now_ms < candidate.paused_until_ms:
             wakes_ms = candidate.paused_until_ms
             self.after(wakes_ms - self.now_ms, lambda: self.tick(candidate))
@@ -136,6 +155,8 @@
 
         def arrive():
             finished = self.log.append(action)
+            if finished.outcome == 'appended':
+                self.appended_ms.append(self.now_ms)
             if self.rng.random() < self.loss_share:
                 finished = AppendFinished(action.append_id, action.stream, 'unknown')
             self.deliver(
@@ -165,10 +186,11 @@
         )
 
 
+FAULT_KINDS = ['pause', 'pause', 'down', 'lossy', 'slow', 'heal', 'expire', 'replace']
 FAULTS = st.lists(
     st.tuples(
         st.integers(0, RUN_MS - 1_000),
-        st.sampled_from(['pause', 'pause', 'down', 'lossy', 'slow', 'heal']),
+        st.sampled_from(FAULT_KINDS),
         st.integers(0, 2),
         st.sampled_from([2_000, 9_000, 14_000, 25_000, 60_000]),
     ),
@@ -180,6 +202,10 @@
 def inject(world, kind, number, duration_ms):
     if kind == 'pause':
         world.candidates[number].paused_until_ms = world.now_ms + duration_ms
+    elif kind == 'expire':
+        world.expire()
+    elif kind == 'replace':
+        world.replace(number)
     elif kind == 'down':
         world.log.is_up = False
     elif kind == 'lossy':
