Ask the witness about keys of a suspected issuer

Cause: a caller was sent to an issuer that was paused and hung there until its deadline; and an instance that claims nothing was due for a tick all the time. Change: the witness is asked first if the issuer is suspected, and only a started key goes on to the issuer; redirects are remembered for 60 s, not 10; next_due_ms leaves out what is not read. Conclusion: a caller is sent to a suspect only where the answer can be.

--- a/savorychute/requests/claim_desk.py
+++ b/savorychute/requests/claim_desk.py
@@ -166,12 +166,14 @@
         self.store.forget_old(self._index.floor_ms or 0, now_ms)
         return results
 
-    def next_due_ms(self) -> int:
-        """Return when :meth:`tick` has something to do."""
-        is_waiting = bool(self._pending)
-        dues = [self._reader.next_due_ms(is_waiting), self._writer.next_due_ms()]
-        dues += [pending.give_up_ms for pending in self._pending.values()]
-        return min(due for due in dues if due is not None)
+    def next_due_ms(self) -> int | None:
+        """Return when :meth:`tick` has something to do, or None."""
+        dues: list[int | None] = [p.give_up_ms for p in self._pending.values()]
+        if self._reader.cursor is not None:
+            dues.append(self._writer.next_due_ms())
+        if self._homes.is_home or self._pending:
+            dues.append(self._reader.next_due_ms(bool(self._pending)))
+        return min((due for due in dues if due is not None), default=None)
 
     def _is_sent_home(self, key: RequestKey, now_ms: int) -> bool:
         """Return whether the key's caller should go to its home first.
--- a/savorychute/requests/key_keeper.py
+++ b/savorychute/requests/key_keeper.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING
 
 from savorychute.actions.send_peer import SendPeer
 from savorychute.errors import RequestError
@@ -42,6 +42,9 @@
     from savorychute.requests.key_settings import KeySettings
     from savorychute.requests.request_key import RequestKey
 
+NEVER_MS = 2**62
+"""Later than any time."""
+
 
 class KeyKeeper:
     """Decides, for each request that carries a key, whether it may run here.
@@ -263,7 +266,7 @@
             self._starts.next_due_ms(),
             self._questions.next_due_ms(),
         ]
-        return min(due for due in dues if due is not None)
+        return min((due for due in dues if due is not None), default=NEVER_MS)
 
     def _admit_own(
         self, request_id: str, key: RequestKey, fingerprint: str, now_ms: int
@@ -293,15 +296,20 @@
 
         A caller that comes back could not reach the issuer, whatever the
         member view says; the witness is asked then, which is safe even while
-        the issuer lives.
+        the issuer lives.  It is asked, too, if the issuer is suspected: a
+        caller sent to a paused instance would hang there.  Only if the key was
+        started is the caller sent to a suspect, which alone has the answer.
         """
         issuer = view.address_of(key.instance)
-        is_gone = issuer is None or issuer.incarnation > key.incarnation
+        if issuer is not None and issuer.incarnation > key.incarnation:
+            issuer = None
         if key.instance == self._address.instance:
-            is_gone = True
-        if not is_gone and not self._redirects.is_repeated(key.text, now_ms):
-            return [KeyElsewhere(request_id, cast('MemberAddress', issuer))]
-        return self._questions.ask(request_id, key, fingerprint, view, now_ms)
+            issuer = None
+        if issuer is not None and self._redirects.is_repeated(key.text, now_ms):
+            issuer = None
+        if issuer is not None and key.instance not in view.suspects:
+            return [KeyElsewhere(request_id, issuer)]
+        return self._questions.ask(request_id, key, fingerprint, view, now_ms, issuer)
 
     def _wall_ms(self, now_ms: int) -> int:
         return now_ms + self._wall_offset_ms
--- a/savorychute/requests/key_settings.py
+++ b/savorychute/requests/key_settings.py
@@ -30,7 +30,7 @@
     notice_timeout_ms: int = 400
     question_interval_ms: int = 100
     question_timeout_ms: int = 1_000
-    redirect_memory_ms: int = 10_000
+    redirect_memory_ms: int = 60_000
     settle_interval_ms: int = 1_000
     max_keys: int = 20_000
     max_notes: int = 40_000
--- a/savorychute/requests/pending_question.py
+++ b/savorychute/requests/pending_question.py
@@ -10,10 +10,14 @@
 
 
 class PendingQuestion(NamedTuple):
-    """The question, who waits for it, when to repeat it and to give up."""
+    """The question, who waits for it, when to repeat it and to give up.
+
+    ``issuer`` is where they are sent if the key was started, unless it is gone.
+    """
 
     question: KeyQuestion
     witness: MemberAddress
+    issuer: MemberAddress | None
     request_ids: tuple[str, ...]
     next_ms: int
     give_up_ms: int
--- a/savorychute/requests/question_desk.py
+++ b/savorychute/requests/question_desk.py
@@ -7,6 +7,7 @@
 from savorychute.actions.send_peer import SendPeer
 from savorychute.ran import Ran
 from savorychute.requests.continuation_handle import ContinuationHandle
+from savorychute.requests.key_elsewhere import KeyElsewhere
 from savorychute.requests.key_question import KeyQuestion
 from savorychute.requests.key_refused import KeyRefused
 from savorychute.requests.pending_question import PendingQuestion
@@ -47,6 +48,7 @@
         fingerprint: str,
         view: MemberView,
         now_ms: int,
+        issuer: MemberAddress | None = None,
     ) -> list[KeyOutcome | Action]:
         """Find out whether *key* was started, and revoke it if it was not.
 
@@ -55,19 +57,21 @@
         :param fingerprint: of the request.
         :param view: the members.
         :param now_ms: the time.
+        :param issuer: where the request is sent if the key was started, or
+            None if that is in vain.
         """
         if key.witness == self._address.instance:
             verdict = self._book.answer(key, fingerprint, now_ms)
-            return [_refuse(request_id, verdict)]
+            return [_tell(request_id, verdict, issuer)]
         pending = self._pending.get((key.text, fingerprint))
         if pending is not None:
             return self._join(request_id, pending)
         witness = view.address_of(key.witness)
         if witness is None or witness.incarnation != key.witness_incarnation:
-            return [_unknown(request_id, 'issuer and witness of the key are gone')]
+            return [_say_unknown(request_id, 'issuer and witness are gone', issuer)]
         if len(self._pending) >= self._settings.max_questions:
             return [_unknown(request_id, 'too many questions to witnesses')]
-        return self._send_first(request_id, key, fingerprint, witness, now_ms)
+        return self._send_first(request_id, key, fingerprint, witness, issuer, now_ms)
 
     def answered(self, sender: str, verdict: KeyVerdict) -> list[KeyOutcome | Action]:
         """Take a witness's verdict.
@@ -80,7 +84,10 @@
         if pending is None or pending.witness.instance != sender:
             return []
         del self._pending[place]
-        return [_refuse(request_id, verdict) for request_id in pending.request_ids]
+        return [
+            _tell(request_id, verdict, pending.issuer)
+            for request_id in pending.request_ids
+        ]
 
     def leave(self, request_id: str) -> None:
         """Stop answering a request.
@@ -103,7 +110,9 @@
             if now_ms >= pending.give_up_ms:
                 del self._pending[place]
                 results += [
-                    _unknown(request_id, 'the witness of the key did not answer')
+                    _say_unknown(
+                        request_id, 'the witness did not answer', pending.issuer
+                    )
                     for request_id in pending.request_ids
                 ]
             elif now_ms >= pending.next_ms:
@@ -135,6 +144,7 @@
         key: RequestKey,
         fingerprint: str,
         witness: MemberAddress,
+        issuer: MemberAddress | None,
         now_ms: int,
     ) -> list[KeyOutcome | Action]:
         question = KeyQuestion(
@@ -143,6 +153,7 @@
         self._pending[key.text, fingerprint] = PendingQuestion(
             question,
             witness,
+            issuer,
             (request_id,),
             now_ms + self._settings.question_interval_ms,
             now_ms + self._settings.question_timeout_ms,
@@ -154,6 +165,24 @@
     return SendPeer(witness.instance, witness.host, witness.peer_port, question)
 
 
+def _tell(
+    request_id: str, verdict: KeyVerdict, issuer: MemberAddress | None
+) -> KeyElsewhere | KeyRefused:
+    """Turn a verdict into an answer; an issuer that may live knows better."""
+    started = (WitnessVerdict.STARTED.value, WitnessVerdict.RAN.value)
+    if issuer is not None and verdict.verdict in started:
+        return KeyElsewhere(request_id, issuer)
+    return _refuse(request_id, verdict)
+
+
+def _say_unknown(
+    request_id: str, message: str, issuer: MemberAddress | None
+) -> KeyElsewhere | KeyRefused:
+    if issuer is not None:
+        return KeyElsewhere(request_id, issuer)
+    return _unknown(request_id, message)
+
+
 def _refuse(request_id: str, verdict: KeyVerdict) -> KeyRefused:
     handle = ''
     if verdict.stream_id:
--- a/tests/test_requests/key_explorer.py
+++ b/tests/test_requests/key_explorer.py
@@ -13,7 +13,7 @@
 CONSTANTS: dict[int, object] = {}
 """Objects that no event changes; states refer to them by number."""
 
-FAULTS = {'lose', 'repeat', 'crash', 'pause', 'unsee', 'submit', 'restart'}
+FAULTS = {'lose', 'repeat', 'crash', 'pause', 'unsee', 'submit', 'restart', 'suspect'}
 
 
 class Exploration(NamedTuple):
--- a/tests/test_requests/key_scene.py
+++ b/tests/test_requests/key_scene.py
@@ -29,6 +29,7 @@
         self.mail = []
         self.keepers = {}
         self.addresses = {}
+        self.suspects = frozenset()
         for instance in 'abc':
             self.start(instance, 1)
 
@@ -47,7 +48,7 @@
     def view(self, own: str) -> MemberView:
         """Return the members as the scene knows them."""
         alive = tuple(sorted(self.addresses.values()))
-        return MemberView(self.addresses[own], alive)
+        return MemberView(self.addresses[own], alive, self.suspects)
 
     def issue(self, instance: str) -> str:
         """Issue a key at an instance."""
--- a/tests/test_requests/key_world.py
+++ b/tests/test_requests/key_world.py
@@ -74,6 +74,7 @@
     repeats: int = 0
     refusals: int = 0
     restarts: int = 0
+    suspicions: int = 0
     submissions: int = 1
     jumps: int = 0
 
@@ -118,6 +119,7 @@
             keeper._claims = NO_CLAIMS
         self.unseen: set[tuple[str, str]] = set()
         self.paused: set[str] = set()
+        self.suspects: frozenset[str] = frozenset()
         self.unticked: set[str] = set()
         self.mail: list[Submission | Peer | Reply] = []
         self.to_send: list[Attempt] = []
@@ -144,7 +146,8 @@
             for name, address in self.stale_addresses.items()
             if (own, name) not in self.unseen
         )
-        return MemberView(self.addresses[own], alive)
+        suspects = self.suspects if own != ISSUER else frozenset()
+        return MemberView(self.addresses[own], alive, suspects)
 
     def events(self) -> list[Event]:
         """Return what may happen next."""
@@ -181,6 +184,8 @@
         if self.budget.pauses:
             free = sorted(self.keepers.keys() - self.paused)
             events += [Event('pause', name) for name in free]
+        if self.budget.suspicions:
+            events.append(Event('suspect'))
         if (self.other, ISSUER) not in self.unseen:
             events.append(Event('unsee'))
         if self.budget.submissions and self.other in self.keepers:
@@ -231,6 +236,11 @@
         """Let the other instance take the issuer for dead."""
         self.unseen.add((self.other, ISSUER))
 
+    def on_suspect(self, _target: str) -> None:
+        """Let the others suspect the issuer, rightly or not."""
+        self.spend(suspicions=1)
+        self.suspects = frozenset({ISSUER})
+
     def on_deliver(self, index: int) -> None:
         """Let an instance take what has arrived."""
         item = self.mail.pop(index)
--- a/tests/test_requests/test_claims.py
+++ b/tests/test_requests/test_claims.py
@@ -10,6 +10,7 @@
 from savorychute.requests.claim_batch import ClaimBatch
 from savorychute.requests.claim_index import ClaimIndex
 from savorychute.requests.claim_owner import ClaimOwner
+from savorychute.requests.key_keeper import NEVER_MS
 from savorychute.result_code import ResultCode
 
 
@@ -258,3 +259,12 @@
     claims.wait(other, 1)
     assert claims.admit(other, 'r9', key) == []
     assert claims.land() == [KeyMayRun('r9')]
+
+
+def test_instance_that_claims_nothing_is_not_woken_for_claims():
+    claims = ClaimScene(KeySettings(claim_homes=1))
+    for instance in 'abc':
+        claims.wait(instance, 1)
+    dues = [claims.keepers[instance].next_due_ms() for instance in 'abc']
+    assert all(due > claims.now_ms for due in dues)
+    assert dues.count(NEVER_MS) == 2
--- a/tests/test_requests/test_issued_keys.py
+++ b/tests/test_requests/test_issued_keys.py
@@ -166,3 +166,24 @@
     scene.keepers['a'].finish('r1', 200, 'text/plain', None, scene.now_ms)
     (refused,) = scene.admit('a', 'r2', key)
     assert (refused.code, refused.ran) == (ResultCode.OUTCOME_FORGOTTEN, Ran.RAN)
+
+
+@pytest.mark.parametrize('is_started', [False, True])
+def test_key_of_a_suspect_is_asked_of_its_witness(scene, is_started):
+    """A caller hangs until its deadline.
+
+    Its issuer is paused and suspected; another instance sends the caller to it
+    although nothing was started there.
+    """
+    key = scene.issue('a')
+    scene.admit('a', 'r1', key)
+    if is_started:
+        scene.announce('a', 'r1')
+        scene.deliver()
+    scene.suspects = frozenset({'a'})
+    assert scene.admit(third_of(key), 'r2', key) == []
+    (outcome,) = scene.deliver()
+    if is_started:
+        assert outcome == KeyElsewhere('r2', scene.addresses['a'])
+    else:
+        assert (outcome.code, outcome.ran) == (ResultCode.KEY_REVOKED, Ran.NOT_RUN)
--- a/tests/test_requests/test_key_explorer.py
+++ b/tests/test_requests/test_key_explorer.py
@@ -22,6 +22,7 @@
     ('abc', Budget(crashes=1)),
     ('abc', Budget(pauses=1)),
     ('abc', Budget(losses=1)),
+    ('abc', Budget(suspicions=1)),
 ]
 
 WIDE_SCENES = [
@@ -30,6 +31,7 @@
     ('ab', Budget(crashes=1, restarts=1, jumps=1)),
     ('ab', Budget(crashes=1, refusals=1, submissions=2)),
     ('abc', Budget(crashes=1, jumps=2)),
+    ('abc', Budget(suspicions=1, submissions=2)),
     ('abc', Budget(pauses=1, losses=1)),
 ]
 """Scenes too large for every run; ``python explore_wide.py`` tries them."""
