Give the witness side of keys a module of its own

Change: messages to the witness are handled in witness_desk; nothing else. Conclusion: no change of behaviour.

--- a/savorychute/requests/key_keeper.py
+++ b/savorychute/requests/key_keeper.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from savorychute.actions.send_peer import SendPeer
 from savorychute.errors import RequestError
 from savorychute.membership.member_view import MemberView
 from savorychute.ran import Ran
@@ -28,6 +27,7 @@
 from savorychute.requests.start_notice import StartNotice
 from savorychute.requests.stored_outcome import StoredOutcome
 from savorychute.requests.witness_book import WitnessBook
+from savorychute.requests.witness_desk import WitnessDesk
 from savorychute.result_code import ResultCode
 
 if TYPE_CHECKING:
@@ -66,6 +66,7 @@
         self.issuer = KeyIssuer(address, rng)
         self._store = KeyStore(settings)
         self._book = WitnessBook(settings, address)
+        self._witness = WitnessDesk(self._book)
         self._settled = SettleQueue(settings)
         self._starts = StartDesk(
             settings, address, self.issuer, self._store, self._settled
@@ -210,15 +211,15 @@
         """
         self._view = view
         if isinstance(message, StartNotice):
-            return self._note_start(sender, message, now_ms)
+            return list(self._witness.note_start(sender, message, now_ms))
         if isinstance(message, StartAnswer):
             return self._starts.answered(sender, message, now_ms)
         if isinstance(message, KeyQuestion):
-            return self._answer_question(sender, message, now_ms)
+            return list(self._witness.answer_question(sender, message, now_ms))
         if isinstance(message, KeyVerdict):
             return self._questions.answered(sender, message)
         if isinstance(message, KeysSettled):
-            self._note_settled(sender, message, now_ms)
+            self._witness.note_settled(sender, message, now_ms)
         return []
 
     def append_finished(
@@ -344,41 +345,3 @@
             self._settled.add(record.key, ran=phase is KeyPhase.RAN)
         self._starts.drop(request_id)
         return list(self._store.settle(record, phase, code, now_ms, outcome))
-
-    def _note_start(
-        self, sender: str, notice: StartNotice, now_ms: int
-    ) -> list[KeyOutcome | Action]:
-        key = _parse_issued(notice.key)
-        if key is None or key.instance != sender:
-            return []
-        answer = self._book.note_start(key, notice, now_ms)
-        return [SendPeer(sender, notice.host, notice.peer_port, answer)]
-
-    def _answer_question(
-        self, sender: str, question: KeyQuestion, now_ms: int
-    ) -> list[KeyOutcome | Action]:
-        key = _parse_issued(question.key)
-        if key is None:
-            return []
-        verdict = self._book.answer(key, question.fingerprint, now_ms)
-        return [SendPeer(sender, question.host, question.peer_port, verdict)]
-
-    def _note_settled(self, sender: str, news: KeysSettled, now_ms: int) -> None:
-        for text in news.ran:
-            self._settle_noted(sender, text, True, now_ms)
-        for text in news.not_run:
-            self._settle_noted(sender, text, False, now_ms)
-
-    def _settle_noted(self, sender: str, text: str, ran: bool, now_ms: int) -> None:
-        key = _parse_issued(text)
-        if key is not None and key.instance == sender:
-            self._book.settle(key, ran, now_ms)
-
-
-def _parse_issued(text: str) -> RequestKey | None:
-    """Return the issued key in a peer message, or None if it is no such."""
-    try:
-        key = parse_key(text)
-    except RequestError:
-        return None
-    return key if key.issued else None
