Spend less on the offsets that come with pings; name a change's proposer

Cause: each tick looked through the offsets of all members, and a host under load ticks up to every millisecond.

Change: offsets are looked through every 100 ms at most and only if one is ahead; a tick within 20 ms of the last returns at once. A change names the instance that proposed it, which alone writes it to the audit stream. The order desk tells how many orders of a lease are open, so that a lease is released only when there are none.

--- a/savorychute/configuration/applied_change.py
+++ b/savorychute/configuration/applied_change.py
@@ -14,7 +14,9 @@
 
     ``document`` is None if the item was removed.  After a state was adopted
     whole, ``operator``, ``record_id`` and ``why`` are those of the last
-    amendment if it is still remembered, and else empty.
+    amendment if it is still remembered, and else empty.  ``instance`` is the
+    one that proposed the change, empty if the state was adopted whole; it
+    alone writes the change to what must last.
     """
 
     item: str
@@ -25,3 +27,4 @@
     operator: str = ''
     record_id: str = ''
     why: str = ''
+    instance: str = ''
--- a/savorychute/configuration/fold.py
+++ b/savorychute/configuration/fold.py
@@ -229,4 +229,5 @@
         operator=amendment['operator'],
         record_id=amendment['record_id'],
         why=amendment['why'],
+        instance=amendment['instance'][:MAX_ID_CHARACTERS],
     )
--- a/savorychute/configuration/keeper.py
+++ b/savorychute/configuration/keeper.py
@@ -36,6 +36,8 @@
     from savorychute.membership.member_view import MemberView
 
 PEERS_TO_HEAR = 3
+SHORTEST_TICK_MS = 20
+"""Ticks in between return at once; a host under load ticks every millisecond."""
 
 
 class ConfigurationKeeper:
@@ -59,6 +61,7 @@
         self._rng = rng
         self._started_ms: int | None = None
         self._view: MemberView | None = None
+        self._ticked_ms = 0
         self._ready = False
         self._adopted = 0
         budget = budget or LogBudget(LogBudgetSettings())
@@ -184,19 +187,20 @@
         if self._started_ms is None:
             self._started_ms = now_ms
             self._watch.start(now_ms)
-        gossiped = {
-            name: offset for name, offset in peer_offsets.items() if offset >= 0
-        }
+            self._ticked_ms = now_ms - SHORTEST_TICK_MS
+        if now_ms - self._ticked_ms < SHORTEST_TICK_MS:
+            return []
+        self._ticked_ms = now_ms
         actions: list[Action] = []
         if not self._exchange.is_fetching:
-            actions += self._spreader.tick(view, gossiped, self._ready, now_ms)
+            actions += self._spreader.tick(view, peer_offsets, self._ready, now_ms)
         actions += self._exchange.tick(view, now_ms)
         polls = self._duty.has_duty(view)
         actions += self._read_log(view, polls, now_ms)
         if polls and self._ready:
             actions += self._write_snapshot(now_ms)
         actions += self._settle(now_ms)
-        self._check_ready(view, gossiped, now_ms)
+        self._check_ready(view, peer_offsets, now_ms)
         return actions
 
     def receive(
--- a/savorychute/configuration/peer_offsets.py
+++ b/savorychute/configuration/peer_offsets.py
@@ -67,6 +67,8 @@
         :param own_offset: this instance's offset.
         :param rng: chooses among equals.
         """
+        if self.newest(gossiped) <= own_offset:
+            return None
         ahead: list[tuple[int, str]] = [
             (offset, instance)
             for source in (self._heard, gossiped)
--- a/savorychute/configuration/spreader.py
+++ b/savorychute/configuration/spreader.py
@@ -22,6 +22,8 @@
 
 MAX_PUSHED_RECORDS = 8
 NEWS_NOTICES = 2
+LOOK_INTERVAL_MS = 100
+"""How often the offsets on the membership's pings are looked through."""
 
 
 class Spreader:
@@ -53,6 +55,7 @@
         self.divergences = 0
         self._started_ms: int | None = None
         self._notice_due_ms = 0
+        self._look_due_ms = 0
         self._news_until_ms = 0
         self._pushed_offset = store.offset
         self._asked: str | None = None
@@ -67,10 +70,11 @@
         :param gossiped: offsets that came with the membership's pings.
         :param ready: whether this instance may tell its offset.
         """
-        return [
-            *self._send_notices(view, ready, now_ms),
-            *self.pull(view, gossiped, now_ms),
-        ]
+        actions = self._send_notices(view, ready, now_ms)
+        if now_ms >= self._look_due_ms:
+            self._look_due_ms = now_ms + LOOK_INTERVAL_MS
+            actions += self.pull(view, gossiped, now_ms)
+        return actions
 
     def notice(self, ready: bool, now_ms: int) -> OffsetNotice:
         """Return what to tell of this instance.
--- a/savorychute/leases/order_desk.py
+++ b/savorychute/leases/order_desk.py
@@ -67,6 +67,15 @@
         """Return how the last orders ended, oldest first."""
         return tuple(self._results)
 
+    def open_orders(self, lease: str) -> int:
+        """Return how many orders under a lease are not answered yet.
+
+        A lease should be released only when there are none.
+
+        :param lease: the lease's name.
+        """
+        return sum(order.request.lease == lease for order in self._sent.values())
+
     def request_order(
         self, request: OrderRequest, now_ms: int
     ) -> list[SendOrder | OrderResult]:
