Go on from a whole beginning or not at all; keep whole answers for keys

A retry under a key whose answer had been passed on got 200 and an empty body. A copy that waited for a keyed run could be told not-run. Change: an engine goes on only from all of the text; callers send the text that they have with the handle; outcomes of keys are whole, streams too, or not kept; a keyed life stays in doubt until its key is decided; codes that depend on the contract say unknown when a key or handle is there.

--- a/savorychute/client/address_book.py
+++ b/savorychute/client/address_book.py
@@ -18,6 +18,7 @@
 
 OK_STATUS = 200
 FAILED_MS = 3_000
+LEAST_LIFETIME_MS = 1_000
 
 
 class AddressDocument(TypedDict):
@@ -40,7 +41,10 @@
 class AddressBook:
     """Keeps the answer to discovery for its lifetime.
 
-    An answer that has run out stays in use while no instance gives a new one.
+    When an instance fails or leaves, the answer is out of date: its
+    replacement is not in it, and if all of them were replaced nobody would be
+    left to ask.  So the others are asked again at once.  An answer that has run
+    out stays in use while no instance gives a new one.
 
     :param settings: seeds and token.
     :param pool: connections to instances.
@@ -55,6 +59,7 @@
         self._clock = clock
         self._known: tuple[ServerAddress, ...] = ()
         self._expiry_ms = 0
+        self._asked_ms = -LEAST_LIFETIME_MS
         self._failed_ms: dict[ServerAddress, int] = {}
 
     async def choose(self) -> ServerAddress:
@@ -73,7 +78,10 @@
 
         :param address: the instance that failed or is leaving.
         """
-        self._failed_ms[address] = self._clock.now_ms()
+        now_ms = self._clock.now_ms()
+        self._failed_ms[address] = now_ms
+        earliest_ms = self._asked_ms + LEAST_LIFETIME_MS
+        self._expiry_ms = min(self._expiry_ms, max(now_ms, earliest_ms))
 
     def _rank(self, address: ServerAddress) -> int:
         failed_ms = self._failed_ms.get(address)
@@ -85,11 +93,12 @@
         return failed_ms + 1
 
     async def _refresh(self) -> None:
+        self._asked_ms = self._clock.now_ms()
         asked = dict.fromkeys((*self._known, *self._settings.seeds))
         for address in sorted(asked, key=self._rank):
             document = await self._ask(address)
             if document is None:
-                self.note_failure(address)
+                self._failed_ms[address] = self._clock.now_ms()
                 continue
             self._known = tuple(
                 ServerAddress(each['host'], each['port'])
@@ -97,6 +106,7 @@
             )
             self._expiry_ms = self._clock.now_ms() + document['lifetime_ms']
             return
+        self._expiry_ms = self._asked_ms + LEAST_LIFETIME_MS
 
     async def _ask(self, address: ServerAddress) -> DiscoveryDocument | None:
         headers = (('authorization', f'Bearer {self._settings.token}'),)
--- a/savorychute/client/call_run.py
+++ b/savorychute/client/call_run.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from savorychute.client.call_error import CallError
-from savorychute.client.refusal import is_refusal, read_refusal
+from savorychute.client.refusal import is_refusal, read_code, read_refusal
 from savorychute.client.response_stream import ResponseBrokenError, ResponseStream
 from savorychute.http.client_pool import ServerAddress
 from savorychute.http.http_request import HttpRequest
@@ -35,8 +35,22 @@
     ResultCode.CONNECTIONS_EXHAUSTED,
     ResultCode.MEMORY_EXHAUSTED,
 )
-# The key will never run; only a new one can.
-SPENT_KEY_CODES = (ResultCode.KEY_REVOKED, ResultCode.KEY_TOO_OLD)
+# Said without a look at the request's key, and so of one try alone.
+BLIND_CODES = (
+    *ELSEWHERE_CODES,
+    ResultCode.BODY_TOO_LARGE,
+    ResultCode.HEADERS_TOO_LARGE,
+    ResultCode.MALFORMED_HTTP,
+    ResultCode.SLOW_CALLER,
+    ResultCode.WRONG_INSTANCE,
+)
+# Nothing runs under this key any more, or not while its witness is gone; a new
+# key has another witness.
+SPENT_KEY_CODES = (
+    ResultCode.KEY_REVOKED,
+    ResultCode.KEY_TOO_OLD,
+    ResultCode.WITNESS_UNAVAILABLE,
+)
 
 
 class CallRun:
@@ -95,13 +109,29 @@
             if response is None:
                 continue
             if response.status == REDIRECT_STATUS and is_refusal(response):
-                self._follow(response)
+                self._follow(address, response)
             elif is_refusal(response):
                 await self._consider(address, response)
             else:
                 self._address = address
                 return response
 
+    def continue_from(self, offset: int, text: str) -> None:
+        """Send the answer's beginning with further tries.
+
+        If the stream is gone, an engine goes on from this text; without it the
+        whole answer would be made anew.
+
+        :param offset: how many tokens the caller has.
+        :param text: these tokens.
+        """
+        if not self.handle or not offset:
+            return
+        document = msgspec.json.decode(self._request.body)
+        document['continue_from'] = {'offset': offset, 'text': text}
+        body = msgspec.json.encode(document)
+        self._request = self._request._replace(body=body)
+
     async def note_broken(self, error: CallError, cut: bool) -> None:
         """Prepare a further try after an answer broke off.
 
@@ -168,8 +198,10 @@
         )
         return response
 
-    def _follow(self, response: ResponseStream) -> None:
+    def _follow(self, address: ServerAddress, response: ResponseStream) -> None:
         self._redirects += 1
+        if read_code(response) in ELSEWHERE_CODES:
+            self._book.note_failure(address)
         location = urlsplit(response.headers.get('location', ''))
         response.close()
         if not location.hostname or not location.port:
@@ -191,6 +223,7 @@
             await self._consider_unknown(error)
         elif error.code in SPENT_KEY_CODES:
             self._key = ''
+            await self._back_off()
         elif error.code in ELSEWHERE_CODES:
             self._book.note_failure(address)
             await self._back_off()
@@ -212,9 +245,11 @@
     def _conclude(self, error: CallError) -> CallError:
         """Return an error that says what is true of all tries together.
 
-        Under a key the system speaks of all of them itself.
+        Who decides a key speaks of all tries under it.  A redirect, or a
+        refusal from before the key was looked at, speaks of its own try alone.
         """
-        if self._may_have_run and error.ran is Ran.NOT_RUN and not self._key:
+        blind = not self._key or error.code in BLIND_CODES
+        if self._may_have_run and error.ran is Ran.NOT_RUN and blind:
             error.ran = Ran.UNKNOWN
         return error
 
--- a/savorychute/client/client.py
+++ b/savorychute/client/client.py
@@ -112,6 +112,7 @@
             if position.next_offset and not position.resumable:
                 raise _describe_lost(response)
             run.handle = position.write_handle()
+            run.continue_from(position.next_offset, position.text)
 
     async def _fetch(
         self, request: HttpRequest, idempotent: bool, timeout_ms: int
--- a/savorychute/client/refusal.py
+++ b/savorychute/client/refusal.py
@@ -27,6 +27,14 @@
     return response.headers.get('x-result-code', '0') != '0'
 
 
+def read_code(response: ResponseStream) -> ResultCode | None:
+    """Return the result code of an answer, or none if it is unknown.
+
+    :param response: with its head.
+    """
+    return CODES.get(_read_number(response.headers.get('x-result-code', '')))
+
+
 def read_refusal(response: ResponseStream, body: bytes) -> CallError:
     """Return a refusal as an exception.
 
@@ -36,7 +44,7 @@
     :param body: the whole body.
     """
     headers = response.headers
-    code = CODES.get(_read_number(headers.get('x-result-code', '')))
+    code = read_code(response)
     message = _read_message(body)
     try:
         ran = Ran(headers.get('x-ran', ''))
--- a/savorychute/client/stream_position.py
+++ b/savorychute/client/stream_position.py
@@ -35,6 +35,7 @@
 
     def __init__(self) -> None:
         self.next_offset = 0
+        self.text = ''
         self._handle: ContinuationHandle | None = None
 
     @property
@@ -102,6 +103,7 @@
         text = ''.join(
             [choice.get('delta', {}).get('content') or '' for choice in choices]
         )
+        self.text += text
         return Tokens(offset, count, text)
 
 
--- a/savorychute/instance/attempt_desk.py
+++ b/savorychute/instance/attempt_desk.py
@@ -114,6 +114,9 @@
         attempt = tracked.attempt
         end = chunk.offset + chunk.token_count
         if end <= attempt.next_offset and chunk.token_count > 0:
+            # The caller has these: the answer is made anew, because its stream
+            # is gone and the text of its beginning is not known here.
+            attempt.progress_ms = now_ms
             return []
         if chunk.offset != attempt.next_offset:
             reason = f'expected offset {attempt.next_offset}, got {chunk.offset}'
--- a/savorychute/instance/dispatcher.py
+++ b/savorychute/instance/dispatcher.py
@@ -251,7 +251,7 @@
     def _make_body(self, tracked: TrackedRequest, attempt: Attempt) -> bytes:
         """Return the body, with the text to continue from if there is some."""
         body = tracked.request.body
-        if attempt.resumed or not tracked.delivered_text:
+        if attempt.resumed or not tracked.delivered_text or not tracked.knows_text:
             return body
         document = msgspec.json.decode(body)
         document['continue_from'] = {
--- a/savorychute/instance/intake.py
+++ b/savorychute/instance/intake.py
@@ -5,8 +5,11 @@
 import hashlib
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from savorychute.actions import RefuseRequest
 from savorychute.errors import RequestError
+from savorychute.instance.continued_document import ContinuedDocument
 from savorychute.instance.directory import digest_customer
 from savorychute.instance.tracked_request import TrackedRequest
 from savorychute.ran import Ran
@@ -25,8 +28,13 @@
     from savorychute.instance.responder import Responder
 
 FINGERPRINT_BYTES = 12
-#: Result codes below this one say that the request itself is at fault.
-FIRST_REFUSAL_NUMBER = 2000
+#: With these a request cannot have run, whatever the contract was.
+HOPELESS_CODES = frozenset(
+    (ResultCode.KEY_MALFORMED, ResultCode.KEY_REQUIRED, ResultCode.HANDLE_MALFORMED)
+)
+
+
+_CONTINUED = msgspec.json.Decoder(ContinuedDocument)
 
 
 class Intake:
@@ -143,6 +151,24 @@
             raise RequestError(code, 'the handle names no stream of this customer')
         tracked.resume_at = handle
         tracked.delivered_tokens = handle.offset
+        self._take_text(tracked, handle.offset)
+
+    def _take_text(self, tracked: TrackedRequest, offset: int) -> None:
+        """Note the text that the caller has, if it sent it.
+
+        An engine can go on from the text of the answer's beginning only if it
+        is all of it.  What this instance passes on later is only the end, so
+        without the caller's text a stream that is gone has to be made anew.
+        """
+        tracked.knows_text = offset == 0
+        try:
+            document = _CONTINUED.decode(tracked.request.body)
+        except msgspec.MsgspecError:
+            return
+        going_on = document.get('continue_from')
+        if going_on is not None and going_on['offset'] == offset:
+            tracked.knows_text = True
+            tracked.delivered_text += going_on['text'].encode()
 
     def _take_fingerprint(self, customer: str, request: CallerRequest) -> str:
         digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
@@ -169,10 +195,10 @@
     def _tell_ran(self, request: CallerRequest, code: ResultCode) -> Ran:
         """Return what may be said of a request that was not looked into.
 
-        With a key or a handle an earlier try may have run elsewhere, unless
-        the request itself is at fault and could have run nowhere.
+        With a key or a handle an earlier try may have run, even if the
+        contract has been amended since and now refuses the request, unless
+        the request could have run under no contract.
         """
-        is_faulty = code.number < FIRST_REFUSAL_NUMBER
-        if is_faulty or not (request.handle or request.key):
+        if code in HOPELESS_CODES or not (request.handle or request.key):
             return Ran.NOT_RUN
         return Ran.UNKNOWN
--- a/savorychute/instance/key_desk.py
+++ b/savorychute/instance/key_desk.py
@@ -111,6 +111,7 @@
             settled = self._parts.keys.not_run(outcome.request_id, now_ms, code)
             return self.follow(settled, now_ms)
         tracked.holds_key = True
+        tracked.life.decide_key()
         return self._run(outcome.request_id, now_ms, self._enqueue)
 
     def _run(
@@ -142,6 +143,8 @@
         tracked = self._parts.table.find(outcome.request_id)
         if tracked is None:
             return []
+        if outcome.ran is Ran.NOT_RUN:
+            tracked.life.decide_key()
         return self._responder.give_up(
             tracked, outcome.code, outcome.message, now_ms, ran=outcome.ran
         )
@@ -151,6 +154,8 @@
         tracked = self._parts.table.find(outcome.request_id)
         if tracked is None:
             return []
+        # A stream that is kept goes out again as one event.
+        token_count = 1 if tracked.request.stream else 0
         head = StartResponse(
             request_id=tracked.request_id,
             status=outcome.status,
@@ -162,6 +167,6 @@
         self._responder.close_replay(tracked, now_ms)
         return [
             head,
-            SendChunk(tracked.request_id, 0, outcome.body),
+            SendChunk(tracked.request_id, 0, outcome.body, token_count),
             FinishResponse(tracked.request_id),
         ]
--- a/savorychute/instance/responder.py
+++ b/savorychute/instance/responder.py
@@ -79,7 +79,7 @@
         actions = self.begin(tracked)
         actions.append(SendChunk(tracked.request_id, offset, data, token_count))
         tracked.delivered_tokens = offset + token_count
-        if tracked.resumable:
+        if tracked.resumable or tracked.holds_key:
             tracked.delivered_text += data
         return actions
 
@@ -98,7 +98,7 @@
     def finish(self, tracked: TrackedRequest, now_ms: int) -> list[Action]:
         """End a whole answer."""
         attempt = tracked.attempt
-        body = bytes(tracked.buffer)
+        body = self._copy_answer(tracked)
         actions: list[Action] = []
         if not tracked.request.stream:
             actions += self._release_held(tracked)
@@ -134,7 +134,8 @@
         :param message: what the caller is told.
         :param ran: the best that may be said; the life may weaken it.
         """
-        ran = ran if tracked.life.may_claim_not_run else Ran.UNKNOWN
+        if ran is Ran.NOT_RUN and not tracked.life.may_claim_not_run:
+            ran = Ran.UNKNOWN
         attempt = tracked.attempt
         handle = self._make_handle(tracked)
         settled = self._settle_key(tracked, ran, code, now_ms)
@@ -174,6 +175,17 @@
         tracked.life.move(RequestState.ANSWERED, now_ms, 'kept outcome of the key')
         self._close(tracked, ResultCode.OK, Ran.RAN, now_ms)
 
+    def _copy_answer(self, tracked: TrackedRequest) -> bytes | None:
+        """Return the whole answer for whoever asks again under the key.
+
+        What was passed on already is in the buffer no more; the rest of it
+        must never be kept as if it were the whole.
+        """
+        if tracked.request.stream:
+            text = tracked.delivered_text
+            return bytes(text) if len(text) <= HELD_BYTES else None
+        return None if tracked.responding else bytes(tracked.buffer)
+
     def _release_held(self, tracked: TrackedRequest) -> list[Action]:
         actions = self.begin(tracked)
         if tracked.buffer:
--- a/savorychute/instance/tracked_request.py
+++ b/savorychute/instance/tracked_request.py
@@ -40,6 +40,7 @@
         'gap_worst_ms',
         'held_until_ms',
         'holds_key',
+        'knows_text',
         'life',
         'limits',
         'pool',
@@ -59,7 +60,10 @@
         self.fingerprint = fingerprint
         self.pool = request.model or f'service:{request.service}'
         self.life = RequestLife(
-            request.request_id, now_ms, resumes=bool(request.handle)
+            request.request_id,
+            now_ms,
+            resumes=bool(request.handle),
+            keyed=not limits.idempotent,
         )
         self.deadline_ms = now_ms + limits.timeout_ms
         self.attempt: Attempt | None = None
@@ -75,6 +79,7 @@
         self.holds_key = False
         self.delivered_tokens = 0
         self.delivered_text = bytearray()
+        self.knows_text = True
         self.buffer = bytearray()
         self.wasted_tokens = 0
         self.first_token_ms = -1
--- a/savorychute/testing/call_try.py
+++ b/savorychute/testing/call_try.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from savorychute.requests.continuation_handle import decode_handle
 from savorychute.result_code import ResultCode
 from savorychute.testing.matrix import steps
@@ -126,6 +128,17 @@
         call.chunk_offset = chunk.offset
 
 
+def continue_body(call: Call) -> bytes:
+    """Return the body with the text that the caller has, as the library does."""
+    if not call.handle or not call.chunk_offset:
+        return call.body
+    tokens = call.text.split(b' ')[1 : call.chunk_offset + 1]
+    text = b''.join(b' ' + token for token in tokens).decode()
+    document = msgspec.json.decode(call.body)
+    document['continue_from'] = {'offset': call.chunk_offset, 'text': text}
+    return msgspec.json.encode(document)
+
+
 def continue_handle(call: Call) -> str:
     """Return the handle that asks for what the caller lacks."""
     if not call.handle:
--- a/savorychute/testing/callers.py
+++ b/savorychute/testing/callers.py
@@ -9,7 +9,7 @@
 from savorychute.inputs import CallerRequest
 from savorychute.ran import Ran
 from savorychute.result_code import ResultCode
-from savorychute.testing.call_try import CallTry, continue_handle
+from savorychute.testing.call_try import CallTry, continue_body, continue_handle
 from savorychute.testing.matrix import steps
 from savorychute.testing.refusal import BROKEN, UNREADY, Refusal
 
@@ -204,7 +204,7 @@
             service=wanted.service,
             method='POST',
             path=CHAT_PATH if is_chat else f'/{wanted.name}',
-            body=call.body,
+            body=continue_body(call) if wanted.idempotent else call.body,
             stream=wanted.stream and is_chat,
             prompt_tokens=estimate_tokens(call.prompt) if is_chat else 0,
             max_tokens=self.world.max_tokens if is_chat else 0,
