Probe keys of the callers own and lost updates in the fault matrix

Change: a kind of work whose caller brings its key; two acceptances over one base version are a breach, and so is an exception of an instance; a process that wakes sees its timers before it sees that callers left; more calls after a fault. What is said of a key holds for the requests under that key.

--- a/savorychute/testing/configuration_watch.py
+++ b/savorychute/testing/configuration_watch.py
@@ -19,6 +19,7 @@
     at_ms: float
     item: str
     version: int
+    base: int | None
 
 
 class ConfigurationWatch:
@@ -42,16 +43,25 @@
         """Begin to watch."""
         self._look()
 
-    def note_accepted(self, item: str, version: int) -> None:
+    def note_accepted(self, item: str, version: int, base: int | None) -> None:
         """Note that an operator was told of a version.
 
-        Two operators who are both told that theirs is the same version have
-        both been told that they won a race; one of them is wrong.
+        Two operators who amended the same version must not both be told that
+        theirs is accepted: the later one would have overwritten a change that
+        its operator has not seen.
+
+        :param base: the version that was amended, if the operator named one.
         """
-        for accepted in self._accepted:
-            if (accepted.item, accepted.version) == (item, version):
-                self._breaches.append(f'{item} version {version} accepted twice')
-        self._accepted.append(Accepted(self._world.heap.now_ms, item, version))
+        accepted = Accepted(self._world.heap.now_ms, item, version, base)
+        for other in self._accepted:
+            if other.item != item:
+                continue
+            if other.version == version or (base is not None and other.base == base):
+                self._breaches.append(
+                    f'{item}: versions {other.version} and {version} both accepted,'
+                    f' over {other.base} and {base}'
+                )
+        self._accepted.append(accepted)
 
     def find_breaches(self) -> Iterator[str]:
         """Return what was seen to be wrong."""
--- a/savorychute/testing/instance_host.py
+++ b/savorychute/testing/instance_host.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import traceback
 from collections import deque
 from typing import TYPE_CHECKING, Any
 
@@ -54,6 +55,7 @@
 CONNECT_TIMEOUT_MS = 1_000.0
 LOST_REPLY_MS = 2_000.0
 SHORTEST_TICK_MS = 1.0
+LEAVING_SEEN_MS = 20.0
 
 
 class InstanceHost:
@@ -83,6 +85,7 @@
         self.connections: dict[str, Connection] = {}
         self.tries: dict[str, CallTry] = {}
         self._inputs: deque[Input] = deque()
+        self._left_while_paused: list[str] = []
         self._draining = False
         self._tick_due_ms: float | None = None
         self._performers: dict[type, Callable[[Any], None]] = {
@@ -145,7 +148,14 @@
         self.deliver(request)
 
     def caller_left(self, request_id: str) -> None:
-        """Note that a caller closed its connection."""
+        """Note that a caller closed its connection.
+
+        A process that wakes may look at its timers and at what it was sent
+        before it sees that a caller is gone.
+        """
+        if self.is_paused:
+            self._left_while_paused.append(request_id)
+            return
         if self.tries.pop(request_id, None) is not None:
             self.world.note_left(self, request_id)
             self.deliver(CallerLeft(request_id))
@@ -162,8 +172,10 @@
         """Let the process go on."""
         self.is_paused = False
         self.served_since_ms = self.world.heap.now_ms
-        self._drain()
         self._tick()
+        left, self._left_while_paused = self._left_while_paused, []
+        for request_id in left:
+            self.world.heap.call_later(LEAVING_SEEN_MS, self.caller_left, request_id)
 
     def jump_clock(self, jump_ms: float) -> None:
         """Let the clock jump ahead, as after a suspend of the machine."""
@@ -188,7 +200,7 @@
         self._draining = True
         while self._inputs and self.is_up:
             told = self._inputs.popleft()
-            self._perform(self.instance.deliver(told, self.now_ms()))
+            self._perform(self._ask(self.instance.deliver, told))
         self._draining = False
         self._arm_tick()
 
@@ -197,7 +209,7 @@
         if not self.is_up or self.is_paused:
             return
         self._draining = True
-        self._perform(self.instance.tick(self.now_ms()))
+        self._perform(self._ask(self.instance.tick))
         self._draining = False
         self._drain()
 
@@ -213,6 +225,16 @@
         if self._tick_due_ms == due_ms:
             self._tick()
 
+    def _ask(self, method: Callable[..., list[Action]], *args: object) -> list[Action]:
+        """Call the instance; note an exception and go on, as a daemon does."""
+        try:
+            return method(*args, self.now_ms())
+        except Exception as error:
+            place = traceback.extract_tb(error.__traceback__)[-1]
+            text = f'{type(error).__name__} {error} in {place.name}:{place.lineno}'
+            self.world.ledger.defects.append(f'{self.name}: {text}')
+            return []
+
     def _perform(self, actions: Sequence[Action]) -> None:
         for action in actions:
             self._performers[type(action)](action)
--- a/savorychute/testing/ledger.py
+++ b/savorychute/testing/ledger.py
@@ -53,6 +53,7 @@
         self.tellings: list[Telling] = []
         self.leaving_ms: dict[str, float] = {}
         self.breaches: list[str] = []
+        self.defects: list[str] = []
         self.on_execution: Callable[[Execution], None] | None = None
 
     def note_breach(self, at_ms: float, text: str) -> None:
--- a/savorychute/testing/matrix/cell.py
+++ b/savorychute/testing/matrix/cell.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import uuid
 from typing import TYPE_CHECKING, NamedTuple
 
 from savorychute.result_code import ResultCode
@@ -15,6 +16,7 @@
 from savorychute.testing.promises import Breach, find_breaches
 from savorychute.testing.scenario_run import run_until_idle
 from savorychute.testing.workload import Workload
+from savorychute.testing.world import EPOCH_MS
 
 if TYPE_CHECKING:
     from savorychute.testing.call import CallClass
@@ -22,7 +24,9 @@
     from savorychute.testing.world import World
 
 AMENDMENT = 'amendment'
-CALL_KINDS = ('booking', 'clause', 'draft', 'audit')
+BOOKING = 'booking'
+CLAIMED = 'claimed'
+CALL_KINDS = (BOOKING, CLAIMED, 'clause', 'draft', 'audit')
 KINDS = (*CALL_KINDS, AMENDMENT)
 
 LOAD_MS = 3_000.0
@@ -31,6 +35,7 @@
 SECOND_FAULT_MS = 40.0
 CROWD_CALLS = 60
 RECOVERY_MS = 10_000.0
+AFTERMATH_CALLS = 2
 AFTERMATH_BEGINS_MS = 10.0
 AFTERMATH_MS = 6_000.0
 MOST_MS = 60_000.0
@@ -69,7 +74,7 @@
     """Return the steps that a kind of work goes through."""
     if kind == AMENDMENT:
         return steps.AMENDMENT_STEPS
-    if kind in ('booking', 'clause'):
+    if kind in (BOOKING, 'clause'):
         return steps.REQUEST_STEPS
     return tuple(step for step in steps.REQUEST_STEPS if step not in steps.KEY_STEPS)
 
@@ -123,6 +128,8 @@
     else:
         wanted = find_kind(world, cell.kind)
         call = stage.workload.make_call(wanted)
+        if cell.kind == CLAIMED:
+            call.key = make_time_ordered_key(world)
         probe = Probe(world, call.call_id, cell.step, fire)
         if cell.step == steps.QUEUED:
             _crowd(stage, wanted)
@@ -133,7 +140,7 @@
 
 def _crowd(stage: Stage, wanted: CallClass) -> None:
     """Fill the pool, so that the probe has to wait."""
-    name = 'booking' if wanted.service else 'urgent'
+    name = BOOKING if wanted.service else 'urgent'
     crowd = find_kind(stage.world, name)
     for _ in range(CROWD_CALLS):
         stage.workload.call_at(stage.world.heap.now_ms, crowd)
@@ -144,15 +151,26 @@
 
 
 def find_kind(world: World, name: str) -> CallClass:
-    """Return a class of the system by name."""
+    """Return the class of a kind of work."""
+    name = BOOKING if name == CLAIMED else name
     return next(each for each in world.topology.classes if each.name == name)
 
 
+def make_time_ordered_key(world: World) -> str:
+    """Return a request key of the caller's own, a UUIDv7 (RFC 9562)."""
+    rng = world.make_rng('brought key')
+    unix_ms = EPOCH_MS + int(world.heap.now_ms)
+    high = (unix_ms << 16) | (7 << 12) | rng.getrandbits(12)
+    low = (0b10 << 62) | rng.getrandbits(62)
+    return str(uuid.UUID(int=(high << 64) | low))
+
+
 def _check_aftermath(stage: Stage) -> list[Breach]:
     world = stage.world
     calls = [
         stage.workload.call_at(world.heap.now_ms, find_kind(world, name))
         for name in (*CALL_KINDS, 'urgent')
+        for _ in range(AFTERMATH_CALLS)
     ]
     world.run_for(AFTERMATH_BEGINS_MS)
     run_until_idle(world, AFTERMATH_MS)
--- a/savorychute/testing/promises.py
+++ b/savorychute/testing/promises.py
@@ -42,6 +42,12 @@
     yield from world.ledger.breaches
 
 
+@PROMISES.register('no-defects')
+def check_defects(world: World) -> Iterator[str]:
+    """No instance raises an exception, whatever it is told."""
+    yield from world.ledger.defects
+
+
 @PROMISES.register('nothing-lost')
 def check_losses(world: World) -> Iterator[str]:
     """Every caller is told how its request ended."""
@@ -66,9 +72,10 @@
 def check_not_run(world: World) -> Iterator[str]:
     """When a caller is told that its request was not run, it was not run.
 
-    That holds for the request that was refused at any time, and with a key for
-    all of the call's requests that were sent before.
+    That holds for the request that was refused at any time, and for all requests
+    under the same key that were sent before.
     """
+    keys = world.key_by_request
     sent_ms = world.sent_ms_by_request
     runs: dict[str, list[tuple[float, str]]] = {}
     for execution in world.ledger.executions:
@@ -77,10 +84,11 @@
     for telling in world.ledger.tellings:
         if telling.ran is not Ran.NOT_RUN or telling.code in NEVER_RUNS_CODES:
             continue
-        call = world.calls_by_request[telling.request_id]
+        key = keys[telling.request_id]
         for _, request_id in runs.get(telling.marker, ()):
             is_own = request_id == telling.request_id
-            is_earlier = sent_ms[request_id] <= telling.at_ms and bool(call.key)
+            has_same_key = bool(key) and keys[request_id] == key
+            is_earlier = has_same_key and sent_ms[request_id] <= telling.at_ms
             if is_own or is_earlier:
                 yield (
                     f'{telling.instance} said not run ({telling.code.name}) of'
--- a/savorychute/testing/world.py
+++ b/savorychute/testing/world.py
@@ -30,6 +30,8 @@
 from savorychute.testing.weight_store import WeightStore
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from savorychute.actions import OperatorReply, StartAttempt
     from savorychute.instance import Instance
     from savorychute.membership.discovery_answer import DiscoveryAnswer
@@ -100,6 +102,7 @@
         self.configuration_watch = ConfigurationWatch(self)
         self.calls_by_request: dict[str, Call] = {}
         self.sent_ms_by_request: dict[str, float] = {}
+        self.key_by_request: dict[str, str] = {}
         self.cut_by_shutdown: dict[str, int] = {}
         self.reachable_since_ms = 0.0
         self.poison_calls: set[str] = set()
@@ -115,6 +118,7 @@
         self._started_instances = 0
         self._commands = 0
         self._drains: dict[str, bool] = {}
+        self._base_versions: dict[str, int] = {}
         self._make_endpoints()
         for domain in topology.instance_domains:
             self.start_instance(domain)
@@ -222,7 +226,9 @@
 
     # -- operators
 
-    def command(self, verb: str, arguments: object, instance: str = '') -> str:
+    def command(
+        self, verb: str, arguments: Mapping[str, object], instance: str = ''
+    ) -> str:
         """Send an operator's command and return its id.
 
         :param instance: whom to ask; the first that serves if empty.
@@ -230,6 +236,9 @@
         self._commands += 1
         command_id = f'command-{self._commands}'
         body = msgspec.json.encode(arguments)
+        base_version = arguments.get('base_version')
+        if isinstance(base_version, int):
+            self._base_versions[command_id] = base_version
         host = self.instances[instance] if instance else self.first_serving()
         told = OperatorCommand(command_id, OPERATOR_TOKEN, verb, body)
         delay_ms = self.network.settings.client_ms
@@ -248,10 +257,11 @@
             return
         verdict = msgspec.json.decode(reply.document, type=dict)
         if verdict.get('accepted'):
-            self._note_accepted(verdict['item'], verdict['version'])
+            base_version = self._base_versions.get(reply.command_id)
+            self._note_accepted(verdict['item'], verdict['version'], base_version)
 
-    def _note_accepted(self, item: str, version: int) -> None:
-        self.configuration_watch.note_accepted(item, version)
+    def _note_accepted(self, item: str, version: int, base_version: int | None) -> None:
+        self.configuration_watch.note_accepted(item, version, base_version)
         kind, _, name = item.partition(':')
         host = self.endpoints.get(name) if kind == 'endpoint' else None
         if host is not None and self._drains.pop(name, False):
@@ -354,6 +364,7 @@
         """Note which call a request belongs to."""
         self.calls_by_request[request_id] = call
         self.sent_ms_by_request[request_id] = self.heap.now_ms
+        self.key_by_request[request_id] = call.key
 
     def note_start(self, host: InstanceHost, start: StartAttempt) -> None:
         """Note that an instance began an attempt."""
