Let the next home grant at once when a home has died

Cause: after the death of a home its successor took back nothing and raised nobody for the life of a grant, because the dead one might still use its part; each joining member had the same effect. The old grants (4 s) ran out before. Callers saw waits of 1 to 4 s beside idle engines. Change: only members that are alive are waited for, a joining one is not; a grant lasts 6 s, longer than the detection of a death. A member that was only cut off may use its part for the rest of its grant beside the others, which the design allows for a moment.

--- a/savorychute/credits/group_home.py
+++ b/savorychute/credits/group_home.py
@@ -78,17 +78,9 @@
         self._is_urgent = False
         self._has_held_back = False
         self._allowance = PushAllowance(settings.pushes_per_s, now_ms)
-        self.expect(expected, now_ms)
-
-    def expect(self, members: Iterable[str], now_ms: int) -> None:
-        """Note members that may hold credits this home does not know of.
-
-        :param members: that were not there before.
-        :param now_ms: the time.
-        """
-        for instance in members:
-            if instance != self.own and instance not in self._records:
-                self._silent_until[instance] = now_ms + self.settings.grant_ms
+        for instance in expected:
+            if instance != own:
+                self._silent_until[instance] = now_ms + settings.grant_ms
 
     def take_report(
         self, instance: str, epoch: int, number: int, report: GroupReport, now_ms: int
--- a/savorychute/credits/home_desk.py
+++ b/savorychute/credits/home_desk.py
@@ -61,24 +61,15 @@
         """
         if holding.group.key in self._homes:
             return
-        settings = self._book.settings
-        region = holding.group.region
-        expected = self._members.list_alive(region)
-        expected += self._members.list_lost(region, now_ms - settings.grant_ms)
+        # Only who is alive may hold credits of the previous home.  What a dead
+        # member used is free: endpoints saw its connections break.  If it was
+        # only cut off, it may use its part for the rest of its grant, beside
+        # those to whom the part is given now; that is bounded by the grant.
+        expected = self._members.list_alive(holding.group.region)
         self._homes[holding.group.key] = GroupHome(
-            settings, holding, self._book.instance, expected, now_ms
+            self._book.settings, holding, self._book.instance, expected, now_ms
         )
 
-    def expect(self, fresh: frozenset[str], now_ms: int) -> None:
-        """Note members that joined; they may hold credits of another home.
-
-        :param fresh: their names.
-        :param now_ms: the time.
-        """
-        for key, home in self._homes.items():
-            region = self._book.holdings[key].group.region
-            home.expect(fresh.intersection(self._members.list_alive(region)), now_ms)
-
     def tick(self, view: MemberView, now_ms: int) -> list[Action]:
         """Divide what is due and send what has changed.
 
--- a/savorychute/credits/ledger.py
+++ b/savorychute/credits/ledger.py
@@ -261,10 +261,9 @@
         self._view = view
         if known is not None and view.alive is known.alive:
             return
-        fresh = self._members.set_view(view, now_ms)
+        self._members.set_view(view, now_ms)
         self._table.set_view(view)
         self._follow_homes(now_ms)
-        self._homes.expect(fresh, now_ms)
 
     def _follow_homes(self, now_ms: int) -> None:
         """Open and close this instance's side as a home of groups."""
--- a/savorychute/credits/region_members.py
+++ b/savorychute/credits/region_members.py
@@ -20,14 +20,14 @@
         self._lost: dict[str, tuple[str, int]] = {}
         self._seen: object = None
 
-    def set_view(self, view: MemberView, now_ms: int) -> frozenset[str]:
-        """Follow the view; return the members that are new in it.
+    def set_view(self, view: MemberView, now_ms: int) -> None:
+        """Follow the view.
 
         :param view: who is alive.
         :param now_ms: the time.
         """
         if view.alive is self._seen:
-            return frozenset()
+            return
         self._seen = view.alive
         alive = {member.instance: member.region for member in view.alive}
         for instance in self._alive.keys() - alive.keys():
@@ -35,9 +35,7 @@
                 self._lost[instance] = (self._alive[instance], now_ms)
         for instance in alive:
             self._lost.pop(instance, None)
-        fresh = frozenset(alive.keys() - self._alive.keys())
         self._alive = alive
-        return fresh
 
     def list_alive(self, region: str) -> list[str]:
         """Return the members of a region, or all if it has none.
--- a/savorychute/credits/settings.py
+++ b/savorychute/credits/settings.py
@@ -10,7 +10,8 @@
 
     ``subset_size`` is how many endpoints of a pool an instance uses at most,
     ``group_size`` how many endpoints share a home.  A grant lasts ``grant_ms``
-    from the report that it answers.  ``float_share`` of the spare capacity
+    from the report that it answers: longer than it takes to detect the death of
+    a home.  ``float_share`` of the spare capacity
     stays with the home, to answer sudden demand without a reclaim.
     ``guaranteed_share`` of a group goes to instances whose lower-tier work
     would get nothing.  A home that sees a minority of the members of the last
@@ -22,7 +23,7 @@
 
     subset_size: int = 16
     group_size: int = 16
-    grant_ms: int = 4_000
+    grant_ms: int = 6_000
     report_interval_ms: int = 1_000
     idle_report_interval_ms: int = 2_000
     pressure_interval_ms: int = 50
