--- a/savorychute/audit/audit_search.py
+++ b/savorychute/audit/audit_search.py
@@ -28,6 +28,7 @@
         self.command_id = command_id
         self.query = query
         self.found: list[RecordedEntry] = []
+        self.end_reached = False
         self._settings = settings
         self.next_offset = max(0, query.since_offset)
 
@@ -49,8 +50,9 @@
             self._search(record.offset, record.payload)
             if len(self.found) >= self._settings.max_results:
                 return True
+        self.end_reached = self.next_offset >= read.end_offset
         is_stuck = self.next_offset == before
-        return is_stuck or self.next_offset >= read.end_offset
+        return self.end_reached or is_stuck
 
     def _search(self, offset: int, payload: bytes) -> None:
         record = decode_audit_record(payload)
--- a/savorychute/audit/audit_trail.py
+++ b/savorychute/audit/audit_trail.py
@@ -187,18 +187,28 @@
         self._read_ms = now_ms
         return [self._searches[0].read()]
 
+    def _own(self, search: AuditSearch) -> list[RecordedEntry]:
+        """Return this instance's entries that go with a search.
+
+        An answer that is full ends in the middle of the stream, and what comes
+        later belongs to the next one.
+        """
+        kept = self.query(*search.query)
+        if not search.found or search.end_reached:
+            return kept
+        return [each for each in kept if each.offset < search.next_offset]
+
     def _answer(self, search: AuditSearch, code: ResultCode) -> OperatorReply:
         """Answer with what the log has, and what only this instance knows."""
-        query = search.query
         unique = {
             (recorded.instance, recorded.sequence): recorded
-            for recorded in [*self.query(*query), *search.found]
+            for recorded in [*self._own(search), *search.found]
         }
         entries = sorted(unique.values(), key=_by_time)
         answer: dict[str, Any] = {
             'entries': [_describe(recorded) for recorded in entries],
             'next_offset': search.next_offset,
-            'complete': code is ResultCode.OK,
+            'complete': search.end_reached,
         }
         return OperatorReply(search.command_id, msgspec.json.encode(answer), code)
 
--- a/savorychute/configuration/configuration_store.py
+++ b/savorychute/configuration/configuration_store.py
@@ -56,20 +56,21 @@
         self.repeated += step.repeated
         return True
 
-    def adopt(self, data: bytes) -> bool:
+    def adopt(self, data: bytes, offset: int) -> bool:
         """Take over an encoded state if it is later than the own.
 
         A peer that is behind and a snapshot that was overtaken both show as
         an older offset; taking it would take back a change that is in force.
 
         :param data: the compressed state.
+        :param offset: the offset that it was announced with.
         :returns: whether it was taken.
         """
         try:
             state, verdicts = decode_state(data)
         except MessageError:
             return False
-        if state.offset <= self.offset:
+        if state.offset != offset or offset <= self.offset:
             return False
         before = self.fold.state
         self.fold.adopt(state, verdicts)
--- a/savorychute/configuration/log_follower.py
+++ b/savorychute/configuration/log_follower.py
@@ -104,6 +104,12 @@
         part = cast('SnapshotRecord', decoded)
         self._watch.note_part(part, record.offset, now_ms, fresh=False)
         snapshot = self._assembler.add(part, record.offset)
-        if snapshot is None or snapshot.through_offset + 1 < first_kept:
+        if snapshot is None:
             return False
-        return self._store.adopt(snapshot.data)
+        # With a gap before the first record that is kept, changes would be
+        # missing; one that claims to hold its own offset or later is no true
+        # snapshot, and would keep this instance from following the log.
+        through_offset = snapshot.through_offset
+        if not first_kept - 1 <= through_offset < snapshot.first_part_offset:
+            return False
+        return self._store.adopt(snapshot.data, through_offset)
--- a/savorychute/configuration/peer_exchange.py
+++ b/savorychute/configuration/peer_exchange.py
@@ -177,7 +177,7 @@
         if not fetch.is_complete:
             return [send_to(peer, request) for request in fetch.requests(now_ms)]
         self._fetch = None
-        if self._store.adopt(fetch.data()):
+        if self._store.adopt(fetch.data(), fetch.offset):
             self._watch.hear(part.snapshot_offset, part.snapshot_age_ms, now_ms)
         else:
             self._spreader.offsets.forget(peer.instance)
--- a/tests/test_audit/test_audit_trail.py
+++ b/tests/test_audit/test_audit_trail.py
@@ -161,3 +161,21 @@
         tick(trail, log, now_ms)
     assert budget.appends_per_s == pytest.approx(0.1)
     assert 9 <= log.appends <= 11
+
+
+def test_full_answer_says_where_to_go_on(log):
+    """An operator asks for everything since the beginning."""
+    settings = AuditSettings(batch_entries=2, max_results=3, read_records=1)
+    trail = make_trail('a.1', settings)
+    for number in range(8):
+        trail.record(make_entry(f'contract:{number}'), now_ms=number)
+        tick(trail, log, 10_000 * (number + 1))
+    seen, offset, complete = [], 0, False
+    while not complete:
+        query = AuditQuery(since_offset=offset)
+        reply = settle(trail, log, trail.request('c1', query, 99_000), 99_000)[0]
+        answer = msgspec.json.decode(reply.document)
+        seen += [each['item'] for each in answer['entries']]
+        assert offset < answer['next_offset']
+        offset, complete = answer['next_offset'], answer['complete']
+    assert seen == [f'contract:{number}' for number in range(8)]
--- a/tests/test_configuration/test_join.py
+++ b/tests/test_configuration/test_join.py
@@ -124,9 +124,9 @@
 def test_older_state_is_never_adopted(folds):
     """A transfer of the state is overtaken by pushes of single records."""
     store = ConfigurationStore(10_000)
-    assert store.adopt(encode_state(folds[2]))
-    assert not store.adopt(encode_state(folds[1]))
-    assert not store.adopt(encode_state(folds[2]))
+    assert store.adopt(encode_state(folds[2]), 2)
+    assert not store.adopt(encode_state(folds[1]), 1)
+    assert not store.adopt(encode_state(folds[2]), 2)
     assert store.offset == 2
     assert len(store.take_changes()) == 3
 
@@ -174,10 +174,21 @@
     assert log.end_reached
 
 
+def test_snapshot_from_the_future_is_not_used(follower, folds):
+    """A tool of another system appends a snapshot with offsets of its own.
+
+    Whoever adopted it would wait for offsets that the log reaches years later.
+    """
+    store, log = follower
+    foreign = snapshot_at(2, folds[2])
+    log.records_read(RecordsRead('configuration', True, (foreign,), 2, 3), 0)
+    assert store.offset == -1
+
+
 def test_log_that_lost_its_end_takes_nothing_back_and_is_reported(follower, folds):
     """The platform restores the log from an older copy."""
     store, log = follower
-    store.adopt(encode_state(folds[2]))
+    store.adopt(encode_state(folds[2]), 2)
     for _ in range(3):
         assert not log.log_is_behind
         records = (LogRecord(0, b'new'), LogRecord(1, b'newer'))
