Let extensions connect to an instance through its application

Cause: events and registries stood, but nobody outside the package could reach them in a running daemon. Change: the setting extensions names modules; they are imported before the settings that choose variants are read, and set up with the application. Conclusion: an extension gets the application, never a global.

--- a/savorychute/daemon/main.py
+++ b/savorychute/daemon/main.py
@@ -10,6 +10,7 @@
 from contextlib import ExitStack, asynccontextmanager
 from typing import TYPE_CHECKING
 
+from savorychute.application import Application
 from savorychute.clock import NS_PER_MS, SystemClock
 from savorychute.daemon.run_host import run_host
 from savorychute.daemon.tls import keep_reloading
@@ -79,6 +80,7 @@
     def make(address: MemberAddress) -> Instance:
         instance = Instance(part_settings, address, rng)
         telemetry.watch(instance.events)
+        Application(settings, instance, log).set_up_extensions()
         made.append(instance)
         return instance
 
--- /dev/null
+++ b/savorychute/settings/extension_reader.py
@@ -0,0 +1,33 @@
+"""The modules that extend an instance, as settings name them."""
+
+from __future__ import annotations
+
+import importlib
+from typing import Any
+
+EXPECTED = 'a list of names of modules that have a function "setup"'
+
+
+def read_extensions(value: Any) -> tuple[str, ...]:
+    """Import the named modules, so that they register their variants.
+
+    The settings that choose variants are read after this one, and so can name
+    what an extension brings.
+
+    :param value: the list of the settings file.
+    :raises ValueError: if a module cannot be imported or is no extension.
+    """
+    if not isinstance(value, list) or not all(isinstance(name, str) for name in value):
+        raise ValueError(EXPECTED)
+    for name in value:
+        _check_extension(name)
+    return tuple(value)
+
+
+def _check_extension(name: str) -> None:
+    try:
+        module = importlib.import_module(name)
+    except (ImportError, ValueError) as error:
+        raise ValueError(f'{EXPECTED}; "{name}" gave: {error}') from None
+    if not callable(getattr(module, 'setup', None)):
+        raise ValueError(f'{EXPECTED}; "{name}" has none')
--- a/savorychute/settings/settings.py
+++ b/savorychute/settings/settings.py
@@ -28,6 +28,7 @@
     tls_key_file: str
     tls_reload_interval_ms: int
     log_level: str
+    extensions: tuple[str, ...]
     router: str
     admission: str
     max_connections: int
--- a/savorychute/settings/table.py
+++ b/savorychute/settings/table.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+from savorychute.settings.extension_reader import read_extensions
 from savorychute.settings.peer_key_reader import read_peer_keys
 from savorychute.settings.readers import (
     read_address,
@@ -30,6 +31,8 @@
 MAX_BYTES = 1 << 32
 MAX_COUNT = 1_000_000
 HOUR_MS = 3_600_000
+# A suspect is pinged once more 1.2 s before the end.
+MIN_SUSPICION_MS = 1_500
 
 
 def _name(name: str, scope: Scope, doc: str) -> Setting:
@@ -125,6 +128,15 @@
         read_choice(LOG_LEVELS),
         'The least severe level that is logged.',
     ),
+    Setting(
+        'extensions',
+        (),
+        '',
+        Scope.DEPLOYMENT,
+        'list of modules',
+        read_extensions,
+        'Modules that extend the instance, set up in this order.',
+    ),
     _variant('router', 'predicted', read_router, 'How an endpoint is chosen.'),
     _variant('admission', 'tiered', read_admission, 'How requests wait and are shed.'),
     _count('max_connections', 4096, 'Open connections of callers.'),
@@ -156,7 +168,12 @@
     _size('max_queued_bytes', 16 << 20, 'Their bodies in memory.'),
     _duration('probe_interval_ms', 1_000, 'How often another instance is probed.'),
     _duration('probe_timeout_ms', 300, 'Time for an answer to a probe.'),
-    _duration('suspicion_ms', 4_000, 'From suspicion of an instance to its death.'),
+    _duration(
+        'suspicion_ms',
+        3_000,
+        'From suspicion of an instance to its death.',
+        minimum=MIN_SUSPICION_MS,
+    ),
     _duration('gossip_interval_ms', 250, 'How often news of members is passed on.'),
     _duration('listing_interval_ms', 20_000, 'How often the list is fetched.'),
     _count('discovery_seats', 3, 'Instances of a region in an answer to a caller.'),
--- a/tests/test_settings/test_part_settings.py
+++ b/tests/test_settings/test_part_settings.py
@@ -12,8 +12,8 @@
     make_instance_settings,
 )
 
-# Read by the daemon itself.
-OWN = {'log_level'}
+# Read by the daemon itself, and by the application (tests/test_application.py).
+OWN = {'log_level', 'extensions'}
 
 
 @pytest.fixture
