--- a/benches/configuration_rig.py
+++ b/benches/configuration_rig.py
@@ -83,6 +83,7 @@
         self.is_up = True
         self.lose_replies = False
         self.appends = 0
+        self.reads = 0
 
     def append(self, action: AppendRecord) -> AppendFinished:
         """Append, or refuse, or lose the reply."""
@@ -98,6 +99,7 @@
 
     def read(self, action: ReadRecords) -> RecordsRead:
         """Return records from an offset on, without those that expired."""
+        self.reads += 1
         if not self.is_up:
             return RecordsRead(action.stream, ok=False)
         records = self.streams.get(action.stream, [])
