Write a class document in one place

Cause: the demonstration wrote what the load profiles write already. Change: profiles.build_class serves both.

--- a/savorychute/demo/documents.py
+++ b/savorychute/demo/documents.py
@@ -6,15 +6,14 @@
 from typing import TYPE_CHECKING
 
 from savorychute.demo.demo_class import SERVICE
+from savorychute.testing.profiles import build_class
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from savorychute.contracts.class_document import ClassDocument
     from savorychute.contracts.contract_document import ContractDocument
     from savorychute.contracts.endpoint_document import EndpointDocument
     from savorychute.demo.demo_class import DemoClass
-    from savorychute.testing.call import CallClass
 
 MODEL = 'model'
 REGION = 'demo'
@@ -42,7 +41,7 @@
         'models': [MODEL],
         'services': [SERVICE],
         'classes': [
-            _make_class(each.call_class)
+            build_class(each.call_class)
             for each in classes
             if each.customer == customer
         ],
@@ -81,17 +80,3 @@
         'concurrent_requests': 16,
         'service': SERVICE,
     }
-
-
-def _make_class(call_class: CallClass) -> ClassDocument:
-    return {
-        'name': call_class.name,
-        'tier': call_class.tier,
-        'first_token_target_ms': call_class.first_token_target_ms,
-        'token_gap_target_ms': call_class.token_gap_target_ms,
-        'timeout_ms': call_class.timeout_ms,
-        'weight': call_class.weight,
-        'idempotent': call_class.idempotent,
-        'patient': call_class.patient,
-        'minimum_share': call_class.minimum_share,
-    }
--- a/savorychute/testing/profiles.py
+++ b/savorychute/testing/profiles.py
@@ -136,11 +136,15 @@
         'tokens_per_s': round(rate * 600) + 10_000.0,
         'models': ['model'],
         'services': [sizes.service_name],
-        'classes': [_build_class(each) for each in classes],
+        'classes': [build_class(each) for each in classes],
     }
 
 
-def _build_class(call_class: CallClass) -> ClassDocument:
+def build_class(call_class: CallClass) -> ClassDocument:
+    """Return a class as a contract writes it.
+
+    :param call_class: as its callers see it.
+    """
     return {
         'name': call_class.name,
         'tier': call_class.tier,
