Reject amendments that no message between instances could hold

Cause: an amendment of 512 KB to 1 MB, valid or not, was kept for others as it was; the frame's bound is 512 KB, so pulls of it would fail for good.

Change: above 100,000 bytes an amendment counts as unreadable, by a constant of the fold, and is passed on as an empty payload. Documents are bounded at 65,536 bytes, so no valid change is affected.

--- a/savorychute/configuration/record_codec.py
+++ b/savorychute/configuration/record_codec.py
@@ -9,6 +9,10 @@
 from savorychute.configuration.amendment_record import AMENDMENT_KIND, AmendmentRecord
 from savorychute.configuration.snapshot_record import SNAPSHOT_KIND, SnapshotRecord
 
+MAX_AMENDMENT_BYTES = 100_000
+"""A longer one is as good as unreadable: it would fit no message between
+instances, and those that do not read the log would never get past it."""
+
 
 class _RecordHead(TypedDict):
     kind: str
@@ -38,7 +42,7 @@
     """
     try:
         kind = _HEAD.decode(payload)['kind']
-        if kind == AMENDMENT_KIND:
+        if kind == AMENDMENT_KIND and len(payload) <= MAX_AMENDMENT_BYTES:
             return _AMENDMENT.decode(payload)
         if kind == SNAPSHOT_KIND:
             return _SNAPSHOT.decode(payload)
--- a/tests/test_configuration/test_snapshots.py
+++ b/tests/test_configuration/test_snapshots.py
@@ -108,6 +108,25 @@
     assert observe(other) == observe(whole)
 
 
+def test_record_too_large_for_a_message_is_passed_on_as_nothing():
+    """A tool appends an amendment of half a megabyte of spaces.
+
+    Were it passed on as it is, no message could hold it, and all instances that
+    do not read the log would be stuck before it.
+    """
+    payload = make_payload(0, 'contract:a', 0, make_contract('a'), 'r0')
+    ring = RecordRing(10_000_000)
+    record = LogRecord(0, payload + b' ' * 500_000)
+    ring.add(record)
+    (passed,) = ring.take_after(-1, 1_000)
+    assert passed.payload == b''
+    whole, other = ConfigurationFold(), ConfigurationFold()
+    whole.apply(record)
+    other.apply(LogRecord(0, passed.payload))
+    assert observe(whole) == observe(other)
+    assert not whole.verdicts.all()[0].accepted
+
+
 @pytest.mark.parametrize('position', [0, 10, -1])
 def test_damaged_state_is_refused(fold, amend, position):
     amend(fold, 'contract:a', 0, make_contract('a'))
