Ask silent members for reports; divide what is known of credits meanwhile

Cause: a home that starts anew under its name is no new home to the others, so those that use nothing never report and it gave nothing for the life of a grant; a new home moved nothing up while anybody was silent; what an instance opened before its first view never waited at all; a dead holder's part stayed reserved for the rest of its grant. A late request could wait out its time beside a lower stream that could have been paused.

Change: homes ask silent members every 250 ms, and divide what has been reported until all have. Homes opened before the first view are opened again. Holders that the view has lost are forgotten. Late requests preempt too.

--- a/savorychute/admission/tiered.py
+++ b/savorychute/admission/tiered.py
@@ -169,8 +169,7 @@
     def _is_urgent(self, request: QueuedRequest, now_ms: int) -> bool:
         waited_ms = now_ms - request.arrival_ms
         patience_ms = self.settings.preempt_after_share * request.first_token_target_ms
-        is_on_time = waited_ms < request.first_token_target_ms
-        return not request.patient and patience_ms <= waited_ms and is_on_time
+        return not request.patient and patience_ms <= waited_ms
 
     def _drop_preempted(self, now_ms: int) -> None:
         self._preempting = {
--- a/savorychute/credits/group_home.py
+++ b/savorychute/credits/group_home.py
@@ -42,8 +42,8 @@
 
     After a change of the home the previous one's grants are unknown.  This is
     seen by members that have not reported yet.  Until all have, and at most
-    for the life of a grant, levels are renewed but not raised, because
-    whatever nobody has reported may be in use.
+    for the life of a grant, only what is reported is divided, because whatever
+    nobody has reported may be in use.
 
     :param settings: durations and shares.
     :param holding: the home's own use of the group.
@@ -81,6 +81,10 @@
         for instance in expected:
             if instance != own:
                 self._silent_until[instance] = now_ms + settings.grant_ms
+        self._known = {
+            key: max(holding.level(key, now_ms) or 0, holding.in_use.get(key, 0))
+            for key in self._capacities
+        }
 
     def take_report(
         self, instance: str, epoch: int, number: int, report: GroupReport, now_ms: int
@@ -106,10 +110,12 @@
             own_sequence=report.sequence,
             held_until_ms=now_ms + self.settings.grant_ms,
         )
-        self._silent_until.pop(instance, None)
-        before = sum(self._totals.values())
+        before = dict(self._totals)
         self._recount(instance, now_ms)
-        has_freed = sum(self._totals.values()) < before
+        if self._silent_until.pop(instance, None) is not None:
+            for key, total in self._totals.items():
+                self._known[key] += total - before[key]
+        has_freed = sum(self._totals.values()) < sum(before.values())
         return is_urgent or (has_freed and self.pressing_tier != NOTHING_PRESSING)
 
     def set_own_waiting(self, waiting: tuple[int, ...]) -> bool:
@@ -130,9 +136,7 @@
         :param endpoint: its hash.
         :param now_ms: the time.
         """
-        if self._is_locked(now_ms):
-            return self.holding.level(endpoint, now_ms) or 0
-        room = self._capacity(endpoint) - self._totals[endpoint]
+        room = self._capacity(endpoint, now_ms) - self._totals[endpoint]
         if self.pressing_tier != NOTHING_PRESSING and self._records:
             room = min(room, self._targets.get(self.own, {}).get(endpoint, 0))
         return max(0, room)
@@ -156,7 +160,7 @@
         self._is_urgent = False
         for instance in list(self._records):
             self._recount(instance, now_ms)
-        self._divide()
+        self._divide(now_ms)
         return True
 
     def granted_ms(self, instance: str) -> int:
@@ -227,8 +231,20 @@
         """Whether grants wait because too many were sent of late."""
         return self._has_held_back
 
+    def list_silent(self, now_ms: int) -> list[str]:
+        """Return the members whose reports the home waits for.
+
+        :param now_ms: the time.
+        """
+        return list(self._silent_until) if self._is_locked(now_ms) else []
+
     def drop_lost(self, alive: frozenset[str], now_ms: int) -> None:
-        """Forget instances that are gone once their grants have ended.
+        """Forget instances that are gone, and those silent for very long.
+
+        What a dead instance used is free, because endpoints saw its connections
+        break.  One that was only cut off may go on to the end of its grant
+        beside those who get its part; that is less than the life of a grant,
+        since the loss was detected in the meantime.
 
         :param alive: the members that are alive or leaving.
         :param now_ms: the time.
@@ -237,7 +253,7 @@
             record.drop_expired(now_ms)
             age_ms = now_ms - record.received_ms
             is_silent = age_ms > FORGOTTEN_AFTER_GRANTS * self.settings.grant_ms
-            if is_silent or (instance not in alive and record.has_expired(now_ms)):
+            if is_silent or instance not in alive:
                 del self._records[instance]
                 for endpoint, amount in self._committed.pop(instance, {}).items():
                     if endpoint in self._totals:
@@ -250,8 +266,12 @@
         """
         return self._totals[endpoint]
 
-    def _capacity(self, endpoint: int) -> int:
-        return int(self._capacities[endpoint] * self.scale)
+    def _capacity(self, endpoint: int, now_ms: int) -> int:
+        """Return what may be divided; while members are silent, what is known."""
+        capacity = int(self._capacities[endpoint] * self.scale)
+        if self._is_locked(now_ms):
+            return min(capacity, self._known[endpoint])
+        return capacity
 
     def _is_locked(self, now_ms: int) -> bool:
         while self._silent_until:
@@ -280,10 +300,8 @@
         committed = self._committed[instance].get(endpoint, 0)
         if target <= committed:
             return target
-        if self._is_locked(now_ms):
-            return committed
         own = self.holding.in_use.get(endpoint, 0)
-        room = self._capacity(endpoint) - self._totals[endpoint] - own
+        room = self._capacity(endpoint, now_ms) - self._totals[endpoint] - own
         return min(target, committed + max(0, room))
 
     def _measure_shift(self, instance: str, record: HolderRecord, now_ms: int) -> int:
@@ -314,13 +332,13 @@
         lack = _sum_excess(targets, levels)
         return any(self._own_waiting) and lack >= _least_shift(targets)
 
-    def _divide(self) -> None:
+    def _divide(self, now_ms: int) -> None:
         wants = {
             instance: _add(record.running, record.waiting)
             for instance, record in self._records.items()
         }
         wants[self.own] = _add(self.holding.list_running(), self._own_waiting)
-        capacities = {key: self._capacity(key) for key in self._capacities}
+        capacities = {key: self._capacity(key, now_ms) for key in self._capacities}
         capacity = sum(capacities.values())
         if capacity == 0:
             self._targets = {}
--- a/savorychute/credits/holder_record.py
+++ b/savorychute/credits/holder_record.py
@@ -81,15 +81,6 @@
         """Return the levels of the newest grant, or what the report said."""
         return self._offers[-1].levels if self._offers else self._held
 
-    def has_expired(self, now_ms: int) -> bool:
-        """Return whether nothing that was granted is still in force.
-
-        :param now_ms: the time.
-        """
-        return now_ms >= self._held_until_ms and all(
-            now_ms >= offer.expires_ms for offer in self._offers
-        )
-
     def drop_expired(self, now_ms: int) -> None:
         """Forget grants that are no longer in force.
 
--- a/savorychute/credits/home_desk.py
+++ b/savorychute/credits/home_desk.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from savorychute.credits.credit_ask import CreditAsk
 from savorychute.credits.credit_grant import CreditGrant
 from savorychute.credits.group_home import GroupHome
 from savorychute.credits.send_peer import send_to
@@ -38,6 +39,7 @@
         self._relay = relay
         self._epoch = epoch
         self._homes: dict[str, GroupHome] = {}
+        self._asked_ms = 0
 
     def find(self, key: str) -> GroupHome | None:
         """Return the home's side of a group, if this instance is its home.
@@ -88,6 +90,7 @@
         # Only now: a holder that is forgotten may be among those to be sent to.
         for home in divided:
             home.drop_lost(present, now_ms)
+        actions += self._ask_silent(view, now_ms)
         return actions
 
     def receive_report(
@@ -117,6 +120,24 @@
         _add_missing(pushes.setdefault(sender, []), answered)
         return self._push(pushes, view, now_ms)
 
+    def _ask_silent(self, view: MemberView, now_ms: int) -> list[Action]:
+        """Ask members for the reports that this instance waits for.
+
+        A member reports of itself when it sees a new home.  It does not see a
+        home that has started anew under its old name.
+        """
+        if now_ms - self._asked_ms < self._book.settings.ask_interval_ms:
+            return []
+        self._asked_ms = now_ms
+        silent: dict[str, list[int]] = {}
+        for home in self._homes.values():
+            for instance in home.list_silent(now_ms):
+                silent.setdefault(instance, []).append(home.holding.group.number)
+        actions: list[Action] = []
+        for instance, groups in silent.items():
+            actions += send_to(instance, CreditAsk(tuple(groups)), view)
+        return actions
+
     def _divide(
         self,
         home: GroupHome,
--- a/savorychute/credits/ledger.py
+++ b/savorychute/credits/ledger.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from savorychute.credits.credit_ask import CreditAsk
 from savorychute.credits.credit_grant import CreditGrant
 from savorychute.credits.credit_report import CreditReport
 from savorychute.credits.endpoint_group import hash_name
@@ -149,6 +150,8 @@
             return self._homes.receive_report(sender, message, view, now_ms)
         if isinstance(message, CreditGrant):
             return self._reports.receive_grant(sender, message, view, now_ms)
+        if isinstance(message, CreditAsk):
+            return self._reports.receive_ask(sender, message, view, now_ms)
         return []
 
     def tick(self, view: MemberView, now_ms: int) -> list[Action]:
@@ -263,6 +266,11 @@
             return
         self._members.set_view(view, now_ms)
         self._table.set_view(view)
+        if known is None:
+            # What this instance took itself for when it knew nobody is no
+            # ground to think that nobody holds anything.
+            for key in self._book.holdings:
+                self._homes.close(key)
         self._follow_homes(now_ms)
 
     def _follow_homes(self, now_ms: int) -> None:
--- a/savorychute/credits/report_desk.py
+++ b/savorychute/credits/report_desk.py
@@ -12,6 +12,7 @@
     from collections.abc import Iterable
 
     from savorychute.actions import Action
+    from savorychute.credits.credit_ask import CreditAsk
     from savorychute.credits.credit_grant import CreditGrant
     from savorychute.credits.group_book import GroupBook
     from savorychute.credits.group_holding import GroupHolding
@@ -91,6 +92,22 @@
                 holding.give_up_unused()
         return self.send_reports(view, now_ms)
 
+    def receive_ask(
+        self, sender: str, message: CreditAsk, view: MemberView, now_ms: int
+    ) -> list[Action]:
+        """Report on groups of which their home wants to know.
+
+        :param sender: the home.
+        :param message: its question.
+        :param view: who is alive.
+        :param now_ms: the time.
+        """
+        for number in message.groups:
+            holding = self._book.find(number)
+            if holding is not None and holding.home == sender:
+                holding.must_report = True
+        return self.send_reports(view, now_ms)
+
     def _build(
         self, holding: GroupHolding, waiting: tuple[int, ...], now_ms: int
     ) -> GroupReport:
--- a/savorychute/credits/settings.py
+++ b/savorychute/credits/settings.py
@@ -24,6 +24,7 @@
     subset_size: int = 16
     group_size: int = 16
     grant_ms: int = 6_000
+    ask_interval_ms: int = 250
     report_interval_ms: int = 1_000
     idle_report_interval_ms: int = 2_000
     pressure_interval_ms: int = 50
--- a/savorychute/wire/messages.capnp
+++ b/savorychute/wire/messages.capnp
@@ -176,6 +176,10 @@
   groups @4 :List(GroupGrant);
 }
 
+struct CreditAsk {  # tag 32
+  groups @0 :List(Int64);
+}
+
 struct ShareReport {
   customer @0 :Text;
   homeEpoch @1 :Int64;
--- a/tests/test_credits/test_ledger.py
+++ b/tests/test_credits/test_ledger.py
@@ -303,3 +303,25 @@
             rig.cut.clear()
         rig.run(50 + 30 * amount)
         assert_never_overcommitted(rig)
+
+
+def test_home_that_starts_anew_learns_what_is_out_at_once(make_rig):
+    """The home crashes and is back under its name before anybody sees it gone.
+    Nobody reports to a new home then, and those that use nothing would never
+    report; for the life of a grant the home would give nothing to a burst.
+    """
+    rig = make_rig()
+    rig.run(200)
+    home = rig.home()
+    users = [name for name in rig.ledgers if name != home][:3]
+    for name in users:
+        rig.demand[name] = {1: 10}
+    rig.run(1_500)
+    rig.stop(home)
+    rig.start(home)
+    rig.demand[users[0]] = {0: 60}
+    rig.run(60)
+
+    rig.run(1_500, lambda: assert_never_overcommitted(rig))
+
+    assert rig.level(users[0]) >= 45
