Split the tests of the instance by what they are about

Change: answers, resumes, departures, operators and the rest, with shared steps; the assertions are the same.

--- /dev/null
+++ b/tests/test_instance/conftest.py
@@ -0,0 +1,35 @@
+"""Shared fixtures of the instance tests."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import pytest
+
+from savorychute.testing.solo import (
+    OTHER_CUSTOMER,
+    OTHER_TOKEN,
+    Solo,
+    make_contract,
+    make_engine,
+)
+
+sys.path.insert(0, str(Path(__file__).parent))
+
+READY_MS = 5_000
+
+
+@pytest.fixture
+def solo():
+    driven = Solo(
+        contracts=[
+            make_contract(),
+            make_contract(OTHER_CUSTOMER, OTHER_TOKEN, pool_share=0.2),
+        ],
+        endpoints=[make_engine('engine-1'), make_engine('engine-2')],
+    )
+    driven.run_for(READY_MS)
+    assert driven.instance.ready
+    driven.actions.clear()
+    return driven
