Order models to where they are wanted under the region's lease

Cause: nothing decided which models an engine has loaded; the lease and the order desk had no caller.

Change: PlacementPlanner weighs smoothed demand by model against what fresh reports show, and orders loads within a token bucket; a model gives way only where its other copies are ready. An order that is sent with repeat=False is not sent again by the order desk: a load takes minutes to show, and each report until then would have counted it as undone by a late order and loaded it once more.

Conclusion: engines that hold all they may serve are left alone.

--- a/savorychute/instance/housekeeping.py
+++ b/savorychute/instance/housekeeping.py
@@ -7,6 +7,7 @@
 from savorychute.audit.audit_entry import AuditEntry
 from savorychute.audit.audit_kind import AuditKind
 from savorychute.instance.lease_desk import LeaseDesk
+from savorychute.instance.placement_desk import PlacementDesk
 from savorychute.recovery import EndpointHealth
 
 if TYPE_CHECKING:
@@ -28,6 +29,7 @@
         self._parts = parts
         self._key_desk = key_desk
         self._lease_desk = LeaseDesk(parts)
+        self._placement_desk = PlacementDesk(parts, self._lease_desk)
 
     def tick(self, now_ms: int) -> list[Action]:
         """Tick every part once."""
@@ -48,6 +50,7 @@
         actions += parts.quarantine.tick(view, now_ms)
         actions += parts.book.due_polls(now_ms)
         actions += self._lease_desk.tick(now_ms)
+        actions += self._placement_desk.tick(now_ms)
         actions += parts.audit.tick(now_ms)
         self._follow_endpoints()
         return actions
@@ -71,6 +74,7 @@
         parts.book.report(report, now_ms)
         parts.ejector.report(report, now_ms)
         parts.credits.observe(report)
+        self._placement_desk.note_load(report, now_ms)
         actions = self._lease_desk.note_load(report, now_ms)
         if report.state == ACTIVE:
             return actions
@@ -79,6 +83,7 @@
 
     def note_order(self, finished: OrderFinished, now_ms: int) -> list[Action]:
         """Take in how an order ended."""
+        self._placement_desk.note_order(finished, now_ms)
         return self._lease_desk.note_order(finished, now_ms)
 
     def follow_configuration(self, now_ms: int) -> None:
--- a/savorychute/instance/instance_settings.py
+++ b/savorychute/instance/instance_settings.py
@@ -12,6 +12,7 @@
 from savorychute.leases.lease_settings import LeaseSettings
 from savorychute.limits import LimitSettings
 from savorychute.membership import DiscoverySettings, MembershipSettings
+from savorychute.placement import PlacementSettings
 from savorychute.recovery import EjectorSettings, QuarantineSettings, RetrySettings
 from savorychute.requests import KeySettings
 from savorychute.routing import LengthSettings, RoutingSettings
@@ -54,6 +55,7 @@
     limiter: LimitSettings = LimitSettings()
     log_budget: LogBudgetSettings = LogBudgetSettings()
     membership: MembershipSettings = MembershipSettings()
+    placement: PlacementSettings = PlacementSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
     retries: RetrySettings = RetrySettings()
     routing: RoutingSettings = RoutingSettings()
--- a/savorychute/leases/order_desk.py
+++ b/savorychute/leases/order_desk.py
@@ -168,7 +168,11 @@
 
     def _settle(self, order: SentOrder, took_effect: bool, now_ms: int) -> None:
         if order.request.verb != ROLE:
-            key = (order.request.endpoint, order.request.target)
+            request = order.request
+            key = (request.endpoint, request.target)
+            if request.verb == LOAD and not request.repeat:
+                # Done means begun: its effect counts from when it is seen.
+                took_effect = False
             self._settled[key] = order._replace(
                 settled_ms=now_ms, took_effect=took_effect
             )
@@ -216,6 +220,10 @@
         late = order.took_effect
         if late:
             self.late_orders_by_endpoint[request.endpoint] += 1
+        if not request.repeat:
+            if late:
+                del self._settled[request.endpoint, target]
+            return []
         self._count += 1
         again = request._replace(
             order_id=f'{CORRECTION_PREFIX}.{self._count}.{order.fencing}',
