Count work that began under a floor

Cause: in all of the last 9 random histories that exceeded a contract, by 1 or 2 of 40 units, a cut-off instance had started work just before its floor ended, and the home gave the floor's units out while that work ran.

--- a/savorychute/limits/settings.py
+++ b/savorychute/limits/settings.py
@@ -35,6 +35,15 @@
     turn_ms: int = 2_000
     spare_memory_ms: int = 60_000
 
+    @property
+    def floor_tail_ms(self) -> int:
+        """How long a floor may be in use after its end in a home's books.
+
+        Another home may have renewed it until all knew better, and work that
+        started under it goes on.
+        """
+        return self.detection_ms + self.in_progress_ms
+
     @property
     def unknown_ms(self) -> int:
         """How long a share may be in use after its holder reported last.
--- a/savorychute/limits/share_home.py
+++ b/savorychute/limits/share_home.py
@@ -267,8 +267,8 @@
         return False
 
     def _count_floor_ms(self) -> int:
-        """Return how long a floor counts; another home may have renewed it."""
-        return self.settings.floor_ms + self.settings.detection_ms
+        """Return how long a floor counts from the report that it answers."""
+        return self.settings.floor_ms + self.settings.floor_tail_ms
 
     def _is_locked(self, now_ms: int) -> bool:
         if not self._silent_until:
--- a/savorychute/limits/share_record.py
+++ b/savorychute/limits/share_record.py
@@ -55,7 +55,7 @@
             units=max(report.held, report.in_use),
             ends_ms=now_ms + settings.unknown_ms,
             floor=report.floor,
-            floor_ends_ms=now_ms + report.floor_left_ms + settings.detection_ms,
+            floor_ends_ms=now_ms + report.floor_left_ms + settings.floor_tail_ms,
         )
         self._offers = [o for o in self._offers if o.sequence > report.sequence]
 
