Give the two sides of limits modules of their own

Change: a book of holdings, a desk that reports, a desk that is the home; the exchange puts them together. No behaviour changes.

--- a/benches/limiter_rig.py
+++ b/benches/limiter_rig.py
@@ -133,7 +133,7 @@
     def home(self):
         """Return the instance that the first one takes for the home."""
         first = next(iter(self.limiters.values()))
-        return first._desk._holdings[CUSTOMER].home
+        return first._desk._book.holdings[CUSTOMER].home
 
     def _true_alive(self, viewer):
         return {
