Ping a suspect more than once before it is taken for dead

Cause: a member that missed the refutation and lost the one last ping or its answer declared a living member dead. Change: who accuses pings at once, all ping near the end of the time to refute.

--- a/savorychute/membership/prober.py
+++ b/savorychute/membership/prober.py
@@ -65,7 +65,8 @@
         self._relays: dict[int, Relay] = {}
         self._next_probe_ms = 0
         self._verdicts: list[MemberUpdate] = []
-        self._challenged: dict[str, MemberUpdate] = {}
+        self._challenges: dict[str, int] = {}
+        self._accused: MemberUpdate | None = None
 
     def tick(
         self, own: MemberAddress, make_ping: MakePing, now_ms: int
@@ -156,6 +157,7 @@
         if record.update.state < MemberState.SUSPECT:
             suspicion = record.update._replace(state=int(MemberState.SUSPECT))
             self._verdicts.append(suspicion)
+            self._accused = suspicion
 
     def _start_probe(
         self, own: MemberAddress, make_ping: MakePing, now_ms: int
@@ -195,28 +197,41 @@
                 self._round.insert(self._rng.randint(0, len(self._round)), instance)
 
     def _challenge_suspects(self, make_ping: MakePing, now_ms: int) -> list[Action]:
-        """Ping each suspect once more before its time to refute is over.
+        """Ping suspects: whom this instance accused at once, all near the end.
 
-        The failure: a member misses the refutation by lost messages and
+        The failure: a suspect hears of the suspicion late, is paused then, and
+        is declared dead; or a member misses the refutation by lost messages and
         declares a living member dead.  The ping carries the suspicion, so the
         answer carries the refutation.
         """
-        suspects = self._table.in_state(MemberState.SUSPECT)
-        limit_ms = now_ms - self._settings.suspicion_ms + self._settings.challenge_ms
         actions: list[Action] = []
-        challenged = {}
-        for record in suspects:
-            instance = record.update.address.instance
-            if record.since_ms > limit_ms:
-                continue
-            challenged[instance] = record.update
-            if self._challenged.get(instance) != record.update:
-                target = record.update.address
-                ping = make_ping(UNTRACKED_SEQUENCE, target, now_ms)
-                actions.append(SendPeer(instance, target.host, target.peer_port, ping))
-        self._challenged = challenged
+        challenges = {}
+        limit_ms = now_ms - self._settings.suspicion_ms + self._settings.challenge_ms
+        for record in self._table.in_state(MemberState.SUSPECT):
+            update = record.update
+            instance = update.address.instance
+            last_ms = self._challenges.get(instance)
+            is_late = record.since_ms <= limit_ms
+            is_asked = last_ms is not None and (
+                now_ms - last_ms < self._settings.probe_timeout_ms
+            )
+            is_fresh = update == self._accused
+            if is_fresh:
+                self._accused = None
+            if is_fresh or (is_late and not is_asked):
+                actions.append(self._challenge(update.address, make_ping, now_ms))
+                challenges[instance] = now_ms
+            elif last_ms is not None:
+                challenges[instance] = last_ms
+        self._challenges = challenges
         return actions
 
+    def _challenge(
+        self, target: MemberAddress, make_ping: MakePing, now_ms: int
+    ) -> SendPeer:
+        ping = make_ping(UNTRACKED_SEQUENCE, target, now_ms)
+        return SendPeer(target.instance, target.host, target.peer_port, ping)
+
     def _is_overdue(self, now_ms: int) -> bool:
         probe = self._probe
         if probe is None or probe.indirect:
--- a/savorychute/membership/settings.py
+++ b/savorychute/membership/settings.py
@@ -10,8 +10,8 @@
 
     ``probe_period_ms`` is the time between two probes, ``probe_timeout_ms``
     the wait for a direct answer before others are asked to probe.
-    ``suspicion_ms`` is the time to refute a suspicion; ``challenge_ms`` before
-    its end each member pings the suspect once more.  ``pause_ms`` is the
+    ``suspicion_ms`` is the time to refute a suspicion; from
+    ``challenge_ms`` before its end each member pings the suspect itself.  ``pause_ms`` is the
     gap between two ticks from which on the instance takes itself to have been
     paused.  ``updates_per_s`` and ``updates_burst`` bound what gossip sends.
     """
