Replace an instance in the middle of a stream on real sockets

Cause: with three instances replaced or crashed in a row, a client was left with addresses at which nobody was: it kept its discovery answer to the end. Change: tests of a client that asks anew when an instance fails or leaves, gets a new key when a witness is gone, and does not say 'not run' on the word of a redirect. The system test has six instances and replaces one under a stream. Conclusion: a client survives the replacement of every instance that it knew.

--- a/tests/test_client/test_client.py
+++ b/tests/test_client/test_client.py
@@ -16,7 +16,7 @@
     ServiceCall,
     open_client,
 )
-from savorychute.clock import SystemClock
+from savorychute.clock import ManualClock, SystemClock
 from savorychute.http.client_pool import ServerAddress
 from savorychute.http.error_answer import encode_error, error_headers
 from savorychute.http.http_limits import HttpLimits
@@ -130,14 +130,14 @@
 async def run_instances(instances):
     async with AsyncExitStack() as stack:
         for instance in instances:
+            instance.peers = list(instances)
             server = HttpServer(HttpLimits(), SystemClock(), instance.take)
             await stack.enter_async_context(listen(server, '127.0.0.1', 0))
             instance.address = ServerAddress('127.0.0.1', server.port)
-            instance.peers = instances
         yield
 
 
-def run(act, *instances, **changes):
+def run(act, *instances, clock=None, **changes):
     """Run *act* with a client whose one seed is the first instance."""
 
     async def main():
@@ -145,7 +145,7 @@
             seeds = (instances[0].address,)
             settings = ClientSettings(seeds, 'secret', max_backoff_ms=20)
             settings = settings._replace(**changes)
-            async with open_client(settings, rng=Random(1)) as client:
+            async with open_client(settings, clock=clock, rng=Random(1)) as client:
                 return await act(client)
 
     return asyncio.run(main())
@@ -182,6 +182,35 @@
     assert instance.discoveries == 2
 
 
+def test_addresses_are_asked_for_again_when_one_fails():
+    """All instances replaced.
+
+    Within one lifetime of the answer every instance that it names is replaced,
+    one after the other.  A client that kept the answer would be left with
+    addresses at which nobody is, and no one to ask for new ones.
+    """
+    first, second = Instance('i1', [answer]), Instance('i2', [answer])
+    third = Instance('i3', [answer])
+    clock = ManualClock()
+
+    async def act(client):
+        first.peers = second.peers = [first, second]
+        await client.complete(CHAT)
+        first.script = [drop]
+        first.peers = second.peers = [second, third]
+        clock.advance_to(2_000)
+        await client.complete(CHAT)
+        clock.advance_to(4_000)
+        await client.complete(CHAT)
+        second.script = [drop]
+        return await client.complete(CHAT)
+
+    got = run(act, first, second, third, clock=clock)
+
+    assert got.body == b'answer'
+    assert len(third.requests) == 1
+
+
 def test_instance_that_does_not_answer_is_left_for_another():
     first, second = Instance('i1', [drop]), Instance('i2', [answer])
 
@@ -279,6 +308,21 @@
     assert (keys, first.keys + second.keys) == (['i1-1', 'i1-1'], 1)
 
 
+def test_redirect_under_a_key_does_not_say_not_run():
+    """Redirects to a dead issuer.
+
+    The instance that ran a visit dies; the others go on sending its caller
+    there.  They say 'not run' of their own try; of the visit it is not true.
+    """
+    first, second = Instance('i1', [drop]), Instance('i2', [])
+    second.script = [redirect_to(first)]
+
+    with pytest.raises(CallError) as caught:
+        run(lambda client: client.call_service(VISIT), first, second)
+
+    assert caught.value.ran is Ran.UNKNOWN
+
+
 def test_unknown_outcome_under_a_key_is_final():
     code = ResultCode.OUTCOME_UNKNOWN
     instance = Instance('i1', [refuse(code, Ran.UNKNOWN, retry_after_ms=1)])
@@ -290,8 +334,11 @@
     assert len(instance.requests) == 1
 
 
-def test_revoked_key_is_replaced():
-    instance = Instance('i1', [refuse(ResultCode.KEY_REVOKED), answer])
+@pytest.mark.parametrize(
+    'code', [ResultCode.KEY_REVOKED, ResultCode.WITNESS_UNAVAILABLE]
+)
+def test_key_that_will_not_run_is_replaced(code):
+    instance = Instance('i1', [refuse(code), answer])
 
     run(lambda client: client.call_service(VISIT), instance)
 
--- a/tests/test_daemon/system_rig.py
+++ b/tests/test_daemon/system_rig.py
@@ -179,6 +179,11 @@
         await wait_until(lambda: name in self.hosts)
         self.listing.put(self.hosts[name].address, loop_ms())
 
+    async def leave(self, name):
+        """Let an instance leave, as its replacement does."""
+        await self.hosts[name].drain()
+        await self.crash(name)
+
     async def crash(self, name):
         """End an instance without a word."""
         self.hosts.pop(name)
@@ -216,13 +221,13 @@
 
 @asynccontextmanager
 async def run_system():
-    """Run three configured instances until the block ends."""
+    """Run six configured instances, as many as a site has, until the block ends."""
     async with AsyncExitStack() as stack:
         system = System(stack)
         await system.start_stand_ins()
         domains = ('kochi-hall', 'thrissur-hall', 'kozhikode-hall')
         try:
-            for number, domain in enumerate(domains, 1):
+            for number, domain in enumerate(domains * 2, 1):
                 await system.start(f'entry-{number}', domain)
             port = system.hosts['entry-1'].address.caller_port
             await configure(
--- a/tests/test_daemon/test_system.py
+++ b/tests/test_daemon/test_system.py
@@ -6,13 +6,15 @@
 
 import pytest
 from daemon_fakes import wait_until
-from system_rig import run_system
+from system_rig import run_system, wait_for_answer
 
 from savorychute.client import CallError, ChatCall, ServiceCall, open_client
 from savorychute.ran import Ran
 from savorychute.testing.answers import write_answer
 
-PROMPT = 'why is there no water? #tokens=60'
+BOUND_S = 60
+TOKENS = 60
+PROMPT = f'why is there no water? #tokens={TOKENS}'
 CHAT = ChatCall('model', ({'role': 'user', 'content': PROMPT},), 'diagnosis')
 VISIT = ServiceCall(
     'desk', 'POST', '/visits', 'visit-log', b'{"visit":7}', idempotent=False
@@ -20,18 +22,21 @@
 
 
 def test_faults_in_the_middle_of_requests():
-    """Crashes of instances and engines.
+    """Replacement and crashes of instances and engines.
 
-    One system, one fault after the other.  A stream's instance crashes; a
-    stream's engine crashes; an instance crashes while a visit is being logged.
-    Callers see whole answers or an honest 'unknown', and nothing runs twice.
+    One system, one event after the other.  A stream's instance is replaced,
+    another one crashes, a third while a visit is being logged, at last the
+    engine of a stream.  Callers see whole answers or an honest 'unknown', and
+    nothing runs twice.
     """
 
     async def main():
         async with (
+            asyncio.timeout(BOUND_S),
             run_system() as system,
             open_client(system.client_settings) as client,
         ):
+            await stream_over_the_replacement_of_its_instance(system, client)
             await stream_over_a_crash_of_its_instance(system, client)
             await log_visit_over_a_crash_of_its_instance(system, client)
             await stream_over_a_crash_of_its_engine(system, client)
@@ -39,6 +44,10 @@
     asyncio.run(main())
 
 
+def count_generated(system):
+    return sum(each.engine.generated_tokens for each in system.engines)
+
+
 async def read_stream(client, on_token):
     text = ''
     async for tokens in client.stream(CHAT):
@@ -47,8 +56,31 @@
     return text
 
 
+async def stream_over_the_replacement_of_its_instance(system, client):
+    leaving = []
+
+    async def leave_at_the_tenth(offset):
+        if offset == 10:
+            name = system.find_carrier()
+            leaving.append(name)
+            leaving.append(asyncio.create_task(system.leave(name)))
+            answer = await client.complete(CHAT)
+            assert not answer.request_id.startswith(f'{name}-')
+
+    generated = count_generated(system)
+    text = await read_stream(client, leave_at_the_tenth)
+    async with asyncio.timeout(10):
+        await leaving[1]
+
+    assert text == write_answer(PROMPT, 0)
+    assert count_generated(system) - generated == 2 * TOKENS
+    await system.start('entry-7', 'kochi-hall')
+    port = system.hosts['entry-7'].address.caller_port
+    await wait_for_answer(port, {'model': 'model', 'messages': CHAT.messages})
+
+
 async def stream_over_a_crash_of_its_instance(system, client):
-    generated = sum(each.engine.generated_tokens for each in system.engines)
+    generated = count_generated(system)
 
     async def crash_at_the_tenth(offset):
         if offset == 10:
@@ -57,8 +89,7 @@
     text = await read_stream(client, crash_at_the_tenth)
 
     assert text == write_answer(PROMPT, 0)
-    generated_now = sum(each.engine.generated_tokens for each in system.engines)
-    assert generated_now - generated == 60
+    assert count_generated(system) - generated == TOKENS
 
 
 async def log_visit_over_a_crash_of_its_instance(system, client):
