Stop herding on lagging reports; explain crashes by convicted requests

Cause: the score minimised a stale prediction, so many instances chose one endpoint; suspects of several instances met on one endpoint, and a guard for the own network excused real poison. Lanes for suspects, excuses after a conviction, network guard by share of endpoints in use.

--- /dev/null
+++ b/benches/routing_rig.py
@@ -0,0 +1,266 @@
+"""Instances that route to stand-in engines, on a virtual clock.
+
+Nothing but routing: no admission, no credits, no retries.  An instance sends
+each request at once, and what does not fit waits at the engine.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from typing import TYPE_CHECKING, NamedTuple
+
+from savorychute.inputs.load_reported import LoadReported
+from savorychute.routing import ROUTERS, EndpointBook, RoutingRequest, RoutingSettings
+from savorychute.testing.engine import ModelEngine
+from savorychute.testing.engine_events import StreamEnded, StreamTokens
+from savorychute.testing.engine_request import EngineRequest
+from savorychute.testing.engine_settings import EngineSettings
+from savorychute.testing.prompt_blocks import hash_blocks
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+POOL = 'pump-diagnosis'
+TICK_MS = 50
+DOMAINS = ('kochi-hall', 'thrissur-hall', 'kozhikode-hall')
+CHARS_PER_TOKEN = 4
+
+
+class RigPlan(NamedTuple):
+    """A load, and what goes wrong.
+
+    Requests arrive at random at ``requests_per_s``, three times as many during
+    the second that begins at ``burst_ms``.  ``straggler`` is the factor by which
+    the first engine becomes slow at ``straggler_ms``.  ``small_engines`` have
+    half the places and twice the step time of the others.
+    """
+
+    name: str
+    requests_per_s: float
+    duration_ms: int = 15_000
+    instances: int = 8
+    engines: int = 9
+    report_lag_ms: float = 100.0
+    straggler: float = 1.0
+    straggler_ms: int = 4_000
+    burst_ms: int = -1
+    prompt_tokens: int = 600
+    shared_tokens: int = 512
+    prefixes: int = 40
+    output_tokens: float = 150.0
+    small_engines: int = 0
+
+
+class RigFigures(NamedTuple):
+    """Times to first token and between tokens, in ms, and answers in time."""
+
+    requests: int
+    p50_ms: float
+    p95_ms: float
+    p99_ms: float
+    mean_ms: float
+    in_time_share: float
+    gap_p95_ms: float
+
+
+class RoutingRig:
+    """Drives one plan with one router.
+
+    :param plan: the load.
+    :param router: a name of the registry.
+    :param settings: of the router and the books.
+    :param seed: of everything random.
+    """
+
+    target_ms = 250.0
+    gap_target_ms = 20.0
+
+    def __init__(
+        self, plan: RigPlan, router: str, settings: RoutingSettings, seed: int
+    ) -> None:
+        self.plan = plan
+        self.rng = random.Random(seed)
+        self._events: list[tuple[float, int, Callable[[float], None]]] = []
+        self._order = itertools.count()
+        self._first_ms: dict[str, float] = {}
+        self._started: dict[str, tuple[float, EndpointBook, float]] = {}
+        self._last_ms: dict[str, float] = {}
+        self._gaps: list[float] = []
+        self._in_time = 0
+        self._make_engines()
+        self._make_instances(router, settings)
+
+    def _make_engines(self) -> None:
+        self.engines = {}
+        self.documents = {}
+        for number in range(self.plan.engines):
+            name = f'engine-{number}'
+            options = EngineSettings(
+                name=name, models=(POOL,), report_lag_ms=self.plan.report_lag_ms
+            )
+            if number >= self.plan.engines - self.plan.small_engines:
+                options = options._replace(
+                    max_running=options.max_running // 2, step_ms=2 * options.step_ms
+                )
+            self.engines[name] = ModelEngine(options, random.Random(number))
+            self.documents[name] = {
+                'endpoint': name,
+                'dialect': 'openai',
+                'host': '',
+                'port': 0,
+                'region': 'kerala',
+                'failure_domain': DOMAINS[number % 3],
+                'state': 'active',
+                'concurrent_requests': options.max_running,
+                'models': [POOL],
+            }
+        self._wakes = dict.fromkeys(self.engines, -1.0)
+
+    def _make_instances(self, router: str, settings: RoutingSettings) -> None:
+        self.books = []
+        self.routers = []
+        for number in range(self.plan.instances):
+            rng = random.Random(self.rng.getrandbits(32))
+            book = EndpointBook(settings, rng, DOMAINS[number % 3], 'kerala')
+            book.set_endpoints(self.documents)
+            self.books.append(book)
+            self.routers.append(ROUTERS.get(router)(settings, book, rng))
+
+    def at(self, when_ms: float, call: Callable[[float], None]) -> None:
+        """Call at a time."""
+        heapq.heappush(self._events, (when_ms, next(self._order), call))
+
+    def run(self) -> RigFigures:
+        """Run to the end and return the figures."""
+        plan = self.plan
+        self._plan_arrivals()
+        for book in self.books:
+            self._plan_polls(book, self.rng.random() * TICK_MS)
+        if plan.straggler != 1.0:
+            self.at(plan.straggler_ms, self._slow_down)
+        end_ms = plan.duration_ms + 60_000
+        while self._events and self._events[0][0] < end_ms:
+            when_ms, _, call = heapq.heappop(self._events)
+            call(when_ms)
+            if len(self._first_ms) == self._arrivals and when_ms > plan.duration_ms:
+                break
+        return self._figures()
+
+    def _plan_arrivals(self) -> None:
+        now_ms = 0.0
+        self._arrivals = 0
+        while now_ms < self.plan.duration_ms:
+            rate = self.plan.requests_per_s
+            if self.plan.burst_ms <= now_ms < self.plan.burst_ms + 1_000:
+                rate *= 3
+            now_ms += self.rng.expovariate(rate) * 1_000
+            number = self._arrivals
+            self.at(now_ms, lambda at_ms, number=number: self._arrive(number, at_ms))
+            self._arrivals += 1
+
+    def _plan_polls(self, book: EndpointBook, first_ms: float) -> None:
+        def tick(now_ms: float) -> None:
+            for poll in book.due_polls(int(now_ms)):
+                self._poll(book, poll, now_ms)
+            self.at(now_ms + TICK_MS, tick)
+
+        self.at(first_ms, tick)
+
+    def _poll(self, book: EndpointBook, poll: object, now_ms: float) -> None:
+        load = self.engines[poll.endpoint].report(poll.cache_cursor, now_ms)
+        report = LoadReported(poll.endpoint, *load)
+        distance_ms = book.state_of(poll.endpoint).distance_ms
+        self.at(now_ms + distance_ms, lambda at_ms: book.report(report, int(at_ms)))
+
+    def _slow_down(self, now_ms: float) -> None:
+        events = self.engines['engine-0'].set_straggle(self.plan.straggler, now_ms)
+        self._take('engine-0', events, now_ms)
+
+    def _arrive(self, number: int, now_ms: float) -> None:
+        plan = self.plan
+        prompt = self._make_prompt(number)
+        tokens = len(prompt) // CHARS_PER_TOKEN
+        index = self.rng.randrange(plan.instances)
+        book = self.books[index]
+        hashes = hash_blocks(prompt)
+        request = RoutingRequest(str(number), POOL, tokens, 150, hashes)
+        choice = self.routers[index].choose(request, tuple(self.engines), int(now_ms))
+        name = choice.endpoint
+        attempt_id = str(number)
+        distance_ms = book.state_of(name).distance_ms
+        book.started(attempt_id, name, tokens, 150, hashes, int(now_ms))
+        self._started[attempt_id] = (now_ms, book, distance_ms)
+        send = EngineRequest(attempt_id, attempt_id, POOL, prompt, 0)
+        self.at(
+            now_ms + distance_ms,
+            lambda at_ms: self._take(
+                name, self.engines[name].submit(send, at_ms), at_ms
+            ),
+        )
+
+    def _make_prompt(self, number: int) -> str:
+        plan = self.plan
+        length = max(
+            4, int(self.rng.lognormvariate(0, 0.7) * plan.output_tokens * 0.78)
+        )
+        tail = f'#tokens={length} request {number} '
+        head = ''
+        if plan.shared_tokens:
+            prefix = min(int(self.rng.expovariate(4 / plan.prefixes)), plan.prefixes)
+            head = f'prefix {prefix:04} ' * (plan.shared_tokens * CHARS_PER_TOKEN // 12)
+        fill = plan.prompt_tokens * CHARS_PER_TOKEN - len(head) - len(tail)
+        return head + tail + 'x' * max(0, fill)
+
+    def _take(self, name: str, events: list[object], now_ms: float) -> None:
+        for event in events:
+            if isinstance(event, StreamTokens | StreamEnded):
+                distance_ms = self._started[event.attempt_id][2]
+                self.at(
+                    now_ms + distance_ms,
+                    lambda at_ms, event=event: self._reach(event, at_ms),
+                )
+        due_ms = self.engines[name].next_event_ms()
+        if due_ms is not None and due_ms != self._wakes[name]:
+            self._wakes[name] = due_ms
+            self.at(due_ms, lambda at_ms: self._wake(name, at_ms))
+
+    def _wake(self, name: str, now_ms: float) -> None:
+        if self._wakes[name] == now_ms:
+            self._wakes[name] = -1.0
+            self._take(name, self.engines[name].advance(now_ms), now_ms)
+
+    def _reach(self, event: StreamTokens | StreamEnded, now_ms: float) -> None:
+        attempt_id = event.attempt_id
+        started_ms, book, _ = self._started[attempt_id]
+        if isinstance(event, StreamEnded):
+            book.finished(attempt_id, True, int(now_ms))
+            return
+        book.progress(attempt_id, event.token_count, int(now_ms))
+        if attempt_id not in self._first_ms:
+            self._first_ms[attempt_id] = now_ms - started_ms
+        else:
+            gap_ms = (now_ms - self._last_ms[attempt_id]) / event.token_count
+            self._gaps.append(gap_ms)
+        self._last_ms[attempt_id] = now_ms
+
+    def _figures(self) -> RigFigures:
+        firsts = sorted(self._first_ms.values())
+        firsts += [60_000.0] * (self._arrivals - len(firsts))
+        gaps = sorted(self._gaps)
+        in_time = sum(first <= self.target_ms for first in firsts)
+        return RigFigures(
+            len(firsts),
+            pick(firsts, 0.5),
+            pick(firsts, 0.95),
+            pick(firsts, 0.99),
+            sum(firsts) / len(firsts),
+            in_time / len(firsts),
+            pick(gaps, 0.95),
+        )
+
+
+def pick(ordered: list[float], share: float) -> float:
+    """Return a quantile of a sorted list."""
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
--- a/savorychute/recovery/poison_record.py
+++ b/savorychute/recovery/poison_record.py
@@ -28,6 +28,7 @@
         'endpoints',
         'fingerprint',
         'held_ms',
+        'learned_ms',
         'own',
         'quarantined',
         'round',
@@ -39,6 +40,7 @@
         self.fingerprint = fingerprint
         self.round = 0
         self.endpoints: tuple[str, ...] = ()
+        self.learned_ms: dict[str, int] = {}
         self.crashes = 0
         self.quarantined = False
         self.until_ms = 0
@@ -56,23 +58,41 @@
         """
         return self.crashes >= 2 and self.crashes + len(self.endpoints) >= 4
 
-    def lift(self) -> None:
-        """Drop the suspicion, as a new round."""
+    def lift(self, kept: tuple[str, ...] = ()) -> None:
+        """Drop the suspicion, as a new round.
+
+        :param kept: endpoints whose crashes remain unexplained.
+        """
         self.round += 1
-        self.endpoints = ()
-        self.crashes = 0
+        self.endpoints = kept
+        self.crashes = len(kept)
+        self.learned_ms = {name: self.learned_ms[name] for name in kept}
         self.quarantined = False
         self.own = False
         self.held_ms = NEVER_MS
         self.ambiguous_ms = NEVER_MS
 
-    def add_crash(self, endpoint: str) -> None:
+    def shared_crashes(self, other: PoisonRecord, window_ms: int) -> frozenset[str]:
+        """Return the endpoints whose same crash both coincided with.
+
+        :param other: another request.
+        :param window_ms: how far apart news of one crash may arrive.
+        """
+        return frozenset(
+            name
+            for name, learned_ms in self.learned_ms.items()
+            if name in other.learned_ms
+            and abs(other.learned_ms[name] - learned_ms) <= window_ms
+        )
+
+    def add_crash(self, endpoint: str, now_ms: int) -> None:
         """Count a crash of *endpoint* while the request ran there."""
         self.crashes += 1
+        self.learned_ms[endpoint] = now_ms
         if endpoint not in self.endpoints:
             self.endpoints = (*self.endpoints, endpoint)
 
-    def merge(self, entry: PoisonEntry) -> bool:
+    def merge(self, entry: PoisonEntry, now_ms: int) -> bool:
         """Take in another instance's entry; true if it said anything new.
 
         Entries form a lattice: a higher round replaces, and within a round
@@ -87,6 +107,8 @@
             self.round = entry.round
         new = tuple(name for name in entry.endpoints if name not in self.endpoints)
         self.endpoints += new
+        for name in new:
+            self.learned_ms[name] = now_ms
         self.crashes = max(self.crashes, entry.crashes, len(self.endpoints))
         self.quarantined = self.quarantined or entry.quarantined
         return self.state() != before
--- a/savorychute/recovery/quarantine.py
+++ b/savorychute/recovery/quarantine.py
@@ -7,17 +7,20 @@
 
 import xxhash
 
+from savorychute.recovery.crash_watch import CrashWatch
 from savorychute.recovery.poison_digest import PoisonDigest
 from savorychute.recovery.poison_news import PoisonNews
 from savorychute.recovery.poison_record import NEVER_MS, PoisonRecord
 from savorychute.recovery.poison_spread import PoisonSpread
 from savorychute.recovery.poison_verdict import PoisonVerdict
+from savorychute.recovery.suspect_lanes import SuspectLanes
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Sequence
+    from collections.abc import Mapping, Sequence
 
     from savorychute.actions import Action
+    from savorychute.contracts.endpoint_document import EndpointDocument
     from savorychute.membership import MemberView
     from savorychute.recovery.quarantine_settings import QuarantineSettings
 
@@ -45,14 +48,18 @@
         self._settings = settings
         self._records: OrderedDict[str, PoisonRecord] = OrderedDict()
         self._running: dict[str, tuple[str, str]] = {}
-        self._crashes: list[tuple[int, str]] = []
-        self._crashed_ms: OrderedDict[str, int] = OrderedDict()
-        self._blamed: list[PoisonRecord] = []
+        self._blamed: list[tuple[int, PoisonRecord]] = []
+        self._watch = CrashWatch(settings)
+        self._lanes = SuspectLanes(instance)
         self._spread = PoisonSpread(settings, instance, rng)
 
     def __len__(self) -> int:
         return len(self._records)
 
+    def set_endpoints(self, documents: Mapping[str, EndpointDocument]) -> None:
+        """Take over the configured endpoints."""
+        self._lanes.set_endpoints(documents)
+
     def verdict(self, fingerprint: str, now_ms: int) -> PoisonVerdict:
         """Return whether the request may run."""
         record = self._find(fingerprint, now_ms)
@@ -101,16 +108,23 @@
             free = [name for name in free if name in record.endpoints]
         elif any(name not in record.endpoints for name in candidates):
             free = [name for name in free if name not in record.endpoints]
+            free = self._keep_to_lanes(record, free, now_ms)
         return min(
             free,
             key=lambda name: self._rank(fingerprint, name, now_ms),
             default=None,
         )
 
+    def _keep_to_lanes(
+        self, record: PoisonRecord, free: list[str], now_ms: int
+    ) -> list[str]:
+        learned_ms = max(record.learned_ms.values())
+        if now_ms - learned_ms > self._settings.lane_ms:
+            return free
+        return [name for name in free if self._lanes.is_own(name)]
+
     def _rank(self, fingerprint: str, endpoint: str, now_ms: int) -> tuple[bool, int]:
-        crashed_ms = self._crashed_ms.get(endpoint)
-        lifetime_ms = self._settings.suspicion_lifetime_ms
-        lately = crashed_ms is not None and now_ms - crashed_ms < lifetime_ms
+        lately = self._watch.crashed_lately(endpoint, now_ms)
         return not lately, int(
             xxhash.xxh64_intdigest(f'{fingerprint} {endpoint}'.encode())
         )
@@ -122,6 +136,7 @@
         self, fingerprint: str, attempt_id: str, endpoint: str, now_ms: int
     ) -> None:
         """Take note of an attempt; only those of suspects are remembered."""
+        self._watch.use(endpoint, now_ms)
         record = self._find(fingerprint, now_ms)
         if record is not None and record.crashes:
             self._running[attempt_id] = (endpoint, fingerprint)
@@ -156,42 +171,22 @@
         other instances know before the caller has sent the request again.
         """
         self._running.pop(attempt_id, None)
-        self._note_crash(endpoint, now_ms)
-        if self._is_own_fault():
+        if self._watch.crash(endpoint, now_ms):
             self._forgive(now_ms)
             return
         record = self._records.get(fingerprint)
         if record is None or record.until_ms <= now_ms:
             record = self._make_record(fingerprint)
-        record.add_crash(endpoint)
+        record.add_crash(endpoint, now_ms)
         record.own = True
-        self._blamed.append(record)
+        self._blamed.append((now_ms, record))
         self._hold(record, now_ms)
         self._spread.add(record)
 
-    def _note_crash(self, endpoint: str, now_ms: int) -> None:
-        self._crashed_ms[endpoint] = now_ms
-        self._crashed_ms.move_to_end(endpoint)
-        if len(self._crashed_ms) > self._settings.fingerprints:
-            self._crashed_ms.popitem(last=False)
-        oldest_ms = now_ms - self._settings.own_fault_window_ms
-        recent = [crash for crash in self._crashes if crash[0] > oldest_ms]
-        if not recent:
-            self._blamed = []
-        if (now_ms, endpoint) not in recent:
-            recent.append((now_ms, endpoint))
-        self._crashes = recent
-
-    def _is_own_fault(self) -> bool:
-        # When this instance loses its network, connections to many endpoints
-        # break at once.  That looks like as many crashes, and a second cut
-        # would convict innocent requests.
-        endpoints = {endpoint for _, endpoint in self._crashes}
-        return len(endpoints) >= self._settings.own_fault_endpoints
-
     def _forgive(self, now_ms: int) -> None:
-        for record in self._blamed:
-            if record.crashes and not record.quarantined:
+        start_ms = now_ms - self._settings.own_fault_window_ms
+        for blamed_ms, record in self._blamed:
+            if blamed_ms >= start_ms and record.crashes and not record.quarantined:
                 self._lift(record, now_ms)
         self._blamed = []
 
@@ -214,11 +209,12 @@
             record = self._records.get(entry.fingerprint)
             if record is None:
                 record = self._make_record(entry.fingerprint)
-            if not record.merge(entry):
+            was_quarantined = record.quarantined
+            if not record.merge(entry, now_ms):
                 continue
-            for endpoint in entry.endpoints:
-                self._crashed_ms.setdefault(endpoint, now_ms)
             self._hold(record, now_ms)
+            if record.quarantined and not was_quarantined:
+                self._explain(record, now_ms)
             record.until_ms = min(record.until_ms, now_ms + entry.lifetime_ms)
             self._spread.add(record)
         return self._spread.send(now_ms, besides=sender)
@@ -229,6 +225,8 @@
         :param view: who is alive.
         """
         self._spread.set_view(view)
+        self._lanes.set_view(view)
+        self._blamed = self._blamed[-self._settings.fingerprints :]
         self._expire(now_ms)
         for record in list(self._records.values()):
             if self._is_settled(record, now_ms):
@@ -240,9 +238,16 @@
     def _is_settled(self, record: PoisonRecord, now_ms: int) -> bool:
         if record.held_ms == NEVER_MS or record.ambiguous_ms != NEVER_MS:
             return False
+        if record.quarantined:
+            return False
         return now_ms - record.held_ms >= self._settings.settle_ms
 
     def _conclude(self, record: PoisonRecord, now_ms: int) -> None:
+        for culprit in list(self._records.values()):
+            if culprit.quarantined:
+                self._excuse(record, culprit, now_ms)
+        if not record.needs_conclusion:
+            return
         rivals = self._find_rivals(record)
         if len(rivals) > 1:
             for turn, rival in enumerate(rivals):
@@ -258,6 +263,25 @@
         record.held_ms = NEVER_MS
         record.set_lifetime(self._settings, now_ms)
         self._spread.add(record)
+        self._explain(record, now_ms)
+
+    def _explain(self, culprit: PoisonRecord, now_ms: int) -> None:
+        """Take the crashes of a convicted request off the suspects.
+
+        Those that shared one of its crashes are innocent of it.
+        """
+        for record in self._records.values():
+            if record.crashes and not record.quarantined:
+                self._excuse(record, culprit, now_ms)
+
+    def _excuse(self, record: PoisonRecord, culprit: PoisonRecord, now_ms: int) -> None:
+        window_ms = PEER_SETTLE_FACTOR * self._settings.settle_ms
+        explained = record.shared_crashes(culprit, window_ms)
+        if explained:
+            kept = [name for name in record.endpoints if name not in explained]
+            record.lift(tuple(kept))
+            record.set_lifetime(self._settings, now_ms)
+            self._spread.add(record)
 
     def _find_rivals(self, record: PoisonRecord) -> list[PoisonRecord]:
         endpoints = frozenset(record.endpoints)
--- a/savorychute/routing/endpoint_state.py
+++ b/savorychute/routing/endpoint_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from math import exp, sqrt
 from typing import TYPE_CHECKING
 
 from savorychute.routing.prefix_view import PrefixView
@@ -113,6 +114,26 @@
             return self.service_ms
         return self.output_tokens * step_ms
 
+    def estimate_others(self, holding_ms: float, now_ms: int) -> tuple[float, float]:
+        """Return the other instances' requests there now: mean and variance.
+
+        The other instances see the same report and act on it: an endpoint
+        that stands out by a standard deviation of its load, ``sqrt(mean)``, is
+        levelled as soon as so many requests have arrived, which takes
+        ``holding / sqrt(mean)`` by Little's law.  So a report fades into the
+        peers' mean at that rate (after Dahlin, Interpreting stale load
+        information, 1999), and what is uncertain of it grows.
+
+        :param holding_ms: how long a request keeps its place.
+        """
+        mean = self.group.mean_others(now_ms)
+        if self._report_at_ms == NEVER_MS:
+            return mean, 1 + mean
+        age_ms = now_ms - self._report_at_ms
+        remain = exp(-age_ms * sqrt(max(1.0, mean)) / max(1.0, holding_ms))
+        others = mean + (self.others - mean) * remain
+        return others, 1 + others * (1 - remain * remain)
+
     def take_report(self, report: LoadReported, now_ms: int) -> None:
         """Take in a load report, which is as old as it says.
 
@@ -163,7 +184,8 @@
         if not prefix_hashes:
             return prompt_tokens
         blocks = self.prefixes.overlap(prefix_hashes, now_ms)
-        return prompt_tokens * (1 - blocks / len(prefix_hashes))
+        cached = blocks * self._settings.prefix_block_tokens
+        return max(1, prompt_tokens - cached)
 
     def adopt(self, attempt: OutstandingAttempt) -> None:
         """Count an attempt that started before the endpoint was amended."""
--- a/savorychute/routing/predicted_router.py
+++ b/savorychute/routing/predicted_router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import sqrt
 from typing import TYPE_CHECKING
 
 from savorychute.routing.prediction import predict_best, predict_first_token_ms
@@ -17,6 +18,9 @@
     from savorychute.routing.routing_request import RoutingRequest
     from savorychute.routing.routing_settings import RoutingSettings
 
+#: Below this multiple of the peers' median a measured step time is noise.
+SLOW_RATIO = 1.5
+
 
 @ROUTERS.register('predicted')
 class PredictedRouter:
@@ -24,8 +28,8 @@
 
     :param settings: the weights.
     :param book: what is known of the endpoints.
-    :param rng: samples candidates and breaks near ties, so that instances with
-        the same reports do not all choose the same endpoint.
+    :param rng: samples candidates and draws what is uncertain of reports, so
+        that instances with the same reports do not all choose the same endpoint.
     """
 
     def __init__(
@@ -41,27 +45,65 @@
         """Return the candidate with the least score."""
         best: EndpointState | None = None
         best_score_ms = 0.0
-        best_predicted_ms = 0.0
+        best_uncached = 0.0
         for name in self._sample(candidates):
             state = self._book.state_of(name)
-            step_ms = state.estimate_step_ms(now_ms)
             uncached = state.uncached_tokens(
                 request.prompt_tokens, request.prefix_hashes, now_ms
             )
-            predicted_ms = predict_first_token_ms(state, uncached, step_ms)
-            score_ms = predicted_ms + self._slow_decode_ms(
-                state, step_ms, request.expected_tokens, now_ms
-            )
-            score_ms *= 1 + self._settings.near_share * self._rng.random()
+            score_ms = self._score_ms(state, uncached, request.expected_tokens, now_ms)
             if best is None or score_ms < best_score_ms:
                 best = state
                 best_score_ms = score_ms
-                best_predicted_ms = predicted_ms
+                best_uncached = uncached
         if best is None:
             return None
-        return RoutingChoice(
-            best.document['endpoint'], best_predicted_ms, 'least predicted'
+        step_ms = best.estimate_step_ms(now_ms)
+        predicted_ms = predict_first_token_ms(best, best_uncached, step_ms, now_ms)
+        return RoutingChoice(best.document['endpoint'], predicted_ms, 'least predicted')
+
+    def _score_ms(
+        self,
+        state: EndpointState,
+        uncached_tokens: float,
+        expected_tokens: int,
+        now_ms: int,
+    ) -> float:
+        """Return a predicted time to first token that is safe to minimise.
+
+        The best prediction by itself makes all instances choose the endpoint
+        that one report shows to be idle.  So the others' load is drawn from
+        what is believed of it, own requests, which no one else knows of, weigh
+        more, and a taken place counts a little though no one waits yet,
+        because it will be missed when more requests come.
+        """
+        settings = self._settings
+        median_ms = state.group.median_step_ms(now_ms)
+        step_ms = state.estimate_step_ms(now_ms)
+        is_slow = step_ms > SLOW_RATIO * median_ms
+        if not is_slow and not state.is_service:
+            step_ms = median_ms
+        holding_ms = state.holding_ms(step_ms)
+        others, variance = state.estimate_others(holding_ms, now_ms)
+        doubt = settings.doubt_weight * sqrt(variance)
+        if not is_slow:
+            others += doubt * self._rng.gauss(0.0, 1.0)
+        own = state.outstanding
+        places = max(0.0, own + others + 1 - state.capacity)
+        places += settings.congestion_weight * (
+            state.group.own_weight(now_ms) * own + others
         )
+        score_ms = state.round_trip_ms + places * holding_ms / state.capacity
+        if state.is_service:
+            return score_ms + state.service_ms
+        tokens = uncached_tokens + state.backlog_tokens
+        score_ms += step_ms * (1 + tokens / state.group.prefill_tokens_per_step)
+        if is_slow:
+            # A straggler with no queue would win by first token alone, and then
+            # miss the target between tokens for the whole answer.
+            excess_ms = step_ms - median_ms
+            score_ms += settings.slow_decode_weight * expected_tokens * excess_ms
+        return score_ms
 
     def _sample(self, candidates: Sequence[str]) -> Sequence[str]:
         sampled = self._settings.sampled
@@ -69,16 +111,6 @@
             return candidates
         return self._rng.sample(candidates, sampled)
 
-    def _slow_decode_ms(
-        self, state: EndpointState, step_ms: float, expected_tokens: int, now_ms: int
-    ) -> float:
-        # A straggler with no queue would win by first token alone, and then
-        # miss the target between tokens for the whole answer.
-        excess_ms = step_ms - state.group.median_step_ms(now_ms)
-        if excess_ms <= 0 or state.is_service:
-            return 0.0
-        return self._settings.slow_decode_weight * expected_tokens * excess_ms
-
     def predict(
         self,
         pool: str,  # noqa: ARG002
--- a/savorychute/routing/prediction.py
+++ b/savorychute/routing/prediction.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import sqrt
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -11,8 +12,12 @@
     from savorychute.routing.endpoint_state import EndpointState
 
 
+#: Four times the square of a standard normal variable's mean positive part.
+HALF_NORMAL = 0.64
+
+
 def predict_first_token_ms(
-    state: EndpointState, uncached_tokens: float, step_ms: float
+    state: EndpointState, uncached_tokens: float, step_ms: float, now_ms: int
 ) -> float:
     """Return when the first token is expected, in ms from now.
 
@@ -25,11 +30,12 @@
     :param uncached_tokens: the part of the prompt that has to be computed.
     :param step_ms: the endpoint's present time per step.
     """
-    places = state.capacity
-    ahead = state.outstanding + state.others + 1 - places
-    wait_ms = 0.0
-    if ahead > 0:
-        wait_ms = ahead * state.holding_ms(step_ms) / places
+    holding_ms = state.holding_ms(step_ms)
+    others, variance = state.estimate_others(holding_ms, now_ms)
+    excess = state.outstanding + others + 1 - state.capacity
+    # The mean of the positive part of a normal variable, to 10 %.
+    ahead = (excess + sqrt(excess * excess + HALF_NORMAL * variance)) / 2
+    wait_ms = ahead * holding_ms / state.capacity
     if state.is_service:
         return state.round_trip_ms + wait_ms + state.service_ms
     tokens = uncached_tokens + state.backlog_tokens
@@ -50,5 +56,7 @@
     for name in candidates:
         state = book.state_of(name)
         step_ms = state.estimate_step_ms(now_ms)
-        predictions.append(predict_first_token_ms(state, prompt_tokens, step_ms))
+        predictions.append(
+            predict_first_token_ms(state, prompt_tokens, step_ms, now_ms)
+        )
     return min(predictions, default=None)
--- /dev/null
+++ b/tests/test_recovery/poison_history.py
@@ -0,0 +1,179 @@
+"""Random histories of poison requests, over several instances."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from typing import NamedTuple
+
+from savorychute.member_address import MemberAddress
+from savorychute.membership import MemberView
+from savorychute.recovery import PoisonVerdict, Quarantine, QuarantineSettings
+
+TICK_MS = 100
+WAIT_MS = 50
+POISON = 'poison'
+
+
+class HistoryPlan(NamedTuple):
+    """Sizes and habits of one history; times in ms.
+
+    A caller whose request failed sends it again after ``resend_ms``, to any
+    instance and under a new key.  ``poisons`` begin one per second.
+    """
+
+    instances: int = 8
+    endpoints: int = 9
+    innocents: int = 400
+    poisons: int = 1
+    copies: int = 1
+    attempts: int = 3
+    duration_ms: int = 500
+    restart_ms: int = 2_000
+    resend_ms: int = 5
+    delay_ms: int = 2
+    loss_share: float = 0.0
+    end_ms: int = 15_000
+
+
+class PoisonHistory:
+    """Requests, endpoints that crash, and the instances' quarantines."""
+
+    def __init__(self, plan: HistoryPlan, seed: int) -> None:
+        self.plan = plan
+        self.rng = random.Random(seed)
+        self.crashed_by: dict[str, list[str]] = {}
+        self.convicted: set[str] = set()
+        self.answered: dict[str, int] = {}
+        self.begun: dict[str, int] = {}
+        self.now_ms = 0
+        self._events = []
+        self._order = itertools.count()
+        self._running: dict[str, tuple[str, int, str, int]] = {}
+        self._up = {f'e{number}' for number in range(plan.endpoints)}
+        names = [f'i{number}' for number in range(plan.instances)]
+        members = tuple(MemberAddress(name, 1, 'r', 'd', 'h', 0, 0) for name in names)
+        self._names = names
+        documents = {name: {'models': ['m']} for name in self._up}
+        self._views = [MemberView(member, members) for member in members]
+        self._parts = [
+            Quarantine(QuarantineSettings(), name, random.Random(self.rng.random()))
+            for name in names
+        ]
+        for part in self._parts:
+            part.set_endpoints(documents)
+
+    def at(self, when_ms, call, *arguments):
+        """Call later."""
+        heapq.heappush(self._events, (when_ms, next(self._order), call, arguments))
+
+    def run(self):
+        """Run the history to its end."""
+        plan = self.plan
+        for index in range(plan.instances):
+            self.at(self.rng.randrange(TICK_MS), self._tick, index)
+        for number in range(plan.innocents):
+            self.at(self.rng.randrange(plan.end_ms // 2), self._send, f'good{number}')
+        for number in range(plan.poisons):
+            for _ in range(plan.copies):
+                at_ms = 1_000 * number + 1_000 + self.rng.randrange(3)
+                self.at(at_ms, self._send, f'{POISON}{number}')
+        while self._events and self._events[0][0] <= plan.end_ms:
+            self.now_ms, _, call, arguments = heapq.heappop(self._events)
+            call(*arguments)
+        return self
+
+    def _tick(self, index):
+        self._deliver(index, self._parts[index].tick(self._views[index], self.now_ms))
+        self.at(self.now_ms + TICK_MS, self._tick, index)
+
+    def _deliver(self, index, actions):
+        for action in actions:
+            if self.rng.random() >= self.plan.loss_share:
+                delay_ms = self.rng.randint(1, self.plan.delay_ms)
+                receiver = self._names.index(action.instance)
+                self.at(
+                    self.now_ms + delay_ms,
+                    self._receive,
+                    index,
+                    receiver,
+                    action.message,
+                )
+
+    def _receive(self, sender, receiver, message):
+        part = self._parts[receiver]
+        actions = part.receive(self._names[sender], message, self.now_ms)
+        self._deliver(receiver, actions)
+
+    def _send(self, fingerprint):
+        """Let the caller send the request, to any instance."""
+        self.begun.setdefault(fingerprint, self.now_ms)
+        self._place(fingerprint, self.rng.randrange(self.plan.instances), 1)
+
+    def _resend(self, fingerprint, wait_ms):
+        delay_ms = wait_ms + self.plan.resend_ms + self.rng.randrange(50)
+        self.at(self.now_ms + delay_ms, self._send, fingerprint)
+
+    def _place(self, fingerprint, index, attempt):
+        part = self._parts[index]
+        verdict = part.verdict(fingerprint, self.now_ms)
+        if verdict is PoisonVerdict.QUARANTINED:
+            self.convicted.add(fingerprint)
+            return
+        if verdict is PoisonVerdict.HELD:
+            self._resend(fingerprint, part.held_ms(fingerprint, self.now_ms))
+            return
+        up = sorted(self._up)
+        endpoint = self.rng.choice(up) if up else None
+        if verdict is PoisonVerdict.SUSPECT:
+            endpoint = part.preferred_endpoint(fingerprint, up, self.now_ms)
+        if endpoint is None:
+            self.at(self.now_ms + WAIT_MS, self._place, fingerprint, index, attempt)
+            return
+        self._start(fingerprint, index, attempt, endpoint)
+
+    def _start(self, fingerprint, index, attempt, endpoint):
+        attempt_id = f'a{next(self._order)}'
+        self._running[attempt_id] = (fingerprint, index, endpoint, attempt)
+        part = self._parts[index]
+        part.started(fingerprint, attempt_id, endpoint, self.now_ms)
+        if fingerprint.startswith(POISON):
+            delay_ms = self.rng.randint(5, 50)
+            self.at(self.now_ms + delay_ms, self._crash, attempt_id)
+        else:
+            duration_ms = self.rng.randint(20, 2 * self.plan.duration_ms)
+            self.at(self.now_ms + duration_ms, self._end, attempt_id)
+
+    def _end(self, attempt_id):
+        if attempt_id not in self._running:
+            return
+        fingerprint, index, _, _ = self._running.pop(attempt_id)
+        self._parts[index].ended(fingerprint, attempt_id, True, self.now_ms)
+        self.answered[fingerprint] = self.now_ms
+
+    def _crash(self, attempt_id):
+        if attempt_id not in self._running:
+            return
+        fingerprint, _, endpoint, _ = self._running[attempt_id]
+        self.crashed_by.setdefault(fingerprint, []).append(endpoint)
+        self._up.discard(endpoint)
+        self.at(self.now_ms + self.plan.restart_ms, self._up.add, endpoint)
+        lost = [key for key, value in self._running.items() if value[2] == endpoint]
+        by_instance = {}
+        for key in lost:
+            by_instance.setdefault(self._running[key][1], []).append(key)
+        for index, keys in by_instance.items():
+            self.at(self.now_ms + 1, self._notice, index, keys)
+
+    def _notice(self, index, keys):
+        part = self._parts[index]
+        lost = [(key, *self._running.pop(key)) for key in keys if key in self._running]
+        for key, fingerprint, _, endpoint, _ in lost:
+            part.crashed(fingerprint, key, endpoint, self.now_ms)
+        self._deliver(index, part.tick(self._views[index], self.now_ms))
+        for _, fingerprint, _, _, attempt in lost:
+            if attempt < self.plan.attempts:
+                self._place(fingerprint, index, attempt + 1)
+            else:
+                self._resend(fingerprint, 0)
