--- a/savorychute/credits/group_holding.py
+++ b/savorychute/credits/group_holding.py
@@ -14,6 +14,10 @@
     from savorychute.credits.group_grant import GroupGrant
 
 
+#: What part of its use an instance must have ended to report it at once.
+LEAST_FREED_SHARE = 0.25
+
+
 class Use(NamedTuple):
     """One attempt's use of an endpoint."""
 
@@ -76,16 +80,17 @@
         return self._levels.get(endpoint, 0)
 
     def owes(self, now_ms: int) -> bool:
-        """Return whether credit that was taken back has come free since.
+        """Return whether much credit that was taken back has come free since.
 
         :param now_ms: the time.
         """
-        return any(
-            self.in_use.get(endpoint, 0)
-            < reported
-            > (self.level(endpoint, now_ms) or 0)
-            for endpoint, reported in self._reported_in_use.items()
-        )
+        freed = 0
+        for endpoint, reported in self._reported_in_use.items():
+            level = self.level(endpoint, now_ms) or 0
+            in_use = self.in_use.get(endpoint, 0)
+            freed += max(0, reported - max(level, in_use))
+        least = LEAST_FREED_SHARE * sum(self._reported_in_use.values())
+        return freed > 0 and freed >= least
 
     def has_ended(self, now_ms: int) -> bool:
         """Return whether the home has not answered for the life of a grant.
--- a/savorychute/credits/settings.py
+++ b/savorychute/credits/settings.py
@@ -29,7 +29,7 @@
     idle_report_interval_ms: int = 2_000
     pressure_interval_ms: int = 50
     growth_interval_ms: int = 250
-    owing_interval_ms: int = 100
+    owing_interval_ms: int = 250
     pushes_per_s: int = 20
     division_interval_ms: int = 1_000
     urgent_division_interval_ms: int = 20
