Wait for a load to show before it is sent again

Cause: engines answer a load when they begin it. The next report, still without the model, had the order sent again and counted as undone by a late one; orders with repeat=False were spared already.

Change: any load counts as there only once a report has shown it, and one that was never shown is sent again after the order timeout of 30 s.

--- a/savorychute/leases/order_desk.py
+++ b/savorychute/leases/order_desk.py
@@ -170,7 +170,7 @@
         if order.request.verb != ROLE:
             request = order.request
             key = (request.endpoint, request.target)
-            if request.verb == LOAD and not request.repeat:
+            if request.verb == LOAD:
                 # Done means begun: its effect counts from when it is seen.
                 took_effect = False
             self._settled[key] = order._replace(
@@ -218,6 +218,9 @@
         if self._keeper.holds(request.lease, now_ms) is None:
             return []
         late = order.took_effect
+        patience_ms = self._settings.order_timeout_ms
+        if not late and now_ms - order.sent_ms < patience_ms:
+            return []
         if late:
             self.late_orders_by_endpoint[request.endpoint] += 1
         if not request.repeat:
--- a/tests/test_leases/test_order_desk.py
+++ b/tests/test_leases/test_order_desk.py
@@ -131,3 +131,19 @@
     assert desk.unexplained_by_endpoint['e'] == 0
     desk.report(make_report(['large']), candidates.now_ms + 4)
     assert desk.unexplained_by_endpoint['e'] == 1
+
+
+def test_load_that_does_not_show_yet_is_repeated_with_patience(candidates, desk):
+    """The engine says 'done' when it begins to load, which takes a while.
+
+    Each report until then lacks the model.  Taken for the work of a late old
+    order, the first of them would have the load sent and counted once more.
+    """
+    desk.request_order(make_request(), candidates.now_ms)
+    desk.order_finished(OrderFinished('o1', 'e', 'done'), candidates.now_ms)
+    sent_ms = candidates.now_ms
+    candidates.run(30_000)
+    assert desk.report(make_report([]), sent_ms + 29_000) == []
+    (again,) = desk.report(make_report([]), sent_ms + 30_000)
+    assert (again.verb, again.target) == (LOAD, 'large')
+    assert desk.late_orders_by_endpoint == {}
