Check the quarantine over random histories

Cause: the bound of two endpoints per poison request was tested by single cases only. Change: 40 random histories of 2 to 9 instances and 3 to 10 endpoints, with up to 2 % of messages lost.

--- /dev/null
+++ b/tests/test_recovery/test_poison_history.py
@@ -0,0 +1,47 @@
+"""Tests of the quarantine over random histories of several instances."""
+
+from __future__ import annotations
+
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+from poison_history import POISON, HistoryPlan, PoisonHistory
+
+plans = st.builds(
+    HistoryPlan,
+    instances=st.integers(2, 9),
+    endpoints=st.integers(3, 10),
+    innocents=st.integers(0, 600),
+    poisons=st.just(1),
+    copies=st.just(1),
+    delay_ms=st.just(2),
+    attempts=st.integers(1, 3),
+    duration_ms=st.integers(20, 800),
+    restart_ms=st.integers(100, 4_000),
+    resend_ms=st.integers(5, 1_000),
+    loss_share=st.sampled_from((0.0, 0.02)),
+    end_ms=st.just(12_000),
+)
+
+
+@settings(max_examples=40, derandomize=True, deadline=None, phases=(Phase.generate,))
+@given(plan=plans, seed=st.integers(0, 10_000))
+def test_poison_request_takes_down_two_endpoints_at_most(plan, seed):
+    """Endpoint after endpoint crashes, and with them everyone's requests.
+
+    One request crashes whatever runs it.  Its instance retries it, and its
+    caller sends it again, under new keys and to any instance.
+    """
+    history = PoisonHistory(plan, seed).run()
+
+    crashed = history.crashed_by[f'{POISON}0']
+    assert len(set(crashed)) <= 2
+    assert history.convicted <= {f'{POISON}0'}
+
+
+def test_innocent_requests_are_answered_while_suspects_are_tried():
+    plan = HistoryPlan(innocents=2_000)
+    history = PoisonHistory(plan, 4).run()
+
+    unanswered = [name for name in history.begun if name not in history.answered]
+    assert unanswered == [f'{POISON}0']
+    assert history.convicted == {f'{POISON}0'}
