--- a/savorychute/membership/membership.py
+++ b/savorychute/membership/membership.py
@@ -12,15 +12,17 @@
 from savorychute.membership.member_state import MemberState
 from savorychute.membership.member_table import MemberTable
 from savorychute.membership.member_update import MemberUpdate
-from savorychute.membership.member_view import MemberView
+from savorychute.membership.peer_news import PeerNews
 from savorychute.membership.ping import Ping
 from savorychute.membership.ping_request import PingRequest
 from savorychute.membership.prober import Prober
+from savorychute.membership.region_map import RegionMap
 from savorychute.membership.region_summary import RegionSummary
 from savorychute.membership.region_sync import RegionSync
 from savorychute.membership.relayed_ack import RelayedAck
 from savorychute.membership.update_queue import UpdateQueue
 from savorychute.membership.update_request import UpdateRequest
+from savorychute.membership.view_builder import build_view
 
 if TYPE_CHECKING:
     from random import Random
@@ -29,6 +31,7 @@
     from savorychute.inputs.listing_fetched import ListingFetched
     from savorychute.member_address import MemberAddress
     from savorychute.membership.member_change import MemberChange
+    from savorychute.membership.member_view import MemberView
     from savorychute.membership.settings import MembershipSettings
 
 
@@ -51,13 +54,13 @@
         self._rng = rng
         self._own = MemberUpdate(address)
         self._configuration_offset = -1
-        self._peer_offsets: dict[str, int] = {}
         self._load = 0
-        self._peer_loads: dict[str, int] = {}
+        self._news = PeerNews()
         self._table = MemberTable(settings)
         self._queue = UpdateQueue(settings)
         self._prober = Prober(settings, self._table, rng)
-        self._sync = RegionSync(settings, self._table, address, rng)
+        self._regions = RegionMap(settings, self._table, address, rng)
+        self._sync = RegionSync(settings, self._table, self._regions, address, rng)
         self._listed: dict[str, MemberAddress] = {}
         self._listed_leaving = False
         self._next_listing_ms: int | None = None
@@ -72,7 +75,9 @@
         silent = self._sync.silent_regions()
         key = (self._table.version, self._own, self._listed_leaving, silent)
         if self._view is None or key != self._view_key:
-            self._view = self._build_view(silent)
+            self._view = build_view(
+                self._table, self._own.address, self._is_leaving(), silent
+            )
             self._view_key = key
         return self._view
 
@@ -87,7 +92,7 @@
 
     def peer_offsets(self) -> dict[str, int]:
         """Return the offsets that members advertised last."""
-        return self._peer_offsets
+        return self._news.offsets
 
     def peer_loads(self) -> dict[str, int]:
         """Return the loads that members of the region advertised, and the own.
@@ -95,7 +100,7 @@
         They are as old as the last probe between the two: in the mean half as
         many seconds as the region has members.
         """
-        return {**self._peer_loads, self._own.address.instance: self._load}
+        return {**self._news.loads, self._own.address.instance: self._load}
 
     def take_changes(self) -> list[MemberChange]:
         """Return the changes since the last call, for the audit trail."""
@@ -165,7 +170,7 @@
             self._apply(message.updates, 'gossip', now_ms, message.bulk)
             return []
         if isinstance(message, Digest):
-            self._note_offset(sender, message.configuration_offset)
+            self._news.offsets[sender] = message.configuration_offset
             return self._sync.compare(message, self._own, now_ms)
         if isinstance(message, RegionSummary):
             return self._sync.reconcile(message, self._own)
@@ -189,33 +194,8 @@
         actions.extend(self._sync.tick(self._own, self._configuration_offset, now_ms))
         return actions
 
-    def _build_view(self, silent: frozenset[str]) -> MemberView:
-        alive = []
-        suspects = []
-        leaving = []
-        for record in self._table:
-            address = record.update.address
-            if record.state == MemberState.DEAD or address.region in silent:
-                continue
-            if record.is_leaving:
-                leaving.append(address.instance)
-                continue
-            alive.append(address)
-            if record.state == MemberState.SUSPECT:
-                suspects.append(address.instance)
-        own = self._own.address
-        if self._listed_leaving or self._own.state == MemberState.LEAVING:
-            leaving.append(own.instance)
-        else:
-            alive.append(own)
-        alive.sort()
-        return MemberView(
-            own,
-            tuple(alive),
-            frozenset(suspects),
-            frozenset(leaving),
-            {address.instance: address for address in alive},
-        )
+    def _is_leaving(self) -> bool:
+        return self._listed_leaving or self._own.state == MemberState.LEAVING
 
     def _excuse_pause(self, now_ms: int) -> None:
         """Accuse nobody after a pause of this instance.
@@ -254,8 +234,7 @@
             if known is not None or not bulk:
                 self._queue.add(update, now_ms)
             if update.state == MemberState.DEAD:
-                self._peer_offsets.pop(instance, None)
-                self._peer_loads.pop(instance, None)
+                self._news.forget(instance)
 
     def _refute(self, update: MemberUpdate, now_ms: int) -> None:
         """Contradict a suspicion or a death of this incarnation."""
@@ -268,7 +247,7 @@
         self._queue.add(self._own, now_ms)
 
     def _answer_ping(self, ping: Ping, now_ms: int) -> list[Action]:
-        self._note_peer(ping)
+        self._news.note(ping)
         self._apply(ping.updates, 'gossip', now_ms)
         updates = self._updates_for(ping.origin, now_ms)
         ack = Ack(
@@ -277,7 +256,7 @@
         return [send_to(ping.origin.address, ack)]
 
     def _take_ack(self, ack: Ack, now_ms: int) -> list[Action]:
-        self._note_peer(ack)
+        self._news.note(ack)
         self._apply(ack.updates, 'gossip', now_ms)
         return self._prober.take_ack(ack)
 
@@ -297,17 +276,9 @@
             sequence, self._own, self._configuration_offset, updates, self._load
         )
 
-    def _note_peer(self, message: Ping | Ack) -> None:
-        instance = message.origin.address.instance
-        self._note_offset(instance, message.configuration_offset)
-        self._peer_loads[instance] = message.load
-
-    def _note_offset(self, instance: str, configuration_offset: int) -> None:
-        self._peer_offsets[instance] = configuration_offset
-
     def _announce(self, now_ms: int) -> list[Action]:
         """Tell some members of the own region and all other regions at once."""
-        targets = self._sync.announcement_targets()
+        targets = self._regions.announcement_targets()
         updates = (self._own,)
         actions: list[Action] = [send_to(t, Gossip(updates)) for t in targets]
         actions.extend(
@@ -322,7 +293,7 @@
         actions: list[Action] = []
         if not len(self._queue):
             return actions
-        for target in self._sync.gossip_targets():
+        for target in self._regions.gossip_targets():
             updates = self._queue.take(len(self._table), now_ms)
             if updates:
                 actions.append(send_to(target, Gossip(updates)))
--- /dev/null
+++ b/savorychute/membership/region_map.py
@@ -0,0 +1,112 @@
+"""Members by region, and who speaks for a region."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorychute.membership.member_state import MemberState
+from savorychute.membership.rendezvous import choose_homes
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from savorychute.member_address import MemberAddress
+    from savorychute.membership.member_table import MemberTable
+    from savorychute.membership.settings import MembershipSettings
+
+# A representative's digest goes to any member of a region one time in so many,
+# because all its representatives may have been replaced during a cut.
+ANY_MEMBER_ONE_IN = 4
+
+
+class RegionMap:
+    """The members that are not dead, by region, without this instance.
+
+    The representatives of a region are those with the highest rendezvous scores
+    for its name, in different failure domains.
+
+    :param settings: fan-outs.
+    :param table: all members.
+    :param address: this instance.
+    :param rng: chooses targets.
+    """
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        table: MemberTable,
+        address: MemberAddress,
+        rng: Random,
+    ) -> None:
+        self._settings = settings
+        self._table = table
+        self._address = address
+        self._rng = rng
+        self._version = -1
+        self._members: dict[str, list[MemberAddress]] = {}
+        self._representatives: dict[str, tuple[MemberAddress, ...]] = {}
+
+    def members(self) -> dict[str, list[MemberAddress]]:
+        """Return the members by region."""
+        if self._version != self._table.version:
+            self._version = self._table.version
+            self._collect()
+            self._choose_representatives()
+        return self._members
+
+    def is_representative(self) -> bool:
+        """Return whether this instance speaks for its region."""
+        self.members()
+        return self._address in self._representatives[self._address.region]
+
+    def digest_targets(self) -> list[MemberAddress]:
+        """Return whom to compare tables with now."""
+        near = self.members().get(self._address.region)
+        targets = [self._rng.choice(near)] if near else []
+        if self.is_representative():
+            targets.extend(self._foreign_targets())
+        return targets
+
+    def gossip_targets(self) -> list[MemberAddress]:
+        """Return whom to pass fresh updates to."""
+        near = self.members().get(self._address.region, [])
+        count = min(self._settings.gossip_fanout, len(near))
+        targets = self._rng.sample(near, count)
+        if self.is_representative():
+            targets.extend(self._foreign_targets())
+        return targets
+
+    def announcement_targets(self) -> list[MemberAddress]:
+        """Return whom to tell of this instance's joining or leaving."""
+        members = self.members()
+        near = members.get(self._address.region, [])
+        count = min(2 * self._settings.gossip_fanout, len(near))
+        targets = self._rng.sample(near, count)
+        for region in members:
+            if region != self._address.region:
+                targets.append(self._rng.choice(self._representatives[region]))
+        return targets
+
+    def _collect(self) -> None:
+        self._members = {}
+        for record in self._table:
+            if record.state != MemberState.DEAD:
+                address = record.update.address
+                self._members.setdefault(address.region, []).append(address)
+
+    def _choose_representatives(self) -> None:
+        everyone = {region: list(found) for region, found in self._members.items()}
+        everyone.setdefault(self._address.region, []).append(self._address)
+        self._representatives = {
+            region: choose_homes(region, found, self._settings.representatives)
+            for region, found in everyone.items()
+        }
+
+    def _foreign_targets(self) -> list[MemberAddress]:
+        regions = [r for r in self._members if r != self._address.region]
+        if not regions:
+            return []
+        region = self._rng.choice(regions)
+        if self._rng.randrange(ANY_MEMBER_ONE_IN) == 0:
+            return [self._rng.choice(self._members[region])]
+        return [self._rng.choice(self._representatives[region])]
--- a/savorychute/membership/region_sync.py
+++ b/savorychute/membership/region_sync.py
@@ -12,7 +12,6 @@
 from savorychute.membership.member_table import HASH_MASK, hash_update
 from savorychute.membership.region_digest import RegionDigest
 from savorychute.membership.region_summary import RegionSummary
-from savorychute.membership.rendezvous import choose_homes
 from savorychute.membership.update_request import UpdateRequest
 
 if TYPE_CHECKING:
@@ -23,13 +22,11 @@
     from savorychute.member_address import MemberAddress
     from savorychute.membership.member_table import MemberTable
     from savorychute.membership.member_update import MemberUpdate
+    from savorychute.membership.region_map import RegionMap
     from savorychute.membership.settings import MembershipSettings
 
 # A region that changes all the time is compared in one of so many digests.
 UNSETTLED_ONE_IN = 8
-# A representative's digest goes to any member of a region one time in so many,
-# because all its representatives may have been replaced during a cut.
-ANY_MEMBER_ONE_IN = 4
 UPDATES_PER_SUPPLY = 32
 
 
@@ -45,20 +42,19 @@
         self,
         settings: MembershipSettings,
         table: MemberTable,
+        regions: RegionMap,
         address: MemberAddress,
         rng: Random,
     ) -> None:
         self._settings = settings
         self._table = table
+        self._regions = regions
         self._address = address
         self._rng = rng
         self._next_digest_ms: int | None = None
         self._beats: dict[str, int] = {address.region: 0}
         self._heard_ms: dict[str, int] = {}
         self._silent: frozenset[str] = frozenset()
-        self._members_version = -1
-        self._members: dict[str, list[MemberAddress]] = {}
-        self._representatives: dict[str, tuple[MemberAddress, ...]] = {}
 
     def silent_regions(self) -> frozenset[str]:
         """Return the regions from which nothing has come for long."""
@@ -78,7 +74,7 @@
 
         :param now_ms: the time.
         """
-        for region in self._members_by_region():
+        for region in self._regions.members():
             self._heard_ms.setdefault(region, now_ms)
 
     def postpone(self, gap_ms: int) -> None:
@@ -115,14 +111,10 @@
         :param configuration_offset: what it advertises.
         """
         self.meet_regions(now_ms)
-        members = self._members_by_region()
         region = self._address.region
-        targets = []
-        if members.get(region):
-            targets.append(self._rng.choice(members[region]))
-        if self._is_representative():
+        if self._regions.is_representative():
             self._beats[region] = self._beats.get(region, 0) + 1
-            targets.extend(self._foreign_targets())
+        targets = self._regions.digest_targets()
         digest = Digest(own, configuration_offset, self._digest_regions(own))
         return [self._send(target, digest) for target in targets]
 
@@ -187,67 +179,11 @@
             for start in range(0, len(updates), UPDATES_PER_SUPPLY)
         ]
 
-    def gossip_targets(self) -> list[MemberAddress]:
-        """Return members to pass fresh updates to."""
-        members = self._members_by_region().get(self._address.region, [])
-        count = min(self._settings.gossip_fanout, len(members))
-        targets = self._rng.sample(members, count)
-        if self._is_representative():
-            targets.extend(self._foreign_targets())
-        return targets
-
-    def announcement_targets(self) -> list[MemberAddress]:
-        """Return members to tell of this instance's joining or leaving."""
-        members = self._members_by_region()
-        near = members.get(self._address.region, [])
-        count = min(2 * self._settings.gossip_fanout, len(near))
-        targets = self._rng.sample(near, count)
-        for region in members:
-            if region != self._address.region:
-                targets.append(self._rng.choice(self._representatives[region]))
-        return targets
-
     def _send(self, target: MemberAddress, message: tuple[object, ...]) -> SendPeer:
         return SendPeer(target.instance, target.host, target.peer_port, message)
 
-    def _members_by_region(self) -> dict[str, list[MemberAddress]]:
-        """Return the members that are not dead, without this instance."""
-        if self._members_version == self._table.version:
-            return self._members
-        members: dict[str, list[MemberAddress]] = {}
-        for record in self._table:
-            if record.state != MemberState.DEAD:
-                address = record.update.address
-                members.setdefault(address.region, []).append(address)
-        self._members = members
-        self._members_version = self._table.version
-        self._choose_representatives()
-        return members
-
-    def _choose_representatives(self) -> None:
-        everyone = {region: list(found) for region, found in self._members.items()}
-        everyone.setdefault(self._address.region, []).append(self._address)
-        self._representatives = {
-            region: choose_homes(region, found, self._settings.representatives)
-            for region, found in everyone.items()
-        }
-
-    def _is_representative(self) -> bool:
-        self._members_by_region()
-        return self._address in self._representatives[self._address.region]
-
-    def _foreign_targets(self) -> list[MemberAddress]:
-        members = self._members_by_region()
-        regions = [region for region in members if region != self._address.region]
-        if not regions:
-            return []
-        region = self._rng.choice(regions)
-        if self._rng.randrange(ANY_MEMBER_ONE_IN) == 0:
-            return [self._rng.choice(members[region])]
-        return [self._rng.choice(self._representatives[region])]
-
     def _digest_regions(self, own: MemberUpdate) -> tuple[RegionDigest, ...]:
-        members = self._members_by_region()
+        members = self._regions.members()
         digests = []
         for region in sorted({*members, self._address.region}):
             digest_hash = self._table.digest_hash(region)
