Let an ended call go of its connection; bound unread answers over all callers

Cause: a caller that read the last part of its answer slowly paused the pooled connection to the engine after the answer's end; the next request on it got no answer until its timeout. Long documents for callers that do not read were bounded one by one, not together. Change: a call acts on its connection only while it is carried there. Beyond unread_bytes the callers with the most unread are given up. A port that is taken or a certificate that is no good is named as a fault of its setting.

--- a/savorychute/daemon/run_host.py
+++ b/savorychute/daemon/run_host.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import os
 import time
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
 from typing import TYPE_CHECKING
 
 from savorychute.clock import NS_PER_MS, SystemClock
@@ -11,13 +12,14 @@
 from savorychute.daemon.host import DaemonHost
 from savorychute.daemon.peer_link import open_peer_link
 from savorychute.daemon.tls import TlsKeys
+from savorychute.errors import SettingsError
 from savorychute.http.client_pool import open_pool
 from savorychute.http.http_server import HttpServer, listen
 from savorychute.member_address import MemberAddress
 from savorychute.wire.peer_codec import PeerCodec
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator, Callable, Iterator
 
     from savorychute.clock import Clock
     from savorychute.daemon.host_settings import HostSettings
@@ -39,6 +41,7 @@
     :param settings: where to listen and whom to call.
     :param make_instance: makes the instance for its address.
     :param clock: the time that the instance is told.
+    :raises SettingsError: if a port is taken or a file is no good.
     """
     clock = clock or SystemClock()
     incarnation = time.time_ns() // NS_PER_MS
@@ -49,17 +52,15 @@
     tls = _load_tls(settings)
     async with AsyncExitStack() as stack:
         pool = stack.enter_context(open_pool(settings.pool, clock))
-        link = await stack.enter_async_context(
-            open_peer_link(codec, bind_host, settings.peer_port)
-        )
-        await stack.enter_async_context(
-            listen(
-                server,
-                bind_host,
-                settings.caller_port,
-                tls.listening if tls else None,
+        with _naming(f'peer_port {settings.peer_port} of {bind_host}'):
+            link = await stack.enter_async_context(
+                open_peer_link(codec, bind_host, settings.peer_port)
+            )
+        with _naming(f'caller_port {settings.caller_port} of {bind_host}'):
+            context = tls.listening if tls else None
+            await stack.enter_async_context(
+                listen(server, bind_host, settings.caller_port, context)
             )
-        )
         address = MemberAddress(
             instance=settings.instance,
             incarnation=incarnation,
@@ -105,4 +106,15 @@
 def _load_tls(settings: HostSettings) -> TlsKeys | None:
     if not settings.tls_certificate_file:
         return None
-    return TlsKeys(settings.tls_certificate_file, settings.tls_key_file)
+    with _naming(f'tls_certificate_file {settings.tls_certificate_file}'):
+        return TlsKeys(settings.tls_certificate_file, settings.tls_key_file)
+
+
+@contextmanager
+def _naming(setting: str) -> Iterator[None]:
+    """Turn what the system refuses into a fault of the setting behind it."""
+    try:
+        yield
+    except OSError as error:
+        reason = os.strerror(error.errno) if error.errno else type(error).__name__
+        raise SettingsError([f'{setting}: {reason}']) from error
--- a/savorychute/http/client_call.py
+++ b/savorychute/http/client_call.py
@@ -74,18 +74,32 @@
         self.cancelled = True
         if self.connecting is not None:
             self.connecting.cancel()
-        if self._connection is not None:
-            self._connection.drop_call()
-            self._connection = None
+        connection = self._find_connection()
+        if connection is not None:
+            connection.drop_call()
 
     def pause_reading(self) -> None:
         """Stop reading the response, so that the server is slowed down."""
         self._paused = True
-        if self._connection is not None:
-            self._connection.pause_reading()
+        connection = self._find_connection()
+        if connection is not None:
+            connection.pause_reading()
 
     def resume_reading(self) -> None:
         """Read the response again."""
         self._paused = False
-        if self._connection is not None:
-            self._connection.resume_reading()
+        connection = self._find_connection()
+        if connection is not None:
+            connection.resume_reading()
+
+    def _find_connection(self) -> ClientConnection | None:
+        """Return the connection while it carries this call.
+
+        After the end of the response it may carry another call already.  A
+        caller that reads its last part slowly would otherwise stop the reading
+        of somebody else's answer.
+        """
+        connection = self._connection
+        if connection is None or not connection.carries(self.handler):
+            return None
+        return connection
--- a/savorychute/http/client_connection.py
+++ b/savorychute/http/client_connection.py
@@ -84,6 +84,13 @@
 
     # -- called by the call
 
+    def carries(self, handler: ResponseHandler) -> bool:
+        """Return whether the call of *handler* is in progress here.
+
+        :param handler: the receiver that was given to :meth:`send`.
+        """
+        return self._handler is handler
+
     def send(self, request: HttpRequest, handler: ResponseHandler) -> None:
         """Send a request; its response goes to *handler*.
 
--- a/savorychute/http/http_limits.py
+++ b/savorychute/http/http_limits.py
@@ -11,6 +11,8 @@
     ``buffered_bytes`` bounds the bodies that all connections together hold.
     ``pipelined_bytes`` is read ahead of the request that is being answered;
     after that the connection is not read until the answer is out.
+    ``unread_bytes`` bounds the answers that callers have not read yet, over all
+    connections; beyond it those with the most are given up.
     ``stalled_ms`` is how long an answer may wait for a caller that does not
     read.  ``write_buffer_bytes`` is where back-pressure begins,
     ``write_bound_bytes`` where the connection is given up.
@@ -20,6 +22,7 @@
     header_bytes: int = 32 * 1024
     body_bytes: int = 4 * 1024 * 1024
     buffered_bytes: int = 16 * 1024 * 1024
+    unread_bytes: int = 16 * 1024 * 1024
     pipelined_bytes: int = 64 * 1024
     write_buffer_bytes: int = 32 * 1024
     write_bound_bytes: int = 8 * 1024 * 1024
--- a/savorychute/http/http_server.py
+++ b/savorychute/http/http_server.py
@@ -51,6 +51,11 @@
         """How many connections are open."""
         return len(self.connections)
 
+    @property
+    def unread_bytes(self) -> int:
+        """How much of all answers waits for callers to read."""
+        return sum(connection.unread_bytes for connection in self.connections)
+
     def add(self, connection: ServerConnection) -> bool:
         """Take a connection; return false if there are too many.
 
@@ -88,6 +93,21 @@
         now_ms = self.now_ms()
         for connection in tuple(self.connections):
             connection.check_deadline(now_ms)
+        self._bound_unread()
+
+    def _bound_unread(self) -> None:
+        """Give up the callers with the most unread bytes, if there are too many.
+
+        Each answer is bounded by itself, but a few hundred callers that ask
+        for long ones and do not read would together fill the memory.
+        """
+        slow = [each for each in self.connections if each.writing_paused]
+        slow.sort(key=lambda each: each.unread_bytes)
+        total_bytes = sum(each.unread_bytes for each in slow)
+        while slow and total_bytes > self.limits.unread_bytes:
+            connection = slow.pop()
+            total_bytes -= connection.unread_bytes
+            connection.abort()
 
     def close_idle(self) -> None:
         """Close the connections on which no request is in progress."""
--- a/savorychute/http/server_connection.py
+++ b/savorychute/http/server_connection.py
@@ -157,6 +157,11 @@
 
     # -- called by the server
 
+    @property
+    def unread_bytes(self) -> int:
+        """How much of the answers waits for the caller to read."""
+        return self._transport.get_write_buffer_size()
+
     def check_deadline(self, now_ms: int) -> None:
         """Give up a caller that sends or reads too slowly.
 
--- a/tests/test_daemon/test_process.py
+++ b/tests/test_daemon/test_process.py
@@ -9,7 +9,7 @@
 from contextlib import asynccontextmanager
 from random import Random
 
-from daemon_fakes import call, wait_until
+from daemon_fakes import SmallServer, call, serve, wait_until
 from system_rig import (
     CALLER,
     ask,
@@ -65,6 +65,24 @@
         await process.wait()
 
 
+def test_port_that_is_taken_is_named(tmp_path):
+    async def main():
+        async with (
+            serve(SmallServer(id)) as taken,
+            run_process(
+                tmp_path / 'settings.json',
+                {**make_settings(1, 1), 'caller_port': taken.port},
+            ) as daemon,
+        ):
+            errors = await daemon.process.stderr.read()
+            return taken.port, errors.decode(), await daemon.process.wait()
+
+    port, errors, code = asyncio.run(main())
+
+    assert errors == f'caller_port {port} of 127.0.0.1: Address already in use\n'
+    assert code != 0
+
+
 def test_process_answers_streams_and_leaves_without_cutting_one(tmp_path):
     """Restart of an instance.
 
--- a/tests/test_daemon/test_slow_callers.py
+++ b/tests/test_daemon/test_slow_callers.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
-from daemon_fakes import TOKEN, call, run_passing, serve, wait_until
+from daemon_fakes import TOKEN, SmallServer, call, run_passing, serve, wait_until
 from test_callers import CHAT_PATH, EVENT, STREAM, CountingServer, connect_small
 
 from savorychute.actions import CancelAttempt, FinishResponse, StartAttempt
@@ -123,3 +124,44 @@
             return (await caller.read_answer()).status, len(reports)
 
     assert asyncio.run(main()) == (401, 1)
+
+
+def test_unread_answers_are_bounded_over_all_connections():
+    """Many slow callers.
+
+    Callers ask for long answers and read nothing.  Each answer is within its
+    bound, but together they would fill the memory.  The one with the most
+    unread is given up; the other still gets all of its answer.
+    """
+
+    def answer_by_size(exchange):
+        size = json.loads(exchange.request.body)['max_tokens']
+        exchange.respond(200, [], b'x' * size)
+
+    def ask(caller, size):
+        body = b'{"model":"m","messages":[],"max_tokens":%d}' % size
+        headers = {'authorization': f'Bearer {TOKEN}'}
+        caller.write_request('POST', CHAT_PATH, headers, body)
+
+    async def main():
+        limits = HttpLimits(send_buffer_bytes=16_384, unread_bytes=800_000)
+        async with (
+            serve(SmallServer(answer_by_size)) as address,
+            run_passing(address, http=limits) as (host, _),
+        ):
+            port = host.address.caller_port
+            socks = [await connect_small(port) for _ in range(2)]
+            async with (
+                call(None, sock=socks[0], limit=1) as large,
+                call(None, sock=socks[1], limit=1) as small,
+            ):
+                ask(small, 700_000)
+                await wait_until(lambda: host.server.unread_bytes > 500_000)
+                ask(large, 900_000)
+                await wait_until(lambda: host.server.open_connections == 1)
+                return await large.read_answer(), await small.read_answer()
+
+    large, small = asyncio.run(main())
+
+    assert not large.whole
+    assert (small.whole, len(small.body)) == (True, 700_000)
--- a/tests/test_http/test_client_pool.py
+++ b/tests/test_http/test_client_pool.py
@@ -265,3 +265,37 @@
 
     assert events == ['about-to-send']
     assert (numbers, connections) == ([0], 1)
+
+
+def test_ended_call_has_no_hold_on_its_connection():
+    """Slow reader of a last part.
+
+    A call's response has ended and its connection carries the next call.  A
+    pause that comes late for the first one stopped the reading of the second
+    one's answer, until it timed out; a late cancel would have cut it.
+    """
+
+    numbers = []
+
+    async def handle(reader, writer, number):
+        while await read_head(reader):
+            numbers.append(number)
+            writer.write(OK)
+
+    async def main():
+        async with raw_server(handle) as address:
+            with open_pool(PoolSettings(), SystemClock()) as pool:
+                first = Recorder(True)
+                call = pool.submit(address, GET, first)
+                async with asyncio.timeout(10):
+                    while 'ended' not in first.events:
+                        await asyncio.sleep(0.002)
+                call.pause_reading()
+                second = await fetch(pool, address, GET, 2_000)
+                call.cancel()
+                return second, await fetch(pool, address, GET, 2_000)
+
+    second, third = asyncio.run(main())
+
+    assert (second.body, third.body) == (b'ok', b'ok')
+    assert numbers == [0, 0, 0]
