--- a/savorychute/limits/electorate.py
+++ b/savorychute/limits/electorate.py
@@ -29,8 +29,8 @@
     A new member is *pending* until all must have seen it: some may count it
     already and others not know it yet.
 
-    A new instance takes all that it sees at first for voters, and may be
-    wrong.  Therefore every member that lacks a majority *vetoes* grants in its
+    A new instance takes all that it sees at first for voters, until it loses
+    one, and may be wrong.  Therefore every member that lacks a majority *vetoes* grants in its
     reports, and a veto outlives its origin.
 
     :param instance: this instance's name.
@@ -86,7 +86,8 @@
                 self._pending.pop(instance, None)
         if is_first:
             self._started_ms = now_ms
-        if now_ms - self._started_ms < self._settle_ms:
+        is_young = now_ms - self._started_ms < self._settle_ms
+        if is_young and self._voters <= alive:
             self._voters |= fresh
         self._pending.update((i, now_ms) for i in fresh - self._voters)
         return fresh
--- a/tests/test_limits/test_limiter.py
+++ b/tests/test_limits/test_limiter.py
@@ -280,3 +280,22 @@
     rig.run(100)
 
     assert rig.in_use() == 20
+
+
+def test_member_that_joined_before_a_cut_makes_no_majority():
+    """A second instance starts beside an old one, is cut off at once, and a
+    third one starts on its side.  The two never learned that the old one counts
+    itself alone; they must not take its contract for theirs.
+    """
+    rig = LimiterRig(FAST, seed=1)
+    rig.start('a')
+    rig.run(3_000)
+    rig.start('b')
+    rig.run(100)
+    rig.cut({'b': 1})
+    rig.run(300, lambda: assert_within_contract(rig))
+
+    rig.start('c', side=1)
+    rig.run(5_000, lambda: assert_within_contract(rig))
+
+    assert rig.units('a') >= 30
