--- a/tests/test_http/test_client_pool.py
+++ b/tests/test_http/test_client_pool.py
@@ -274,7 +274,6 @@
     pause that comes late for the first one stopped the reading of the second
     one's answer, until it timed out; a late cancel would have cut it.
     """
-
     numbers = []
 
     async def handle(reader, writer, number):
