--- /dev/null
+++ b/benches/retry_rig.py
@@ -0,0 +1,65 @@
+"""Retries and ejection while most of a pool is gone, on a virtual clock."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from savorychute.recovery import (
+    Ejector,
+    EjectorSettings,
+    RetryBudget,
+    RetrySettings,
+)
+
+if TYPE_CHECKING:
+    import random
+
+RETRY_SHARE = 0.1
+ENDPOINTS = 9
+CUSTOMERS = 10
+OUTAGE_MS = 10_000
+END_MS = 30_000
+LOCAL_FAILURE_MS = 2
+ANSWER_MS = 200
+
+
+class RetryFigures(NamedTuple):
+    """Attempts per request and the share of requests that were answered."""
+
+    attempts_per_request: float
+    answered_share: float
+
+
+def run_outage(
+    dead: int, max_attempts: int, budgeted: bool, ejecting: bool, rng: random.Random
+) -> RetryFigures:
+    """Send 100 requests a second through one instance while *dead* are gone.
+
+    :param dead: how many of nine endpoints refuse all connections for 10 s.
+    :param max_attempts: how often a request is tried at most.
+    :param budgeted: whether retries are bounded per customer.
+    :param ejecting: whether endpoints are ejected.
+    """
+    names = [f'endpoint-{number}' for number in range(ENDPOINTS)]
+    ejector = Ejector(EjectorSettings(), rng)
+    ejector.set_endpoints({name: {'models': ['m']} for name in names})
+    budget = RetryBudget(RetrySettings())
+    requests = attempts = answered = 0
+    for now_ms in range(0, END_MS, 10):
+        customer = f'customer-{rng.randrange(CUSTOMERS)}'
+        budget.request(customer, now_ms)
+        requests += 1
+        for attempt in range(max_attempts):
+            is_retry = attempt > 0 and budgeted
+            if is_retry and not budget.try_spend(customer, RETRY_SHARE, now_ms):
+                break
+            at_ms = now_ms + attempt * LOCAL_FAILURE_MS
+            usable = [name for name in names if ejector.admits(name, at_ms)]
+            name = rng.choice(usable if ejecting and usable else names)
+            attempts += 1
+            if at_ms >= OUTAGE_MS or names.index(name) >= dead:
+                ejector.succeeded(name, at_ms + ANSWER_MS)
+                answered += 1
+                break
+            ejector.failed(name, at_ms, crashed=True)
+    return RetryFigures(attempts / requests, answered / requests)
