Send no order after its lease; show late orders; keep joins out of the audit

Cause: an order was handed over under a valid lease and could leave much later; a lease was released with orders under way; an instance that joined wrote 3,500 taken-over changes into an audit trail of 2,000; amendments did not last in the log; divergences and late orders were shown nowhere. Change: the daemon asks send_before_ms right before the first byte; release waits for open orders; changes without a record of their own are not audited, the proposer makes its amendment last; status shows the figures.

--- a/savorychute/daemon/engine_control.py
+++ b/savorychute/daemon/engine_control.py
@@ -68,8 +68,20 @@
             self._host.settings.order_timeout_ms,
             partial(self._finish_order, order),
             partial(self._fail_order, order),
+            partial(self._may_send_order, order),
         )
 
+    def _may_send_order(self, order: SendOrder) -> bool:
+        """Return whether the order's lease still covers the sending.
+
+        The process may have been paused, or the connection slow, since the
+        instance checked its lease.  An endpoint that does not check fencing
+        numbers would then carry out an old holder's order.
+        """
+        if not order.send_before_ms:
+            return True
+        return self._host.clock.now_ms() < order.send_before_ms
+
     def _finish_poll(self, poll: PollEndpoint, response: HttpResponse) -> None:
         if response.status != OK_STATUS:
             return
--- a/savorychute/http/timed_call.py
+++ b/savorychute/http/timed_call.py
@@ -26,6 +26,7 @@
     timeout_ms: int,
     on_response: Callable[[HttpResponse], None],
     on_failure: Callable[[CallFailure], None],
+    may_send: Callable[[], bool] | None = None,
 ) -> ClientCall:
     """Send a request and hand over its whole response, or a failure in time.
 
@@ -35,6 +36,7 @@
     :param timeout_ms: from now to the end of the response.
     :param on_response: called with the response.
     :param on_failure: called if there is none in time.
+    :param may_send: asked right before the first byte leaves.
     """
     loop = asyncio.get_running_loop()
 
@@ -51,7 +53,7 @@
         timer.cancel()
         on_failure(failure)
 
-    handler = WholeResponse(take_response, take_failure)
+    handler = WholeResponse(take_response, take_failure, may_send=may_send)
     call = pool.submit(address, request, handler)
     timer = loop.call_later(timeout_ms / MS_PER_S, give_up)
     return call
--- a/savorychute/http/whole_response.py
+++ b/savorychute/http/whole_response.py
@@ -19,6 +19,8 @@
     :param on_response: called with the whole response.
     :param on_failure: called if there is none.
     :param bound_bytes: the largest body taken.
+    :param may_send: asked right before the first byte; if it says no, nothing
+        is sent and the failure says so.
     """
 
     def __init__(
@@ -26,18 +28,23 @@
         on_response: Callable[[HttpResponse], None],
         on_failure: Callable[[CallFailure], None],
         bound_bytes: int = BODY_BOUND_BYTES,
+        may_send: Callable[[], bool] | None = None,
     ) -> None:
         self._on_response = on_response
         self._on_failure = on_failure
         self._bound_bytes = bound_bytes
+        self._may_send = may_send
         self._status = 0
         self._headers: dict[str, str] = {}
         self._parts: list[bytes] = []
         self._size_bytes = 0
 
     def about_to_send(self) -> bool:
-        """Agree; such a call is always wanted."""
-        return True
+        """Return whether the call is still wanted."""
+        if self._may_send is None or self._may_send():
+            return True
+        self._on_failure(CallFailure(sent=False, broken=False, reason='too late'))
+        return False
 
     def response_started(self, status: int, headers: dict[str, str]) -> None:
         """Keep the head."""
--- a/savorychute/instance/housekeeping.py
+++ b/savorychute/instance/housekeeping.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from savorychute.actions import Action
+    from savorychute.configuration.applied_change import AppliedChange
     from savorychute.inputs import ListingFetched, LoadReported, OrderFinished
     from savorychute.instance.key_desk import KeyDesk
     from savorychute.instance.parts import Parts
@@ -101,15 +102,7 @@
         parts.ejector.set_endpoints(directory.endpoints)
         parts.orders.set_endpoints(directory.endpoints)
         for change in changes:
-            entry = AuditEntry(
-                kind=AuditKind.AMENDMENT,
-                item=change.item,
-                operator=change.operator,
-                from_version=str(change.from_version),
-                to_version=str(change.to_version),
-                why=change.why,
-            )
-            self._audit(entry, now_ms)
+            self._audit_change(change, now_ms)
             parts.events.emit('configuration-applied', change)
 
     def _follow_relayed_loads(self, now_ms: int) -> None:
@@ -148,6 +141,25 @@
                 by_tier[tier] = by_tier.get(tier, 0) + 1
             parts.credits.set_demand(pool, by_tier, now_ms)
 
+    def _audit_change(self, change: AppliedChange, now_ms: int) -> None:
+        """Record an amendment; the instance that proposed it makes it last.
+
+        A state that was taken over whole brings thousands of changes without a
+        record of their own, which would flush everything else from the trail.
+        """
+        if not change.record_id:
+            return
+        entry = AuditEntry(
+            kind=AuditKind.AMENDMENT,
+            item=change.item,
+            operator=change.operator,
+            from_version=str(change.from_version),
+            to_version=str(change.to_version),
+            why=change.why,
+            lasting=change.instance == self._parts.address.instance,
+        )
+        self._audit(entry, now_ms)
+
     def _audit(self, entry: AuditEntry, now_ms: int) -> None:
         self._parts.audit.record(entry, now_ms)
         self._parts.events.emit('audit-recorded', entry)
--- a/savorychute/instance/lease_desk.py
+++ b/savorychute/instance/lease_desk.py
@@ -7,6 +7,7 @@
 from savorychute.actions import SendOrder
 from savorychute.audit.audit_entry import AuditEntry
 from savorychute.audit.audit_kind import AuditKind
+from savorychute.instance.lease_name import name_lease
 from savorychute.membership.rendezvous import choose_homes
 
 if TYPE_CHECKING:
@@ -18,8 +19,6 @@
     from savorychute.leases.order_request import OrderRequest
     from savorychute.leases.order_result import OrderResult
 
-PLACEMENT_LEASE = 'placement'
-
 
 class LeaseDesk:
     """Decides who wants the region's lease, and audits what comes of it.
@@ -33,15 +32,19 @@
 
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
-        self.lease_name = f'{PLACEMENT_LEASE}:{parts.address.region}'
+        self.lease_name = name_lease(parts.address.region)
 
     def tick(self, now_ms: int) -> list[Action]:
-        """Want or release the lease, and keep it alive."""
+        """Want or release the lease, and keep it alive.
+
+        It is not released while an order is under way: the next holder's
+        order could overtake it at an endpoint that does not check fencing.
+        """
         parts = self._parts
         actions: list[Action] = []
         if self._is_chosen():
             parts.leases.want(self.lease_name)
-        else:
+        elif not parts.orders.open_orders(self.lease_name):
             actions += parts.leases.release(self.lease_name, now_ms)
         actions += parts.leases.tick(now_ms)
         actions += self._follow(parts.orders.tick(now_ms), now_ms)
--- a/savorychute/instance/status.py
+++ b/savorychute/instance/status.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, TypedDict
 
+from savorychute.instance.lease_name import name_lease
+
 if TYPE_CHECKING:
     from savorychute.instance.parts import Parts
 
@@ -25,12 +27,18 @@
     requests_in_progress: int
     waiting_by_pool: dict[str, dict[str, int]]
     log_reachable: bool
+    configuration_divergences: int
+    snapshot_age_ms: int
+    lease_fencing: int | None
+    late_orders: dict[str, int]
+    unexplained_models: dict[str, int]
 
 
 def describe_status(parts: Parts, now_ms: int) -> StatusDocument:
     """Return the figures of this moment."""
     view = parts.membership.view()
     directory = parts.directory
+    keeper = parts.configuration.status(now_ms)
     usable = [
         name
         for name in directory.endpoints
@@ -56,5 +64,10 @@
         suspects=len(view.suspects),
         requests_in_progress=len(parts.table),
         waiting_by_pool=waiting,
-        log_reachable=not parts.configuration.status(now_ms).log_is_down,
+        log_reachable=not keeper.log_is_down,
+        configuration_divergences=keeper.divergences,
+        snapshot_age_ms=keeper.snapshot_age_ms,
+        lease_fencing=parts.leases.holds(name_lease(parts.address.region), now_ms),
+        late_orders=dict(parts.orders.late_orders_by_endpoint),
+        unexplained_models=dict(parts.orders.unexplained_by_endpoint),
     )
