Do not ask after each token what is due next

Cause: the instance computes its next due time out of all parts now; the host asked for it after every token.

--- a/savorychute/daemon/host.py
+++ b/savorychute/daemon/host.py
@@ -26,7 +26,7 @@
 from savorychute.daemon.engine_control import EngineControl
 from savorychute.daemon.operator_answers import OperatorAnswers
 from savorychute.daemon.platform_runner import PlatformRunner
-from savorychute.inputs import ShutdownRequested
+from savorychute.inputs import AttemptChunk, ShutdownRequested
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -133,13 +133,18 @@
         if self._draining:
             return
         self._draining = True
+        only_chunks = True
         try:
             while self._inputs:
                 first = self._inputs.popleft()
+                only_chunks = only_chunks and type(first) is AttemptChunk
                 self._perform(self.instance.deliver(first, self.clock.now_ms()))
         finally:
             self._draining = False
-        self._schedule_tick()
+        # Tokens bring nothing that is due before the tick that is planned, and
+        # asking for each of them what is due would cost more than passing it on.
+        if not only_chunks:
+            self._schedule_tick()
 
     def start(self) -> None:
         """Begin to tick."""
