Know a request again when it brings the text of its answer

Cause: since callers send the text they have, each try of a request that crashes endpoints had another fingerprint, and none was quarantined for long. Change: the fingerprint leaves the continuation out. Ruled out: the quarantine itself; it convicted each fingerprint after two.

--- a/savorychute/instance/intake.py
+++ b/savorychute/instance/intake.py
@@ -175,7 +175,7 @@
         digest.update(customer.encode())
         digest.update(request.method.encode())
         digest.update(request.path.encode())
-        digest.update(request.body)
+        digest.update(_drop_continuation(request.body))
         return digest.hexdigest()
 
     def _refuse(self, request: CallerRequest, error: RequestError) -> Action:
@@ -202,3 +202,20 @@
         if code in HOPELESS_CODES or not (request.handle or request.key):
             return Ran.NOT_RUN
         return Ran.UNKNOWN
+
+
+def _drop_continuation(body: bytes) -> bytes:
+    """Return a body as it was before its answer had begun.
+
+    A caller that tries again sends the text that it has.  If that counted, a
+    request that crashes endpoints would be another one at each try, and would
+    never be quarantined.
+    """
+    try:
+        document = msgspec.json.decode(body)
+    except msgspec.MsgspecError:
+        return body
+    if not isinstance(document, dict):
+        return body
+    document.pop('continue_from', None)
+    return msgspec.json.encode(document)
