Do not speak for earlier tries when refusing at the edge

Cause: a request with a key that was refused before the key was looked up, for its body, its path or for want of connections, was answered 'not-run'. Of that try it was true, of the request not: an earlier try may have run, and the caller would have sent its visit log again under a new key. Change: such refusals say unknown if a key or handle is there, or if the head was not read. The client asks again with the same key.

--- a/savorychute/client/call_run.py
+++ b/savorychute/client/call_run.py
@@ -233,8 +233,12 @@
             raise self._conclude(error)
 
     async def _consider_unknown(self, error: CallError) -> None:
-        """Try an idempotent request again; a key's outcome stands as it is."""
-        if self._idempotent and error.retry_after_ms > 0:
+        """Try an idempotent request again; a key's outcome stands as it is.
+
+        A blind refusal is no outcome; the same key is asked for again.
+        """
+        repeatable = self._idempotent or error.code in BLIND_CODES
+        if repeatable and error.retry_after_ms > 0:
             self._may_have_run = True
             self._failures += 1
             if self._failures <= self._settings.max_failures:
--- a/savorychute/daemon/caller_api.py
+++ b/savorychute/daemon/caller_api.py
@@ -16,8 +16,12 @@
     read_token,
 )
 from savorychute.errors import RequestError
-from savorychute.http.error_answer import JSON_TYPE, encode_error, error_headers
-from savorychute.ran import Ran
+from savorychute.http.error_answer import (
+    JSON_TYPE,
+    encode_error,
+    error_headers,
+    judge_ran,
+)
 from savorychute.result_code import ResultCode
 
 if TYPE_CHECKING:
@@ -169,11 +173,12 @@
     :param code: the reason.
     :param message: what is wrong in this case.
     """
-    headers = error_headers(code, Ran.NOT_RUN)
+    ran = judge_ran(name for name, _ in exchange.request.headers)
+    headers = error_headers(code, ran)
     headers.append(('x-request-id', request_id))
     headers.append(('x-attempt-id', ''))
     headers.append(('x-endpoint', ''))
-    body = encode_error(code, Ran.NOT_RUN, message)
+    body = encode_error(code, ran, message)
     exchange.respond(code.status, headers, body)
 
 
--- a/savorychute/http/error_answer.py
+++ b/savorychute/http/error_answer.py
@@ -6,12 +6,16 @@
 
 import msgspec
 
+from savorychute.ran import Ran
+
 if TYPE_CHECKING:
-    from savorychute.ran import Ran
+    from collections.abc import Iterable
+
     from savorychute.result_code import ResultCode
 
 JSON_TYPE = 'application/json'
 MS_PER_S = 1_000
+EARLIER_TRY_HEADERS = ('x-request-key', 'x-continuation-handle')
 
 
 class ErrorDetail(TypedDict):
@@ -30,6 +34,18 @@
     error: ErrorDetail
 
 
+def judge_ran(names: Iterable[str]) -> Ran:
+    """Return what is true of a request that is refused at the edge.
+
+    This try did not run.  A key or a handle says that there may have been
+    earlier tries, of which the edge knows nothing: told 'not run', a caller
+    would send its visit log again under a new key.
+
+    :param names: the request's header names, in lower case.
+    """
+    return Ran.UNKNOWN if set(names) & set(EARLIER_TRY_HEADERS) else Ran.NOT_RUN
+
+
 def encode_error(code: ResultCode, ran: Ran, message: str, handle: str = '') -> bytes:
     """Return the JSON body of an error answer.
 
--- a/savorychute/http/server_connection.py
+++ b/savorychute/http/server_connection.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from savorychute.http.error_answer import encode_error, error_headers
+from savorychute.http.error_answer import encode_error, error_headers, judge_ran
 from savorychute.http.http_request import HttpRequest, encode_headers
 from savorychute.http.server_exchange import ServerExchange
 from savorychute.ran import Ran
@@ -22,6 +22,7 @@
 MESSAGE_CHARS = 200
 HTTP_VERSION = b'1.1'
 CONTINUE_STATUS = 100
+UNREAD_CODES = (ResultCode.CONNECTIONS_EXHAUSTED, ResultCode.SLOW_CALLER)
 REFUSAL_RETRY_MS = 1_000
 BODILESS_STATUSES = (204, 304)
 HEADERS_TOO_LARGE_HINT = 431
@@ -283,11 +284,12 @@
 
     def _refuse(self, code: ResultCode, message: str) -> None:
         """Answer with an error and take no more requests."""
+        ran = self._judge_ran(code)
         self._drop_body()
         if self._http.our_state in WRITABLE_STATES:
-            body = encode_error(code, Ran.NOT_RUN, message)
+            body = encode_error(code, ran, message)
             headers = [
-                *error_headers(code, Ran.NOT_RUN, REFUSAL_RETRY_MS),
+                *error_headers(code, ran, REFUSAL_RETRY_MS),
                 ('content-length', str(len(body))),
                 ('connection', 'close'),
             ]
@@ -309,6 +311,16 @@
             self._transport.write_eof()
         self._wait(self._limits.linger_ms)
 
+    def _judge_ran(self, code: ResultCode) -> Ran:
+        """Return whether the request can have run, by an earlier try.
+
+        What is refused before its head was read may have a key.  A malformed
+        head has been refused at each try.
+        """
+        if self._head is not None:
+            return judge_ran(name.decode('ascii') for name, _ in self._head.headers)
+        return Ran.UNKNOWN if code in UNREAD_CODES else Ran.NOT_RUN
+
     # -- small helpers
 
     def _write(self, event: h11.Event) -> None:
--- a/tests/test_client/test_client.py
+++ b/tests/test_client/test_client.py
@@ -323,6 +323,16 @@
     assert caught.value.ran is Ran.UNKNOWN
 
 
+def test_blind_refusal_under_a_key_is_no_outcome():
+    code = ResultCode.SLOW_CALLER
+    instance = Instance('i1', [refuse(code, Ran.UNKNOWN, retry_after_ms=1), answer])
+
+    run(lambda client: client.call_service(VISIT), instance)
+
+    keys = [request.header('x-request-key') for request in instance.requests]
+    assert keys == ['i1-1', 'i1-1']
+
+
 def test_unknown_outcome_under_a_key_is_final():
     code = ResultCode.OUTCOME_UNKNOWN
     instance = Instance('i1', [refuse(code, Ran.UNKNOWN, retry_after_ms=1)])
--- a/tests/test_daemon/test_bad_input.py
+++ b/tests/test_daemon/test_bad_input.py
@@ -83,6 +83,29 @@
     assert instance.of(CallerRequest) == []
 
 
+@pytest.mark.parametrize(
+    'raw',
+    [
+        frame(b'{'),
+        frame(b'{"model":"","messages":[]}'),
+        CHAT_HEAD + b'content-length: 9000\r\n\r\n',
+        b'GET /nothing HTTP/1.1\r\nhost: x\r\n\r\n',
+    ],
+)
+@pytest.mark.parametrize('header', [b'x-request-key', b'X-Continuation-Handle'])
+def test_refusal_at_the_edge_does_not_speak_for_earlier_tries(raw, header):
+    """Lost reply, then a bad copy.
+
+    A visit ran and its reply was lost.  Its caller sends it again with the key
+    and a cut body.  That try did not run; told so, the caller would log the
+    visit a second time under a new key.
+    """
+    answer, _ = send_raw(raw.replace(b'host: x', b'host: x\r\n' + header + b': k'))
+
+    assert answer.status >= 400
+    assert answer.headers['x-ran'] == 'unknown'
+
+
 def test_slow_sender_gets_an_answer():
     """Slow sender.
 
@@ -166,6 +189,7 @@
     refused, answered = asyncio.run(main())
 
     assert (refused.status, refused.headers['x-result-code']) == (503, '2009')
+    assert refused.headers['x-ran'] == 'unknown'
     assert int(refused.headers['retry-after']) >= 1
     assert answered.status == 200
 
