--- a/savorychute/daemon/frame_sender.py
+++ b/savorychute/daemon/frame_sender.py
@@ -75,7 +75,8 @@
             async with asyncio.timeout(KEPT_S):
                 await self._arrived.wait()
         except TimeoutError:
-            return False
+            # A frame may have been queued after the timer went off.
+            return bool(self._frames)
         return True
 
     async def _write(self, writer: asyncio.StreamWriter) -> None:
