Let homes of many users ask for fewer reports; look for pushes less often

Cause: a home of 66 users got 65 reports a second, and while grants had to wait for their allowance it looked through all holders on every tick.

Change: grants say how often the home wants reports, so that it gets about 33 a second; held-back grants are looked for every 250 ms.

--- a/savorychute/credits/group_grant.py
+++ b/savorychute/credits/group_grant.py
@@ -14,7 +14,8 @@
     ``must_acknowledge`` asks for a report at once, because others wait for
     what this grant takes back.  ``pressing_tier`` is the highest tier with
     unmet demand anywhere, or -1.  ``loads`` are the endpoints' load reports that
-    the home has fetched since its last grant.
+    the home has fetched since its last grant.  ``report_interval_ms`` is how
+    often the home wants regular reports, or 0 for the receiver's own setting.
     """
 
     group: int
@@ -23,3 +24,4 @@
     pressing_tier: int
     levels: tuple[EndpointLevel, ...]
     loads: tuple[EndpointLoad, ...] = ()
+    report_interval_ms: int = 0
--- a/savorychute/credits/group_holding.py
+++ b/savorychute/credits/group_holding.py
@@ -41,6 +41,7 @@
         self.home_epoch = 0
         self.sequence = 0
         self.pressing_tier = -1
+        self.report_interval_ms = 0
         self.must_report = False
         self.reported_ms: int | None = None
         self.reported_waiting: tuple[int, ...] = ()
@@ -114,6 +115,7 @@
         self.home_epoch = home_epoch
         self.sequence = grant.sequence
         self.pressing_tier = grant.pressing_tier
+        self.report_interval_ms = grant.report_interval_ms
         self._unanswered_ms = None
         self._levels = {entry.endpoint: entry.level for entry in grant.levels}
         self._expires_ms = expires_ms
--- a/savorychute/credits/group_home.py
+++ b/savorychute/credits/group_home.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import math
-from itertools import zip_longest
 from typing import TYPE_CHECKING
 
+from savorychute.clock import MS_PER_S
 from savorychute.credits.division import (
     NOTHING_PRESSING,
     divide_by_tier,
@@ -15,10 +14,11 @@
 from savorychute.credits.endpoint_level import EndpointLevel
 from savorychute.credits.group_grant import GroupGrant
 from savorychute.credits.holder_record import HolderRecord, Offer
+from savorychute.credits.levels import add_tiers, has_grown, least_shift, sum_excess
 from savorychute.credits.push_allowance import PushAllowance
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterable
 
     from savorychute.credits.endpoint_load import EndpointLoad
     from savorychute.credits.group_holding import GroupHolding
@@ -29,8 +29,8 @@
 #: no longer; its work is finished or cut by then.
 FORGOTTEN_AFTER_GRANTS = 15
 
-#: What part of a level has to change for a message between reports.
-LEAST_SHIFT_SHARE = 0.25
+#: A grant must survive the loss of two reports.
+REPORTS_OF_GRANT = 3
 
 
 class GroupHome:
@@ -77,6 +77,7 @@
         self._divided_ms: int | None = None
         self._is_urgent = False
         self._has_held_back = False
+        self._pushed_ms = now_ms
         self._allowance = PushAllowance(settings.pushes_per_s, now_ms)
         for instance in expected:
             if instance != own:
@@ -102,7 +103,7 @@
             record = self._records[instance] = HolderRecord(epoch)
         elif number <= record.number:
             return False
-        is_urgent = _has_grown(record.waiting, report.waiting)
+        is_urgent = has_grown(record.waiting, report.waiting)
         record.received_ms = now_ms
         record.take_report(
             number,
@@ -123,7 +124,7 @@
 
         :param waiting: requests by tier.
         """
-        is_urgent = _has_grown(self._own_waiting, waiting)
+        is_urgent = has_grown(self._own_waiting, waiting)
         self._own_waiting = waiting
         return is_urgent
 
@@ -200,6 +201,7 @@
             pressing_tier=self.pressing_tier,
             levels=tuple(EndpointLevel(key, level) for key, level in levels.items()),
             loads=loads,
+            report_interval_ms=self._choose_interval_ms(),
         )
         return record.epoch, record.number, grant
 
@@ -214,6 +216,7 @@
         """
         self._allowance.fill(now_ms)
         self._has_held_back = False
+        self._pushed_ms = now_ms
         if not self._is_somebody_short(now_ms):
             return []
         shifts: list[tuple[int, str]] = []
@@ -226,10 +229,13 @@
         self._has_held_back = len(chosen) < len(shifts)
         return [instance for _, instance in chosen]
 
-    @property
-    def has_held_back(self) -> bool:
-        """Whether grants wait because too many were sent of late."""
-        return self._has_held_back
+    def may_push_again(self, now_ms: int) -> bool:
+        """Return whether to look again for grants that had to wait.
+
+        :param now_ms: the time.
+        """
+        age_ms = now_ms - self._pushed_ms
+        return self._has_held_back and age_ms >= self.settings.push_retry_ms
 
     def list_silent(self, now_ms: int) -> list[str]:
         """Return the members whose reports the home waits for.
@@ -304,12 +310,19 @@
         room = self._capacity(endpoint, now_ms) - self._totals[endpoint] - own
         return min(target, committed + max(0, room))
 
+    def _choose_interval_ms(self) -> int:
+        """Return how often holders are to report, so that they are not too many."""
+        settings = self.settings
+        spread_ms = len(self._records) * MS_PER_S // settings.reports_per_s
+        longest_ms = settings.grant_ms // REPORTS_OF_GRANT
+        return max(settings.report_interval_ms, min(spread_ms, longest_ms))
+
     def _measure_shift(self, instance: str, record: HolderRecord, now_ms: int) -> int:
         """Return how much a grant would move, or 0 if too little."""
         targets = self._targets.get(instance, {})
         before = record.last_levels()
-        excess = _sum_excess(before, targets)
-        if excess >= _least_shift(before):
+        excess = sum_excess(before, targets)
+        if excess >= least_shift(before):
             return excess
         if not any(record.waiting):
             return 0
@@ -317,27 +330,27 @@
             key: self._clip(instance, key, target, now_ms)
             for key, target in targets.items()
         }
-        raised = _sum_excess(granted, before)
-        return raised if raised >= _least_shift(targets) else 0
+        raised = sum_excess(granted, before)
+        return raised if raised >= least_shift(targets) else 0
 
     def _is_somebody_short(self, now_ms: int) -> bool:
         """Return whether a waiting instance lacks much of its part."""
         for instance, record in self._records.items():
             targets = self._targets.get(instance, {})
-            lack = _sum_excess(targets, record.last_levels())
-            if any(record.waiting) and lack >= _least_shift(targets):
+            lack = sum_excess(targets, record.last_levels())
+            if any(record.waiting) and lack >= least_shift(targets):
                 return True
         targets = self._targets.get(self.own, {})
         levels = {key: self.own_level(key, now_ms) for key in targets}
-        lack = _sum_excess(targets, levels)
-        return any(self._own_waiting) and lack >= _least_shift(targets)
+        lack = sum_excess(targets, levels)
+        return any(self._own_waiting) and lack >= least_shift(targets)
 
     def _divide(self, now_ms: int) -> None:
         wants = {
-            instance: _add(record.running, record.waiting)
+            instance: add_tiers(record.running, record.waiting)
             for instance, record in self._records.items()
         }
-        wants[self.own] = _add(self.holding.list_running(), self._own_waiting)
+        wants[self.own] = add_tiers(self.holding.list_running(), self._own_waiting)
         capacities = {key: self._capacity(key, now_ms) for key in self._capacities}
         capacity = sum(capacities.values())
         if capacity == 0:
@@ -366,25 +379,3 @@
         self._turn += 1
         start = self._turn % len(instances)
         return instances[start:] + instances[:start]
-
-
-def _has_grown(before: tuple[int, ...], after: tuple[int, ...]) -> bool:
-    """Return whether demand needs an answer before the next regular one."""
-    higher = any(
-        new > 0 and old == 0 for old, new in zip_longest(before, after, fillvalue=0)
-    )
-    return higher or sum(after) > 1.5 * sum(before) + 1
-
-
-def _sum_excess(levels: Mapping[int, int], others: Mapping[int, int]) -> int:
-    """Return by how much *levels* exceed *others*, endpoint by endpoint."""
-    return sum(max(0, n - others.get(key, 0)) for key, n in levels.items())
-
-
-def _least_shift(levels: Mapping[int, int]) -> int:
-    """Return the smallest shift that is worth a message of its own."""
-    return max(1, math.ceil(LEAST_SHIFT_SHARE * sum(levels.values())))
-
-
-def _add(first: tuple[int, ...], second: tuple[int, ...]) -> list[int]:
-    return [a + b for a, b in zip_longest(first, second, fillvalue=0)]
--- a/savorychute/credits/home_desk.py
+++ b/savorychute/credits/home_desk.py
@@ -149,7 +149,7 @@
         holding = home.holding
         own_urgent = home.set_own_waiting(self._book.waiting(holding))
         is_divided = home.divide_if_due(now_ms, urgent=urgent or own_urgent)
-        if is_divided or home.has_held_back:
+        if is_divided or home.may_push_again(now_ms):
             holding.pressing_tier = home.pressing_tier
             for instance in home.list_pushes(now_ms):
                 pushes.setdefault(instance, []).append(home)
--- /dev/null
+++ b/savorychute/credits/levels.py
@@ -0,0 +1,54 @@
+"""Arithmetic on levels by endpoint and on demand by tier."""
+
+from __future__ import annotations
+
+import math
+from itertools import zip_longest
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+#: What part of a level has to change for a message between reports.
+LEAST_SHIFT_SHARE = 0.25
+
+#: Demand that has grown by this factor needs an answer at once.
+GROWTH_FACTOR = 1.5
+
+
+def has_grown(before: tuple[int, ...], after: tuple[int, ...]) -> bool:
+    """Return whether demand needs an answer before the next regular one.
+
+    :param before: requests that waited, by tier.
+    :param after: requests that wait now, by tier.
+    """
+    higher = any(
+        new > 0 and old == 0 for old, new in zip_longest(before, after, fillvalue=0)
+    )
+    return higher or sum(after) > GROWTH_FACTOR * sum(before) + 1
+
+
+def sum_excess(levels: Mapping[int, int], others: Mapping[int, int]) -> int:
+    """Return by how much *levels* exceed *others*, endpoint by endpoint.
+
+    :param levels: by endpoint.
+    :param others: by endpoint.
+    """
+    return sum(max(0, n - others.get(key, 0)) for key, n in levels.items())
+
+
+def least_shift(levels: Mapping[int, int]) -> int:
+    """Return the smallest shift that is worth a message of its own.
+
+    :param levels: by endpoint.
+    """
+    return max(1, math.ceil(LEAST_SHIFT_SHARE * sum(levels.values())))
+
+
+def add_tiers(first: tuple[int, ...], second: tuple[int, ...]) -> list[int]:
+    """Return the sums by tier.
+
+    :param first: by tier.
+    :param second: by tier.
+    """
+    return [a + b for a, b in zip_longest(first, second, fillvalue=0)]
--- a/savorychute/credits/report_desk.py
+++ b/savorychute/credits/report_desk.py
@@ -139,7 +139,8 @@
             if has_grown and age_ms >= settings.growth_interval_ms:
                 return True
         if any(waiting) or holding.is_used:
-            return age_ms >= settings.report_interval_ms
+            interval_ms = holding.report_interval_ms or settings.report_interval_ms
+            return age_ms >= interval_ms
         is_interested = self._book.wants_spare(holding, now_ms)
         return is_interested and age_ms >= settings.idle_report_interval_ms
 
--- a/savorychute/credits/settings.py
+++ b/savorychute/credits/settings.py
@@ -17,6 +17,10 @@
     would get nothing.  A home that sees a minority of the members of the last
     ``remember_ms`` scales the capacity down.
 
+    Regular reports come every ``report_interval_ms``, or seldomer if a group has so
+    many users that its home would get more than ``reports_per_s``, but at least
+    three times in the life of a grant.
+
     Demand of a new highest tier is reported after ``pressure_interval_ms``,
     demand that has grown after ``growth_interval_ms``.
     """
@@ -26,11 +30,13 @@
     grant_ms: int = 6_000
     ask_interval_ms: int = 250
     report_interval_ms: int = 1_000
+    reports_per_s: int = 33
     idle_report_interval_ms: int = 2_000
     pressure_interval_ms: int = 50
     growth_interval_ms: int = 250
     owing_interval_ms: int = 250
     pushes_per_s: int = 20
+    push_retry_ms: int = 250
     division_interval_ms: int = 1_000
     urgent_division_interval_ms: int = 20
     demand_memory_ms: int = 2_000
--- a/savorychute/wire/messages.capnp
+++ b/savorychute/wire/messages.capnp
@@ -166,6 +166,7 @@
   pressingTier @3 :Int64;
   levels @4 :List(EndpointLevel);
   loads @5 :List(EndpointLoad);
+  reportIntervalMs @6 :Int64;
 }
 
 struct CreditGrant {  # tag 31
