Let idle connections make room and end in time

Cause: connections to endpoints that were kept for reuse were closed only when their endpoint was used again. With the bound reached, calls to other endpoints failed though nothing was going on. Change: the oldest idle connection is closed to make room, and all that have been idle too long are closed now and then. Conclusion: the bound is one on connections in use.

--- a/savorychute/http/client_pool.py
+++ b/savorychute/http/client_pool.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import defaultdict
 from contextlib import contextmanager
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -53,7 +52,8 @@
         self._bound = min(settings.connections, connections_by_files())
         self._clock = clock
         self._tls = tls
-        self._idle: dict[ServerAddress, list[ClientConnection]] = defaultdict(list)
+        self._idle: dict[ServerAddress, list[ClientConnection]] = {}
+        self._sweep_ms = 0
         self._open: set[ClientConnection] = set()
         self._connecting = 0
 
@@ -108,7 +108,7 @@
             self._keep(address, kept)
 
     async def _connect(self, call: ClientCall, address: ServerAddress) -> None:
-        if self.open_connections >= self._bound:
+        if not self._make_room():
             call.fail_unsent('too many connections')
             return
         self._connecting += 1
@@ -130,7 +130,7 @@
         connection = ClientConnection(
             f'{address.host}:{address.port}',
             on_idle=lambda idle: self._keep(address, idle),
-            on_lost=self._open.discard,
+            on_lost=lambda lost: self._forget(address, lost),
         )
         async with asyncio.timeout(self._settings.connect_timeout_ms / MS_PER_S):
             await loop.create_connection(
@@ -139,23 +139,59 @@
         self._open.add(connection)
         return connection
 
+    def _make_room(self) -> bool:
+        """Close an idle connection if there are as many as permitted.
+
+        Otherwise idle connections to servers that are no longer used would
+        keep out the calls to those that are.
+        """
+        while self._idle and self.open_connections >= self._bound:
+            self._close_oldest(next(iter(self._idle)))
+        return self.open_connections < self._bound
+
+    def _drop_idle(self, before_ms: int) -> None:
+        """Close the connections that have been idle since before a time."""
+        for address in tuple(self._idle):
+            while address in self._idle:
+                if self._idle[address][0].idle_since_ms >= before_ms:
+                    break
+                self._close_oldest(address)
+
+    def _close_oldest(self, address: ServerAddress) -> None:
+        connection = self._idle[address][0]
+        self._forget(address, connection)
+        connection.abort()
+
+    def _forget(self, address: ServerAddress, connection: ClientConnection) -> None:
+        self._open.discard(connection)
+        idle = self._idle.get(address, [])
+        if connection in idle:
+            idle.remove(connection)
+        if not idle:
+            self._idle.pop(address, None)
+
     def _keep(self, address: ServerAddress, connection: ClientConnection) -> None:
-        idle = self._idle[address]
-        if len(idle) >= self._settings.idle_per_server or not connection.usable:
+        now_ms = self._clock.now_ms()
+        if now_ms >= self._sweep_ms:
+            self._sweep_ms = now_ms + self._settings.idle_ms
+            self._drop_idle(now_ms - self._settings.idle_ms)
+        kept = len(self._idle.get(address, ()))
+        if kept >= self._settings.idle_per_server or not connection.usable:
             connection.abort()
             return
-        connection.idle_since_ms = self._clock.now_ms()
-        idle.append(connection)
+        connection.idle_since_ms = now_ms
+        self._idle.setdefault(address, []).append(connection)
 
     def _take_idle(self, address: ServerAddress) -> ClientConnection | None:
-        idle = self._idle.get(address, [])
         oldest_ms = self._clock.now_ms() - self._settings.idle_ms
-        while idle:
+        while address in self._idle:
+            idle = self._idle[address]
             connection = idle.pop()
+            if not idle:
+                del self._idle[address]
             if connection.usable and connection.idle_since_ms >= oldest_ms:
                 return connection
             connection.abort()
-        self._idle.pop(address, None)
         return None
 
 
--- a/tests/test_http/test_client_pool.py
+++ b/tests/test_http/test_client_pool.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import asynccontextmanager, suppress
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
 
 import pytest
 
@@ -298,3 +298,50 @@
 
     assert (second.body, third.body) == (b'ok', b'ok')
     assert numbers == [0, 0, 0]
+
+
+def test_idle_connections_do_not_keep_out_calls():
+    """Many servers, few connections.
+
+    Connections to servers that were used lately stay open for reuse.  With the
+    bound reached, a call to another server failed, though nothing was going on.
+    """
+
+    async def handle(reader, writer, number):
+        while await read_head(reader):
+            writer.write(OK)
+
+    async def main():
+        settings = PoolSettings(connections=2)
+        async with AsyncExitStack() as stack:
+            enter = stack.enter_async_context
+            servers = [await enter(raw_server(handle)) for _ in range(5)]
+            pool = stack.enter_context(open_pool(settings, SystemClock()))
+            answers = [await fetch(pool, each, GET, 5_000) for each in servers * 2]
+            return answers, pool.open_connections
+
+    answers, connections = asyncio.run(main())
+
+    assert [answer.body for answer in answers] == [b'ok'] * 10
+    assert connections == 2
+
+
+def test_idle_connections_are_closed_in_time():
+    clock = ManualClock()
+
+    async def handle(reader, writer, number):
+        while await read_head(reader):
+            writer.write(OK)
+
+    async def main():
+        async with AsyncExitStack() as stack:
+            enter = stack.enter_async_context
+            first = await enter(raw_server(handle))
+            second = await enter(raw_server(handle))
+            pool = stack.enter_context(open_pool(PoolSettings(idle_ms=100), clock))
+            await fetch(pool, first, GET, 5_000)
+            clock.advance_to(201)
+            await fetch(pool, second, GET, 5_000)
+            return pool.open_connections
+
+    assert asyncio.run(main()) == 1
