Let instances that share a lane for suspects take turns

Cause: with fewer endpoints than instances two instances tried suspects on the same endpoint at once, and after 1.5 s all did; suspects that shared both crashes had to be tried once more, at the price of a third crash.

--- a/savorychute/recovery/quarantine.py
+++ b/savorychute/recovery/quarantine.py
@@ -50,7 +50,7 @@
         self._running: dict[str, tuple[str, str]] = {}
         self._blamed: list[tuple[int, PoisonRecord]] = []
         self._watch = CrashWatch(settings)
-        self._lanes = SuspectLanes(instance)
+        self._lanes = SuspectLanes(instance, settings.lane_turn_ms)
         self._spread = PoisonSpread(settings, instance, rng)
 
     def __len__(self) -> int:
@@ -118,10 +118,10 @@
     def _keep_to_lanes(
         self, record: PoisonRecord, free: list[str], now_ms: int
     ) -> list[str]:
-        learned_ms = max(record.learned_ms.values())
-        if now_ms - learned_ms > self._settings.lane_ms:
+        age_ms = now_ms - max(record.learned_ms.values())
+        if age_ms > self._settings.lane_ms:
             return free
-        return [name for name in free if self._lanes.is_own(name)]
+        return [name for name in free if self._lanes.is_own(name, age_ms)]
 
     def _rank(self, fingerprint: str, endpoint: str, now_ms: int) -> tuple[bool, int]:
         lately = self._watch.crashed_lately(endpoint, now_ms)
