Order what is sent by name, not by the run's hash seed

Cause: members and customers were walked through as sets, whose order differs between runs, so the order of messages of one seed did too.

Change: sorted wherever the order reaches messages or sums.

--- a/savorychute/credits/group_book.py
+++ b/savorychute/credits/group_book.py
@@ -143,7 +143,7 @@
         :param holding: of the group.
         """
         wanted: dict[int, float] = {}
-        for pool in holding.group.pools:
+        for pool in sorted(holding.group.pools):
             share = self._share_of(pool, holding.group)
             for tier, count in self.demand.of(pool).items():
                 wanted[tier] = wanted.get(tier, 0.0) + count * share
--- a/savorychute/credits/region_members.py
+++ b/savorychute/credits/region_members.py
@@ -30,7 +30,7 @@
             return
         self._seen = view.alive
         alive = {member.instance: member.region for member in view.alive}
-        for instance in self._alive.keys() - alive.keys():
+        for instance in sorted(self._alive.keys() - alive.keys()):
             if instance not in view.leaving and instance != view.own.instance:
                 self._lost[instance] = (self._alive[instance], now_ms)
         for instance in alive:
--- a/savorychute/limits/electorate.py
+++ b/savorychute/limits/electorate.py
@@ -70,7 +70,7 @@
         # A leaving instance is not in its own view, but it still has a vote.
         alive = frozenset(members | {view.own.instance})
         fresh = alive - self.alive
-        for instance in self.alive - alive:
+        for instance in sorted(self.alive - alive):
             gone = self._left if instance in view.leaving else self._lost
             gone[instance] = now_ms
             if gone is self._lost:
@@ -89,7 +89,7 @@
         is_young = now_ms - self._started_ms < self._settle_ms
         if is_young and self._voters <= alive:
             self._voters |= fresh
-        self._pending.update((i, now_ms) for i in fresh - self._voters)
+        self._pending.update((i, now_ms) for i in sorted(fresh - self._voters))
         return fresh
 
     @property
--- a/savorychute/limits/home_desk.py
+++ b/savorychute/limits/home_desk.py
@@ -62,7 +62,7 @@
             meter.total,
             max(book.holdings[customer].units(now_ms), meter.in_use),
             [
-                *book.electorate.alive,
+                *sorted(book.electorate.alive),
                 *book.electorate.list_left(left_since_ms),
                 *book.electorate.list_lost(),
             ],
@@ -93,7 +93,7 @@
         for home in self._homes.values():
             home.follow_members(self._book.electorate.alive, now_ms)
             if fresh:
-                home.expect(fresh, now_ms)
+                home.expect(sorted(fresh), now_ms)
 
     def note_losses(self, losses: Iterable[str], now_ms: int) -> None:
         """Note members of which others say that they were lost.
--- a/savorychute/limits/report_desk.py
+++ b/savorychute/limits/report_desk.py
@@ -36,7 +36,7 @@
         :param now_ms: the time.
         """
         due: dict[str, list[ShareReport]] = {}
-        for customer in list(self._book.awake):
+        for customer in sorted(self._book.awake):
             holding = self._book.holdings.get(customer)
             if holding is None:
                 self._book.awake.discard(customer)
