--- a/savorychute/placement/fleet.py
+++ b/savorychute/placement/fleet.py
@@ -17,6 +17,9 @@
 
 WANTED_DOMAINS = 2
 
+#: Sums of shares that differ by less are equal; they are rounded.
+LEAST_PLACES = 1e-6
+
 
 class Fleet:
     """Copies, places and pressures, with open changes taken into account.
@@ -49,6 +52,8 @@
         self._copies: dict[str, list[str]] = {}
         self._ready: dict[str, list[str]] = {}
         self._busy: dict[str, int] = {}
+        self._places: dict[str, float] = {}
+        self._ready_places: dict[str, float] = {}
         for engine in engines:
             if is_heard(engine, settings.forget_ms, now_ms) and engine.is_usable:
                 self._add(engine, changes, now_ms)
@@ -71,15 +76,19 @@
 
     def pressure(self, model: str) -> float:
         """Return the demand on a model as a share of its places."""
-        return self._divide(model, self.copies(model))
+        return self._divide(model, self._places.get(model, 0.0))
 
     def pressure_without(self, model: str, endpoint: str) -> float:
         """Return the pressure on the ready copies if one were unloaded."""
-        return self._divide(model, self.ready_besides(model, endpoint))
+        places = self._ready_places.get(model, 0.0)
+        if endpoint in self._ready.get(model, ()):
+            places -= self._share(endpoint)
+        return self._divide(model, places)
 
     def pressure_beside(self, model: str, endpoint: str) -> float:
-        """Return the pressure on a model if an engine held one more model."""
-        return self._divide(model, self.copies(model), crowded=endpoint)
+        """Return the pressure on a model if an engine that has it held one more."""
+        places = self._places[model] - self._share(endpoint)
+        return self._divide(model, places + self._share(endpoint, more=1))
 
     def find_lack(self, model: str) -> Lack | None:
         """Return what a wanted model lacks, if anything."""
@@ -103,13 +112,17 @@
         self.engines[name] = engine
         self.holds[name] = holds
         self._busy[name] = sum(self._demand.of(model).has_demand for model in holds)
+        share = self._share(name)
         for model in holds:
             self._copies.setdefault(model, []).append(name)
+            self._places[model] = self._places.get(model, 0.0) + share
         if not is_heard(engine, self._settings.fresh_ms, now_ms):
             return
         self._fresh.add(name)
         for model in engine.loaded - going:
             self._ready.setdefault(model, []).append(name)
+            ready_places = self._ready_places.get(model, 0.0)
+            self._ready_places[model] = ready_places + share
 
     def _is_allowed_beyond(self, model: str, domains: set[str]) -> bool:
         """Return whether an engine of another failure domain may serve it."""
@@ -118,13 +131,14 @@
             for engine in self.engines.values()
         )
 
-    def _divide(self, model: str, endpoints: Iterable[str], crowded: str = '') -> float:
-        places = 0.0
-        for name in endpoints:
-            busy = max(1, self._busy[name]) + (name == crowded)
-            places += self.engines[name].concurrent_requests / busy
+    def _share(self, endpoint: str, more: int = 0) -> float:
+        """Return the places of each model with demand at an engine."""
+        busy = max(1, self._busy[endpoint]) + more
+        return self.engines[endpoint].concurrent_requests / busy
+
+    def _divide(self, model: str, places: float) -> float:
         requests = self._demand.of(model).requests
-        if places <= 0:
+        if places < LEAST_PLACES:
             return math.inf if requests > 0 else 0.0
         return requests / places
 
