--- a/tests/test_placement/test_planner.py
+++ b/tests/test_placement/test_planner.py
@@ -185,3 +185,23 @@
     drive = Drive(engines, settings)
     assert len(drive.run(120_000, large=1_000)) == 11
     assert len(drive.run(60_000, large=1_000)) == 6
+
+
+def test_successor_is_loaded_while_an_engine_drains():
+    """An operator drains the only engine of a model; its work still runs there.
+
+    A copy that gets no new work is none, and no order goes to it.
+    """
+    leaving = make_engine('e1', ['small'])._replace(is_usable=False)
+    drive = Drive([leaving, make_engine('e2', [], allowed=['small'])])
+    (order,) = drive.run(120_000, small=2)
+    assert (order.endpoint, order.verb) == ('e2', LOAD)
+
+
+def test_engine_that_was_seen_with_two_models_may_hold_two_again():
+    engines = [make_engine('e1', ['small', 'large'])]
+    drive = Drive(engines)
+    drive.run(20_000, small=1, large=1)
+    drive.engines['e1'] = make_engine('e1', [])
+    drive.run(120_000, small=1, large=1)
+    assert drive.engines['e1'].loaded == BOTH
