Let no instance take more than half of a limit by a guess; wire lanes and slow start

Cause: after one instance crashed, requests of a customer waited 6 to 12 s beside free credit. A holder that was refused tripled its want each report, also for waits of some ms between requests, and got nearly all units (444 of 450); when it died they were out of reach. Suspects of crashes caused preemptions in vain, lanes for suspects and the slow start were not wired. Change: a guess, and what is spare, never goes beyond half to one instance; waits under 50 ms are no refusal; what waits is told to the limiter; lanes, slow start, unreachable endpoints and output-only lengths are wired; nothing is paused for a suspect. Ruled out: credits (6 of 6 places free at each engine while requests waited).

--- a/savorychute/instance/attempt_desk.py
+++ b/savorychute/instance/attempt_desk.py
@@ -218,7 +218,8 @@
             parts.ejector.leave(attempt.endpoint, now_ms)
             parts.leaving.note(attempt.endpoint, now_ms)
         elif not failed.refused:
-            parts.ejector.failed(attempt.endpoint, now_ms, failed.crashed)
+            is_gone = failed.crashed or not failed.sent
+            parts.ejector.failed(attempt.endpoint, now_ms, is_gone)
         if failed.crashed and failed.sent:
             parts.quarantine.crashed(
                 tracked.fingerprint, attempt.attempt_id, attempt.endpoint, now_ms
--- a/savorychute/instance/dispatcher.py
+++ b/savorychute/instance/dispatcher.py
@@ -110,7 +110,7 @@
             endpoint
             for endpoint in parts.credits.candidates(pool)
             if parts.directory.is_usable(endpoint)
-            and parts.ejector.allowed(endpoint, now_ms)
+            and parts.ejector.admits(endpoint, now_ms)
         ]
 
     def _may_start(self, queued: QueuedRequest, usable: list[str], now_ms: int) -> bool:
@@ -152,6 +152,20 @@
             return fresh
         return usable
 
+    def _could_start(self, queued: QueuedRequest, now_ms: int) -> bool:
+        """Return whether a request would start if an endpoint had room for it.
+
+        Nothing is paused for a suspect of crashes, which waits for its turn:
+        the place would go straight back to what was paused.
+        """
+        tracked = self._parts.table.find(queued.request_id)
+        if tracked is None or now_ms < tracked.held_until_ms:
+            return False
+        verdict = self._parts.quarantine.verdict(tracked.fingerprint, now_ms)
+        if verdict is not PoisonVerdict.CLEAR:
+            return False
+        return self._is_permitted(queued, now_ms)
+
     def _is_permitted(self, queued: QueuedRequest, now_ms: int) -> bool:
         """Return whether the customer's limits permit a start now."""
         limiter = self._parts.limiter
@@ -224,7 +238,7 @@
                 request_id=tracked.request_id,
                 pool=tracked.pool,
                 prompt_tokens=tracked.request.prompt_tokens,
-                expected_tokens=queued.expected_tokens,
+                expected_tokens=queued.expected_tokens - tracked.request.prompt_tokens,
                 prefix_hashes=tracked.request.prefix_hashes,
                 tier=queued.tier,
             ),
@@ -276,7 +290,7 @@
         ]
 
         def may_start(queued: QueuedRequest) -> bool:
-            return self._is_permitted(queued, now_ms)
+            return self._could_start(queued, now_ms)
 
         request_id = parts.admission.preemption(pool, running, now_ms, may_start)
         if request_id is None:
--- a/savorychute/instance/housekeeping.py
+++ b/savorychute/instance/housekeeping.py
@@ -30,6 +30,7 @@
         self._parts = parts
         self._key_desk = key_desk
         self._lease_desk = LeaseDesk(parts)
+        self._waiting_customers: set[str] = set()
         self._placement_desk = PlacementDesk(parts, self._lease_desk)
 
     def tick(self, now_ms: int) -> list[Action]:
@@ -100,6 +101,7 @@
         parts.credits.set_endpoints(directory.endpoints)
         parts.book.set_endpoints(directory.endpoints)
         parts.ejector.set_endpoints(directory.endpoints)
+        parts.quarantine.set_endpoints(directory.endpoints)
         parts.orders.set_endpoints(directory.endpoints)
         for change in changes:
             self._audit_change(change, now_ms)
@@ -133,6 +135,14 @@
     def _report_demand(self, now_ms: int) -> None:
         """Tell the credit ledger what waits and runs, by pool and tier."""
         parts = self._parts
+        waiting: dict[str, int] = {}
+        for tracked in parts.table:
+            if tracked.attempt is None:
+                customer = tracked.limits.customer
+                waiting[customer] = waiting.get(customer, 0) + 1
+        for customer in waiting.keys() | self._waiting_customers:
+            parts.limiter.set_demand(customer, waiting.get(customer, 0))
+        self._waiting_customers = set(waiting)
         pools = set(parts.admission.pools()) | set(parts.table.running_pools())
         for pool in pools:
             by_tier = dict(parts.admission.waiting(pool))
--- a/savorychute/limits/customer_meter.py
+++ b/savorychute/limits/customer_meter.py
@@ -22,6 +22,8 @@
 FIRST_ASK_PARTS = 8
 #: How long to wait for a request in progress to end, when nothing is known.
 BUSY_RETRY_MS = 250
+#: A shorter wait is the spacing of requests by their rate, not a lack of units.
+REFUSAL_MS = 50
 #: How long to wait for a first share.
 SHARE_RETRY_MS = 100
 
@@ -107,7 +109,7 @@
                 self._requests.wait_ms(1, now_ms), self._tokens.wait_ms(tokens, now_ms)
             )
             wait = math.ceil(min(accrual_ms, self.settings.max_retry_after_ms))
-        self.was_refused = self.was_refused or wait > 0
+        self.was_refused = self.was_refused or wait >= REFUSAL_MS
         return wait
 
     def start(self, tokens: int, now_ms: int) -> None:
@@ -146,7 +148,12 @@
         needed = max(self.in_use + self.waiting, math.ceil(by_rate - 0.1))
         if self.was_refused:
             step = max(1, self.total // FIRST_ASK_PARTS)
-            needed = max(needed, GROWTH_FACTOR * self._units + step)
+            guess = GROWTH_FACTOR * self._units + step
+            if self.in_use < self._units:
+                # What is guessed and not in use takes no more than half: it is
+                # lost to all others for a while if this instance dies.
+                guess = min(guess, self.total // 2)
+            needed = max(needed, guess)
         return min(needed, self.total)
 
     def _decay(self, now_ms: int) -> None:
--- a/savorychute/limits/share_home.py
+++ b/savorychute/limits/share_home.py
@@ -328,8 +328,10 @@
         self._is_scarce = sum(wants.values()) > total
         parts = self._divide_wants(total, wants, now_ms)
         spare = total - sum(parts.values())
+        # What a holder has is out of reach of the others for a while if it dies,
+        # so nobody gets more than half of what is spare.
         takers = {
-            instance: spare
+            instance: (spare + 1) // 2
             for instance, record in self._records.items()
             if record.wants_spare and instance in wants
         }
