Ask engines that refuse orders ever less

Cause: an engine that takes no orders was asked every 30 s for as long as a model lacked a copy, 1,200 times in ten hours, out of the weight store's rate and into the lasting audit trail.

Change: the wait doubles with each failure at the same engine, up to 64 min.

Figures: between 10 and 20 orders in ten hours (test).

--- a/savorychute/placement/change_log.py
+++ b/savorychute/placement/change_log.py
@@ -14,6 +14,7 @@
     from savorychute.placement.settings import PlacementSettings
 
 UNHEARD_MS = -1
+MAX_DOUBLINGS = 7
 
 
 class OpenChange(NamedTuple):
@@ -45,6 +46,7 @@
         self._open: dict[tuple[str, str], OpenChange] = {}
         self._changed_ms: dict[tuple[str, str], int] = {}
         self._barred_until_ms: dict[tuple[str, str], int] = {}
+        self._failures: dict[str, int] = {}
         self._reservations: dict[str, Reservation] = {}
         self._loaded: dict[str, frozenset[str]] = {}
         self._most_loaded: dict[str, int] = {}
@@ -147,6 +149,7 @@
             is_there = model in engine.loaded
             if engine.as_of_ms > change.sent_ms and is_there == (change.verb == LOAD):
                 del self._open[name, model]
+                self._failures.pop(name, None)
 
     def _drop_overdue(self, now_ms: int) -> None:
         settings = self._settings
@@ -171,7 +174,8 @@
             del self._open[key]
 
     def _drop_missing(self, names: set[str]) -> None:
-        for known in (self._loaded, self._most_loaded, self._reservations):
+        tables = (self._loaded, self._most_loaded, self._reservations, self._failures)
+        for known in tables:
             for name in [name for name in known if name not in names]:
                 del known[name]  # type: ignore[attr-defined]
         for table in (self._open, self._changed_ms, self._barred_until_ms):
@@ -179,8 +183,15 @@
                 del table[key]  # type: ignore[attr-defined]
 
     def _bar(self, endpoint: str, model: str, now_ms: int) -> None:
-        until_ms = now_ms + self._settings.retry_ms
-        self._barred_until_ms[endpoint, model] = until_ms
+        """Order this no more for a while, the longer the more has failed there.
+
+        An engine that takes no orders at all would otherwise use up the weight
+        store's rate, and fill the audit trail, for as long as a model lacks.
+        """
+        failures = self._failures.get(endpoint, 0)
+        self._failures[endpoint] = failures + 1
+        wait_ms = self._settings.retry_ms * 2 ** min(failures, MAX_DOUBLINGS)
+        self._barred_until_ms[endpoint, model] = now_ms + wait_ms
         self._changed_ms.pop((endpoint, model), None)
 
     def _list_open(self, endpoint: str, verb: str) -> set[str]:
--- a/savorychute/placement/settings.py
+++ b/savorychute/placement/settings.py
@@ -25,7 +25,8 @@
     :param concurrent_loads: loads at a time, and the most that are saved up.
     :param load_timeout_ms: when a load that never shows counts as failed.
     :param unload_timeout_ms: when an unload that never shows counts as failed.
-    :param retry_ms: how long a refused order is not repeated.
+    :param retry_ms: how long an order that failed is not repeated; doubled
+        with each further failure at the same engine.
     :param poll_interval_ms: the greatest age of a report before the holder
         asks for another one.
     :param polls_per_plan: how many reports it asks for at a time.
--- a/tests/test_placement/test_planner.py
+++ b/tests/test_placement/test_planner.py
@@ -205,3 +205,22 @@
     drive.engines['e1'] = make_engine('e1', [])
     drive.run(120_000, small=1, large=1)
     assert drive.engines['e1'].loaded == BOTH
+
+
+def test_engine_that_takes_no_orders_is_asked_ever_less(pair):
+    """An engine answers every order with a refusal, and a model has no copy.
+
+    Asked every 30 s it would use up the rate of the weight store, and the audit
+    trail would get 1,200 records in ten hours.
+    """
+    drive = Drive([*pair, make_engine('e3', [], allowed=['large'])])
+    drive.engines['e1'] = pair[0]._replace(allowed=frozenset({'small'}))
+    drive.engines['e2'] = pair[1]._replace(allowed=frozenset({'small'}))
+    drive.obeys = False
+    orders = []
+    for _ in range(2 * 3_600):
+        given = drive.run(5_000, large=3)
+        orders += given
+        for order in given:
+            drive.planner.order_refused(order.endpoint, order.target, drive.now_ms)
+    assert 10 <= len(orders) <= 20
