Wait two seconds, not fifty, for a limit home that left gracefully

Cause: when the home of a customer that nobody used left gracefully, its successor waited 50 s for its report and granted nothing; a queued request of a leaving instance was shed before it was sent elsewhere. Change: members that left are waited for 2 s; what waits is handed over after 0.5 s. A home that crashes still costs idle customers up to 50 s, because it may be only cut off; to be weighed.

--- a/savorychute/instance/instance_settings.py
+++ b/savorychute/instance/instance_settings.py
@@ -42,7 +42,7 @@
     epoch_offset_ms: int = 0
     first_progress_timeout_ms: int = 10_000
     gap_timeout_ms: int = 3_000
-    handover_ms: int = 2_000
+    handover_ms: int = 500
     explained_requests: int = 1_000
     admission: AdmissionSettings = AdmissionSettings()
     audit: AuditSettings = AuditSettings()
--- a/savorychute/limits/home_desk.py
+++ b/savorychute/limits/home_desk.py
@@ -54,8 +54,7 @@
             return
         book = self._book
         meter = book.meters[customer]
-        left_since_ms = now_ms - book.settings.unknown_ms
-        self._homes[customer] = ShareHome(
+        home = ShareHome(
             book.settings,
             customer,
             book.instance,
@@ -63,12 +62,15 @@
             max(book.holdings[customer].units(now_ms), meter.in_use),
             [
                 *sorted(book.electorate.alive),
-                *book.electorate.list_left(left_since_ms),
                 *book.electorate.list_lost(),
             ],
             book.electorate.last_loss_ms,
             now_ms,
         )
+        home.expect_left(
+            book.electorate.list_left(now_ms - book.settings.left_ms), now_ms
+        )
+        self._homes[customer] = home
 
     def close(self, customer: str, now_ms: int) -> None:
         """Be the home no longer, and keep only a floor of the own share.
--- a/savorychute/limits/settings.py
+++ b/savorychute/limits/settings.py
@@ -13,7 +13,8 @@
     floor is ``floor_share`` of it.  Shares outlast the time in which a dead home
     is noticed, or its successor would not know them.  ``detection_ms`` bounds how long members
     that can talk to each other disagree on who is alive, and
-    ``in_progress_ms`` how long work under an ended share is counted.  A lost
+    ``in_progress_ms`` how long work under an ended share is counted.
+    ``left_ms`` is how long a home waits for a member that left gracefully.  A lost
     member is forgotten after ``forget_ms`` by a majority, and after
     ``minority_forget_ms`` by a minority.
     """
@@ -25,6 +26,7 @@
     floor_share: float = 0.2
     detection_ms: int = 8_000
     in_progress_ms: int = 30_000
+    left_ms: int = 2_000
     forget_ms: int = 60_000
     minority_forget_ms: int = 7_200_000
     report_interval_ms: int = 1_000
--- a/savorychute/limits/share_home.py
+++ b/savorychute/limits/share_home.py
@@ -95,6 +95,22 @@
                 until_ms = now_ms + self.settings.unknown_ms
                 self._silent_until[instance] = until_ms
 
+    def expect_left(self, members: Iterable[str], now_ms: int) -> None:
+        """Note members that left gracefully and may not have reported here.
+
+        A leaving instance starts nothing new and gives back what it does not
+        use, so only its work in progress is unknown, and that ends soon.
+        Waiting for it as for a lost one would stop a customer nobody used for
+        most of a minute, each time its home is replaced.
+
+        :param members: that left lately.
+        :param now_ms: the time.
+        """
+        until_ms = now_ms + self.settings.left_ms
+        for instance in members:
+            if instance != self.own:
+                self._silent_until.setdefault(instance, until_ms)
+
     def follow_members(self, alive: frozenset[str], now_ms: int) -> None:
         """Note members that were lost before they reported.
 
