Send a model only requests that it has loaded

Change: what an engine itself reports as loaded limits its pools; a relayed report says nothing of it.

--- a/savorychute/instance/dispatcher.py
+++ b/savorychute/instance/dispatcher.py
@@ -27,6 +27,7 @@
 MAX_STARTS_PER_PUMP = 64
 MAX_PREEMPTIONS_PER_PUMP = 8
 NO_RESUME = -1
+SERVICE_POOL_PREFIX = 'service:'
 
 
 class Dispatcher:
@@ -106,11 +107,13 @@
 
     def _list_usable(self, pool: str, now_ms: int) -> list[str]:
         parts = self._parts
+        is_service = pool.startswith(SERVICE_POOL_PREFIX)
         return [
             endpoint
             for endpoint in parts.credits.candidates(pool)
             if parts.directory.is_usable(endpoint)
             and parts.ejector.admits(endpoint, now_ms)
+            and (is_service or parts.book.is_loaded(endpoint, pool))
         ]
 
     def _may_start(self, queued: QueuedRequest, usable: list[str], now_ms: int) -> bool:
--- a/savorychute/instance/housekeeping.py
+++ b/savorychute/instance/housekeeping.py
@@ -110,7 +110,8 @@
     def _follow_relayed_loads(self, now_ms: int) -> None:
         """Take over load reports that came with grants of credit."""
         for report in self._parts.credits.take_reports():
-            self._parts.book.report(report, now_ms)
+            # A relayed report does not say which models are loaded.
+            self._parts.book.report(report._replace(models=()), now_ms)
 
     def _follow_members(self, now_ms: int) -> None:
         parts = self._parts
--- a/savorychute/routing/endpoint_book.py
+++ b/savorychute/routing/endpoint_book.py
@@ -105,6 +105,15 @@
         """
         return self._states[endpoint]
 
+    def is_loaded(self, endpoint: str, model: str) -> bool:
+        """Return whether *endpoint* may have the model loaded, as far as is known.
+
+        :param endpoint: a name.
+        :param model: what is to be served.
+        """
+        state = self._states.get(endpoint)
+        return state is None or state.loaded is None or model in state.loaded
+
     def __contains__(self, endpoint: object) -> bool:
         return endpoint in self._states
 
--- a/savorychute/routing/endpoint_state.py
+++ b/savorychute/routing/endpoint_state.py
@@ -51,6 +51,7 @@
         'document',
         'group',
         'is_service',
+        'loaded',
         'next_poll_ms',
         'others',
         'output_tokens',
@@ -86,6 +87,7 @@
         self.prefixes = PrefixView(prefix_entries, settings.prefix_lifetime_ms)
         self.cache_cursor = 0
         self.reported_state = ''
+        self.loaded: frozenset[str] | None = None
         self.next_poll_ms = 0
         self.used_ms = NEVER_MS
         self._gap_ms = 0.0
@@ -151,6 +153,8 @@
         self.others = max(0.0, report.running + report.waiting - own_then)
         self._report_step_ms = report.step_ms
         self.reported_state = report.state
+        if report.models:
+            self.loaded = frozenset(report.models)
         self._take_cache_events(report, now_ms)
 
     def _count_own(self, at_ms: int) -> int:
--- a/tests/test_instance/test_departures.py
+++ b/tests/test_instance/test_departures.py
@@ -12,6 +12,7 @@
 from savorychute.inputs import (
     AttemptEnded,
     AttemptSent,
+    LoadReported,
     ShutdownRequested,
 )
 from savorychute.ran import Ran
@@ -110,3 +111,20 @@
 
     assert solo.find(StartAttempt)[-1].endpoint == first.endpoint
     assert solo.find(StartAttempt)[-1].request_id == 'r2'
+
+
+def test_engine_without_the_model_gets_no_request_for_it(solo):
+    """Callers wait while their requests are refused by one engine after another.
+
+    The configuration permits an engine more models than it has loaded, and the
+    engine says so in its load reports.
+    """
+    report = LoadReported(
+        'engine-1', 0, 0, 0, 1.0, 5.0, ('other',), 'active', 0, (), (), False
+    )
+    solo.deliver(report)
+
+    for number in range(4):
+        solo.deliver(make_request(f'r{number}'))
+
+    assert {start.endpoint for start in solo.find(StartAttempt)} == {'engine-2'}
