Believe the platform that an instance has ended; refuse at once what nothing serves

Cause: a side without a majority grants no shares of limits, so the last instance of a group whose others crashed within seconds served nobody for up to two hours. A request for a model whose endpoints are all drained waited for its deadline (19.7 s). Refusals that can never pass said when to try again. Halves of the processor time of credits went into shares computed twice. Discovery did not look at loads. Change: members that the platform has taken off its list count no more, if the list has this instance; the list is fetched every 10 s; NO_ENDPOINT at once but for patient classes; no Retry-After for faults of the caller; shares of credits are remembered; loads travel with pings into discovery answers.

--- a/savorychute/credits/group_book.py
+++ b/savorychute/credits/group_book.py
@@ -37,6 +37,7 @@
         self._group_of: dict[str, EndpointGroup] = {}
         self._by_number: dict[int, str] = {}
         self._candidates: dict[str, tuple[Candidate, ...]] = {}
+        self._shares: dict[tuple[str, str], float] = {}
         self._uses: dict[str, Use] = {}
         self._used_ms: dict[str, int] = {}
 
@@ -48,6 +49,7 @@
         groups = build_groups(endpoints, self.settings.group_size)
         self.endpoints = dict(endpoints)
         self._candidates.clear()
+        self._shares.clear()
         self._group_of = {
             name: group for group in groups.values() for name in group.names.values()
         }
@@ -70,6 +72,7 @@
         if region != self.region:
             self.region = region
             self._candidates.clear()
+            self._shares.clear()
 
     def group_of(self, endpoint: str) -> EndpointGroup | None:
         """Return the group of an endpoint that may be used.
@@ -147,6 +150,8 @@
             share = self._share_of(pool, holding.group)
             for tier, count in self.demand.of(pool).items():
                 wanted[tier] = wanted.get(tier, 0.0) + count * share
+        if not wanted:
+            return ()
         return to_tuple(
             {
                 tier: math.ceil(count) - holding.running.get(tier, 0)
@@ -169,6 +174,12 @@
 
     def _share_of(self, pool: str, group: EndpointGroup) -> float:
         """Return the part of a pool's demand that goes to a group."""
+        known = self._shares.get((pool, group.key))
+        if known is None:
+            known = self._shares[pool, group.key] = self._compute_share(pool, group)
+        return known
+
+    def _compute_share(self, pool: str, group: EndpointGroup) -> float:
         total = 0
         own = 0
         for candidate in self.choose(pool):
--- a/savorychute/instance/core.py
+++ b/savorychute/instance/core.py
@@ -114,6 +114,7 @@
             self._settings.discovery,
             self._rng,
             limits.seats,
+            self._parts.membership.peer_loads(),
         )
 
     def issue_key(self, token: str, now_ms: int) -> str:
--- a/savorychute/instance/housekeeping.py
+++ b/savorychute/instance/housekeeping.py
@@ -36,7 +36,9 @@
     def tick(self, now_ms: int) -> list[Action]:
         """Tick every part once."""
         parts = self._parts
-        parts.membership.advertise(parts.configuration.advertised_offset)
+        parts.membership.advertise(
+            parts.configuration.advertised_offset, load=len(parts.table)
+        )
         actions = parts.membership.tick(now_ms)
         view = parts.membership.view()
         actions += parts.configuration.tick(
@@ -68,6 +70,7 @@
         parts = self._parts
         if listing.ok:
             parts.directory.note_listing(listing.leaving)
+            parts.limiter.apply_listing(listing, now_ms)
         return parts.membership.apply_listing(listing, now_ms)
 
     def note_load(self, report: LoadReported, now_ms: int) -> list[Action]:
--- a/savorychute/instance/intake.py
+++ b/savorychute/instance/intake.py
@@ -28,6 +28,8 @@
     from savorychute.instance.responder import Responder
 
 FINGERPRINT_BYTES = 12
+#: Result codes below this one say that the request itself is at fault.
+FIRST_REFUSAL_NUMBER = 2000
 #: With these a request cannot have run, whatever the contract was.
 HOPELESS_CODES = frozenset(
     (ResultCode.KEY_MALFORMED, ResultCode.KEY_REQUIRED, ResultCode.HANDLE_MALFORMED)
@@ -188,10 +190,15 @@
             code=error.code,
             ran=self._tell_ran(request, error.code),
             message=error.message,
-            retry_after_ms=self._parts.settings.refusal_retry_ms,
+            retry_after_ms=self._find_retry_ms(error.code),
             location=location,
         )
 
+    def _find_retry_ms(self, code: ResultCode) -> int:
+        """Return when the same request may succeed, or 0 if it never will."""
+        is_passing = code.number >= FIRST_REFUSAL_NUMBER
+        return self._parts.settings.refusal_retry_ms if is_passing else 0
+
     def _tell_ran(self, request: CallerRequest, code: ResultCode) -> Ran:
         """Return what may be said of a request that was not looked into.
 
--- a/savorychute/instance/operator_commands/instances.py
+++ b/savorychute/instance/operator_commands/instances.py
@@ -16,7 +16,11 @@
 def list_instances(call: OperatorCall) -> list[Action]:
     """Return the members as this instance sees them."""
     view = call.parts.membership.view()
-    offsets = call.parts.membership.peer_offsets()
+    own = call.parts.address.instance
+    offsets = {
+        **call.parts.membership.peer_offsets(),
+        own: call.parts.configuration.advertised_offset,
+    }
     entries = [
         {
             **member._asdict(),
--- a/savorychute/instance/queue_desk.py
+++ b/savorychute/instance/queue_desk.py
@@ -36,6 +36,15 @@
             note_quarantine(self._parts, tracked, now_ms)
             code = ResultCode.QUARANTINED
             return self._responder.give_up(tracked, code, code.meaning, now_ms)
+        if not tracked.limits.patient and not self._has_endpoint(tracked.pool):
+            code = ResultCode.NO_ENDPOINT
+            return self._responder.give_up(
+                tracked,
+                code,
+                f'no active endpoint serves {tracked.pool!r}',
+                now_ms,
+                self._parts.settings.refusal_retry_ms,
+            )
         wait_ms = self._find_rate_wait(tracked, now_ms)
         if wait_ms > tracked.limits.queue_wait_ms:
             return self._responder.give_up(
@@ -94,6 +103,14 @@
             )
         return actions
 
+    def _has_endpoint(self, pool: str) -> bool:
+        """Return whether the configuration has an endpoint that may get work.
+
+        One that is ejected for a while counts: it may be back in time.
+        """
+        parts = self._parts
+        return any(map(parts.directory.is_usable, parts.credits.candidates(pool)))
+
     def _can_preempt(self, tracked: TrackedRequest) -> bool:
         tier = tracked.limits.tier
         return any(
--- a/savorychute/limits/electorate.py
+++ b/savorychute/limits/electorate.py
@@ -48,6 +48,8 @@
         self._lost: dict[str, int] = {}
         self._left: dict[str, int] = {}
         self._vetoes: dict[str, int] = {}
+        self._listed: frozenset[str] = frozenset()
+        self._delisted: set[str] = set()
         self._majority_since_ms = NEVER_MS
         self._started_ms = 0
         self._seen: object = None
@@ -90,8 +92,36 @@
         if is_young and self._voters <= alive:
             self._voters |= fresh
         self._pending.update((i, now_ms) for i in sorted(fresh - self._voters))
+        self._drop_gone()
         return fresh
 
+    def follow_list(self, listed: frozenset[str]) -> list[str]:
+        """Follow the platform's list; return the members that are gone for good.
+
+        A member that is not seen any more may be cut off and at work.  One that
+        the platform has taken off its list has ended, so nobody has to wait for
+        it, and it has no vote.  Without this the last of a group whose others
+        crashed would serve nobody for as long as a minority remembers.
+
+        A list that lags may not yet have a new member; therefore only members
+        that were on it before count.
+
+        :param listed: the names on the list.
+        """
+        self._delisted |= self._listed - listed
+        self._delisted -= listed
+        self._listed = listed
+        return self._drop_gone()
+
+    def _drop_gone(self) -> list[str]:
+        gone = sorted(self._delisted - self.alive)
+        for instance in gone:
+            self._voters.discard(instance)
+            self._pending.pop(instance, None)
+            self._lost.pop(instance, None)
+            self._vetoes.pop(instance, None)
+        return gone
+
     @property
     def _settle_ms(self) -> int:
         return SETTLE_DETECTIONS * self.settings.detection_ms
--- a/savorychute/limits/home_desk.py
+++ b/savorychute/limits/home_desk.py
@@ -97,6 +97,15 @@
             if fresh:
                 home.expect(sorted(fresh), now_ms)
 
+    def forget_gone(self, gone: Iterable[str]) -> None:
+        """Wait no longer for members that the platform says have ended.
+
+        :param gone: their names.
+        """
+        for instance in gone:
+            for home in self._homes.values():
+                home.forget_gone(instance)
+
     def note_losses(self, losses: Iterable[str], now_ms: int) -> None:
         """Note members of which others say that they were lost.
 
--- a/savorychute/limits/limiter.py
+++ b/savorychute/limits/limiter.py
@@ -12,6 +12,7 @@
 
     from savorychute.actions import Action
     from savorychute.contracts.customer_limits import CustomerLimits
+    from savorychute.inputs import ListingFetched
     from savorychute.limits.settings import LimitSettings
     from savorychute.membership import MemberView
 
@@ -94,6 +95,18 @@
         if use is not None and meter is not None:
             meter.finish(use.tokens, tokens_used, now_ms)
 
+    def apply_listing(self, listing: ListingFetched, now_ms: int) -> None:
+        """Follow the platform's list, if it can be right.
+
+        A list without this instance is wrong or too old to conclude from.
+
+        :param listing: the list.
+        :param now_ms: the time.
+        """
+        listed = listing.leaving | {member.instance for member in listing.live}
+        if listing.ok and self.instance in listed:
+            self._desk.follow_list(listed, now_ms)
+
     def set_demand(self, customer: str, waiting: int) -> None:
         """Note how many requests of a customer wait here.
 
--- a/savorychute/limits/share_desk.py
+++ b/savorychute/limits/share_desk.py
@@ -87,6 +87,18 @@
         self._follow_homes(now_ms)
         self._homes.follow_members(fresh, now_ms)
 
+    def follow_list(self, listed: frozenset[str], now_ms: int) -> None:
+        """Follow the platform's list of instances.
+
+        :param listed: the names on it.
+        :param now_ms: the time.
+        """
+        electorate = self._book.electorate
+        self._homes.forget_gone(electorate.follow_list(listed))
+        if electorate.may_grant() != self._could_grant:
+            self._could_grant = not self._could_grant
+            self._follow_homes(now_ms)
+
     def receive(
         self, sender: str, message: tuple[object, ...], view: MemberView, now_ms: int
     ) -> list[Action]:
--- a/savorychute/limits/share_home.py
+++ b/savorychute/limits/share_home.py
@@ -111,6 +111,14 @@
             if instance != self.own:
                 self._silent_until.setdefault(instance, until_ms)
 
+    def forget_gone(self, instance: str) -> None:
+        """Forget what a member held that has ended for good.
+
+        :param instance: its name.
+        """
+        self._silent_until.pop(instance, None)
+        self._records.pop(instance, None)
+
     def follow_members(self, alive: frozenset[str], now_ms: int) -> None:
         """Note members that were lost before they reported.
 
--- a/savorychute/membership/settings.py
+++ b/savorychute/membership/settings.py
@@ -36,6 +36,6 @@
     dead_retry_period_ms: int = 5_000
     forget_dead_ms: int = 7_200_000
     max_dead: int = 1_500
-    listing_period_ms: int = 20_000
+    listing_period_ms: int = 10_000
     first_listing_period_ms: int = 1_000
     max_changes: int = 2_000
--- a/savorychute/settings/table.py
+++ b/savorychute/settings/table.py
@@ -175,7 +175,7 @@
         minimum=MIN_SUSPICION_MS,
     ),
     _duration('gossip_interval_ms', 250, 'How often news of members is passed on.'),
-    _duration('listing_interval_ms', 20_000, 'How often the list is fetched.'),
+    _duration('listing_interval_ms', 10_000, 'How often the list is fetched.'),
     _count('discovery_seats', 3, 'Instances of a region in an answer to a caller.'),
     _duration(
         'discovery_min_lifetime_ms', 30_000, 'Least time that a caller keeps them.'
--- a/tests/test_instance/test_core.py
+++ b/tests/test_instance/test_core.py
@@ -59,6 +59,7 @@
 
     assert [action.code for action in actions] == [code]
     assert actions[0].ran is Ran.NOT_RUN
+    assert actions[0].retry_after_ms == 0
     assert not solo.find(StartAttempt)
     assert solo.instance.idle
 
--- a/tests/test_instance/test_departures.py
+++ b/tests/test_instance/test_departures.py
@@ -113,6 +113,21 @@
     assert solo.find(StartAttempt)[-1].request_id == 'r2'
 
 
+def test_request_that_no_endpoint_serves_is_refused_at_once(solo):
+    """A caller waits until its deadline for what nobody will give it.
+
+    Every engine of the model was drained by an operator.
+    """
+    for name in ('engine-1', 'engine-2'):
+        call_operator(solo, 'endpoint-drain', endpoint=name, why='repair')
+
+    actions = solo.deliver(make_request('r1'))
+
+    assert [action.code for action in actions] == [ResultCode.NO_ENDPOINT]
+    assert actions[0].ran is Ran.NOT_RUN
+    assert actions[0].retry_after_ms > 0
+
+
 def test_engine_without_the_model_gets_no_request_for_it(solo):
     """Callers wait while their requests are refused by one engine after another.
 
