--- /dev/null
+++ b/tests/test_faults/test_matrix.py
@@ -0,0 +1,49 @@
+"""The fault matrix: every fault at every step of every kind of work."""
+
+from __future__ import annotations
+
+import pytest
+
+from savorychute.cmd.main import main
+from savorychute.testing.matrix.cell import KINDS, Cell, list_steps, run_cell
+from savorychute.testing.matrix.cell_faults import CELL_FAULTS
+from savorychute.testing.matrix.plan import list_singles, sample_pairs
+
+PAIRS = 60
+PAIRS_PER_TEST = 10
+
+
+def describe_broken(cells):
+    """Return what broke in each cell that did not hold."""
+    results = [run_cell(cell) for cell in cells]
+    return {result.cell.name: result.breaches for result in results if result.breaches}
+
+
+@pytest.mark.parametrize('fault', list(CELL_FAULTS))
+def test_promises_hold_under_one_fault_at_every_step(fault):
+    cells = [cell for cell in list_singles() if cell.faults == (fault,)]
+    assert len(cells) == sum(len(list_steps(kind)) for kind in KINDS)
+    assert describe_broken(cells) == {}
+
+
+@pytest.mark.parametrize('start', range(0, PAIRS, PAIRS_PER_TEST))
+def test_promises_hold_under_two_faults_together(start):
+    cells = sample_pairs(PAIRS)[start : start + PAIRS_PER_TEST]
+    assert describe_broken(cells) == {}
+
+
+@pytest.mark.parametrize('kind', KINDS)
+def test_every_step_is_reached(kind):
+    cells = [Cell(('reports-lag',), step, kind) for step in list_steps(kind)]
+    assert all(run_cell(cell).fired for cell in cells)
+
+
+def test_sample_of_pairs_has_no_pair_twice():
+    pairs = [frozenset(cell.faults) for cell in sample_pairs(PAIRS)]
+    assert len(set(pairs)) == PAIRS
+
+
+def test_command_line_prints_the_grid(capsys):
+    arguments = ['faults', '--fault', 'log-slow', '--kind', 'amendment', '--json']
+    assert main(arguments) == 0
+    assert '"cells": 5, "reached": 5, "broken": 0' in capsys.readouterr().out
