--- a/savorychute/testing/drive.py
+++ b/savorychute/testing/drive.py
@@ -5,14 +5,15 @@
 from typing import TYPE_CHECKING
 
 from savorychute.instance import Instance, InstanceSettings
-from savorychute.testing.world import World, hash_operator_token
+from savorychute.testing.tokens import hash_operator_token
+from savorychute.testing.world import World
 
 if TYPE_CHECKING:
     from random import Random
 
     from savorychute.member_address import MemberAddress
+    from savorychute.testing.instance_factory import InstanceFactory
     from savorychute.testing.topology import Topology
-    from savorychute.testing.world import InstanceFactory
 
 
 def make_world(
--- a/savorychute/testing/instance_host.py
+++ b/savorychute/testing/instance_host.py
@@ -22,16 +22,13 @@
     StartResponse,
 )
 from savorychute.inputs import (
-    AppendFinished,
     AttemptChunk,
     AttemptEnded,
     AttemptFailed,
     AttemptSent,
     CallerLeft,
-    ListingFetched,
     OrderFinished,
     PeerReceived,
-    RecordsRead,
 )
 from savorychute.requests.start_notice import StartNotice
 from savorychute.testing.connection import Connection
@@ -40,6 +37,7 @@
 from savorychute.testing.ledger import Telling
 from savorychute.testing.matrix import steps
 from savorychute.testing.order_gate import EngineOrder
+from savorychute.testing.platform_link import PlatformLink
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -88,14 +86,15 @@
         self._left_while_paused: list[str] = []
         self._draining = False
         self._tick_due_ms: float | None = None
+        platform = PlatformLink(self)
         self._performers: dict[type, Callable[[Any], None]] = {
-            AppendRecord: self._append,
+            AppendRecord: platform.append,
             CancelAttempt: self._cancel,
-            FetchListing: self._fetch_listing,
+            FetchListing: platform.fetch_listing,
             FinishResponse: self._finish,
             OperatorReply: world.operator_replied,
             PollEndpoint: self._poll,
-            ReadRecords: self._read,
+            ReadRecords: platform.read,
             RefuseRequest: self._refuse,
             SendChunk: self._send_chunk,
             SendOrder: self._order,
@@ -323,50 +322,6 @@
         finished = OrderFinished(order.order_id, order.endpoint, outcome)
         world.heap.call_later(delay_ms, self.deliver, finished)
 
-    # -- the platform
-
-    def _append(self, append: AppendRecord) -> None:
-        if append.stream == CONFIGURATION_STREAM:
-            self.world.reached(steps.APPENDING, steps.ANY_COMMAND, self)
-        self.world.heap.call_later(
-            self.world.log.delay_ms / 2, self._carry_append, append
-        )
-
-    def _carry_append(self, append: AppendRecord) -> None:
-        world = self.world
-        answer = world.log.append(append.stream, append.payload, world.heap.now_ms)
-        outcome = 'appended' if answer.outcome == 'appended' else 'refused'
-        delay_ms = world.log.delay_ms / 2
-        if answer.outcome == 'lost':
-            outcome = 'unknown'
-            delay_ms = LOST_REPLY_MS
-        offset = answer.offset if outcome == 'appended' else -1
-        finished = AppendFinished(append.append_id, append.stream, outcome, offset)
-        world.heap.call_later(delay_ms, self.deliver, finished)
-        if append.stream == CONFIGURATION_STREAM:
-            world.reached(steps.APPENDED, steps.ANY_COMMAND, self)
-
-    def _read(self, read: ReadRecords) -> None:
-        self.world.heap.call_later(self.world.log.delay_ms / 2, self._carry_read, read)
-
-    def _carry_read(self, read: ReadRecords) -> None:
-        world = self.world
-        answer = world.log.read(
-            read.stream, read.from_offset, read.max_records, world.heap.now_ms
-        )
-        result = RecordsRead(read.stream, False)
-        if answer is not None:
-            result = RecordsRead(read.stream, True, *answer)
-        world.heap.call_later(world.log.delay_ms / 2, self.deliver, result)
-
-    def _fetch_listing(self, _fetch: FetchListing) -> None:
-        world = self.world
-        listing = world.listing.fetch(world.heap.now_ms)
-        fetched = ListingFetched(False)
-        if listing is not None:
-            fetched = ListingFetched(True, listing.live, listing.leaving)
-        world.heap.call_later(world.log.settings.latency_ms, self.deliver, fetched)
-
     # -- other instances
 
     def _send_peer(self, send: SendPeer) -> None:
--- a/savorychute/testing/profiles.py
+++ b/savorychute/testing/profiles.py
@@ -9,13 +9,13 @@
 from savorychute.testing.engine_settings import EngineSettings
 from savorychute.testing.network import NetworkSettings
 from savorychute.testing.plain_service import ServiceSettings
+from savorychute.testing.tokens import hash_customer_token
 from savorychute.testing.topology import (
     CustomerShare,
     EngineSpec,
     ServiceSpec,
     Topology,
 )
-from savorychute.testing.world import hash_customer_token
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/savorychute/testing/world.py
+++ b/savorychute/testing/world.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import hashlib
 import math
 from random import Random
-from typing import TYPE_CHECKING, NamedTuple, Protocol
+from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
 
@@ -27,21 +26,21 @@
 from savorychute.testing.plain_service import PlainService
 from savorychute.testing.service_host import ServiceHost
 from savorychute.testing.tier_watch import TierWatch
+from savorychute.testing.tokens import OPERATOR_TOKEN
 from savorychute.testing.weight_store import WeightStore
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from savorychute.actions import OperatorReply, StartAttempt
-    from savorychute.instance import Instance
     from savorychute.membership.discovery_answer import DiscoveryAnswer
     from savorychute.testing.call import Call
     from savorychute.testing.endpoint_host import EndpointHost
+    from savorychute.testing.instance_factory import InstanceFactory
     from savorychute.testing.ledger import Telling
     from savorychute.testing.matrix.probe import Probe
     from savorychute.testing.topology import Topology
 
-OPERATOR_TOKEN = 'token-operator'
 FIRST_CALLER_PORT = 8_000
 FIRST_PEER_PORT = 9_000
 LOOPBACK_PREFIX = '10.0.0.'
@@ -53,19 +52,6 @@
 COMMAND_GAP_MS = 20.0
 
 
-class InstanceFactory(Protocol):
-    """Makes an instance to be driven."""
-
-    def __call__(
-        self, address: MemberAddress, rng: Random, epoch_offset_ms: int
-    ) -> Instance:
-        """Return an instance that was just started.
-
-        :param epoch_offset_ms: what to add to its clock for the time of day.
-        """
-        ...
-
-
 class Reply(NamedTuple):
     """An operator's answer and when it came."""
 
@@ -408,13 +394,3 @@
     def note_breach(self, text: str) -> None:
         """Note a broken promise."""
         self.ledger.note_breach(self.heap.now_ms, text)
-
-
-def hash_operator_token() -> str:
-    """Return the digest that the instances' settings hold."""
-    return hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
-
-
-def hash_customer_token(customer: str) -> str:
-    """Return the digest that a customer's contract holds."""
-    return hashlib.sha256(f'token-{customer}'.encode()).hexdigest()
