Spread the tests so that the long ones do not come last

Cause: a fresh clone took 5 min 44 s; the matrix came last in the order and kept one process busy while the others waited. Change: ten processes that steal work.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
 	$(BIN)/mypy
-	$(BIN)/python -m pytest -n 6
+	$(BIN)/python -m pytest -n 10 --dist worksteal
 
 lint: $(STAMP)
 	$(BIN)/ruff check .
@@ -26,7 +26,7 @@
 	$(BIN)/mypy
 
 pytest: $(STAMP)
-	$(BIN)/python -m pytest -n 6
+	$(BIN)/python -m pytest -n 10 --dist worksteal
 
 bench: $(STAMP)
 	$(BIN)/python -m benches
