Let what is taken back wait until its deadline

Cause: a preempted stream or a retried request went back into the queue with the longest wait of its class counted from its arrival, which may be over. Change: what is taken back waits until its deadline; entries of an earlier stay in the queue are passed over.

--- a/savorychute/admission/tiered.py
+++ b/savorychute/admission/tiered.py
@@ -50,6 +50,7 @@
         self._tier_bytes: dict[int, int] = {}
         self._class_counts: dict[tuple[str, str], int] = {}
         self._give_up: list[tuple[int, str]] = []
+        self._give_up_ms: dict[str, int] = {}
         self._preempting: dict[str, int] = {}
 
     def set_limits(self, limits: dict[str, CustomerLimits]) -> None:
@@ -76,13 +77,17 @@
         shed = self._make_room(request)
         if shed is None:
             return self._refuse(ResultCode.QUEUE_FULL, request.first_token_target_ms)
-        self._add(request)
+        self._add(request, self._find_give_up_ms(request))
         return OfferOutcome(True, shed=shed)
 
     def restore(self, request: QueuedRequest, now_ms: int) -> None:  # noqa: ARG002
-        """Take back a request that was started or running."""
+        """Take back a request that was started or running.
+
+        It may wait until its deadline: the longest wait of its class counts from
+        its arrival, is mostly over by now, and would cut an answer that has begun.
+        """
         self._preempting.pop(request.request_id, None)
-        self._add(request)
+        self._add(request, request.deadline_ms)
 
     def next_start(
         self,
@@ -110,7 +115,10 @@
         """Remove what is past its deadline or its class's longest wait."""
         expired: list[ShedRequest] = []
         while self._give_up and self._give_up[0][0] <= now_ms:
-            _, request_id = heapq.heappop(self._give_up)
+            give_up_ms, request_id = heapq.heappop(self._give_up)
+            if self._give_up_ms.get(request_id) != give_up_ms:
+                # It has started since, and may have been taken back.
+                continue
             request = self.remove(request_id)
             if request is None:
                 continue
@@ -275,7 +283,7 @@
             if flow.customer == request.customer
         )
 
-    def _add(self, request: QueuedRequest) -> None:
+    def _add(self, request: QueuedRequest, give_up_ms: int) -> None:
         queue = self._pools.get(request.pool)
         if queue is None:
             queue = PoolQueue(self.settings.guaranteed_one_in)
@@ -285,14 +293,19 @@
         queue.add(request, weight, min(share, 1.0))
         self._requests[request.request_id] = request
         self._count(request, 1)
-        limits = self._class_limits(request)
-        give_up_ms = request.deadline_ms
-        if limits is not None:
-            give_up_ms = min(give_up_ms, request.arrival_ms + limits.queue_wait_ms)
+        self._give_up_ms[request.request_id] = give_up_ms
         heapq.heappush(self._give_up, (give_up_ms, request.request_id))
 
+    def _find_give_up_ms(self, request: QueuedRequest) -> int:
+        limits = self._class_limits(request)
+        if limits is None:
+            return request.deadline_ms
+        longest_ms = request.arrival_ms + limits.queue_wait_ms
+        return min(request.deadline_ms, longest_ms)
+
     def _forget(self, request: QueuedRequest) -> None:
         del self._requests[request.request_id]
+        del self._give_up_ms[request.request_id]
         self._count(request, -1)
 
     def _count(self, request: QueuedRequest, step: int) -> None:
--- a/tests/test_admission/test_tiered.py
+++ b/tests/test_admission/test_tiered.py
@@ -287,3 +287,22 @@
     queue.restore(request, 10)
 
     assert queue.next_start('m', 10, lambda _: True) == request
+
+
+def test_request_that_is_taken_back_may_wait_until_its_deadline(
+    make_queue, make_request
+):
+    """An answer that has begun would be cut with 'shed'.
+
+    A stream waits, starts, is preempted for higher work after more than the
+    longest wait of its class, and waits again.
+    """
+    queue = make_queue()
+    request = make_request(deadline_ms=1_000_000)
+    queue.offer(request, None, 0)
+    queue.next_start(request.pool, 0, lambda _: True)
+
+    queue.restore(request, 900_000)
+
+    assert queue.expire(999_999) == []
+    assert [shed.request_id for shed in queue.expire(1_000_000)] == [request.request_id]
