Hash tokens in one place; drop a figure nobody read

Cause: five places hashed a token by themselves, and the worst gap of a request was kept and never used. Change: hash_token of the directory serves all; gap_worst_ms is gone. Conclusion: behaviour is the same.

--- a/savorychute/demo/documents.py
+++ b/savorychute/demo/documents.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import hashlib
 from typing import TYPE_CHECKING
 
 from savorychute.demo.demo_class import SERVICE
+from savorychute.instance.directory import hash_token
 from savorychute.testing.profiles import build_class
 
 if TYPE_CHECKING:
@@ -33,7 +33,7 @@
     token = make_token(customer)
     return {
         'customer': customer,
-        'token_hashes': [hashlib.sha256(token.encode()).hexdigest()],
+        'token_hashes': [hash_token(token)],
         'pool_share': POOL_SHARE,
         'requests_per_s': 200.0,
         'concurrent_requests': 200,
--- a/savorychute/demo/site.py
+++ b/savorychute/demo/site.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import random
 import secrets
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -13,6 +12,7 @@
 from savorychute.daemon.main import run_instance
 from savorychute.demo.documents import REGION
 from savorychute.http.client_pool import ServerAddress
+from savorychute.instance.directory import hash_token
 from savorychute.logs import InstanceLog, LogLevel
 from savorychute.testing.append_log import AppendLog, LogSettings
 from savorychute.testing.engine import ModelEngine
@@ -113,7 +113,7 @@
                 'peer_port': 0,
                 'log_address': f'127.0.0.1:{self._log_port}',
                 'list_address': f'127.0.0.1:{self._list_port}',
-                'operator_token_hashes': {OPERATOR: _hash(self._operator_token)},
+                'operator_token_hashes': {OPERATOR: hash_token(self._operator_token)},
                 'peer_keys': [{'key_id': 1, 'secret': self._peer_secret}],
                 'leave_grace_ms': DISCOVERY_LIFETIME_MS,
                 'discovery_min_lifetime_ms': DISCOVERY_LIFETIME_MS // 2,
@@ -164,7 +164,3 @@
             yield site
         finally:
             await site.close()
-
-
-def _hash(token: str) -> str:
-    return hashlib.sha256(token.encode()).hexdigest()
--- a/savorychute/instance/attempt_desk.py
+++ b/savorychute/instance/attempt_desk.py
@@ -177,7 +177,6 @@
         else:
             gap_ms = now_ms - tracked.token_ms
             tracked.gap_sum_ms += gap_ms
-            tracked.gap_worst_ms = max(tracked.gap_worst_ms, gap_ms)
         tracked.token_ms = now_ms
         self._parts.book.progress(attempt.attempt_id, tokens, now_ms)
 
--- a/savorychute/instance/tracked_request.py
+++ b/savorychute/instance/tracked_request.py
@@ -37,7 +37,6 @@
         'fingerprint',
         'first_token_ms',
         'gap_sum_ms',
-        'gap_worst_ms',
         'held_until_ms',
         'holds_key',
         'knows_text',
@@ -85,7 +84,6 @@
         self.first_token_ms = -1
         self.token_ms = -1
         self.gap_sum_ms = 0
-        self.gap_worst_ms = 0
 
     @property
     def request_id(self) -> str:
--- a/savorychute/testing/solo.py
+++ b/savorychute/testing/solo.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import random
 from typing import TYPE_CHECKING, TypeVar
 
@@ -17,6 +16,7 @@
 )
 from savorychute.inputs.log_record import LogRecord
 from savorychute.instance import Instance, InstanceSettings
+from savorychute.instance.directory import hash_token
 from savorychute.member_address import MemberAddress
 
 if TYPE_CHECKING:
@@ -38,18 +38,13 @@
 ADDRESS = MemberAddress('entry-1', 1, 'north', 'hall-1', '10.0.0.1', 8080, 8081)
 
 
-def hash_text(text: str) -> str:
-    """Return the hex SHA-256 digest under which a token is kept."""
-    return hashlib.sha256(text.encode()).hexdigest()
-
-
 def make_contract(
     customer: str = CUSTOMER, token: str = TOKEN, pool_share: float = 0.5
 ) -> ContractDocument:
     """Return a contract with an urgent, a patient and a non-idempotent class."""
     return {
         'customer': customer,
-        'token_hashes': [hash_text(token)],
+        'token_hashes': [hash_token(token)],
         'pool_share': pool_share,
         'requests_per_s': 100.0,
         'concurrent_requests': 50,
@@ -136,7 +131,7 @@
         endpoints: Iterable[EndpointDocument] = (),
         settings: InstanceSettings | None = None,
     ) -> None:
-        hashes = {'operator': hash_text(OPERATOR_TOKEN)}
+        hashes = {'operator': hash_token(OPERATOR_TOKEN)}
         settings = (settings or InstanceSettings())._replace(
             operator_token_hashes=hashes
         )
--- a/savorychute/testing/tokens.py
+++ b/savorychute/testing/tokens.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-import hashlib
+from savorychute.instance.directory import hash_token
 
 OPERATOR_TOKEN = 'token-operator'
 
 
 def hash_operator_token() -> str:
     """Return the digest that the instances' settings hold."""
-    return hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
+    return hash_token(OPERATOR_TOKEN)
 
 
 def hash_customer_token(customer: str) -> str:
     """Return the digest that a customer's contract holds."""
-    return hashlib.sha256(f'token-{customer}'.encode()).hexdigest()
+    return hash_token(f'token-{customer}')
