--- /dev/null
+++ b/savorychute/cmd/gateway.py
@@ -0,0 +1,45 @@
+"""The command ``gateway``."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from savorychute.cmd.command import COMMANDS
+from savorychute.errors import SettingsError
+
+if TYPE_CHECKING:
+    from argparse import ArgumentParser, Namespace
+
+SETTINGS_VARIABLE = 'SAVORYCHUTE_CONFIG'
+
+
+@COMMANDS.register('gateway')
+class Gateway:
+    """Run a gateway until it is told to leave."""
+
+    summary = 'run a gateway; SIGTERM makes it leave gracefully'
+
+    def add_arguments(self, parser: ArgumentParser) -> None:
+        """Add the settings file."""
+        parser.add_argument(
+            'settings',
+            type=Path,
+            nargs='?',
+            help=f'a file of settings; without it that of ${SETTINGS_VARIABLE}',
+        )
+
+    def run(self, arguments: Namespace) -> int:
+        """Read the settings and run the gateway."""
+        # Imported late: other commands need no daemon and start faster.
+        from savorychute.gateway.daemon.run_gateway import run_gateway
+        from savorychute.gateway.settings.table import GATEWAY_SCHEMA
+        from savorychute.settings.settings_file import read_schema
+
+        path = arguments.settings or os.environ.get(SETTINGS_VARIABLE)
+        if not path:
+            raise SettingsError(
+                [f'no settings file: name one, or set {SETTINGS_VARIABLE}']
+            )
+        return run_gateway(read_schema(path, GATEWAY_SCHEMA))
--- a/savorychute/cmd/main.py
+++ b/savorychute/cmd/main.py
@@ -6,10 +6,10 @@
 from typing import TYPE_CHECKING
 
 from savorychute.cmd.exit_code import ExitCode
-from savorychute.cmd.parser import build_parser, load_commands
 from savorychute.errors import SavorychuteError, SettingsError
 
 if TYPE_CHECKING:
+    from argparse import Namespace
     from collections.abc import Sequence
 
 
@@ -19,8 +19,19 @@
     :param argv: the arguments; those of the process if None.
     :returns: an :class:`~savorychute.cmd.exit_code.ExitCode`.
     """
+    # Imported late: it loads every command with its libraries.
+    from savorychute.cmd.parser import build_parser, load_commands
+
     load_commands()
-    arguments = build_parser().parse_args(argv)
+    return run_command(build_parser().parse_args(argv))
+
+
+def run_command(arguments: Namespace) -> int:
+    """Run the command that was parsed, and tell its errors.
+
+    :param arguments: with the command's method as ``run``.
+    :returns: an :class:`~savorychute.cmd.exit_code.ExitCode`.
+    """
     try:
         return int(arguments.run(arguments))
     except SettingsError as error:
--- /dev/null
+++ b/savorychute/gateway/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Routes, services and organisations, and which version of them is in force."""
--- /dev/null
+++ b/savorychute/gateway/configuration/deployment.py
@@ -0,0 +1,21 @@
+"""The whole configuration of a deployment."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from savorychute.gateway.configuration.caller_limits import CallerLimits
+    from savorychute.gateway.configuration.organisation import Organisation
+    from savorychute.gateway.configuration.route import Route
+    from savorychute.gateway.configuration.service import Service
+
+
+class Deployment(NamedTuple):
+    """One version of routes, services, organisations and limits."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    organisations: tuple[Organisation, ...]
+    limits: CallerLimits
--- /dev/null
+++ b/savorychute/gateway/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, timers and signals around the parts of a gateway."""
--- /dev/null
+++ b/savorychute/gateway/daemon/caller_exchange.py
@@ -0,0 +1,53 @@
+"""The caller's side of a request, over HTTP."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from savorychute.gateway.platform_adapter import PlatformAdapter
+    from savorychute.gateway.requests.refusal import Refusal
+    from savorychute.http.server_exchange import ServerExchange
+
+
+class CallerExchange:
+    """Answers one exchange of the server.
+
+    :param exchange: the exchange.
+    :param adapter: how callers are spoken to.
+    """
+
+    def __init__(self, exchange: ServerExchange, adapter: PlatformAdapter) -> None:
+        self._exchange = exchange
+        self._adapter = adapter
+
+    def respond(
+        self, status: int, headers: Sequence[tuple[str, str]], body: bytes
+    ) -> None:
+        """Send a whole answer."""
+        self._exchange.respond(status, headers, body)
+
+    def begin(self, status: int, headers: Sequence[tuple[str, str]]) -> None:
+        """Send the head of an answer."""
+        self._exchange.start(status, headers)
+
+    def send(self, data: bytes) -> None:
+        """Send a part of the body."""
+        self._exchange.send(data)
+
+    def finish(self) -> None:
+        """End the answer."""
+        self._exchange.finish()
+
+    def cut(self) -> None:
+        """Close the connection within the answer."""
+        self._exchange.abort()
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Send an answer of the gateway's own."""
+        response = self._adapter.encode_refusal(refusal, self._exchange.request)
+        self._exchange.respond(
+            response.status, tuple(response.headers.items()), response.body
+        )
--- /dev/null
+++ b/savorychute/gateway/daemon/gateway_host.py
@@ -0,0 +1,183 @@
+"""A complete gateway with its sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from savorychute.clock import MS_PER_S
+from savorychute.gateway.daemon.caller_exchange import CallerExchange
+from savorychute.gateway.daemon.leaving import plan_leaving
+from savorychute.gateway.requests.refusal import Refusal
+from savorychute.gateway.requests.request_course import RequestCourse
+from savorychute.gateway.translation_error import TranslationError
+from savorychute.ran import Ran
+from savorychute.result_code import ResultCode
+
+if TYPE_CHECKING:
+    from savorychute.gateway.configuration.deployment import Deployment
+    from savorychute.gateway.daemon.peer_group import PeerGroup
+    from savorychute.gateway.discovery.instance_directory import InstanceDirectory
+    from savorychute.gateway.parts import GatewayParts
+    from savorychute.gateway.platform_adapter import PlatformAdapter
+    from savorychute.gateway.requests.intake import Intake
+    from savorychute.gateway.settings.gateway_settings import GatewaySettings
+    from savorychute.http.http_server import HttpServer
+    from savorychute.http.server_exchange import ServerExchange
+
+LEAVING_STEP_MS = 50
+ELSEWHERE_MS = 50
+# Callers reuse connections up to the announced idle time; closing a little later keeps
+# a request from crossing the close.
+IDLE_FACTOR = 1.25
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+STATUS_UNAVAILABLE = 503
+
+
+class GatewayHost:
+    """Takes requests from the servers and gives each its course.
+
+    :param settings: of the instance.
+    :param parts: state and ports.
+    :param intake: admits requests.
+    :param adapter: how the platform, callers and endpoints speak.
+    :param peers: the other instances.
+    :param directory: what callers are told.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        parts: GatewayParts,
+        intake: Intake,
+        adapter: PlatformAdapter,
+        peers: PeerGroup,
+        directory: InstanceDirectory,
+    ) -> None:
+        self._settings = settings
+        self._parts = parts
+        self._intake = intake
+        self._adapter = adapter
+        self._peers = peers
+        self._directory = directory
+        self._leaving_since_ms: int | None = None
+        self._last_request_ms = 0
+        self._plan = plan_leaving(settings.grace_ms)
+        self.in_progress = 0
+        self.caller_server: HttpServer | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers should come here."""
+        return self._leaving_since_ms is None and self._parts.configuration.version >= 0
+
+    # -- requests
+
+    def take_request(self, exchange: ServerExchange) -> None:
+        """Take a caller's request.
+
+        :param exchange: the request and the means to answer it.
+        """
+        now_ms = self._parts.clock.now_ms()
+        self._last_request_ms = now_ms
+        caller = CallerExchange(exchange, self._adapter)
+        try:
+            request = self._adapter.decode_request(exchange.request)
+        except TranslationError as error:
+            caller.refuse(Refusal(ResultCode.BAD_FIELD, Ran.NOT_RUN, error.message))
+            return
+        verdict = self._refuse_leaving(now_ms) or self._intake.admit(request, now_ms)
+        if isinstance(verdict, Refusal):
+            configuration = self._parts.configuration
+            self._parts.telemetry.request_refused(
+                request, verdict, configuration.version, configuration.age_ms(now_ms)
+            )
+            caller.refuse(verdict)
+            return
+        course = RequestCourse(self._parts, request, verdict, caller)
+        exchange.on_left = course.caller_left
+        self.in_progress += 1
+        course.on_finished = self._note_finished
+        self._parts.allowance.instances = self._directory.count(now_ms)
+        course.start()
+
+    def _note_finished(self) -> None:
+        self.in_progress -= 1
+
+    def _refuse_leaving(self, now_ms: int) -> Refusal | None:
+        since_ms = self._leaving_since_ms
+        if since_ms is None or now_ms - since_ms < self._plan.refuse_ms:
+            return None
+        code = ResultCode.SHUTTING_DOWN
+        return Refusal(code, Ran.NOT_RUN, 'leaving', ELSEWHERE_MS)
+
+    # -- the platform's and the callers' other questions
+
+    def take_readiness(self, exchange: ServerExchange) -> None:
+        """Answer whether this instance is ready."""
+        if not self._adapter.is_readiness(exchange.request):
+            exchange.respond(STATUS_NOT_FOUND, (), b'')
+            return
+        exchange.respond(STATUS_OK if self.ready else STATUS_UNAVAILABLE, (), b'')
+
+    def take_discovery(self, exchange: ServerExchange) -> None:
+        """Answer which addresses a caller should use."""
+        question = self._adapter.decode_discovery(exchange.request)
+        if question is None:
+            exchange.respond(STATUS_NOT_FOUND, (), b'')
+            return
+        view = self._peers.view()
+        suspects = view.suspects | view.leaving if view is not None else frozenset()
+        members = self._directory.choose(
+            question, self.ready, suspects, self._parts.clock.now_ms()
+        )
+        if not members:
+            exchange.respond(STATUS_UNAVAILABLE, (), b'')
+            return
+        response = self._adapter.encode_discovery(
+            members, self._settings.discovery_lifetime_ms
+        )
+        exchange.respond(
+            response.status, tuple(response.headers.items()), response.body
+        )
+
+    # -- configuration
+
+    def apply_limits(self, deployment: Deployment) -> None:
+        """Follow a version of the configuration that is now in force.
+
+        :param deployment: the version.
+        """
+        self._peers.version = deployment.version
+        server = self.caller_server
+        if server is None:
+            return
+        limits = deployment.limits
+        server.limits = server.limits._replace(
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            header_timeout_ms=limits.header_timeout_ms,
+            idle_timeout_ms=int(IDLE_FACTOR * limits.idle_timeout_ms),
+        )
+
+    # -- leaving
+
+    async def leave(self) -> None:
+        """Serve those who still hold this address, then end."""
+        began_ms = self._parts.clock.now_ms()
+        self._leaving_since_ms = began_ms
+        if self.caller_server is not None:
+            self.caller_server.closing = True
+        farewell = asyncio.get_running_loop().create_task(self._peers.leave())
+        while not self._may_end(self._parts.clock.now_ms() - began_ms):
+            await asyncio.sleep(LEAVING_STEP_MS / MS_PER_S)
+        farewell.cancel()
+
+    def _may_end(self, leaving_ms: int) -> bool:
+        if leaving_ms >= self._plan.end_ms:
+            return True
+        if self.in_progress or leaving_ms < self._plan.least_ms:
+            return False
+        quiet_ms = self._parts.clock.now_ms() - self._last_request_ms
+        return quiet_ms >= self._plan.quiet_ms
--- /dev/null
+++ b/savorychute/gateway/daemon/peer_group.py
@@ -0,0 +1,157 @@
+"""This instance among its peers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from savorychute.actions.fetch_listing import FetchListing
+from savorychute.actions.send_peer import SendPeer
+from savorychute.clock import MS_PER_S
+from savorychute.daemon.peer_link import open_peer_link
+from savorychute.gateway.store.store_errors import StoreUnavailableError
+from savorychute.inputs.listing_fetched import ListingFetched
+from savorychute.membership.membership import Membership
+from savorychute.membership.settings import MembershipSettings
+from savorychute.wire.peer_codec import PeerCodec
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable
+
+    from savorychute.actions import Action
+    from savorychute.clock import Clock
+    from savorychute.daemon.peer_link import PeerLink
+    from savorychute.gateway.discovery.instance_directory import InstanceDirectory
+    from savorychute.gateway.store.registration import Registration
+    from savorychute.gateway.telemetry import GatewayTelemetry
+    from savorychute.inputs import Input
+    from savorychute.membership.member_view import MemberView
+
+TICK_MS = 100
+REGISTER_RETRY_MS = 500
+# Two probes a second: a peer that was killed is suspected within about a second, and
+# callers are told other addresses.
+SETTINGS = MembershipSettings(
+    probe_period_ms=500,
+    probe_timeout_ms=200,
+    suspicion_ms=2_000,
+    challenge_ms=800,
+    dead_retry_period_ms=2_000,
+    listing_period_ms=10_000,
+)
+
+
+class PeerGroup:
+    """Registers in the store, probes the others, and hears who is ready.
+
+    :param registration: this instance's entry.
+    :param directory: what callers are told.
+    :param clock: the time.
+    :param rng: the source of random choices.
+    :param telemetry: is told of members that come and go.
+    """
+
+    def __init__(
+        self,
+        registration: Registration,
+        directory: InstanceDirectory,
+        clock: Clock,
+        rng: random.Random,
+        telemetry: GatewayTelemetry,
+    ) -> None:
+        self._registration = registration
+        self._directory = directory
+        self._clock = clock
+        self._rng = rng
+        self._telemetry = telemetry
+        self._membership: Membership | None = None
+        self._link: PeerLink | None = None
+        self._listings: set[asyncio.Task[None]] = set()
+        self.version = -1
+
+    def view(self) -> MemberView | None:
+        """Return the members, or None before this instance has registered."""
+        return self._membership.view() if self._membership is not None else None
+
+    async def run(self) -> None:
+        """Take part until the task is cancelled."""
+        await self._register()
+        keys = self._registration.keys
+        assert keys is not None
+        address = self._registration.address
+        codec = PeerCodec(address.instance, address.incarnation, keys)
+        async with open_peer_link(codec, address.host, address.peer_port) as link:
+            self._link = link
+            self._membership = Membership(SETTINGS, address, self._rng)
+            link.on_input = self._take
+            while True:
+                self._tick()
+                await asyncio.sleep(TICK_MS / MS_PER_S)
+
+    async def leave(self) -> None:
+        """Tell the others, and remove the entry."""
+        if self._membership is None:
+            return
+        self._carry_out(self._membership.leave(self._clock.now_ms()))
+        try:
+            await self._registration.remove(self._registration.address.instance)
+        except StoreUnavailableError as error:
+            self._telemetry.store_failed('instances', error)
+
+    async def _register(self) -> None:
+        while True:
+            try:
+                await self._registration.register()
+            except StoreUnavailableError as error:
+                self._telemetry.store_failed('instances', error)
+                await asyncio.sleep(REGISTER_RETRY_MS / MS_PER_S)
+            else:
+                self._telemetry.store_answered('instances')
+                return
+
+    def _tick(self) -> None:
+        membership = self._membership
+        assert membership is not None
+        membership.advertise(self.version)
+        self._carry_out(membership.tick(self._clock.now_ms()))
+        for change in membership.take_changes():
+            self._telemetry.member_changed(change)
+
+    def _take(self, received: Input) -> None:
+        membership = self._membership
+        sender = getattr(received, 'sender', '')
+        message = getattr(received, 'message', None)
+        if membership is None or message is None:
+            return
+        now_ms = self._clock.now_ms()
+        self._carry_out(membership.receive(sender, message, now_ms))
+        origin = getattr(message, 'origin', None)
+        version = getattr(message, 'configuration_offset', None)
+        if origin is None or version is None:
+            return
+        ready = version >= 0 and sender not in membership.view().leaving
+        self._directory.hear(origin.address, ready, now_ms)
+
+    def _carry_out(self, actions: Iterable[Action]) -> None:
+        for action in actions:
+            if isinstance(action, SendPeer) and self._link is not None:
+                self._link.send(action)
+            elif isinstance(action, FetchListing):
+                task = asyncio.get_running_loop().create_task(self._fetch_listing())
+                self._listings.add(task)
+                task.add_done_callback(self._listings.discard)
+
+    async def _fetch_listing(self) -> None:
+        assert self._membership is not None
+        own = self._registration.address
+        try:
+            live = await self._registration.list_instances()
+            if own not in live and own.instance not in self._membership.view().leaving:
+                await self._registration.enter()
+        except StoreUnavailableError as error:
+            self._telemetry.store_failed('instances', error)
+            return
+        self._telemetry.store_answered('instances')
+        listing = ListingFetched(live=live, leaving=frozenset(), ok=True)
+        self._carry_out(self._membership.apply_listing(listing, self._clock.now_ms()))
--- /dev/null
+++ b/savorychute/gateway/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances callers are told to use."""
--- /dev/null
+++ b/savorychute/gateway/endpoints/chooser.py
@@ -0,0 +1,65 @@
+"""How an endpoint is chosen for a request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple, Protocol
+
+from savorychute.registry import Registry
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Sequence
+
+    from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
+    from savorychute.gateway.requests.prompt import Prompt
+
+
+class Choice(NamedTuple):
+    """The endpoint, and how many tokens it is expected to read anew."""
+
+    record: EndpointRecord
+    fresh_tokens: int
+    cost_ms: float
+
+
+class Chooser(Protocol):
+    """One way to choose."""
+
+    def choose(
+        self, records: Sequence[EndpointRecord], prompt: Prompt | None, now_ms: int
+    ) -> Choice:
+        """Return the best of some endpoints.
+
+        :param records: the candidates, at least one.
+        :param prompt: of the request; None for a plain service.
+        :param now_ms: the time.
+        """
+        ...
+
+
+class ChooserFactory(Protocol):
+    """Makes a chooser."""
+
+    def __call__(self, failure_domain: str, rng: random.Random) -> Chooser:
+        """Return a chooser for an instance in a failure domain."""
+        ...
+
+
+CHOOSERS: Registry[ChooserFactory] = Registry('chooser')
+
+
+def open_records(
+    records: Sequence[EndpointRecord], tried: frozenset[str], now_ms: int
+) -> list[EndpointRecord]:
+    """Return the endpoints to choose from.
+
+    Those that did not answer lately are left out, unless no other is left: a block is
+    a guess, and a guess must not refuse a request that an endpoint could run.
+
+    :param records: the endpoints of a service.
+    :param tried: those that the request has been sent to.
+    :param now_ms: the time.
+    """
+    untried = [each for each in records if each.entry.endpoint not in tried]
+    healthy = [each for each in untried if not each.health.is_blocked(now_ms)]
+    return healthy or untried
--- /dev/null
+++ b/savorychute/gateway/parts.py
@@ -0,0 +1,40 @@
+"""What all requests of a gateway share."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from savorychute.clock import Clock
+    from savorychute.gateway.configuration.configuration_state import (
+        ConfigurationState,
+    )
+    from savorychute.gateway.configuration.service import Service
+    from savorychute.gateway.endpoints.chooser import Chooser
+    from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
+    from savorychute.gateway.recovery.crash_book import CrashBook
+    from savorychute.gateway.recovery.retry_allowance import RetryAllowance
+    from savorychute.gateway.requests.attempt_port import AttemptPort, TimerPort
+    from savorychute.gateway.telemetry import GatewayTelemetry
+
+
+class GatewayParts(NamedTuple):
+    """State and ports; one set for each instance."""
+
+    clock: Clock
+    timers: TimerPort
+    attempts: AttemptPort
+    configuration: ConfigurationState
+    roster: EndpointRoster
+    model_chooser: Chooser
+    service_chooser: Chooser
+    allowance: RetryAllowance
+    crashes: CrashBook
+    telemetry: GatewayTelemetry
+
+    def chooser(self, service: Service) -> Chooser:
+        """Return how endpoints of a service are chosen.
+
+        :param service: the service.
+        """
+        return self.model_chooser if service.runs_models else self.service_chooser
--- /dev/null
+++ b/savorychute/gateway/platform_adapter.py
@@ -0,0 +1,94 @@
+"""What the adapter of a platform brings."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from savorychute.registry import Registry
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from savorychute.gateway.configuration.deployment import Deployment
+    from savorychute.gateway.discovery.discovery_question import DiscoveryQuestion
+    from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
+    from savorychute.gateway.requests.endpoint_answer import EndpointAnswer
+    from savorychute.gateway.requests.inbound_request import InboundRequest
+    from savorychute.gateway.requests.outbound_attempt import OutboundAttempt
+    from savorychute.gateway.requests.refusal import Refusal
+    from savorychute.gateway.store.keyed_topic import KeyedTopic
+    from savorychute.http.client_pool import ClientPool, ServerAddress
+    from savorychute.http.http_request import HttpRequest
+    from savorychute.http.http_response import HttpResponse
+    from savorychute.member_address import MemberAddress
+
+
+class PlatformAdapter(Protocol):
+    """Translates between the platform's protocol and the gateway's types.
+
+    It decides nothing and keeps no state.  What it cannot read it reports by
+    :class:`~savorychute.gateway.translation_error.TranslationError`.
+    """
+
+    def configuration_topic(
+        self, pool: ClientPool, address: ServerAddress, timeout_ms: int
+    ) -> KeyedTopic:
+        """Return the topic in which operators publish the configuration."""
+        ...
+
+    def endpoint_topic(
+        self, pool: ClientPool, address: ServerAddress, timeout_ms: int
+    ) -> KeyedTopic:
+        """Return the topic in which endpoints register."""
+        ...
+
+    def instance_topic(
+        self, pool: ClientPool, address: ServerAddress, timeout_ms: int
+    ) -> KeyedTopic:
+        """Return the topic in which instances of the gateway register."""
+        ...
+
+    def decode_configuration(self, key: str, value: bytes) -> Deployment | None:
+        """Return the configuration in a record, or None for another record."""
+        ...
+
+    def decode_endpoint(self, key: str, value: bytes) -> EndpointEntry:
+        """Return an endpoint's entry."""
+        ...
+
+    def decode_request(self, request: HttpRequest) -> InboundRequest:
+        """Return a caller's request."""
+        ...
+
+    def encode_refusal(
+        self, refusal: Refusal, request: HttpRequest | None
+    ) -> HttpResponse:
+        """Return an answer of the gateway's own."""
+        ...
+
+    def encode_attempt(self, attempt: OutboundAttempt) -> HttpRequest:
+        """Return what an endpoint is sent."""
+        ...
+
+    def decode_answer(
+        self, status: int, headers: dict[str, str], attempt: OutboundAttempt
+    ) -> EndpointAnswer:
+        """Return what the head of an endpoint's answer says."""
+        ...
+
+    def decode_discovery(self, request: HttpRequest) -> DiscoveryQuestion | None:
+        """Return a caller's question for addresses, or None for another request."""
+        ...
+
+    def encode_discovery(
+        self, members: Sequence[MemberAddress], lifetime_ms: int
+    ) -> HttpResponse:
+        """Return the answer to it."""
+        ...
+
+    def is_readiness(self, request: HttpRequest) -> bool:
+        """Return whether a request asks for this instance's readiness."""
+        ...
+
+
+PLATFORMS: Registry[type[PlatformAdapter]] = Registry('platform')
--- /dev/null
+++ b/savorychute/gateway/recovery/__init__.py
@@ -0,0 +1,1 @@
+"""Retries that all instances share, and requests that crash endpoints."""
--- /dev/null
+++ b/savorychute/gateway/recovery/crash_book.py
@@ -0,0 +1,81 @@
+"""Requests during which endpoints broke off."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# Two endpoints may break off by chance while they run the same request; a third is
+# taken for the request's doing.
+CRASHES = 3
+KEPT = 1_024
+LIFETIME_MS = 120_000
+
+
+class CrashSighting(NamedTuple):
+    """An endpoint that broke off while it ran a request."""
+
+    fingerprint: str
+    endpoint: str
+
+
+class CrashBook:
+    """Counts the endpoints that broke off for each request, here and elsewhere.
+
+    A request that crashes whatever runs it comes again from its caller, at any
+    instance, and would take down one endpoint after the other.  Instances tell each
+    other what they saw; from the third endpoint on the request is not run.
+    """
+
+    def __init__(self) -> None:
+        self._endpoints: OrderedDict[str, dict[str, int]] = OrderedDict()
+        self._fresh: list[CrashSighting] = []
+
+    def note(self, sighting: CrashSighting, now_ms: int) -> None:
+        """Take in what this instance saw.
+
+        :param sighting: request and endpoint.
+        :param now_ms: the time.
+        """
+        if self._add(sighting, now_ms):
+            self._fresh.append(sighting)
+
+    def take_in(self, sightings: Iterable[CrashSighting], now_ms: int) -> None:
+        """Take in what other instances saw.
+
+        :param sightings: theirs.
+        :param now_ms: the time.
+        """
+        for sighting in sightings:
+            self._add(sighting, now_ms)
+
+    def take_fresh(self) -> tuple[CrashSighting, ...]:
+        """Return what the others have not been told yet."""
+        fresh = tuple(self._fresh)
+        self._fresh.clear()
+        return fresh
+
+    def is_suspect(self, fingerprint: str, now_ms: int) -> bool:
+        """Return whether the request must not run.
+
+        :param fingerprint: of the request.
+        :param now_ms: the time.
+        """
+        endpoints = self._endpoints.get(fingerprint)
+        if endpoints is None:
+            return False
+        recent = [seen for seen in endpoints.values() if now_ms - seen < LIFETIME_MS]
+        return len(recent) >= CRASHES
+
+    def _add(self, sighting: CrashSighting, now_ms: int) -> bool:
+        endpoints = self._endpoints.setdefault(sighting.fingerprint, {})
+        self._endpoints.move_to_end(sighting.fingerprint)
+        if len(self._endpoints) > KEPT:
+            self._endpoints.popitem(last=False)
+        if sighting.endpoint in endpoints:
+            return False
+        endpoints[sighting.endpoint] = now_ms
+        return True
--- /dev/null
+++ b/savorychute/gateway/requests/admitted.py
@@ -0,0 +1,25 @@
+"""A request that may run."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from savorychute.gateway.configuration.route import Route
+    from savorychute.gateway.configuration.service import Service
+
+
+class Admitted(NamedTuple):
+    """What the configuration in force says of a request.
+
+    ``organisation`` is empty for a caller without a key.  ``end_ms`` is when the
+    caller must have its final answer.
+    """
+
+    route: Route
+    service: Service
+    organisation: str
+    tier: int
+    fingerprint: str
+    end_ms: int
+    version: int
--- /dev/null
+++ b/savorychute/gateway/requests/intake.py
@@ -0,0 +1,122 @@
+"""Whether a request may run, by the configuration in force."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from savorychute.gateway.requests.admitted import Admitted
+from savorychute.gateway.requests.refusal import Refusal
+from savorychute.ran import Ran
+from savorychute.result_code import ResultCode
+
+if TYPE_CHECKING:
+    import random
+
+    from savorychute.gateway.configuration.configuration_state import (
+        ConfigurationState,
+    )
+    from savorychute.gateway.configuration.organisation import Organisation
+    from savorychute.gateway.configuration.route import Route
+    from savorychute.gateway.configuration.route_table import RouteTable
+    from savorychute.gateway.configuration.service import Service
+    from savorychute.gateway.recovery.crash_book import CrashBook
+    from savorychute.gateway.requests.inbound_request import InboundRequest
+
+# A caller that is refused by an instance out of touch finds another one at once.
+ELSEWHERE_MS = 100
+# A request that crashes endpoints is of no use to its caller soon.
+SUSPECT_RETRY_MS = 5_000
+
+
+class Intake:
+    """Finds route, owner and service of a request, or the reason to refuse it.
+
+    :param configuration: the version in force.
+    :param crashes: requests that crash endpoints.
+    :param rng: picks one of a route's services by weight.
+    """
+
+    def __init__(
+        self,
+        configuration: ConfigurationState,
+        crashes: CrashBook,
+        rng: random.Random,
+    ) -> None:
+        self._configuration = configuration
+        self._crashes = crashes
+        self._rng = rng
+
+    def admit(self, request: InboundRequest, now_ms: int) -> Admitted | Refusal:
+        """Return what the request is owed, or why it is refused.
+
+        :param request: the request.
+        :param now_ms: the time.
+        """
+        table = self._configuration.table
+        if table is None:
+            return _refuse(ResultCode.NOT_READY, 'no-configuration')
+        route = table.find_route(request.host, request.path)
+        if route is None:
+            return self._refuse_absent(ResultCode.NOT_FOUND, 'no-route', now_ms)
+        owner: Organisation | None = None
+        if table.needs_keys and not route.public:
+            owner = table.find_owner(request.key)
+            if owner is None:
+                code = ResultCode.UNAUTHENTICATED
+                return self._refuse_absent(code, 'unknown-key', now_ms)
+            if not self._configuration.trusts_keys(now_ms):
+                # The key may have been taken back while the store was out of reach.
+                return _refuse(ResultCode.NOT_READY, 'key-unconfirmed')
+        fingerprint = fingerprint_of(request, owner.name if owner else '')
+        if self._crashes.is_suspect(fingerprint, now_ms):
+            return Refusal(
+                ResultCode.CRASH_SUSPECT,
+                Ran.NOT_RUN,
+                'crashed-endpoints',
+                SUSPECT_RETRY_MS,
+            )
+        service = self._pick_service(table, route)
+        if service is None:
+            return _refuse(ResultCode.NO_ENDPOINT, 'no-service')
+        return Admitted(
+            route,
+            service,
+            owner.name if owner else '',
+            route.tier if owner is None or owner.tier is None else owner.tier,
+            fingerprint,
+            now_ms + min(route.timeout_ms, request.deadline_ms or route.timeout_ms),
+            table.version,
+        )
+
+    def _refuse_absent(self, code: ResultCode, reason: str, now_ms: int) -> Refusal:
+        """Refuse what the table lacks, for good only if the table is fresh."""
+        if self._configuration.is_fresh(now_ms):
+            return Refusal(code, Ran.NOT_RUN, reason)
+        return _refuse(ResultCode.NOT_READY, f'{reason}-unconfirmed')
+
+    def _pick_service(self, table: RouteTable, route: Route) -> Service | None:
+        names = [share.service for share in route.shares if share.weight > 0]
+        if not names:
+            return None
+        weights = [share.weight for share in route.shares if share.weight > 0]
+        return table.services.get(self._rng.choices(names, weights)[0])
+
+
+def fingerprint_of(request: InboundRequest, organisation: str) -> str:
+    """Return what a request has in common with its repetitions.
+
+    :param request: the request.
+    :param organisation: whose it is.
+    """
+    digest = xxhash.xxh3_64()
+    for text in (organisation, request.host, request.raw.method, request.raw.target):
+        digest.update(text.encode())
+        digest.update(b'\0')
+    digest.update(request.raw.body)
+    return digest.hexdigest()
+
+
+def _refuse(code: ResultCode, reason: str) -> Refusal:
+    return Refusal(code, Ran.NOT_RUN, reason, ELSEWHERE_MS)
--- /dev/null
+++ b/savorychute/gateway/requests/refusal.py
@@ -0,0 +1,18 @@
+"""An answer of the gateway's own."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from savorychute.ran import Ran
+    from savorychute.result_code import ResultCode
+
+
+class Refusal(NamedTuple):
+    """Why a request gets no answer of an endpoint, and whether it ran."""
+
+    code: ResultCode
+    ran: Ran
+    reason: str
+    retry_after_ms: int = 0
--- /dev/null
+++ b/savorychute/gateway/requests/request_course.py
@@ -0,0 +1,398 @@
+"""One request, from its admission to its answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorychute.gateway.configuration.request_kind import RequestKind
+from savorychute.gateway.endpoints.chooser import open_records
+from savorychute.gateway.recovery.crash_book import CrashSighting
+from savorychute.gateway.requests.attempt import Attempt
+from savorychute.gateway.requests.course_summary import CourseSummary
+from savorychute.gateway.requests.endpoint_answer import AnswerKind
+from savorychute.gateway.requests.outbound_attempt import OutboundAttempt
+from savorychute.gateway.requests.patience import first_sign_ms, next_sign_ms
+from savorychute.gateway.requests.refusal import Refusal
+from savorychute.gateway.requests.stream_relay import StreamRelay
+from savorychute.ran import Ran
+from savorychute.result_code import ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from savorychute.gateway.parts import GatewayParts
+    from savorychute.gateway.requests.admitted import Admitted
+    from savorychute.gateway.requests.attempt_port import TimerHandle
+    from savorychute.gateway.requests.caller_port import CallerPort
+    from savorychute.gateway.requests.inbound_request import InboundRequest
+
+# Sends of one request, those that endpoints refused included.
+MAX_SENDS = 4
+# Less time than this is of no use to another endpoint.
+LEAST_REMAINING_MS = 30
+# Refused for want of endpoints: their entries change within about a second.
+NO_ENDPOINT_RETRY_MS = 300
+# Between two looks at a silent endpoint that may not be left.
+RECHECK_MS = 50
+MOST_URGENT = 0
+LEAST_URGENT = 9
+
+
+class RequestCourse:
+    """Sends a request to one endpoint after the other until one answers.
+
+    Two facts decide what may follow a failed attempt: whether it can have run
+    (``possible_runs``), and whether a second run does harm.  The caller is told
+    'not run' only while no attempt is in doubt.
+
+    :param parts: what all requests share.
+    :param request: the request.
+    :param admitted: what it is owed.
+    :param caller: who waits for the answer.
+    """
+
+    def __init__(
+        self,
+        parts: GatewayParts,
+        request: InboundRequest,
+        admitted: Admitted,
+        caller: CallerPort,
+    ) -> None:
+        self._parts = parts
+        self._request = request
+        self._admitted = admitted
+        self._caller = caller
+        self._route = admitted.route
+        self._relay = StreamRelay(caller, request.last_event)
+        self._attempt: Attempt | None = None
+        self._timer: TimerHandle | None = None
+        self._tried: set[str] = set()
+        self._sends = 0
+        self._refused_after_ms = 0
+        self._passing = False
+        self._first_event_ms = 0
+        self.possible_runs = 0
+        self.began_ms = parts.clock.now_ms()
+        self.finished = False
+        self.on_finished: Callable[[], None] | None = None
+
+    def now_ms(self) -> int:
+        """Return the time."""
+        return self._parts.clock.now_ms()
+
+    # -- called by the host
+
+    def start(self) -> None:
+        """Send the first attempt."""
+        self._parts.allowance.request(self._admitted.service.name, self.began_ms)
+        if not self._send():
+            self._refuse(ResultCode.NO_ENDPOINT, 'no-endpoint', NO_ENDPOINT_RETRY_MS)
+
+    def caller_left(self) -> None:
+        """Stop all work; nobody waits for it any more."""
+        if not self.finished:
+            self._finish('caller-left')
+
+    # -- called by the attempt
+
+    def stream_data(self, attempt: Attempt, data: bytes) -> None:
+        """Pass on events; the caller of a stream waits for each of them."""
+        answer = attempt.answer
+        assert answer is not None
+        passed = self._relay.take(data, answer.status, answer.headers)
+        if not passed:
+            return
+        if attempt.waiting:
+            attempt.began_to_answer()
+            self._first_event_ms = self._first_event_ms or self.now_ms()
+
+    def pass_head(self, attempt: Attempt) -> None:
+        """Begin to pass on an answer that is too large to be held."""
+        assert attempt.answer is not None
+        self._passing = True
+        self._caller.begin(attempt.answer.status, attempt.answer.headers)
+        self._caller.send(b''.join(attempt.held))
+        attempt.held.clear()
+
+    def pass_data(self, data: bytes) -> None:
+        """Pass on more of it."""
+        self._caller.send(data)
+
+    def attempt_unsent(self, attempt: Attempt, reason: str) -> None:
+        """Go on after an attempt of which no byte has left."""
+        attempt.choice.record.health.silent(self.now_ms())
+        self._log_attempt(attempt, 'unsent', reason)
+        self._sends -= 1
+        if self._may_go_on() and self._send():
+            return
+        self._give_up('unreachable')
+
+    def attempt_broke(self, attempt: Attempt, reason: str) -> None:
+        """Go on after an attempt that may have run and has no whole answer."""
+        now_ms = self.now_ms()
+        record = attempt.choice.record
+        record.health.silent(now_ms)
+        self.possible_runs += 1
+        if reason == 'connection-lost':
+            sighting = CrashSighting(self._admitted.fingerprint, record.entry.endpoint)
+            self._parts.crashes.note(sighting, now_ms)
+        self._log_attempt(attempt, 'broke', reason)
+        if not self._repeat():
+            self._give_up(reason)
+
+    def attempt_answered(self, attempt: Attempt) -> None:
+        """Take a whole answer."""
+        answer = attempt.answer
+        assert answer is not None
+        if answer.kind in (AnswerKind.NOT_RUN, AnswerKind.OTHER_ENDPOINT):
+            self._take_rejection(attempt)
+            return
+        if answer.kind is AnswerKind.FAILURE:
+            self._take_failure(attempt)
+            return
+        if answer.is_stream and not self._relay.is_between_events:
+            self.attempt_broke(attempt, 'event-cut')
+            return
+        attempt.choice.record.health.succeeded()
+        self._log_attempt(attempt, 'answered', '')
+        if answer.is_stream:
+            self._end_stream(attempt)
+        elif self._passing:
+            self._caller.finish()
+        else:
+            self._caller.respond(answer.status, answer.headers, b''.join(attempt.held))
+        self._finish('answered', answer.status)
+
+    # -- after an attempt
+
+    def _end_stream(self, attempt: Attempt) -> None:
+        assert attempt.answer is not None
+        if not self._relay.begun:
+            self._caller.begin(attempt.answer.status, attempt.answer.headers)
+        self._caller.finish()
+
+    def _take_rejection(self, attempt: Attempt) -> None:
+        """Go on after an endpoint that states that it did not run the request."""
+        answer = attempt.answer
+        assert answer is not None
+        endpoint = attempt.choice.record.entry.endpoint
+        if answer.kind is AnswerKind.OTHER_ENDPOINT:
+            self._parts.roster.end(endpoint)
+        else:
+            attempt.choice.record.health.failed()
+            self._refused_after_ms = max(self._refused_after_ms, answer.retry_after_ms)
+        self._log_attempt(attempt, 'rejected', answer.kind.name.lower())
+        if self._may_go_on() and self._spend() and self._send():
+            return
+        self._give_up('rejected')
+
+    def _take_failure(self, attempt: Attempt) -> None:
+        """Repeat a request that an endpoint failed, or pass its failure on."""
+        answer = attempt.answer
+        assert answer is not None
+        attempt.choice.record.health.failed()
+        self.possible_runs += 1
+        self._log_attempt(attempt, 'failed', str(answer.status))
+        if self._repeat():
+            return
+        if self._relay.begun or self._passing:
+            self._caller.cut()
+        else:
+            self._caller.respond(answer.status, answer.headers, b''.join(attempt.held))
+        self._finish('endpoint-failed', answer.status)
+
+    def _repeat(self) -> bool:
+        """Send a request again that may have run, if that does no harm."""
+        if not self._route.repeatable or self._passing:
+            return False
+        if self.possible_runs >= self._route.max_attempts or not self._may_go_on():
+            return False
+        if self._parts.crashes.is_suspect(self._admitted.fingerprint, self.now_ms()):
+            return False
+        self._relay.restart()
+        return self._spend() and self._send()
+
+    def _may_go_on(self) -> bool:
+        remaining_ms = self._admitted.end_ms - self.now_ms()
+        return self._sends < MAX_SENDS and remaining_ms >= LEAST_REMAINING_MS
+
+    def _spend(self) -> bool:
+        service = self._admitted.service.name
+        return self._parts.allowance.try_spend(service, self.now_ms())
+
+    def _give_up(self, reason: str) -> None:
+        """End without an answer of an endpoint, and say truly what is known."""
+        if self._relay.begun or self._passing:
+            self._caller.cut()
+            self._finish(f'cut-{reason}')
+        elif self.possible_runs:
+            self._caller.refuse(
+                Refusal(ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN, reason)
+            )
+            self._finish(reason, ResultCode.OUTCOME_UNKNOWN.status)
+        else:
+            retry_after_ms = self._refused_after_ms or NO_ENDPOINT_RETRY_MS
+            self._refuse(ResultCode.NO_ENDPOINT, reason, retry_after_ms)
+
+    def _refuse(self, code: ResultCode, reason: str, retry_after_ms: int) -> None:
+        assert not self.possible_runs
+        self._caller.refuse(Refusal(code, Ran.NOT_RUN, reason, retry_after_ms))
+        self._finish(reason, code.status)
+
+    # -- sending
+
+    def _send(self) -> bool:
+        """Start an attempt; return false if there is no endpoint for it."""
+        now_ms = self.now_ms()
+        service = self._admitted.service
+        records = self._parts.roster.usable(service.name)
+        candidates = open_records(records, frozenset(self._tried), now_ms)
+        if not candidates:
+            return False
+        chooser = self._parts.chooser(service)
+        choice = chooser.choose(candidates, self._request.prompt, now_ms)
+        entry = choice.record.entry
+        self._tried.add(entry.endpoint)
+        self._sends += 1
+        attempt = Attempt(self, choice, now_ms)
+        self._attempt = attempt
+        attempt.running = self._parts.attempts.send(
+            OutboundAttempt(
+                request=self._request,
+                endpoint=entry,
+                remaining_ms=self._admitted.end_ms - now_ms,
+                organisation=self._admitted.organisation,
+                urgency=self._urgency(),
+                last_event=self._relay.last_event,
+                fresh=not self._route.repeatable,
+            ),
+            attempt,
+        )
+        self._arm(now_ms)
+        return True
+
+    def _urgency(self) -> int | None:
+        if not self._admitted.service.runs_models:
+            return None
+        return min(max(self._admitted.tier, MOST_URGENT), LEAST_URGENT)
+
+    # -- time
+
+    def _arm(self, now_ms: int) -> None:
+        """Set the timer to whatever is due first."""
+        if self._timer is not None:
+            self._timer.cancel()
+        due_ms = min(self._admitted.end_ms, self._silence_ends_ms())
+        delay_ms = max(1, due_ms - now_ms)
+        self._timer = self._parts.timers.call_later(delay_ms, self._due)
+
+    def _silence_ends_ms(self) -> int:
+        """Return when the endpoint has been silent for too long."""
+        attempt = self._attempt
+        if attempt is None or not self._route.repeatable or self._passing:
+            return self._admitted.end_ms
+        if self.possible_runs + 1 >= self._route.max_attempts:
+            return self._admitted.end_ms
+        if attempt.waiting:
+            return attempt.began_ms + first_sign_ms(self._route)
+        return attempt.heard_ms + next_sign_ms(self._route)
+
+    def _due(self) -> None:
+        self._timer = None
+        if self.finished:
+            return
+        now_ms = self.now_ms()
+        if now_ms >= self._admitted.end_ms:
+            self._time_out()
+            return
+        if now_ms >= self._silence_ends_ms() and self._is_silent(now_ms):
+            self._leave_silent()
+            return
+        self._arm_again(now_ms)
+
+    def _arm_again(self, now_ms: int) -> None:
+        due_ms = min(self._admitted.end_ms, self._silence_ends_ms())
+        delay_ms = max(RECHECK_MS, due_ms - now_ms)
+        self._timer = self._parts.timers.call_later(delay_ms, self._due)
+
+    def _is_silent(self, now_ms: int) -> bool:
+        """Return whether the endpoint is silent towards all of this instance's requests.
+
+        A request that waits in the queue of an engine that answers others is served
+        later; sent elsewhere it would wait again, and its prompt be read twice.
+        """
+        attempt = self._attempt
+        if attempt is None:
+            return False
+        if self._route.kind is RequestKind.IDEMPOTENT:
+            return True
+        if attempt.waiting:
+            return attempt.choice.record.heard_ms <= attempt.began_ms
+        quiet_ms = now_ms - attempt.choice.record.heard_ms
+        return quiet_ms >= next_sign_ms(self._route)
+
+    def _leave_silent(self) -> None:
+        """Close a silent attempt and try another endpoint, if one may be tried."""
+        attempt = self._attempt
+        assert attempt is not None
+        can_go = self._may_go_on() and self._has_other(self.now_ms())
+        if not can_go or not self._spend():
+            self._arm_again(self.now_ms())
+            return
+        attempt.stop()
+        attempt.choice.record.health.silent(self.now_ms())
+        self.possible_runs += attempt.sent
+        self._log_attempt(attempt, 'silent', '')
+        self._relay.restart()
+        if not self._send():
+            self._give_up('silent')
+
+    def _has_other(self, now_ms: int) -> bool:
+        records = self._parts.roster.usable(self._admitted.service.name)
+        return bool(open_records(records, frozenset(self._tried), now_ms))
+
+    def _time_out(self) -> None:
+        """End a request whose time is over."""
+        attempt = self._attempt
+        if attempt is not None and not attempt.ended:
+            attempt.stop()
+            self.possible_runs += attempt.sent
+            self._log_attempt(attempt, 'timeout', '')
+        if self._relay.begun or self._passing:
+            self._caller.cut()
+            self._finish('cut-timeout')
+        elif self.possible_runs:
+            code = ResultCode.ANSWER_TIMEOUT
+            self._caller.refuse(Refusal(code, Ran.UNKNOWN, 'timeout'))
+            self._finish('timeout', code.status)
+        else:
+            self._refuse(ResultCode.NO_ENDPOINT, 'timeout', NO_ENDPOINT_RETRY_MS)
+
+    def _finish(self, outcome: str, status: int = 0) -> None:
+        self.finished = True
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._attempt is not None:
+            self._attempt.stop()
+        self._parts.telemetry.request_finished(
+            self._request, self._admitted, outcome, int(status), self.summary()
+        )
+        if self.on_finished is not None:
+            self.on_finished()
+
+    def summary(self) -> CourseSummary:
+        """Return the figures of the course, for its log line."""
+        now_ms = self.now_ms()
+        first_ms = self._first_event_ms - self.began_ms if self._first_event_ms else 0
+        return CourseSummary(
+            now_ms - self.began_ms,
+            first_ms,
+            self._sends,
+            self.possible_runs,
+            self._relay.events,
+        )
+
+    def _log_attempt(self, attempt: Attempt, outcome: str, reason: str) -> None:
+        self._parts.telemetry.attempt_ended(
+            self._request, attempt, outcome, reason, self.now_ms()
+        )
--- /dev/null
+++ b/savorychute/gateway/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The settings of a gateway."""
--- /dev/null
+++ b/savorychute/gateway/settings/gateway_settings.py
@@ -0,0 +1,36 @@
+"""The settings of one gateway, checked."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from savorychute.settings.network_address import NetworkAddress  # noqa: TC001
+
+
+class GatewaySettings(NamedTuple):
+    """Every setting; :mod:`savorychute.gateway.settings.table` describes each."""
+
+    instance: str
+    region: str
+    failure_domain: str
+    caller_address: NetworkAddress
+    readiness_address: NetworkAddress
+    discovery_address: NetworkAddress
+    metrics_port: int
+    peer_port: int
+    store_address: NetworkAddress
+    extension_paths: tuple[str, ...]
+    extensions: tuple[str, ...]
+    platform: str
+    log_level: str
+    memory_mb: int
+    grace_ms: int
+    discovery_lifetime_ms: int
+    drain_notice_ms: int
+    configuration_notice_ms: int
+    key_trust_ms: int
+    retry_ratio: float
+    retry_window_ms: int
+    retry_slack: int
+    connect_timeout_ms: int
+    store_timeout_ms: int
--- /dev/null
+++ b/savorychute/gateway/store/configuration_listener.py
@@ -0,0 +1,71 @@
+"""Puts published configurations in force."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorychute.gateway.translation_error import TranslationError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from savorychute.gateway.configuration.configuration_state import (
+        ConfigurationState,
+    )
+    from savorychute.gateway.configuration.deployment import Deployment
+    from savorychute.gateway.store.keyed_record import KeyedRecord
+    from savorychute.gateway.store.store_errors import StoreUnavailableError
+    from savorychute.gateway.telemetry import GatewayTelemetry
+
+
+class ConfigurationListener:
+    """Decodes records and hands newer versions to the state.
+
+    A read that shows nothing new confirms the version in force.  A record that
+    cannot be read confirms nothing: a newer version exists that is not known here.
+
+    :param state: the version in force.
+    :param decode: turns a record into a configuration.
+    :param telemetry: is told of each version.
+    :param on_applied: called with each version put in force.
+    """
+
+    def __init__(
+        self,
+        state: ConfigurationState,
+        decode: Callable[[str, bytes], Deployment | None],
+        telemetry: GatewayTelemetry,
+        on_applied: Callable[[Deployment], None],
+    ) -> None:
+        self._state = state
+        self._decode = decode
+        self._telemetry = telemetry
+        self._on_applied = on_applied
+
+    def topic_listed(self, records: Sequence[KeyedRecord], began_ms: int) -> None:
+        """Take the newest records."""
+        self._take(records, began_ms)
+
+    def topic_changed(self, records: Sequence[KeyedRecord], began_ms: int) -> None:
+        """Take further records."""
+        self._take(records, began_ms)
+
+    def topic_failed(self, error: StoreUnavailableError) -> None:
+        """Note that the version in force could not be confirmed."""
+        self._telemetry.store_failed('configuration', error)
+
+    def _take(self, records: Sequence[KeyedRecord], began_ms: int) -> None:
+        self._telemetry.store_answered('configuration')
+        for record in records:
+            if record.value is None:
+                continue
+            try:
+                deployment = self._decode(record.key, record.value)
+            except TranslationError as error:
+                self._telemetry.record_unreadable('configuration', record.key, error)
+                return
+            if deployment is not None and self._state.apply(deployment):
+                self._telemetry.configuration_applied(deployment, record.offset)
+                self._on_applied(deployment)
+        if self._state.table is not None:
+            self._state.confirm(began_ms)
--- /dev/null
+++ b/savorychute/gateway/store/registration.py
@@ -0,0 +1,114 @@
+"""This instance's entry among its peers, in the platform's store."""
+
+from __future__ import annotations
+
+import secrets
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from savorychute.gateway.store.store_errors import WriteConflictError
+from savorychute.member_address import MemberAddress
+from savorychute.wire.peer_key import PeerKey
+from savorychute.wire.peer_keys import PeerKeys
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from savorychute.gateway.store.keyed_record import KeyedRecord
+    from savorychute.gateway.store.keyed_topic import KeyedTopic
+
+# No instance can have this name: names begin with a letter or a digit.
+SECRET_KEY = '@secret'
+SECRET_BYTES = 32
+KEY_ID = 1
+
+
+class Registration:
+    """Enters, reads and removes the addresses of instances.
+
+    The settings name no peers and hold no shared secret.  Whoever may write to the
+    store is a peer, so the secret that signs messages between instances lies there
+    too.  The first instance writes it on the condition that nobody has written
+    meanwhile; the others use what they find.
+
+    :param topic: where instances register.
+    :param address: this instance; its incarnation is set when it registers.
+    """
+
+    def __init__(self, topic: KeyedTopic, address: MemberAddress) -> None:
+        self._topic = topic
+        self.address = address
+        self.keys: PeerKeys | None = None
+
+    async def register(self) -> None:
+        """Enter this instance with the next incarnation of its name.
+
+        The incarnation counts on from the last entry, not from the time of day, which
+        may jump back: peers would take this run for an older one and ignore it.
+
+        :raises StoreUnavailableError: if the store does not answer.
+        """
+        while self.keys is None:
+            snapshot = await self._topic.list_newest()
+            self.keys = _find_secret(snapshot.records)
+            if self.keys is not None:
+                break
+            try:
+                await self._topic.write(
+                    SECRET_KEY,
+                    secrets.token_bytes(SECRET_BYTES),
+                    snapshot.next_offset,
+                )
+            except WriteConflictError:
+                continue
+        own = [
+            address
+            for address in decode_addresses(snapshot.records)
+            if address.instance == self.address.instance
+        ]
+        incarnation = max((each.incarnation for each in own), default=0) + 1
+        self.address = self.address._replace(incarnation=incarnation)
+        await self.enter()
+
+    async def enter(self) -> None:
+        """Write this instance's entry."""
+        await self._topic.write(
+            self.address.instance, msgspec.json.encode(self.address)
+        )
+
+    async def list_instances(self) -> tuple[MemberAddress, ...]:
+        """Return the entries of all instances."""
+        snapshot = await self._topic.list_newest()
+        return decode_addresses(snapshot.records)
+
+    async def remove(self, instance: str) -> None:
+        """Remove the entry of an instance that has left.
+
+        :param instance: its name.
+        """
+        await self._topic.write(instance, None)
+
+
+def decode_addresses(records: Iterable[KeyedRecord]) -> tuple[MemberAddress, ...]:
+    """Return the addresses in some records; others are passed over.
+
+    :param records: of the topic of instances.
+    """
+    addresses = []
+    for record in records:
+        if record.key == SECRET_KEY or record.value is None:
+            continue
+        try:
+            addresses.append(msgspec.json.decode(record.value, type=MemberAddress))
+        except msgspec.DecodeError:
+            # An instance of a later version may write more than this one reads.
+            continue
+    return tuple(addresses)
+
+
+def _find_secret(records: Iterable[KeyedRecord]) -> PeerKeys | None:
+    for record in records:
+        if record.key == SECRET_KEY and record.value is not None:
+            return PeerKeys(PeerKey(KEY_ID, record.value))
+    return None
--- /dev/null
+++ b/savorychute/gateway/store/topic_delta.py
@@ -0,0 +1,15 @@
+"""Records of a keyed topic in the order in which they were written."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from savorychute.gateway.store.keyed_record import KeyedRecord
+
+
+class TopicDelta(NamedTuple):
+    """What was written from an offset on, up to ``next_offset``."""
+
+    records: tuple[KeyedRecord, ...]
+    next_offset: int
--- /dev/null
+++ b/savorychute/gateway/store/topic_follower.py
@@ -0,0 +1,101 @@
+"""Follows a keyed topic through outages and lost history."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol
+
+from savorychute.clock import MS_PER_S
+from savorychute.gateway.store.store_errors import (
+    HistoryLostError,
+    StoreUnavailableError,
+)
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Sequence
+
+    from savorychute.clock import Clock
+    from savorychute.gateway.store.keyed_record import KeyedRecord
+    from savorychute.gateway.store.keyed_topic import KeyedTopic
+    from savorychute.gateway.store.pace import Pace
+
+# A store that answers again is noticed within half a second, and one that is down gets
+# a few calls a second from each instance, not hundreds.
+FIRST_RETRY_MS = 100
+LONGEST_RETRY_MS = 500
+
+
+class TopicListener(Protocol):
+    """Who is told what a topic holds."""
+
+    def topic_listed(self, records: Sequence[KeyedRecord], began_ms: int) -> None:
+        """Take the newest record of each key, as of some moment after *began_ms*."""
+        ...
+
+    def topic_changed(self, records: Sequence[KeyedRecord], began_ms: int) -> None:
+        """Take the records written since; none if there were none."""
+        ...
+
+    def topic_failed(self, error: StoreUnavailableError) -> None:
+        """Take that a read failed."""
+        ...
+
+
+class TopicFollower:
+    """Lists a topic, then reads what is written to it.
+
+    After a loss of history, and after an outage, the topic is listed anew: the
+    store keeps the newest record of each key when it forgets all others.
+
+    :param topic: the topic.
+    :param pace: how often it is read.
+    :param listener: who is told.
+    :param clock: the time.
+    :param rng: spreads the retries of many instances.
+    """
+
+    def __init__(
+        self,
+        topic: KeyedTopic,
+        pace: Pace,
+        listener: TopicListener,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._topic = topic
+        self._pace = pace
+        self._listener = listener
+        self._clock = clock
+        self._rng = rng
+        self._offset: int | None = None
+        self._retry_ms = FIRST_RETRY_MS
+
+    async def run(self) -> None:
+        """Follow the topic until the task is cancelled."""
+        while True:
+            try:
+                await self._step()
+                self._retry_ms = FIRST_RETRY_MS
+            except HistoryLostError:
+                self._offset = None
+            except StoreUnavailableError as error:
+                self._listener.topic_failed(error)
+                await self._rest(self._retry_ms)
+                self._retry_ms = min(2 * self._retry_ms, LONGEST_RETRY_MS)
+
+    async def _step(self) -> None:
+        began_ms = self._clock.now_ms()
+        if self._offset is None:
+            snapshot = await self._topic.list_newest()
+            self._offset = snapshot.next_offset
+            self._listener.topic_listed(snapshot.records, began_ms)
+        else:
+            delta = await self._topic.read_from(self._offset, self._pace.wait_ms)
+            self._offset = delta.next_offset
+            self._listener.topic_changed(delta.records, began_ms)
+        if self._pace.pause_ms:
+            await self._rest(self._pace.pause_ms)
+
+    async def _rest(self, duration_ms: int) -> None:
+        await asyncio.sleep(duration_ms * self._rng.uniform(0.8, 1.0) / MS_PER_S)
--- /dev/null
+++ b/savorychute/gateway/store/topic_snapshot.py
@@ -0,0 +1,19 @@
+"""The newest records of a keyed topic."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from savorychute.gateway.store.keyed_record import KeyedRecord
+
+
+class TopicSnapshot(NamedTuple):
+    """The newest record of each key.
+
+    Reading on from ``next_offset`` misses nothing; it may show again what the
+    snapshot holds already.
+    """
+
+    records: tuple[KeyedRecord, ...]
+    next_offset: int
--- /dev/null
+++ b/savorychute/gateway/telemetry.py
@@ -0,0 +1,158 @@
+"""What a gateway tells its operators: log lines and metrics."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from savorychute.errors import SavorychuteError
+    from savorychute.gateway.configuration.deployment import Deployment
+    from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
+    from savorychute.gateway.requests.admitted import Admitted
+    from savorychute.gateway.requests.attempt import Attempt
+    from savorychute.gateway.requests.course_summary import CourseSummary
+    from savorychute.gateway.requests.inbound_request import InboundRequest
+    from savorychute.gateway.requests.refusal import Refusal
+    from savorychute.logs import InstanceLog
+    from savorychute.membership.member_change import MemberChange
+
+OK_OUTCOMES = ('answered',)
+
+
+class GatewayTelemetry:
+    """One line for each decision that touches a request or a belief.
+
+    :param log: where the lines go.
+    """
+
+    def __init__(self, log: InstanceLog) -> None:
+        self.log = log
+        self._lost: set[str] = set()
+
+    # -- dependencies
+
+    def store_failed(self, topic: str, error: SavorychuteError) -> None:
+        """Log the first failure of a run of them."""
+        if topic in self._lost:
+            return
+        self._lost.add(topic)
+        self.log.warning('dependency-lost', item=topic, reason=_word(error.message))
+
+    def store_answered(self, topic: str) -> None:
+        """Log the first answer after failures."""
+        if topic in self._lost:
+            self._lost.discard(topic)
+            self.log.info('dependency-regained', item=topic)
+
+    def record_unreadable(self, topic: str, key: str, error: SavorychuteError) -> None:
+        """Log a record that could not be decoded."""
+        self.log.error(
+            'record-unreadable', item=topic, record_id=key, reason=_word(error.message)
+        )
+
+    # -- beliefs
+
+    def configuration_applied(self, deployment: Deployment, offset: int) -> None:
+        """Log a version that is now in force."""
+        self.log.info(
+            'configuration-applied',
+            version=deployment.version,
+            offset=offset,
+            count=len(deployment.routes),
+        )
+
+    def endpoint_changed(self, entry: EndpointEntry) -> None:
+        """Log an endpoint that came or began to leave."""
+        self.log.info(
+            'endpoint-changed',
+            endpoint=entry.endpoint,
+            service=entry.service,
+            address=f'{entry.address.host}:{entry.address.port}',
+            state='draining' if entry.draining else 'ready',
+        )
+
+    def endpoint_gone(self, endpoint: str) -> None:
+        """Log an endpoint whose entry was removed."""
+        self.log.info('endpoint-changed', endpoint=endpoint, state='gone')
+
+    def member_changed(self, change: MemberChange) -> None:
+        """Log another instance that came, left, fell silent or came back."""
+        self.log.info(
+            'member-changed',
+            member=change.instance,
+            incarnation=change.incarnation,
+            from_state=change.from_state,
+            to_state=change.to_state,
+            reason=_word(change.why),
+        )
+
+    # -- requests
+
+    def request_refused(
+        self, request: InboundRequest, refusal: Refusal, version: int, age_ms: int
+    ) -> None:
+        """Log a refusal at the door."""
+        self.log.warning(
+            'request-refused',
+            request.attempt_id,
+            code=refusal.code.number,
+            reason=_word(refusal.reason),
+            ran=refusal.ran.value,
+            retry_after_ms=refusal.retry_after_ms,
+            version=version,
+            waited_ms=age_ms,
+        )
+
+    def attempt_ended(
+        self,
+        request: InboundRequest,
+        attempt: Attempt,
+        outcome: str,
+        reason: str,
+        now_ms: int,
+    ) -> None:
+        """Log an attempt that did not end well; the others are in the last line."""
+        record = attempt.choice.record
+        if outcome in OK_OUTCOMES:
+            return
+        self.log.warning(
+            'attempt-ended',
+            request.attempt_id,
+            endpoint=record.entry.endpoint,
+            service=record.entry.service,
+            state=outcome,
+            reason=_word(reason),
+            duration_ms=now_ms - attempt.began_ms,
+            count=record.outstanding,
+        )
+
+    def request_finished(
+        self,
+        request: InboundRequest,
+        admitted: Admitted,
+        outcome: str,
+        status: int,
+        summary: CourseSummary,
+    ) -> None:
+        """Log how a request ended."""
+        write = self.log.info if outcome in OK_OUTCOMES else self.log.warning
+        write(
+            'request-finished',
+            request.attempt_id,
+            state=_word(outcome),
+            status=status,
+            item=admitted.route.name,
+            service=admitted.service.name,
+            customer=admitted.organisation,
+            tier=admitted.tier,
+            version=admitted.version,
+            duration_ms=summary.duration_ms,
+            waited_ms=summary.first_event_ms,
+            count=summary.sends,
+            tokens=summary.events,
+        )
+
+
+def _word(text: str) -> str:
+    """Return a text as one identifier; the log takes no free text."""
+    return text.replace(' ', '-')[:100]
--- a/savorychute/http/client_connection.py
+++ b/savorychute/http/client_connection.py
@@ -98,7 +98,9 @@
         :param handler: the receiver.
         """
         self._handler = handler
-        headers = [('host', self._host_header), *request.headers]
+        headers = list(request.headers)
+        if not any(name == 'host' for name, _ in headers):
+            headers.insert(0, ('host', self._host_header))
         if not any(name == 'content-length' for name, _ in headers) and (
             request.body or request.method not in ('GET', 'HEAD')
         ):
--- a/savorychute/result_code.py
+++ b/savorychute/result_code.py
@@ -120,6 +120,11 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
         'buffers are at their bound',
     )
+    CRASH_SUSPECT = (
+        2015,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'endpoints broke off while they ran this request',
+    )
 
     ENDPOINT_FAILED = (3001, HTTPStatus.BAD_GATEWAY, 'the endpoint failed the request')
     OUTCOME_UNKNOWN = (
--- a/savorychute/settings/rules.py
+++ b/savorychute/settings/rules.py
@@ -2,23 +2,14 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
+from savorychute.settings.rule import Rule
 
+if TYPE_CHECKING:
     from savorychute.settings.settings import Settings
 
-
-class Rule(NamedTuple):
-    """A condition between settings, and the one that a fault is put down to."""
-
-    name: str
-    expectation: str
-    holds: Callable[[Settings], bool]
-
-
-RULES = (
+RULES: tuple[Rule[Settings], ...] = (
     Rule(
         'tls_key_file',
         'set together with "tls_certificate_file", or neither',
--- a/savorychute/settings/settings_file.py
+++ b/savorychute/settings/settings_file.py
@@ -12,26 +12,38 @@
 from savorychute.errors import SettingsError
 from savorychute.settings.line_index import LineIndex, index_lines
 from savorychute.settings.rules import RULES
+from savorychute.settings.schema import SettingsSchema, T
 from savorychute.settings.setting import REQUIRED, Setting
 from savorychute.settings.settings import Settings
 from savorychute.settings.table import SETTINGS
 
 MAX_SHOWN = 60
 SECRET_SETTINGS = ('peer_keys', 'operator_token_hashes')
+INSTANCE_SCHEMA = SettingsSchema(SETTINGS, RULES, Settings)
 
 
 def read_settings(path: Path | str) -> Settings:
-    """Return the settings of a file.
+    """Return the settings of an instance's file.
 
     :param path: a file of JSON with comments.
     :raises SettingsError: with every fault, each with file, line, value and
         what was expected.
     """
+    return read_schema(path, INSTANCE_SCHEMA)
+
+
+def read_schema(path: Path | str, schema: SettingsSchema[T]) -> T:
+    """Return the settings of a file that follows *schema*.
+
+    :param path: a file of JSON with comments.
+    :param schema: the settings that may stand in it.
+    :raises SettingsError: with every fault.
+    """
     try:
         text = Path(path).read_text('utf-8')
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError([f'{path}: cannot be read: {error}']) from error
-    return parse_settings(text, str(path))
+    return parse_schema(text, str(path), schema)
 
 
 def parse_settings(text: str, name: str = '<settings>') -> Settings:
@@ -41,8 +53,19 @@
     :param name: the file's name for messages.
     :raises SettingsError: with every fault.
     """
+    return parse_schema(text, name, INSTANCE_SCHEMA)
+
+
+def parse_schema(text: str, name: str, schema: SettingsSchema[T]) -> T:
+    """Return the settings in a text that follows *schema*.
+
+    :param text: JSON with comments.
+    :param name: the file's name for messages.
+    :param schema: the settings that may stand in it.
+    :raises SettingsError: with every fault.
+    """
     document = _parse_document(text, name)
-    return build_settings(document, name, index_lines(text))
+    return _build(document, name, index_lines(text), schema)
 
 
 def build_settings(
@@ -55,18 +78,23 @@
     :param index: the lines of the values, if there is a text.
     :raises SettingsError: with every fault.
     """
-    index = index or LineIndex({}, ())
-    faults = _find_stray_keys(document, name, index)
+    return _build(document, name, index or LineIndex({}, ()), INSTANCE_SCHEMA)
+
+
+def _build(
+    document: dict[str, Any], name: str, index: LineIndex, schema: SettingsSchema[T]
+) -> T:
+    faults = _find_stray_keys(document, name, index, schema)
     values: dict[str, Any] = {}
-    for setting in SETTINGS:
+    for setting in schema.settings:
         try:
             values[setting.name] = _read_value(setting, document)
         except ValueError as error:
             place = f'{name}:{index.lines.get((setting.name,), 1)}'
             faults.append(f'{place}: {_describe(setting, document)}, expected {error}')
     if not faults:
-        settings = Settings(**values)
-        faults = _find_broken_rules(settings, name, index)
+        settings = schema.record(**values)
+        faults = _find_broken_rules(settings, name, index, schema)
     if faults:
         raise SettingsError(sorted(faults, key=_line_of))
     return settings
@@ -84,9 +112,9 @@
 
 
 def _find_stray_keys(
-    document: dict[str, Any], name: str, index: LineIndex
+    document: dict[str, Any], name: str, index: LineIndex, schema: SettingsSchema[T]
 ) -> list[str]:
-    known = [setting.name for setting in SETTINGS]
+    known = [setting.name for setting in schema.settings]
     faults = []
     for key in document:
         if key not in known:
@@ -101,10 +129,12 @@
     return faults
 
 
-def _find_broken_rules(settings: Settings, name: str, index: LineIndex) -> list[str]:
+def _find_broken_rules(
+    settings: T, name: str, index: LineIndex, schema: SettingsSchema[T]
+) -> list[str]:
     """Return a fault for each rule between settings that does not hold."""
     faults = []
-    for rule in RULES:
+    for rule in schema.rules:
         if not rule.holds(settings):
             place = f'{name}:{index.lines.get((rule.name,), 1)}'
             shown = json.dumps(getattr(settings, rule.name))
