Keep streams that must not pause away from long prompts

Cause: on one engine a step that reads a chunk of a 17,000 token prompt takes about 100 ms, an event holds three tokens, so the events of a breakdown diagnosis beside it come later than its 250 ms; 80 of 284 were late. And prompts were read again where a queue looked shorter by less than the reading costs. Ruled out: the gateway itself (p50 to the first event 124 ms, 0.024 cores).

--- a/savorychute/gateway/daemon/attempt_sender.py
+++ b/savorychute/gateway/daemon/attempt_sender.py
@@ -4,7 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+from savorychute.http.timed_call import submit_timed
+
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
     from savorychute.gateway.platform_adapter import PlatformAdapter
     from savorychute.gateway.requests.attempt_port import AttemptListener
     from savorychute.gateway.requests.outbound_attempt import OutboundAttempt
@@ -12,6 +17,9 @@
     from savorychute.http.client_call import ClientCall
     from savorychute.http.client_pool import ClientPool
 
+# A report needs no place in the batch; from a living engine it takes a few ms.
+PROBE_TIMEOUT_MS = 250
+
 
 class AttemptSender:
     """Turns attempts into calls of the pool.
@@ -36,6 +44,21 @@
             attempt.endpoint.address, request, handler, fresh=attempt.fresh
         )
 
+    def probe(self, endpoint: EndpointEntry, on_result: Callable[[bool], None]) -> None:
+        """Ask an engine for its report.
+
+        :param endpoint: the engine.
+        :param on_result: called with whether it answered in time.
+        """
+        submit_timed(
+            self._pool,
+            endpoint.address,
+            self._adapter.encode_probe(),
+            PROBE_TIMEOUT_MS,
+            lambda response: on_result(self._adapter.is_alive(response)),
+            lambda failure: on_result(False),  # noqa: ARG005
+        )
+
 
 class _AnswerHandler:
     """Decodes the head of an answer on its way to the listener."""
--- a/savorychute/gateway/endpoints/chooser.py
+++ b/savorychute/gateway/endpoints/chooser.py
@@ -11,7 +11,7 @@
     from collections.abc import Sequence
 
     from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
-    from savorychute.gateway.requests.prompt import Prompt
+    from savorychute.gateway.endpoints.need import Need
 
 
 class Choice(NamedTuple):
@@ -26,12 +26,12 @@
     """One way to choose."""
 
     def choose(
-        self, records: Sequence[EndpointRecord], prompt: Prompt | None, now_ms: int
+        self, records: Sequence[EndpointRecord], need: Need, now_ms: int
     ) -> Choice:
         """Return the best of some endpoints.
 
         :param records: the candidates, at least one.
-        :param prompt: of the request; None for a plain service.
+        :param need: of the request.
         :param now_ms: the time.
         """
         ...
--- /dev/null
+++ b/savorychute/gateway/endpoints/lane_split.py
@@ -0,0 +1,103 @@
+"""Keeps streams that must not pause away from long prompts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from savorychute.clock import MS_PER_S
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
+    from savorychute.gateway.endpoints.need import Need
+
+# An event of several tokens waits for as many steps, and a step that reads a chunk of a
+# long prompt takes about 100 ms: with a bound below this, one long prompt beside a
+# stream makes it late.
+STEADY_GAP_MS = 350
+# Engine time for a token: read in a prompt, and generated in a batch of usual size.
+READ_MS = 1 / 60
+GENERATED_MS = 0.35
+# Demand is averaged over about this time; bursts of some seconds should not move the
+# lanes, for each move reads cached prompts anew.
+MEMORY_S = 20.0
+# The wanted size must pass the border between two sizes by this much, in engines.
+HYSTERESIS = 0.7
+
+
+class LaneSplit:
+    """Divides engines into a steady lane and a lane for all else, by demand.
+
+    Every instance sees a like mix of requests and ranks the engines by the same hash, so
+    all arrive at about the same lanes without an exchange.
+    """
+
+    def __init__(self) -> None:
+        self._steady_ms = 0.0
+        self._other_ms = 0.0
+        self._noted_ms: int | None = None
+        self._size = 0
+
+    def note(self, need: Need, now_ms: int) -> None:
+        """Count the engine time that a request is expected to take.
+
+        :param need: of the request.
+        :param now_ms: the time.
+        """
+        self._fade(now_ms)
+        prompt = need.prompt
+        if prompt is None:
+            return
+        fresh_tokens = prompt.tokens - prompt.shared_tokens
+        work_ms = READ_MS * fresh_tokens + GENERATED_MS * prompt.answer_tokens
+        if is_steady(need):
+            self._steady_ms += work_ms
+        else:
+            self._other_ms += work_ms
+
+    def lane(
+        self, records: Sequence[EndpointRecord], need: Need
+    ) -> Sequence[EndpointRecord]:
+        """Return the engines of a request's lane.
+
+        :param records: all engines that it may use, at least one.
+        :param need: of the request.
+        """
+        size = self._resize(len(records))
+        if size == 0:
+            return records
+        ranked = sorted(records, key=_rank, reverse=True)
+        return ranked[:size] if is_steady(need) else ranked[size:]
+
+    def _resize(self, engines: int) -> int:
+        """Return how many engines the steady lane has; 0 for no lanes."""
+        total_ms = self._steady_ms + self._other_ms
+        if engines < 2 or not self._steady_ms or not self._other_ms:
+            return 0
+        wanted = engines * self._steady_ms / total_ms
+        if abs(wanted - self._size) > HYSTERESIS:
+            self._size = round(wanted)
+        return min(max(self._size, 1), engines - 1)
+
+    def _fade(self, now_ms: int) -> None:
+        if self._noted_ms is not None:
+            elapsed_s = max(0, now_ms - self._noted_ms) / MS_PER_S
+            kept = max(0.0, 1.0 - elapsed_s / MEMORY_S)
+            self._steady_ms *= kept
+            self._other_ms *= kept
+        self._noted_ms = now_ms
+
+
+def is_steady(need: Need) -> bool:
+    """Return whether a request's events must not pause.
+
+    :param need: of the request.
+    """
+    return 0 < need.gap_target_ms <= STEADY_GAP_MS
+
+
+def _rank(record: EndpointRecord) -> int:
+    return int(xxhash.xxh3_64_intdigest(record.entry.endpoint.encode()))
--- a/savorychute/gateway/endpoints/least_outstanding.py
+++ b/savorychute/gateway/endpoints/least_outstanding.py
@@ -12,7 +12,7 @@
     from collections.abc import Sequence
 
     from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
-    from savorychute.gateway.requests.prompt import Prompt
+    from savorychute.gateway.endpoints.need import Need
 
 # How much an endpoint that fails every request is avoided, in outstanding requests.
 FAILURE_WEIGHT = 8.0
@@ -36,7 +36,7 @@
     def choose(
         self,
         records: Sequence[EndpointRecord],
-        prompt: Prompt | None,  # noqa: ARG002
+        need: Need,  # noqa: ARG002
         now_ms: int,  # noqa: ARG002
     ) -> Choice:
         """Return the endpoint with the least cost."""
--- a/savorychute/gateway/platform_adapter.py
+++ b/savorychute/gateway/platform_adapter.py
@@ -76,6 +76,14 @@
         """Return what the head of an endpoint's answer says."""
         ...
 
+    def encode_probe(self) -> HttpRequest:
+        """Return the question for an engine's load report."""
+        ...
+
+    def is_alive(self, response: HttpResponse) -> bool:
+        """Return whether the answer to it shows a living engine."""
+        ...
+
     def decode_discovery(self, request: HttpRequest) -> DiscoveryQuestion | None:
         """Return a caller's question for addresses, or None for another request."""
         ...
--- a/savorychute/gateway/requests/attempt_port.py
+++ b/savorychute/gateway/requests/attempt_port.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
     from savorychute.gateway.requests.endpoint_answer import EndpointAnswer
     from savorychute.gateway.requests.outbound_attempt import OutboundAttempt
     from savorychute.http.call_failure import CallFailure
@@ -53,6 +54,10 @@
         """Start an attempt; no event comes before this method has returned."""
         ...
 
+    def probe(self, endpoint: EndpointEntry, on_result: Callable[[bool], None]) -> None:
+        """Ask an engine for a sign of life; tell whether it gave one in time."""
+        ...
+
 
 class TimerHandle(Protocol):
     """A timer that has been set."""
--- a/savorychute/gateway/requests/request_course.py
+++ b/savorychute/gateway/requests/request_course.py
@@ -6,6 +6,7 @@
 
 from savorychute.gateway.configuration.request_kind import RequestKind
 from savorychute.gateway.endpoints.chooser import open_records
+from savorychute.gateway.endpoints.need import Need
 from savorychute.gateway.recovery.crash_book import CrashSighting
 from savorychute.gateway.requests.attempt import Attempt
 from savorychute.gateway.requests.course_summary import CourseSummary
@@ -250,7 +251,8 @@
         if not candidates:
             return False
         chooser = self._parts.chooser(service)
-        choice = chooser.choose(candidates, self._request.prompt, now_ms)
+        need = Need(self._request.prompt, self._route.gap_target_ms)
+        choice = chooser.choose(candidates, need, now_ms)
         entry = choice.record.entry
         self._tried.add(entry.endpoint)
         self._sends += 1
@@ -306,10 +308,33 @@
             self._time_out()
             return
         if now_ms >= self._silence_ends_ms() and self._is_silent(now_ms):
-            self._leave_silent()
+            self._doubt()
             return
         self._arm_again(now_ms)
 
+    def _doubt(self) -> None:
+        """Find out whether a silent endpoint lives, or leave it.
+
+        A model engine that reads long prompts sends nothing for a while, and to leave it
+        would have the prompt read twice; it answers a probe beside its work.
+        """
+        attempt = self._attempt
+        assert attempt is not None
+        if not self._admitted.service.runs_models:
+            self._leave_silent()
+            return
+        entry = attempt.choice.record.entry
+        self._parts.attempts.probe(entry, lambda lives: self._probed(attempt, lives))
+        self._arm_again(self.now_ms())
+
+    def _probed(self, attempt: Attempt, lives: bool) -> None:
+        if self.finished or attempt.ended or attempt is not self._attempt:
+            return
+        if lives:
+            attempt.choice.record.heard_ms = self.now_ms()
+        else:
+            self._leave_silent()
+
     def _arm_again(self, now_ms: int) -> None:
         due_ms = min(self._admitted.end_ms, self._silence_ends_ms())
         delay_ms = max(RECHECK_MS, due_ms - now_ms)
