Reload the settings on SIGHUP, and count a crash only with evidence

And a test showed that three resets made a popular request a suspect. Ruled out for the first: a crash of the program (its exit code was 129 each time).

--- a/savorychute/cmd/gateway.py
+++ b/savorychute/cmd/gateway.py
@@ -34,12 +34,10 @@
         """Read the settings and run the gateway."""
         # Imported late: other commands need no daemon and start faster.
         from savorychute.gateway.daemon.run_gateway import run_gateway
-        from savorychute.gateway.settings.table import GATEWAY_SCHEMA
-        from savorychute.settings.settings_file import read_schema
 
         path = arguments.settings or os.environ.get(SETTINGS_VARIABLE)
         if not path:
             raise SettingsError(
                 [f'no settings file: name one, or set {SETTINGS_VARIABLE}']
             )
-        return run_gateway(read_schema(path, GATEWAY_SCHEMA))
+        return run_gateway(path)
--- a/savorychute/gateway/configuration/configuration_state.py
+++ b/savorychute/gateway/configuration/configuration_state.py
@@ -27,7 +27,7 @@
     def __init__(self, key_trust_ms: int, fresh_ms: int) -> None:
         self.table: RouteTable | None = None
         self.confirmed_ms = NEVER_MS
-        self._key_trust_ms = key_trust_ms
+        self.key_trust_ms = key_trust_ms
         self._fresh_ms = fresh_ms
 
     @property
@@ -62,7 +62,7 @@
 
         :param now_ms: the time.
         """
-        return self.age_ms(now_ms) <= self._key_trust_ms
+        return self.age_ms(now_ms) <= self.key_trust_ms
 
     def is_fresh(self, now_ms: int) -> bool:
         """Return whether a route that is missing here is missing for good.
--- a/savorychute/gateway/daemon/gateway_host.py
+++ b/savorychute/gateway/daemon/gateway_host.py
@@ -8,9 +8,11 @@
 from savorychute.clock import MS_PER_S
 from savorychute.gateway.daemon.caller_exchange import CallerExchange
 from savorychute.gateway.daemon.leaving import plan_leaving
+from savorychute.gateway.recovery.retry_allowance import RetryBounds
 from savorychute.gateway.requests.refusal import Refusal
 from savorychute.gateway.requests.request_course import RequestCourse
 from savorychute.gateway.translation_error import TranslationError
+from savorychute.logs import LogLevel
 from savorychute.ran import Ran
 from savorychute.result_code import ResultCode
 
@@ -22,6 +24,7 @@
     from savorychute.gateway.platform_adapter import PlatformAdapter
     from savorychute.gateway.requests.intake import Intake
     from savorychute.gateway.settings.gateway_settings import GatewaySettings
+    from savorychute.gateway.telemetry import GatewayTelemetry
     from savorychute.http.http_server import HttpServer
     from savorychute.http.server_exchange import ServerExchange
 
@@ -142,7 +145,28 @@
             response.status, tuple(response.headers.items()), response.body
         )
 
-    # -- configuration
+    # -- configuration and settings
+
+    @property
+    def telemetry(self) -> GatewayTelemetry:
+        """Where what happens is told."""
+        return self._parts.telemetry
+
+    def apply_settings(self, settings: GatewaySettings) -> None:
+        """Follow changed settings, as far as a running process can.
+
+        Addresses stay until the next start: a listening socket that moved would cut
+        off those who use it.
+
+        :param settings: the new ones.
+        """
+        self._settings = settings
+        self._plan = plan_leaving(settings.grace_ms)
+        self._parts.telemetry.log.level = LogLevel[settings.log_level.upper()]
+        self._parts.allowance.bounds = RetryBounds(
+            settings.retry_ratio, settings.retry_window_ms, settings.retry_slack
+        )
+        self._parts.configuration.key_trust_ms = settings.key_trust_ms
 
     def apply_limits(self, deployment: Deployment) -> None:
         """Follow a version of the configuration that is now in force.
--- a/savorychute/gateway/daemon/run_gateway.py
+++ b/savorychute/gateway/daemon/run_gateway.py
@@ -15,6 +15,7 @@
 from savorychute.gateway.daemon.gateway_host import GatewayHost
 from savorychute.gateway.daemon.loop_timers import LoopTimers
 from savorychute.gateway.daemon.peer_group import PeerGroup
+from savorychute.gateway.daemon.settings_watch import SettingsWatch
 from savorychute.gateway.discovery.instance_directory import InstanceDirectory
 from savorychute.gateway.endpoints import load_choosers
 from savorychute.gateway.endpoints.chooser import CHOOSERS
@@ -24,6 +25,7 @@
 from savorychute.gateway.recovery.crash_book import CrashBook
 from savorychute.gateway.recovery.retry_allowance import RetryAllowance, RetryBounds
 from savorychute.gateway.requests.intake import Intake
+from savorychute.gateway.settings.table import GATEWAY_SCHEMA
 from savorychute.gateway.store.configuration_listener import ConfigurationListener
 from savorychute.gateway.store.endpoint_listener import EndpointListener
 from savorychute.gateway.store.pace import Pace
@@ -40,9 +42,11 @@
 from savorychute.http.http_server import HttpServer, listen
 from savorychute.logs import InstanceLog, LogLevel, capture_libraries, open_log
 from savorychute.member_address import MemberAddress
+from savorychute.settings.settings_file import read_schema
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
+    from pathlib import Path
 
     from savorychute.clock import Clock
     from savorychute.gateway.platform_adapter import PlatformAdapter
@@ -64,28 +68,37 @@
 BYTES_PER_MB = 1 << 20
 
 
-def run_gateway(settings: GatewaySettings) -> int:
+def run_gateway(path: Path | str) -> int:
     """Run a gateway until it is told to leave; return the exit code.
 
-    SIGTERM and SIGINT make it leave gracefully, however often they come.
+    SIGTERM and SIGINT make it leave gracefully, however often they come.  SIGHUP
+    reads the settings anew.
 
-    :param settings: of the instance.
+    :param path: the settings file.
+    :raises SettingsError: if it has faults.
     """
+    settings = read_schema(path, GATEWAY_SCHEMA)
     log = InstanceLog(settings.instance, LogLevel[settings.log_level.upper()])
     with ExitStack() as stack:
         stack.enter_context(open_log(sys.stdout.buffer))
         stack.enter_context(capture_libraries(log))
-        asyncio.run(_serve(settings, log))
+        asyncio.run(_serve(path, settings, log))
     return EXIT_OK
 
 
-async def _serve(settings: GatewaySettings, log: InstanceLog) -> None:
+async def _serve(path: Path | str, settings: GatewaySettings, log: InstanceLog) -> None:
     loop = asyncio.get_running_loop()
     told_to_leave = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told_to_leave.set)
+    # Until there is a host to tell, the signal must not end the process.
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)
     async with run_host(settings, log) as host:
+        watch = SettingsWatch(path, settings, host.telemetry, host.apply_settings)
+        loop.add_signal_handler(signal.SIGHUP, watch.reload)
+        watching = loop.create_task(watch.run())
         await told_to_leave.wait()
+        watching.cancel()
         log.info('instance-leaving')
         await host.leave()
     log.info('instance-stopped')
@@ -141,16 +154,17 @@
     bounds = RetryBounds(
         settings.retry_ratio, settings.retry_window_ms, settings.retry_slack
     )
+    crashes = CrashBook()
     parts = GatewayParts(
         clock=clock,
         timers=LoopTimers(),
         attempts=AttemptSender(endpoints, adapter),
         configuration=configuration,
-        roster=EndpointRoster(),
+        roster=EndpointRoster(crashes.endpoint_ended, clock),
         model_chooser=CHOOSERS.get('prompt-cache')(settings.failure_domain, rng),
         service_chooser=CHOOSERS.get('least-outstanding')(settings.failure_domain, rng),
         allowance=RetryAllowance(bounds),
-        crashes=CrashBook(),
+        crashes=crashes,
         telemetry=telemetry,
     )
     own = MemberAddress(
--- /dev/null
+++ b/savorychute/gateway/daemon/settings_watch.py
@@ -0,0 +1,82 @@
+"""Follows the settings file while the gateway runs."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from typing import TYPE_CHECKING
+
+from savorychute.clock import MS_PER_S
+from savorychute.errors import SettingsError
+from savorychute.gateway.settings.table import GATEWAY_SCHEMA
+from savorychute.settings.settings_file import read_schema
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from pathlib import Path
+
+    from savorychute.gateway.settings.gateway_settings import GatewaySettings
+    from savorychute.gateway.telemetry import GatewayTelemetry
+
+# A change without a signal is in force within the two seconds that a change of the
+# configuration may take.
+LOOK_MS = 1_000
+
+
+class SettingsWatch:
+    """Reads the file anew at a signal, and when its date changes.
+
+    A file with faults changes nothing: the process goes on with the settings it has
+    and logs the faults.  Without a handler the signal would end the process, and with
+    it every request in progress.
+
+    :param path: the file.
+    :param settings: what was read at the start.
+    :param telemetry: is told of each reload.
+    :param on_change: called with settings that differ.
+    """
+
+    def __init__(
+        self,
+        path: Path | str,
+        settings: GatewaySettings,
+        telemetry: GatewayTelemetry,
+        on_change: Callable[[GatewaySettings], None],
+    ) -> None:
+        self._path = path
+        self._settings = settings
+        self._telemetry = telemetry
+        self._on_change = on_change
+        self._date_ns = self._read_date()
+
+    async def run(self) -> None:
+        """Look at the file's date until the task is cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_MS / MS_PER_S)
+            if self._read_date() != self._date_ns:
+                self.reload()
+
+    def reload(self) -> None:
+        """Read the file, and put what changed in force."""
+        self._date_ns = self._read_date()
+        try:
+            settings = read_schema(self._path, GATEWAY_SCHEMA)
+        except SettingsError as error:
+            self._telemetry.settings_rejected(error)
+            return
+        changed = [
+            name
+            for name in settings._fields
+            if getattr(settings, name) != getattr(self._settings, name)
+        ]
+        self._telemetry.settings_reloaded(changed)
+        if changed:
+            self._settings = settings
+            self._on_change(settings)
+
+    def _read_date(self) -> int:
+        try:
+            return os.stat(self._path).st_mtime_ns
+        except OSError:
+            # The file is being replaced; the next look finds the new one.
+            return self._date_ns if hasattr(self, '_date_ns') else 0
--- a/savorychute/gateway/endpoints/endpoint_roster.py
+++ b/savorychute/gateway/endpoints/endpoint_roster.py
@@ -7,8 +7,9 @@
 from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Callable, Iterable, Iterator
 
+    from savorychute.clock import Clock
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
 
 # Entries that lapsed during an outage of the store are written again within about two
@@ -25,9 +26,14 @@
     gone, or once another endpoint has answered at its address.  Only entries that
     vanish around an outage of the store stay in use for a while: nobody could renew
     them, so their absence says little.
+
+    :param on_ended: called with the name of each endpoint that ended and its time.
+    :param clock: the time.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, on_ended: Callable[[str, int], None], clock: Clock) -> None:
+        self._on_ended = on_ended
+        self._clock = clock
         self._records: dict[str, EndpointRecord] = {}
         self._by_service: dict[str, dict[str, EndpointRecord]] = {}
         self._ended: dict[str, None] = {}
@@ -131,3 +137,5 @@
         entry = record.entry
         self._records.pop(entry.endpoint, None)
         self._by_service[entry.service].pop(entry.endpoint, None)
+        if not entry.draining:
+            self._on_ended(entry.endpoint, self._clock.now_ms())
--- a/savorychute/gateway/recovery/crash_book.py
+++ b/savorychute/gateway/recovery/crash_book.py
@@ -13,6 +13,10 @@
 CRASHES = 3
 KEPT = 1_024
 LIFETIME_MS = 120_000
+# A run that broke off is put down to a crash if its endpoint is found gone within the
+# time in which the platform notices: its entry lapses after three missed heartbeats.
+EVIDENCE_MS = 6_000
+WAITING_KEPT = 512
 
 
 class CrashSighting(NamedTuple):
@@ -28,20 +32,38 @@
     A request that crashes whatever runs it comes again from its caller, at any
     instance, and would take down one endpoint after the other.  Instances tell each
     other what they saw; from the third endpoint on the request is not run.
+
+    A connection that is reset proves no crash, and popular requests meet many resets
+    where a network is bad; a sighting counts once the endpoint is found gone.
     """
 
     def __init__(self) -> None:
         self._endpoints: OrderedDict[str, dict[str, int]] = OrderedDict()
+        self._waiting: OrderedDict[CrashSighting, int] = OrderedDict()
         self._fresh: list[CrashSighting] = []
 
-    def note(self, sighting: CrashSighting, now_ms: int) -> None:
-        """Take in what this instance saw.
+    def broke_off(self, sighting: CrashSighting, now_ms: int) -> None:
+        """Take in that an endpoint broke off while it ran a request.
 
         :param sighting: request and endpoint.
         :param now_ms: the time.
         """
-        if self._add(sighting, now_ms):
-            self._fresh.append(sighting)
+        self._waiting[sighting] = now_ms
+        if len(self._waiting) > WAITING_KEPT:
+            self._waiting.popitem(last=False)
+
+    def endpoint_ended(self, endpoint: str, now_ms: int) -> None:
+        """Take in that an endpoint is gone, or refuses connections.
+
+        :param endpoint: its name.
+        :param now_ms: the time.
+        """
+        for sighting, seen_ms in list(self._waiting.items()):
+            if sighting.endpoint != endpoint:
+                continue
+            del self._waiting[sighting]
+            if now_ms - seen_ms <= EVIDENCE_MS and self._add(sighting, now_ms):
+                self._fresh.append(sighting)
 
     def take_in(self, sightings: Iterable[CrashSighting], now_ms: int) -> None:
         """Take in what other instances saw.
--- a/savorychute/gateway/recovery/retry_allowance.py
+++ b/savorychute/gateway/recovery/retry_allowance.py
@@ -49,7 +49,7 @@
     """
 
     def __init__(self, bounds: RetryBounds) -> None:
-        self._bounds = bounds
+        self.bounds = bounds
         self._windows: dict[str, _Window] = {}
         self.instances = 1
 
@@ -68,8 +68,8 @@
         :param now_ms: the time.
         """
         window = self._window(service, now_ms)
-        slack = self._bounds.slack / max(1, self.instances)
-        bound = SAFE_SHARE * (self._bounds.ratio * len(window.requests) + slack)
+        slack = self.bounds.slack / max(1, self.instances)
+        bound = SAFE_SHARE * (self.bounds.ratio * len(window.requests) + slack)
         if len(window.repeats) + 1 > bound:
             return False
         window.repeats.append(now_ms)
@@ -79,5 +79,5 @@
         window = self._windows.get(service)
         if window is None:
             window = self._windows[service] = _Window()
-        window.expire(now_ms - self._bounds.window_ms)
+        window.expire(now_ms - self.bounds.window_ms)
         return window
--- a/savorychute/gateway/requests/request_course.py
+++ b/savorychute/gateway/requests/request_course.py
@@ -121,7 +121,9 @@
 
     def attempt_unsent(self, attempt: Attempt, reason: str) -> None:
         """Go on after an attempt of which no byte has left."""
-        attempt.choice.record.health.silent(self.now_ms())
+        record = attempt.choice.record
+        record.health.silent(self.now_ms())
+        self._parts.crashes.endpoint_ended(record.entry.endpoint, self.now_ms())
         self._log_attempt(attempt, 'unsent', reason)
         self._sends -= 1
         if self._may_go_on() and self._send():
@@ -136,7 +138,7 @@
         self.possible_runs += 1
         if reason == 'connection-lost':
             sighting = CrashSighting(self._admitted.fingerprint, record.entry.endpoint)
-            self._parts.crashes.note(sighting, now_ms)
+            self._parts.crashes.broke_off(sighting, now_ms)
         self._log_attempt(attempt, 'broke', reason)
         if not self._repeat():
             self._give_up(reason)
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -5,7 +5,9 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from savorychute.errors import SavorychuteError
+    from collections.abc import Sequence
+
+    from savorychute.errors import SavorychuteError, SettingsError
     from savorychute.gateway.configuration.deployment import Deployment
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
     from savorychute.gateway.requests.admitted import Admitted
@@ -17,6 +19,7 @@
     from savorychute.membership.member_change import MemberChange
 
 OK_OUTCOMES = ('answered',)
+WORD_CHARS = 100
 
 
 class GatewayTelemetry:
@@ -50,6 +53,21 @@
             'record-unreadable', item=topic, record_id=key, reason=_word(error.message)
         )
 
+    def settings_reloaded(self, changed: Sequence[str]) -> None:
+        """Log that the settings were read anew."""
+        self.log.info(
+            'settings-reloaded', count=len(changed), item=','.join(changed)[:WORD_CHARS]
+        )
+
+    def settings_rejected(self, error: SettingsError) -> None:
+        """Log that a new settings file has faults and changes nothing."""
+        self.log.error(
+            'settings-rejected',
+            code=error.code.number,
+            count=len(error.faults),
+            reason=_word(error.faults[0]),
+        )
+
     # -- beliefs
 
     def configuration_applied(self, deployment: Deployment, offset: int) -> None:
@@ -155,4 +173,4 @@
 
 def _word(text: str) -> str:
     """Return a text as one identifier; the log takes no free text."""
-    return text.replace(' ', '-')[:100]
+    return text.replace(' ', '-')[:WORD_CHARS]
--- /dev/null
+++ b/tests/test_gateway/gateway_fakes.py
@@ -0,0 +1,323 @@
+"""Ports of a gateway that tests drive by hand."""
+
+from __future__ import annotations
+
+import random
+from typing import NamedTuple
+
+from savorychute.clock import ManualClock
+from savorychute.gateway.configuration.caller_limits import CallerLimits
+from savorychute.gateway.configuration.configuration_state import ConfigurationState
+from savorychute.gateway.configuration.deployment import Deployment
+from savorychute.gateway.configuration.organisation import Organisation
+from savorychute.gateway.configuration.request_kind import RequestKind
+from savorychute.gateway.configuration.route import Route
+from savorychute.gateway.configuration.service import Service
+from savorychute.gateway.configuration.service_share import ServiceShare
+from savorychute.gateway.endpoints import load_choosers
+from savorychute.gateway.endpoints.chooser import CHOOSERS
+from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
+from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
+from savorychute.gateway.parts import GatewayParts
+from savorychute.gateway.recovery.crash_book import CrashBook
+from savorychute.gateway.recovery.retry_allowance import RetryAllowance, RetryBounds
+from savorychute.gateway.requests.endpoint_answer import AnswerKind, EndpointAnswer
+from savorychute.gateway.requests.inbound_request import InboundRequest
+from savorychute.gateway.requests.intake import Intake
+from savorychute.gateway.requests.prompt import Prompt, PromptPart
+from savorychute.gateway.requests.request_course import RequestCourse
+from savorychute.gateway.telemetry import GatewayTelemetry
+from savorychute.http.call_failure import CallFailure
+from savorychute.http.client_pool import ServerAddress
+from savorychute.http.http_request import HttpRequest
+from savorychute.logs import InstanceLog
+
+START_MS = 1_000_000
+LIMITS = CallerLimits(16_384, 1 << 22, 3_000, 15_000)
+KEY = 'kochi-key'
+PROOF = (('server-signature', 'proof'),)
+SUCCESS = EndpointAnswer(AnswerKind.SUCCESS, 200, PROOF, is_stream=False)
+STREAM = EndpointAnswer(AnswerKind.SUCCESS, 200, PROOF, is_stream=True)
+FAILURE = EndpointAnswer(AnswerKind.FAILURE, 500, PROOF, is_stream=False)
+REJECTION = EndpointAnswer(AnswerKind.NOT_RUN, 503, (), is_stream=False)
+ELSEWHERE = EndpointAnswer(AnswerKind.OTHER_ENDPOINT, 421, (), is_stream=False)
+FOREIGN = EndpointAnswer(AnswerKind.FOREIGN, 200, PROOF, is_stream=False)
+
+
+class FakeTimer:
+    """A timer that goes off when the test moves the clock."""
+
+    def __init__(self, due_ms, callback):
+        self.due_ms = due_ms
+        self.callback = callback
+
+    def cancel(self):
+        self.callback = None
+
+
+class FakeTimers:
+    """Timers on a manual clock."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._timers = []
+
+    def call_later(self, delay_ms, callback):
+        timer = FakeTimer(self._clock.now_ms() + delay_ms, callback)
+        self._timers.append(timer)
+        return timer
+
+    def advance(self, duration_ms):
+        """Move the clock, and let each timer go off at its time."""
+        end_ms = self._clock.now_ms() + duration_ms
+        while True:
+            self._timers = [each for each in self._timers if each.callback]
+            due = [each for each in self._timers if each.due_ms <= end_ms]
+            if not due:
+                break
+            timer = min(due, key=lambda each: each.due_ms)
+            self._clock.advance_to(timer.due_ms)
+            callback, timer.callback = timer.callback, None
+            callback()
+        self._clock.advance_to(end_ms)
+
+
+class FakeAttempt:
+    """An attempt whose answer the test plays."""
+
+    def __init__(self, attempt, listener):
+        self.attempt = attempt
+        self.listener = listener
+        self.cancelled = False
+
+    @property
+    def endpoint(self):
+        return self.attempt.endpoint.endpoint
+
+    def cancel(self):
+        self.cancelled = True
+
+    def reach(self):
+        """Let the request go out."""
+        assert self.listener.may_send()
+
+    def answer(self, head, body=b''):
+        """Answer as a whole."""
+        self.reach()
+        self.listener.answer_began(head)
+        if body:
+            self.listener.answer_data(body)
+        self.listener.answer_ended()
+
+    def begin(self, head, body=b''):
+        """Begin an answer."""
+        self.reach()
+        self.listener.answer_began(head)
+        if body:
+            self.listener.answer_data(body)
+
+    def lose(self, sent=True):
+        """Break the connection."""
+        self.listener.attempt_failed(CallFailure(sent, sent, 'reset'))
+
+
+class FakeAttempts:
+    """Keeps what is sent."""
+
+    def __init__(self):
+        self.sent = []
+        self.probes = []
+        self.lives = True
+
+    def send(self, attempt, listener):
+        self.sent.append(FakeAttempt(attempt, listener))
+        return self.sent[-1]
+
+    def probe(self, endpoint, on_result):
+        self.probes.append(endpoint.endpoint)
+        on_result(self.lives)
+
+
+class FakeCaller:
+    """Keeps what the caller gets."""
+
+    def __init__(self):
+        self.status = None
+        self.body = b''
+        self.state = 'waiting'
+        self.refusal = None
+
+    def respond(self, status, headers, body):
+        del headers
+        self.status, self.body, self.state = status, body, 'whole'
+
+    def begin(self, status, headers):
+        del headers
+        self.status, self.state = status, 'begun'
+
+    def send(self, data):
+        self.body += data
+
+    def finish(self):
+        self.state = 'whole'
+
+    def cut(self):
+        self.state = 'cut'
+
+    def refuse(self, refusal):
+        self.refusal = refusal
+        self.status, self.state = refusal.code.status, 'refused'
+
+
+class Scene(NamedTuple):
+    """One gateway with its ports."""
+
+    parts: GatewayParts
+    clock: ManualClock
+    timers: FakeTimers
+    attempts: FakeAttempts
+    intake: Intake
+
+    def advance(self, duration_ms):
+        self.timers.advance(duration_ms)
+
+    def admit(self, path='/visit/1', key=KEY, **fields):
+        """Return what the intake says of a request."""
+        request = make_request(path, key, **fields)
+        return self.intake.admit(request, self.clock.now_ms())
+
+    def start(self, path='/visit/1', **fields):
+        """Admit and start a request; return its course and its caller."""
+        request = make_request(path, **fields)
+        admitted = self.intake.admit(request, self.clock.now_ms())
+        caller = FakeCaller()
+        course = RequestCourse(self.parts, request, admitted, caller)
+        course.start()
+        return course, caller
+
+    @property
+    def last(self):
+        """The attempt that was sent last."""
+        return self.attempts.sent[-1]
+
+
+def make_route(name, kind, **fields):
+    values = {
+        'name': name,
+        'host': 'desk.example',
+        'path_prefix': f'/{name}/',
+        'kind': kind,
+        'timeout_ms': 3_000,
+        'target_ms': 300,
+        'gap_target_ms': 0,
+        'tier': 2,
+        'shares': (ServiceShare('desk', 1.0),),
+        'max_attempts': 2,
+        'public': False,
+        'keeps_prompts': False,
+        'resumable': False,
+    }
+    return Route(**(values | fields))
+
+
+POOL = (ServiceShare('pool', 1.0),)
+ROUTES = (
+    make_route('visit', RequestKind.IDEMPOTENT),
+    make_route('parts', RequestKind.NON_IDEMPOTENT, max_attempts=1),
+    make_route(
+        'diagnosis',
+        RequestKind.STREAM,
+        shares=POOL,
+        target_ms=1_500,
+        timeout_ms=12_000,
+        gap_target_ms=250,
+        tier=0,
+        resumable=True,
+    ),
+    make_route(
+        'draft',
+        RequestKind.STREAM,
+        shares=POOL,
+        target_ms=1_500,
+        timeout_ms=6_000,
+        gap_target_ms=400,
+        max_attempts=1,
+    ),
+    make_route('open', RequestKind.IDEMPOTENT, public=True),
+)
+
+
+def make_deployment(version=1, routes=ROUTES, organisations=None):
+    if organisations is None:
+        organisations = (Organisation('kochi', (KEY,)),)
+    services = (
+        Service('desk', '/healthz', 100, False),
+        Service('pool', '/healthz', 300, True),
+    )
+    return Deployment(version, routes, services, organisations, LIMITS)
+
+
+def make_entry(endpoint, service='desk', **fields):
+    values = {
+        'endpoint': endpoint,
+        'service': service,
+        'address': ServerAddress('10.0.0.9', 8000),
+        'failure_domain': 'hall',
+        'slots': 6,
+        'draining': False,
+        'warm_up_ms': 0,
+        'sequence': 1,
+    }
+    return EndpointEntry(**(values | fields))
+
+
+def make_request(path='/visit/1', key=KEY, **fields):
+    method = fields.pop('method', 'GET')
+    body = fields.pop('body', b'')
+    values = {
+        'attempt_id': 'a1',
+        'host': 'desk.example',
+        'path': path,
+        'key': key,
+        'deadline_ms': None,
+        'last_event': '',
+        'prompt': None,
+        'raw': HttpRequest(method, path, (), body),
+    }
+    return InboundRequest(**(values | fields))
+
+
+def make_prompt(affinity='p', shared=13_000, own=4_000, answer=100):
+    parts = (PromptPart(affinity, shared), PromptPart('own', own))
+    return Prompt('m', shared + own, answer, parts)
+
+
+def make_scene(desks=3, engines=3, seed=5, slack=50):
+    clock = ManualClock(START_MS)
+    timers = FakeTimers(clock)
+    attempts = FakeAttempts()
+    rng = random.Random(seed)
+    load_choosers()
+    configuration = ConfigurationState(key_trust_ms=4_500, fresh_ms=3_000)
+    configuration.apply(make_deployment())
+    configuration.confirm(clock.now_ms())
+    crashes = CrashBook()
+    roster = EndpointRoster(crashes.endpoint_ended, clock)
+    for number in range(desks):
+        roster.apply(make_entry(f'd{number}'))
+    for number in range(engines):
+        roster.apply(make_entry(f'e{number}', 'pool', slots=64))
+    parts = GatewayParts(
+        clock=clock,
+        timers=timers,
+        attempts=attempts,
+        configuration=configuration,
+        roster=roster,
+        model_chooser=CHOOSERS.get('prompt-cache')('hall', rng),
+        service_chooser=CHOOSERS.get('least-outstanding')('hall', rng),
+        allowance=RetryAllowance(RetryBounds(0.2, 10_000, slack)),
+        crashes=crashes,
+        telemetry=GatewayTelemetry(InstanceLog('kochi-1')),
+    )
+    intake = Intake(configuration, parts.crashes, rng)
+    return Scene(parts, clock, timers, attempts, intake)
--- /dev/null
+++ b/tests/test_gateway/test_choosers.py
@@ -0,0 +1,130 @@
+"""Tests of how an endpoint is chosen."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+from gateway_fakes import make_entry, make_prompt
+
+from savorychute.gateway.endpoints import load_choosers
+from savorychute.gateway.endpoints.chooser import CHOOSERS, open_records
+from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
+from savorychute.gateway.endpoints.need import Need
+
+LONG_GAP_MS = 1_000
+STEADY_GAP_MS = 250
+
+
+@pytest.fixture
+def engines():
+    return [EndpointRecord(make_entry(f'e{n}', 'pool', slots=64)) for n in range(9)]
+
+
+def make_chooser(name='prompt-cache', seed=3):
+    load_choosers()
+    return CHOOSERS.get(name)('hall', random.Random(seed))
+
+
+def choose_names(chooser, engines, need, count=1):
+    names = []
+    for number in range(count):
+        names.append(
+            chooser.choose(engines, need, 1_000 + number).record.entry.endpoint
+        )
+    return names
+
+
+def test_instances_send_a_shared_prompt_to_one_engine(engines):
+    """A prompt that every engine read.
+
+    Eight instances serve requests on one pump's history.  Without a word between them
+    they must choose the same engine, or 13,000 tokens are read eight times.
+    """
+    need = Need(make_prompt('pump-7'), LONG_GAP_MS)
+
+    chosen = {
+        name
+        for seed in range(8)
+        for name in choose_names(make_chooser(seed=seed), engines, need, 3)
+    }
+
+    assert len(chosen) == 1
+
+
+def test_different_prompts_spread(engines):
+    chooser = make_chooser()
+    chosen = Counter(
+        name
+        for number in range(90)
+        for name in choose_names(
+            chooser, engines, Need(make_prompt(f'p{number}'), LONG_GAP_MS)
+        )
+    )
+
+    assert len(chosen) == 9
+
+
+def test_streams_that_must_not_pause_are_kept_from_long_prompts(engines):
+    """A diagnosis that stuttered.
+
+    A prompt of 17,000 tokens is read in chunks of 100 ms each, and every event of a
+    stream beside it waits for three of them, beyond its bound of 250 ms.
+    """
+    chooser = make_chooser()
+    steady, others = set(), set()
+    for number in range(60):
+        long_need = Need(make_prompt(f'p{number % 20}'), LONG_GAP_MS)
+        short = make_prompt(f's{number % 20}', shared=350, own=1_100, answer=170)
+        others.update(choose_names(chooser, engines, long_need))
+        steady.update(choose_names(chooser, engines, Need(short, STEADY_GAP_MS)))
+        if number == 5:
+            steady.clear()
+            others.clear()
+
+    assert steady
+    assert not steady & others
+
+
+def test_full_home_is_left_for_the_next_in_the_ranking(engines):
+    chooser = make_chooser()
+    need = Need(make_prompt('pump-7'), LONG_GAP_MS)
+    home = chooser.choose(engines, need, 1_000).record
+    home.prefill_tokens = 200_000
+
+    chosen = {
+        name
+        for seed in range(8)
+        for name in choose_names(make_chooser(seed=seed), engines, need)
+    }
+
+    assert len(chosen) == 1
+    assert home.entry.endpoint not in chosen
+
+
+def test_failing_endpoint_is_avoided_by_comparison_with_the_others():
+    """A grey server.
+
+    Its liveness check is good, and it fails four of ten requests.  One request in
+    seven fails at any endpoint by its own fault; that must block nobody.
+    """
+    records = [EndpointRecord(make_entry(f'd{number}')) for number in range(3)]
+    for _ in range(40):
+        for record in records:
+            record.health.succeeded()
+        records[0].health.failed()
+
+    chooser = make_chooser('least-outstanding')
+    chosen = Counter(choose_names(chooser, records, Need(), 100))
+
+    assert chosen['d0'] < 5
+
+
+def test_blocked_endpoints_are_used_when_no_other_is_left():
+    records = [EndpointRecord(make_entry(f'd{number}')) for number in range(2)]
+    records[0].health.silent(1_000)
+    assert open_records(records, frozenset(), 1_001) == [records[1]]
+    records[1].health.silent(1_000)
+
+    assert open_records(records, frozenset(), 1_001) == records
--- /dev/null
+++ b/tests/test_gateway/test_configuration_state.py
@@ -0,0 +1,87 @@
+"""Tests of the version in force and of trust in keys."""
+
+from __future__ import annotations
+
+import pytest
+from gateway_fakes import START_MS, make_deployment, make_route, make_scene
+
+from savorychute.gateway.configuration.request_kind import RequestKind
+from savorychute.gateway.configuration.route_table import RouteTable
+from savorychute.result_code import ResultCode
+
+
+def test_older_version_is_never_put_in_force_again(scene):
+    """A configuration that went backwards.
+
+    A version is in force; a listing that was under way shows the one before it.
+    """
+    configuration = scene.parts.configuration
+    assert configuration.apply(make_deployment(version=7))
+    assert not configuration.apply(make_deployment(version=3))
+
+    assert configuration.version == 7
+
+
+def test_keys_are_refused_when_the_store_has_been_silent(scene):
+    """A revoked key that went on working.
+
+    The store turns this instance away; meanwhile a key is taken back.  Beyond the time
+    of trust no key may be accepted, for nobody here knows which ones were revoked.
+    """
+    scene.advance(4_500)
+    assert scene.admit().tier == 2
+    scene.advance(1)
+
+    verdict = scene.admit()
+
+    assert verdict.code is ResultCode.NOT_READY
+    assert scene.admit('/open/1', key='').tier == 2
+
+
+@pytest.mark.parametrize(
+    ('path', 'key', 'code'),
+    [
+        ('/absent/1', 'kochi-key', ResultCode.NOT_FOUND),
+        ('/visit/1', 'nobody', ResultCode.UNAUTHENTICATED),
+        ('/visit/1', '', ResultCode.UNAUTHENTICATED),
+    ],
+)
+def test_absence_is_a_fact_only_while_it_is_fresh(scene, path, key, code):
+    """A 404 for a route that exists.
+
+    A route was added while this instance was out of touch.  A caller does not repeat a
+    request elsewhere after 404 or 401, but it does after 503.
+    """
+    assert scene.admit(path, key).code is code
+    scene.advance(3_001)
+
+    assert scene.admit(path, key).code is ResultCode.NOT_READY
+
+
+def test_nothing_is_known_before_the_first_configuration():
+    scene = make_scene()
+    scene.parts.configuration.table = None
+
+    assert scene.admit().code is ResultCode.NOT_READY
+
+
+def test_longest_prefix_wins():
+    routes = (
+        make_route('a', RequestKind.IDEMPOTENT, path_prefix='/a/'),
+        make_route('ab', RequestKind.IDEMPOTENT, path_prefix='/a/b/'),
+        make_route('root', RequestKind.IDEMPOTENT, path_prefix='/', host='other'),
+    )
+    table = RouteTable(make_deployment(routes=routes))
+
+    assert table.find_route('desk.example', '/a/b/c').name == 'ab'
+    assert table.find_route('desk.example', '/a/bc').name == 'a'
+    assert table.find_route('desk.example', '/a') is None
+    assert table.find_route('other', '/x').name == 'root'
+
+
+def test_confirmation_counts_from_the_begin_of_the_read(scene):
+    configuration = scene.parts.configuration
+    configuration.confirm(START_MS + 100)
+    configuration.confirm(START_MS + 50)
+
+    assert configuration.age_ms(START_MS + 150) == 50
--- /dev/null
+++ b/tests/test_gateway/test_retry_allowance.py
@@ -0,0 +1,40 @@
+"""Tests of the bound on repeats that all instances share."""
+
+from __future__ import annotations
+
+from savorychute.gateway.recovery.retry_allowance import RetryAllowance, RetryBounds
+
+BOUNDS = RetryBounds(ratio=0.2, window_ms=10_000, slack=56)
+
+
+def test_all_instances_together_stay_below_the_bound():
+    """A retry storm of eight instances.
+
+    None of them asks another; their parts of the slack must not add up to more.
+    """
+    spent = 0
+    for _ in range(8):
+        allowance = RetryAllowance(BOUNDS)
+        allowance.instances = 8
+        for _ in range(20):
+            allowance.request('pool', 1_000)
+        spent += sum(allowance.try_spend('pool', 1_000) for _ in range(100))
+
+    assert 0 < spent <= 0.2 * 160 + 56
+
+
+def test_spent_repeats_come_back_after_the_window():
+    allowance = RetryAllowance(BOUNDS)
+    while allowance.try_spend('pool', 1_000):
+        pass
+
+    assert not allowance.try_spend('pool', 10_999)
+    assert allowance.try_spend('pool', 11_000)
+
+
+def test_services_do_not_share_a_window():
+    allowance = RetryAllowance(BOUNDS)
+    while allowance.try_spend('pool', 1_000):
+        pass
+
+    assert allowance.try_spend('desk', 1_000)
--- /dev/null
+++ b/tests/test_gateway/test_settings_watch.py
@@ -0,0 +1,84 @@
+"""Tests of a settings file that changes while a gateway runs."""
+
+from __future__ import annotations
+
+import json
+import os
+from pathlib import Path
+
+import pytest
+
+from savorychute.gateway.daemon.settings_watch import SettingsWatch
+from savorychute.gateway.platform_adapter import PLATFORMS
+from savorychute.gateway.settings.table import GATEWAY_SCHEMA
+from savorychute.gateway.telemetry import GatewayTelemetry
+from savorychute.logs import InstanceLog
+from savorychute.settings.settings_file import read_schema
+
+DOCUMENT = {
+    'instance': 'kochi-1',
+    'region': 'kerala',
+    'failure_domain': 'kochi',
+    'caller_address': '127.0.0.1:8001',
+    'readiness_address': '127.0.0.1:8002',
+    'discovery_address': '127.0.0.1:8003',
+    'metrics_port': 8004,
+    'peer_port': 8005,
+    'store_address': '127.0.0.1:8006',
+    'extension_paths': [str(Path(__file__).parents[2] / 'platform')],
+    'extensions': ['fleet'],
+    'platform': 'fleet',
+}
+
+
+@pytest.fixture
+def path(tmp_path):
+    path = tmp_path / 'gateway.jsonc'
+    path.write_text(json.dumps(DOCUMENT))
+    return path
+
+
+@pytest.fixture
+def changes():
+    return []
+
+
+@pytest.fixture
+def watch(path, changes):
+    settings = read_schema(path, GATEWAY_SCHEMA)
+    telemetry = GatewayTelemetry(InstanceLog('kochi-1'))
+    return SettingsWatch(path, settings, telemetry, changes.append)
+
+
+def test_adapter_is_found_by_the_settings(path):
+    assert read_schema(path, GATEWAY_SCHEMA).platform in PLATFORMS
+
+
+def test_changed_file_is_put_in_force(path, watch, changes):
+    path.write_text(json.dumps(DOCUMENT | {'retry_slack': 7}))
+
+    watch.reload()
+
+    assert [settings.retry_slack for settings in changes] == [7]
+
+
+def test_file_with_faults_changes_nothing(path, watch, changes):
+    """A half-written file.
+
+    The platform replaces the file while the signal is on its way.  The process goes on
+    with what it has; ending it would cut off every request in progress.
+    """
+    path.write_text(json.dumps(DOCUMENT)[:40])
+    watch.reload()
+    path.write_text(json.dumps(DOCUMENT | {'retry_slack': 'many'}))
+    watch.reload()
+    os.remove(path)
+    watch.reload()
+
+    assert changes == []
+
+
+def test_unchanged_file_changes_nothing(watch, changes):
+    watch.reload()
+
+    assert changes == []
--- /dev/null
+++ b/tests/test_gateway/test_topic_follower.py
@@ -0,0 +1,116 @@
+"""Tests of following a topic through outages."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from gateway_fakes import START_MS
+
+from savorychute.clock import ManualClock
+from savorychute.gateway.store.keyed_record import KeyedRecord
+from savorychute.gateway.store.pace import Pace
+from savorychute.gateway.store.store_errors import (
+    HistoryLostError,
+    StoreUnavailableError,
+)
+from savorychute.gateway.store.topic_delta import TopicDelta
+from savorychute.gateway.store.topic_follower import TopicFollower
+from savorychute.gateway.store.topic_snapshot import TopicSnapshot
+
+
+class ScriptedTopic:
+    """Gives prepared answers, then waits for ever."""
+
+    def __init__(self, *answers):
+        self._answers = list(answers)
+        self.calls = []
+
+    async def list_newest(self):
+        self.calls.append('list')
+        return await self._next()
+
+    async def read_from(self, offset, wait_ms):
+        del wait_ms
+        self.calls.append(offset)
+        return await self._next()
+
+    async def _next(self):
+        if not self._answers:
+            await asyncio.Event().wait()
+        answer = self._answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+class Heard:
+    """Keeps what the follower tells."""
+
+    def __init__(self):
+        self.events = []
+
+    def topic_listed(self, records, began_ms):
+        del began_ms
+        self.events.append(('listed', [record.key for record in records]))
+
+    def topic_changed(self, records, began_ms):
+        del began_ms
+        self.events.append(('changed', [record.key for record in records]))
+
+    def topic_failed(self, error):
+        del error
+        self.events.append(('failed', []))
+
+
+def follow(topic):
+    heard = Heard()
+    clock = ManualClock(START_MS)
+    follower = TopicFollower(topic, Pace(0, 0), heard, clock, random.Random(1))
+
+    async def run():
+        task = asyncio.create_task(follower.run())
+        for _ in range(200):
+            await asyncio.sleep(0.002)
+            if not topic._answers and topic.calls:
+                break
+        await asyncio.sleep(0.002)
+        task.cancel()
+
+    asyncio.run(run())
+    return heard.events
+
+
+def test_reading_goes_on_from_the_end_of_the_listing():
+    topic = ScriptedTopic(
+        TopicSnapshot((KeyedRecord(3, 'a', b'1'),), 4),
+        TopicDelta((KeyedRecord(4, 'b', b'1'),), 5),
+    )
+
+    assert follow(topic) == [('listed', ['a']), ('changed', ['b'])]
+    assert topic.calls == ['list', 4, 5]
+
+
+def test_lost_history_is_listed_anew():
+    """A change that vanished.
+
+    The store forgets its history while a change is made.  The newest record of the key
+    is still there, and only a listing shows it.
+    """
+    topic = ScriptedTopic(
+        TopicSnapshot((), 4),
+        HistoryLostError('gone'),
+        TopicSnapshot((KeyedRecord(9, 'a', b'2'),), 10),
+    )
+
+    assert follow(topic) == [('listed', []), ('listed', ['a'])]
+
+
+def test_outage_is_told_and_survived():
+    topic = ScriptedTopic(
+        StoreUnavailableError('down'),
+        StoreUnavailableError('down'),
+        TopicSnapshot((KeyedRecord(1, 'a', b'1'),), 2),
+    )
+
+    assert follow(topic) == [('failed', []), ('failed', []), ('listed', ['a'])]
--- a/tests/test_testing/test_world.py
+++ b/tests/test_testing/test_world.py
@@ -1,4 +1,4 @@
-# ruff: noqa: D102, ARG002
+# ruff: noqa: ARG002
 """The virtual-clock driver and its checks, with a simple instance in them.
 
 The instance here does the least that a run needs.  Its variants each break one
