--- a/savorychute/gateway/daemon/attempt_sender.py
+++ b/savorychute/gateway/daemon/attempt_sender.py
@@ -10,6 +10,7 @@
     from collections.abc import Callable
 
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
+    from savorychute.gateway.endpoints.engine_load import EngineLoad
     from savorychute.gateway.platform_adapter import PlatformAdapter
     from savorychute.gateway.requests.attempt_port import AttemptListener
     from savorychute.gateway.requests.outbound_attempt import OutboundAttempt
@@ -44,19 +45,23 @@
             attempt.endpoint.address, request, handler, fresh=attempt.fresh
         )
 
-    def probe(self, endpoint: EndpointEntry, on_result: Callable[[bool], None]) -> None:
-        """Ask an engine for its report.
+    def probe(
+        self,
+        endpoint: EndpointEntry,
+        on_result: Callable[[EngineLoad | None], None],
+    ) -> None:
+        """Ask an engine for its load.
 
         :param endpoint: the engine.
-        :param on_result: called with whether it answered in time.
+        :param on_result: called with its report, or None without one in time.
         """
         submit_timed(
             self._pool,
             endpoint.address,
             self._adapter.encode_probe(),
             PROBE_TIMEOUT_MS,
-            lambda response: on_result(self._adapter.is_alive(response)),
-            lambda failure: on_result(False),  # noqa: ARG005
+            lambda response: on_result(self._adapter.decode_report(response)),
+            lambda failure: on_result(None),  # noqa: ARG005
         )
 
 
--- a/savorychute/gateway/daemon/run_gateway.py
+++ b/savorychute/gateway/daemon/run_gateway.py
@@ -20,6 +20,7 @@
 from savorychute.gateway.endpoints import load_choosers
 from savorychute.gateway.endpoints.chooser import CHOOSERS
 from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
+from savorychute.gateway.endpoints.load_watch import LoadWatch
 from savorychute.gateway.parts import GatewayParts
 from savorychute.gateway.platform_adapter import PLATFORMS
 from savorychute.gateway.recovery.crash_book import CrashBook
@@ -155,14 +156,17 @@
         settings.retry_ratio, settings.retry_window_ms, settings.retry_slack
     )
     crashes = CrashBook()
+    attempts = AttemptSender(endpoints, adapter)
+    roster = EndpointRoster(crashes.endpoint_ended, clock)
     parts = GatewayParts(
         clock=clock,
         timers=LoopTimers(),
-        attempts=AttemptSender(endpoints, adapter),
+        attempts=attempts,
         configuration=configuration,
-        roster=EndpointRoster(crashes.endpoint_ended, clock),
+        roster=roster,
         model_chooser=CHOOSERS.get('prompt-cache')(settings.failure_domain, rng),
         service_chooser=CHOOSERS.get('least-outstanding')(settings.failure_domain, rng),
+        loads=LoadWatch(attempts, roster, clock),
         allowance=RetryAllowance(bounds),
         crashes=crashes,
         telemetry=telemetry,
--- a/savorychute/gateway/endpoints/chooser.py
+++ b/savorychute/gateway/endpoints/chooser.py
@@ -25,6 +25,17 @@
 class Chooser(Protocol):
     """One way to choose."""
 
+    def wants_reports(
+        self, records: Sequence[EndpointRecord], need: Need, now_ms: int
+    ) -> list[EndpointRecord]:
+        """Return the endpoints whose load should be asked for before the choice.
+
+        :param records: the candidates, at least one.
+        :param need: of the request.
+        :param now_ms: the time.
+        """
+        ...
+
     def choose(
         self, records: Sequence[EndpointRecord], need: Need, now_ms: int
     ) -> Choice:
--- a/savorychute/gateway/endpoints/endpoint_record.py
+++ b/savorychute/gateway/endpoints/endpoint_record.py
@@ -8,43 +8,83 @@
 
 if TYPE_CHECKING:
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
+    from savorychute.gateway.endpoints.engine_load import EngineLoad
+
+# A report is made from figures of that long ago.
+REPORT_LAG_MS = 200
 
 
 class EndpointRecord:
-    """An endpoint's entry, its health, and what this instance has there.
+    """An endpoint's entry, its health, its last report, and what this instance has there.
 
     :param entry: what the platform lists.
     """
 
     __slots__ = (
+        '_unread',
         'entry',
         'health',
         'heard_ms',
+        'load',
+        'load_ms',
         'missing_until_ms',
         'outstanding',
-        'prefill_tokens',
     )
 
     def __init__(self, entry: EndpointEntry) -> None:
         self.entry = entry
         self.health = EndpointHealth()
         self.heard_ms = 0
+        self.load: EngineLoad | None = None
+        self.load_ms = 0
         self.outstanding = 0
-        self.prefill_tokens = 0
         self.missing_until_ms: int | None = None
+        self._unread: dict[object, tuple[int, int]] = {}
 
-    def begin(self, prompt_tokens: int) -> None:
+    def begin(self, attempt: object, prompt_tokens: int, now_ms: int) -> None:
         """Count a request that is sent there.
 
+        :param attempt: identifies it.
         :param prompt_tokens: what it is expected to read anew.
+        :param now_ms: the time.
         """
         self.outstanding += 1
-        self.prefill_tokens += prompt_tokens
+        self._unread[attempt] = (now_ms, prompt_tokens)
 
-    def end_prefill(self, prompt_tokens: int) -> None:
+    def end_reading(self, attempt: object) -> None:
         """Note that a request has begun to generate, or is gone."""
-        self.prefill_tokens -= prompt_tokens
+        self._unread.pop(attempt, None)
 
-    def end(self) -> None:
+    def end(self, attempt: object) -> None:
         """Note that a request is no longer there."""
+        self.end_reading(attempt)
         self.outstanding -= 1
+
+    def report(self, load: EngineLoad, now_ms: int) -> None:
+        """Take in a report.
+
+        :param load: what it says.
+        :param now_ms: the time.
+        """
+        self.load = load
+        self.load_ms = now_ms
+        self.heard_ms = now_ms
+
+    def load_age_ms(self, now_ms: int) -> int | None:
+        """Return how old the last report is, or None without one."""
+        return now_ms - self.load_ms if self.load is not None else None
+
+    def unread_tokens(self, since_ms: int | None = None) -> int:
+        """Return what this instance's requests still have to read there.
+
+        :param since_ms: count only those sent from then on.
+        """
+        return sum(
+            tokens
+            for sent_ms, tokens in self._unread.values()
+            if since_ms is None or sent_ms >= since_ms
+        )
+
+    def unreported_tokens(self) -> int:
+        """Return what the last report cannot have counted yet."""
+        return self.unread_tokens(self.load_ms - REPORT_LAG_MS)
--- /dev/null
+++ b/savorychute/gateway/endpoints/engine_load.py
@@ -0,0 +1,20 @@
+"""What a model engine reports of its load."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class EngineLoad(NamedTuple):
+    """An engine's queue, as of a few hundred ms before the report.
+
+    ``reading`` requests were admitted and have not generated yet; ``next_tokens`` is
+    the size of the first prompt in the queue.  ``leaving`` is true for an engine that
+    will end.
+    """
+
+    waiting: int
+    reading: int
+    generating: int
+    next_tokens: int
+    leaving: bool = False
--- a/savorychute/gateway/endpoints/lane_split.py
+++ b/savorychute/gateway/endpoints/lane_split.py
@@ -18,9 +18,11 @@
 # long prompt takes about 100 ms: with a bound below this, one long prompt beside a
 # stream makes it late.
 STEADY_GAP_MS = 350
-# Engine time for a token: read in a prompt, and generated in a batch of usual size.
+# Engine time for a token: read in a prompt, and generated beside others in a batch.
 READ_MS = 1 / 60
-GENERATED_MS = 0.35
+GENERATED_MS = 0.1
+# The part of shared prompts that is not found in the cache: one in three tokens of a day.
+MISS_SHARE = 0.35
 # Demand is averaged over about this time; bursts of some seconds should not move the
 # lanes, for each move reads cached prompts anew.
 MEMORY_S = 20.0
@@ -51,8 +53,9 @@
         prompt = need.prompt
         if prompt is None:
             return
-        fresh_tokens = prompt.tokens - prompt.shared_tokens
-        work_ms = READ_MS * fresh_tokens + GENERATED_MS * prompt.answer_tokens
+        cached_tokens = (1.0 - MISS_SHARE) * prompt.shared_tokens
+        work_ms = READ_MS * (prompt.tokens - cached_tokens)
+        work_ms += GENERATED_MS * prompt.answer_tokens
         if is_steady(need):
             self._steady_ms += work_ms
         else:
--- a/savorychute/gateway/endpoints/least_outstanding.py
+++ b/savorychute/gateway/endpoints/least_outstanding.py
@@ -33,6 +33,15 @@
         self._failure_domain = failure_domain
         self._rng = rng
 
+    def wants_reports(
+        self,
+        records: Sequence[EndpointRecord],  # noqa: ARG002
+        need: Need,  # noqa: ARG002
+        now_ms: int,  # noqa: ARG002
+    ) -> list[EndpointRecord]:
+        """Return none: plain services report nothing."""
+        return []
+
     def choose(
         self,
         records: Sequence[EndpointRecord],
--- /dev/null
+++ b/savorychute/gateway/endpoints/load_watch.py
@@ -0,0 +1,77 @@
+"""Asks engines for their load when a decision needs it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from savorychute.clock import Clock
+    from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
+    from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
+    from savorychute.gateway.endpoints.engine_load import EngineLoad
+    from savorychute.gateway.requests.attempt_port import AttemptPort
+
+
+class LoadWatch:
+    """Fetches reports, each engine's once for all requests that wait for it.
+
+    Reports cost the engine little and the users a price for each; asked only for the
+    engines between which a long prompt has to choose, they are few, and as fresh as a
+    report can be.  Polling all engines all the time costs more and is staler.
+
+    :param attempts: how engines are asked.
+    :param roster: is told of an engine that will end.
+    :param clock: the time.
+    """
+
+    def __init__(
+        self, attempts: AttemptPort, roster: EndpointRoster, clock: Clock
+    ) -> None:
+        self._attempts = attempts
+        self._roster = roster
+        self._clock = clock
+        self._waiting: dict[str, list[Callable[[bool], None]]] = {}
+
+    def refresh(
+        self, records: Sequence[EndpointRecord], on_done: Callable[[], None]
+    ) -> None:
+        """Ask some engines, and call back when all have answered or failed to.
+
+        :param records: the engines, at least one.
+        :param on_done: called once.
+        """
+        left = len(records)
+
+        def count(lives: bool) -> None:  # noqa: ARG001
+            nonlocal left
+            left -= 1
+            if left == 0:
+                on_done()
+
+        for record in records:
+            self.ask(record, count)
+
+    def ask(self, record: EndpointRecord, on_result: Callable[[bool], None]) -> None:
+        """Ask one engine; tell whether it answered in time.
+
+        :param record: the engine.
+        :param on_result: called once.
+        """
+        endpoint = record.entry.endpoint
+        waiting = self._waiting.get(endpoint)
+        if waiting is not None:
+            waiting.append(on_result)
+            return
+        self._waiting[endpoint] = [on_result]
+
+        def take(load: EngineLoad | None) -> None:
+            if load is not None:
+                record.report(load, self._clock.now_ms())
+                if load.leaving:
+                    self._roster.apply(record.entry._replace(draining=True))
+            for callback in self._waiting.pop(endpoint, ()):
+                callback(load is not None)
+
+        self._attempts.probe(record.entry, take)
--- a/savorychute/gateway/endpoints/prompt_cache.py
+++ b/savorychute/gateway/endpoints/prompt_cache.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import xxhash
 
@@ -15,23 +15,38 @@
 
     from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
     from savorychute.gateway.endpoints.need import Need
+    from savorychute.gateway.requests.prompt import Prompt
 
 # Prompt tokens that an engine reads in a millisecond: the users' engines read 61 and 93.
 TOKENS_PER_MS = 60.0
 # What one more request adds to each step of the batch, until an answer of usual
 # length is out.
 PLACE_MS = 6.0
-# This instance sees only its own requests; others send about as many.
+# Without a report: this instance sees only its own requests; others send about as many.
 OTHERS_FACTOR = 2.0
 DISTANCE_MS = 4.0
 FAILURE_MS = 2_000.0
 # Reading a cached prompt elsewhere also delays every request there, and the users price
 # 13,000 tokens read again like a whole answer; so the queue at home must be that
 # many times as long as the reading.
-AGAIN_WEIGHT = 5.0
+AGAIN_WEIGHT = 8.0
 # Where a prompt goes when its home is full: to the next in the ranking, for all
 # instances alike.
 RANK_MS = 20.0
+# A report is asked for before a prompt of this size; a smaller one is read before the
+# report could change much.
+LARGE_TOKENS = 2_000
+# Requests move a queue by their own size; reports older than this say little of it.
+REPORT_MS = 300
+USABLE_REPORT_MS = 1_500
+# With a wait beyond this at home the other engines are asked as well.
+BUSY_MS = 300.0
+
+
+class _Candidate(NamedTuple):
+    record: EndpointRecord
+    fresh_tokens: int
+    extra_ms: float
 
 
 @CHOOSERS.register('prompt-cache')
@@ -51,6 +66,24 @@
         self._rng = rng
         self._lanes = LaneSplit()
 
+    def wants_reports(
+        self, records: Sequence[EndpointRecord], need: Need, now_ms: int
+    ) -> list[EndpointRecord]:
+        """Return the engines whose load should be known first.
+
+        The home of a long prompt is asked, and if it is busy the rest of its lane.
+        """
+        prompt = need.prompt
+        if prompt is None or prompt.tokens < LARGE_TOKENS:
+            return []
+        lane = self._lanes.lane(records, need)
+        home = self._rank(lane, prompt)[0].record
+        if not _is_recent(home, now_ms, REPORT_MS):
+            return [home]
+        if self._wait(home, now_ms) <= BUSY_MS:
+            return []
+        return [each for each in lane if not _is_recent(each, now_ms, REPORT_MS)]
+
     def choose(
         self, records: Sequence[EndpointRecord], need: Need, now_ms: int
     ) -> Choice:
@@ -58,39 +91,58 @@
         self._lanes.note(need, now_ms)
         lane = self._lanes.lane(records, need)
         prompt = need.prompt
-        if prompt is None or not prompt.affinity:
-            tokens = prompt.tokens if prompt is not None else 0
-            return self._best([(record, tokens, 0.0) for record in lane])
-        ranked = sorted(
-            lane, key=lambda each: _rank(prompt.affinity, each), reverse=True
-        )
-        again_ms = AGAIN_WEIGHT * prompt.shared_tokens / TOKENS_PER_MS
-        candidates = []
-        for rank, record in enumerate(ranked):
-            fresh_tokens = (
-                prompt.tokens if rank else prompt.tokens - prompt.shared_tokens
-            )
-            extra_ms = again_ms + RANK_MS * rank if rank else 0.0
-            candidates.append((record, fresh_tokens, extra_ms))
-        return self._best(candidates)
-
-    def _best(self, candidates: list[tuple[EndpointRecord, int, float]]) -> Choice:
+        if prompt is None:
+            candidates = [_Candidate(record, 0, 0.0) for record in lane]
+        else:
+            candidates = self._rank(lane, prompt)
         choices = [
-            Choice(record, tokens, self._predict(record, tokens) + extra_ms)
-            for record, tokens, extra_ms in candidates
+            Choice(
+                each.record,
+                each.fresh_tokens,
+                each.extra_ms
+                + each.fresh_tokens / TOKENS_PER_MS
+                + self._wait(each.record, now_ms),
+            )
+            for each in candidates
         ]
         return min(choices, key=lambda choice: choice.cost_ms)
 
-    def _predict(self, record: EndpointRecord, fresh_tokens: int) -> float:
-        reading = OTHERS_FACTOR * record.prefill_tokens + fresh_tokens
-        cost_ms = reading / TOKENS_PER_MS
-        cost_ms += OTHERS_FACTOR * PLACE_MS * record.outstanding
-        cost_ms += FAILURE_MS * record.health.failure_share
+    def _rank(self, lane: Sequence[EndpointRecord], prompt: Prompt) -> list[_Candidate]:
+        """Return the engines, the home of the prompt first."""
+        affinity = prompt.affinity
+        if not affinity:
+            return [_Candidate(record, prompt.tokens, 0.0) for record in lane]
+        ranked = sorted(lane, key=lambda each: _score(affinity, each), reverse=True)
+        again_ms = AGAIN_WEIGHT * prompt.shared_tokens / TOKENS_PER_MS
+        own_tokens = prompt.tokens - prompt.shared_tokens
+        home = _Candidate(ranked[0], own_tokens, 0.0)
+        others = [
+            _Candidate(record, prompt.tokens, again_ms + RANK_MS * rank)
+            for rank, record in enumerate(ranked[1:])
+        ]
+        return [home, *others]
+
+    def _wait(self, record: EndpointRecord, now_ms: int) -> float:
+        """Predict how long a request waits there before its prompt is read."""
+        if record.load is not None and _is_recent(record, now_ms, USABLE_REPORT_MS):
+            load = record.load
+            queued = (load.waiting + load.reading) * load.next_tokens
+            wait_ms = (queued + record.unreported_tokens()) / TOKENS_PER_MS
+            wait_ms += PLACE_MS * load.generating
+        else:
+            wait_ms = OTHERS_FACTOR * record.unread_tokens() / TOKENS_PER_MS
+            wait_ms += OTHERS_FACTOR * PLACE_MS * record.outstanding
+        wait_ms += FAILURE_MS * record.health.failure_share
         if record.entry.failure_domain != self._failure_domain:
-            cost_ms += DISTANCE_MS
-        return cost_ms + self._rng.random()
+            wait_ms += DISTANCE_MS
+        return wait_ms + self._rng.random()
+
+
+def _is_recent(record: EndpointRecord, now_ms: int, bound_ms: int) -> bool:
+    age_ms = record.load_age_ms(now_ms)
+    return age_ms is not None and age_ms <= bound_ms
 
 
-def _rank(affinity: str, record: EndpointRecord) -> int:
+def _score(affinity: str, record: EndpointRecord) -> int:
     seed = f'{affinity}/{record.entry.endpoint}'
     return int(xxhash.xxh3_64_intdigest(seed.encode()))
--- a/savorychute/gateway/parts.py
+++ b/savorychute/gateway/parts.py
@@ -12,6 +12,7 @@
     from savorychute.gateway.configuration.service import Service
     from savorychute.gateway.endpoints.chooser import Chooser
     from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
+    from savorychute.gateway.endpoints.load_watch import LoadWatch
     from savorychute.gateway.recovery.crash_book import CrashBook
     from savorychute.gateway.recovery.retry_allowance import RetryAllowance
     from savorychute.gateway.requests.attempt_port import AttemptPort, TimerPort
@@ -28,6 +29,7 @@
     roster: EndpointRoster
     model_chooser: Chooser
     service_chooser: Chooser
+    loads: LoadWatch
     allowance: RetryAllowance
     crashes: CrashBook
     telemetry: GatewayTelemetry
--- a/savorychute/gateway/platform_adapter.py
+++ b/savorychute/gateway/platform_adapter.py
@@ -12,6 +12,7 @@
     from savorychute.gateway.configuration.deployment import Deployment
     from savorychute.gateway.discovery.discovery_question import DiscoveryQuestion
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
+    from savorychute.gateway.endpoints.engine_load import EngineLoad
     from savorychute.gateway.requests.endpoint_answer import EndpointAnswer
     from savorychute.gateway.requests.inbound_request import InboundRequest
     from savorychute.gateway.requests.outbound_attempt import OutboundAttempt
@@ -80,8 +81,8 @@
         """Return the question for an engine's load report."""
         ...
 
-    def is_alive(self, response: HttpResponse) -> bool:
-        """Return whether the answer to it shows a living engine."""
+    def decode_report(self, response: HttpResponse) -> EngineLoad | None:
+        """Return the load in the answer to it, or None if it holds none."""
         ...
 
     def decode_discovery(self, request: HttpRequest) -> DiscoveryQuestion | None:
--- a/savorychute/gateway/requests/attempt.py
+++ b/savorychute/gateway/requests/attempt.py
@@ -54,7 +54,7 @@
         self.sent = False
         self.ended = False
         self.waiting = True
-        choice.record.begin(choice.fresh_tokens)
+        choice.record.begin(self, choice.fresh_tokens, began_ms)
 
     # -- what the endpoint does
 
@@ -115,7 +115,7 @@
         """Note that the endpoint has read the prompt."""
         if self.waiting:
             self.waiting = False
-            self.choice.record.end_prefill(self.choice.fresh_tokens)
+            self.choice.record.end_reading(self)
 
     def stop(self) -> None:
         """Close the connection, so that the endpoint stops working."""
@@ -129,4 +129,4 @@
         """Count the attempt as no longer at its endpoint."""
         self.ended = True
         self.began_to_answer()
-        self.choice.record.end()
+        self.choice.record.end(self)
--- a/savorychute/gateway/requests/attempt_port.py
+++ b/savorychute/gateway/requests/attempt_port.py
@@ -8,6 +8,7 @@
     from collections.abc import Callable
 
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
+    from savorychute.gateway.endpoints.engine_load import EngineLoad
     from savorychute.gateway.requests.endpoint_answer import EndpointAnswer
     from savorychute.gateway.requests.outbound_attempt import OutboundAttempt
     from savorychute.http.call_failure import CallFailure
@@ -54,8 +55,12 @@
         """Start an attempt; no event comes before this method has returned."""
         ...
 
-    def probe(self, endpoint: EndpointEntry, on_result: Callable[[bool], None]) -> None:
-        """Ask an engine for a sign of life; tell whether it gave one in time."""
+    def probe(
+        self,
+        endpoint: EndpointEntry,
+        on_result: Callable[[EngineLoad | None], None],
+    ) -> None:
+        """Ask an engine for its load; tell None if it does not answer in time."""
         ...
 
 
--- a/savorychute/gateway/requests/course_summary.py
+++ b/savorychute/gateway/requests/course_summary.py
@@ -8,7 +8,8 @@
 class CourseSummary(NamedTuple):
     """Durations from the request's arrival on, and counts.
 
-    ``first_event_ms`` is 0 for an answer without events.
+    ``first_event_ms`` is 0 for an answer without events.  ``endpoint`` is the one that
+    got the last attempt.
     """
 
     duration_ms: int
@@ -16,3 +17,4 @@
     sends: int
     possible_runs: int
     events: int
+    endpoint: str
--- a/savorychute/gateway/requests/request_course.py
+++ b/savorychute/gateway/requests/request_course.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from savorychute.gateway.endpoints.chooser import Choice
     from savorychute.gateway.parts import GatewayParts
     from savorychute.gateway.requests.admitted import Admitted
     from savorychute.gateway.requests.attempt_port import TimerHandle
@@ -35,6 +36,8 @@
 NO_ENDPOINT_RETRY_MS = 300
 # Between two looks at a silent endpoint that may not be left.
 RECHECK_MS = 50
+# Rounds of load reports before a choice: of the likeliest engine, then of others.
+MOST_ASKED = 2
 MOST_URGENT = 0
 LEAST_URGENT = 9
 
@@ -69,6 +72,7 @@
         self._timer: TimerHandle | None = None
         self._tried: set[str] = set()
         self._sends = 0
+        self._asked = 0
         self._refused_after_ms = 0
         self._passing = False
         self._first_event_ms = 0
@@ -254,10 +258,26 @@
             return False
         chooser = self._parts.chooser(service)
         need = Need(self._request.prompt, self._route.gap_target_ms)
-        choice = chooser.choose(candidates, need, now_ms)
+        wanted = chooser.wants_reports(candidates, need, now_ms)
+        if wanted and self._asked < MOST_ASKED:
+            self._asked += 1
+            self._arm(now_ms)
+            self._parts.loads.refresh(wanted, self._reports_came)
+            return True
+        self._send_to(chooser.choose(candidates, need, now_ms), now_ms)
+        return True
+
+    def _reports_came(self) -> None:
+        """Go on with the choice that waited for reports."""
+        if not self.finished and not self._send():
+            self._give_up('no-endpoint')
+
+    def _send_to(self, choice: Choice, now_ms: int) -> None:
+        service = self._admitted.service
         entry = choice.record.entry
         self._tried.add(entry.endpoint)
         self._sends += 1
+        self._asked = 0
         attempt = Attempt(self, choice, now_ms)
         self._attempt = attempt
         attempt.running = self._parts.attempts.send(
@@ -266,18 +286,15 @@
                 endpoint=entry,
                 remaining_ms=self._admitted.end_ms - now_ms,
                 organisation=self._admitted.organisation,
-                urgency=self._urgency(),
+                urgency=self._urgency() if service.runs_models else None,
                 last_event=self._relay.last_event,
                 fresh=not self._route.repeatable,
             ),
             attempt,
         )
         self._arm(now_ms)
-        return True
 
-    def _urgency(self) -> int | None:
-        if not self._admitted.service.runs_models:
-            return None
+    def _urgency(self) -> int:
         return min(max(self._admitted.tier, MOST_URGENT), LEAST_URGENT)
 
     # -- time
@@ -325,16 +342,14 @@
         if not self._admitted.service.runs_models:
             self._leave_silent()
             return
-        entry = attempt.choice.record.entry
-        self._parts.attempts.probe(entry, lambda lives: self._probed(attempt, lives))
+        record = attempt.choice.record
+        self._parts.loads.ask(record, lambda lives: self._probed(attempt, lives))
         self._arm_again(self.now_ms())
 
     def _probed(self, attempt: Attempt, lives: bool) -> None:
         if self.finished or attempt.ended or attempt is not self._attempt:
             return
-        if lives:
-            attempt.choice.record.heard_ms = self.now_ms()
-        else:
+        if not lives:
             self._leave_silent()
 
     def _arm_again(self, now_ms: int) -> None:
@@ -417,6 +432,7 @@
             self._sends,
             self.possible_runs,
             self._relay.events,
+            self._attempt.choice.record.entry.endpoint if self._attempt else '',
         )
 
     def _log_attempt(self, attempt: Attempt, outcome: str, reason: str) -> None:
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -161,6 +161,7 @@
             status=status,
             item=admitted.route.name,
             service=admitted.service.name,
+            endpoint=summary.endpoint,
             customer=admitted.organisation,
             tier=admitted.tier,
             version=admitted.version,
--- a/tests/test_gateway/gateway_fakes.py
+++ b/tests/test_gateway/gateway_fakes.py
@@ -18,6 +18,8 @@
 from savorychute.gateway.endpoints.chooser import CHOOSERS
 from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
 from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
+from savorychute.gateway.endpoints.engine_load import EngineLoad
+from savorychute.gateway.endpoints.load_watch import LoadWatch
 from savorychute.gateway.parts import GatewayParts
 from savorychute.gateway.recovery.crash_book import CrashBook
 from savorychute.gateway.recovery.retry_allowance import RetryAllowance, RetryBounds
@@ -32,6 +34,7 @@
 from savorychute.http.http_request import HttpRequest
 from savorychute.logs import InstanceLog
 
+IDLE = EngineLoad(waiting=0, reading=0, generating=0, next_tokens=0)
 START_MS = 1_000_000
 LIMITS = CallerLimits(16_384, 1 << 22, 3_000, 15_000)
 KEY = 'kochi-key'
@@ -135,7 +138,7 @@
 
     def probe(self, endpoint, on_result):
         self.probes.append(endpoint.endpoint)
-        on_result(self.lives)
+        on_result(IDLE if self.lives else None)
 
 
 class FakeCaller:
@@ -315,6 +318,7 @@
         roster=roster,
         model_chooser=CHOOSERS.get('prompt-cache')('hall', rng),
         service_chooser=CHOOSERS.get('least-outstanding')('hall', rng),
+        loads=LoadWatch(attempts, roster, clock),
         allowance=RetryAllowance(RetryBounds(0.2, 10_000, slack)),
         crashes=crashes,
         telemetry=GatewayTelemetry(InstanceLog('kochi-1')),
--- a/tests/test_gateway/test_choosers.py
+++ b/tests/test_gateway/test_choosers.py
@@ -11,6 +11,7 @@
 from savorychute.gateway.endpoints import load_choosers
 from savorychute.gateway.endpoints.chooser import CHOOSERS, open_records
 from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
+from savorychute.gateway.endpoints.engine_load import EngineLoad
 from savorychute.gateway.endpoints.need import Need
 
 LONG_GAP_MS = 1_000
@@ -91,7 +92,7 @@
     chooser = make_chooser()
     need = Need(make_prompt('pump-7'), LONG_GAP_MS)
     home = chooser.choose(engines, need, 1_000).record
-    home.prefill_tokens = 200_000
+    home.report(EngineLoad(8, 2, 20, 17_000), 1_000)
 
     chosen = {
         name
