--- a/savorychute/gateway/daemon/run_gateway.py
+++ b/savorychute/gateway/daemon/run_gateway.py
@@ -57,12 +57,12 @@
 
 EXIT_OK = 0
 SEED_BITS = 64
-# A poll of the configuration that hears nothing confirms it; three fit into the time
-# for which keys are trusted without a confirmation.
-CONFIGURATION_POLLS = 3
+# A poll of the configuration that hears nothing confirms it.  After one that is lost
+# there must be time for another before keys are no longer trusted.
+POLL_SHARE = 0.6
 # Part of the time in which a leaving endpoint must get nothing new that may pass
 # between two reads of the entries; the rest is for the read and requests under way.
-ENDPOINT_READ_SHARE = 0.6
+ENDPOINT_READ_SHARE = 0.75
 STORE_CONNECTIONS = 8
 # Bodies in memory, as a part of what the process may use.
 BUFFER_SHARE = 0.15
@@ -190,7 +190,7 @@
     followers = (
         TopicFollower(
             adapter.configuration_topic(store, store_address, timeout_ms),
-            Pace(settings.key_trust_ms // CONFIGURATION_POLLS, 0),
+            Pace(int(POLL_SHARE * settings.key_trust_ms), 0),
             ConfigurationListener(
                 configuration,
                 adapter.decode_configuration,
--- a/savorychute/gateway/endpoints/lane_split.py
+++ b/savorychute/gateway/endpoints/lane_split.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import ceil
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -26,8 +27,10 @@
 # Demand is averaged over about this time; bursts of some seconds should not move the
 # lanes, for each move reads cached prompts anew.
 MEMORY_S = 20.0
-# The wanted size must pass the border between two sizes by this much, in engines.
-HYSTERESIS = 0.7
+# Instances differ in what they see.  Where the wanted size lies between two, steady
+# streams take the smaller one and long prompts leave out the larger one: an engine that
+# some instances count to one lane and some to the other would serve both badly.
+MARGIN = 0.25
 
 
 class LaneSplit:
@@ -41,7 +44,6 @@
         self._steady_ms = 0.0
         self._other_ms = 0.0
         self._noted_ms: int | None = None
-        self._size = 0
 
     def note(self, need: Need, now_ms: int) -> None:
         """Count the engine time that a request is expected to take.
@@ -69,21 +71,21 @@
         :param records: all engines that it may use, at least one.
         :param need: of the request.
         """
-        size = self._resize(len(records))
-        if size == 0:
+        wanted = self._wanted(len(records))
+        if wanted is None:
             return records
         ranked = sorted(records, key=_rank, reverse=True)
-        return ranked[:size] if is_steady(need) else ranked[size:]
+        most = len(records) - 1
+        if is_steady(need):
+            return ranked[: min(max(round(wanted - MARGIN), 1), most)]
+        return ranked[min(max(ceil(wanted - MARGIN), 1), most) :]
 
-    def _resize(self, engines: int) -> int:
-        """Return how many engines the steady lane has; 0 for no lanes."""
+    def _wanted(self, engines: int) -> float | None:
+        """Return the size of the steady lane, in engines; None for no lanes."""
         total_ms = self._steady_ms + self._other_ms
         if engines < 2 or not self._steady_ms or not self._other_ms:
-            return 0
-        wanted = engines * self._steady_ms / total_ms
-        if abs(wanted - self._size) > HYSTERESIS:
-            self._size = round(wanted)
-        return min(max(self._size, 1), engines - 1)
+            return None
+        return engines * self._steady_ms / total_ms
 
     def _fade(self, now_ms: int) -> None:
         if self._noted_ms is not None:
--- a/savorychute/gateway/requests/course_summary.py
+++ b/savorychute/gateway/requests/course_summary.py
@@ -9,7 +9,7 @@
     """Durations from the request's arrival on, and counts.
 
     ``first_event_ms`` is 0 for an answer without events.  ``endpoint`` is the one that
-    got the last attempt.
+    got the last attempt, ``longest_gap_ms`` the longest pause between two events.
     """
 
     duration_ms: int
@@ -17,4 +17,5 @@
     sends: int
     possible_runs: int
     events: int
+    longest_gap_ms: int
     endpoint: str
--- a/savorychute/gateway/requests/request_course.py
+++ b/savorychute/gateway/requests/request_course.py
@@ -76,6 +76,8 @@
         self._refused_after_ms = 0
         self._passing = False
         self._first_event_ms = 0
+        self._last_event_ms = 0
+        self._longest_gap_ms = 0
         self.possible_runs = 0
         self.began_ms = parts.clock.now_ms()
         self.finished = False
@@ -107,9 +109,14 @@
         passed = self._relay.take(data, answer.status, answer.headers)
         if not passed:
             return
-        if attempt.waiting:
-            attempt.began_to_answer()
-            self._first_event_ms = self._first_event_ms or self.now_ms()
+        now_ms = self.now_ms()
+        attempt.began_to_answer()
+        if not self._first_event_ms:
+            self._first_event_ms = now_ms
+        else:
+            gap_ms = now_ms - self._last_event_ms
+            self._longest_gap_ms = max(self._longest_gap_ms, gap_ms)
+        self._last_event_ms = now_ms
 
     def pass_head(self, attempt: Attempt) -> None:
         """Begin to pass on an answer that is too large to be held."""
@@ -432,6 +439,7 @@
             self._sends,
             self.possible_runs,
             self._relay.events,
+            self._longest_gap_ms,
             self._attempt.choice.record.entry.endpoint if self._attempt else '',
         )
 
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -118,7 +118,7 @@
             ran=refusal.ran.value,
             retry_after_ms=refusal.retry_after_ms,
             version=version,
-            waited_ms=age_ms,
+            age_ms=age_ms,
         )
 
     def attempt_ended(
@@ -166,9 +166,10 @@
             tier=admitted.tier,
             version=admitted.version,
             duration_ms=summary.duration_ms,
-            waited_ms=summary.first_event_ms,
+            first_event_ms=summary.first_event_ms,
             count=summary.sends,
-            tokens=summary.events,
+            events=summary.events,
+            gap_ms=summary.longest_gap_ms,
         )
 
 
