Poll the configuration three times in the trust of keys

Cause: a poll that hears nothing confirms what held when it began, so at a wait of 2.7 s the age reached 5.4 s, beyond the 4.5 s for which keys are trusted, and a fifth of all requests were refused.

--- a/savorychute/gateway/daemon/run_gateway.py
+++ b/savorychute/gateway/daemon/run_gateway.py
@@ -57,9 +57,9 @@
 
 EXIT_OK = 0
 SEED_BITS = 64
-# A poll of the configuration that hears nothing confirms it.  After one that is lost
-# there must be time for another before keys are no longer trusted.
-POLL_SHARE = 0.6
+# A poll of the configuration that hears nothing confirms it as of the poll's begin, so
+# what is known grows as old as two polls; a third part is left for one that is lost.
+POLL_SHARE = 0.33
 # Part of the time in which a leaving endpoint must get nothing new that may pass
 # between two reads of the entries; the rest is for the read and requests under way.
 ENDPOINT_READ_SHARE = 0.75
