Serve metrics, tell peers of crashes, bound the log

Cause: what an engineer on call needs was not there, and a request that crashes endpoints was counted by each instance alone, though its caller wanders between them. An instance whose keys are unconfirmed now says that it is not ready, so that callers ask another. Ruled out: gossiping sightings piece by piece (crashes are rare; three datagrams to each instance cost nothing in an ordinary hour).

--- a/savorychute/gateway/daemon/gateway_host.py
+++ b/savorychute/gateway/daemon/gateway_host.py
@@ -8,6 +8,7 @@
 from savorychute.clock import MS_PER_S
 from savorychute.gateway.daemon.caller_exchange import CallerExchange
 from savorychute.gateway.daemon.leaving import plan_leaving
+from savorychute.gateway.daemon.peer_group import NOT_READY
 from savorychute.gateway.recovery.retry_allowance import RetryBounds
 from savorychute.gateway.requests.refusal import Refusal
 from savorychute.gateway.requests.request_course import RequestCourse
@@ -29,10 +30,12 @@
     from savorychute.http.server_exchange import ServerExchange
 
 LEAVING_STEP_MS = 50
+HOUSEKEEPING_MS = 250
 ELSEWHERE_MS = 50
 # Callers reuse connections up to the announced idle time; closing a little later keeps
 # a request from crossing the close.
 IDLE_FACTOR = 1.25
+METRICS_PATH = '/metrics'
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
 STATUS_UNAVAILABLE = 503
@@ -72,8 +75,25 @@
 
     @property
     def ready(self) -> bool:
-        """Whether callers should come here."""
-        return self._leaving_since_ms is None and self._parts.configuration.version >= 0
+        """Whether callers should come here.
+
+        An instance that the store turns away refuses keys after a while; callers find
+        another one sooner if this one says so before they ask.
+        """
+        configuration = self._parts.configuration
+        if self._leaving_since_ms is not None or configuration.table is None:
+            return False
+        now_ms = self._parts.clock.now_ms()
+        return not configuration.table.needs_keys or configuration.trusts_keys(now_ms)
+
+    async def run(self) -> None:
+        """Do what is due now and then, until the task is cancelled."""
+        while True:
+            version = self._parts.configuration.version
+            self._peers.ready_version = version if self.ready else NOT_READY
+            self._parts.roster.expire(self._parts.clock.now_ms())
+            self._parts.telemetry.tell_omitted()
+            await asyncio.sleep(HOUSEKEEPING_MS / MS_PER_S)
 
     # -- requests
 
@@ -145,6 +165,31 @@
             response.status, tuple(response.headers.items()), response.body
         )
 
+    def take_metrics(self, exchange: ServerExchange) -> None:
+        """Answer with the metrics."""
+        if exchange.request.target != METRICS_PATH:
+            exchange.respond(STATUS_NOT_FOUND, (), b'')
+            return
+        self._sample()
+        body, headers = self._parts.telemetry.metrics.render()
+        exchange.respond(STATUS_OK, tuple(headers.items()), body)
+
+    def _sample(self) -> None:
+        metrics = self._parts.telemetry.metrics
+        configuration = self._parts.configuration
+        view = self._peers.view()
+        metrics.set('in_progress', self.in_progress)
+        if self.caller_server is not None:
+            metrics.set('open_connections', self.caller_server.open_connections)
+        metrics.set('members', len(view.alive) - 1 if view is not None else 0)
+        draining = sum(record.entry.draining for record in self._parts.roster)
+        metrics.set('endpoints', draining, state='draining')
+        metrics.set('endpoints', len(self._parts.roster) - draining, state='ready')
+        metrics.set('configuration_version', configuration.version)
+        if configuration.table is not None:
+            age_ms = configuration.age_ms(self._parts.clock.now_ms())
+            metrics.set('configuration_age_ms', age_ms)
+
     # -- configuration and settings
 
     @property
@@ -173,7 +218,6 @@
 
         :param deployment: the version.
         """
-        self._peers.version = deployment.version
         server = self.caller_server
         if server is None:
             return
--- a/savorychute/gateway/daemon/peer_group.py
+++ b/savorychute/gateway/daemon/peer_group.py
@@ -9,6 +9,8 @@
 from savorychute.actions.send_peer import SendPeer
 from savorychute.clock import MS_PER_S
 from savorychute.daemon.peer_link import open_peer_link
+from savorychute.gateway.recovery.crash_news import CrashNews
+from savorychute.gateway.recovery.crash_spread import CrashSpread
 from savorychute.gateway.store.store_errors import StoreUnavailableError
 from savorychute.inputs.listing_fetched import ListingFetched
 from savorychute.membership.membership import Membership
@@ -23,6 +25,7 @@
     from savorychute.clock import Clock
     from savorychute.daemon.peer_link import PeerLink
     from savorychute.gateway.discovery.instance_directory import InstanceDirectory
+    from savorychute.gateway.recovery.crash_book import CrashBook
     from savorychute.gateway.store.registration import Registration
     from savorychute.gateway.telemetry import GatewayTelemetry
     from savorychute.inputs import Input
@@ -30,6 +33,8 @@
 
 TICK_MS = 100
 REGISTER_RETRY_MS = 500
+# What an instance advertises as its version while callers should go elsewhere.
+NOT_READY = -1
 # Two probes a second: a peer that was killed is suspected within about a second, and
 # callers are told other addresses.
 SETTINGS = MembershipSettings(
@@ -47,6 +52,7 @@
 
     :param registration: this instance's entry.
     :param directory: what callers are told.
+    :param crashes: requests that crash endpoints, told to all.
     :param clock: the time.
     :param rng: the source of random choices.
     :param telemetry: is told of members that come and go.
@@ -56,19 +62,22 @@
         self,
         registration: Registration,
         directory: InstanceDirectory,
+        crashes: CrashBook,
         clock: Clock,
         rng: random.Random,
         telemetry: GatewayTelemetry,
     ) -> None:
         self._registration = registration
         self._directory = directory
+        self._crashes = crashes
+        self._spread = CrashSpread(crashes)
         self._clock = clock
         self._rng = rng
         self._telemetry = telemetry
         self._membership: Membership | None = None
         self._link: PeerLink | None = None
         self._listings: set[asyncio.Task[None]] = set()
-        self.version = -1
+        self.ready_version = NOT_READY
 
     def view(self) -> MemberView | None:
         """Return the members, or None before this instance has registered."""
@@ -113,8 +122,10 @@
     def _tick(self) -> None:
         membership = self._membership
         assert membership is not None
-        membership.advertise(self.version)
-        self._carry_out(membership.tick(self._clock.now_ms()))
+        now_ms = self._clock.now_ms()
+        membership.advertise(self.ready_version)
+        self._carry_out(membership.tick(now_ms))
+        self._carry_out(self._spread.tick(membership.view(), now_ms))
         for change in membership.take_changes():
             self._telemetry.member_changed(change)
 
@@ -125,12 +136,15 @@
         if membership is None or message is None:
             return
         now_ms = self._clock.now_ms()
+        if isinstance(message, CrashNews):
+            self._crashes.take_in(message.sightings, now_ms)
+            return
         self._carry_out(membership.receive(sender, message, now_ms))
         origin = getattr(message, 'origin', None)
         version = getattr(message, 'configuration_offset', None)
         if origin is None or version is None:
             return
-        ready = version >= 0 and sender not in membership.view().leaving
+        ready = version > NOT_READY and sender not in membership.view().leaving
         self._directory.hear(origin.address, ready, now_ms)
 
     def _carry_out(self, actions: Iterable[Action]) -> None:
--- a/savorychute/gateway/daemon/run_gateway.py
+++ b/savorychute/gateway/daemon/run_gateway.py
@@ -21,6 +21,7 @@
 from savorychute.gateway.endpoints.chooser import CHOOSERS
 from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
 from savorychute.gateway.endpoints.load_watch import LoadWatch
+from savorychute.gateway.metric_rows import GATEWAY_METRICS
 from savorychute.gateway.parts import GatewayParts
 from savorychute.gateway.platform_adapter import PLATFORMS
 from savorychute.gateway.recovery.crash_book import CrashBook
@@ -43,6 +44,8 @@
 from savorychute.http.http_server import HttpServer, listen
 from savorychute.logs import InstanceLog, LogLevel, capture_libraries, open_log
 from savorychute.member_address import MemberAddress
+from savorychute.metrics import Metrics
+from savorychute.settings.network_address import NetworkAddress
 from savorychute.settings.settings_file import read_schema
 
 if TYPE_CHECKING:
@@ -53,7 +56,6 @@
     from savorychute.gateway.platform_adapter import PlatformAdapter
     from savorychute.gateway.settings.gateway_settings import GatewaySettings
     from savorychute.http.server_exchange import ServerExchange
-    from savorychute.settings.network_address import NetworkAddress
 
 EXIT_OK = 0
 SEED_BITS = 64
@@ -147,7 +149,8 @@
     stack: AsyncExitStack,
 ) -> GatewayHost:
     load_choosers()
-    telemetry = GatewayTelemetry(log)
+    metrics = Metrics(settings.instance, GATEWAY_METRICS)
+    telemetry = GatewayTelemetry(log, metrics, clock)
     configuration = ConfigurationState(
         settings.key_trust_ms,
         settings.configuration_notice_ms + settings.store_timeout_ms,
@@ -184,7 +187,9 @@
     timeout_ms = settings.store_timeout_ms
     store_address = ServerAddress(*settings.store_address)
     instances = adapter.instance_topic(store, store_address, timeout_ms)
-    peers = PeerGroup(Registration(instances, own), directory, clock, rng, telemetry)
+    peers = PeerGroup(
+        Registration(instances, own), directory, crashes, clock, rng, telemetry
+    )
     intake = Intake(configuration, parts.crashes, rng)
     host = GatewayHost(settings, parts, intake, adapter, peers, directory)
     followers = (
@@ -209,7 +214,7 @@
         ),
     )
     loop = asyncio.get_running_loop()
-    for work in (*(follower.run() for follower in followers), peers.run()):
+    for work in (*(follower.run() for follower in followers), peers.run(), host.run()):
         task = loop.create_task(work)
         stack.callback(task.cancel)
     return host
@@ -230,4 +235,8 @@
 
     await serve(settings.readiness_address, host.take_readiness)
     await serve(settings.discovery_address, host.take_discovery)
+    metrics_address = NetworkAddress(
+        settings.caller_address.host, settings.metrics_port
+    )
+    await serve(metrics_address, host.take_metrics)
     host.caller_server = await serve(settings.caller_address, host.take_request)
--- /dev/null
+++ b/savorychute/gateway/metric_rows.py
@@ -0,0 +1,58 @@
+"""The metrics of a gateway."""
+
+from __future__ import annotations
+
+from savorychute.metric_row import MetricRow
+
+GATEWAY_METRICS = (
+    MetricRow(
+        'requests_total',
+        'counter',
+        ('route', 'outcome'),
+        'Requests that ended, by route and outcome.',
+    ),
+    MetricRow(
+        'refusals_total',
+        'counter',
+        ('code', 'reason'),
+        'Requests refused before an attempt.',
+    ),
+    MetricRow(
+        'attempts_total',
+        'counter',
+        ('service', 'outcome'),
+        'Attempts at endpoints, by how they ended.',
+    ),
+    MetricRow(
+        'request_ms', 'histogram', ('tier',), 'From a request to the end of its answer.'
+    ),
+    MetricRow(
+        'first_event_ms',
+        'histogram',
+        ('tier',),
+        'From a request to the first event of its answer.',
+    ),
+    MetricRow(
+        'event_gap_ms',
+        'histogram',
+        ('tier',),
+        'The longest pause between two events of an answer.',
+    ),
+    MetricRow('in_progress', 'gauge', (), 'Requests that have no final answer yet.'),
+    MetricRow('open_connections', 'gauge', (), "Callers' connections."),
+    MetricRow('members', 'gauge', (), 'Other instances that are taken for alive.'),
+    MetricRow('endpoints', 'gauge', ('state',), 'Endpoints, by state.'),
+    MetricRow(
+        'configuration_version', 'gauge', (), 'The version in force; -1 for none.'
+    ),
+    MetricRow(
+        'configuration_age_ms',
+        'gauge',
+        (),
+        'How long ago the version was last confirmed by the store.',
+    ),
+    MetricRow(
+        'store_failures_total', 'counter', ('topic',), 'Failed reads of the store.'
+    ),
+    MetricRow('log_lines_omitted_total', 'counter', (), 'Routine log lines left out.'),
+)
--- a/savorychute/gateway/recovery/crash_book.py
+++ b/savorychute/gateway/recovery/crash_book.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from savorychute.gateway.recovery.crash_sighting import CrashSighting
+
 # Two endpoints may break off by chance while they run the same request; a third is
 # taken for the request's doing.
 CRASHES = 3
@@ -19,13 +21,6 @@
 WAITING_KEPT = 512
 
 
-class CrashSighting(NamedTuple):
-    """An endpoint that broke off while it ran a request."""
-
-    fingerprint: str
-    endpoint: str
-
-
 class CrashBook:
     """Counts the endpoints that broke off for each request, here and elsewhere.
 
--- a/savorychute/gateway/requests/request_course.py
+++ b/savorychute/gateway/requests/request_course.py
@@ -7,7 +7,7 @@
 from savorychute.gateway.configuration.request_kind import RequestKind
 from savorychute.gateway.endpoints.chooser import open_records
 from savorychute.gateway.endpoints.need import Need
-from savorychute.gateway.recovery.crash_book import CrashSighting
+from savorychute.gateway.recovery.crash_sighting import CrashSighting
 from savorychute.gateway.requests.attempt import Attempt
 from savorychute.gateway.requests.course_summary import CourseSummary
 from savorychute.gateway.requests.endpoint_answer import AnswerKind
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -4,9 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from savorychute.gateway.log_budget import LogBudget
+from savorychute.logs import LogLevel
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from savorychute.clock import Clock
     from savorychute.errors import SavorychuteError, SettingsError
     from savorychute.gateway.configuration.deployment import Deployment
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
@@ -15,27 +19,33 @@
     from savorychute.gateway.requests.course_summary import CourseSummary
     from savorychute.gateway.requests.inbound_request import InboundRequest
     from savorychute.gateway.requests.refusal import Refusal
-    from savorychute.logs import InstanceLog
+    from savorychute.logs import InstanceLog, Value
     from savorychute.membership.member_change import MemberChange
+    from savorychute.metrics import Metrics
 
 OK_OUTCOMES = ('answered',)
 WORD_CHARS = 100
 
 
 class GatewayTelemetry:
-    """One line for each decision that touches a request or a belief.
+    """One line for each decision that touches a request or a belief, and counters.
 
     :param log: where the lines go.
+    :param metrics: what is counted.
+    :param clock: the time.
     """
 
-    def __init__(self, log: InstanceLog) -> None:
+    def __init__(self, log: InstanceLog, metrics: Metrics, clock: Clock) -> None:
         self.log = log
+        self.metrics = metrics
+        self._budget = LogBudget(clock)
         self._lost: set[str] = set()
 
     # -- dependencies
 
     def store_failed(self, topic: str, error: SavorychuteError) -> None:
-        """Log the first failure of a run of them."""
+        """Count a failure, and log the first of a run of them."""
+        self.metrics.count('store_failures_total', topic=topic)
         if topic in self._lost:
             return
         self._lost.add(topic)
@@ -110,7 +120,10 @@
         self, request: InboundRequest, refusal: Refusal, version: int, age_ms: int
     ) -> None:
         """Log a refusal at the door."""
-        self.log.warning(
+        number = str(refusal.code.number)
+        self.metrics.count('refusals_total', code=number, reason=refusal.reason)
+        self._write(
+            LogLevel.WARNING,
             'request-refused',
             request.attempt_id,
             code=refusal.code.number,
@@ -131,9 +144,12 @@
     ) -> None:
         """Log an attempt that did not end well; the others are in the last line."""
         record = attempt.choice.record
+        service = record.entry.service
+        self.metrics.count('attempts_total', service=service, outcome=outcome)
         if outcome in OK_OUTCOMES:
             return
-        self.log.warning(
+        self._write(
+            LogLevel.WARNING,
             'attempt-ended',
             request.attempt_id,
             endpoint=record.entry.endpoint,
@@ -153,8 +169,16 @@
         summary: CourseSummary,
     ) -> None:
         """Log how a request ended."""
-        write = self.log.info if outcome in OK_OUTCOMES else self.log.warning
-        write(
+        route = admitted.route
+        self.metrics.count('requests_total', route=route.name, outcome=outcome)
+        self.metrics.observe('request_ms', summary.duration_ms, admitted.tier)
+        if summary.events:
+            self.metrics.observe(
+                'first_event_ms', summary.first_event_ms, admitted.tier
+            )
+            self.metrics.observe('event_gap_ms', summary.longest_gap_ms, admitted.tier)
+        self._write(
+            LogLevel.INFO if outcome in OK_OUTCOMES else LogLevel.WARNING,
             'request-finished',
             request.attempt_id,
             state=_word(outcome),
@@ -172,6 +196,19 @@
             gap_ms=summary.longest_gap_ms,
         )
 
+    def tell_omitted(self) -> None:
+        """Log how many lines were left out, if any were."""
+        omitted = self._budget.take_omitted()
+        if omitted:
+            self.metrics.count('log_lines_omitted_total', omitted)
+            self.log.warning('log-lines-omitted', count=omitted)
+
+    def _write(
+        self, level: LogLevel, event: str, request_id: str, **fields: Value
+    ) -> None:
+        if self._budget.take(level >= LogLevel.WARNING):
+            self.log.write(level, event, request_id, **fields)
+
 
 def _word(text: str) -> str:
     """Return a text as one identifier; the log takes no free text."""
--- a/savorychute/metrics.py
+++ b/savorychute/metrics.py
@@ -27,14 +27,15 @@
     """The metrics of one instance.
 
     :param instance: the instance's name, a label of every series.
+    :param rows: what is measured.
     """
 
-    def __init__(self, instance: str) -> None:
+    def __init__(self, instance: str, rows: Sequence[MetricRow] = METRICS) -> None:
         self._registry = Registry()
         self._collectors: dict[str, Any] = {}
         self._bounds: dict[str, LabelBound] = {}
         self._histograms: dict[str, dict[str, BucketCounts]] = {}
-        for row in METRICS:
+        for row in rows:
             self._add(row, instance)
 
     def _add(self, row: MetricRow, instance: str) -> None:
--- a/savorychute/wire/messages.capnp
+++ b/savorychute/wire/messages.capnp
@@ -280,3 +280,12 @@
 struct LeavingNews {  # tag 62
   endpoints @0 :List(Text);
 }
+
+struct CrashSighting {
+  fingerprint @0 :Text;
+  endpoint @1 :Text;
+}
+
+struct CrashNews {  # tag 90
+  sightings @0 :List(CrashSighting);
+}
--- a/tests/test_gateway/gateway_fakes.py
+++ b/tests/test_gateway/gateway_fakes.py
@@ -20,6 +20,7 @@
 from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
 from savorychute.gateway.endpoints.engine_load import EngineLoad
 from savorychute.gateway.endpoints.load_watch import LoadWatch
+from savorychute.gateway.metric_rows import GATEWAY_METRICS
 from savorychute.gateway.parts import GatewayParts
 from savorychute.gateway.recovery.crash_book import CrashBook
 from savorychute.gateway.recovery.retry_allowance import RetryAllowance, RetryBounds
@@ -33,6 +34,7 @@
 from savorychute.http.client_pool import ServerAddress
 from savorychute.http.http_request import HttpRequest
 from savorychute.logs import InstanceLog
+from savorychute.metrics import Metrics
 
 IDLE = EngineLoad(waiting=0, reading=0, generating=0, next_tokens=0)
 START_MS = 1_000_000
@@ -295,6 +297,11 @@
     return Prompt('m', shared + own, answer, parts)
 
 
+def make_telemetry(clock):
+    metrics = Metrics('kochi-1', GATEWAY_METRICS)
+    return GatewayTelemetry(InstanceLog('kochi-1'), metrics, clock)
+
+
 def make_scene(desks=3, engines=3, seed=5, slack=50):
     clock = ManualClock(START_MS)
     timers = FakeTimers(clock)
@@ -321,7 +328,7 @@
         loads=LoadWatch(attempts, roster, clock),
         allowance=RetryAllowance(RetryBounds(0.2, 10_000, slack)),
         crashes=crashes,
-        telemetry=GatewayTelemetry(InstanceLog('kochi-1')),
+        telemetry=make_telemetry(clock),
     )
     intake = Intake(configuration, parts.crashes, rng)
     return Scene(parts, clock, timers, attempts, intake)
--- a/tests/test_gateway/test_settings_watch.py
+++ b/tests/test_gateway/test_settings_watch.py
@@ -7,12 +7,12 @@
 from pathlib import Path
 
 import pytest
+from gateway_fakes import make_telemetry
 
+from savorychute.clock import ManualClock
 from savorychute.gateway.daemon.settings_watch import SettingsWatch
 from savorychute.gateway.platform_adapter import PLATFORMS
 from savorychute.gateway.settings.table import GATEWAY_SCHEMA
-from savorychute.gateway.telemetry import GatewayTelemetry
-from savorychute.logs import InstanceLog
 from savorychute.settings.settings_file import read_schema
 
 DOCUMENT = {
@@ -46,7 +46,7 @@
 @pytest.fixture
 def watch(path, changes):
     settings = read_schema(path, GATEWAY_SCHEMA)
-    telemetry = GatewayTelemetry(InstanceLog('kochi-1'))
+    telemetry = make_telemetry(ManualClock())
     return SettingsWatch(path, settings, telemetry, changes.append)
 
 
--- a/tests/test_wire/test_schema_writer.py
+++ b/tests/test_wire/test_schema_writer.py
@@ -18,6 +18,7 @@
     'requests': 5,
     'recovery': 6,
     'leases': 7,
+    'gateway': 9,
 }
 
 
