--- a/savorychute/gateway/endpoints/prompt_cache.py
+++ b/savorychute/gateway/endpoints/prompt_cache.py
@@ -39,8 +39,12 @@
 # Requests move a queue by their own size; reports older than this say little of it.
 REPORT_MS = 300
 USABLE_REPORT_MS = 1_500
-# With a wait beyond this at home the other engines are asked as well.
+# With a wait beyond this at home some other engines are asked as well: the next in the
+# ranking, and two at random.  The better of two random engines is nearly as good as the
+# best of all, and with 45 engines asking all took ten reports for each prompt.
 BUSY_MS = 300.0
+NEXT_ASKED = 1
+RANDOM_ASKED = 2
 
 
 class _Candidate(NamedTuple):
@@ -71,18 +75,22 @@
     ) -> list[EndpointRecord]:
         """Return the engines whose load should be known first.
 
-        The home of a long prompt is asked, and if it is busy the rest of its lane.
+        The home of a long prompt is asked, and if it is busy a few others.
         """
         prompt = need.prompt
         if prompt is None or prompt.tokens < LARGE_TOKENS:
             return []
         lane = self._lanes.lane(records, need)
-        home = self._rank(lane, prompt)[0].record
+        ranked = [candidate.record for candidate in self._rank(lane, prompt)]
+        home = ranked[0]
         if not _is_recent(home, now_ms, REPORT_MS):
             return [home]
         if self._wait(home, now_ms) <= BUSY_MS:
             return []
-        return [each for each in lane if not _is_recent(each, now_ms, REPORT_MS)]
+        following = ranked[1 : 1 + NEXT_ASKED]
+        rest = ranked[1 + NEXT_ASKED :]
+        others = following + self._rng.sample(rest, min(RANDOM_ASKED, len(rest)))
+        return [each for each in others if not _is_recent(each, now_ms, REPORT_MS)]
 
     def choose(
         self, records: Sequence[EndpointRecord], need: Need, now_ms: int
@@ -94,7 +102,7 @@
         if prompt is None:
             candidates = [_Candidate(record, 0, 0.0) for record in lane]
         else:
-            candidates = self._rank(lane, prompt)
+            candidates = self._known(self._rank(lane, prompt), now_ms)
         choices = [
             Choice(
                 each.record,
@@ -107,6 +115,19 @@
         ]
         return min(choices, key=lambda choice: choice.cost_ms)
 
+    def _known(self, ranked: list[_Candidate], now_ms: int) -> list[_Candidate]:
+        """Return the home and the engines whose load is known.
+
+        An engine that was not asked seems idle to this instance, and would get what all
+        instances move away from busy ones.
+        """
+        known = [
+            each
+            for each in ranked[1:]
+            if _is_recent(each.record, now_ms, USABLE_REPORT_MS)
+        ]
+        return [ranked[0], *known] if known else ranked
+
     def _rank(self, lane: Sequence[EndpointRecord], prompt: Prompt) -> list[_Candidate]:
         """Return the engines, the home of the prompt first."""
         affinity = prompt.affinity
