Refuse two framings, keep early answers' connections out of use, test the dialects

Cause: a request with a length and chunks waited for an answer until a timeout; an endpoint that answers before it has read a body would read the next request as its rest; an idle connection was used up to 10 s whatever its server said. Each test failed first (408 for 400, 1 connection for 2, a reset).

--- a/savorychute/http/client_connection.py
+++ b/savorychute/http/client_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from typing import TYPE_CHECKING, cast
 
 import h11
@@ -17,6 +18,8 @@
     from savorychute.http.response_handler import ResponseHandler
 
 HEAD_BOUND_BYTES = 32 * 1024
+KEEP_ALIVE = re.compile(r'timeout\s*=\s*"?(\d{1,6})')
+MS_PER_S = 1_000
 
 
 class ClientConnection(asyncio.Protocol):
@@ -42,6 +45,7 @@
         self._transport: asyncio.Transport | None = None
         self._handler: ResponseHandler | None = None
         self.idle_since_ms = 0
+        self.kept_ms: int | None = None
 
     @property
     def usable(self) -> bool:
@@ -156,6 +160,7 @@
                 name.decode('ascii'): value.decode('latin-1')
                 for name, value in event.headers
             }
+            self.kept_ms = _read_kept_ms(headers.get('keep-alive', ''))
             handler.response_started(event.status_code, headers)
             return True
         if isinstance(event, h11.EndOfMessage):
@@ -167,11 +172,15 @@
         """Hand over the end, and keep the connection if it is in order.
 
         Bytes beyond the response answer no request.  On a kept connection
-        they would be taken for the response to the next one.
+        they would be taken for the response to the next one.  And where a server
+        answered before it had the whole body, it would read the next request as the
+        rest of the body.
         """
         self._handler = None
         done = self._http.our_state is h11.DONE is self._http.their_state
-        if done and not self._http.trailing_data[0]:
+        transport = cast('asyncio.Transport', self._transport)
+        unsent = transport.get_write_buffer_size()
+        if done and not unsent and not self._http.trailing_data[0]:
             self._http.start_next_cycle()
             self.resume_reading()
             self._on_idle(self)
@@ -184,3 +193,9 @@
         self._handler = None
         if handler is not None:
             handler.call_failed(CallFailure(sent=True, broken=True, reason=reason))
+
+
+def _read_kept_ms(header: str) -> int | None:
+    """Return how long the server keeps an idle connection; None if it does not say."""
+    found = KEEP_ALIVE.search(header)
+    return int(found[1]) * MS_PER_S if found else None
--- a/savorychute/http/client_pool.py
+++ b/savorychute/http/client_pool.py
@@ -19,6 +19,9 @@
     from savorychute.http.response_handler import ResponseHandler
 
 MS_PER_S = 1_000
+# Part of the time for which a server says that it keeps idle connections.  At its end
+# a request would cross the close.
+KEPT_SHARE = 0.5
 
 
 class ServerAddress(NamedTuple):
@@ -183,17 +186,23 @@
         self._idle.setdefault(address, []).append(connection)
 
     def _take_idle(self, address: ServerAddress) -> ClientConnection | None:
-        oldest_ms = self._clock.now_ms() - self._settings.idle_ms
         while address in self._idle:
             idle = self._idle[address]
             connection = idle.pop()
             if not idle:
                 del self._idle[address]
-            if connection.usable and connection.idle_since_ms >= oldest_ms:
+            if connection.usable and self._is_fresh(connection):
                 return connection
             connection.abort()
         return None
 
+    def _is_fresh(self, connection: ClientConnection) -> bool:
+        """Return whether the server still keeps an idle connection for a while."""
+        bound_ms = self._settings.idle_ms
+        if connection.kept_ms is not None:
+            bound_ms = min(bound_ms, int(KEPT_SHARE * connection.kept_ms))
+        return self._clock.now_ms() - connection.idle_since_ms <= bound_ms
+
 
 @contextmanager
 def open_pool(
--- a/savorychute/http/server_connection.py
+++ b/savorychute/http/server_connection.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from savorychute.http.http_limits import HttpLimits
     from savorychute.http.http_server import HttpServer
 
 MESSAGE_CHARS = 200
@@ -40,7 +41,6 @@
 
     def __init__(self, server: HttpServer) -> None:
         self._server = server
-        self._limits = server.limits
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.limits.header_bytes
         )
@@ -58,6 +58,11 @@
         self._deadline_ms = 0
         self.writing_paused = False
 
+    @property
+    def _limits(self) -> HttpLimits:
+        """The bounds in force; they may change while the connection is open."""
+        return self._server.limits
+
     # -- the transport's callbacks
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -224,6 +229,11 @@
             # so a cut answer would look like a whole one.
             self._refuse(ResultCode.MALFORMED_HTTP, 'HTTP/1.1 is needed')
             return False
+        if _has_two_framings(head):
+            # The two sides of a connection would disagree where the body ends, and
+            # what one takes for the body the other takes for a request.
+            self._refuse(ResultCode.MALFORMED_HTTP, 'a length and chunks as well')
+            return False
         if _announced_length(head) > self._limits.body_bytes:
             self._refuse_body()
             return False
@@ -373,3 +383,8 @@
         if name == b'content-length':
             return int(value)
     return 0
+
+
+def _has_two_framings(head: h11.Request) -> bool:
+    names = {name for name, _ in head.headers}
+    return b'content-length' in names and b'transfer-encoding' in names
--- a/tests/test_daemon/test_bad_input.py
+++ b/tests/test_daemon/test_bad_input.py
@@ -50,6 +50,11 @@
         (CHAT_HEAD + b'content-length: -1\r\n\r\n', 400, '1001'),
         (CHAT_HEAD + b'content-length: 1\r\ncontent-length: 2\r\n\r\n', 400, '1001'),
         (CHAT_HEAD + b'transfer-encoding: chunked\r\n\r\nzz\r\n', 400, '1001'),
+        (
+            CHAT_HEAD + b'content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n{}',
+            400,
+            '1001',
+        ),
         (CHAT_HEAD + b'x-long: ' + b'a' * 9_000, 431, '1009'),
         (CHAT_HEAD + b'content-length: 9000\r\n\r\n', 413, '1010'),
         (
--- /dev/null
+++ b/tests/test_fleet/store_stand_in.py
@@ -0,0 +1,142 @@
+"""The platform's store, as far as the gateway uses it, over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+from base64 import b64encode
+from contextlib import asynccontextmanager, suppress
+from urllib.parse import parse_qs, urlsplit
+
+from savorychute.testing.stand_in_http import LOOPBACK, respond_json, serve
+
+HEAD = struct.Struct('>QQ')
+LENGTH = struct.Struct('>I')
+STATUS_UNAVAILABLE = 503
+
+
+class Topic:
+    """One partition: records with keys, and the newest of each key for good."""
+
+    def __init__(self):
+        self.records = []
+        self.first = 0
+        self.newest = {}
+        self.written = asyncio.Event()
+
+    @property
+    def end(self):
+        return self.first + len(self.records)
+
+    def append(self, content):
+        key_end = 1 + content[0]
+        key, value = content[1:key_end].decode(), content[key_end:]
+        offset = self.end
+        self.records.append(content)
+        if value:
+            self.newest[key] = (offset, value)
+        else:
+            self.newest.pop(key, None)
+        self.written.set()
+        self.written = asyncio.Event()
+        return offset
+
+    def forget(self):
+        """Drop the history; the newest records stay."""
+        self.first = self.end
+        self.records = []
+
+
+class StoreStandIn:
+    """Answers the calls of the gateway; a test may make it fail.
+
+    ``mode`` is ``up``, ``busy`` (503 to every call), ``silent`` (no answer) or ``lossy``
+    (writes take effect and are not answered).
+    """
+
+    def __init__(self):
+        self.topics = {}
+        self.mode = 'up'
+        self.calls = []
+        self.port = 0
+        self._tasks = set()
+
+    def topic(self, name):
+        return self.topics.setdefault(name, Topic())
+
+    def put(self, topic, key, value):
+        """Write a record as the operator and the servers do."""
+        name = key.encode()
+        return self.topic(topic).append(bytes([len(name)]) + name + (value or b''))
+
+    def handle(self, exchange):
+        """Take one call."""
+        task = asyncio.get_running_loop().create_task(self._answer(exchange))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, exchange):
+        url = urlsplit(exchange.request.target)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        self.calls.append((url.path, query))
+        if self.mode == 'silent':
+            return
+        if self.mode == 'busy':
+            exchange.respond(STATUS_UNAVAILABLE, (), b'')
+            return
+        topic = self.topic(query['topic'])
+        if url.path == '/-/log-append':
+            self._append(exchange, topic, query)
+        elif url.path == '/-/log-newest':
+            self._list(exchange, topic, query.get('after', ''))
+        else:
+            await self._read(exchange, topic, query)
+
+    def _append(self, exchange, topic, query):
+        if 'at' in query and int(query['at']) != topic.end:
+            respond_json(exchange, 412, {'end': topic.end})
+            return
+        body = exchange.request.body
+        offset = topic.append(body[LENGTH.size :])
+        if self.mode == 'lossy':
+            exchange.abort()
+            return
+        respond_json(exchange, 200, {'offset': offset, 'end': topic.end})
+
+    def _list(self, exchange, topic, after):
+        keys = sorted(key for key in topic.newest if key > after)
+        page = keys[:2]
+        items = [
+            {
+                'key': key,
+                'value': b64encode(topic.newest[key][1]).decode(),
+                'offset': topic.newest[key][0],
+            }
+            for key in page
+        ]
+        more = len(keys) > len(page)
+        respond_json(exchange, 200, {'items': items, 'hasMore': more, 'end': topic.end})
+
+    async def _read(self, exchange, topic, query):
+        offset = int(query['from'])
+        if offset < topic.first:
+            respond_json(exchange, 410, {'first': topic.first})
+            return
+        wait_s = int(query.get('waitMs', 0)) / 1_000
+        if offset >= topic.end and wait_s:
+            with suppress(TimeoutError):
+                await asyncio.wait_for(topic.written.wait(), wait_s)
+        records = topic.records[offset - topic.first :]
+        body = HEAD.pack(topic.end, topic.first)
+        for record in records:
+            body += LENGTH.pack(len(record)) + record
+        exchange.respond(200, (), body)
+
+
+@asynccontextmanager
+async def run_store():
+    """Run a store until the block ends."""
+    store = StoreStandIn()
+    async with serve(store.handle, LOOPBACK, 0) as server:
+        store.port = server.port
+        yield store
--- /dev/null
+++ b/tests/test_fleet/test_dialects.py
@@ -0,0 +1,304 @@
+"""Tests of what callers and endpoints say, in the platform's words."""
+
+from __future__ import annotations
+
+import json
+
+import msgspec
+import pytest
+from fleet import caller_dialect, endpoint_dialect, engine_report
+from fleet.configuration_document import decode_configuration, decode_endpoint
+from fleet.log_records import decode_page, encode_record
+
+from savorychute.gateway.configuration.request_kind import RequestKind
+from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
+from savorychute.gateway.requests.endpoint_answer import AnswerKind
+from savorychute.gateway.requests.outbound_attempt import OutboundAttempt
+from savorychute.gateway.requests.prompt import Prompt, PromptPart
+from savorychute.gateway.requests.refusal import Refusal
+from savorychute.gateway.translation_error import TranslationError
+from savorychute.http.client_pool import ServerAddress
+from savorychute.http.http_request import HttpRequest
+from savorychute.http.http_response import HttpResponse
+from savorychute.ran import Ran
+from savorychute.result_code import ResultCode
+
+RAW = HttpRequest(
+    'POST',
+    '/desk/1?x=%2F',
+    (
+        ('host', 'Desk.Example:80'),
+        ('attempt-id', 'a1'),
+        ('last-event-id', '12'),
+        ('model', 'm'),
+        ('token-count', '1460,80'),
+        ('prefix-hash', '5c1e:800,91bd:410,e440:250'),
+        ('deadline-ms', '8000'),
+        ('authorization', 'Bearer secret'),
+        ('urgency', '0'),
+        ('tenant', 'somebody'),
+        ('kv-from', '10.0.0.1:1/x'),
+        ('hold', 'h'),
+        ('connection', 'keep-alive, x-hop'),
+        ('x-hop', '1'),
+        ('x-own', 'kept'),
+        ('content-length', '2'),
+    ),
+    b'ab',
+)
+ENTRY = EndpointEntry(
+    'i-1', 'pool', ServerAddress('10.0.0.9', 80), 'hall', 6, False, 0, 1
+)
+
+
+def make_attempt(**fields):
+    values = {
+        'request': caller_dialect.decode_request(RAW),
+        'endpoint': ENTRY,
+        'remaining_ms': 7_500,
+        'organisation': 'hule',
+        'urgency': 2,
+        'last_event': '14',
+        'fresh': False,
+    }
+    return OutboundAttempt(**(values | fields))
+
+
+def test_request_is_decoded_once():
+    request = caller_dialect.decode_request(RAW)
+
+    assert (request.host, request.path) == ('desk.example', '/desk/1')
+    assert (request.attempt_id, request.key) == ('a1', 'secret')
+    assert (request.deadline_ms, request.last_event) == (8_000, '12')
+    parts = (PromptPart('5c1e', 800), PromptPart('91bd', 410), PromptPart('e440', 250))
+    assert request.prompt == Prompt('m', 1_460, 80, parts)
+    assert request.prompt.shared_tokens == 1_210
+    assert request.prompt.affinity == '91bd'
+
+
+@pytest.mark.parametrize('name, value', [('deadline-ms', 'soon'), ('token-count', 'x')])
+def test_header_that_cannot_be_read_is_named(name, value):
+    with pytest.raises(TranslationError):
+        caller_dialect.decode_request(HttpRequest('GET', '/', ((name, value),)))
+
+
+def test_only_our_own_headers_reach_an_endpoint():
+    """A caller that set itself ahead.
+
+    It sends an urgency, an organisation, a hold and a copy of somebody's memory; the
+    endpoint would believe all of them.  Its key is its secret and stays here.
+    """
+    sent = endpoint_dialect.encode_attempt(make_attempt())
+    headers = dict(sent.headers)
+
+    assert (sent.method, sent.target, sent.body) == ('POST', '/desk/1?x=%2F', b'ab')
+    assert headers == {
+        'host': 'Desk.Example:80',
+        'attempt-id': 'a1',
+        'model': 'm',
+        'token-count': '1460,80',
+        'prefix-hash': '5c1e:800,91bd:410,e440:250',
+        'x-own': 'kept',
+        'deadline-ms': '7500',
+        'target-instance': 'i-1',
+        'tenant': 'hule',
+        'urgency': '2',
+        'last-event-id': '14',
+    }
+
+
+def test_public_request_has_no_organisation():
+    attempt = make_attempt(organisation='', urgency=None, last_event='')
+    headers = dict(endpoint_dialect.encode_attempt(attempt).headers)
+
+    assert not {'tenant', 'urgency', 'last-event-id'} & set(headers)
+
+
+@pytest.mark.parametrize(
+    'status, headers, kind',
+    [
+        (200, {'attempt-id': 'a1', 'server-signature': 's'}, AnswerKind.SUCCESS),
+        (200, {'attempt-id': 'a1'}, AnswerKind.FOREIGN),
+        (200, {'attempt-id': 'a2', 'server-signature': 's'}, AnswerKind.FOREIGN),
+        (500, {'attempt-id': 'a2', 'server-signature': 's'}, AnswerKind.FOREIGN),
+        (
+            200,
+            {'attempt-id': 'a1', 'server-signature': 's', 'content-encoding': 'gzip'},
+            AnswerKind.FOREIGN,
+        ),
+        (500, {'attempt-id': 'a1', 'server-signature': 's'}, AnswerKind.FAILURE),
+        (503, {'attempt-id': 'a1', 'not-executed': '1'}, AnswerKind.NOT_RUN),
+        (429, {'not-executed': '1'}, AnswerKind.NOT_RUN),
+        (503, {'attempt-id': 'a1'}, AnswerKind.FAILURE),
+        (421, {'instance-id': 'i-2'}, AnswerKind.OTHER_ENDPOINT),
+    ],
+)
+def test_answer_is_judged_by_what_it_proves(status, headers, kind):
+    answer = endpoint_dialect.decode_answer(status, headers, make_attempt())
+
+    assert answer.kind is kind
+
+
+def test_answer_keeps_its_headers_but_those_of_the_connection():
+    headers = {
+        'attempt-id': 'a1',
+        'server-signature': 's',
+        'content-type': 'text/event-stream',
+        'connection': 'close, x-hop',
+        'x-hop': '1',
+        'transfer-encoding': 'chunked',
+    }
+    answer = endpoint_dialect.decode_answer(200, headers, make_attempt())
+
+    assert answer.is_stream
+    assert dict(answer.headers) == {
+        'attempt-id': 'a1',
+        'server-signature': 's',
+        'content-type': 'text/event-stream',
+    }
+
+
+def test_refusal_says_when_to_come_back_and_has_no_proof():
+    refusal = Refusal(ResultCode.NO_ENDPOINT, Ran.NOT_RUN, 'no-endpoint', 300)
+    response = caller_dialect.encode_refusal(refusal)
+
+    assert response.status == 503
+    assert response.headers['retry-after'] == '0.3'
+    assert 'server-signature' not in response.headers
+    assert json.loads(response.body)['error']['ran'] == 'not-run'
+
+
+def test_report_of_an_engine():
+    body = msgspec.json.encode(
+        {
+            'waiting': 3,
+            'running': 5,
+            'runs': [['a', 800, 2, 0], ['b', 900, 1, 1]],
+            'nextToken': 12_569,
+            'state': 'ready',
+        }
+    )
+    load = engine_report.decode_report(HttpResponse(200, {}, body))
+
+    assert load == (3, 3, 2, 12_569, False)
+    assert engine_report.decode_report(HttpResponse(503, {}, b'')) is None
+    assert (
+        engine_report.decode_report(HttpResponse(200, {}, b'{"waiting":"x"}')) is None
+    )
+
+
+CONFIGURATION = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r-1',
+            'hostname': 'Desk.example',
+            'pathPrefix': '/a/',
+            'routeType': 'streaming',
+            'timeoutMs': 12_000,
+            'targetLatencyMs': 2_500,
+            'priority': 2,
+            'trafficSplit': [
+                {'service': 'x', 'weight': 90},
+                {'service': 'y', 'weight': 10},
+            ],
+            'maxAttempts': 2,
+            'public': False,
+            'sticky': True,
+            'resumable': True,
+            'gapTargetMs': 1_000,
+            'somethingNew': 1,
+        },
+        {
+            'name': 'r-2',
+            'hostname': 'desk.example',
+            'pathPrefix': '/b/',
+            'routeType': 'non_idempotent',
+            'timeoutMs': 1_500,
+            'targetLatencyMs': 300,
+            'service': 'x',
+        },
+    ],
+    'services': [
+        {
+            'name': 'x',
+            'healthPath': '/healthz',
+            'maxConns': 370,
+            'engine': {'slots': 64},
+        },
+        {'name': 'y', 'healthPath': '/healthz', 'maxConns': 110},
+    ],
+    'limits': {
+        'maxHeaderBytes': 16_384,
+        'maxBodyBytes': 4_194_304,
+        'headerTimeoutMs': 3_000,
+        'idleTimeoutMs': 15_000,
+    },
+    'tenants': [{'name': 'hule', 'apiKeys': ['k1', 'k2'], 'priority': 1}],
+}
+
+
+def test_configuration_is_decoded_into_our_names():
+    value = msgspec.json.encode(CONFIGURATION)
+    deployment = decode_configuration('config', value)
+
+    stream, plain = deployment.routes
+    assert deployment.version == 7
+    assert stream.kind is RequestKind.STREAM
+    assert stream.host == 'desk.example'
+    assert [tuple(share) for share in stream.shares] == [('x', 90), ('y', 10)]
+    assert stream.repeatable
+    assert plain.kind is RequestKind.NON_IDEMPOTENT
+    assert [share.service for share in plain.shares] == ['x']
+    assert [service.runs_models for service in deployment.services] == [True, False]
+    assert deployment.organisations == (('hule', ('k1', 'k2'), 1),)
+    assert deployment.limits == (16_384, 4_194_304, 3_000, 15_000)
+
+
+def test_other_records_of_the_operator_are_passed_over():
+    assert decode_configuration('notes', b'{}') is None
+
+
+@pytest.mark.parametrize(
+    'change', [{'version': 'x'}, {'limits': {}}, {'routes': [{'name': 'r'}]}]
+)
+def test_configuration_that_cannot_be_read_is_an_error(change):
+    with pytest.raises(TranslationError):
+        decode_configuration('config', msgspec.json.encode(CONFIGURATION | change))
+
+
+def test_entry_of_an_endpoint():
+    value = msgspec.json.encode(
+        {
+            'service': 'x',
+            'address': '10.128.0.9:8080',
+            'zone': 'hall',
+            'slots': 64,
+            'state': 'draining',
+            'coldLeftMs': 250,
+            'sequence': 4,
+        }
+    )
+    entry = decode_endpoint('i-1', value)
+
+    assert entry == EndpointEntry(
+        'i-1', 'x', ServerAddress('10.128.0.9', 8080), 'hall', 64, True, 250, 4
+    )
+
+
+def test_records_round_trip():
+    first, second = encode_record('a', b'1'), encode_record('b', None)
+    head = (12).to_bytes(8, 'big') + (3).to_bytes(8, 'big')
+    page = decode_page(head + first + second, 10)
+
+    assert (page.end, page.first) == (12, 3)
+    assert [tuple(record) for record in page.records] == [
+        (10, 'a', b'1'),
+        (11, 'b', None),
+    ]
+
+
+@pytest.mark.parametrize('data', [b'', b'\0' * 15, b'\0' * 16 + b'\0\0\0\x09\x01a'])
+def test_bytes_that_are_no_records_are_an_error(data):
+    with pytest.raises(TranslationError):
+        decode_page(data, 0)
--- a/tests/test_http/test_client_pool.py
+++ b/tests/test_http/test_client_pool.py
@@ -345,3 +345,57 @@
             return pool.open_connections
 
     assert asyncio.run(main()) == 1
+
+
+def test_early_answer_ends_the_connection():
+    """A long request that was answered before it was read.
+
+    The server answers at once, keeps the connection and goes on reading the body.  A
+    next request on that connection would be read as the rest of the body.
+    """
+    seen = []
+
+    async def answer_early(reader, writer, number):
+        await read_head(reader)
+        seen.append(number)
+        writer.write(OK)
+        await asyncio.sleep(1)
+
+    async def main():
+        async with raw_server(answer_early) as address:
+            with open_pool(PoolSettings(), SystemClock()) as pool:
+                long = HttpRequest('POST', '/', (), b'x' * 8_000_000)
+                for request in (long, GET):
+                    assert isinstance(
+                        await fetch(pool, address, request, 5_000), HttpResponse
+                    )
+
+    asyncio.run(main())
+    assert seen == [0, 1]
+
+
+def test_connection_is_given_up_before_the_server_closes_it():
+    """A request on a connection that the server was just closing.
+
+    The server says how long it keeps idle connections; reused at the very end of that
+    time, the request is reset and nobody knows whether it ran.
+    """
+    seen = []
+
+    async def keep_briefly(reader, writer, number):
+        while True:
+            await read_head(reader)
+            seen.append(number)
+            writer.write(b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n')
+            writer.write(b'keep-alive: timeout=2, max=9\r\n\r\n')
+
+    async def main():
+        clock = ManualClock()
+        async with raw_server(keep_briefly) as address:
+            with open_pool(PoolSettings(), clock) as pool:
+                for now_ms in (0, 900, 2_500):
+                    clock.advance_to(now_ms)
+                    await fetch(pool, address, GET, 5_000)
+
+    asyncio.run(main())
+    assert seen == [0, 0, 1]
