--- /dev/null
+++ b/tests/test_gateway/test_registration.py
@@ -0,0 +1,75 @@
+"""Tests of an instance's entry in the store."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from savorychute.gateway.store.keyed_record import KeyedRecord
+from savorychute.gateway.store.registration import SECRET_KEY, Registration
+from savorychute.gateway.store.store_errors import (
+    StoreUnavailableError,
+    WriteConflictError,
+)
+from savorychute.gateway.store.topic_snapshot import TopicSnapshot
+from savorychute.member_address import MemberAddress
+
+OWN = MemberAddress('k0', 0, 'kerala', 'kochi', '10.0.0.1', 80, 70)
+
+
+class MemoryTopic:
+    """A topic in memory; ``lose`` writes take effect and are not answered."""
+
+    def __init__(self, lose=0):
+        self.records = []
+        self.lose = lose
+
+    async def list_newest(self):
+        newest = {record.key: record for record in self.records}
+        return TopicSnapshot(tuple(newest.values()), len(self.records))
+
+    async def write(self, key, value, expected_end=None):
+        if expected_end not in (None, len(self.records)):
+            raise WriteConflictError('written by another')
+        self.records.append(KeyedRecord(len(self.records), key, value))
+        if self.lose:
+            self.lose -= 1
+            raise StoreUnavailableError('no answer')
+
+    def count(self, key):
+        return sum(record.key == key for record in self.records)
+
+
+def register(topic, address=OWN):
+    registration = Registration(topic, address)
+    asyncio.run(registration.register())
+    return registration
+
+
+def test_secret_whose_write_was_not_answered_is_not_written_again():
+    """Two halves that did not understand each other.
+
+    The write of the secret takes effect and its answer is lost.  Another instance uses
+    it at once; a second secret would replace it.
+    """
+    topic = MemoryTopic(lose=1)
+    with pytest.raises(StoreUnavailableError):
+        register(topic)
+
+    first = register(topic)
+    second = register(topic, OWN._replace(instance='k1'))
+
+    assert topic.count(SECRET_KEY) == 1
+    assert first.keys == second.keys
+
+
+def test_incarnation_counts_on_from_the_last_entry():
+    """An instance that its peers ignored.
+
+    The time of day jumped back before it started again; taken from the clock, its
+    incarnation would be smaller than that of the run before.
+    """
+    topic = MemoryTopic()
+
+    assert [register(topic).address.incarnation for _ in range(3)] == [1, 2, 3]
