Refuse in time what no engine can serve in time

A tier may take a part of an engine's places and of its objective in waiting; steady streams whose lane is slow go to any engine. Ruled out: leaving it to the engines' queues (134 places, 20 s).

--- /dev/null
+++ b/savorychute/gateway/admission/__init__.py
@@ -0,0 +1,1 @@
+"""When an engine is too full for a request."""
--- /dev/null
+++ b/savorychute/gateway/admission/overload_guard.py
@@ -0,0 +1,57 @@
+"""Refuses in time what an engine could not serve in time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+
+    from savorychute.gateway.endpoints.chooser import Choice
+    from savorychute.gateway.endpoints.need import Need
+
+# Part of an engine's places that requests of a tier may take together.  An engine that
+# always reads a prompt beside its streams lets each token wait for a chunk, about 90 ms,
+# and answers of 120 tokens pass their deadlines; with half of the places taken it
+# finishes about as many requests a second, and nearly all in time.
+PLACES_SHARE = (1.5, 0.8, 0.6)
+# Part of the objective that a request may be expected to wait.  The most urgent goes
+# ahead of the queue, and is worth an attempt also when it will be late.
+WAIT_SHARE = (3.0, 1.2, 0.9)
+# When callers come back, spread so that they do not come together.  A queue that is
+# too long for one objective is gone after about as long.
+FIRST_RETRY_MS = 800
+LAST_RETRY_MS = 2_000
+
+
+class OverloadGuard:
+    """Compares the likeliest engine's load with what a request's tier may use.
+
+    What cannot be in time only delays what can: under three times the capacity every
+    engine read prompts for callers that had left, and a quarter of all requests was
+    served.  Lower tiers are refused first, so that a tier never waits for a lower one.
+
+    :param rng: spreads the times at which callers come back.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def admits(self, choice: Choice, need: Need) -> bool:
+        """Return whether the request should be sent.
+
+        :param choice: the best engine that is known.
+        :param need: of the request.
+        """
+        load = choice.record.load
+        if need.prompt is None or load is None or not choice.load_known:
+            return True
+        tier = min(max(need.tier, 0), len(PLACES_SHARE) - 1)
+        taken = load.waiting + load.reading + load.generating
+        if taken > PLACES_SHARE[tier] * choice.record.entry.slots:
+            return False
+        return choice.wait_ms <= WAIT_SHARE[tier] * need.target_ms
+
+    def retry_after_ms(self) -> int:
+        """Return when a refused caller should come back."""
+        return self._rng.randint(FIRST_RETRY_MS, LAST_RETRY_MS)
--- a/savorychute/gateway/daemon/run_gateway.py
+++ b/savorychute/gateway/daemon/run_gateway.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from savorychute.clock import SystemClock
+from savorychute.gateway.admission.overload_guard import OverloadGuard
 from savorychute.gateway.configuration.configuration_state import ConfigurationState
 from savorychute.gateway.daemon.attempt_sender import AttemptSender
 from savorychute.gateway.daemon.gateway_host import GatewayHost
@@ -175,6 +176,7 @@
         roster=roster,
         model_chooser=CHOOSERS.get('prompt-cache')(settings.failure_domain, rng),
         service_chooser=CHOOSERS.get('least-outstanding')(settings.failure_domain, rng),
+        guard=OverloadGuard(rng),
         loads=LoadWatch(attempts, roster, clock),
         allowance=RetryAllowance(bounds),
         crashes=crashes,
--- a/savorychute/gateway/endpoints/chooser.py
+++ b/savorychute/gateway/endpoints/chooser.py
@@ -15,11 +15,16 @@
 
 
 class Choice(NamedTuple):
-    """The endpoint, and how many tokens it is expected to read anew."""
+    """The endpoint, how many tokens it is expected to read anew, and how long that waits.
+
+    ``load_known`` is whether its load was reported lately.
+    """
 
     record: EndpointRecord
     fresh_tokens: int
     cost_ms: float
+    wait_ms: float = 0.0
+    load_known: bool = False
 
 
 class Chooser(Protocol):
@@ -47,6 +52,14 @@
         """
         ...
 
+    def first_event(self, need: Need, waited_ms: int) -> None:
+        """Learn how long a request waited for the first event of its answer.
+
+        :param need: of the request.
+        :param waited_ms: from the attempt to the event.
+        """
+        ...
+
 
 class ChooserFactory(Protocol):
     """Makes a chooser."""
--- a/savorychute/gateway/endpoints/lane_split.py
+++ b/savorychute/gateway/endpoints/lane_split.py
@@ -24,9 +24,8 @@
 GENERATED_MS = 0.1
 # The part of shared prompts that is not found in the cache: one in three tokens of a day.
 MISS_SHARE = 0.35
-# Demand is averaged over about this time; bursts of some seconds should not move the
-# lanes, for each move reads cached prompts anew.
-MEMORY_S = 20.0
+# Demand is averaged over about this time, so that the lanes follow a burst of one kind.
+MEMORY_S = 8.0
 # Instances differ in what they see.  Where the wanted size lies between two, steady
 # streams take the smaller one and long prompts leave out the larger one: an engine that
 # some instances count to one lane and some to the other would serve both badly.
--- a/savorychute/gateway/endpoints/need.py
+++ b/savorychute/gateway/endpoints/need.py
@@ -9,10 +9,16 @@
 
 
 class Need(NamedTuple):
-    """The prompt to read, and the longest pause between events that is on time.
+    """The prompt to read, and what is on time.
 
-    ``prompt`` is None for a plain service, ``gap_target_ms`` 0 for no such bound.
+    ``prompt`` is None for a plain service.  ``gap_target_ms`` is the longest pause
+    between events, 0 for no such bound; ``target_ms`` is the objective, ``tier`` the
+    rank (0 is the most urgent).  A request that ``tries_again`` was refused by an
+    engine before.
     """
 
     prompt: Prompt | None = None
     gap_target_ms: int = 0
+    target_ms: int = 0
+    tier: int = 0
+    tries_again: bool = False
--- a/savorychute/gateway/endpoints/prompt_cache.py
+++ b/savorychute/gateway/endpoints/prompt_cache.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from savorychute.gateway.endpoints.chooser import CHOOSERS, Choice
-from savorychute.gateway.endpoints.lane_split import LaneSplit
+from savorychute.gateway.endpoints.lane_split import LaneSplit, is_steady
 
 if TYPE_CHECKING:
     import random
@@ -44,6 +44,10 @@
 # best of all, and with 45 engines asking all took ten reports for each prompt.
 BUSY_MS = 300.0
 NEXT_ASKED = 1
+# Steady streams wait about 0.1 of their objective; from this part on the engines of
+# their lane are asked for their load, and others besides.
+SLOW_SHARE = 0.3
+WAIT_WEIGHT = 0.1
 RANDOM_ASKED = 2
 
 
@@ -69,6 +73,7 @@
         self._failure_domain = failure_domain
         self._rng = rng
         self._lanes = LaneSplit()
+        self._steady_wait_ms = 0.0
 
     def wants_reports(
         self, records: Sequence[EndpointRecord], need: Need, now_ms: int
@@ -78,9 +83,11 @@
         The home of a long prompt is asked, and if it is busy a few others.
         """
         prompt = need.prompt
-        if prompt is None or prompt.tokens < LARGE_TOKENS:
+        if prompt is None:
+            return []
+        if prompt.tokens < LARGE_TOKENS and not self._is_slow(need):
             return []
-        lane = self._lanes.lane(records, need)
+        lane = self._lane(records, need)
         ranked = [candidate.record for candidate in self._rank(lane, prompt)]
         home = ranked[0]
         if not _is_recent(home, now_ms, REPORT_MS):
@@ -97,24 +104,48 @@
     ) -> Choice:
         """Return the endpoint with the least predicted wait."""
         self._lanes.note(need, now_ms)
-        lane = self._lanes.lane(records, need)
+        lane = self._lane(records, need)
         prompt = need.prompt
         if prompt is None:
             candidates = [_Candidate(record, 0, 0.0) for record in lane]
         else:
             candidates = self._known(self._rank(lane, prompt), now_ms)
-        choices = [
-            Choice(
-                each.record,
-                each.fresh_tokens,
-                each.extra_ms
-                + each.fresh_tokens / TOKENS_PER_MS
-                + self._wait(each.record, now_ms),
-            )
-            for each in candidates
-        ]
+        choices = [self._judge(each, now_ms) for each in candidates]
         return min(choices, key=lambda choice: choice.cost_ms)
 
+    def first_event(self, need: Need, waited_ms: int) -> None:
+        """Learn how long steady streams wait at present."""
+        if is_steady(need):
+            self._steady_wait_ms += WAIT_WEIGHT * (waited_ms - self._steady_wait_ms)
+
+    def _is_slow(self, need: Need) -> bool:
+        """Return whether requests of this lane have waited for long lately."""
+        return self._steady_wait_ms > SLOW_SHARE * need.target_ms
+
+    def _lane(
+        self, records: Sequence[EndpointRecord], need: Need
+    ) -> Sequence[EndpointRecord]:
+        """Return the engines that a request may use.
+
+        A steady stream that its own lane cannot serve goes to any engine: it is short,
+        goes ahead of the queue there, and pauses are better than no answer.
+        """
+        if is_steady(need) and (need.tries_again or self._is_slow(need)):
+            return records
+        return self._lanes.lane(records, need)
+
+    def _judge(self, candidate: _Candidate, now_ms: int) -> Choice:
+        record = candidate.record
+        wait_ms = self._wait(record, now_ms)
+        reading_ms = candidate.fresh_tokens / TOKENS_PER_MS
+        return Choice(
+            record,
+            candidate.fresh_tokens,
+            candidate.extra_ms + reading_ms + wait_ms,
+            reading_ms + wait_ms,
+            _is_recent(record, now_ms, USABLE_REPORT_MS),
+        )
+
     def _known(self, ranked: list[_Candidate], now_ms: int) -> list[_Candidate]:
         """Return the home and the engines whose load is known.
 
--- a/savorychute/gateway/parts.py
+++ b/savorychute/gateway/parts.py
@@ -6,6 +6,7 @@
 
 if TYPE_CHECKING:
     from savorychute.clock import Clock
+    from savorychute.gateway.admission.overload_guard import OverloadGuard
     from savorychute.gateway.configuration.configuration_state import (
         ConfigurationState,
     )
@@ -29,6 +30,7 @@
     roster: EndpointRoster
     model_chooser: Chooser
     service_chooser: Chooser
+    guard: OverloadGuard
     loads: LoadWatch
     allowance: RetryAllowance
     crashes: CrashBook
--- a/savorychute/gateway/requests/request_course.py
+++ b/savorychute/gateway/requests/request_course.py
@@ -74,6 +74,7 @@
         self._sends = 0
         self._asked = 0
         self._refused_after_ms = 0
+        self._overloaded = False
         self._passing = False
         self._first_event_ms = 0
         self._last_event_ms = 0
@@ -93,7 +94,7 @@
         """Send the first attempt."""
         self._parts.allowance.request(self._admitted.service.name, self.began_ms)
         if not self._send():
-            self._refuse(ResultCode.NO_ENDPOINT, 'no-endpoint', NO_ENDPOINT_RETRY_MS)
+            self._give_up('no-endpoint')
 
     def caller_left(self) -> None:
         """Stop all work; nobody waits for it any more."""
@@ -113,6 +114,8 @@
         attempt.began_to_answer()
         if not self._first_event_ms:
             self._first_event_ms = now_ms
+            chooser = self._parts.chooser(self._admitted.service)
+            chooser.first_event(self._need(), now_ms - attempt.began_ms)
         else:
             gap_ms = now_ms - self._last_event_ms
             self._longest_gap_ms = max(self._longest_gap_ms, gap_ms)
@@ -246,7 +249,10 @@
             self._finish(reason, ResultCode.OUTCOME_UNKNOWN.status)
         else:
             retry_after_ms = self._refused_after_ms or NO_ENDPOINT_RETRY_MS
-            self._refuse(ResultCode.NO_ENDPOINT, reason, retry_after_ms)
+            if self._overloaded:
+                self._refuse(ResultCode.OVERLOADED, 'overload', retry_after_ms)
+            else:
+                self._refuse(ResultCode.NO_ENDPOINT, reason, retry_after_ms)
 
     def _refuse(self, code: ResultCode, reason: str, retry_after_ms: int) -> None:
         assert not self.possible_runs
@@ -264,16 +270,30 @@
         if not candidates:
             return False
         chooser = self._parts.chooser(service)
-        need = Need(self._request.prompt, self._route.gap_target_ms)
+        need = self._need()
         wanted = chooser.wants_reports(candidates, need, now_ms)
         if wanted and self._asked < MOST_ASKED:
             self._asked += 1
             self._arm(now_ms)
             self._parts.loads.refresh(wanted, self._reports_came)
             return True
-        self._send_to(chooser.choose(candidates, need, now_ms), now_ms)
+        choice = chooser.choose(candidates, need, now_ms)
+        if not self._parts.guard.admits(choice, need) and not self.possible_runs:
+            self._refused_after_ms = self._parts.guard.retry_after_ms()
+            self._overloaded = True
+            return False
+        self._send_to(choice, now_ms)
         return True
 
+    def _need(self) -> Need:
+        return Need(
+            self._request.prompt,
+            self._route.gap_target_ms,
+            self._route.target_ms,
+            self._admitted.tier,
+            tries_again=bool(self._tried),
+        )
+
     def _reports_came(self) -> None:
         """Go on with the choice that waited for reports."""
         if not self.finished and not self._send():
--- a/tests/test_gateway/gateway_fakes.py
+++ b/tests/test_gateway/gateway_fakes.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from savorychute.clock import ManualClock
+from savorychute.gateway.admission.overload_guard import OverloadGuard
 from savorychute.gateway.configuration.caller_limits import CallerLimits
 from savorychute.gateway.configuration.configuration_state import ConfigurationState
 from savorychute.gateway.configuration.deployment import Deployment
@@ -325,6 +326,7 @@
         roster=roster,
         model_chooser=CHOOSERS.get('prompt-cache')('hall', rng),
         service_chooser=CHOOSERS.get('least-outstanding')('hall', rng),
+        guard=OverloadGuard(rng),
         loads=LoadWatch(attempts, roster, clock),
         allowance=RetryAllowance(RetryBounds(0.2, 10_000, slack)),
         crashes=crashes,
--- /dev/null
+++ b/tests/test_gateway/test_overload_guard.py
@@ -0,0 +1,66 @@
+"""Tests of refusals under load."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from gateway_fakes import make_entry, make_prompt, make_scene
+
+from savorychute.gateway.admission.overload_guard import OverloadGuard
+from savorychute.gateway.endpoints.chooser import Choice
+from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
+from savorychute.gateway.endpoints.engine_load import EngineLoad
+from savorychute.gateway.endpoints.need import Need
+from savorychute.ran import Ran
+from savorychute.result_code import ResultCode
+
+TIERS = (0, 1, 2, 7)
+
+
+def admits(tier, taken=0, wait_ms=100.0, known=True):
+    record = EndpointRecord(make_entry('e0', 'pool', slots=64))
+    record.report(EngineLoad(taken, 0, 0, 5_000), 1_000)
+    need = Need(make_prompt(), 1_000, target_ms=1_500, tier=tier)
+    choice = Choice(record, 4_000, wait_ms, wait_ms, known)
+    return OverloadGuard(random.Random(1)).admits(choice, need)
+
+
+@pytest.mark.parametrize('tier', TIERS)
+def test_engine_with_free_places_takes_every_tier(tier):
+    assert admits(tier, taken=20)
+
+
+@pytest.mark.parametrize('taken', range(0, 140, 5))
+@pytest.mark.parametrize('wait_ms', [100, 1_400, 1_700, 4_000, 9_000])
+def test_no_tier_is_refused_where_a_lower_one_is_taken(taken, wait_ms):
+    """A diagnosis that was refused for a summary.
+
+    With one report in hand, the answer for a tier must be at least that for each tier
+    below it.
+    """
+    taken_by_tier = [admits(tier, taken, wait_ms) for tier in TIERS]
+
+    assert taken_by_tier == sorted(taken_by_tier, reverse=True)
+
+
+def test_unknown_load_refuses_nothing():
+    assert admits(2, taken=200, known=False)
+
+
+def test_refused_request_has_not_run_and_may_come_back():
+    """A refusal while every engine is full.
+
+    The engines report long queues; the request is refused at once, it reached none of
+    them, and the caller is told when to come back.
+    """
+    scene = make_scene()
+    for record in scene.parts.roster:
+        record.report(EngineLoad(120, 4, 40, 9_000), scene.clock.now_ms())
+
+    _, caller = scene.start('/draft/1', prompt=make_prompt())
+
+    assert not scene.attempts.sent
+    assert caller.refusal.code is ResultCode.OVERLOADED
+    assert caller.refusal.ran is Ran.NOT_RUN
+    assert caller.refusal.retry_after_ms > 0
