Tell a request's course from the logs of several instances

Cause: an engineer on call had lines of many instances and no way through them. explain takes files besides a live instance; refusals under load name the engine, its load and the report's age. Ruled out: a command of its own (explain ID without files keeps asking the instance).

--- a/savorychute/cmd/inspection.py
+++ b/savorychute/cmd/inspection.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from savorychute.cmd import operator_verbs
 from savorychute.cmd.command import COMMANDS
+from savorychute.cmd.exit_code import ExitCode
 from savorychute.cmd.operator_command import OperatorVerb
 from savorychute.settings.network_address import NetworkAddress
 
@@ -61,7 +63,7 @@
 
 @COMMANDS.register('explain')
 class Explain(OperatorVerb):
-    """Print the course of a request."""
+    """Print the course of a request, from an instance or from logs."""
 
     summary = 'print why a request went where it went, or was refused'
     verb = operator_verbs.EXPLAIN
@@ -69,6 +71,25 @@
     def add_own_arguments(self, parser: ArgumentParser) -> None:
         """Add the request."""
         parser.add_argument('request_id', help='the id that the answer carried')
+        parser.add_argument(
+            'logs',
+            type=Path,
+            nargs='*',
+            help='files of JSON lines of any instances; then none of them is asked',
+        )
+
+    def run(self, arguments: Namespace) -> int:
+        """Read the logs that are named, or ask the instance."""
+        if not arguments.logs:
+            return super().run(arguments)
+        # Imported late: no other command reads logs.
+        from savorychute.explain.log_reader import read_logs
+        from savorychute.explain.story import tell_story
+
+        story = tell_story(arguments.request_id, read_logs(arguments.logs))
+        for sentence in story:
+            print(sentence)
+        return ExitCode.OK if story else ExitCode.REFUSED
 
     def make_document(self, arguments: Namespace) -> Any:
         """Return the request's id."""
--- /dev/null
+++ b/savorychute/explain/sentences.py
@@ -0,0 +1,115 @@
+"""A sentence for each kind of log line."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from savorychute.registry import Registry
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from savorychute.explain.log_line import LogLine
+
+SENTENCES: Registry[Callable[[dict[str, Any]], str]] = Registry('sentence')
+HIDDEN = frozenset(
+    {
+        'instance',
+        'level',
+        'message_type',
+        'request_id',
+        'task_level',
+        'task_uuid',
+        'timestamp',
+    }
+)
+
+
+def tell(line: LogLine) -> str:
+    """Return a line as a sentence.
+
+    :param line: any line; one of an unknown kind is told by its fields.
+    """
+    if line.event in SENTENCES:
+        return SENTENCES.get(line.event)(line.fields)
+    shown = ', '.join(
+        f'{name} {value}' for name, value in line.fields.items() if name not in HIDDEN
+    )
+    return f'{line.event}: {shown}'
+
+
+@SENTENCES.register('request-refused')
+def _tell_refused(fields: dict[str, Any]) -> str:
+    return (
+        f'refused at once with code {fields.get("code")} ({fields.get("reason")}), '
+        f'told {fields.get("ran")}; by version {fields.get("version")}, '
+        f'confirmed {fields.get("age_ms")} ms before'
+    )
+
+
+@SENTENCES.register('request-shed')
+def _tell_shed(fields: dict[str, Any]) -> str:
+    return (
+        f'not sent: the best engine {fields.get("endpoint")} had '
+        f'{fields.get("count")} requests and an expected wait of '
+        f'{fields.get("waited_ms")} ms, by a report of {fields.get("age_ms")} ms before'
+    )
+
+
+@SENTENCES.register('attempt-ended')
+def _tell_attempt(fields: dict[str, Any]) -> str:
+    reason = fields.get('reason')
+    cause = f' ({reason})' if reason else ''
+    return (
+        f'the attempt at {fields.get("endpoint")} of {fields.get("service")} '
+        f'{fields.get("state")}{cause} after {fields.get("duration_ms")} ms'
+    )
+
+
+@SENTENCES.register('request-finished')
+def _tell_finished(fields: dict[str, Any]) -> str:
+    text = (
+        f'{fields.get("state")} with status {fields.get("status")} after '
+        f'{fields.get("duration_ms")} ms and {fields.get("count")} attempts, the last '
+        f'at {fields.get("endpoint") or "no endpoint"}; route {fields.get("item")}, '
+        f'tier {fields.get("tier")}, version {fields.get("version")}'
+    )
+    if fields.get('events'):
+        text += (
+            f'; first event after {fields.get("first_event_ms")} ms, '
+            f'{fields["events"]} events, longest pause {fields.get("gap_ms")} ms'
+        )
+    return text
+
+
+@SENTENCES.register('configuration-applied')
+def _tell_configuration(fields: dict[str, Any]) -> str:
+    return (
+        f'put version {fields.get("version")} in force, '
+        f'from offset {fields.get("offset")}'
+    )
+
+
+@SENTENCES.register('dependency-lost')
+def _tell_lost(fields: dict[str, Any]) -> str:
+    return f'could not read {fields.get("item")}: {fields.get("reason")}'
+
+
+@SENTENCES.register('dependency-regained')
+def _tell_regained(fields: dict[str, Any]) -> str:
+    return f'could read {fields.get("item")} again'
+
+
+@SENTENCES.register('endpoint-changed')
+def _tell_endpoint(fields: dict[str, Any]) -> str:
+    return f'learned that {fields.get("endpoint")} is {fields.get("state")}'
+
+
+@SENTENCES.register('instance-started')
+def _tell_started(fields: dict[str, Any]) -> str:
+    return f'started, for callers at {fields.get("address")}'
+
+
+@SENTENCES.register('instance-leaving')
+def _tell_leaving(fields: dict[str, Any]) -> str:  # noqa: ARG001
+    return 'was told to leave'
--- a/savorychute/gateway/requests/request_course.py
+++ b/savorychute/gateway/requests/request_course.py
@@ -281,6 +281,7 @@
         if not self._parts.guard.admits(choice, need) and not self.possible_runs:
             self._refused_after_ms = self._parts.guard.retry_after_ms()
             self._overloaded = True
+            self._parts.telemetry.request_shed(self._request, choice, need, now_ms)
             return False
         self._send_to(choice, now_ms)
         return True
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -13,7 +13,9 @@
     from savorychute.clock import Clock
     from savorychute.errors import SavorychuteError, SettingsError
     from savorychute.gateway.configuration.deployment import Deployment
+    from savorychute.gateway.endpoints.chooser import Choice
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
+    from savorychute.gateway.endpoints.need import Need
     from savorychute.gateway.requests.admitted import Admitted
     from savorychute.gateway.requests.attempt import Attempt
     from savorychute.gateway.requests.course_summary import CourseSummary
@@ -134,6 +136,24 @@
             age_ms=age_ms,
         )
 
+    def request_shed(
+        self, request: InboundRequest, choice: Choice, need: Need, now_ms: int
+    ) -> None:
+        """Log that not even the best engine can serve a request in time."""
+        record = choice.record
+        load = record.load
+        taken = load.waiting + load.reading + load.generating if load else 0
+        self._write(
+            LogLevel.WARNING,
+            'request-shed',
+            request.attempt_id,
+            endpoint=record.entry.endpoint,
+            tier=need.tier,
+            count=taken,
+            waited_ms=int(choice.wait_ms),
+            age_ms=record.load_age_ms(now_ms),
+        )
+
     def attempt_ended(
         self,
         request: InboundRequest,
