Ask readers in turn; one that the store turns away vouches for nothing

Ruled out: lost datagrams (questions were answered). A reader that cannot read now asks the other ones itself.

--- a/savorychute/gateway/daemon/run_gateway.py
+++ b/savorychute/gateway/daemon/run_gateway.py
@@ -222,6 +222,7 @@
             ConfigurationGate(plan),
             ConfigurationListener(
                 configuration,
+                plan,
                 adapter.decode_configuration,
                 telemetry,
                 host.apply_limits,
--- a/savorychute/gateway/store/configuration_listener.py
+++ b/savorychute/gateway/store/configuration_listener.py
@@ -14,6 +14,7 @@
     )
     from savorychute.gateway.configuration.deployment import Deployment
     from savorychute.gateway.store.keyed_record import KeyedRecord
+    from savorychute.gateway.store.reading_plan import ReadingPlan
     from savorychute.gateway.store.store_errors import StoreUnavailableError
     from savorychute.gateway.store.topic_delta import TopicDelta
     from savorychute.gateway.store.topic_snapshot import TopicSnapshot
@@ -27,6 +28,7 @@
     cannot be read confirms nothing: a newer version exists that is not known here.
 
     :param state: the version in force.
+    :param plan: is told whether the store can be read.
     :param decode: turns a record into a configuration.
     :param telemetry: is told of each version.
     :param on_applied: called with each version put in force.
@@ -35,11 +37,13 @@
     def __init__(
         self,
         state: ConfigurationState,
+        plan: ReadingPlan,
         decode: Callable[[str, bytes], Deployment | None],
         telemetry: GatewayTelemetry,
         on_applied: Callable[[Deployment], None],
     ) -> None:
         self._state = state
+        self._plan = plan
         self._decode = decode
         self._telemetry = telemetry
         self._on_applied = on_applied
@@ -55,9 +59,11 @@
     def topic_failed(self, error: StoreUnavailableError) -> None:
         """Note that the version in force could not be confirmed."""
         self._telemetry.store_failed('configuration', error)
+        self._plan.failing_topics.add('configuration')
 
     def _take(self, records: Sequence[KeyedRecord], began_ms: int) -> None:
         self._telemetry.store_answered('configuration')
+        self._plan.failing_topics.discard('configuration')
         for record in records:
             if record.value is None:
                 continue
--- a/savorychute/gateway/store/endpoint_listener.py
+++ b/savorychute/gateway/store/endpoint_listener.py
@@ -53,6 +53,7 @@
     def topic_listed(self, snapshot: TopicSnapshot, began_ms: int) -> None:
         """Take all entries."""
         self._telemetry.store_answered('endpoints')
+        self._plan.failing_topics.discard('endpoints')
         read = [self._read(record) for record in snapshot.records]
         entries = [entry for entry in read if entry is not None]
         now_ms = self._clock.now_ms()
@@ -66,6 +67,7 @@
     def topic_changed(self, delta: TopicDelta, began_ms: int) -> None:
         """Take entries that were written or removed, in their order."""
         self._telemetry.store_answered('endpoints')
+        self._plan.failing_topics.discard('endpoints')
         if delta.next_offset < self._journal.offset:
             # Another instance told of later changes while this read was under way.
             return
@@ -83,6 +85,7 @@
     def topic_failed(self, error: StoreUnavailableError) -> None:
         """Note that entries may lapse because nobody can write them."""
         self._telemetry.store_failed('endpoints', error)
+        self._plan.failing_topics.add('endpoints')
         self._roster.store_failed(self._clock.now_ms())
 
     def take_changes(self, changes: Sequence[EndpointNews], offset: int) -> None:
--- a/savorychute/gateway/store/reading_plan.py
+++ b/savorychute/gateway/store/reading_plan.py
@@ -56,6 +56,8 @@
         self.wanted_version = -1
         self.endpoints_ms: int | None = None
         self.must_list_endpoints = False
+        # Topics whose last read failed; an instance with any vouches for nothing.
+        self.failing_topics: set[str] = set()
 
     def follow(self, view: MemberView) -> None:
         """Choose the readers anew if the members have changed.
--- a/savorychute/gateway/store/shared_reading.py
+++ b/savorychute/gateway/store/shared_reading.py
@@ -18,7 +18,6 @@
     from savorychute.gateway.store.endpoint_journal import EndpointJournal
     from savorychute.gateway.store.endpoint_news import EndpointNews
     from savorychute.gateway.store.reading_plan import ReadingPlan
-    from savorychute.member_address import MemberAddress
 
 # A change is known to all within this time of the readers.
 ASK_MS = 500
@@ -27,6 +26,8 @@
 # A change that does not fit into one datagram is fetched by the next question.
 CHANGES_PER_ANSWER = 6
 NEVER_AGE_MS = 1 << 40
+# Instances begin with different readers.
+TURNS = 1 << 16
 
 
 class SharedReading:
@@ -40,7 +41,7 @@
     :param configuration: what is in force here.
     :param journal: changes of endpoints.
     :param on_changes: is given changes from others, in order.
-    :param rng: picks a reader.
+    :param rng: picks the first reader.
     """
 
     def __init__(
@@ -55,28 +56,27 @@
         self._configuration = configuration
         self._journal = journal
         self._on_changes = on_changes
-        self._rng = rng
         self._sequence = 0
         self._asked: dict[int, int] = {}
         self._next_ms = 0
-        self._answered = True
-        self._last_reader: MemberAddress | None = None
+        self._turn = rng.randrange(TURNS)
 
     def tick(self, now_ms: int) -> list[SendPeer]:
         """Return the question that is due, if one is.
 
         :param now_ms: the time.
         """
-        if self._plan.is_reader or now_ms < self._next_ms:
+        if now_ms < self._next_ms:
+            return []
+        if self._plan.is_reader and not self._plan.failing_topics:
             return []
         readers = self._plan.other_readers()
-        if not self._answered and len(readers) > 1:
-            readers = [each for each in readers if each != self._last_reader]
         if not readers:
             return []
-        reader = self._rng.choice(readers)
-        self._last_reader = reader
-        self._answered = False
+        # In turn, so that one that the store has turned away without a word hides a
+        # change for one question only.
+        self._turn += 1
+        reader = readers[self._turn % len(readers)]
         self._next_ms = now_ms + ANSWER_MS
         self._sequence += 1
         self._asked = {
@@ -95,6 +95,8 @@
         :param now_ms: the time.
         """
         age_ms = min(self._configuration.age_ms(now_ms), NEVER_AGE_MS)
+        if self._plan.failing_topics:
+            age_ms = NEVER_AGE_MS
         changes = self._journal.since(question.endpoint_offset)
         endpoint_age_ms = self._plan.endpoint_age_ms(now_ms)
         if changes is None or endpoint_age_ms is None:
@@ -123,7 +125,10 @@
         asked_ms = self._asked.pop(answer.sequence, None)
         if asked_ms is None:
             return
-        self._answered = True
+        if answer.configuration_age_ms >= NEVER_AGE_MS:
+            # The reader knows that it is cut off; another one may not be.
+            self._next_ms = now_ms
+            return
         self._next_ms = max(self._next_ms, asked_ms + ASK_MS)
         self._take_version(answer, asked_ms)
         if answer.endpoint_offset < 0:
--- a/tests/test_gateway/test_shared_reading.py
+++ b/tests/test_gateway/test_shared_reading.py
@@ -211,6 +211,36 @@
     assert other.plan.reads_configuration()
 
 
+def test_reader_that_the_store_turns_away_hides_nothing(nodes, clock):
+    """A configuration that one instance learned too late.
+
+    One of two readers is turned away by the store and still answers with what it knew.
+    An instance that happened to ask it five times in a row went on with an old version
+    for two and a half seconds.
+    """
+    readers = [node for node in nodes if node.plan.is_reader]
+    other = next(node for node in nodes if not node.plan.is_reader)
+    for node in (*readers, other):
+        node.read_store(1, [], 10, START_MS)
+    readers[0].configuration.apply(make_deployment(version=2))
+    readers[1].listener.topic_failed(None)
+
+    asked = []
+    for now_ms in range(START_MS, START_MS + 700, 50):
+        for action in other.reading.tick(now_ms):
+            reader = next(
+                node
+                for node, member in zip(nodes, MEMBERS, strict=True)
+                if member.instance == action.instance
+            )
+            asked.append(reader)
+            answer = reader.reading.answer(action.message, now_ms)
+            other.reading.take_answer(answer, now_ms + 5)
+
+    assert other.plan.wanted_version == 2
+    assert readers[0] in asked
+
+
 def test_silent_reader_is_passed_over(nodes, clock):
     _, other = pick(nodes)
     other.read_store(1, [], 10, START_MS)
