--- a/savorychute/gateway/daemon/gateway_host.py
+++ b/savorychute/gateway/daemon/gateway_host.py
@@ -122,7 +122,7 @@
         exchange.on_left = course.caller_left
         self.in_progress += 1
         course.on_finished = self._note_finished
-        self._parts.allowance.instances = self._directory.count(now_ms)
+        self._parts.allowance.instances = self._peers.count()
         course.start()
 
     def _note_finished(self) -> None:
--- a/savorychute/gateway/daemon/peer_group.py
+++ b/savorychute/gateway/daemon/peer_group.py
@@ -87,12 +87,23 @@
         self._membership: Membership | None = None
         self._link: PeerLink | None = None
         self._listings: set[asyncio.Task[None]] = set()
+        self._listed: int | None = None
         self.ready_version = NOT_READY
 
     def view(self) -> MemberView | None:
         """Return the members, or None before this instance has registered."""
         return self._membership.view() if self._membership is not None else None
 
+    def count(self) -> int | None:
+        """Return how many instances there are, at least; None before that is known.
+
+        Those that were killed are listed until somebody notices; counting them only
+        makes each part smaller.
+        """
+        if self._membership is None or self._listed is None:
+            return None
+        return max(self._listed, len(self._membership.view().alive))
+
     async def run(self) -> None:
         """Take part until the task is cancelled."""
         await self._register()
@@ -200,5 +211,6 @@
             self._telemetry.store_failed('instances', error)
             return
         self._telemetry.store_answered('instances')
+        self._listed = len(live)
         listing = ListingFetched(live=live, leaving=frozenset(), ok=True)
         self._carry_out(self._membership.apply_listing(listing, self._clock.now_ms()))
--- a/savorychute/gateway/discovery/instance_directory.py
+++ b/savorychute/gateway/discovery/instance_directory.py
@@ -79,11 +79,3 @@
         if len(near) >= FEW:
             return near[:MOST]
         return (near + [each for each in ready if each not in near])[:MOST]
-
-    def count(self, now_ms: int) -> int:
-        """Return how many instances there are, this one included.
-
-        :param now_ms: the time.
-        """
-        recent = [e for e in self._heard.values() if now_ms - e.heard_ms <= HEARD_MS]
-        return len(recent) + 1
--- a/savorychute/gateway/recovery/retry_allowance.py
+++ b/savorychute/gateway/recovery/retry_allowance.py
@@ -43,7 +43,9 @@
     When most endpoints of a service are gone nearly every attempt fails.  If each were
     repeated, the rest would carry a multiple of its usual load and fail too.  The
     sum over all instances stays below the bound without any exchange between them,
-    as long as each counts at least as many instances as there are.
+    as long as each counts at least as many instances as there are.  One that has just
+    started knows of no other; it has no part of the slack until it does, or all that
+    are started at once would take the whole of it.
 
     :param bounds: what all instances together may do.
     """
@@ -51,7 +53,8 @@
     def __init__(self, bounds: RetryBounds) -> None:
         self.bounds = bounds
         self._windows: dict[str, _Window] = {}
-        self.instances = 1
+        # How many instances share the slack; None before that is known.
+        self.instances: int | None = None
 
     def request(self, service: str, now_ms: int) -> None:
         """Count a first attempt.
@@ -68,7 +71,7 @@
         :param now_ms: the time.
         """
         window = self._window(service, now_ms)
-        slack = self.bounds.slack / max(1, self.instances)
+        slack = self.bounds.slack / self.instances if self.instances else 0.0
         bound = SAFE_SHARE * (self.bounds.ratio * len(window.requests) + slack)
         if len(window.repeats) + 1 > bound:
             return False
--- a/tests/test_gateway/gateway_fakes.py
+++ b/tests/test_gateway/gateway_fakes.py
@@ -332,5 +332,6 @@
         crashes=crashes,
         telemetry=make_telemetry(clock),
     )
+    parts.allowance.instances = 1
     intake = Intake(configuration, parts.crashes, rng)
     return Scene(parts, clock, timers, attempts, intake)
--- a/tests/test_gateway/test_retry_allowance.py
+++ b/tests/test_gateway/test_retry_allowance.py
@@ -23,8 +23,22 @@
     assert 0 < spent <= 0.2 * 160 + 56
 
 
+def test_instances_that_have_just_started_take_no_part_of_the_slack():
+    """A retry storm after a restart.
+
+    All instances were killed and start at once.  Each knows only itself; if each took the
+    whole slack, the service would get it sixty times.
+    """
+    allowance = RetryAllowance(BOUNDS)
+    for _ in range(20):
+        allowance.request('pool', 1_000)
+
+    assert sum(allowance.try_spend('pool', 1_000) for _ in range(100)) <= 0.2 * 20
+
+
 def test_spent_repeats_come_back_after_the_window():
     allowance = RetryAllowance(BOUNDS)
+    allowance.instances = 1
     while allowance.try_spend('pool', 1_000):
         pass
 
@@ -34,6 +48,7 @@
 
 def test_services_do_not_share_a_window():
     allowance = RetryAllowance(BOUNDS)
+    allowance.instances = 1
     while allowance.try_spend('pool', 1_000):
         pass
 
