Give silence a module of its own, and let no ended attempt be left once more

Cause, found while reading: one sign of life by a probe was good for ever, so a stream waited for an engine that died after it (its test failed first); and the timer did not ask whether the attempt that it judged had ended (its test passed before too: the probe's sign of life hid the fault).

--- a/savorychute/gateway/requests/request_course.py
+++ b/savorychute/gateway/requests/request_course.py
@@ -4,16 +4,16 @@
 
 from typing import TYPE_CHECKING
 
-from savorychute.gateway.configuration.request_kind import RequestKind
 from savorychute.gateway.endpoints.chooser import open_records
 from savorychute.gateway.endpoints.need import Need
 from savorychute.gateway.recovery.crash_sighting import CrashSighting
 from savorychute.gateway.requests.attempt import Attempt
 from savorychute.gateway.requests.course_summary import CourseSummary
 from savorychute.gateway.requests.endpoint_answer import AnswerKind
+from savorychute.gateway.requests.event_times import EventTimes
 from savorychute.gateway.requests.outbound_attempt import OutboundAttempt
-from savorychute.gateway.requests.patience import first_sign_ms, next_sign_ms
 from savorychute.gateway.requests.refusal import Refusal
+from savorychute.gateway.requests.silence import silence_ends_ms
 from savorychute.gateway.requests.stream_relay import StreamRelay
 from savorychute.ran import Ran
 from savorychute.result_code import ResultCode
@@ -76,11 +76,9 @@
         self._refused_after_ms = 0
         self._overloaded = False
         self._passing = False
-        self._first_event_ms = 0
-        self._last_event_ms = 0
-        self._longest_gap_ms = 0
         self.possible_runs = 0
         self.began_ms = parts.clock.now_ms()
+        self._times = EventTimes(self.began_ms)
         self.finished = False
         self.on_finished: Callable[[], None] | None = None
 
@@ -112,14 +110,9 @@
             return
         now_ms = self.now_ms()
         attempt.began_to_answer()
-        if not self._first_event_ms:
-            self._first_event_ms = now_ms
+        if self._times.note(now_ms):
             chooser = self._parts.chooser(self._admitted.service)
             chooser.first_event(self._need(), now_ms - attempt.began_ms)
-        else:
-            gap_ms = now_ms - self._last_event_ms
-            self._longest_gap_ms = max(self._longest_gap_ms, gap_ms)
-        self._last_event_ms = now_ms
 
     def pass_head(self, attempt: Attempt) -> None:
         """Begin to pass on an answer that is too large to be held."""
@@ -274,7 +267,7 @@
         wanted = chooser.wants_reports(candidates, need, now_ms)
         if wanted and self._asked < MOST_ASKED:
             self._asked += 1
-            self._arm(now_ms)
+            self._arm()
             self._parts.loads.refresh(wanted, self._reports_came)
             return True
         choice = chooser.choose(candidates, need, now_ms)
@@ -320,31 +313,37 @@
             ),
             attempt,
         )
-        self._arm(now_ms)
+        self._arm()
 
     def _urgency(self) -> int:
         return min(max(self._admitted.tier, MOST_URGENT), LEAST_URGENT)
 
     # -- time
 
-    def _arm(self, now_ms: int) -> None:
-        """Set the timer to whatever is due first."""
+    def _arm(self, soonest_ms: int = 1) -> None:
+        """Set the timer to whatever is due first.
+
+        :param soonest_ms: from now.
+        """
         if self._timer is not None:
             self._timer.cancel()
-        due_ms = min(self._admitted.end_ms, self._silence_ends_ms())
-        delay_ms = max(1, due_ms - now_ms)
+        due_ms = self._admitted.end_ms
+        attempt = self._leavable_attempt()
+        if attempt is not None:
+            due_ms = min(due_ms, silence_ends_ms(attempt, self._route))
+        delay_ms = max(soonest_ms, due_ms - self.now_ms())
         self._timer = self._parts.timers.call_later(delay_ms, self._due)
 
-    def _silence_ends_ms(self) -> int:
-        """Return when the endpoint has been silent for too long."""
+    def _leavable_attempt(self) -> Attempt | None:
+        """Return the attempt under way if another endpoint may be tried instead."""
         attempt = self._attempt
-        if attempt is None or not self._route.repeatable or self._passing:
-            return self._admitted.end_ms
+        if attempt is None or attempt.ended or self._passing:
+            return None
+        if not self._route.repeatable:
+            return None
         if self.possible_runs + 1 >= self._route.max_attempts:
-            return self._admitted.end_ms
-        if attempt.waiting:
-            return attempt.began_ms + first_sign_ms(self._route)
-        return attempt.heard_ms + next_sign_ms(self._route)
+            return None
+        return attempt
 
     def _due(self) -> None:
         self._timer = None
@@ -354,60 +353,32 @@
         if now_ms >= self._admitted.end_ms:
             self._time_out()
             return
-        if now_ms >= self._silence_ends_ms() and self._is_silent(now_ms):
-            self._doubt()
-            return
-        self._arm_again(now_ms)
+        attempt = self._leavable_attempt()
+        if attempt is not None and now_ms >= silence_ends_ms(attempt, self._route):
+            self._doubt(attempt)
+        if not self.finished and self._timer is None:
+            self._arm(RECHECK_MS)
 
-    def _doubt(self) -> None:
+    def _doubt(self, attempt: Attempt) -> None:
         """Find out whether a silent endpoint lives, or leave it.
 
         A model engine that reads long prompts sends nothing for a while, and to leave it
         would have the prompt read twice; it answers a probe beside its work.
         """
-        attempt = self._attempt
-        assert attempt is not None
         if not self._admitted.service.runs_models:
-            self._leave_silent()
+            self._leave_silent(attempt)
             return
         record = attempt.choice.record
         self._parts.loads.ask(record, lambda lives: self._probed(attempt, lives))
-        self._arm_again(self.now_ms())
 
     def _probed(self, attempt: Attempt, lives: bool) -> None:
-        if self.finished or attempt.ended or attempt is not self._attempt:
-            return
-        if not lives:
-            self._leave_silent()
-
-    def _arm_again(self, now_ms: int) -> None:
-        due_ms = min(self._admitted.end_ms, self._silence_ends_ms())
-        delay_ms = max(RECHECK_MS, due_ms - now_ms)
-        self._timer = self._parts.timers.call_later(delay_ms, self._due)
+        if not lives and not self.finished and attempt is self._leavable_attempt():
+            self._leave_silent(attempt)
 
-    def _is_silent(self, now_ms: int) -> bool:
-        """Return whether the endpoint is silent towards all of this instance's requests.
-
-        A request that waits in the queue of an engine that answers others is served
-        later; sent elsewhere it would wait again, and its prompt be read twice.
-        """
-        attempt = self._attempt
-        if attempt is None:
-            return False
-        if self._route.kind is RequestKind.IDEMPOTENT:
-            return True
-        if attempt.waiting:
-            return attempt.choice.record.heard_ms <= attempt.began_ms
-        quiet_ms = now_ms - attempt.choice.record.heard_ms
-        return quiet_ms >= next_sign_ms(self._route)
-
-    def _leave_silent(self) -> None:
-        """Close a silent attempt and try another endpoint, if one may be tried."""
-        attempt = self._attempt
-        assert attempt is not None
+    def _leave_silent(self, attempt: Attempt) -> None:
+        """Close a silent attempt and try another endpoint, if there is one."""
         can_go = self._may_go_on() and self._has_other(self.now_ms())
         if not can_go or not self._spend():
-            self._arm_again(self.now_ms())
             return
         attempt.stop()
         attempt.choice.record.health.silent(self.now_ms())
@@ -452,15 +423,13 @@
 
     def summary(self) -> CourseSummary:
         """Return the figures of the course, for its log line."""
-        now_ms = self.now_ms()
-        first_ms = self._first_event_ms - self.began_ms if self._first_event_ms else 0
         return CourseSummary(
-            now_ms - self.began_ms,
-            first_ms,
+            self.now_ms() - self.began_ms,
+            self._times.first_ms,
             self._sends,
             self.possible_runs,
             self._relay.events,
-            self._longest_gap_ms,
+            self._times.longest_gap_ms,
             self._attempt.choice.record.entry.endpoint if self._attempt else '',
         )
 
--- a/tests/test_gateway/gateway_fakes.py
+++ b/tests/test_gateway/gateway_fakes.py
@@ -134,6 +134,8 @@
         self.sent = []
         self.probes = []
         self.lives = True
+        self.holds_probes = False
+        self._held = []
 
     def send(self, attempt, listener):
         self.sent.append(FakeAttempt(attempt, listener))
@@ -141,7 +143,17 @@
 
     def probe(self, endpoint, on_result):
         self.probes.append(endpoint.endpoint)
-        on_result(IDLE if self.lives else None)
+        if self.holds_probes:
+            self._held.append(on_result)
+        else:
+            on_result(IDLE if self.lives else None)
+
+    def answer_probes(self):
+        """Answer the probes that were held."""
+        held, self._held = self._held, []
+        self.holds_probes = False
+        for on_result in held:
+            on_result(IDLE)
 
 
 class FakeCaller:
--- a/tests/test_gateway/test_request_course.py
+++ b/tests/test_gateway/test_request_course.py
@@ -191,6 +191,41 @@
     assert len(scene.attempts.sent) == 1
 
 
+def test_engine_that_dies_after_a_probe_is_left(scene):
+    """A diagnosis that waited for a dead engine.
+
+    The engine answered a probe while it read the prompt, and went dark after that.  One
+    sign of life must not be good for ever.
+    """
+    scene.start('/diagnosis/1', prompt=make_prompt())
+    scene.last.reach()
+    scene.advance(800)
+    assert scene.attempts.probes
+
+    scene.attempts.lives = False
+    scene.advance(1_000)
+
+    assert len(scene.attempts.sent) == 2
+
+
+def test_attempt_that_has_ended_is_not_left_again(scene):
+    """A request that ran three times.
+
+    The first engine breaks off, and the report of the next one takes a while; the timer of
+    the first attempt must not start another.
+    """
+    scene.start('/diagnosis/1', prompt=make_prompt())
+    scene.last.reach()
+    scene.attempts.holds_probes = True
+    scene.last.lose()
+    scene.advance(3_000)
+    assert len(scene.attempts.sent) == 1
+
+    scene.attempts.answer_probes()
+
+    assert len(scene.attempts.sent) == 2
+
+
 def test_dead_engine_is_left_after_a_probe(scene):
     scene.attempts.lives = False
     scene.start('/diagnosis/1', prompt=make_prompt())
