--- a/savorychute/gateway/admission/overload_guard.py
+++ b/savorychute/gateway/admission/overload_guard.py
@@ -15,6 +15,9 @@
 # and answers of 120 tokens pass their deadlines; with half of the places taken it
 # finishes about as many requests a second, and nearly all in time.
 PLACES_SHARE = (1.5, 0.8, 0.6)
+# Requests that may wait at an engine for its prompts to be read.  While any waits, every
+# step reads a chunk and each token takes about 80 ms; a short queue leaves steps between.
+MOST_WAITING = (64, 8, 5)
 # Part of the objective that a request may be expected to wait.  The most urgent goes
 # ahead of the queue, and is worth an attempt also when it will be late.
 WAIT_SHARE = (3.0, 1.2, 0.9)
@@ -50,6 +53,8 @@
         taken = load.waiting + load.reading + load.generating
         if taken > PLACES_SHARE[tier] * choice.record.entry.slots:
             return False
+        if load.waiting + load.reading > MOST_WAITING[tier]:
+            return False
         return choice.wait_ms <= WAIT_SHARE[tier] * need.target_ms
 
     def retry_after_ms(self) -> int:
--- a/savorychute/gateway/endpoints/prompt_cache.py
+++ b/savorychute/gateway/endpoints/prompt_cache.py
@@ -48,6 +48,11 @@
 # their lane are asked for their load, and others besides.
 SLOW_SHARE = 0.3
 WAIT_WEIGHT = 0.1
+# What a waiting request is taken to read before this instance has sent any.  A report
+# tells the whole size of the first prompt in the queue, most of which is cached.
+USUAL_TOKENS = 4_000.0
+# An engine with a shorter wait may stand in for a busy home.
+IDLE_MS = 120.0
 RANDOM_ASKED = 2
 
 
@@ -74,6 +79,7 @@
         self._rng = rng
         self._lanes = LaneSplit()
         self._steady_wait_ms = 0.0
+        self._usual_tokens = USUAL_TOKENS
 
     def wants_reports(
         self, records: Sequence[EndpointRecord], need: Need, now_ms: int
@@ -109,9 +115,12 @@
         if prompt is None:
             candidates = [_Candidate(record, 0, 0.0) for record in lane]
         else:
-            candidates = self._known(self._rank(lane, prompt), now_ms)
+            candidates = self._known(self._rank(lane, prompt), prompt, now_ms)
         choices = [self._judge(each, now_ms) for each in candidates]
-        return min(choices, key=lambda choice: choice.cost_ms)
+        best = min(choices, key=lambda choice: choice.cost_ms)
+        difference = best.fresh_tokens - self._usual_tokens
+        self._usual_tokens += WAIT_WEIGHT * difference
+        return best
 
     def first_event(self, need: Need, waited_ms: int) -> None:
         """Learn how long steady streams wait at present."""
@@ -146,18 +155,25 @@
             _is_recent(record, now_ms, USABLE_REPORT_MS),
         )
 
-    def _known(self, ranked: list[_Candidate], now_ms: int) -> list[_Candidate]:
-        """Return the home and the engines whose load is known.
+    def _known(
+        self, ranked: list[_Candidate], prompt: Prompt, now_ms: int
+    ) -> list[_Candidate]:
+        """Return the home, and the engines that may stand in for it.
 
         An engine that was not asked seems idle to this instance, and would get what all
-        instances move away from busy ones.
+        instances move away from busy ones.  For a large prompt an engine must be idle
+        indeed: where all are busy, every prompt that is read anew takes the place of
+        four that are cached, and more homes become busy.
         """
         known = [
             each
             for each in ranked[1:]
             if _is_recent(each.record, now_ms, USABLE_REPORT_MS)
         ]
-        return [ranked[0], *known] if known else ranked
+        if prompt.shared_tokens < LARGE_TOKENS:
+            return [ranked[0], *known] if known else ranked
+        idle = [each for each in known if self._wait(each.record, now_ms) <= IDLE_MS]
+        return [ranked[0], *idle]
 
     def _rank(self, lane: Sequence[EndpointRecord], prompt: Prompt) -> list[_Candidate]:
         """Return the engines, the home of the prompt first."""
@@ -178,7 +194,8 @@
         """Predict how long a request waits there before its prompt is read."""
         if record.load is not None and _is_recent(record, now_ms, USABLE_REPORT_MS):
             load = record.load
-            queued = (load.waiting + load.reading) * load.next_tokens
+            each_tokens = min(load.next_tokens, self._usual_tokens)
+            queued = (load.waiting + load.reading) * each_tokens
             wait_ms = (queued + record.unreported_tokens()) / TOKENS_PER_MS
             wait_ms += PLACE_MS * load.generating
         else:
