--- /dev/null
+++ b/benches/gateway_soak/callers.py
@@ -0,0 +1,126 @@
+"""Callers that send all the time and believe nothing."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+import h11
+
+from benches.gateway_soak.ledger import Sent
+from benches.gateway_soak.proxy import LOOPBACK
+
+if TYPE_CHECKING:
+    import random
+
+    from benches.gateway_soak.ledger import Ledger
+    from benches.gateway_soak.site import Site
+
+KINDS = ('twice', 'once', 'stream')
+PAUSE_S = 0.02
+ANSWER_S = 8.0
+LEAVE_SHARE = 0.03
+READ_BYTES = 65_536
+
+
+class Caller:
+    """Keeps a connection for many requests, and leaves some early.
+
+    :param number: tells its attempts from others'.
+    :param site: whom to call.
+    :param ledger: what is sent and answered.
+    :param rng: the source of its choices.
+    """
+
+    def __init__(
+        self, number: int, site: Site, ledger: Ledger, rng: random.Random
+    ) -> None:
+        self._number = number
+        self._site = site
+        self._ledger = ledger
+        self._rng = rng
+        self._sent = 0
+
+    async def run(self) -> None:
+        """Send until the task is cancelled."""
+        while True:
+            gateway = self._rng.choice(self._site.gateways)
+            try:
+                reader, writer = await asyncio.open_connection(
+                    LOOPBACK, gateway.caller_port
+                )
+            except OSError:
+                await asyncio.sleep(PAUSE_S)
+                continue
+            with suppress(OSError, h11.RemoteProtocolError):
+                await self._use(reader, writer)
+            writer.transport.abort()
+
+    async def _use(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        http = h11.Connection(h11.CLIENT)
+        for _ in range(self._rng.randint(1, 30)):
+            sent = self._make()
+            self._ledger.sent[sent.attempt] = sent
+            writer.write(_encode(http, sent))
+            if self._rng.random() < LEAVE_SHARE:
+                await asyncio.sleep(self._rng.random() * 0.1)
+                return
+            try:
+                async with asyncio.timeout(ANSWER_S):
+                    goes_on = await self._read(http, reader, sent)
+            except (TimeoutError, OSError, h11.RemoteProtocolError):
+                self._ledger.unanswered()
+                return
+            if not goes_on:
+                return
+            http.start_next_cycle()
+            await asyncio.sleep(self._rng.random() * PAUSE_S)
+
+    async def _read(
+        self, http: h11.Connection, reader: asyncio.StreamReader, sent: Sent
+    ) -> bool:
+        """Read one answer; return whether the connection can be used again."""
+        status = 0
+        body = b''
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                http.receive_data(await reader.read(READ_BYTES))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self._ledger.answered(sent.attempt, status, body, whole=True)
+                return http.our_state is h11.DONE is http.their_state
+            elif isinstance(event, h11.ConnectionClosed):
+                self._ledger.unanswered()
+                return False
+
+    def _make(self) -> Sent:
+        self._sent += 1
+        attempt = f'c{self._number}-{self._sent}'
+        kind = self._rng.choice(KINDS)
+        events = self._rng.randint(1, 20)
+        now_s = asyncio.get_running_loop().time()
+        return Sent(attempt, kind, attempt.encode(), events, now_s)
+
+
+def _encode(http: h11.Connection, sent: Sent) -> bytes:
+    headers = [
+        ('host', 'soak'),
+        ('attempt-id', sent.attempt),
+        ('deadline-ms', '5000'),
+        ('authorization', 'Bearer soak-key'),
+        ('token-count', f'100,{sent.events}'),
+        ('content-length', str(len(sent.body))),
+    ]
+    head = h11.Request(method='POST', target=f'/{sent.kind}/x', headers=headers)
+    return (
+        (http.send(head) or b'')
+        + (http.send(h11.Data(data=sent.body)) or b'')
+        + (http.send(h11.EndOfMessage()) or b'')
+    )
--- /dev/null
+++ b/benches/gateway_soak/play.py
@@ -0,0 +1,101 @@
+"""One seed of the soak."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections import Counter
+from typing import TYPE_CHECKING, NamedTuple
+
+from benches.gateway_soak.callers import Caller
+from benches.gateway_soak.faults import FAULTS
+from benches.gateway_soak.ledger import Ledger
+from benches.gateway_soak.site import Site
+
+if TYPE_CHECKING:
+    import random
+    from pathlib import Path
+
+CALM_S = 2.0
+GAP_S = 1.2
+SETTLE_S = 6.0
+# Of the answers in the calm seconds at the end.
+LEAST_SERVED = 0.9
+
+
+class Result(NamedTuple):
+    """Counts of answers and of faults, and the promises that were broken."""
+
+    counts: dict[str, int]
+    faults: dict[str, int]
+    broken: list[str]
+
+
+async def play(
+    rng: random.Random, folder: Path, seconds: float, gateways: int, callers: int
+) -> Result:
+    """Run gateways under load, disturb them, let them settle, and check.
+
+    :param rng: decides everything that is decided here.
+    :param folder: for settings and logs.
+    :param seconds: how long there are faults.
+    :param gateways: how many processes.
+    :param callers: how many connections send.
+    """
+    ledger = Ledger()
+    site = Site(folder, ledger, rng)
+    counts: Counter[str] = Counter()
+    await site.start(gateways)
+    senders = [
+        asyncio.create_task(Caller(number, site, ledger, rng).run())
+        for number in range(callers)
+    ]
+    try:
+        await asyncio.sleep(CALM_S)
+        await _disturb(site, seconds, counts)
+        await asyncio.sleep(SETTLE_S)
+        broken = await _check_recovery(ledger)
+    finally:
+        for sender in senders:
+            sender.cancel()
+        await asyncio.gather(*senders, return_exceptions=True)
+        await site.end()
+    codes = [each.process.returncode for each in site.gateways if each.process]
+    if any(codes):
+        broken.append(f'a gateway ended with codes {codes}')
+    broken.extend(_find_defects(folder))
+    return Result(dict(ledger.counts), dict(counts), broken + ledger.check())
+
+
+async def _disturb(site: Site, seconds: float, counts: Counter[str]) -> None:
+    """Begin faults one after the other; they overlap."""
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + seconds
+    running = []
+    while loop.time() < end_s:
+        name = site.rng.choice(list(FAULTS))
+        counts[name] += 1
+        running.append(loop.create_task(FAULTS.get(name)(site)))
+        await asyncio.sleep(site.rng.random() * GAP_S)
+    await asyncio.gather(*running)
+    for gateway in site.gateways:
+        gateway.send(signal.SIGCONT)
+
+
+async def _check_recovery(ledger: Ledger) -> list[str]:
+    """Return what is wrong with the calm seconds after all faults."""
+    before = Counter(ledger.counts)
+    await asyncio.sleep(CALM_S)
+    fresh = Counter(ledger.counts) - before
+    if fresh['200'] < LEAST_SERVED * sum(fresh.values()) or not fresh['200']:
+        return [f'not recovered: {dict(fresh)} in {CALM_S} s of calm']
+    return []
+
+
+def _find_defects(folder: Path) -> list[str]:
+    """Return the tracebacks of the gateways."""
+    return [
+        f'{path.name}: a traceback'
+        for path in sorted(folder.glob('gateway-*.log'))
+        if b'Traceback' in path.read_bytes() or b'library-logged' in path.read_bytes()
+    ]
--- /dev/null
+++ b/benches/gateway_soak/site.py
@@ -0,0 +1,232 @@
+"""The processes of a soak, and what stands in for the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import socket
+import sys
+from contextlib import AsyncExitStack, suppress
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from benches.gateway_soak.endpoint import HEARTBEAT_S, SoakEndpoint
+from benches.gateway_soak.proxy import LOOPBACK, Proxy
+from savorychute.testing.stand_in_http import serve
+
+if TYPE_CHECKING:
+    import random
+
+    from benches.gateway_soak.ledger import Ledger
+
+ROOT = Path(__file__).parents[2]
+sys.path.append(str(ROOT / 'tests' / 'test_fleet'))
+
+from store_stand_in import StoreStandIn, run_store  # noqa: E402
+
+GRACE_MS = 3_000
+KILL_MARGIN_S = 1.0
+
+
+class GatewayProcess:
+    """One gateway: its settings, its process and its way to the store."""
+
+    def __init__(self, number: int, folder: Path, store: Proxy) -> None:
+        self.number = number
+        self.store = store
+        self.log = folder / f'gateway-{number}.log'
+        self.settings = folder / f'gateway-{number}.jsonc'
+        self.ports = _free_ports(5)
+        self.process: asyncio.subprocess.Process | None = None
+        self.stopping = False
+        self.settings.write_text(json.dumps(self._document()))
+
+    @property
+    def caller_port(self) -> int:
+        """Where callers go."""
+        return self.ports[0]
+
+    async def start(self) -> None:
+        """Start the process."""
+        self.stopping = False
+        with self.log.open('ab') as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'savorychute.gateway',
+                str(self.settings),
+                stdout=log,
+                stderr=log,
+                cwd=ROOT,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send the process a signal, if it is there."""
+        if self.process is not None and self.process.returncode is None:
+            with suppress(ProcessLookupError):
+                self.process.send_signal(number)
+
+    async def end(self) -> None:
+        """Wait for the process, and end it by force if it stays."""
+        if self.process is None:
+            return
+        try:
+            async with asyncio.timeout(GRACE_MS / 1_000 + KILL_MARGIN_S):
+                await self.process.wait()
+        except TimeoutError:
+            self.send(signal.SIGKILL)
+            await self.process.wait()
+
+    def _document(self, **fields: Any) -> dict[str, Any]:
+        caller, readiness, discovery, metrics, peer = self.ports
+        return {
+            'instance': f'soak-{self.number}',
+            'region': 'soak',
+            'failure_domain': f'domain-{self.number % 3}',
+            'caller_address': f'{LOOPBACK}:{caller}',
+            'readiness_address': f'{LOOPBACK}:{readiness}',
+            'discovery_address': f'{LOOPBACK}:{discovery}',
+            'metrics_port': metrics,
+            'peer_port': peer,
+            'store_address': f'{LOOPBACK}:{self.store.port}',
+            'extension_paths': [str(ROOT / 'platform')],
+            'extensions': ['fleet'],
+            'platform': 'fleet',
+            'grace_ms': GRACE_MS,
+            'store_timeout_ms': 400,
+        } | fields
+
+    def change_settings(self, rng: random.Random) -> None:
+        """Write the settings anew, now and then with a fault."""
+        slack = rng.choice([40, 50, 60, 'many'])
+        self.settings.write_text(json.dumps(self._document(retry_slack=slack)))
+
+
+class Site:
+    """Store, endpoints and gateways.
+
+    :param folder: for settings and logs.
+    :param ledger: what happens.
+    :param rng: the source of all choices.
+    """
+
+    def __init__(self, folder: Path, ledger: Ledger, rng: random.Random) -> None:
+        self.folder = folder
+        self.ledger = ledger
+        self.rng = rng
+        self.store: StoreStandIn
+        self.endpoints: list[SoakEndpoint] = []
+        self.gateways: list[GatewayProcess] = []
+        self._stack = AsyncExitStack()
+        self._named = 0
+        self._version = 0
+        self._heartbeat: asyncio.Task[None] | None = None
+
+    async def start(self, gateways: int) -> None:
+        """Start everything, and wait until all gateways answer."""
+        self.store = await self._stack.enter_async_context(run_store())
+        self.write_configuration()
+        for service in ('desk', 'desk', 'desk', 'pool', 'pool', 'pool'):
+            await self.add_endpoint(service)
+        self._heartbeat = asyncio.get_running_loop().create_task(self._beat())
+        for number in range(gateways):
+            proxy = Proxy(self.store.port)
+            await proxy.start()
+            gateway = GatewayProcess(number, self.folder, proxy)
+            self.gateways.append(gateway)
+            await gateway.start()
+
+    async def end(self) -> None:
+        """End what this site has started, by their ids."""
+        for gateway in self.gateways:
+            gateway.send(signal.SIGCONT)
+            gateway.send(signal.SIGTERM)
+        for gateway in self.gateways:
+            await gateway.end()
+            gateway.store.close()
+        if self._heartbeat is not None:
+            self._heartbeat.cancel()
+        await self._stack.aclose()
+
+    async def add_endpoint(self, service: str) -> SoakEndpoint:
+        """Start an endpoint, under a new name."""
+        self._named += 1
+        endpoint = SoakEndpoint(f'i-{self._named}', service, self.ledger, self.rng)
+        server = await self._stack.enter_async_context(
+            serve(endpoint.handle, LOOPBACK, 0)
+        )
+        endpoint.proxy = Proxy(server.port)
+        await endpoint.proxy.start()
+        self._stack.callback(endpoint.proxy.close)
+        self.endpoints.append(endpoint)
+        self.write_entry(endpoint)
+        return endpoint
+
+    def write_entry(self, endpoint: SoakEndpoint) -> None:
+        """Write an endpoint's heartbeat."""
+        self.store.put('keyed.servers', endpoint.name, endpoint.entry())
+
+    def remove_entry(self, endpoint: SoakEndpoint) -> None:
+        """Let an endpoint leave for good."""
+        if endpoint in self.endpoints:
+            self.endpoints.remove(endpoint)
+        self.store.put('keyed.servers', endpoint.name, None)
+
+    def write_configuration(self) -> int:
+        """Publish the next version; each has a route of its own."""
+        self._version += 1
+        self.store.put('keyed.op', 'config', make_configuration(self._version))
+        return self._version
+
+    async def _beat(self) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            for endpoint in self.endpoints:
+                if not endpoint.crashed:
+                    self.write_entry(endpoint)
+
+
+def make_configuration(version: int) -> bytes:
+    """Return a version with the three kinds of route."""
+    shared = {'hostname': 'soak', 'timeoutMs': 5_000, 'targetLatencyMs': 1_000}
+    routes = [
+        shared
+        | {
+            'name': kind,
+            'pathPrefix': f'/{kind}/',
+            'routeType': route_type,
+            'service': service,
+            'maxAttempts': attempts,
+            'resumable': kind == 'stream',
+            'gapTargetMs': 300,
+        }
+        for kind, route_type, service, attempts in (
+            ('twice', 'idempotent', 'desk', 2),
+            ('once', 'non_idempotent', 'desk', 1),
+            ('stream', 'streaming', 'pool', 3),
+        )
+    ]
+    document = {
+        'version': version,
+        'routes': routes,
+        'services': [{'name': 'desk'}, {'name': 'pool', 'engine': {}}],
+        'limits': {
+            'maxHeaderBytes': 16_384,
+            'maxBodyBytes': 1_000_000,
+            'headerTimeoutMs': 3_000,
+            'idleTimeoutMs': 15_000,
+        },
+        'tenants': [{'name': 'soak', 'apiKeys': ['soak-key']}],
+    }
+    return json.dumps(document).encode()
+
+
+def _free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind((LOOPBACK, 0))
+    ports = [int(each.getsockname()[1]) for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
