Let the number of readers grow with the instances

Cause: three readers would get 350 questions a second each at 530 instances. One reader for 24 askers: 23 at 530, which make 60 of the store's 2,000 reads a second. Measured: question 61 bytes and answer 73 bytes, 9 and 11 us to encode, 9 and 10 us to decode. Ruled out: a tree of askers (ages would add up).

--- a/savorychute/gateway/store/reading_plan.py
+++ b/savorychute/gateway/store/reading_plan.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import ceil
 from typing import TYPE_CHECKING
 
 from savorychute.membership.rendezvous import choose_homes
@@ -20,6 +21,9 @@
 # Among few instances two are enough: the others notice within a question.
 READERS_OF_FEW = 2
 FEW = 12
+# A question and its answer take a reader 20 us in the codec, as measured, besides the
+# socket; two a second from each of this many askers stay far below 1 % of a core.
+ASKERS_PER_READER = 24
 # Older knowledge than this is not left to others to renew.  Readers' polls and the
 # questions between instances keep it below 2.5 s.
 CONFIGURATION_STALE_MS = 2_800
@@ -68,7 +72,8 @@
             return
         self._view = view
         alive = [each for each in view.alive if each.instance not in view.suspects]
-        count = READERS if len(alive) > FEW else READERS_OF_FEW
+        least = READERS if len(alive) > FEW else READERS_OF_FEW
+        count = max(least, ceil(len(alive) / ASKERS_PER_READER))
         self._readers = choose_homes(READER_KEY, alive, count)
         self.is_reader = view.own in self._readers or len(self._readers) < count
 
--- a/tests/test_gateway/test_shared_reading.py
+++ b/tests/test_gateway/test_shared_reading.py
@@ -102,6 +102,25 @@
     assert sum(node.plan.is_reader for node in nodes) == 2
 
 
+@pytest.mark.parametrize('count, readers', [(8, 2), (60, 3), (79, 4), (530, 23)])
+def test_readers_grow_with_the_instances(clock, count, readers):
+    """A reader that only answered.
+
+    Three readers for 530 instances would each get 350 questions a second.
+    """
+    members = tuple(
+        MemberAddress(f'm{n}', 1, 'kerala', f'hall-{n % 3}', '10.0.0.1', 80, 70)
+        for n in range(count)
+    )
+    chosen = 0
+    for member in members:
+        plan = ReadingPlan(ConfigurationState(4_500, 3_000), 2_000, clock)
+        plan.follow(MemberView(member, members))
+        chosen += plan.is_reader
+
+    assert chosen == readers
+
+
 def test_answer_confirms_as_of_the_question(nodes, clock):
     """A revoked key that was vouched for.
 
