--- a/benches/capacity_roles/client_role.py
+++ b/benches/capacity_roles/client_role.py
@@ -28,7 +28,7 @@
     'one question in 30 to 90 s to an address that it knows; the answer holds four '
     'addresses however many instances there are.  This is spent by callers, not by '
     'instances, and is left out of the sum',
-    "nothing that grows with the system; the answer grows with a customer's seats",
+    "nothing that grows with the system; the answer grows with an organisation's seats",
     SIZES,
     summed=False,
 )
@@ -40,7 +40,7 @@
     alive = make_members(instances)
     settings = DiscoverySettings()
     view = make_view(alive[0], alive)
-    found = answer_discovery('customer-1', view, settings, Random(1))
+    found = answer_discovery('organisation-1', view, settings, Random(1))
     answer = msgspec.json.encode(
         {
             'instances': [
--- a/benches/capacity_roles/configuration_role.py
+++ b/benches/capacity_roles/configuration_role.py
@@ -105,7 +105,7 @@
     :param instances: the size of the system.
     """
     log = FakeLog()
-    log.streams['configuration'] = [make_amendment(0, 'contract:customer-0000', 0)]
+    log.streams['configuration'] = [make_amendment(0, 'contract:organisation-0000', 0)]
     alive = make_members(instances)
     parts = {
         own.instance: DrivenKeeper(own, alive, log, Random(number))
@@ -116,7 +116,9 @@
     log.reset_counts()
     settled = mesh.measure(WINDOW_MS, WINDOWS)
     reads_per_s = log.reads / (WINDOWS * WINDOW_MS / MS_PER_S) / instances
-    log.streams['configuration'].append(make_amendment(1, 'contract:customer-0001', 0))
+    log.streams['configuration'].append(
+        make_amendment(1, 'contract:organisation-0001', 0)
+    )
     changing = mesh.measure(WINDOW_MS, 1)
     check_in_force(parts)
     costs = add_changes(settled, changing, instances)
--- a/benches/capacity_roles/discovery_role.py
+++ b/benches/capacity_roles/discovery_role.py
@@ -12,7 +12,7 @@
 from savorychute.membership import DiscoverySettings, MemberView, answer_discovery
 
 ANSWERS = 400
-CALLERS_PER_CUSTOMER = 20
+CALLERS_PER_ORGANISATION = 20
 MEAN_LIFETIME_S = 60
 
 
@@ -20,7 +20,7 @@
     'discovery answerer',
     'an answer is computed from the member view alone, with no message and no '
     'state; lifetimes are drawn between 30 and 90 s (assumed here: 20 callers '
-    'for each customer, each asking once a minute)',
+    'for each organisation, each asking once a minute)',
     'the scan of all members for each answer; a table of seats kept between '
     'answers would replace it',
     SIZES,
@@ -38,10 +38,10 @@
 
     def answer_all() -> None:
         for number in range(ANSWERS):
-            answer_discovery(f'customer-{number}', view, settings, rng)
+            answer_discovery(f'organisation-{number}', view, settings, rng)
 
     answer_us = time_us(answer_all) / ANSWERS
-    questions_per_s = target.customers * CALLERS_PER_CUSTOMER / MEAN_LIFETIME_S
+    questions_per_s = target.organisations * CALLERS_PER_ORGANISATION / MEAN_LIFETIME_S
     return RoleSample(
         instances, processor_us_per_s=answer_us * questions_per_s / instances
     )
--- a/benches/capacity_roles/limits_role.py
+++ b/benches/capacity_roles/limits_role.py
@@ -1,4 +1,4 @@
-"""The role of a keeper of customers' limits, and of a home of some of them."""
+"""The role of a keeper of organisations' limits, and of a home of some of them."""
 
 from __future__ import annotations
 
@@ -14,14 +14,14 @@
 from benches.capacity_roles.target import SIZES, Target
 from savorychute.clock import MS_PER_S
 from savorychute.contracts.limits import derive_limits
-from savorychute.limits import CustomerLimiter, LimitSettings
+from savorychute.limits import LimitSettings, OrganisationLimiter
 from savorychute.membership import choose_homes
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from savorychute.actions import Action
-    from savorychute.contracts.customer_limits import CustomerLimits
+    from savorychute.contracts.organisation_limits import OrganisationLimits
     from savorychute.member_address import MemberAddress
 
 TICK_MS = 100
@@ -46,7 +46,7 @@
 
     :param own: where the instance is.
     :param alive: all members.
-    :param limits: of all customers.
+    :param limits: of all organisations.
     :param served: those whose callers use it.
     :param rate_per_ms: of requests.
     :param rng: makes the load.
@@ -56,12 +56,12 @@
         self,
         own: MemberAddress,
         alive: tuple[MemberAddress, ...],
-        limits: dict[str, CustomerLimits],
+        limits: dict[str, OrganisationLimits],
         served: Sequence[str],
         rate_per_ms: float,
         rng: Random,
     ) -> None:
-        self.limiter = CustomerLimiter(LimitSettings(), own.instance, rng)
+        self.limiter = OrganisationLimiter(LimitSettings(), own.instance, rng)
         self.limiter.set_limits(limits)
         self.started = 0
         self.refused = 0
@@ -97,33 +97,33 @@
         del action, now_ms
         return []
 
-    def _start(self, customer: str, now_ms: int) -> None:
-        if self.limiter.check(customer, EXPECTED_TOKENS, now_ms):
+    def _start(self, organisation: str, now_ms: int) -> None:
+        if self.limiter.check(organisation, EXPECTED_TOKENS, now_ms):
             self.refused += 1
             return
         self.started += 1
         request_id = f'request-{self.started}'
-        self.limiter.start(customer, request_id, EXPECTED_TOKENS, now_ms)
+        self.limiter.start(organisation, request_id, EXPECTED_TOKENS, now_ms)
         service_ms = int(self._rng.expovariate(1 / MEAN_SERVICE_MS))
         heapq.heappush(self._running, Running(now_ms + service_ms, request_id))
 
 
 @role(
-    "keeper of customers' limits",
-    "shares of each customer's limits, reported to and granted by the customer's "
+    "keeper of organisations' limits",
+    "shares of each organisation's limits, reported to and granted by the organisation's "
     'home for the few instances that serve it (assumed: three)',
-    'customers that are served by many instances: each pair of instance and home '
+    'organisations that are served by many instances: each pair of instance and home '
     'exchanges a report and a grant a second',
     SIZES,
 )
 def measure_limits(instances: int) -> RoleSample:
-    """Measure limiters at the target's load, with equal customers.
+    """Measure limiters at the target's load, with equal organisations.
 
     :param instances: the size of the system.
     """
     alive = make_members(instances)
     limits = make_limits(instances)
-    served = assign_customers(alive, list(limits))
+    served = assign_organisations(alive, list(limits))
     rate_per_ms = Target(instances).requests_per_s / instances / MS_PER_S
     parts = {
         own.instance: DrivenLimiter(
@@ -148,8 +148,8 @@
     )
 
 
-def make_limits(instances: int) -> dict[str, CustomerLimits]:
-    """Return the limits of all customers.
+def make_limits(instances: int) -> dict[str, OrganisationLimits]:
+    """Return the limits of all organisations.
 
     :param instances: the size of the system.
     """
@@ -157,31 +157,31 @@
     return {name: derive_limits(contract) for name, contract in contracts.items()}
 
 
-def assign_customers(
-    alive: tuple[MemberAddress, ...], customers: Sequence[str]
+def assign_organisations(
+    alive: tuple[MemberAddress, ...], organisations: Sequence[str]
 ) -> dict[str, list[str]]:
     """Return by instance whom it serves.
 
     :param alive: all members.
-    :param customers: all customers; each has its callers in one region.
+    :param organisations: all organisations; each has its callers in one region.
     """
     served: dict[str, list[str]] = {member.instance: [] for member in alive}
     regions = sorted({member.region for member in alive})
-    for number, customer in enumerate(customers):
+    for number, organisation in enumerate(organisations):
         region = regions[number % len(regions)]
         near = [member for member in alive if member.region == region]
-        for seat in choose_homes(customer, near, SEATS):
-            served[seat.instance].append(customer)
+        for seat in choose_homes(organisation, near, SEATS):
+            served[seat.instance].append(organisation)
     return served
 
 
-def build_limiter(instances: int) -> CustomerLimiter:
-    """Return a limiter that knows all customers; the limits are counted too.
+def build_limiter(instances: int) -> OrganisationLimiter:
+    """Return a limiter that knows all organisations; the limits are counted too.
 
     :param instances: the size of the system.
     """
     alive = make_members(instances)
-    limiter = CustomerLimiter(LimitSettings(), alive[0].instance, Random(1))
+    limiter = OrganisationLimiter(LimitSettings(), alive[0].instance, Random(1))
     limiter.set_limits(make_limits(instances))
     limiter.tick(make_view(alive[0], alive), 0)
     return limiter
--- a/benches/capacity_roles/site.py
+++ b/benches/capacity_roles/site.py
@@ -6,8 +6,8 @@
 
 from benches.capacity_roles.member_mesh import DOMAINS_PER_REGION, make_address
 from benches.capacity_roles.target import (
-    TARGET_CUSTOMERS,
     TARGET_MODELS,
+    TARGET_ORGANISATIONS,
     TARGET_REQUESTS_PER_S,
     TARGET_TIERS,
     Target,
@@ -88,18 +88,18 @@
 
     :param instances: how many.
     """
-    count = Target(instances).customers
+    count = Target(instances).organisations
     contracts = (make_contract(number, count) for number in range(count))
-    return {contract['customer']: contract for contract in contracts}
+    return {contract['organisation']: contract for contract in contracts}
 
 
-def make_contract(number: int, customers: int) -> ContractDocument:
+def make_contract(number: int, organisations: int) -> ContractDocument:
     """Return one contract with a class of each tier.
 
     :param number: from 0.
-    :param customers: how many share the pool.
+    :param organisations: how many share the pool.
     """
-    rate_per_s = TARGET_REQUESTS_PER_S / TARGET_CUSTOMERS
+    rate_per_s = TARGET_REQUESTS_PER_S / TARGET_ORGANISATIONS
     classes = [
         ClassDocument(
             name=f'class-{tier}',
@@ -113,9 +113,9 @@
         for tier in range(TARGET_TIERS)
     ]
     return ContractDocument(
-        customer=f'customer-{number:04}',
+        organisation=f'organisation-{number:04}',
         token_hashes=[f'{number:064x}'],
-        pool_share=1 / (customers + 1),
+        pool_share=1 / (organisations + 1),
         requests_per_s=2 * rate_per_s,
         concurrent_requests=200,
         tokens_per_s=400 * rate_per_s,
--- a/benches/capacity_roles/target.py
+++ b/benches/capacity_roles/target.py
@@ -6,7 +6,7 @@
 
 TARGET_INSTANCES = 530
 TARGET_ENDPOINTS = 2_100
-TARGET_CUSTOMERS = 1_400
+TARGET_ORGANISATIONS = 1_400
 TARGET_REGIONS = 8
 TARGET_DOMAINS = 22
 TARGET_REQUESTS_PER_S = 15_000
@@ -37,9 +37,9 @@
         return round(self.instances * TARGET_ENDPOINTS / TARGET_INSTANCES)
 
     @property
-    def customers(self) -> int:
-        """Return the number of customers."""
-        return round(self.instances * TARGET_CUSTOMERS / TARGET_INSTANCES)
+    def organisations(self) -> int:
+        """Return the number of organisations."""
+        return round(self.instances * TARGET_ORGANISATIONS / TARGET_INSTANCES)
 
     @property
     def regions(self) -> int:
--- a/benches/configuration.py
+++ b/benches/configuration.py
@@ -72,7 +72,7 @@
     :param count: how many in all.
     :param rng: chooses the items that change.
     """
-    names = [f'contract:customer-{number:04}' for number in range(CONTRACTS)]
+    names = [f'contract:organisation-{number:04}' for number in range(CONTRACTS)]
     names += [f'endpoint:engine-{number:04}' for number in range(ENDPOINTS)]
     versions: dict[str, int] = {}
     records = []
--- a/benches/configuration_rig.py
+++ b/benches/configuration_rig.py
@@ -27,9 +27,9 @@
 TICK_MS = 200
 
 
-def make_contract(customer: str, pool_share: float = 0.0005) -> dict[str, Any]:
+def make_contract(organisation: str, pool_share: float = 0.0005) -> dict[str, Any]:
     """Return a contract as large as an ordinary one."""
-    token_hash = random.Random(customer).randbytes(32).hex()
+    token_hash = random.Random(organisation).randbytes(32).hex()
     classes = [
         {
             'name': name,
@@ -45,7 +45,7 @@
         for tier, name in enumerate(['diagnosis', 'visit', 'scan', 'draft', 'audit'])
     ]
     return {
-        'customer': customer,
+        'organisation': organisation,
         'token_hashes': [token_hash],
         'pool_share': pool_share,
         'requests_per_s': 20.0,
--- a/benches/daemon_rig.py
+++ b/benches/daemon_rig.py
@@ -301,7 +301,7 @@
 
 async def _configure(port: int, engine_port: int) -> None:
     contract = {
-        'customer': 'bench',
+        'organisation': 'bench',
         'token_hashes': [hashlib.sha256(TOKEN.encode()).hexdigest()],
         'pool_share': 1.0,
         'requests_per_s': 100_000.0,
@@ -334,7 +334,7 @@
     }
     base = {'base_version': 0, 'why': 'bench'}
     await _operate(
-        port, 'contract-amend', {**base, 'customer': 'bench', 'document': contract}
+        port, 'contract-amend', {**base, 'organisation': 'bench', 'document': contract}
     )
     await _operate(port, 'endpoint-add', {**base, 'document': endpoint})
     await _warm_up(port)
--- a/benches/limiter_rig.py
+++ b/benches/limiter_rig.py
@@ -6,8 +6,8 @@
 import random
 
 from benches.ledger_rig import build_address
-from savorychute.contracts.customer_limits import CustomerLimits
-from savorychute.limits import CustomerLimiter, LimitSettings
+from savorychute.contracts.organisation_limits import OrganisationLimits
+from savorychute.limits import LimitSettings, OrganisationLimiter
 from savorychute.membership import MemberView
 
 TICK_MS = 50
@@ -15,7 +15,7 @@
 
 #: What ticks and steps of work add to the durations of the settings.
 SLACK_MS = 100
-CUSTOMER = 'kuttanad-pumps'
+ORGANISATION = 'kuttanad-pumps'
 
 #: Short durations, so that a random history passes through all of them.
 FAST = LimitSettings(
@@ -31,10 +31,10 @@
 
 
 def build_limits(concurrent=40, requests_per_s=10**6, tokens_per_s=10**9):
-    """Return a customer's limits; rates bind only if they are given."""
+    """Return an organisation's limits; rates bind only if they are given."""
     return {
-        CUSTOMER: CustomerLimits(
-            CUSTOMER, 0.2, requests_per_s, concurrent, tokens_per_s, 0.1, 3, {}
+        ORGANISATION: OrganisationLimits(
+            ORGANISATION, 0.2, requests_per_s, concurrent, tokens_per_s, 0.1, 3, {}
         )
     }
 
@@ -66,7 +66,9 @@
 
     def start(self, name, greed=10**6, side=0):
         """Start an instance; it and the others see that after a while."""
-        limiter = CustomerLimiter(self.settings, name, random.Random(self.rng.random()))
+        limiter = OrganisationLimiter(
+            self.settings, name, random.Random(self.rng.random())
+        )
         limiter.set_limits(self.limits)
         self.limiters[name] = limiter
         self.side[name] = side
@@ -128,12 +130,12 @@
 
     def units(self, name):
         """Return how many units an instance may use."""
-        return self.limiters[name]._desk.units(CUSTOMER, self.now_ms)
+        return self.limiters[name]._desk.units(ORGANISATION, self.now_ms)
 
     def home(self):
         """Return the instance that the first one takes for the home."""
         first = next(iter(self.limiters.values()))
-        return first._desk._book.holdings[CUSTOMER].home
+        return first._desk._book.holdings[ORGANISATION].home
 
     def _true_alive(self, viewer):
         return {
@@ -178,11 +180,11 @@
                     limiter.finish(request_id, 10, self.now_ms)
             entries[:] = [entry for entry in entries if entry[0] > self.now_ms]
             while len(entries) < self.greed[name]:
-                if limiter.check(CUSTOMER, 10, self.now_ms) > 0:
+                if limiter.check(ORGANISATION, 10, self.now_ms) > 0:
                     break
                 self._count += 1
                 request_id = f'{name}-{self._count}'
-                limiter.start(CUSTOMER, request_id, 10, self.now_ms)
+                limiter.start(ORGANISATION, request_id, 10, self.now_ms)
                 self.starts.append(self.now_ms)
                 ends_ms = self.now_ms + 1 + self.rng.randrange(self.hold_ms)
                 entries.append((ends_ms, request_id))
--- a/benches/membership.py
+++ b/benches/membership.py
@@ -34,7 +34,7 @@
 TARGET_REGIONS = 8
 KEYS = 2_100
 REGION_MEMBERS = 66
-REGION_CUSTOMERS = 175
+REGION_ORGANISATIONS = 175
 LARGE_ONE_IN = 20
 CALLERS = 20
 BALANCE_MS = 600_000
@@ -48,7 +48,7 @@
 def run(repeats: int, rng: Random) -> list[BenchRow]:
     """Measure once each; the meshes run on a virtual clock and are exact.
 
-    :param repeats: how many customers' mixes discovery is measured with.
+    :param repeats: how many organisations' mixes discovery is measured with.
     :param rng: seeds the meshes.
     """
     seed = rng.getrandbits(32)
@@ -265,7 +265,7 @@
 
     Callers ask again when their answer ends; loads are those of 30 s before.
 
-    :param mixes: how many mixes of customers.
+    :param mixes: how many mixes of organisations.
     :param rng: draws the mixes.
     """
     seeds = [rng.getrandbits(32) for _ in range(mixes)]
@@ -284,14 +284,14 @@
 def balance_region(seed: int, aware: bool) -> float:
     """Return the median over time of the busiest instance's load over the mean.
 
-    :param seed: of customers' rates and all choices.
+    :param seed: of organisations' rates and all choices.
     :param aware: whether answers take the loads into account.
     """
     rng = Random(seed)
     alive = tuple(make_address(number) for number in range(REGION_MEMBERS))
     view = MemberView(alive[0], alive)
     settings = DiscoverySettings(far_seats=0)
-    rates = [draw_rate(number, rng) for number in range(REGION_CUSTOMERS)]
+    rates = [draw_rate(number, rng) for number in range(REGION_ORGANISATIONS)]
     ends_ms = {(c, k): 0 for c in range(len(rates)) for k in range(CALLERS)}
     used: dict[tuple[int, int], str] = {}
     history: list[dict[str, int]] = []
@@ -303,10 +303,10 @@
         for caller, end_ms in ends_ms.items():
             if end_ms > now_ms:
                 continue
-            customer = f'customer-{caller[0]}'
+            organisation = f'organisation-{caller[0]}'
             seats = seats_for(rates[caller[0]])
             loads = lagging if aware else None
-            answer = answer_discovery(customer, view, settings, rng, seats, loads)
+            answer = answer_discovery(organisation, view, settings, rng, seats, loads)
             used[caller] = answer.addresses[0].instance
             ends_ms[caller] = now_ms + answer.lifetime_ms
         totals = dict.fromkeys((address.instance for address in alive), 0.0)
@@ -319,9 +319,9 @@
 
 
 def draw_rate(number: int, rng: Random) -> float:
-    """Return a customer's requests a second; a few customers are large.
+    """Return an organisation's requests a second; a few organisations are large.
 
-    :param number: of the customer.
+    :param number: of the organisation.
     :param rng: draws the rate.
     """
     if number % LARGE_ONE_IN == 0:
@@ -330,8 +330,8 @@
 
 
 def seats_for(requests_per_s: float) -> int:
-    """Return a customer's seats by its rate, as contracts give them.
+    """Return an organisation's seats by its rate, as contracts give them.
 
-    :param requests_per_s: the customer's rate.
+    :param requests_per_s: the organisation's rate.
     """
     return max(3, -(-int(requests_per_s) // REQUESTS_PER_S_OF_SEAT))
--- a/benches/retry_rig.py
+++ b/benches/retry_rig.py
@@ -16,7 +16,7 @@
 
 RETRY_SHARE = 0.1
 ENDPOINTS = 9
-CUSTOMERS = 10
+ORGANISATIONS = 10
 OUTAGE_MS = 10_000
 END_MS = 30_000
 LOCAL_FAILURE_MS = 2
@@ -37,7 +37,7 @@
 
     :param dead: how many of nine endpoints refuse all connections for 10 s.
     :param max_attempts: how often a request is tried at most.
-    :param budgeted: whether retries are bounded per customer.
+    :param budgeted: whether retries are bounded per organisation.
     :param ejecting: whether endpoints are ejected.
     """
     names = [f'endpoint-{number}' for number in range(ENDPOINTS)]
@@ -46,12 +46,12 @@
     budget = RetryBudget(RetrySettings())
     requests = attempts = answered = 0
     for now_ms in range(0, END_MS, 10):
-        customer = f'customer-{rng.randrange(CUSTOMERS)}'
-        budget.request(customer, now_ms)
+        organisation = f'organisation-{rng.randrange(ORGANISATIONS)}'
+        budget.request(organisation, now_ms)
         requests += 1
         for attempt in range(max_attempts):
             is_retry = attempt > 0 and budgeted
-            if is_retry and not budget.try_spend(customer, RETRY_SHARE, now_ms):
+            if is_retry and not budget.try_spend(organisation, RETRY_SHARE, now_ms):
                 break
             at_ms = now_ms + attempt * LOCAL_FAILURE_MS
             usable = [name for name in names if ejector.admits(name, at_ms)]
--- a/benches/soak.py
+++ b/benches/soak.py
@@ -38,7 +38,7 @@
     from savorychute.client import Client
     from savorychute.demo.demo_class import DemoClass
 
-CUSTOMERS = ('malanadu', 'hooghly')
+ORGANISATIONS = ('malanadu', 'hooghly')
 INSTANCES = 4
 RATE_PER_S = 8.0
 MEAN_TOKENS = 30
@@ -77,14 +77,16 @@
         await self._configure()
         async with AsyncExitStack() as stack:
             clients = {
-                customer: await stack.enter_async_context(
-                    open_client(ClientSettings(self._site.seeds, make_token(customer)))
+                organisation: await stack.enter_async_context(
+                    open_client(
+                        ClientSettings(self._site.seeds, make_token(organisation))
+                    )
                 )
-                for customer in CUSTOMERS
+                for organisation in ORGANISATIONS
             }
             async with asyncio.TaskGroup() as group:
                 for each in self._classes:
-                    group.create_task(self._load(clients[each.customer], each))
+                    group.create_task(self._load(clients[each.organisation], each))
                 group.create_task(self._disturb())
             async with asyncio.timeout(END_TIMEOUT_S):
                 await asyncio.gather(*self._calls)
@@ -92,12 +94,12 @@
 
     async def _configure(self) -> None:
         classes = self._classes
-        for customer in CUSTOMERS:
+        for organisation in ORGANISATIONS:
             await self._order(
                 'contract-amend',
-                customer=customer,
+                organisation=organisation,
                 base_version=0,
-                document=make_contract(customer, classes),
+                document=make_contract(organisation, classes),
                 why='soak',
             )
         for name, engine in self._site.engines.items():
--- a/benches/telemetry.py
+++ b/benches/telemetry.py
@@ -57,16 +57,21 @@
 def _measure_log(repeats: int) -> list[BenchRow]:
     file = io.BytesIO()
     log = InstanceLog('a-1', LogLevel.INFO)
-    plain = {'level': 'info', 'customer': 'malanadu', 'tier': TIER, 'request_id': 'q-1'}
+    plain = {
+        'level': 'info',
+        'organisation': 'malanadu',
+        'tier': TIER,
+        'request_id': 'q-1',
+    }
 
     def write() -> None:
         for _ in range(CALLS):
-            log.info('request-finished', 'q-1', customer='malanadu', tier=TIER)
+            log.info('request-finished', 'q-1', organisation='malanadu', tier=TIER)
         file.seek(0)
 
     def skip() -> None:
         for _ in range(CALLS):
-            log.debug('request-finished', 'q-1', customer='malanadu', tier=TIER)
+            log.debug('request-finished', 'q-1', organisation='malanadu', tier=TIER)
 
     def encode() -> None:
         for _ in range(CALLS):
--- a/savorychute/admission/admission.py
+++ b/savorychute/admission/admission.py
@@ -15,16 +15,16 @@
     from savorychute.admission.running_request import RunningRequest
     from savorychute.admission.settings import AdmissionSettings
     from savorychute.admission.shed_request import ShedRequest
-    from savorychute.contracts.customer_limits import CustomerLimits
+    from savorychute.contracts.organisation_limits import OrganisationLimits
 
 
 class Admission(Protocol):
     """The queue of one instance and the policy that orders it."""
 
-    def set_limits(self, limits: dict[str, CustomerLimits]) -> None:
-        """Replace the limits of all customers.
+    def set_limits(self, limits: dict[str, OrganisationLimits]) -> None:
+        """Replace the limits of all organisations.
 
-        :param limits: by customer.
+        :param limits: by organisation.
         """
 
     def offer(
--- a/savorychute/admission/class_key.py
+++ b/savorychute/admission/class_key.py
@@ -6,8 +6,8 @@
 
 
 class ClassKey(NamedTuple):
-    """A class of a customer, in the tier that its requests carry."""
+    """A class of an organisation, in the tier that its requests carry."""
 
     tier: int
-    customer: str
+    organisation: str
     class_name: str
--- a/savorychute/admission/class_queue.py
+++ b/savorychute/admission/class_queue.py
@@ -27,13 +27,13 @@
     have missed theirs are therefore moved to a second heap, which is served
     when the first is empty.  Patient requests are never moved.
 
-    :param customer: whose requests these are.
+    :param organisation: whose requests these are.
     :param class_name: their class.
     :param tier: their tier.
     """
 
-    def __init__(self, customer: str, class_name: str, tier: int) -> None:
-        self.customer = customer
+    def __init__(self, organisation: str, class_name: str, tier: int) -> None:
+        self.organisation = organisation
         self.class_name = class_name
         self.tier = tier
         self._requests: dict[str, QueuedRequest] = {}
@@ -46,7 +46,7 @@
     def add(self, request: QueuedRequest) -> None:
         """Let *request* wait.
 
-        :param request: of this queue's customer, class and tier.
+        :param request: of this queue's organisation, class and tier.
         """
         self._requests[request.request_id] = request
         target_ms = request.arrival_ms + request.first_token_target_ms
--- a/savorychute/admission/fifo.py
+++ b/savorychute/admission/fifo.py
@@ -17,7 +17,7 @@
     from savorychute.admission.queued_request import QueuedRequest
     from savorychute.admission.running_request import RunningRequest
     from savorychute.admission.settings import AdmissionSettings
-    from savorychute.contracts.customer_limits import CustomerLimits
+    from savorychute.contracts.organisation_limits import OrganisationLimits
 
 #: How far a start looks past requests that may not start now.
 LOOK_AHEAD_REQUESTS = 32
@@ -40,7 +40,7 @@
         self._pool_of: dict[str, str] = {}
         self._bytes = 0
 
-    def set_limits(self, limits: dict[str, CustomerLimits]) -> None:
+    def set_limits(self, limits: dict[str, OrganisationLimits]) -> None:
         """Ignore contracts; the baseline knows none."""
 
     def offer(
--- a/savorychute/admission/customer_flow.py
+++ b/savorychute/admission/organisation_flow.py
@@ -1,4 +1,4 @@
-"""One customer's waiting requests in one tier of one pool."""
+"""One organisation's waiting requests in one tier of one pool."""
 
 from __future__ import annotations
 
@@ -12,20 +12,20 @@
     from savorychute.admission.queued_request import QueuedRequest
 
 
-class CustomerFlow:
-    """The classes of a customer that share a tier, earliest target first.
+class OrganisationFlow:
+    """The classes of an organisation that share a tier, earliest target first.
 
     ``start_tag`` is its place in the fair order.  ``is_limited`` is true after
     others of the tier could start and this flow could not, which tells a
-    customer at its own limits from a pool without capacity.
+    organisation at its own limits from a pool without capacity.
 
-    :param customer: the customer.
-    :param weight: its share against other customers.
+    :param organisation: the organisation.
+    :param weight: its share against other organisations.
     :param start_tag: its first place in the fair order.
     """
 
-    def __init__(self, customer: str, weight: float, start_tag: float) -> None:
-        self.customer = customer
+    def __init__(self, organisation: str, weight: float, start_tag: float) -> None:
+        self.organisation = organisation
         self.weight = weight
         self.start_tag = start_tag
         self.is_limited = False
@@ -35,11 +35,11 @@
     def add(self, request: QueuedRequest) -> ClassQueue:
         """Let *request* wait and return the queue of its class.
 
-        :param request: of this customer and tier.
+        :param request: of this organisation and tier.
         """
         queue = self._classes.get(request.class_name)
         if queue is None:
-            queue = ClassQueue(request.customer, request.class_name, request.tier)
+            queue = ClassQueue(request.organisation, request.class_name, request.tier)
             self._classes[request.class_name] = queue
         queue.add(request)
         self.request_count += 1
--- a/savorychute/admission/pool_queue.py
+++ b/savorychute/admission/pool_queue.py
@@ -44,7 +44,7 @@
         """Let *request* wait.
 
         :param request: for this pool.
-        :param weight: the customer's share against others.
+        :param weight: the organisation's share against others.
         :param share: the class's guaranteed part of the starts.
         """
         queue = self.tiers.get(request.tier)
@@ -85,7 +85,7 @@
         guarantee takes is not to be the reason for giving up higher work.
 
         :param request: the newcomer.
-        :param weight: its customer's share against others.
+        :param weight: its organisation's share against others.
         """
         interval_ms = self._rate.interval_ms(request.tier)
         if interval_ms is None:
@@ -111,13 +111,13 @@
     def _count_ahead(self, request: QueuedRequest, weight: float) -> float:
         """Return how much of its own tier starts before a newcomer.
 
-        In fair order a customer waits for its own requests, stretched by the
+        In fair order an organisation waits for its own requests, stretched by the
         weights of the others, and never for more than all that wait.
         """
         queue = self.tiers.get(request.tier)
         if queue is None:
             return 0.0
-        flow = queue.flows.get(request.customer)
+        flow = queue.flows.get(request.organisation)
         others = sum(
             other.weight
             for other in queue.flows.values()
@@ -139,7 +139,9 @@
             queue = self.tiers.get(key.tier)
             if queue is None or not _has_class(queue, key):
                 continue
-            request = queue.take_class(key.customer, key.class_name, now_ms, may_start)
+            request = queue.take_class(
+                key.organisation, key.class_name, now_ms, may_start
+            )
             if request is None or _has_class(queue, key):
                 refused.append(key)
         for key in refused:
@@ -160,11 +162,11 @@
 
 
 def _key_of(request: QueuedRequest) -> ClassKey:
-    return ClassKey(request.tier, request.customer, request.class_name)
+    return ClassKey(request.tier, request.organisation, request.class_name)
 
 
 def _has_class(queue: TierQueue, key: ClassKey) -> bool:
-    flow = queue.flows.get(key.customer)
+    flow = queue.flows.get(key.organisation)
     return flow is not None and flow.class_queue(key.class_name) is not None
 
 
--- a/savorychute/admission/queued_request.py
+++ b/savorychute/admission/queued_request.py
@@ -13,7 +13,7 @@
     """
 
     request_id: str
-    customer: str
+    organisation: str
     class_name: str
     tier: int
     pool: str
--- a/savorychute/admission/tier_queue.py
+++ b/savorychute/admission/tier_queue.py
@@ -1,35 +1,35 @@
-"""One tier of one pool: customers in fair order."""
+"""One tier of one pool: organisations in fair order."""
 
 from __future__ import annotations
 
 import heapq
 from typing import TYPE_CHECKING
 
-from savorychute.admission.customer_flow import CustomerFlow
+from savorychute.admission.organisation_flow import OrganisationFlow
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from savorychute.admission.queued_request import QueuedRequest
 
-#: Finish tags of idle customers are dropped when there are more than these.
+#: Finish tags of idle organisations are dropped when there are more than these.
 MAX_IDLE_TAGS = 64
 
 
 class TierQueue:
-    """Start-time fair queuing between customers, by their shares of the pool.
+    """Start-time fair queuing between organisations, by their shares of the pool.
 
-    Each start moves its customer's tag on by expected tokens over weight, and
+    Each start moves its organisation's tag on by expected tokens over weight, and
     the smallest tag is served.  Source: Goyal, Vin and Cheng, "Start-time fair
-    queuing" (SIGCOMM 1996).  A start costs O(log customers), and more only
-    for customers that are at their own limits.
+    queuing" (SIGCOMM 1996).  A start costs O(log organisations), and more only
+    for organisations that are at their own limits.
 
     :param tier: the tier.
     """
 
     def __init__(self, tier: int) -> None:
         self.tier = tier
-        self.flows: dict[str, CustomerFlow] = {}
+        self.flows: dict[str, OrganisationFlow] = {}
         self.request_count = 0
         self._virtual = 0.0
         self._order: list[tuple[float, str]] = []
@@ -39,11 +39,11 @@
         """Let *request* wait; return whether its class had none waiting.
 
         :param request: of this tier.
-        :param weight: the customer's share against others.
+        :param weight: the organisation's share against others.
         """
-        flow = self.flows.get(request.customer)
+        flow = self.flows.get(request.organisation)
         if flow is None:
-            flow = self._open_flow(request.customer, weight)
+            flow = self._open_flow(request.organisation, weight)
         flow.weight = weight
         self.request_count += 1
         return len(flow.add(request)) == 1
@@ -53,7 +53,7 @@
 
         :param request: the request.
         """
-        flow = self.flows[request.customer]
+        flow = self.flows[request.organisation]
         flow.remove(request)
         self.request_count -= 1
         self._close_if_empty(flow)
@@ -64,8 +64,8 @@
         :param now_ms: the time.
         """
         while self._order:
-            tag, customer = self._order[0]
-            flow = self.flows.get(customer)
+            tag, organisation = self._order[0]
+            flow = self.flows.get(organisation)
             if flow is not None and flow.start_tag == tag:
                 return flow.head(now_ms)
             heapq.heappop(self._order)
@@ -79,11 +79,11 @@
         :param now_ms: the time.
         :param may_start: says whether a request may start now.
         """
-        refused: list[CustomerFlow] = []
+        refused: list[OrganisationFlow] = []
         request = None
         while self._order and request is None:
-            tag, customer = heapq.heappop(self._order)
-            flow = self.flows.get(customer)
+            tag, organisation = heapq.heappop(self._order)
+            flow = self.flows.get(organisation)
             if flow is None or flow.start_tag != tag:
                 continue
             request = flow.take(now_ms, may_start)
@@ -97,19 +97,19 @@
 
     def take_class(
         self,
-        customer: str,
+        organisation: str,
         class_name: str,
         now_ms: int,
         may_start: Callable[[QueuedRequest], bool],
     ) -> QueuedRequest | None:
         """Remove and return the first request of one class that may start.
 
-        :param customer: the customer.
+        :param organisation: the organisation.
         :param class_name: the class.
         :param now_ms: the time.
         :param may_start: says whether a request may start now.
         """
-        flow = self.flows.get(customer)
+        flow = self.flows.get(organisation)
         if flow is None:
             return None
         request = flow.take_class(class_name, now_ms, may_start)
@@ -117,41 +117,41 @@
             self._charge(flow, request)
         return request
 
-    def _open_flow(self, customer: str, weight: float) -> CustomerFlow:
-        start_tag = max(self._virtual, self._idle_tags.pop(customer, 0.0))
-        flow = CustomerFlow(customer, weight, start_tag)
-        self.flows[customer] = flow
-        heapq.heappush(self._order, (start_tag, customer))
+    def _open_flow(self, organisation: str, weight: float) -> OrganisationFlow:
+        start_tag = max(self._virtual, self._idle_tags.pop(organisation, 0.0))
+        flow = OrganisationFlow(organisation, weight, start_tag)
+        self.flows[organisation] = flow
+        heapq.heappush(self._order, (start_tag, organisation))
         return flow
 
-    def _charge(self, flow: CustomerFlow, request: QueuedRequest) -> None:
+    def _charge(self, flow: OrganisationFlow, request: QueuedRequest) -> None:
         """Move the flow on by what *request* costs."""
         flow.is_limited = False
         flow.start_tag += max(1, request.expected_tokens) / flow.weight
         self.request_count -= 1
         if flow.request_count:
-            heapq.heappush(self._order, (flow.start_tag, flow.customer))
+            heapq.heappush(self._order, (flow.start_tag, flow.organisation))
         self._close_if_empty(flow)
 
-    def _put_back(self, refused: list[CustomerFlow], *, is_limited: bool) -> None:
+    def _put_back(self, refused: list[OrganisationFlow], *, is_limited: bool) -> None:
         """Queue flows again that could not start.
 
-        A customer held back by its own limits must not save up turns and then
+        An organisation held back by its own limits must not save up turns and then
         shut out the others, so its tag moves on with the served ones.
         """
         for flow in refused:
             flow.is_limited = flow.is_limited or is_limited
             flow.start_tag = max(flow.start_tag, self._virtual)
-            heapq.heappush(self._order, (flow.start_tag, flow.customer))
+            heapq.heappush(self._order, (flow.start_tag, flow.organisation))
 
-    def _close_if_empty(self, flow: CustomerFlow) -> None:
+    def _close_if_empty(self, flow: OrganisationFlow) -> None:
         if flow.request_count:
             return
-        del self.flows[flow.customer]
-        self._idle_tags[flow.customer] = flow.start_tag
+        del self.flows[flow.organisation]
+        self._idle_tags[flow.organisation] = flow.start_tag
         if len(self._idle_tags) > MAX_IDLE_TAGS:
             self._idle_tags = {
-                customer: tag
-                for customer, tag in self._idle_tags.items()
+                organisation: tag
+                for organisation, tag in self._idle_tags.items()
                 if tag > self._virtual
             }
--- a/savorychute/admission/tiered.py
+++ b/savorychute/admission/tiered.py
@@ -1,4 +1,4 @@
-"""The default: strict tiers, fair customers, guaranteed minimum starts."""
+"""The default: strict tiers, fair organisations, guaranteed minimum starts."""
 
 from __future__ import annotations
 
@@ -16,12 +16,12 @@
     import random
     from collections.abc import Callable, Iterator, Sequence
 
-    from savorychute.admission.customer_flow import CustomerFlow
+    from savorychute.admission.organisation_flow import OrganisationFlow
     from savorychute.admission.queued_request import QueuedRequest
     from savorychute.admission.running_request import RunningRequest
     from savorychute.admission.settings import AdmissionSettings
     from savorychute.contracts.class_limits import ClassLimits
-    from savorychute.contracts.customer_limits import CustomerLimits
+    from savorychute.contracts.organisation_limits import OrganisationLimits
 
 DEFAULT_WEIGHT = 0.001
 MIN_WEIGHT = 1e-6
@@ -43,7 +43,7 @@
     def __init__(self, settings: AdmissionSettings, rng: random.Random) -> None:
         self.settings = settings
         self._rng = rng
-        self._limits: dict[str, CustomerLimits] = {}
+        self._limits: dict[str, OrganisationLimits] = {}
         self._pools: dict[str, PoolQueue] = {}
         self._requests: dict[str, QueuedRequest] = {}
         self._tier_counts: dict[int, int] = {}
@@ -53,8 +53,8 @@
         self._give_up_ms: dict[str, int] = {}
         self._preempting: dict[str, int] = {}
 
-    def set_limits(self, limits: dict[str, CustomerLimits]) -> None:
-        """Replace the limits of all customers; what waits keeps its bounds."""
+    def set_limits(self, limits: dict[str, OrganisationLimits]) -> None:
+        """Replace the limits of all organisations; what waits keeps its bounds."""
         self._limits = limits
 
     def offer(
@@ -149,7 +149,7 @@
         tier and there the youngest, which has the least to lose.
 
         :param may_start: says whether the waiting request could start if it
-            had an endpoint, so that nothing is preempted for a customer at
+            had an endpoint, so that nothing is preempted for an organisation at
             its limits.
         """
         queue = self._pools.get(pool)
@@ -187,16 +187,16 @@
         }
 
     def _class_limits(self, request: QueuedRequest) -> ClassLimits | None:
-        limits = self._limits.get(request.customer)
+        limits = self._limits.get(request.organisation)
         return None if limits is None else limits.classes.get(request.class_name)
 
-    def _weight(self, customer: str) -> float:
-        limits = self._limits.get(customer)
+    def _weight(self, organisation: str) -> float:
+        limits = self._limits.get(organisation)
         return DEFAULT_WEIGHT if limits is None else max(limits.pool_share, MIN_WEIGHT)
 
     def _is_class_full(self, request: QueuedRequest) -> bool:
         limits = self._class_limits(request)
-        count = self._class_counts.get((request.customer, request.class_name), 0)
+        count = self._class_counts.get((request.organisation, request.class_name), 0)
         return limits is not None and count >= limits.queue_requests
 
     def _predict_lateness_ms(
@@ -210,7 +210,7 @@
         queue = self._pools.get(request.pool)
         if queue is None or request.patient:
             return 0.0
-        wait_ms = queue.estimate_wait_ms(request, self._weight(request.customer))
+        wait_ms = queue.estimate_wait_ms(request, self._weight(request.organisation))
         if wait_ms <= 0:
             return 0.0
         first_token_ms = wait_ms + (predicted_wait_ms or 0.0)
@@ -266,12 +266,15 @@
         flow = max(self._flows(lowest), key=_length_by_weight)
         if lowest > request.tier:
             return flow.latest()
-        own_length = (self._count_own(request) + 1) / self._weight(request.customer)
-        if flow.customer == request.customer or _length_by_weight(flow) <= own_length:
+        own_length = (self._count_own(request) + 1) / self._weight(request.organisation)
+        if (
+            flow.organisation == request.organisation
+            or _length_by_weight(flow) <= own_length
+        ):
             return None
         return flow.latest()
 
-    def _flows(self, tier: int) -> Iterator[CustomerFlow]:
+    def _flows(self, tier: int) -> Iterator[OrganisationFlow]:
         for queue in self._pools.values():
             if tier in queue.tiers:
                 yield from queue.tiers[tier].flows.values()
@@ -280,7 +283,7 @@
         return sum(
             flow.request_count
             for flow in self._flows(request.tier)
-            if flow.customer == request.customer
+            if flow.organisation == request.organisation
         )
 
     def _add(self, request: QueuedRequest, give_up_ms: int) -> None:
@@ -288,7 +291,7 @@
         if queue is None:
             queue = PoolQueue(self.settings.guaranteed_one_in)
             self._pools[request.pool] = queue
-        weight = self._weight(request.customer)
+        weight = self._weight(request.organisation)
         share = max(weight * request.minimum_share, self.settings.guarantee_floor)
         queue.add(request, weight, min(share, 1.0))
         self._requests[request.request_id] = request
@@ -310,7 +313,7 @@
 
     def _count(self, request: QueuedRequest, step: int) -> None:
         tier, size = request.tier, step * request.size_bytes
-        key = (request.customer, request.class_name)
+        key = (request.organisation, request.class_name)
         self._tier_counts[tier] = self._tier_counts.get(tier, 0) + step
         self._tier_bytes[tier] = self._tier_bytes.get(tier, 0) + size
         self._class_counts[key] = self._class_counts.get(key, 0) + step
@@ -326,5 +329,5 @@
         return ShedRequest(request.request_id, code, retry_after_ms)
 
 
-def _length_by_weight(flow: CustomerFlow) -> float:
+def _length_by_weight(flow: OrganisationFlow) -> float:
     return flow.request_count / flow.weight
--- a/savorychute/cmd/contract.py
+++ b/savorychute/cmd/contract.py
@@ -18,31 +18,31 @@
     from argparse import ArgumentParser, Namespace
 
 
-class _CustomerVerb(OperatorVerb):
-    """A verb whose one argument is a customer."""
+class _OrganisationVerb(OperatorVerb):
+    """A verb whose one argument is an organisation."""
 
     def add_own_arguments(self, parser: ArgumentParser) -> None:
-        """Add the customer."""
-        parser.add_argument('customer', help="the customer's name")
+        """Add the organisation."""
+        parser.add_argument('organisation', help="the organisation's name")
 
     def make_document(self, arguments: Namespace) -> Any:
-        """Return the customer's name."""
-        return {'customer': arguments.customer}
+        """Return the organisation's name."""
+        return {'organisation': arguments.organisation}
 
 
 @COMMANDS.register('contract show')
-class ContractShow(_CustomerVerb):
+class ContractShow(_OrganisationVerb):
     """Print a contract and its version."""
 
-    summary = "print a customer's contract and its version"
+    summary = "print an organisation's contract and its version"
     verb = operator_verbs.CONTRACT_SHOW
 
 
 @COMMANDS.register('contract history')
-class ContractHistory(_CustomerVerb):
+class ContractHistory(_OrganisationVerb):
     """Print a contract's changes."""
 
-    summary = "print the changes of a customer's contract"
+    summary = "print the changes of an organisation's contract"
     verb = operator_verbs.CONTRACT_HISTORY
 
 
@@ -50,7 +50,7 @@
 class ContractAmend(OperatorVerb):
     """Replace a contract."""
 
-    summary = "replace a customer's contract, or make the first one"
+    summary = "replace an organisation's contract, or make the first one"
     verb = operator_verbs.CONTRACT_AMEND
 
     def add_own_arguments(self, parser: ArgumentParser) -> None:
@@ -66,8 +66,8 @@
                 'contract amend needs --base-version; "contract show" prints it, '
                 '0 makes a new contract'
             )
-        customer = document.get('customer')
-        if not isinstance(customer, str):
-            raise ValueError(f'{arguments.file}: expected a string "customer"')
+        organisation = document.get('organisation')
+        if not isinstance(organisation, str):
+            raise ValueError(f'{arguments.file}: expected a string "organisation"')
         change = take_change_arguments(arguments)
-        return {'customer': customer, 'document': document, **change}
+        return {'organisation': organisation, 'document': document, **change}
--- a/savorychute/cmd/operator_verbs.py
+++ b/savorychute/cmd/operator_verbs.py
@@ -29,20 +29,20 @@
 
 
 class ContractShowArguments(TypedDict):
-    """Answered by ``{"customer", "version", "document", "limits"}``."""
+    """Answered by ``{"organisation", "version", "document", "limits"}``."""
 
-    customer: str
+    organisation: str
 
 
 class ContractAmendArguments(TypedDict):
     """Answered by ``{"item", "version", "offset", "record_id"}``.
 
     ``base_version`` is the version that the document replaces, 0 for a new
-    customer.  A command that is sent again with the same ``record_id`` takes
+    organisation.  A command that is sent again with the same ``record_id`` takes
     effect once.
     """
 
-    customer: str
+    organisation: str
     base_version: int
     document: ContractDocument
     why: str
@@ -50,9 +50,9 @@
 
 
 class ContractHistoryArguments(TypedDict):
-    """Answered by ``{"customer", "history": [...]}``, oldest first."""
+    """Answered by ``{"organisation", "history": [...]}``, oldest first."""
 
-    customer: str
+    organisation: str
 
 
 class EndpointAddArguments(TypedDict):
--- a/savorychute/cmd/parser.py
+++ b/savorychute/cmd/parser.py
@@ -11,7 +11,7 @@
 from savorychute.cmd.command import COMMANDS
 
 GROUP_SUMMARIES = {
-    'contract': "show and amend customers' contracts",
+    'contract': "show and amend organisations' contracts",
     'endpoint': 'add, drain, retire and list endpoints',
     'instance': 'list instances',
     'scenario': 'run scripted scenarios',
--- a/savorychute/configuration/amendment_check.py
+++ b/savorychute/configuration/amendment_check.py
@@ -48,7 +48,7 @@
     if is_contract:
         contract = cast('ContractDocument', converted)
         faults += check_contract(contract)
-        own_name = contract['customer']
+        own_name = contract['organisation']
     else:
         endpoint = cast('EndpointDocument', converted)
         faults += check_endpoint(endpoint)
--- a/savorychute/configuration/configuration_state.py
+++ b/savorychute/configuration/configuration_state.py
@@ -36,7 +36,7 @@
     def document(self, item: str) -> ContractDocument | EndpointDocument | None:
         """Return the item's document, or None if there is no such item.
 
-        :param item: ``contract:<customer>`` or ``endpoint:<name>``.
+        :param item: ``contract:<organisation>`` or ``endpoint:<name>``.
         """
         name = parse_item(item)
         if name is None:
@@ -48,7 +48,7 @@
     def encoded(self, item: str) -> bytes | None:
         """Return the item's document as canonical JSON, or None.
 
-        :param item: ``contract:<customer>`` or ``endpoint:<name>``.
+        :param item: ``contract:<organisation>`` or ``endpoint:<name>``.
         """
         name = parse_item(item)
         return None if name is None else self._table(name).encoded(name.name)
--- a/savorychute/configuration/contract_rules.py
+++ b/savorychute/configuration/contract_rules.py
@@ -29,7 +29,7 @@
     :param document: a contract whose fields have the right types.
     """
     return [
-        *check_name('customer', document['customer']),
+        *check_name('organisation', document['organisation']),
         *check_token_hashes(document['token_hashes']),
         *check_between('pool_share', document['pool_share'], 0, 1),
         *check_positive('requests_per_s', document['requests_per_s']),
--- a/savorychute/configuration/document_table.py
+++ b/savorychute/configuration/document_table.py
@@ -36,7 +36,7 @@
     def encoded(self, name: str) -> bytes | None:
         """Return the document's canonical JSON, or None.
 
-        :param name: the customer or endpoint.
+        :param name: the organisation or endpoint.
         """
         return self._encoded.get(name)
 
--- a/savorychute/configuration/item_name.py
+++ b/savorychute/configuration/item_name.py
@@ -9,7 +9,7 @@
 
 
 class ItemName(NamedTuple):
-    """The kind of an item, and the customer or endpoint that it is about."""
+    """The kind of an item, and the organisation or endpoint that it is about."""
 
     kind: str
     name: str
@@ -19,7 +19,7 @@
 
 
 def parse_item(text: str) -> ItemName | None:
-    """Return the parts of ``contract:<customer>`` or ``endpoint:<name>``.
+    """Return the parts of ``contract:<organisation>`` or ``endpoint:<name>``.
 
     :param text: the item as operators write it.
     :returns: None if it is neither.
--- a/savorychute/configuration/keeper.py
+++ b/savorychute/configuration/keeper.py
@@ -98,7 +98,7 @@
         return self.state.offset if self._ready else -1
 
     def owner_of(self, token_hash: str) -> str | None:
-        """Return the customer whose contract has this token hash, or None.
+        """Return the organisation whose contract has this token hash, or None.
 
         :param token_hash: hex SHA-256 of a bearer token.
         """
@@ -111,7 +111,7 @@
     def history(self, item: str) -> list[Verdict]:
         """Return the remembered verdicts on an item, accepted or not.
 
-        :param item: ``contract:<customer>`` or ``endpoint:<name>``.
+        :param item: ``contract:<organisation>`` or ``endpoint:<name>``.
         """
         return self._store.fold.verdicts.of_item(item)
 
@@ -151,7 +151,7 @@
 
         :param command_id: the operator's command.
         :param operator: who proposes.
-        :param item: ``contract:<customer>`` or ``endpoint:<name>``.
+        :param item: ``contract:<organisation>`` or ``endpoint:<name>``.
         :param base_version: the version that the operator saw, 0 for none.
         :param document: the new document, None to remove the item.
         :param why: the operator's reason.
--- a/savorychute/configuration/pool_rules.py
+++ b/savorychute/configuration/pool_rules.py
@@ -28,7 +28,7 @@
         """
         self._share_units += share_units(document['pool_share'])
         for token_hash in document['token_hashes']:
-            self._owners[token_hash] = document['customer']
+            self._owners[token_hash] = document['organisation']
 
     def remove(self, document: ContractDocument) -> None:
         """Count a contract out.
@@ -40,7 +40,7 @@
             self._owners.pop(token_hash, None)
 
     def owner_of(self, token_hash: str) -> str | None:
-        """Return the customer whose token has this hash, or None."""
+        """Return the organisation whose token has this hash, or None."""
         return self._owners.get(token_hash)
 
     def check(
@@ -48,7 +48,7 @@
     ) -> list[str]:
         """Return why *after* may not take the place of *before*.
 
-        :param before: the customer's contract in force, if there is one.
+        :param before: the organisation's contract in force, if there is one.
         :param after: the proposed contract.
         """
         faults = []
@@ -61,7 +61,7 @@
             )
         for token_hash in after['token_hashes']:
             owner = self._owners.get(token_hash)
-            if owner is not None and owner != after['customer']:
+            if owner is not None and owner != after['organisation']:
                 faults.append(
                     f'token_hashes: {token_hash[:12]}... belongs to {owner!r}'
                 )
--- a/savorychute/contracts/__init__.py
+++ b/savorychute/contracts/__init__.py
@@ -1,1 +1,1 @@
-"""Contracts of customers, and the limits that follow from them."""
+"""Contracts of organisations, and the limits that follow from them."""
--- a/savorychute/contracts/class_document.py
+++ b/savorychute/contracts/class_document.py
@@ -6,10 +6,10 @@
 
 
 class ClassDocument(TypedDict):
-    """A customer's kind of request.
+    """An organisation's kind of request.
 
     ``tier`` counts from 0, the highest.  ``weight`` is what one answer counts
-    for goodput.  ``minimum_share`` is the part of the customer's starts that
+    for goodput.  ``minimum_share`` is the part of the organisation's starts that
     the class gets even when higher classes would take all of them.
     """
 
--- a/savorychute/contracts/class_limits.py
+++ b/savorychute/contracts/class_limits.py
@@ -6,15 +6,15 @@
 
 
 class ClassLimits(NamedTuple):
-    """What a contract gives one class of one customer.
+    """What a contract gives one class of one organisation.
 
     ``tier`` counts from 0, the highest.  ``minimum_share`` is the part of the
-    customer's starts that the class is guaranteed.  ``queue_requests`` and
+    organisation's starts that the class is guaranteed.  ``queue_requests`` and
     ``queue_wait_ms`` bound its queue on one instance.  ``priority`` is what
     engines are told; smaller is served first.
     """
 
-    customer: str
+    organisation: str
     name: str
     tier: int
     first_token_target_ms: int
--- a/savorychute/contracts/contract_document.py
+++ b/savorychute/contracts/contract_document.py
@@ -1,4 +1,4 @@
-"""A customer's contract, as operators write it."""
+"""An organisation's contract, as operators write it."""
 
 from __future__ import annotations
 
@@ -8,14 +8,14 @@
 
 
 class ContractDocument(TypedDict):
-    """The one source of a customer's limits, priorities and targets.
+    """The one source of an organisation's limits, priorities and targets.
 
     ``token_hashes`` are hex SHA-256 digests of bearer tokens.  ``pool_share``
-    is the part of the pool's capacity, between 0 and 1, that the customer is
+    is the part of the pool's capacity, between 0 and 1, that the organisation is
     due when demand exceeds it.
     """
 
-    customer: str
+    organisation: str
     token_hashes: list[str]
     pool_share: float
     requests_per_s: float
--- a/savorychute/contracts/limits.py
+++ b/savorychute/contracts/limits.py
@@ -11,7 +11,7 @@
 
 from savorychute.clock import MS_PER_S
 from savorychute.contracts.class_limits import ClassLimits
-from savorychute.contracts.customer_limits import CustomerLimits
+from savorychute.contracts.organisation_limits import OrganisationLimits
 
 if TYPE_CHECKING:
     from savorychute.contracts.class_document import ClassDocument
@@ -31,7 +31,7 @@
 MIN_QUEUE_REQUESTS = 8
 
 
-def derive_limits(document: ContractDocument) -> CustomerLimits:
+def derive_limits(document: ContractDocument) -> OrganisationLimits:
     """Return the limits that follow from a contract.
 
     :param document: the contract, already checked for valid values.
@@ -39,8 +39,8 @@
     classes = {
         entry['name']: _derive_class(document, entry) for entry in document['classes']
     }
-    return CustomerLimits(
-        customer=document['customer'],
+    return OrganisationLimits(
+        organisation=document['organisation'],
         pool_share=document['pool_share'],
         requests_per_s=document['requests_per_s'],
         concurrent_requests=document['concurrent_requests'],
@@ -58,7 +58,7 @@
 def _derive_class(document: ContractDocument, entry: ClassDocument) -> ClassLimits:
     queue_wait_ms = _derive_queue_wait_ms(entry)
     return ClassLimits(
-        customer=document['customer'],
+        organisation=document['organisation'],
         name=entry['name'],
         tier=entry['tier'],
         first_token_target_ms=entry['first_token_target_ms'],
@@ -87,6 +87,6 @@
 
 
 def _derive_queue_requests(requests_per_s: float, queue_wait_ms: int) -> int:
-    """Return how many requests the customer's rate can start in that wait."""
+    """Return how many requests the organisation's rate can start in that wait."""
     startable = math.ceil(requests_per_s * queue_wait_ms / MS_PER_S)
     return max(MIN_QUEUE_REQUESTS, startable)
--- a/savorychute/contracts/customer_limits.py
+++ b/savorychute/contracts/organisation_limits.py
@@ -1,4 +1,4 @@
-"""The limits of one customer."""
+"""The limits of one organisation."""
 
 from __future__ import annotations
 
@@ -8,15 +8,15 @@
     from savorychute.contracts.class_limits import ClassLimits
 
 
-class CustomerLimits(NamedTuple):
-    """What a contract gives a customer over all instances together.
+class OrganisationLimits(NamedTuple):
+    """What a contract gives an organisation over all instances together.
 
-    ``pool_share`` is the customer's weight against other customers of the
+    ``pool_share`` is the organisation's weight against other organisations of the
     same tier.  ``retry_share`` bounds retries as a part of its requests.
     ``seats`` is how many instances its callers are told to use.
     """
 
-    customer: str
+    organisation: str
     pool_share: float
     requests_per_s: float
     concurrent_requests: int
--- a/savorychute/demo/caller.py
+++ b/savorychute/demo/caller.py
@@ -26,7 +26,7 @@
 class Caller:
     """Makes one call and counts how it ended.
 
-    :param client: of the class's customer.
+    :param client: of the class's organisation.
     :param demo_class: what is asked.
     :param call_id: names the call in its body.
     :param tokens: how long a model's answer is to be.
--- a/savorychute/demo/demo_class.py
+++ b/savorychute/demo/demo_class.py
@@ -11,20 +11,20 @@
 
 
 class DemoClass(NamedTuple):
-    """A customer's class and the rate of its calls."""
+    """An organisation's class and the rate of its calls."""
 
-    customer: str
+    organisation: str
     call_class: CallClass
     rate_per_s: float
 
 
 def list_classes(rate_per_s: float) -> list[DemoClass]:
-    """Return every class of both customers.
+    """Return every class of both organisations.
 
-    :param rate_per_s: of all calls of one customer together.
+    :param rate_per_s: of all calls of one organisation together.
     """
     classes = []
-    for customer, call_classes in (
+    for organisation, call_classes in (
         ('malanadu', MALANADU_CLASSES),
         ('hooghly', HOOGHLY_CLASSES),
     ):
@@ -32,5 +32,5 @@
             service = SERVICE if call_class.service else ''
             stated = call_class._replace(service=service)
             rate = rate_per_s * call_class.demand
-            classes.append(DemoClass(customer, stated, rate))
+            classes.append(DemoClass(organisation, stated, rate))
     return classes
--- a/savorychute/demo/documents.py
+++ b/savorychute/demo/documents.py
@@ -20,19 +20,19 @@
 POOL_SHARE = 0.5
 
 
-def make_token(customer: str) -> str:
-    """Return the bearer token of a customer's callers."""
-    return f'demo-token-of-{customer}'
+def make_token(organisation: str) -> str:
+    """Return the bearer token of an organisation's callers."""
+    return f'demo-token-of-{organisation}'
 
 
-def make_contract(customer: str, classes: Sequence[DemoClass]) -> ContractDocument:
-    """Return a customer's contract.
+def make_contract(organisation: str, classes: Sequence[DemoClass]) -> ContractDocument:
+    """Return an organisation's contract.
 
-    :param classes: of both customers.
+    :param classes: of both organisations.
     """
-    token = make_token(customer)
+    token = make_token(organisation)
     return {
-        'customer': customer,
+        'organisation': organisation,
         'token_hashes': [hash_token(token)],
         'pool_share': POOL_SHARE,
         'requests_per_s': 200.0,
@@ -43,7 +43,7 @@
         'classes': [
             build_class(each.call_class)
             for each in classes
-            if each.customer == customer
+            if each.organisation == organisation
         ],
     }
 
--- a/savorychute/demo/script.py
+++ b/savorychute/demo/script.py
@@ -31,7 +31,7 @@
 
     Reporter = Callable[[str], None]
 
-CUSTOMERS = ('malanadu', 'hooghly')
+ORGANISATIONS = ('malanadu', 'hooghly')
 RATE_PER_S = 16.0
 LOAD_S = 16.0
 BURST_CLASS = 'diagnosis'
@@ -66,14 +66,16 @@
         begun_ms = self._clock.now_ms()
         async with AsyncExitStack() as stack:
             clients = {
-                customer: await stack.enter_async_context(
-                    open_client(ClientSettings(self._site.seeds, make_token(customer)))
+                organisation: await stack.enter_async_context(
+                    open_client(
+                        ClientSettings(self._site.seeds, make_token(organisation))
+                    )
                 )
-                for customer in CUSTOMERS
+                for organisation in ORGANISATIONS
             }
             async with asyncio.TaskGroup() as group:
                 for each in self._classes:
-                    client = clients[each.customer]
+                    client = clients[each.organisation]
                     group.create_task(
                         self._call_often(client, each, each.rate_per_s, LOAD_S)
                     )
@@ -93,7 +95,7 @@
             each for each in self._classes if each.call_class.name == BURST_CLASS
         )
         await self._call_often(
-            clients[burst.customer], burst, BURST_RATE_PER_S, BURST_S
+            clients[burst.organisation], burst, BURST_RATE_PER_S, BURST_S
         )
         crashed = self._site.engines[PLACES['crashed']]
         self._report(f'{PLACES["crashed"]} crashes')
@@ -110,13 +112,13 @@
         await self._site.start_instance(PLACES['restarted'], DOMAINS[1])
 
     async def _amend_contract(self) -> None:
-        shown = await self._order('contract-show', customer='hooghly')
+        shown = await self._order('contract-show', organisation='hooghly')
         document = shown['document']
         document['requests_per_s'] *= 2
         self._report('the contract of hooghly is amended')
         await self._order(
             'contract-amend',
-            customer='hooghly',
+            organisation='hooghly',
             base_version=shown['version'],
             document=document,
             why='busier season',
@@ -150,12 +152,12 @@
         self._report('the operator enters contracts and endpoints')
         why = 'first configuration'
         async with asyncio.TaskGroup() as group:
-            for customer in CUSTOMERS:
-                document = make_contract(customer, self._classes)
+            for organisation in ORGANISATIONS:
+                document = make_contract(organisation, self._classes)
                 group.create_task(
                     self._order(
                         'contract-amend',
-                        customer=customer,
+                        organisation=organisation,
                         base_version=0,
                         document=document,
                         why=why,
--- a/savorychute/demo/tally.py
+++ b/savorychute/demo/tally.py
@@ -29,7 +29,7 @@
 
 
 class Tally:
-    """Counts by customer and class.
+    """Counts by organisation and class.
 
     :param classes: what callers ask.
     """
@@ -44,7 +44,7 @@
     @staticmethod
     def name_of(demo_class: DemoClass) -> str:
         """Return the name under which a class is shown."""
-        return f'{demo_class.customer}/{demo_class.call_class.name}'
+        return f'{demo_class.organisation}/{demo_class.call_class.name}'
 
     @property
     def calls(self) -> int:
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -208,7 +208,7 @@
             item=admitted.route.name,
             service=admitted.service.name,
             endpoint=summary.endpoint,
-            customer=admitted.organisation,
+            organisation=admitted.organisation,
             tier=admitted.tier,
             version=admitted.version,
             duration_ms=summary.duration_ms,
--- a/savorychute/instance/attempt_desk.py
+++ b/savorychute/instance/attempt_desk.py
@@ -284,10 +284,10 @@
         most = settings.max_unrun_retries if is_unrun else settings.max_retries
         if tracked.failures > most:
             return False
-        limits = parts.directory.limits.get(tracked.limits.customer)
+        limits = parts.directory.limits.get(tracked.limits.organisation)
         if limits is None:
             return False
-        if parts.budget.try_spend(limits.customer, limits.retry_share, now_ms):
+        if parts.budget.try_spend(limits.organisation, limits.retry_share, now_ms):
             return True
         if not is_unrun:
             return False
--- a/savorychute/instance/core.py
+++ b/savorychute/instance/core.py
@@ -30,7 +30,7 @@
     from collections.abc import Callable
 
     from savorychute.actions import Action
-    from savorychute.contracts.customer_limits import CustomerLimits
+    from savorychute.contracts.organisation_limits import OrganisationLimits
     from savorychute.inputs import Input
     from savorychute.instance.instance_settings import InstanceSettings
     from savorychute.instance.status import StatusDocument
@@ -109,7 +109,7 @@
         """
         limits = self._authenticate(token)
         return answer_discovery(
-            limits.customer,
+            limits.organisation,
             self._parts.membership.view(),
             self._settings.discovery,
             self._rng,
@@ -221,10 +221,10 @@
             actions += self._dispatcher.pump(pool, now_ms)
         return actions
 
-    def _authenticate(self, token: str) -> CustomerLimits:
+    def _authenticate(self, token: str) -> OrganisationLimits:
         if not self._parts.configuration.ready:
             raise RequestError(ResultCode.NOT_READY, ResultCode.NOT_READY.meaning)
-        limits = self._parts.directory.find_customer(token)
+        limits = self._parts.directory.find_organisation(token)
         if limits is None:
             code = ResultCode.UNAUTHENTICATED
             raise RequestError(code, code.meaning)
--- a/savorychute/instance/dispatcher.py
+++ b/savorychute/instance/dispatcher.py
@@ -9,7 +9,7 @@
 from savorychute.actions import CancelAttempt, StartAttempt
 from savorychute.admission import RunningRequest
 from savorychute.instance.attempt import Attempt
-from savorychute.instance.directory import digest_customer
+from savorychute.instance.directory import digest_organisation
 from savorychute.recovery import PoisonVerdict
 from savorychute.requests.continuation_handle import ContinuationHandle
 from savorychute.requests.request_state import RequestState
@@ -170,9 +170,9 @@
         return self._is_permitted(queued, now_ms)
 
     def _is_permitted(self, queued: QueuedRequest, now_ms: int) -> bool:
-        """Return whether the customer's limits permit a start now."""
+        """Return whether the organisation's limits permit a start now."""
         limiter = self._parts.limiter
-        return limiter.check(queued.customer, queued.expected_tokens, now_ms) <= 0
+        return limiter.check(queued.organisation, queued.expected_tokens, now_ms) <= 0
 
     def _grant(
         self,
@@ -181,7 +181,7 @@
         usable: list[str],
         now_ms: int,
     ) -> list[Action]:
-        """Reserve an endpoint and the customer's limit for a request."""
+        """Reserve an endpoint and the organisation's limit for a request."""
         parts = self._parts
         free = [
             endpoint
@@ -201,7 +201,7 @@
         tracked.attempt = attempt
         parts.table.attach(tracked)
         parts.limiter.start(
-            queued.customer, tracked.request_id, queued.expected_tokens, now_ms
+            queued.organisation, tracked.request_id, queued.expected_tokens, now_ms
         )
         parts.book.started(
             attempt_id,
@@ -259,7 +259,7 @@
         if resume_at is not None and resumed:
             stream_id = resume_at.stream_id
         else:
-            owner = digest_customer(tracked.limits.customer)
+            owner = digest_organisation(tracked.limits.organisation)
             stream_id = f'{owner}.{attempt_id}'
         return Attempt(
             attempt_id, endpoint, stream_id, tracked.delivered_tokens, resumed, now_ms
--- a/savorychute/instance/housekeeping.py
+++ b/savorychute/instance/housekeeping.py
@@ -30,7 +30,7 @@
         self._parts = parts
         self._key_desk = key_desk
         self._lease_desk = LeaseDesk(parts)
-        self._waiting_customers: set[str] = set()
+        self._waiting_organisations: set[str] = set()
         self._placement_desk = PlacementDesk(parts, self._lease_desk)
 
     def tick(self, now_ms: int) -> list[Action]:
@@ -142,11 +142,11 @@
         waiting: dict[str, int] = {}
         for tracked in parts.table:
             if tracked.attempt is None:
-                customer = tracked.limits.customer
-                waiting[customer] = waiting.get(customer, 0) + 1
-        for customer in waiting.keys() | self._waiting_customers:
-            parts.limiter.set_demand(customer, waiting.get(customer, 0))
-        self._waiting_customers = set(waiting)
+                organisation = tracked.limits.organisation
+                waiting[organisation] = waiting.get(organisation, 0) + 1
+        for organisation in waiting.keys() | self._waiting_organisations:
+            parts.limiter.set_demand(organisation, waiting.get(organisation, 0))
+        self._waiting_organisations = set(waiting)
         pools = set(parts.admission.pools()) | set(parts.table.running_pools())
         for pool in pools:
             by_tier = dict(parts.admission.waiting(pool))
--- a/savorychute/instance/intake.py
+++ b/savorychute/instance/intake.py
@@ -10,7 +10,7 @@
 from savorychute.actions import RefuseRequest
 from savorychute.errors import RequestError
 from savorychute.instance.continued_document import ContinuedDocument
-from savorychute.instance.directory import digest_customer
+from savorychute.instance.directory import digest_organisation
 from savorychute.instance.tracked_request import TrackedRequest
 from savorychute.ran import Ran
 from savorychute.requests.continuation_handle import decode_handle
@@ -18,7 +18,7 @@
 
 if TYPE_CHECKING:
     from savorychute.actions import Action
-    from savorychute.contracts.customer_limits import CustomerLimits
+    from savorychute.contracts.organisation_limits import OrganisationLimits
     from savorychute.inputs import CallerRequest
     from savorychute.instance.departure import Departure
     from savorychute.instance.dispatcher import Dispatcher
@@ -72,7 +72,7 @@
             return [self._refuse(request, error)]
         parts = self._parts
         parts.table.add(tracked)
-        parts.budget.request(tracked.limits.customer, now_ms)
+        parts.budget.request(tracked.limits.organisation, now_ms)
         parts.events.emit('request-received', request)
         if tracked.limits.idempotent:
             if self._departure.has_begun:
@@ -107,7 +107,7 @@
         if self._departure.has_begun and not request.key:
             code = ResultCode.SHUTTING_DOWN
             raise RequestError(code, code.meaning)
-        limits = parts.directory.find_customer(request.token)
+        limits = parts.directory.find_organisation(request.token)
         if limits is None:
             code = ResultCode.UNAUTHENTICATED
             raise RequestError(code, code.meaning)
@@ -115,42 +115,42 @@
         if class_limits is None:
             raise RequestError(
                 ResultCode.UNKNOWN_CLASS,
-                f'the contract of {limits.customer} has no class'
+                f'the contract of {limits.organisation} has no class'
                 f' {request.class_name!r}',
             )
         self._check_target(request, limits)
         if not class_limits.idempotent and not request.key:
             code = ResultCode.KEY_REQUIRED
             raise RequestError(code, f'class {request.class_name!r}: {code.meaning}')
-        fingerprint = self._take_fingerprint(limits.customer, request)
+        fingerprint = self._take_fingerprint(limits.organisation, request)
         tracked = TrackedRequest(request, class_limits, fingerprint, now_ms)
         if request.handle:
-            self._take_handle(tracked, limits.customer)
+            self._take_handle(tracked, limits.organisation)
         return tracked
 
-    def _check_target(self, request: CallerRequest, limits: CustomerLimits) -> None:
+    def _check_target(self, request: CallerRequest, limits: OrganisationLimits) -> None:
         if self._parts.directory.may_use(
-            limits.customer, request.model, request.service
+            limits.organisation, request.model, request.service
         ):
             return
         target = request.model or request.service
         raise RequestError(
             ResultCode.UNKNOWN_MODEL,
-            f'the contract of {limits.customer} does not name {target!r}',
+            f'the contract of {limits.organisation} does not name {target!r}',
         )
 
-    def _take_handle(self, tracked: TrackedRequest, customer: str) -> None:
+    def _take_handle(self, tracked: TrackedRequest, organisation: str) -> None:
         """Note which stream the caller wants to go on with.
 
-        Stream ids begin with a digest of the customer they belong to.  A
-        handle with another customer's stream is refused here, so a forged
+        Stream ids begin with a digest of the organisation they belong to.  A
+        handle with another organisation's stream is refused here, so a forged
         handle reads nobody else's answer.
         """
         handle = decode_handle(tracked.request.handle)
-        owner = digest_customer(customer)
+        owner = digest_organisation(organisation)
         if not tracked.resumable or not handle.stream_id.startswith(f'{owner}.'):
             code = ResultCode.HANDLE_MALFORMED
-            raise RequestError(code, 'the handle names no stream of this customer')
+            raise RequestError(code, 'the handle names no stream of this organisation')
         tracked.resume_at = handle
         tracked.delivered_tokens = handle.offset
         self._take_text(tracked, handle.offset)
@@ -172,9 +172,9 @@
             tracked.knows_text = True
             tracked.delivered_text += going_on['text'].encode()
 
-    def _take_fingerprint(self, customer: str, request: CallerRequest) -> str:
+    def _take_fingerprint(self, organisation: str, request: CallerRequest) -> str:
         digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-        digest.update(customer.encode())
+        digest.update(organisation.encode())
         digest.update(request.method.encode())
         digest.update(request.path.encode())
         digest.update(_drop_continuation(request.body))
--- a/savorychute/instance/operator_commands/contracts.py
+++ b/savorychute/instance/operator_commands/contracts.py
@@ -17,16 +17,16 @@
 @OPERATOR_VERBS.register('contract-show')
 def show_contract(call: OperatorCall) -> list[Action]:
     """Return a contract, its version and the limits that follow from it."""
-    customer = call.require_text('customer')
-    item = f'contract:{customer}'
+    organisation = call.require_text('organisation')
+    item = f'contract:{organisation}'
     state = call.parts.configuration.state
-    document = state.contracts.get(customer)
-    limits = call.parts.directory.limits.get(customer)
+    document = state.contracts.get(organisation)
+    limits = call.parts.directory.limits.get(organisation)
     if document is None or limits is None:
-        raise RequestError(ResultCode.NOT_FOUND, f'no contract of {customer!r}')
+        raise RequestError(ResultCode.NOT_FOUND, f'no contract of {organisation!r}')
     classes = {name: limits._asdict() for name, limits in limits.classes.items()}
     answer = {
-        'customer': customer,
+        'organisation': organisation,
         'version': state.versions[item],
         'document': document,
         'limits': {**limits._asdict(), 'classes': classes},
@@ -37,7 +37,7 @@
 @OPERATOR_VERBS.register('contract-amend')
 def amend_contract(call: OperatorCall) -> list[Action]:
     """Propose a contract's next version; the reply follows the read-back."""
-    customer = call.require_text('customer')
+    organisation = call.require_text('organisation')
     document = call.arguments.get('document')
     if not isinstance(document, dict):
         raise RequestError(
@@ -46,7 +46,7 @@
     return call.parts.configuration.propose(
         call.command_id,
         call.operator,
-        f'contract:{customer}',
+        f'contract:{organisation}',
         read_base_version(call),
         document,
         call.require_text('why'),
@@ -58,9 +58,9 @@
 @OPERATOR_VERBS.register('contract-history')
 def show_history(call: OperatorCall) -> list[Action]:
     """Return the verdicts on a contract's amendments, oldest first."""
-    customer = call.require_text('customer')
-    verdicts = call.parts.configuration.history(f'contract:{customer}')
+    organisation = call.require_text('organisation')
+    verdicts = call.parts.configuration.history(f'contract:{organisation}')
     entries: list[dict[str, Any]] = [
         {**verdict._asdict(), 'code': verdict.code.name} for verdict in verdicts
     ]
-    return [call.reply({'customer': customer, 'history': entries})]
+    return [call.reply({'organisation': organisation, 'history': entries})]
--- a/savorychute/instance/parts.py
+++ b/savorychute/instance/parts.py
@@ -15,7 +15,7 @@
 from savorychute.instance.request_table import RequestTable
 from savorychute.leases.lease_keeper import LeaseKeeper
 from savorychute.leases.order_desk import OrderDesk
-from savorychute.limits import CustomerLimiter
+from savorychute.limits import OrganisationLimiter
 from savorychute.membership import Membership
 from savorychute.recovery import Ejector, LeavingSpread, Quarantine, RetryBudget
 from savorychute.requests import KeyKeeper
@@ -39,7 +39,7 @@
     audit: AuditTrail
     admission: Admission
     credits: CreditLedger
-    limiter: CustomerLimiter
+    limiter: OrganisationLimiter
     book: EndpointBook
     router: Router
     lengths: OutputLengths
@@ -88,7 +88,7 @@
         audit=AuditTrail(audit, f'{name}.{address.incarnation}', log_budget),
         admission=ADMISSIONS.get(settings.admission_name)(settings.admission, fork()),
         credits=CreditLedger(settings.credits, name, fork()),
-        limiter=CustomerLimiter(settings.limiter, name, fork()),
+        limiter=OrganisationLimiter(settings.limiter, name, fork()),
         book=book,
         router=ROUTERS.get(settings.router_name)(settings.routing, book, fork()),
         lengths=OutputLengths(settings.lengths),
--- a/savorychute/instance/queue_desk.py
+++ b/savorychute/instance/queue_desk.py
@@ -50,7 +50,7 @@
             return self._responder.give_up(
                 tracked,
                 ResultCode.RATE_LIMITED,
-                f'the contract of {tracked.limits.customer} permits no more now',
+                f'the contract of {tracked.limits.organisation} permits no more now',
                 now_ms,
                 wait_ms,
             )
@@ -120,7 +120,7 @@
 
     def _find_rate_wait(self, tracked: TrackedRequest, now_ms: int) -> int:
         return self._parts.limiter.check(
-            tracked.limits.customer, self._expect_tokens(tracked), now_ms
+            tracked.limits.organisation, self._expect_tokens(tracked), now_ms
         )
 
     def _predict(self, tracked: TrackedRequest, now_ms: int) -> float | None:
@@ -140,7 +140,7 @@
             return 0
         limits = tracked.limits
         output_tokens = self._parts.lengths.expect(
-            limits.customer, limits.name, request.max_tokens
+            limits.organisation, limits.name, request.max_tokens
         )
         return request.prompt_tokens + output_tokens
 
@@ -148,7 +148,7 @@
         limits = tracked.limits
         return QueuedRequest(
             request_id=tracked.request_id,
-            customer=limits.customer,
+            organisation=limits.organisation,
             class_name=limits.name,
             tier=limits.tier,
             pool=tracked.pool,
--- a/savorychute/instance/request_outcome.py
+++ b/savorychute/instance/request_outcome.py
@@ -18,7 +18,7 @@
     """
 
     request_id: str
-    customer: str
+    organisation: str
     class_name: str
     tier: int
     pool: str
--- a/savorychute/instance/responder.py
+++ b/savorychute/instance/responder.py
@@ -241,7 +241,9 @@
         parts.table.remove(tracked)
         if code is ResultCode.OK and tracked.expects_tokens:
             parts.lengths.observe(
-                tracked.limits.customer, tracked.limits.name, tracked.delivered_tokens
+                tracked.limits.organisation,
+                tracked.limits.name,
+                tracked.delivered_tokens,
             )
         outcome = self._describe(tracked, code, ran, now_ms)
         self._explanations.keep(tracked, outcome)
@@ -264,7 +266,7 @@
         steady = token_gap_ms <= limits.token_gap_target_ms
         return RequestOutcome(
             request_id=tracked.request_id,
-            customer=limits.customer,
+            organisation=limits.organisation,
             class_name=limits.name,
             tier=limits.tier,
             pool=tracked.pool,
--- a/savorychute/instance/tracked_request.py
+++ b/savorychute/instance/tracked_request.py
@@ -18,7 +18,7 @@
 
     :param request: as the caller sent it.
     :param limits: what its contract says of its class.
-    :param fingerprint: customer and body as one hash; the same request sent
+    :param fingerprint: organisation and body as one hash; the same request sent
         again under a new id has the same one.
     :param now_ms: when it arrived.
     """
--- a/savorychute/limits/__init__.py
+++ b/savorychute/limits/__init__.py
@@ -1,8 +1,8 @@
-"""Limits of customers over all instances."""
+"""Limits of organisations over all instances."""
 
 from __future__ import annotations
 
-from savorychute.limits.limiter import CustomerLimiter
+from savorychute.limits.limiter import OrganisationLimiter
 from savorychute.limits.settings import LimitSettings
 
-__all__ = ['CustomerLimiter', 'LimitSettings']
+__all__ = ['LimitSettings', 'OrganisationLimiter']
--- a/savorychute/limits/home_desk.py
+++ b/savorychute/limits/home_desk.py
@@ -20,7 +20,7 @@
 
 
 class HomeDesk:
-    """The customers whose home this instance is.
+    """The organisations whose home this instance is.
 
     :param book: meters and holdings.
     """
@@ -30,36 +30,36 @@
         self._homes: dict[str, ShareHome] = {}
         self._asked_ms = 0
 
-    def find(self, customer: str) -> ShareHome | None:
-        """Return the home's side of a customer, if this instance is its home.
+    def find(self, organisation: str) -> ShareHome | None:
+        """Return the home's side of an organisation, if this instance is its home.
 
-        :param customer: whose limits they are.
+        :param organisation: whose limits they are.
         """
-        return self._homes.get(customer)
+        return self._homes.get(organisation)
 
     def follow_meters(self) -> None:
-        """Follow amended contracts, and forget customers that are gone."""
+        """Follow amended contracts, and forget organisations that are gone."""
         meters = self._book.meters
         self._homes = {c: home for c, home in self._homes.items() if c in meters}
-        for customer, home in self._homes.items():
-            home.total = meters[customer].total
+        for organisation, home in self._homes.items():
+            home.total = meters[organisation].total
 
-    def open(self, customer: str, now_ms: int) -> None:
-        """Be the home of a customer, if this instance is not yet.
+    def open(self, organisation: str, now_ms: int) -> None:
+        """Be the home of an organisation, if this instance is not yet.
 
-        :param customer: whose limits they are.
+        :param organisation: whose limits they are.
         :param now_ms: the time.
         """
-        if customer in self._homes:
+        if organisation in self._homes:
             return
         book = self._book
-        meter = book.meters[customer]
+        meter = book.meters[organisation]
         home = ShareHome(
             book.settings,
-            customer,
+            organisation,
             book.instance,
             meter.total,
-            max(book.holdings[customer].units(now_ms), meter.in_use),
+            max(book.holdings[organisation].units(now_ms), meter.in_use),
             [
                 *sorted(book.electorate.alive),
                 *book.electorate.list_lost(),
@@ -70,20 +70,20 @@
         home.expect_left(
             book.electorate.list_left(now_ms - book.settings.left_ms), now_ms
         )
-        self._homes[customer] = home
+        self._homes[organisation] = home
 
-    def close(self, customer: str, now_ms: int) -> None:
+    def close(self, organisation: str, now_ms: int) -> None:
         """Be the home no longer, and keep only a floor of the own share.
 
         Another home may divide the rest from now on.
 
-        :param customer: whose limits they are.
+        :param organisation: whose limits they are.
         :param now_ms: the time.
         """
-        home = self._homes.pop(customer, None)
+        home = self._homes.pop(organisation, None)
         if home is not None:
             ends_ms = now_ms + self._book.settings.floor_ms
-            holding = self._book.holdings[customer]
+            holding = self._book.holdings[organisation]
             holding.keep_floor(home.own_floor(now_ms), ends_ms)
 
     def follow_members(self, fresh: frozenset[str], now_ms: int) -> None:
@@ -122,7 +122,7 @@
     def own_units(self, home: ShareHome, now_ms: int) -> int:
         """Return how many units this instance may use itself.
 
-        :param home: of the customer.
+        :param home: of the organisation.
         :param now_ms: the time.
         """
         self._set_own(home, now_ms)
@@ -135,8 +135,8 @@
         :param now_ms: the time.
         """
         pushes: dict[str, list[ShareHome]] = {}
-        for customer, home in self._homes.items():
-            if home.is_used or customer in self._book.awake:
+        for organisation, home in self._homes.items():
+            if home.is_used or organisation in self._book.awake:
                 home.drop_lost(now_ms)
                 self._divide(home, pushes, now_ms)
         return self._push(pushes, view, now_ms) + self._ask_silent(view, now_ms)
@@ -154,7 +154,7 @@
         pushes: dict[str, list[ShareHome]] = {}
         answered: list[ShareHome] = []
         for report in message.shares:
-            home = self._homes.get(report.customer)
+            home = self._homes.get(report.organisation)
             if home is None:
                 continue
             if report.home_epoch != self._book.epoch:
@@ -170,7 +170,7 @@
         return actions
 
     def _set_own(self, home: ShareHome, now_ms: int) -> None:
-        meter = self._book.meters[home.customer]
+        meter = self._book.meters[home.organisation]
         wants_spare = self._book.is_recent(meter, now_ms)
         home.set_own(meter.in_use, meter.wanted(now_ms), wants_spare=wants_spare)
 
@@ -178,7 +178,7 @@
         self, home: ShareHome, pushes: dict[str, list[ShareHome]], now_ms: int
     ) -> None:
         self._set_own(home, now_ms)
-        self._book.meters[home.customer].was_refused = False
+        self._book.meters[home.organisation].was_refused = False
         if home.divide_if_due(now_ms):
             for instance in home.list_pushes(now_ms):
                 pushes.setdefault(instance, []).append(home)
@@ -186,7 +186,7 @@
     def _push(
         self, pushes: dict[str, list[ShareHome]], view: MemberView, now_ms: int
     ) -> list[Action]:
-        """Send grants, one message for all customers that answer one report."""
+        """Send grants, one message for all organisations that answer one report."""
         settings = self._book.settings
         actions: list[Action] = []
         for instance, homes in pushes.items():
@@ -228,10 +228,10 @@
             return []
         self._asked_ms = now_ms
         silent: dict[str, list[str]] = {}
-        for customer, home in self._homes.items():
+        for organisation, home in self._homes.items():
             for instance in home.list_silent(now_ms):
-                silent.setdefault(instance, []).append(customer)
+                silent.setdefault(instance, []).append(organisation)
         actions: list[Action] = []
-        for instance, customers in silent.items():
-            actions += send_to(instance, LimitAsk(tuple(customers)), view)
+        for instance, organisations in silent.items():
+            actions += send_to(instance, LimitAsk(tuple(organisations)), view)
         return actions
--- a/savorychute/limits/limit_ask.py
+++ b/savorychute/limits/limit_ask.py
@@ -9,9 +9,9 @@
 
 @peer_message(42)
 class LimitAsk(NamedTuple):
-    """Ask for a report on these customers, also if there is nothing to say.
+    """Ask for a report on these organisations, also if there is nothing to say.
 
     A home divides freely only when it knows what every member holds.
     """
 
-    customers: tuple[str, ...]
+    organisations: tuple[str, ...]
--- a/savorychute/limits/limit_grant.py
+++ b/savorychute/limits/limit_grant.py
@@ -1,4 +1,4 @@
-"""The message from a customer's home to an instance."""
+"""The message from an organisation's home to an instance."""
 
 from __future__ import annotations
 
--- a/savorychute/limits/limit_report.py
+++ b/savorychute/limits/limit_report.py
@@ -1,4 +1,4 @@
-"""The message from an instance to a customer's home."""
+"""The message from an instance to an organisation's home."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 @peer_message(40)
 class LimitReport(NamedTuple):
-    """Customers for whom the receiver is the home, as the sender sees it.
+    """Organisations for whom the receiver is the home, as the sender sees it.
 
     ``epoch`` differs at each start of the sender, ``number`` counts its
     reports.  ``vetoers`` are members that see no majority of the members,
--- a/savorychute/limits/limiter.py
+++ b/savorychute/limits/limiter.py
@@ -1,17 +1,17 @@
-"""A customer's limits on one instance."""
+"""An organisation's limits on one instance."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from savorychute.limits.customer_meter import CustomerMeter
+from savorychute.limits.organisation_meter import OrganisationMeter
 from savorychute.limits.share_desk import ShareDesk
 
 if TYPE_CHECKING:
     import random
 
     from savorychute.actions import Action
-    from savorychute.contracts.customer_limits import CustomerLimits
+    from savorychute.contracts.organisation_limits import OrganisationLimits
     from savorychute.inputs import ListingFetched
     from savorychute.limits.settings import LimitSettings
     from savorychute.membership import MemberView
@@ -20,12 +20,12 @@
 
 
 class _Use(NamedTuple):
-    customer: str
+    organisation: str
     tokens: int
 
 
-class CustomerLimiter:
-    """Holds each customer to its share of the contract on this instance.
+class OrganisationLimiter:
+    """Holds each organisation to its share of the contract on this instance.
 
     :param settings: durations and sizes.
     :param instance: this instance's name.
@@ -38,48 +38,50 @@
         self.settings = settings
         self.instance = instance
         self._desk = ShareDesk(settings, instance, rng.getrandbits(EPOCH_BITS) | 1)
-        self._meters: dict[str, CustomerMeter] = {}
+        self._meters: dict[str, OrganisationMeter] = {}
         self._uses: dict[str, _Use] = {}
         self._now_ms = 0
 
-    def set_limits(self, limits: dict[str, CustomerLimits]) -> None:
-        """Replace the limits of all customers; what runs stays counted.
+    def set_limits(self, limits: dict[str, OrganisationLimits]) -> None:
+        """Replace the limits of all organisations; what runs stays counted.
 
-        :param limits: by customer.
+        :param limits: by organisation.
         """
-        for customer, entry in limits.items():
-            meter = self._meters.get(customer)
+        for organisation, entry in limits.items():
+            meter = self._meters.get(organisation)
             if meter is None:
-                meter = CustomerMeter(entry, self.settings, self._now_ms)
-                self._meters[customer] = meter
+                meter = OrganisationMeter(entry, self.settings, self._now_ms)
+                self._meters[organisation] = meter
             meter.set_limits(entry, self._now_ms)
         self._meters = {c: m for c, m in self._meters.items() if c in limits}
         self._desk.set_meters(self._meters, self._now_ms)
 
-    def check(self, customer: str, tokens: int, now_ms: int) -> int:
+    def check(self, organisation: str, tokens: int, now_ms: int) -> int:
         """Return 0 if a request may start, else when to ask again, in ms.
 
-        :param customer: whose request it is.
+        :param organisation: whose request it is.
         :param tokens: how many it is expected to use.
         :param now_ms: the time.
         """
         self._now_ms = max(self._now_ms, now_ms)
-        meter = self._meters.get(customer)
+        meter = self._meters.get(organisation)
         if meter is None:
             return self.settings.max_retry_after_ms
-        meter.set_units(self._desk.units(customer, now_ms), now_ms)
+        meter.set_units(self._desk.units(organisation, now_ms), now_ms)
         return meter.wait_ms(tokens, now_ms)
 
-    def start(self, customer: str, request_id: str, tokens: int, now_ms: int) -> None:
+    def start(
+        self, organisation: str, request_id: str, tokens: int, now_ms: int
+    ) -> None:
         """Count a request that starts.
 
-        :param customer: whose request it is.
+        :param organisation: whose request it is.
         :param request_id: the request.
         :param tokens: how many it is expected to use.
         :param now_ms: the time.
         """
-        self._uses[request_id] = _Use(customer, tokens)
-        meter = self._meters.get(customer)
+        self._uses[request_id] = _Use(organisation, tokens)
+        meter = self._meters.get(organisation)
         if meter is not None:
             meter.start(tokens, now_ms)
 
@@ -91,7 +93,7 @@
         :param now_ms: the time.
         """
         use = self._uses.pop(request_id, None)
-        meter = None if use is None else self._meters.get(use.customer)
+        meter = None if use is None else self._meters.get(use.organisation)
         if use is not None and meter is not None:
             meter.finish(use.tokens, tokens_used, now_ms)
 
@@ -107,13 +109,13 @@
         if listing.ok and self.instance in listed:
             self._desk.follow_list(listed, now_ms)
 
-    def set_demand(self, customer: str, waiting: int) -> None:
-        """Note how many requests of a customer wait here.
+    def set_demand(self, organisation: str, waiting: int) -> None:
+        """Note how many requests of an organisation wait here.
 
-        :param customer: whose requests they are.
+        :param organisation: whose requests they are.
         :param waiting: their number.
         """
-        meter = self._meters.get(customer)
+        meter = self._meters.get(organisation)
         if meter is not None:
             meter.waiting = waiting
 
--- a/savorychute/limits/customer_meter.py
+++ b/savorychute/limits/organisation_meter.py
@@ -1,4 +1,4 @@
-"""What one customer uses on one instance."""
+"""What one organisation uses on one instance."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from savorychute.limits.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
-    from savorychute.contracts.customer_limits import CustomerLimits
+    from savorychute.contracts.organisation_limits import OrganisationLimits
     from savorychute.limits.settings import LimitSettings
 
 NEVER_MS = -1
@@ -28,16 +28,16 @@
 SHARE_RETRY_MS = 100
 
 
-class CustomerMeter:
-    """Concurrency, rate and tokens of a customer against its units here.
+class OrganisationMeter:
+    """Concurrency, rate and tokens of an organisation against its units here.
 
-    :param limits: of the customer.
+    :param limits: of the organisation.
     :param settings: burst and longest wait.
     :param now_ms: the time.
     """
 
     def __init__(
-        self, limits: CustomerLimits, settings: LimitSettings, now_ms: int
+        self, limits: OrganisationLimits, settings: LimitSettings, now_ms: int
     ) -> None:
         self.limits = limits
         self.settings = settings
@@ -54,13 +54,13 @@
 
     @property
     def total(self) -> int:
-        """The units that the customer's limits are divided into."""
+        """The units that the organisation's limits are divided into."""
         return max(1, self.limits.concurrent_requests)
 
-    def set_limits(self, limits: CustomerLimits, now_ms: int) -> None:
+    def set_limits(self, limits: OrganisationLimits, now_ms: int) -> None:
         """Follow an amended contract.
 
-        :param limits: of the customer.
+        :param limits: of the organisation.
         :param now_ms: the time.
         """
         if limits != self.limits:
--- a/savorychute/limits/report_desk.py
+++ b/savorychute/limits/report_desk.py
@@ -9,9 +9,9 @@
 
 if TYPE_CHECKING:
     from savorychute.actions import Action
-    from savorychute.limits.customer_meter import CustomerMeter
     from savorychute.limits.limit_ask import LimitAsk
     from savorychute.limits.limit_grant import LimitGrant
+    from savorychute.limits.organisation_meter import OrganisationMeter
     from savorychute.limits.share_book import ShareBook
     from savorychute.limits.share_holding import ShareHolding
     from savorychute.limits.share_report import ShareReport
@@ -19,7 +19,7 @@
 
 
 class ReportDesk:
-    """Reports to customers' homes and takes their grants.
+    """Reports to organisations' homes and takes their grants.
 
     :param book: meters and holdings.
     """
@@ -36,18 +36,18 @@
         :param now_ms: the time.
         """
         due: dict[str, list[ShareReport]] = {}
-        for customer in sorted(self._book.awake):
-            holding = self._book.holdings.get(customer)
+        for organisation in sorted(self._book.awake):
+            holding = self._book.holdings.get(organisation)
             if holding is None:
-                self._book.awake.discard(customer)
+                self._book.awake.discard(organisation)
                 continue
-            meter = self._book.meters[customer]
+            meter = self._book.meters[organisation]
             is_at_home = holding.home in ('', self._book.instance)
             if not is_at_home and self._is_due(holding, meter, now_ms):
                 report = self._build(holding, meter, now_ms)
                 due.setdefault(holding.home, []).append(report)
             elif meter.in_use == 0 and not self._book.is_recent(meter, now_ms):
-                self._book.awake.discard(customer)
+                self._book.awake.discard(organisation)
         actions: list[Action] = []
         for home, reports in due.items():
             actions += send_to(home, self._write(reports, now_ms), view)
@@ -71,7 +71,7 @@
         if message.epoch != self._book.epoch or sent_ms is None:
             return []
         for grant in message.shares:
-            holding = self._book.holdings.get(grant.customer)
+            holding = self._book.holdings.get(grant.organisation)
             if holding is None or holding.home != sender:
                 continue
             holding.apply(
@@ -80,26 +80,26 @@
                 sent_ms + message.duration_ms,
                 sent_ms + message.floor_ms,
             )
-            self._book.awake.add(grant.customer)
+            self._book.awake.add(grant.organisation)
             if self._book.is_leaving:
-                holding.give_up(self._book.meters[grant.customer].in_use)
+                holding.give_up(self._book.meters[grant.organisation].in_use)
         return self.send_reports(view, now_ms)
 
     def receive_ask(
         self, sender: str, message: LimitAsk, view: MemberView, now_ms: int
     ) -> list[Action]:
-        """Report on customers of which their home wants to know.
+        """Report on organisations of which their home wants to know.
 
         :param sender: the home.
         :param message: its question.
         :param view: who is alive.
         :param now_ms: the time.
         """
-        for customer in message.customers:
-            holding = self._book.holdings.get(customer)
+        for organisation in message.organisations:
+            holding = self._book.holdings.get(organisation)
             if holding is not None and holding.home == sender:
                 holding.must_report = True
-                self._book.awake.add(customer)
+                self._book.awake.add(organisation)
         return self.send_reports(view, now_ms)
 
     def _write(self, reports: list[ShareReport], now_ms: int) -> LimitReport:
@@ -117,7 +117,7 @@
         )
 
     def _build(
-        self, holding: ShareHolding, meter: CustomerMeter, now_ms: int
+        self, holding: ShareHolding, meter: OrganisationMeter, now_ms: int
     ) -> ShareReport:
         report = holding.build_report(
             meter.in_use,
@@ -128,8 +128,10 @@
         meter.was_refused = False
         return report
 
-    def _is_due(self, holding: ShareHolding, meter: CustomerMeter, now_ms: int) -> bool:
-        """Return whether a customer's report is due.
+    def _is_due(
+        self, holding: ShareHolding, meter: OrganisationMeter, now_ms: int
+    ) -> bool:
+        """Return whether an organisation's report is due.
 
         One that is not used is reported once to each new home, which waits for
         that, and when it is asked for.
--- a/savorychute/limits/settings.py
+++ b/savorychute/limits/settings.py
@@ -1,4 +1,4 @@
-"""Settings of customer limits."""
+"""Settings of organisation limits."""
 
 from __future__ import annotations
 
--- a/savorychute/limits/share_book.py
+++ b/savorychute/limits/share_book.py
@@ -1,4 +1,4 @@
-"""What an instance holds of all customers' limits."""
+"""What an instance holds of all organisations' limits."""
 
 from __future__ import annotations
 
@@ -8,14 +8,14 @@
 from savorychute.limits.share_holding import ShareHolding
 
 if TYPE_CHECKING:
-    from savorychute.limits.customer_meter import CustomerMeter
+    from savorychute.limits.organisation_meter import OrganisationMeter
     from savorychute.limits.settings import LimitSettings
 
 
 class ShareBook:
-    """Meters and holdings by customer, and who may grant.
+    """Meters and holdings by organisation, and who may grant.
 
-    Customers that are used or have something to report are *awake*; the others
+    Organisations that are used or have something to report are *awake*; the others
     cost nothing.
 
     :param settings: durations and shares.
@@ -28,21 +28,21 @@
         self.instance = instance
         self.epoch = epoch
         self.electorate = Electorate(instance, settings)
-        self.meters: dict[str, CustomerMeter] = {}
+        self.meters: dict[str, OrganisationMeter] = {}
         self.holdings: dict[str, ShareHolding] = {}
         self.awake: set[str] = set()
         self.vetoers: tuple[str, ...] = ()
         self.is_leaving = False
 
-    def set_meters(self, meters: dict[str, CustomerMeter]) -> None:
-        """Replace the customers.
+    def set_meters(self, meters: dict[str, OrganisationMeter]) -> None:
+        """Replace the organisations.
 
-        :param meters: by customer.
+        :param meters: by organisation.
         """
         self.meters = meters
         self.holdings = {
-            customer: self.holdings.get(customer) or ShareHolding(customer)
-            for customer in meters
+            organisation: self.holdings.get(organisation) or ShareHolding(organisation)
+            for organisation in meters
         }
         self.awake.update(meters)
 
@@ -54,15 +54,15 @@
             self.report_all()
 
     def report_all(self) -> None:
-        """Report on every customer at the next chance."""
+        """Report on every organisation at the next chance."""
         for holding in self.holdings.values():
             holding.must_report = True
         self.awake.update(self.holdings)
 
-    def is_recent(self, meter: CustomerMeter, now_ms: int) -> bool:
-        """Return whether a customer was used here of late.
+    def is_recent(self, meter: OrganisationMeter, now_ms: int) -> bool:
+        """Return whether an organisation was used here of late.
 
-        :param meter: of the customer.
+        :param meter: of the organisation.
         :param now_ms: the time.
         """
         is_recent = 0 <= meter.used_ms > now_ms - self.settings.spare_memory_ms
--- a/savorychute/limits/share_desk.py
+++ b/savorychute/limits/share_desk.py
@@ -16,16 +16,16 @@
 
 if TYPE_CHECKING:
     from savorychute.actions import Action
-    from savorychute.limits.customer_meter import CustomerMeter
+    from savorychute.limits.organisation_meter import OrganisationMeter
     from savorychute.limits.settings import LimitSettings
 
-#: Customers share homes by slot, because choosing a home costs a hash for each
+#: Organisations share homes by slot, because choosing a home costs a hash for each
 #: member.
 SLOTS = 128
 
 
 class ShareDesk:
-    """Reports to customers' homes, and is the home of some.
+    """Reports to organisations' homes, and is the home of some.
 
     Until the first view it grants nothing and has no share.
 
@@ -42,28 +42,28 @@
         self._view: MemberView | None = None
         self._could_grant = True
 
-    def set_meters(self, meters: dict[str, CustomerMeter], now_ms: int) -> None:
-        """Replace the customers.
+    def set_meters(self, meters: dict[str, OrganisationMeter], now_ms: int) -> None:
+        """Replace the organisations.
 
-        :param meters: by customer.
+        :param meters: by organisation.
         :param now_ms: the time.
         """
         self._book.set_meters(meters)
         self._homes.follow_meters()
-        self._table.set_keys({find_slot(customer): '' for customer in meters})
+        self._table.set_keys({find_slot(organisation): '' for organisation in meters})
         self._follow_homes(now_ms)
 
-    def units(self, customer: str, now_ms: int) -> int:
-        """Return how many units of a customer this instance may use.
+    def units(self, organisation: str, now_ms: int) -> int:
+        """Return how many units of an organisation this instance may use.
 
-        :param customer: one of the meters'.
+        :param organisation: one of the meters'.
         :param now_ms: the time.
         """
-        self._book.awake.add(customer)
-        home = self._homes.find(customer)
+        self._book.awake.add(organisation)
+        home = self._homes.find(organisation)
         if home is not None:
             return self._homes.own_units(home, now_ms)
-        return self._book.holdings[customer].units(now_ms)
+        return self._book.holdings[organisation].units(now_ms)
 
     def set_view(self, view: MemberView, now_ms: int) -> None:
         """Follow the members.
@@ -141,8 +141,8 @@
         """
         self._book.is_leaving = True
         self.set_view(view, now_ms)
-        for customer, holding in self._book.holdings.items():
-            holding.give_up(self._book.meters[customer].in_use)
+        for organisation, holding in self._book.holdings.items():
+            holding.give_up(self._book.meters[organisation].in_use)
         self._book.report_all()
         return self._reports.send_reports(view, now_ms)
 
@@ -153,33 +153,33 @@
             self._follow_homes(now_ms)
 
     def _follow_homes(self, now_ms: int) -> None:
-        """Open and close this instance's side as a home of customers."""
+        """Open and close this instance's side as a home of organisations."""
         can_grant = self._view is not None and self._book.electorate.may_grant()
         own = self._book.instance
-        for customer, holding in self._book.holdings.items():
-            home = self._table.home_of(find_slot(customer))
+        for organisation, holding in self._book.holdings.items():
+            home = self._table.home_of(find_slot(organisation))
             name = own if home is None else home.instance
             if name != own or not can_grant:
-                self._homes.close(customer, now_ms)
+                self._homes.close(organisation, now_ms)
             holding.set_home(name)
             if holding.must_report:
-                self._book.awake.add(customer)
+                self._book.awake.add(organisation)
             if name == own and can_grant:
-                self._homes.open(customer, now_ms)
+                self._homes.open(organisation, now_ms)
 
 
-def find_slot(customer: str) -> str:
-    """Return the key by which a customer's home is chosen.
+def find_slot(organisation: str) -> str:
+    """Return the key by which an organisation's home is chosen.
 
-    :param customer: its name.
+    :param organisation: its name.
     """
-    return f'limits:{xxhash.xxh32_intdigest(customer.encode()) % SLOTS}'
+    return f'limits:{xxhash.xxh32_intdigest(organisation.encode()) % SLOTS}'
 
 
 def _without_regions(view: MemberView) -> MemberView:
     """Return the view as if all were in one region.
 
-    A customer's callers may use instances of any region, so its home is
+    An organisation's callers may use instances of any region, so its home is
     chosen among all members.
     """
     alive = tuple(member._replace(region='') for member in view.alive)
--- a/savorychute/limits/share_grant.py
+++ b/savorychute/limits/share_grant.py
@@ -1,4 +1,4 @@
-"""One customer's part of a limit grant."""
+"""One organisation's part of a limit grant."""
 
 from __future__ import annotations
 
@@ -6,14 +6,14 @@
 
 
 class ShareGrant(NamedTuple):
-    """The units of a customer's limits that the receiver may use.
+    """The units of an organisation's limits that the receiver may use.
 
     ``floor`` of them stay when the rest has ended without a renewal.
     ``must_acknowledge`` asks for a report at once, because others wait for
     what this grant takes back.
     """
 
-    customer: str
+    organisation: str
     sequence: int
     must_acknowledge: bool
     units: int
--- a/savorychute/limits/share_holding.py
+++ b/savorychute/limits/share_holding.py
@@ -1,4 +1,4 @@
-"""An instance's share of one customer's limits."""
+"""An instance's share of one organisation's limits."""
 
 from __future__ import annotations
 
@@ -13,11 +13,11 @@
 class ShareHolding:
     """Units that a home has granted, and until when.
 
-    :param customer: whose limits these are.
+    :param organisation: whose limits these are.
     """
 
-    def __init__(self, customer: str) -> None:
-        self.customer = customer
+    def __init__(self, organisation: str) -> None:
+        self.organisation = organisation
         self.home = ''
         self.home_epoch = 0
         self.sequence = 0
@@ -71,7 +71,7 @@
         """Put a grant in force, unless it is older than the last one.
 
         :param home_epoch: of the home's run.
-        :param grant: from this customer's home.
+        :param grant: from this organisation's home.
         :param expires_ms: when the units end.
         :param floor_ends_ms: when the floor ends.
         """
@@ -119,7 +119,7 @@
         self.reported_wanted = wanted
         self.reported_in_use = in_use
         return ShareReport(
-            customer=self.customer,
+            organisation=self.organisation,
             home_epoch=self.home_epoch,
             sequence=self.sequence,
             held=self.units(now_ms),
--- a/savorychute/limits/share_home.py
+++ b/savorychute/limits/share_home.py
@@ -1,4 +1,4 @@
-"""The home's side of one customer's limits."""
+"""The home's side of one organisation's limits."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class ShareHome:
-    """Divides a customer's units between the instances that its callers use.
+    """Divides an organisation's units between the instances that its callers use.
 
     The sum of what is granted, of what may still be in use of it, and of what
     a previous home may have granted to members that have not reported, never
@@ -28,9 +28,9 @@
     reported is divided.
 
     :param settings: durations and shares.
-    :param customer: whose limits these are.
+    :param organisation: whose limits these are.
     :param own: the home's name.
-    :param total: the customer's units.
+    :param total: the organisation's units.
     :param held: what the home itself holds of a previous home's grants.
     :param expected: members that may hold shares of a previous home.
     :param last_loss_ms: when a member was lost last, or -1.
@@ -40,7 +40,7 @@
     def __init__(
         self,
         settings: LimitSettings,
-        customer: str,
+        organisation: str,
         own: str,
         total: int,
         held: int,
@@ -49,7 +49,7 @@
         now_ms: int,
     ) -> None:
         self.settings = settings
-        self.customer = customer
+        self.organisation = organisation
         self.own = own
         self.total = total
         self._records: dict[str, ShareRecord] = {}
@@ -100,7 +100,7 @@
 
         A leaving instance starts nothing new and gives back what it does not
         use, so only its work in progress is unknown, and that ends soon.
-        Waiting for it as for a lost one would stop a customer nobody used for
+        Waiting for it as for a lost one would stop an organisation nobody used for
         most of a minute, each time its home is replaced.
 
         :param members: that left lately.
@@ -145,7 +145,7 @@
 
         :param instance: the reporter.
         :param message: the report.
-        :param report: its part on this customer.
+        :param report: its part on this organisation.
         :param now_ms: the time.
         """
         record = self._records.get(instance)
@@ -237,7 +237,7 @@
             ShareOffer(self._sequence, units, ends_ms, floor, floor_ends_ms)
         )
         grant = ShareGrant(
-            self.customer,
+            self.organisation,
             self._sequence,
             takes_back and self._is_short(now_ms),
             units,
--- a/savorychute/limits/share_record.py
+++ b/savorychute/limits/share_record.py
@@ -20,7 +20,7 @@
 
 
 class ShareRecord:
-    """One holder's share of one customer's limits.
+    """One holder's share of one organisation's limits.
 
     :param epoch: of the holder's run.
     """
@@ -41,7 +41,7 @@
         """Take in what the holder says.
 
         :param number: of the report.
-        :param report: the part on this customer.
+        :param report: the part on this organisation.
         :param settings: how long what it holds may be in use.
         :param now_ms: the time.
         """
--- a/savorychute/limits/share_report.py
+++ b/savorychute/limits/share_report.py
@@ -1,4 +1,4 @@
-"""One customer's part of a limit report."""
+"""One organisation's part of a limit report."""
 
 from __future__ import annotations
 
@@ -6,14 +6,14 @@
 
 
 class ShareReport(NamedTuple):
-    """What an instance holds, uses and wants of a customer's limits.
+    """What an instance holds, uses and wants of an organisation's limits.
 
     All amounts are in units of one concurrent request, which stand for equal
     parts of the rate and of the tokens too.  ``home_epoch`` and ``sequence``
     name the last grant that was applied; ``floor`` lasts ``floor_left_ms``.
     """
 
-    customer: str
+    organisation: str
     home_epoch: int
     sequence: int
     held: int
--- a/savorychute/log_fields.py
+++ b/savorychute/log_fields.py
@@ -11,7 +11,7 @@
     'class_name': 'a class of a contract',
     'code': 'the number of a result code',
     'count': 'how many',
-    'customer': 'a customer',
+    'organisation': 'an organisation',
     'duration_ms': 'how long it took',
     'endpoint': 'an endpoint',
     'error': "an exception's type",
--- a/savorychute/logs.py
+++ b/savorychute/logs.py
@@ -59,7 +59,7 @@
     def protect(self, token_hashes: Iterable[str]) -> None:
         """Replace the digests of tokens that must not appear.
 
-        :param token_hashes: SHA-256 in hex, of customers and operators.
+        :param token_hashes: SHA-256 in hex, of organisations and operators.
         """
         self._token_hashes = frozenset(token_hashes)
 
--- a/savorychute/membership/discovery.py
+++ b/savorychute/membership/discovery.py
@@ -1,4 +1,4 @@
-"""Which instances a customer's callers use."""
+"""Which instances an organisation's callers use."""
 
 from __future__ import annotations
 
@@ -17,26 +17,26 @@
 
 
 def answer_discovery(
-    customer: str,
+    organisation: str,
     view: MemberView,
     settings: DiscoverySettings,
     rng: Random,
     seats: int = 0,
     loads: Mapping[str, int] | None = None,
 ) -> DiscoveryAnswer:
-    """Return where callers of a customer are to connect.
+    """Return where callers of an organisation are to connect.
 
-    Each customer has few instances of its own choice among all (shuffle
-    sharding), so one customer's burst or a request that kills its instance
-    leaves most other customers alone.  They are in the region of this
+    Each organisation has few instances of its own choice among all (shuffle
+    sharding), so one organisation's burst or a request that kills its instance
+    leaves most other organisations alone.  They are in the region of this
     instance, in different failure domains, in random order; after them come
     some of other regions for the loss of this region.
 
-    :param customer: the customer's name.
+    :param organisation: the organisation's name.
     :param view: the members; suspects and leaving ones are left out.
     :param settings: numbers of seats and lifetimes.
     :param rng: draws the order, who is passed over, and the lifetime.
-    :param seats: how many instances the customer gets; raised to
+    :param seats: how many instances the organisation gets; raised to
         ``min_seats`` of the settings.
     :param loads: how busy the region's instances are, as far as known.
     """
@@ -44,11 +44,11 @@
     near = [m for m in usable if m.region == view.own.region]
     far = [m for m in usable if m.region != view.own.region]
     count = min(len(near), max(settings.min_seats, seats))
-    ranked = choose_homes(customer, near, len(near))
+    ranked = choose_homes(organisation, near, len(near))
     mean = _mean_load(near, loads or {})
     chosen = _pass_over_busy(ranked, count, settings, loads or {}, mean, rng)
     rng.shuffle(chosen)
-    chosen.extend(choose_homes(customer, far, _count_far(settings, len(chosen))))
+    chosen.extend(choose_homes(organisation, far, _count_far(settings, len(chosen))))
     lifetime_ms = rng.randint(settings.min_lifetime_ms, settings.max_lifetime_ms)
     return DiscoveryAnswer(tuple(chosen), lifetime_ms)
 
--- a/savorychute/membership/discovery_settings.py
+++ b/savorychute/membership/discovery_settings.py
@@ -6,7 +6,7 @@
 
 
 class DiscoverySettings(NamedTuple):
-    """How many instances a customer gets, and for how long.
+    """How many instances an organisation gets, and for how long.
 
     ``min_seats`` are in the region of the instance that answers, ``far_seats``
     elsewhere.  Instances above ``busy_ratio`` times the mean load are passed
--- a/savorychute/metric_table.py
+++ b/savorychute/metric_table.py
@@ -10,17 +10,20 @@
     MetricRow(
         'requests_total',
         'counter',
-        ('customer', 'class', 'code', 'ran'),
+        ('organisation', 'class', 'code', 'ran'),
         'Requests that ended, by result code and whether they ran.',
     ),
     MetricRow(
         'targets_total',
         'counter',
-        ('customer', 'class', 'met'),
+        ('organisation', 'class', 'met'),
         'Requests with a latency target, by whether it was met.',
     ),
     MetricRow(
-        'goodput_total', 'counter', ('customer', 'class'), 'Answers times their weight.'
+        'goodput_total',
+        'counter',
+        ('organisation', 'class'),
+        'Answers times their weight.',
     ),
     MetricRow(
         'first_token_ms',
--- a/savorychute/metrics.py
+++ b/savorychute/metrics.py
@@ -103,7 +103,7 @@
 
     def finish_request(
         self,
-        customer: str,
+        organisation: str,
         class_name: str,
         code: ResultCode,
         ran: Ran,
@@ -112,7 +112,7 @@
     ) -> None:
         """Count a request that ended.
 
-        :param customer: whose it was.
+        :param organisation: whose it was.
         :param class_name: its class.
         :param code: how it ended.
         :param ran: what the caller was told.
@@ -121,7 +121,7 @@
         """
         self.count(
             'requests_total',
-            customer=customer,
+            organisation=organisation,
             class_name=class_name,
             code=str(code.number),
             ran=ran.value,
@@ -129,11 +129,17 @@
         if target_met is not None:
             met = str(target_met).lower()
             self.count(
-                'targets_total', customer=customer, class_name=class_name, met=met
+                'targets_total',
+                organisation=organisation,
+                class_name=class_name,
+                met=met,
             )
         if weight:
             self.count(
-                'goodput_total', weight, customer=customer, class_name=class_name
+                'goodput_total',
+                weight,
+                organisation=organisation,
+                class_name=class_name,
             )
 
     def render(self, accept: Sequence[str] = ()) -> tuple[bytes, Mapping[str, str]]:
--- a/savorychute/recovery/retry_budget.py
+++ b/savorychute/recovery/retry_budget.py
@@ -1,4 +1,4 @@
-"""How many retries a customer may cause."""
+"""How many retries an organisation may cause."""
 
 from __future__ import annotations
 
@@ -23,14 +23,14 @@
 
 
 class RetryBudget:
-    """A token bucket per customer, filled by its requests.
+    """A token bucket per organisation, filled by its requests.
 
     When most of a pool is gone nearly all attempts fail.  If each were retried,
     what is left of the pool would carry a multiple of its usual load and fail
     too.  A bucket that only requests fill bounds attempts per request by one
-    plus the retry share.  A small floor lets customers with few requests retry.
+    plus the retry share.  A small floor lets organisations with few requests retry.
 
-    :param settings: the burst, the floor and the bound on customers.
+    :param settings: the burst, the floor and the bound on organisations.
     """
 
     def __init__(self, settings: RetrySettings) -> None:
@@ -40,30 +40,30 @@
     def __len__(self) -> int:
         return len(self._buckets)
 
-    def request(self, customer: str, now_ms: int) -> None:
-        """Count a request (not a retry) of *customer*."""
-        self._bucket_of(customer, now_ms).requests += 1
+    def request(self, organisation: str, now_ms: int) -> None:
+        """Count a request (not a retry) of *organisation*."""
+        self._bucket_of(organisation, now_ms).requests += 1
 
-    def try_spend(self, customer: str, retry_share: float, now_ms: int) -> bool:
-        """Take one retry of *customer*; false if it has none left.
+    def try_spend(self, organisation: str, retry_share: float, now_ms: int) -> bool:
+        """Take one retry of *organisation*; false if it has none left.
 
         :param retry_share: retries per request that its contract permits.
         """
-        bucket = self._bucket_of(customer, now_ms)
+        bucket = self._bucket_of(organisation, now_ms)
         self._fill(bucket, retry_share, now_ms)
         if bucket.retries < 1:
             return False
         bucket.retries -= 1
         return True
 
-    def _bucket_of(self, customer: str, now_ms: int) -> _Bucket:
-        bucket = self._buckets.get(customer)
+    def _bucket_of(self, organisation: str, now_ms: int) -> _Bucket:
+        bucket = self._buckets.get(organisation)
         if bucket is None:
             bucket = _Bucket(self._settings.burst, now_ms)
-            self._buckets[customer] = bucket
-            if len(self._buckets) > self._settings.customers:
+            self._buckets[organisation] = bucket
+            if len(self._buckets) > self._settings.organisations:
                 self._buckets.popitem(last=False)
-        self._buckets.move_to_end(customer)
+        self._buckets.move_to_end(organisation)
         return bucket
 
     def _fill(self, bucket: _Bucket, retry_share: float, now_ms: int) -> None:
--- a/savorychute/requests/continuation_handle.py
+++ b/savorychute/requests/continuation_handle.py
@@ -19,13 +19,13 @@
     """A stream on an engine and the next token that the caller lacks.
 
     The caller holds it, no instance does: any instance resumes the stream at
-    ``offset``.  ``customer`` is checked against the caller's token.
+    ``offset``.  ``organisation`` is checked against the caller's token.
     """
 
     endpoint: str
     stream_id: str
     offset: int
-    customer: str = ''
+    organisation: str = ''
     class_name: str = ''
     pool: str = ''
 
--- a/savorychute/requests/key_keeper.py
+++ b/savorychute/requests/key_keeper.py
@@ -100,7 +100,7 @@
 
         :param request_id: the request.
         :param key_text: its key, as the caller sent it.
-        :param fingerprint: of customer and body; a key stands for one request.
+        :param fingerprint: of organisation and body; a key stands for one request.
         :param view: the members.
         :param now_ms: the time.
         :return: the outcome, or none while a witness or the log is asked.
--- a/savorychute/result_code.py
+++ b/savorychute/result_code.py
@@ -29,7 +29,7 @@
     UNKNOWN_MODEL = (
         1007,
         HTTPStatus.NOT_FOUND,
-        'no such model or service for this customer',
+        'no such model or service for this organisation',
     )
     NOT_FOUND = (1008, HTTPStatus.NOT_FOUND, 'there is no such resource')
     HEADERS_TOO_LARGE = (
--- a/savorychute/routing/output_lengths.py
+++ b/savorychute/routing/output_lengths.py
@@ -14,7 +14,7 @@
 
 
 class OutputLengths:
-    """Quantiles of output tokens per customer and class.
+    """Quantiles of output tokens per organisation and class.
 
     A histogram is made at the first answer of a class; the least recently
     used is dropped beyond ``classes``.  Until a class has answered a
@@ -31,14 +31,14 @@
     def __len__(self) -> int:
         return len(self._classes)
 
-    def observe(self, customer: str, class_name: str, tokens: int) -> None:
+    def observe(self, organisation: str, class_name: str, tokens: int) -> None:
         """Learn from a whole answer.
 
-        :param customer: whose answer it was.
+        :param organisation: whose answer it was.
         :param class_name: the class of the request.
         :param tokens: how long it was.
         """
-        key = (customer, class_name)
+        key = (organisation, class_name)
         quantiles = self._classes.get(key)
         if quantiles is None:
             quantiles = self._classes[key] = TokenQuantiles()
@@ -49,14 +49,14 @@
         self._all.observe(tokens)
 
     def expect(
-        self, customer: str, class_name: str, max_tokens: int, quantile: float = 0.5
+        self, organisation: str, class_name: str, max_tokens: int, quantile: float = 0.5
     ) -> int:
         """Return the expected output of a request, in tokens.
 
         :param max_tokens: the request's own bound, 0 without one.
         :param quantile: which part of the answers is to be no longer.
         """
-        quantiles = self._classes.get((customer, class_name), self._all)
+        quantiles = self._classes.get((organisation, class_name), self._all)
         if quantiles.total < MIN_WEIGHT:
             quantiles = self._all
         if quantiles.total < MIN_WEIGHT:
--- a/savorychute/settings/table.py
+++ b/savorychute/settings/table.py
@@ -164,7 +164,7 @@
         'Time for the first sign of an answer before another endpoint is tried.',
     ),
     _duration('gap_timeout_ms', 3_000, 'Time between signs of a begun answer.'),
-    _count('max_queued_requests', 4096, 'Requests that wait, of all customers.'),
+    _count('max_queued_requests', 4096, 'Requests that wait, of all organisations.'),
     _size('max_queued_bytes', 16 << 20, 'Their bodies in memory.'),
     _duration('probe_interval_ms', 1_000, 'How often another instance is probed.'),
     _duration('probe_timeout_ms', 300, 'Time for an answer to a probe.'),
--- a/savorychute/telemetry.py
+++ b/savorychute/telemetry.py
@@ -41,7 +41,7 @@
         self._log = log
         self._metrics = metrics
         self._operator_hashes = frozenset(token_hashes)
-        self._customer_hashes: dict[str, frozenset[str]] = {}
+        self._organisation_hashes: dict[str, frozenset[str]] = {}
         self._read_status: Callable[[], StatusDocument] | None = None
         self._read_host: Callable[[], HostSample] | None = None
         self._log.protect(self._operator_hashes)
@@ -99,7 +99,7 @@
         self._log.info(
             'request-finished',
             outcome.request_id,
-            customer=outcome.customer,
+            organisation=outcome.organisation,
             class_name=outcome.class_name,
             tier=outcome.tier,
             code=outcome.code.number,
@@ -116,7 +116,7 @@
         # was counted when it ran.
         answered = outcome.code is ResultCode.OK and outcome.attempts > 0
         metrics.finish_request(
-            outcome.customer,
+            outcome.organisation,
             outcome.class_name,
             outcome.code,
             outcome.ran,
@@ -137,7 +137,7 @@
     def _apply_change(self, change: AppliedChange) -> None:
         kind, _, name = change.item.partition(':')
         if kind == CONTRACT_KIND:
-            self._protect_customer(name, change)
+            self._protect_organisation(name, change)
         self._metrics.count('configuration_changes_total', kind=kind)
         self._log.info(
             'configuration-applied',
@@ -148,12 +148,14 @@
             record_id=change.record_id,
         )
 
-    def _protect_customer(self, customer: str, change: AppliedChange) -> None:
+    def _protect_organisation(self, organisation: str, change: AppliedChange) -> None:
         hashes: Iterable[str] = ()
         if change.document is not None:
             hashes = cast('ContractDocument', change.document)['token_hashes']
-        self._customer_hashes[customer] = frozenset(hashes)
-        self._log.protect(self._operator_hashes.union(*self._customer_hashes.values()))
+        self._organisation_hashes[organisation] = frozenset(hashes)
+        self._log.protect(
+            self._operator_hashes.union(*self._organisation_hashes.values())
+        )
 
     def _change_member(self, change: MemberChange) -> None:
         self._metrics.count('member_changes_total', state=change.to_state)
--- a/savorychute/testing/call.py
+++ b/savorychute/testing/call.py
@@ -37,7 +37,7 @@
     """What one caller wants, and what it has got so far.
 
     :param call_id: also marks the body.
-    :param customer: whose token it carries.
+    :param organisation: whose token it carries.
     :param call_class: what is asked.
     :param body: the request's body.
     :param answer: the whole text that is due.
@@ -47,7 +47,7 @@
     def __init__(
         self,
         call_id: str,
-        customer: str,
+        organisation: str,
         call_class: CallClass,
         body: bytes,
         answer: bytes,
@@ -55,7 +55,7 @@
         prompt: str = '',
     ) -> None:
         self.call_id = call_id
-        self.customer = customer
+        self.organisation = organisation
         self.call_class = call_class
         self.body = body
         self.prompt = prompt
--- a/savorychute/testing/callers.py
+++ b/savorychute/testing/callers.py
@@ -85,7 +85,7 @@
             call.redirects += 1
             self._again(call, refusal, 0.0, refusal.location)
         elif refusal.code in ELSEWHERE_CODES:
-            self._forget_instance(call.customer, call_try.host.name)
+            self._forget_instance(call.organisation, call_try.host.name)
             self._again(call, refusal, self._back_off_ms(call))
         elif refusal.code in SPENT_KEY_CODES and refusal.ran is Ran.NOT_RUN:
             call.key = ''
@@ -103,7 +103,7 @@
         """Go on at another instance after a connection broke."""
         self._open.pop(call.call_id, None)
         self.failovers += 1
-        self._forget_instance(call.customer, call_try.host.name)
+        self._forget_instance(call.organisation, call_try.host.name)
         self._repeat(call, BROKEN, self._back_off_ms(call))
 
     def notice_pause(self, host: InstanceHost) -> None:
@@ -160,9 +160,9 @@
         self.world.reached(steps.KEYED, call.call_id, host)
         key = ''
         if host.is_up and not host.is_paused:
-            key = self.world.issue_key(host, call.customer)
+            key = self.world.issue_key(host, call.organisation)
         if not key:
-            self._forget_instance(call.customer, host.name)
+            self._forget_instance(call.organisation, host.name)
             self._again(call, UNREADY, self._back_off_ms(call))
             return
         call.key = key
@@ -198,7 +198,7 @@
         is_chat = not wanted.service
         return CallerRequest(
             request_id=request_id,
-            token=f'token-{call.customer}',
+            token=f'token-{call.organisation}',
             class_name=wanted.name,
             model=self.world.model if is_chat else '',
             service=wanted.service,
@@ -217,15 +217,15 @@
         if location:
             host, _, port = location.rpartition(':')
             return self.world.find_caller_port(host, int(port))
-        known = self._known.get(call.customer)
+        known = self._known.get(call.organisation)
         now_ms = self.world.heap.now_ms
         if known is None or known.until_ms <= now_ms or not known.names:
-            known = self._discover(call.customer)
+            known = self._discover(call.organisation)
         if known is None:
             return None
         return self.world.instances[self._rng.choice(known.names)]
 
-    def _discover(self, customer: str) -> KnownInstances | None:
+    def _discover(self, organisation: str) -> KnownInstances | None:
         """Ask any instance that answers; a caller knows a few of old."""
         hosts = [
             host
@@ -235,21 +235,21 @@
         self._rng.shuffle(hosts)
         for host in hosts:
             try:
-                answer = self.world.discover(host, customer)
+                answer = self.world.discover(host, organisation)
             except SavorychuteError:
                 continue
             names = tuple(member.instance for member in answer.addresses)
             known = KnownInstances(names, self.world.heap.now_ms + answer.lifetime_ms)
             if names:
-                self._known[customer] = known
+                self._known[organisation] = known
                 return known
         return None
 
-    def _forget_instance(self, customer: str, name: str) -> None:
-        known = self._known.get(customer)
+    def _forget_instance(self, organisation: str, name: str) -> None:
+        known = self._known.get(organisation)
         if known is not None and name in known.names:
             names = tuple(each for each in known.names if each != name)
-            self._known[customer] = known._replace(names=names)
+            self._known[organisation] = known._replace(names=names)
 
     def _give_up(self, call: Call) -> None:
         if call.is_over:
--- a/savorychute/testing/faults/fault_step.py
+++ b/savorychute/testing/faults/fault_step.py
@@ -8,7 +8,7 @@
 class FaultStep(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """A fault or command with its arguments.
 
-    ``target`` names an endpoint, instance, customer or failure domain; what an
+    ``target`` names an endpoint, instance, organisation or failure domain; what an
     empty one means is up to the fault.  ``for_ms`` is how long the fault lasts,
     0 for ever.  What ``factor`` multiplies is up to the fault too.
     """
--- a/savorychute/testing/faults/load_faults.py
+++ b/savorychute/testing/faults/load_faults.py
@@ -54,7 +54,7 @@
         return
     again = make_chat_call(
         f'{call.call_id}.{number}',
-        call.customer,
+        call.organisation,
         call.call_class,
         call.prompt,
         stage.world.max_tokens,
--- a/savorychute/testing/faults/operator_commands.py
+++ b/savorychute/testing/faults/operator_commands.py
@@ -20,7 +20,7 @@
 
 @FAULTS.register('amend')
 def amend(stage: Stage, step: FaultStep) -> None:
-    """Multiply a customer's permitted rate by *factor*."""
+    """Multiply an organisation's permitted rate by *factor*."""
     propose_rate(stage.world, step.target, step.factor, '')
 
 
@@ -33,18 +33,18 @@
         propose_rate(world, step.target, 1.0 + 0.1 * (number + 1), instance)
 
 
-def propose_rate(world: World, customer: str, factor: float, instance: str) -> str:
+def propose_rate(world: World, organisation: str, factor: float, instance: str) -> str:
     """Propose a contract with another rate, from the version in force there."""
-    customer = customer or world.topology.contracts[0]['customer']
-    if customer not in world.documents:
-        raise ScenarioError(f'no customer {customer!r}')
-    document: dict[str, Any] = dict(world.documents[customer])
+    organisation = organisation or world.topology.contracts[0]['organisation']
+    if organisation not in world.documents:
+        raise ScenarioError(f'no organisation {organisation!r}')
+    document: dict[str, Any] = dict(world.documents[organisation])
     document['requests_per_s'] = round(document['requests_per_s'] * factor, 3)
-    world.documents[customer] = document
+    world.documents[organisation] = document
     host = world.instances[instance] if instance else world.first_serving()
     arguments = {
-        'customer': customer,
-        'base_version': host.versions().get(f'contract:{customer}', 0),
+        'organisation': organisation,
+        'base_version': host.versions().get(f'contract:{organisation}', 0),
         'document': document,
         'why': 'rate',
     }
--- a/savorychute/testing/matrix/cell.py
+++ b/savorychute/testing/matrix/cell.py
@@ -206,8 +206,8 @@
     code = reply.reply.code
     if code is not ResultCode.LOG_UNAVAILABLE:
         return code.name, []
-    customer = world.topology.contracts[0]['customer']
-    item = f'contract:{customer}'
+    organisation = world.topology.contracts[0]['organisation']
+    item = f'contract:{organisation}'
     versions = {
         host.versions().get(item, 0)
         for host in world.instances.values()
--- a/savorychute/testing/measures.py
+++ b/savorychute/testing/measures.py
@@ -42,7 +42,7 @@
     """One run; ``goodput`` is answered weight per second of load.
 
     ``wasted_share`` is the part of the generated tokens that no caller got as
-    part of a whole answer.  ``jain_index`` compares customers by the share of
+    part of a whole answer.  ``jain_index`` compares organisations by the share of
     their calls that was answered.
     """
 
@@ -159,12 +159,12 @@
 
 
 def _jain_index(calls: Sequence[Call]) -> float:
-    """Return Jain's fairness index over the customers' answered shares.
+    """Return Jain's fairness index over the organisations' answered shares.
 
     Jain, Chiu and Hawe, A quantitative measure of fairness, 1984.
     """
-    asked: Counter[str] = Counter(call.customer for call in calls)
-    whole: Counter[str] = Counter(call.customer for call in calls if call.is_whole)
+    asked: Counter[str] = Counter(call.organisation for call in calls)
+    whole: Counter[str] = Counter(call.organisation for call in calls if call.is_whole)
     shares = [whole[name] / count for name, count in sorted(asked.items())]
     squares = sum(share * share for share in shares)
     return sum(shares) ** 2 / (len(shares) * squares) if squares else 0.0
--- a/savorychute/testing/profiles.py
+++ b/savorychute/testing/profiles.py
@@ -9,10 +9,10 @@
 from savorychute.testing.engine_settings import EngineSettings
 from savorychute.testing.network import NetworkSettings
 from savorychute.testing.plain_service import ServiceSettings
-from savorychute.testing.tokens import hash_customer_token
+from savorychute.testing.tokens import hash_organisation_token
 from savorychute.testing.topology import (
-    CustomerShare,
     EngineSpec,
+    OrganisationShare,
     ServiceSpec,
     Topology,
 )
@@ -47,15 +47,15 @@
     client_ms: float
     step_ms: float
     requests_per_s: float
-    customer_weights: tuple[float, ...]
+    organisation_weights: tuple[float, ...]
 
 
 def build_topology(sizes: Sizes, classes: tuple[CallClass, ...]) -> Topology:
     """Return a system: endpoints and instances spread over the domains."""
-    total = sum(sizes.customer_weights)
-    customers = tuple(
-        CustomerShare(f'{sizes.name}-{number:02d}', weight / total)
-        for number, weight in enumerate(sizes.customer_weights, 1)
+    total = sum(sizes.organisation_weights)
+    organisations = tuple(
+        OrganisationShare(f'{sizes.name}-{number:02d}', weight / total)
+        for number, weight in enumerate(sizes.organisation_weights, 1)
     )
     return Topology(
         name=sizes.name,
@@ -63,10 +63,11 @@
         instance_domains=tuple(_spread(sizes.domains, sizes.instances)),
         engines=tuple(_build_engines(sizes)),
         services=tuple(_build_services(sizes)),
-        customers=customers,
+        organisations=organisations,
         classes=classes,
         contracts=tuple(
-            _build_contract(sizes, customer, classes) for customer in customers
+            _build_contract(sizes, organisation, classes)
+            for organisation in organisations
         ),
         network=NetworkSettings(
             local_ms=0.1, domain_ms=sizes.domain_ms, client_ms=sizes.client_ms
@@ -120,17 +121,17 @@
 
 
 def _build_contract(
-    sizes: Sizes, customer: CustomerShare, classes: tuple[CallClass, ...]
+    sizes: Sizes, organisation: OrganisationShare, classes: tuple[CallClass, ...]
 ) -> ContractDocument:
-    """Return a contract that permits several times the customer's usual rate.
+    """Return a contract that permits several times the organisation's usual rate.
 
     The pool, not the contract, is what runs out in these runs.
     """
-    rate = sizes.requests_per_s * customer.share * RATE_HEADROOM
+    rate = sizes.requests_per_s * organisation.share * RATE_HEADROOM
     return {
-        'customer': customer.name,
-        'token_hashes': [hash_customer_token(customer.name)],
-        'pool_share': round(customer.share * SHARE_IN_USE, 6),
+        'organisation': organisation.name,
+        'token_hashes': [hash_organisation_token(organisation.name)],
+        'pool_share': round(organisation.share * SHARE_IN_USE, 6),
         'requests_per_s': round(rate, 3) + 5.0,
         'concurrent_requests': int(rate * 10) + 50,
         'tokens_per_s': round(rate * 600) + 10_000.0,
@@ -268,7 +269,7 @@
         client_ms=1.0,
         step_ms=5.0,
         requests_per_s=160.0,
-        customer_weights=LARGE_AND_SMALL,
+        organisation_weights=LARGE_AND_SMALL,
     )
     return build_topology(sizes, MALANADU_CLASSES)
 
@@ -288,7 +289,7 @@
         client_ms=3.0,
         step_ms=3.0,
         requests_per_s=140.0,
-        customer_weights=LARGE_AND_SMALL,
+        organisation_weights=LARGE_AND_SMALL,
     )
     return build_topology(sizes, HOOGHLY_CLASSES)
 
@@ -348,6 +349,6 @@
         client_ms=1.0,
         step_ms=5.0,
         requests_per_s=20.0,
-        customer_weights=(2.0, 1.0),
+        organisation_weights=(2.0, 1.0),
     )
     return build_topology(sizes, SMALL_CLASSES)._replace(settle_ms=SMALL_SETTLE_MS)
--- a/savorychute/testing/solo.py
+++ b/savorychute/testing/solo.py
@@ -30,20 +30,20 @@
 A = TypeVar('A')
 
 TICK_MS = 100
-CUSTOMER = 'acme'
+ORGANISATION = 'acme'
 TOKEN = 'token-acme'
-OTHER_CUSTOMER = 'zeta'
+OTHER_ORGANISATION = 'zeta'
 OTHER_TOKEN = 'token-zeta'
 OPERATOR_TOKEN = 'token-operator'
 ADDRESS = MemberAddress('entry-1', 1, 'north', 'hall-1', '10.0.0.1', 8080, 8081)
 
 
 def make_contract(
-    customer: str = CUSTOMER, token: str = TOKEN, pool_share: float = 0.5
+    organisation: str = ORGANISATION, token: str = TOKEN, pool_share: float = 0.5
 ) -> ContractDocument:
     """Return a contract with an urgent, a patient and a non-idempotent class."""
     return {
-        'customer': customer,
+        'organisation': organisation,
         'token_hashes': [hash_token(token)],
         'pool_share': pool_share,
         'requests_per_s': 100.0,
@@ -140,7 +140,7 @@
         self.actions: list[Action] = []
         self._streams: dict[str, list[bytes]] = {}
         for contract in contracts:
-            self.append_document(f'contract:{contract["customer"]}', dict(contract))
+            self.append_document(f'contract:{contract["organisation"]}', dict(contract))
         for endpoint in endpoints:
             self.append_document(f'endpoint:{endpoint["endpoint"]}', dict(endpoint))
 
--- a/savorychute/testing/tokens.py
+++ b/savorychute/testing/tokens.py
@@ -12,6 +12,6 @@
     return hash_token(OPERATOR_TOKEN)
 
 
-def hash_customer_token(customer: str) -> str:
-    """Return the digest that a customer's contract holds."""
-    return hash_token(f'token-{customer}')
+def hash_organisation_token(organisation: str) -> str:
+    """Return the digest that an organisation's contract holds."""
+    return hash_token(f'token-{organisation}')
--- a/savorychute/testing/topology.py
+++ b/savorychute/testing/topology.py
@@ -28,15 +28,15 @@
     settings: ServiceSettings
 
 
-class CustomerShare(NamedTuple):
-    """A customer's part of the demand."""
+class OrganisationShare(NamedTuple):
+    """An organisation's part of the demand."""
 
     name: str
     share: float
 
 
 class Topology(NamedTuple):
-    """Instances, endpoints, customers and the distances between them.
+    """Instances, endpoints, organisations and the distances between them.
 
     ``instance_domains`` names a failure domain for each instance.
     """
@@ -46,7 +46,7 @@
     instance_domains: tuple[str, ...]
     engines: tuple[EngineSpec, ...]
     services: tuple[ServiceSpec, ...]
-    customers: tuple[CustomerShare, ...]
+    organisations: tuple[OrganisationShare, ...]
     classes: tuple[CallClass, ...]
     contracts: tuple[ContractDocument, ...]
     network: NetworkSettings = NetworkSettings()
--- a/savorychute/testing/workload.py
+++ b/savorychute/testing/workload.py
@@ -33,7 +33,7 @@
     """Calls at random times, at a rate that may change.
 
     :param world: gets the calls.
-    :param rng: decides times, classes, customers and lengths.
+    :param rng: decides times, classes, organisations and lengths.
     """
 
     def __init__(self, world: World, rng: Random) -> None:
@@ -41,9 +41,11 @@
         self._rng = rng
         self._numbered = 0
         topology = world.topology
-        self._customers = [customer.name for customer in topology.customers]
-        self._customer_steps = list(
-            accumulate(customer.share for customer in topology.customers)
+        self._organisations = [
+            organisation.name for organisation in topology.organisations
+        ]
+        self._organisation_steps = list(
+            accumulate(organisation.share for organisation in topology.organisations)
         )
 
     def run_class(
@@ -69,33 +71,37 @@
             if rate > 0:
                 self.call_at(at_ms, call_class)
 
-    def call_at(self, at_ms: float, call_class: CallClass, customer: str = '') -> Call:
+    def call_at(
+        self, at_ms: float, call_class: CallClass, organisation: str = ''
+    ) -> Call:
         """Plan one call."""
-        call = self.make_call(call_class, customer)
+        call = self.make_call(call_class, organisation)
         self._world.heap.call_at(at_ms, self._world.callers.begin, call)
         return call
 
     def make_call(
-        self, call_class: CallClass, customer: str = '', poison: bool = False
+        self, call_class: CallClass, organisation: str = '', poison: bool = False
     ) -> Call:
         """Return a call that was not made yet."""
         self._numbered += 1
         call_id = f'c{self._numbered}'
-        customer = customer or self._pick_customer()
+        organisation = organisation or self._pick_organisation()
         if call_class.service:
-            return _make_service_call(call_id, customer, call_class)
+            return _make_service_call(call_id, organisation, call_class)
         length_tokens = self._pick_length(call_class)
-        prompt = _write_prompt(call_id, customer, call_class, length_tokens, poison)
+        prompt = _write_prompt(call_id, organisation, call_class, length_tokens, poison)
         return make_chat_call(
-            call_id, customer, call_class, prompt, self._world.max_tokens
+            call_id, organisation, call_class, prompt, self._world.max_tokens
         )
 
-    def _pick_customer(self) -> str:
-        point = self._rng.random() * self._customer_steps[-1]
-        for name, step in zip(self._customers, self._customer_steps, strict=True):
+    def _pick_organisation(self) -> str:
+        point = self._rng.random() * self._organisation_steps[-1]
+        for name, step in zip(
+            self._organisations, self._organisation_steps, strict=True
+        ):
             if point < step:
                 return name
-        return self._customers[-1]
+        return self._organisations[-1]
 
     def _pick_length(self, call_class: CallClass) -> int:
         mean = math.log(call_class.output_tokens)
@@ -104,7 +110,7 @@
 
 
 def make_chat_call(
-    call_id: str, customer: str, call_class: CallClass, prompt: str, max_tokens: int
+    call_id: str, organisation: str, call_class: CallClass, prompt: str, max_tokens: int
 ) -> Call:
     """Return a call to a model."""
     document = {
@@ -116,23 +122,23 @@
     body = msgspec.json.encode(document)
     answer = write_answer(prompt, max_tokens).encode()
     tokens = count_answer_tokens(prompt, max_tokens)
-    return Call(call_id, customer, call_class, body, answer, tokens, prompt)
+    return Call(call_id, organisation, call_class, body, answer, tokens, prompt)
 
 
-def _make_service_call(call_id: str, customer: str, call_class: CallClass) -> Call:
+def _make_service_call(call_id: str, organisation: str, call_class: CallClass) -> Call:
     body = msgspec.json.encode({'entry': write_marker(call_id)})
     request = ServiceRequest('', 'POST', f'/{call_class.name}', body)
     answer = write_service_answer(request)
-    return Call(call_id, customer, call_class, body, answer, 0)
+    return Call(call_id, organisation, call_class, body, answer, 0)
 
 
 def _write_prompt(
-    call_id: str, customer: str, call_class: CallClass, tokens: int, poison: bool
+    call_id: str, organisation: str, call_class: CallClass, tokens: int, poison: bool
 ) -> str:
-    """Return a prompt whose beginning the customer's class always has."""
+    """Return a prompt whose beginning the organisation's class always has."""
     shared_chars = call_class.shared_prompt_tokens * CHARS_PER_TOKEN
     own_chars = call_class.prompt_tokens * CHARS_PER_TOKEN - shared_chars
-    shared = _fill(f'{customer} {call_class.name}: ', shared_chars)
+    shared = _fill(f'{organisation} {call_class.name}: ', shared_chars)
     own = _fill(f'{write_marker(call_id)} #tokens={tokens} ', own_chars)
     return f'{shared}{own}{POISON_MARK if poison else ""}'
 
--- a/savorychute/testing/world.py
+++ b/savorychute/testing/world.py
@@ -94,7 +94,7 @@
         self.poison_calls: set[str] = set()
         self.poisons = 0
         self.documents = {
-            document['customer']: dict(document) for document in topology.contracts
+            document['organisation']: dict(document) for document in topology.contracts
         }
         self.class_rates: dict[str, float] = {}
         self.attempts = 0
@@ -165,7 +165,7 @@
         commands = []
         for document in self.topology.contracts:
             arguments = {
-                'customer': document['customer'],
+                'organisation': document['organisation'],
                 'base_version': 0,
                 'document': document,
                 'why': 'start',
@@ -276,16 +276,16 @@
 
     # -- what callers need
 
-    def issue_key(self, host: InstanceHost, customer: str) -> str:
+    def issue_key(self, host: InstanceHost, organisation: str) -> str:
         """Ask an instance for a request key; empty if it gives none."""
         try:
-            return host.instance.issue_key(f'token-{customer}', host.now_ms())
+            return host.instance.issue_key(f'token-{organisation}', host.now_ms())
         except SavorychuteError:
             return ''
 
-    def discover(self, host: InstanceHost, customer: str) -> DiscoveryAnswer:
-        """Ask an instance which instances a customer should use."""
-        return host.instance.discover(f'token-{customer}')
+    def discover(self, host: InstanceHost, organisation: str) -> DiscoveryAnswer:
+        """Ask an instance which instances an organisation should use."""
+        return host.instance.discover(f'token-{organisation}')
 
     def find_caller_port(self, address: str, port: int) -> InstanceHost | None:
         """Return the instance that listens there for callers."""
--- a/savorychute/util/label_bound.py
+++ b/savorychute/util/label_bound.py
@@ -9,7 +9,7 @@
 class LabelBound:
     """Keeps the number of a label's values bounded.
 
-    A customer that makes up names must not make the instance's memory grow:
+    An organisation that makes up names must not make the instance's memory grow:
     past the bound every new value counts as ``other``.
 
     :param limit: how many values are told apart.
--- a/savorychute/wire/messages.capnp
+++ b/savorychute/wire/messages.capnp
@@ -182,7 +182,7 @@
 }
 
 struct ShareReport {
-  customer @0 :Text;
+  organisation @0 :Text;
   homeEpoch @1 :Int64;
   sequence @2 :Int64;
   held @3 :Int64;
@@ -203,7 +203,7 @@
 }
 
 struct ShareGrant {
-  customer @0 :Text;
+  organisation @0 :Text;
   sequence @1 :Int64;
   mustAcknowledge @2 :Bool;
   units @3 :Int64;
@@ -221,7 +221,7 @@
 }
 
 struct LimitAsk {  # tag 42
-  customers @0 :List(Text);
+  organisations @0 :List(Text);
 }
 
 struct StartNotice {  # tag 50
--- a/tests/test_admission/conftest.py
+++ b/tests/test_admission/conftest.py
@@ -15,12 +15,12 @@
     """Return a function that builds requests with ids counted up."""
     count = 0
 
-    def make(customer='a', tier=0, arrival_ms=0, **changes):
+    def make(organisation='a', tier=0, arrival_ms=0, **changes):
         nonlocal count
         count += 1
         request = QueuedRequest(
             request_id=f'r{count}',
-            customer=customer,
+            organisation=organisation,
             class_name=f't{tier}',
             tier=tier,
             pool='m',
@@ -40,7 +40,7 @@
 
 @pytest.fixture
 def make_queue():
-    """Return a function that builds a queue with limits for its customers."""
+    """Return a function that builds a queue with limits for its organisations."""
 
     def make(shares=None, limit_options=None, **settings):
         queue = TieredAdmission(AdmissionSettings(**settings), random.Random(1))
--- a/tests/test_admission/limits_factory.py
+++ b/tests/test_admission/limits_factory.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from savorychute.contracts.class_limits import ClassLimits
-from savorychute.contracts.customer_limits import CustomerLimits
+from savorychute.contracts.organisation_limits import OrganisationLimits
 
 
-def build_class(customer, name, tier, *, patient=False, queue_requests=100_000):
+def build_class(organisation, name, tier, *, patient=False, queue_requests=100_000):
     return ClassLimits(
-        customer=customer,
+        organisation=organisation,
         name=name,
         tier=tier,
         first_token_target_ms=300 * (tier + 1),
@@ -25,10 +25,10 @@
 
 
 def build_limits(shares, tiers=(0, 1, 2), **options):
-    """Return limits of customers that have one class, ``tN``, in each tier."""
+    """Return limits of organisations that have one class, ``tN``, in each tier."""
     return {
-        customer: CustomerLimits(
-            customer=customer,
+        organisation: OrganisationLimits(
+            organisation=organisation,
             pool_share=share,
             requests_per_s=100.0,
             concurrent_requests=100,
@@ -36,9 +36,9 @@
             retry_share=0.1,
             seats=3,
             classes={
-                f't{tier}': build_class(customer, f't{tier}', tier, **options)
+                f't{tier}': build_class(organisation, f't{tier}', tier, **options)
                 for tier in tiers
             },
         )
-        for customer, share in shares.items()
+        for organisation, share in shares.items()
     }
--- a/tests/test_admission/test_laws.py
+++ b/tests/test_admission/test_laws.py
@@ -19,13 +19,13 @@
 from savorychute.result_code import ResultCode
 from tests.test_admission.limits_factory import build_limits
 
-CUSTOMERS = {'a': 0.5, 'b': 0.3, 'c': 0.01}
+ORGANISATIONS = {'a': 0.5, 'b': 0.3, 'c': 0.01}
 TIERS = (0, 1, 2)
 MAX_REQUESTS = 16
 MAX_BYTES = 1_000
 ONE_IN = 4
 
-customers = st.sampled_from(sorted(CUSTOMERS))
+organisations = st.sampled_from(sorted(ORGANISATIONS))
 tiers = st.sampled_from(TIERS)
 
 
@@ -42,17 +42,18 @@
     def __init__(self):
         super().__init__()
         self.queue = TieredAdmission(self.queue_settings, random.Random(5))
-        self.queue.set_limits(build_limits(CUSTOMERS, TIERS))
+        self.queue.set_limits(build_limits(ORGANISATIONS, TIERS))
         self.waiting = {}
         self.now_ms = 0
         self.count = 0
+        self.asked = 0
 
-    def build(self, customer, tier, size_bytes=10, *, patient=False):
+    def build(self, organisation, tier, size_bytes=10, *, patient=False):
         """Return a new request."""
         self.count += 1
         return QueuedRequest(
             request_id=f'r{self.count}',
-            customer=customer,
+            organisation=organisation,
             class_name=f't{tier}',
             tier=tier,
             pool='m',
@@ -76,9 +77,9 @@
         return outcome
 
     def start(self, refused=()):
-        """Start a request of a customer that is not refused."""
+        """Start a request of an organisation that is not refused."""
         request = self.queue.next_start(
-            'm', self.now_ms, lambda r: r.customer not in refused
+            'm', self.now_ms, lambda r: r.organisation not in refused
         )
         if request is not None:
             del self.waiting[request.request_id]
@@ -111,15 +112,15 @@
     """
 
     @rule(
-        customer=customers,
+        organisation=organisations,
         tier=tiers,
         size_bytes=st.integers(1, 600),
         patient=st.booleans(),
         can_preempt=st.booleans(),
     )
-    def offer_one(self, customer, tier, size_bytes, patient, can_preempt):
+    def offer_one(self, organisation, tier, size_bytes, patient, can_preempt):
         """Offer a request, and see that a refusal spares no lower work."""
-        request = self.build(customer, tier, size_bytes, patient=patient)
+        request = self.build(organisation, tier, size_bytes, patient=patient)
         before = dict(self.waiting)
         twin = copy.deepcopy(self.queue)
         outcome = self.offer(request, can_preempt=can_preempt)
@@ -142,7 +143,7 @@
         assert victim.tier >= request.tier
         assert all(other.tier <= victim.tier for other in self.waiting.values())
 
-    @rule(refused=st.sets(customers, max_size=2))
+    @rule(refused=st.sets(organisations, max_size=2))
     def start_one(self, refused):
         """Start what may start."""
         self.start(refused)
@@ -165,22 +166,25 @@
 
     @rule(
         running=st.lists(st.tuples(tiers, st.booleans(), st.integers(0, 50))),
-        refused=st.sets(customers, max_size=2),
+        refused=st.sets(organisations, max_size=2),
     )
     def preempt(self, running, refused):
         """Ask for a preemption."""
+        # A name of its own for each: one that is being preempted is passed over, and
+        # would be taken for another request of a later call.
+        self.asked += 1
         entries = [
-            RunningRequest(f'x{self.count}-{n}', *entry)
+            RunningRequest(f'x{self.asked}-{n}', *entry)
             for n, entry in enumerate(running)
         ]
         chosen = self.queue.preemption(
-            'm', entries, self.now_ms, lambda r: r.customer not in refused
+            'm', entries, self.now_ms, lambda r: r.organisation not in refused
         )
         if chosen is None:
             return
         victim = next(entry for entry in entries if entry.request_id == chosen)
         assert victim.resumable
-        startable = [r for r in self.waiting.values() if r.customer not in refused]
+        startable = [r for r in self.waiting.values() if r.organisation not in refused]
         assert any(r.tier < victim.tier for r in startable)
         assert all(e.tier <= victim.tier for e in entries if e.resumable)
 
@@ -202,7 +206,7 @@
     queue_settings = AdmissionSettings(
         max_requests=100, guaranteed_one_in=ONE_IN, guarantee_floor=0.1
     )
-    bound = math.ceil(1 / 0.1) + ONE_IN * (len(CUSTOMERS) * len(TIERS) + 1)
+    bound = math.ceil(1 / 0.1) + ONE_IN * (len(ORGANISATIONS) * len(TIERS) + 1)
 
     def __init__(self):
         super().__init__()
@@ -213,24 +217,24 @@
     @rule(count=st.integers(1, 3))
     def offer_to_all(self, count):
         """Let every class wait."""
-        for customer in CUSTOMERS:
+        for organisation in ORGANISATIONS:
             for tier in TIERS:
-                self.offer_some(customer, tier, count)
+                self.offer_some(organisation, tier, count)
 
-    @rule(customer=customers, tier=tiers, count=st.integers(1, 5))
-    def offer_some(self, customer, tier, count):
+    @rule(organisation=organisations, tier=tiers, count=st.integers(1, 5))
+    def offer_some(self, organisation, tier, count):
         """Let a class wait."""
         for _ in range(count):
-            self.offer(self.build(customer, tier, patient=True))
+            self.offer(self.build(organisation, tier, patient=True))
 
-    @rule(count=st.integers(1, 40), flood=customers)
+    @rule(count=st.integers(1, 40), flood=organisations)
     def start_under_flood(self, count, flood):
-        """Start while one customer's top tier never runs empty."""
+        """Start while one organisation's top tier never runs empty."""
         for _ in range(count):
             self.offer(self.build(flood, 0, patient=True))
             self.check_start(self.start(), ())
 
-    @rule(refused=st.sets(customers, max_size=2))
+    @rule(refused=st.sets(organisations, max_size=2))
     def start_one(self, refused):
         """Start what may start."""
         self.check_start(self.start(refused), refused)
@@ -238,9 +242,9 @@
     def check_start(self, started, refused):
         """Count for how many starts each class was passed over."""
         startable = {
-            (r.customer, r.tier)
+            (r.organisation, r.tier)
             for r in self.waiting.values()
-            if r.customer not in refused
+            if r.organisation not in refused
         }
         if started is None:
             assert not startable
@@ -249,7 +253,7 @@
         if any(tier < started.tier for _, tier in startable):
             self.out_of_order += 1
         assert self.out_of_order <= self.starts / ONE_IN + 1
-        key = (started.customer, started.tier)
+        key = (started.organisation, started.tier)
         self.passed_over = {
             other: self.passed_over.get(other, 0) + 1
             for other in startable
--- a/tests/test_admission/test_tiered.py
+++ b/tests/test_admission/test_tiered.py
@@ -19,18 +19,20 @@
     assert start_all(queue) == [high, low]
 
 
-def test_customers_share_starts_by_weight(make_queue, make_request, start_all):
+def test_organisations_share_starts_by_weight(make_queue, make_request, start_all):
     queue = make_queue({'a': 0.3, 'b': 0.1})
     for _ in range(40):
         queue.offer(make_request('a'), None, 0)
         queue.offer(make_request('b'), None, 0)
 
-    first = [request.customer for request in start_all(queue)[:40]]
+    first = [request.organisation for request in start_all(queue)[:40]]
 
     assert 28 <= first.count('a') <= 32
 
 
-def test_earliest_target_first_inside_a_customer(make_queue, make_request, start_all):
+def test_earliest_target_first_inside_an_organisation(
+    make_queue, make_request, start_all
+):
     queue = make_queue()
     later = make_request(first_token_target_ms=900)
     sooner = make_request(first_token_target_ms=200)
@@ -56,10 +58,10 @@
     assert start_all(queue, now_ms=310) == [in_time, late]
 
 
-def test_customer_at_its_limit_holds_up_nobody_and_saves_no_turns(
+def test_organisation_at_its_limit_holds_up_nobody_and_saves_no_turns(
     make_queue, make_request, start_all
 ):
-    """A customer reaches its contract's concurrency while its queue is long.
+    """An organisation reaches its contract's concurrency while its queue is long.
     The others go on; once it may start again it must not take every start
     in return for the ones that it was refused.
     """
@@ -69,10 +71,10 @@
         queue.offer(make_request('b'), None, 0)
 
     for _ in range(10):
-        started = queue.next_start('m', 0, lambda request: request.customer == 'b')
-        assert started.customer == 'b'
+        started = queue.next_start('m', 0, lambda request: request.organisation == 'b')
+        assert started.organisation == 'b'
 
-    after = [request.customer for request in start_all(queue)[:10]]
+    after = [request.organisation for request in start_all(queue)[:10]]
     assert 4 <= after.count('a') <= 6
 
 
@@ -113,8 +115,10 @@
     assert queue.waiting('m') == {0: 1, 2: 1}
 
 
-def test_longest_customer_of_a_tier_makes_room_for_the_others(make_queue, make_request):
-    """One customer fills the whole queue in a burst and every other one is
+def test_longest_organisation_of_a_tier_makes_room_for_the_others(
+    make_queue, make_request
+):
+    """One organisation fills the whole queue in a burst and every other one is
     refused until it has drained.  Cause: a bound without shares.
     """
     queue = make_queue({'a': 0.1, 'b': 0.1}, max_requests=10)
@@ -245,7 +249,24 @@
     assert queue.preemption('m', entries, 110) is None
 
 
-def test_nothing_is_preempted_for_a_customer_at_its_limits(make_queue, make_request):
+def test_stream_that_is_being_preempted_is_passed_over(make_queue, make_request):
+    """Two diagnoses wait, and the lowest stream has been told to stop already.
+
+    It is still listed as running until it has stopped.  The next one to stop is of the
+    next tier; the same one would free a place only once.
+    """
+    queue = make_queue()
+    queue.offer(make_request(tier=0), None, 0)
+    queue.offer(make_request(tier=0), None, 0)
+    entries = [RunningRequest('x0', 2, True, 0), RunningRequest('x1', 1, True, 0)]
+
+    assert queue.preemption('m', entries, 100) == 'x0'
+    assert queue.preemption('m', entries, 100) == 'x1'
+
+
+def test_nothing_is_preempted_for_an_organisation_at_its_limits(
+    make_queue, make_request
+):
     queue = make_queue()
     queue.offer(make_request(tier=0), None, 0)
     entries = [RunningRequest('x', 2, True, 0)]
@@ -269,7 +290,7 @@
     queue.offer(make_request('b', tier=2), None, 0)
     started = [queue.next_start('m', 0, lambda _: True) for _ in range(8)]
 
-    assert 'b' in [request.customer for request in started]
+    assert 'b' in [request.organisation for request in started]
 
 
 @pytest.mark.parametrize('name', ['tiered', 'fifo'])
--- a/tests/test_cmd/conftest.py
+++ b/tests/test_cmd/conftest.py
@@ -48,5 +48,7 @@
 @pytest.fixture
 def contract_file(tmp_path):
     path = tmp_path / 'malanadu.jsonc'
-    path.write_text('{\n  // The pumps.\n  "customer": "malanadu", "classes": []\n}\n')
+    path.write_text(
+        '{\n  // The pumps.\n  "organisation": "malanadu", "classes": []\n}\n'
+    )
     return str(path)
--- a/tests/test_cmd/test_operator_commands.py
+++ b/tests/test_cmd/test_operator_commands.py
@@ -15,8 +15,12 @@
 CERTIFICATE = Path(__file__).parent / 'certificates' / 'loopback.pem'
 CHANGE = ('--why', 'more pumps', '--record-id', 'r-1')
 SIMPLE = [
-    (('contract', 'show', 'malanadu'), 'contract-show', {'customer': 'malanadu'}),
-    (('contract', 'history', 'malanadu'), 'contract-history', {'customer': 'malanadu'}),
+    (('contract', 'show', 'malanadu'), 'contract-show', {'organisation': 'malanadu'}),
+    (
+        ('contract', 'history', 'malanadu'),
+        'contract-history',
+        {'organisation': 'malanadu'},
+    ),
     (('endpoint', 'list'), 'endpoint-list', {}),
     (('instance', 'list'), 'instance-list', {}),
     (('status',), 'status', {}),
@@ -88,8 +92,8 @@
     assert code == ExitCode.OK
     assert json.loads(out) == {'item': 'contract:malanadu', 'version': 4}
     assert stand_in.received[0].document == {
-        'customer': 'malanadu',
-        'document': {'customer': 'malanadu', 'classes': []},
+        'organisation': 'malanadu',
+        'document': {'organisation': 'malanadu', 'classes': []},
         'base_version': 3,
         'why': 'more pumps',
         'record_id': 'r-1',
--- a/tests/test_cmd/test_tutorial.py
+++ b/tests/test_cmd/test_tutorial.py
@@ -23,7 +23,7 @@
 DOCS = Path(__file__).parents[2] / 'docs'
 FILES = DOCS / 'tutorial'
 GUIDE = DOCS / 'usage' / 'callers.rst'
-CUSTOMER_HEADERS = {'authorization': 'Bearer malanadu-token'}
+ORGANISATION_HEADERS = {'authorization': 'Bearer malanadu-token'}
 CHAT = {
     'model': 'pump-diagnosis',
     'messages': [{'role': 'user', 'content': 'the pump at the east field is dry'}],
@@ -110,7 +110,10 @@
 def call(port, method, path, body=None, **headers):
     """Send one request; return status, headers and body."""
     connection = http.client.HTTPConnection('127.0.0.1', port, timeout=20)
-    sent = {**CUSTOMER_HEADERS, **{k.replace('_', '-'): v for k, v in headers.items()}}
+    sent = {
+        **ORGANISATION_HEADERS,
+        **{k.replace('_', '-'): v for k, v in headers.items()},
+    }
     connection.request(method, path, json.dumps(body) if body else None, sent)
     reply = connection.getresponse()
     answer = reply.read().decode()
--- a/tests/test_cmd/test_with_instance.py
+++ b/tests/test_cmd/test_with_instance.py
@@ -27,7 +27,7 @@
 
 TOKEN = 'operator-token'
 CONTRACT = {
-    'customer': 'malanadu',
+    'organisation': 'malanadu',
     'token_hashes': ['0' * 64],
     'pool_share': 0.5,
     'requests_per_s': 10,
@@ -164,7 +164,7 @@
     Both records are in the log.  With one record id the second finds the
     first instead of being refused for its base version, or applied.
     """
-    document = {**CONTRACT, 'customer': 'hooghly', 'token_hashes': ['1' * 64]}
+    document = {**CONTRACT, 'organisation': 'hooghly', 'token_hashes': ['1' * 64]}
     argv = ('contract', 'amend', write(document), '--why', 'x', '--record-id', 'r-9')
     first = ask(*argv, '--base-version', '0')
     second = ask(*argv, '--base-version', '0')
@@ -199,7 +199,7 @@
 
 
 def test_operator_with_a_wrong_token_is_refused(ask, monkeypatch):
-    monkeypatch.setenv(TOKEN_VARIABLE, 'customer-token')
+    monkeypatch.setenv(TOKEN_VARIABLE, 'organisation-token')
     code, document = ask('contract', 'show', 'malanadu')
     assert code == ExitCode.REFUSED
     assert document['error']['code'] == 1004
--- a/tests/test_configuration/test_fold.py
+++ b/tests/test_configuration/test_fold.py
@@ -91,7 +91,7 @@
         ({'models': ['m', 'm']}, 'stands twice'),
         ({'classes': []}, 'classes'),
         ({'colour': 'red'}, 'colour: unknown field'),
-        ({'customer': 'other'}, "about 'other'"),
+        ({'organisation': 'other'}, "about 'other'"),
         ({'retry_share': 2.0}, 'retry_share'),
     ],
 )
@@ -131,7 +131,7 @@
     assert amend(fold, 'contract:x', 0, make_contract('x', 0.1)).verdict.accepted
 
 
-def test_token_of_another_customer_is_rejected_until_it_is_free(fold, amend):
+def test_token_of_another_organisation_is_rejected_until_it_is_free(fold, amend):
     amend(fold, 'contract:a', 0, make_contract('a'))
     thief = {**make_contract('b'), 'token_hashes': make_contract('a')['token_hashes']}
     step = amend(fold, 'contract:b', 0, thief)
--- a/tests/test_configuration/test_snapshots.py
+++ b/tests/test_configuration/test_snapshots.py
@@ -70,7 +70,7 @@
         document = make_endpoint(name, state)
         if item.startswith('contract'):
             owner = 'a' if way == 'token' else name
-            document = {**make_contract(owner, share), 'customer': name}
+            document = {**make_contract(owner, share), 'organisation': name}
         base = fold.state.versions.get(item, 0) + (way == 'old')
         record_id = 'r0' if way == 'repeat' else f'r{offset}'
         proposed = None if way == 'remove' else document
--- a/tests/test_contracts/test_limits.py
+++ b/tests/test_contracts/test_limits.py
@@ -10,7 +10,7 @@
 @pytest.fixture
 def document():
     return {
-        'customer': 'kuttanad-pumps',
+        'organisation': 'kuttanad-pumps',
         'token_hashes': [],
         'pool_share': 0.2,
         'requests_per_s': 40.0,
@@ -42,17 +42,17 @@
     }
 
 
-def test_customer_limits_are_the_contracts(document):
+def test_organisation_limits_are_the_contracts(document):
     limits = derive_limits(document)
 
-    assert limits.customer == 'kuttanad-pumps'
+    assert limits.organisation == 'kuttanad-pumps'
     assert limits.requests_per_s == 40.0
     assert limits.concurrent_requests == 64
     assert limits.tokens_per_s == 9000.0
     assert limits.pool_share == 0.2
 
 
-def test_class_limits_follow_from_class_and_customer(document):
+def test_class_limits_follow_from_class_and_organisation(document):
     classes = derive_limits(document).classes
 
     diagnosis = classes['breakdown-diagnosis']
--- a/tests/test_daemon/system_rig.py
+++ b/tests/test_daemon/system_rig.py
@@ -26,12 +26,12 @@
 from savorychute.testing.service_server import serve_service
 from savorychute.testing.stand_in_http import loop_ms
 
-TOKEN = 'customer-token'
+TOKEN = 'organisation-token'
 OPERATOR_TOKEN = 'operator-token'
 OPERATOR = {'authorization': f'Bearer {OPERATOR_TOKEN}'}
 CALLER = {'authorization': f'Bearer {TOKEN}', 'x-request-class': 'diagnosis'}
 CONTRACT = {
-    'customer': 'malanadu',
+    'organisation': 'malanadu',
     'token_hashes': [hashlib.sha256(TOKEN.encode()).hexdigest()],
     'pool_share': 1.0,
     'requests_per_s': 100.0,
@@ -126,7 +126,7 @@
         port,
         'contract-amend',
         {
-            'customer': 'malanadu',
+            'organisation': 'malanadu',
             'base_version': 0,
             'document': CONTRACT,
             'why': 'first',
--- a/tests/test_instance/conftest.py
+++ b/tests/test_instance/conftest.py
@@ -8,7 +8,7 @@
 import pytest
 
 from savorychute.testing.solo import (
-    OTHER_CUSTOMER,
+    OTHER_ORGANISATION,
     OTHER_TOKEN,
     Solo,
     make_contract,
@@ -25,7 +25,7 @@
     driven = Solo(
         contracts=[
             make_contract(),
-            make_contract(OTHER_CUSTOMER, OTHER_TOKEN, pool_share=0.2),
+            make_contract(OTHER_ORGANISATION, OTHER_TOKEN, pool_share=0.2),
         ],
         endpoints=[make_engine('engine-1'), make_engine('engine-2')],
     )
--- a/tests/test_instance/test_resumes.py
+++ b/tests/test_instance/test_resumes.py
@@ -21,8 +21,8 @@
 )
 
 
-def test_stream_of_another_customer_cannot_be_resumed(solo):
-    """A customer would read another one's answer.
+def test_stream_of_another_organisation_cannot_be_resumed(solo):
+    """An organisation would read another one's answer.
 
     It sends a continuation handle that names a stream which belongs to
     somebody else.
--- a/tests/test_limits/test_limiter.py
+++ b/tests/test_limits/test_limiter.py
@@ -1,4 +1,4 @@
-"""Tests of customer limits over all instances."""
+"""Tests of organisation limits over all instances."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from benches.limiter_rig import CUSTOMER, FAST, LimiterRig, build_limits
+from benches.limiter_rig import FAST, ORGANISATION, LimiterRig, build_limits
 
 EVERYTHING = 10**6
 CONCURRENT = 40
@@ -24,7 +24,7 @@
     assert rig.in_use() == CONCURRENT
 
 
-def test_unknown_customer_may_start_nothing(make_rig):
+def test_unknown_organisation_may_start_nothing(make_rig):
     rig = make_rig('a', settle_ms=60)
 
     assert rig.limiters['a'].check('nobody', 1, rig.now_ms) > 0
@@ -56,7 +56,7 @@
 
 
 def test_share_follows_the_demand(make_rig):
-    """A customer's callers move from three instances to a fourth.  What the
+    """An organisation's callers move from three instances to a fourth.  What the
     three hold unused must reach it within a second, not when it ends.
     """
     rig = make_rig()
@@ -73,7 +73,7 @@
 
 
 def test_fewer_units_than_instances_take_turns(make_rig):
-    """A small customer may run two requests at once and its callers use four
+    """A small organisation may run two requests at once and its callers use four
     instances.  Each must get a start some time, or its callers wait for ever.
     """
     rig = make_rig('abcd', limits=build_limits(concurrent=2))
@@ -91,7 +91,7 @@
 
 
 def test_dead_home_costs_no_share_that_others_report(make_rig):
-    """The customer's home crashes.  Until that is noticed the shares last;
+    """The organisation's home crashes.  Until that is noticed the shares last;
     then the next home takes them over from the reports.
     """
     rig = make_rig()
@@ -114,7 +114,7 @@
 
 
 def test_instances_that_are_cut_off_fall_back_to_their_floors(make_rig):
-    """Two instances lose the others, the customer's callers reach both sides.
+    """Two instances lose the others, the organisation's callers reach both sides.
     The two go on with what they hold, then with floors; the others get the
     rest only when it can no longer be in use.
     """
@@ -187,12 +187,12 @@
     rig.start('a', greed=0)
     rig.run(100)
     limiter = rig.limiters['a']
-    assert limiter.check(CUSTOMER, 100, rig.now_ms) == 0
+    assert limiter.check(ORGANISATION, 100, rig.now_ms) == 0
 
-    limiter.start(CUSTOMER, 'x', 100, rig.now_ms)
+    limiter.start(ORGANISATION, 'x', 100, rig.now_ms)
     limiter.finish('x', 3_000, rig.now_ms)
 
-    assert limiter.check(CUSTOMER, 100, rig.now_ms) >= 2_000
+    assert limiter.check(ORGANISATION, 100, rig.now_ms) >= 2_000
 
 
 def test_amended_contract_holds_at_once():
@@ -221,7 +221,7 @@
 @given(count=st.integers(1, 6), seed=st.integers(0, 1_000), steps=steps)
 def test_contract_holds_through_cuts_joins_and_deaths(count, seed, steps):
     """Instances join, crash, leave and lose each other in any order, and each
-    notices it after a delay of its own.  A customer whose callers reach all of
+    notices it after a delay of its own.  An organisation whose callers reach all of
     them must never run more than its contract permits.  Cause: two homes that
     both take themselves for the only one.
     """
@@ -270,7 +270,7 @@
 
 def test_only_instance_finishes_its_queue_while_it_leaves(make_rig):
     """The only instance shuts down gracefully while requests wait.  Taking
-    itself for no member any more, it would find no home for the customer and
+    itself for no member any more, it would find no home for the organisation and
     refuse work that it could still do.
     """
     rig = make_rig('a', settle_ms=100)
--- a/tests/test_membership/test_rendezvous.py
+++ b/tests/test_membership/test_rendezvous.py
@@ -56,7 +56,7 @@
     alive = tuple(make_address(number, 2) for number in range(40))
     view = MemberView(alive[0], alive, suspects=frozenset({'entry-0002'}))
     answers = [
-        answer_discovery('customer-1', view, DiscoverySettings(), Random(seed))
+        answer_discovery('organisation-1', view, DiscoverySettings(), Random(seed))
         for seed in range(20)
     ]
     seats = {address.instance for address in answers[0].addresses}
@@ -70,7 +70,7 @@
 
 
 def test_busy_instance_is_passed_over_in_proportion():
-    """Two large customers share one instance, and its queue grows.
+    """Two large organisations share one instance, and its queue grows.
 
     Their callers ask again and must be sent elsewhere as often as brings the
     instance back to the mean, neither never nor always.
@@ -78,11 +78,11 @@
     alive = tuple(make_address(number) for number in range(30))
     view = MemberView(alive[0], alive)
     settings = DiscoverySettings(far_seats=0)
-    home = choose_homes('customer-1', alive, 1)[0].instance
+    home = choose_homes('organisation-1', alive, 1)[0].instance
     loads = {address.instance: 10 for address in alive}
     loads[home] = 40
     answers = [
-        answer_discovery('customer-1', view, settings, Random(seed), 3, loads)
+        answer_discovery('organisation-1', view, settings, Random(seed), 3, loads)
         for seed in range(400)
     ]
     named = sum(home in {a.instance for a in each.addresses} for each in answers)
--- a/tests/test_plumbing/test_logs.py
+++ b/tests/test_plumbing/test_logs.py
@@ -24,7 +24,7 @@
 )
 
 LEVELS = ('debug', 'info', 'warning', 'error')
-TOKEN = 'customer-token-4711'
+TOKEN = 'organisation-token-4711'
 
 
 @pytest.fixture
@@ -36,13 +36,13 @@
 
 
 def test_line_names_instance_request_and_level(lines):
-    InstanceLog('a-1').info('request-received', 'q-1', customer='malanadu', tier=0)
+    InstanceLog('a-1').info('request-received', 'q-1', organisation='malanadu', tier=0)
     [line] = lines()
     assert line['message_type'] == 'request-received'
     assert line['instance'] == 'a-1'
     assert line['request_id'] == 'q-1'
     assert line['level'] == 'info'
-    assert (line['customer'], line['tier']) == ('malanadu', 0)
+    assert (line['organisation'], line['tier']) == ('malanadu', 0)
 
 
 def test_one_request_is_followed_over_two_instances(lines):
@@ -75,11 +75,11 @@
     """
     log = InstanceLog('a-1')
     log.protect([hashlib.sha256(TOKEN.encode()).hexdigest()])
-    log.info('request-refused', TOKEN, class_name=TOKEN, customer='malanadu')
+    log.info('request-refused', TOKEN, class_name=TOKEN, organisation='malanadu')
     [line] = lines()
     assert TOKEN not in json.dumps(line)
     assert line['class_name'] == REMOVED
-    assert line['customer'] == 'malanadu'
+    assert line['organisation'] == 'malanadu'
 
 
 @settings(derandomize=True, deadline=None, max_examples=200)
--- a/tests/test_plumbing/test_metrics.py
+++ b/tests/test_plumbing/test_metrics.py
@@ -32,11 +32,11 @@
     metrics.finish_request('malanadu', 'diagnosis', ResultCode.OK, Ran.RAN, True, 2.5)
     where = 'class="diagnosis"'
     assert samples() == {
-        f'savorychute_requests_total{{{where},code="0",customer="malanadu",'
-        'instance="a-1",ran="ran"}': 1,
-        f'savorychute_targets_total{{{where},customer="malanadu",instance="a-1",'
-        'met="true"}': 1,
-        f'savorychute_goodput_total{{{where},customer="malanadu",instance="a-1"}}': 2.5,
+        f'savorychute_requests_total{{{where},code="0",instance="a-1",'
+        'organisation="malanadu",ran="ran"}': 1,
+        f'savorychute_targets_total{{{where},instance="a-1",met="true",'
+        'organisation="malanadu"}': 1,
+        f'savorychute_goodput_total{{{where},instance="a-1",organisation="malanadu"}}': 2.5,
     }
 
 
@@ -63,7 +63,7 @@
 
 
 def test_made_up_names_do_not_grow_the_memory(metrics, samples):
-    """A customer sends a new class name with every request.
+    """An organisation sends a new class name with every request.
 
     Each one would be a series of its own, kept until the restart, until the
     instance has no memory left.
@@ -76,10 +76,10 @@
 
 
 def test_combinations_are_bounded_too(metrics, samples):
-    for customer in range(60):
+    for organisation in range(60):
         for name in range(60):
             metrics.count(
-                'goodput_total', customer=f'c{customer}', class_name=f'{name}'
+                'goodput_total', organisation=f'c{organisation}', class_name=f'{name}'
             )
     read = samples()
     assert len(read) == MAX_SERIES + 1
--- a/tests/test_plumbing/test_telemetry.py
+++ b/tests/test_plumbing/test_telemetry.py
@@ -21,7 +21,7 @@
 
 ANSWERED = RequestOutcome(
     request_id='q-1',
-    customer='malanadu',
+    organisation='malanadu',
     class_name='diagnosis',
     tier=0,
     pool='llama',
@@ -76,9 +76,9 @@
     events.emit('request-finished', ANSWERED)
     [line] = telemetry.read_lines()
     assert line['request_id'] == 'q-1'
-    assert (line['customer'], line['code'], line['ran']) == ('malanadu', 0, 'ran')
+    assert (line['organisation'], line['code'], line['ran']) == ('malanadu', 0, 'ran')
     read = read_metrics(telemetry)
-    where = 'class="diagnosis",customer="malanadu",instance="a-1"'
+    where = 'class="diagnosis",instance="a-1",organisation="malanadu"'
     assert read[f'goodput_total{{{where}}}'] == 2
     tier = 'instance="a-1",tier="0"'
     assert read[f'attempts_total{{{tier}}}'] == 2
@@ -122,7 +122,7 @@
     From then on the token must stay out of the log, without a restart.
     """
     digest = hashlib.sha256(b'fresh-token').hexdigest()
-    document = {'customer': 'hooghly', 'token_hashes': [digest]}
+    document = {'organisation': 'hooghly', 'token_hashes': [digest]}
     change = AppliedChange('contract:hooghly', 0, 1, document, 5, 'ravi')
     events.emit('configuration-applied', change)
     outcome = ANSWERED._replace(class_name='fresh-token')
--- a/tests/test_recovery/test_retry_budget.py
+++ b/tests/test_recovery/test_retry_budget.py
@@ -19,7 +19,7 @@
     assert 100 <= retries <= 100 + 5 + 1
 
 
-def test_one_customer_does_not_spend_anothers_retries():
+def test_one_organisation_does_not_spend_anothers_retries():
     budget = RetryBudget(RetrySettings())
     while budget.try_spend('a', 0.1, 0):
         pass
@@ -34,15 +34,15 @@
     assert retries == 5
 
 
-def test_customer_with_few_requests_may_retry():
+def test_organisation_with_few_requests_may_retry():
     budget = RetryBudget(RetrySettings(burst=1.0, floor_per_s=0.1))
     assert budget.try_spend('a', 0.1, 0)
     assert not budget.try_spend('a', 0.1, 5_000)
     assert budget.try_spend('a', 0.1, 10_000)
 
 
-def test_number_of_customers_is_bounded():
-    budget = RetryBudget(RetrySettings(customers=10))
+def test_number_of_organisations_is_bounded():
+    budget = RetryBudget(RetrySettings(organisations=10))
     for number in range(100):
         budget.request(f'c{number}', 0)
     assert len(budget) == 10
--- a/tests/test_requests/test_request_life.py
+++ b/tests/test_requests/test_request_life.py
@@ -85,7 +85,7 @@
 @given(st.text(max_size=40), st.text(max_size=40), st.integers(0, 2**31))
 @settings(derandomize=True, deadline=None, max_examples=100)
 def test_handle_survives_its_encoding(endpoint, stream_id, offset):
-    handle = ContinuationHandle(endpoint, stream_id, offset, 'customer')
+    handle = ContinuationHandle(endpoint, stream_id, offset, 'organisation')
     assert decode_handle(handle.encode()) == handle
 
 
