--- a/benches/gateway_soak/faults.py
+++ b/benches/gateway_soak/faults.py
@@ -78,9 +78,10 @@
 async def pause(site: Site) -> None:
     """Freeze a gateway, and wake it."""
     gateway = _gateway(site)
-    gateway.send(signal.SIGSTOP)
-    await _rest(site)
-    gateway.send(signal.SIGCONT)
+    with site.ledger.out_of_touch():
+        gateway.send(signal.SIGSTOP)
+        await _rest(site)
+        gateway.send(signal.SIGCONT)
 
 
 @FAULTS.register('reload')
@@ -96,15 +97,17 @@
 async def cut_store(site: Site) -> None:
     """Harm the way of one gateway to the store."""
     harm = site.rng.choice([Harm.DELAY, Harm.SILENT, Harm.ANSWERS_LOST, Harm.REFUSE])
-    await _harm(site, [_gateway(site).store], harm)
+    with site.ledger.out_of_touch():
+        await _harm(site, [_gateway(site).store], harm)
 
 
 @FAULTS.register('store-down')
 async def stop_store(site: Site) -> None:
     """Take the store away from everybody."""
-    site.store.mode = site.rng.choice(['busy', 'silent', 'lossy'])
-    await _rest(site)
-    site.store.mode = 'up'
+    with site.ledger.out_of_touch():
+        site.store.mode = site.rng.choice(['busy', 'silent', 'lossy'])
+        await _rest(site)
+        site.store.mode = 'up'
 
 
 @FAULTS.register('store-forgets')
--- a/benches/gateway_soak/ledger.py
+++ b/benches/gateway_soak/ledger.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import Counter, defaultdict
-from typing import NamedTuple
+from contextlib import contextmanager
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
 
 NOT_RUN = (408, 421, 429, 503)
 # A leaving endpoint may still get what was on its way, besides the promised time.
@@ -29,6 +34,26 @@
         self.answers: dict[str, int] = {}
         self.counts: Counter[str] = Counter()
         self.broken: list[str] = []
+        self._harms = 0
+        self._calm_since_s = 0.0
+
+    @contextmanager
+    def out_of_touch(self) -> Iterator[None]:
+        """Hold that some gateway cannot learn what the store says, or has just woken.
+
+        Seed 11: the store was down while a server said that it leaves; all gateways knew
+        0.35 s after its return, 2.5 s after the report.
+        """
+        self._harms += 1
+        try:
+            yield
+        finally:
+            self._harms -= 1
+            self._calm_since_s = asyncio.get_running_loop().time()
+
+    def in_touch_since_s(self) -> float | None:
+        """Return since when all gateways can read the store; None if one cannot."""
+        return None if self._harms else self._calm_since_s
 
     def ran(self, attempt: str, endpoint: str, key_seen: bool) -> None:
         """Note that an endpoint began to run an attempt."""
