--- /dev/null
+++ b/tests/test_soak/test_short_soak.py
@@ -0,0 +1,35 @@
+"""A short seeded run of the gateways' soak."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from benches.gateway_soak.play import play
+
+SECONDS = 2.0
+GATEWAYS = 2
+CALLERS = 6
+TEST_S = 120
+
+
+@pytest.mark.parametrize('seed', [1, 11])
+def test_promises_hold_while_faults_overlap(seed, tmp_path):
+    """Real processes are killed, paused and cut off from the store under load.
+
+    What callers got and what endpoints ran must fit together; how much was answered in
+    these seconds depends on the machine, and is not asserted.
+    """
+
+    async def main():
+        async with asyncio.timeout(TEST_S):
+            return await play(
+                random.Random(seed), tmp_path, SECONDS, GATEWAYS, CALLERS, settle=False
+            )
+
+    result = asyncio.run(main())
+
+    assert result.broken == []
+    assert result.counts['200'] > 0
