--- a/savorychute/explain/sentences.py
+++ b/savorychute/explain/sentences.py
@@ -72,7 +72,7 @@
         f'{fields.get("state")} with status {fields.get("status")} after '
         f'{fields.get("duration_ms")} ms and {fields.get("count")} attempts, the last '
         f'at {fields.get("endpoint") or "no endpoint"}; route {fields.get("item")}, '
-        f'tier {fields.get("tier")}, version {fields.get("version")}'
+        f'rank {fields.get("rank")}, version {fields.get("version")}'
     )
     if fields.get('events'):
         text += (
--- a/savorychute/gateway/admission/overload_guard.py
+++ b/savorychute/gateway/admission/overload_guard.py
@@ -10,17 +10,17 @@
     from savorychute.gateway.endpoints.chooser import Choice
     from savorychute.gateway.endpoints.need import Need
 
-# Part of an engine's places that requests of a tier may take together.  An engine that
-# always reads a prompt beside its streams lets each token wait for a chunk, about 90 ms,
-# and answers of 120 tokens pass their deadlines; with half of the places taken it
-# finishes about as many requests a second, and nearly all in time.
-PLACES_SHARE = (1.5, 0.8, 0.6)
+# Part of an engine's places that requests of a rank may take together with all others.
+# An engine that always reads a prompt beside its streams lets each token wait for a
+# chunk, about 90 ms, and answers of 120 tokens pass their deadlines; with half of the
+# places taken it finishes about as many requests a second, and nearly all in time.
+PLACES_SHARE = (1.5, 1.1, 0.95, 0.9, 0.75, 0.6, 0.6, 0.55, 0.5)
 # Requests that may wait at an engine for its prompts to be read.  While any waits, every
 # step reads a chunk and each token takes about 80 ms; a short queue leaves steps between.
-MOST_WAITING = (64, 8, 5)
+MOST_WAITING = (64, 16, 12, 12, 8, 5, 5, 4, 4)
 # Part of the objective that a request may be expected to wait.  The most urgent goes
 # ahead of the queue, and is worth an attempt also when it will be late.
-WAIT_SHARE = (3.0, 1.2, 0.9)
+WAIT_SHARE = (3.0, 1.5, 1.2, 1.2, 1.0, 0.9, 0.9, 0.8, 0.8)
 # When callers come back, spread so that they do not come together.  A queue that is
 # too long for one objective is gone after about as long.
 FIRST_RETRY_MS = 800
@@ -28,11 +28,11 @@
 
 
 class OverloadGuard:
-    """Compares the likeliest engine's load with what a request's tier may use.
+    """Compares the likeliest engine's load with what a request's rank may use.
 
     What cannot be in time only delays what can: under three times the capacity every
     engine read prompts for callers that had left, and a quarter of all requests was
-    served.  Lower tiers are refused first, so that a tier never waits for a lower one.
+    served.  Lower ranks are refused first, so that none waits for a lower one.
 
     :param rng: spreads the times at which callers come back.
     """
@@ -49,13 +49,13 @@
         load = choice.record.load
         if need.prompt is None or load is None or not choice.load_known:
             return True
-        tier = min(max(need.tier, 0), len(PLACES_SHARE) - 1)
+        rank = min(need.rank, len(PLACES_SHARE) - 1)
         taken = load.waiting + load.reading + load.generating
-        if taken > PLACES_SHARE[tier] * choice.record.entry.slots:
+        if taken > PLACES_SHARE[rank] * choice.record.entry.slots:
             return False
-        if load.waiting + load.reading > MOST_WAITING[tier]:
+        if load.waiting + load.reading > MOST_WAITING[rank]:
             return False
-        return choice.wait_ms <= WAIT_SHARE[tier] * need.target_ms
+        return choice.wait_ms <= WAIT_SHARE[rank] * need.target_ms
 
     def retry_after_ms(self) -> int:
         """Return when a refused caller should come back."""
--- a/savorychute/gateway/endpoints/need.py
+++ b/savorychute/gateway/endpoints/need.py
@@ -12,13 +12,13 @@
     """The prompt to read, and what is on time.
 
     ``prompt`` is None for a plain service.  ``gap_target_ms`` is the longest pause
-    between events, 0 for no such bound; ``target_ms`` is the objective, ``tier`` the
-    rank (0 is the most urgent).  A request that ``tries_again`` was refused by an
+    between events, 0 for no such bound; ``target_ms`` is the objective, ``rank`` the
+    urgency (0 first).  A request that ``tries_again`` was refused by an
     engine before.
     """
 
     prompt: Prompt | None = None
     gap_target_ms: int = 0
     target_ms: int = 0
-    tier: int = 0
+    rank: int = 0
     tries_again: bool = False
--- a/savorychute/gateway/requests/admitted.py
+++ b/savorychute/gateway/requests/admitted.py
@@ -12,14 +12,15 @@
 class Admitted(NamedTuple):
     """What the configuration in force says of a request.
 
-    ``organisation`` is empty for a caller without a key.  ``end_ms`` is when the
+    ``organisation`` is empty for a caller without a key.  ``rank`` is its
+    urgency, 0 first.  ``end_ms`` is when the
     caller must have its final answer.
     """
 
     route: Route
     service: Service
     organisation: str
-    tier: int
+    rank: int
     fingerprint: str
     end_ms: int
     version: int
--- a/savorychute/gateway/requests/intake.py
+++ b/savorychute/gateway/requests/intake.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from savorychute.gateway.requests.admitted import Admitted
+from savorychute.gateway.requests.rank import rank_request
 from savorychute.gateway.requests.refusal import Refusal
 from savorychute.ran import Ran
 from savorychute.result_code import ResultCode
@@ -84,7 +85,7 @@
             route,
             service,
             owner.name if owner else '',
-            route.tier if owner is None or owner.tier is None else owner.tier,
+            rank_request(owner.tier if owner is not None else None, route.tier),
             fingerprint,
             now_ms + min(route.timeout_ms, request.deadline_ms or route.timeout_ms),
             table.version,
--- a/savorychute/gateway/requests/request_course.py
+++ b/savorychute/gateway/requests/request_course.py
@@ -38,8 +38,6 @@
 RECHECK_MS = 50
 # Rounds of load reports before a choice: of the likeliest engine, then of others.
 MOST_ASKED = 2
-MOST_URGENT = 0
-LEAST_URGENT = 9
 
 
 class RequestCourse:
@@ -284,7 +282,7 @@
             self._request.prompt,
             self._route.gap_target_ms,
             self._route.target_ms,
-            self._admitted.tier,
+            self._admitted.rank,
             tries_again=bool(self._tried),
         )
 
@@ -307,7 +305,7 @@
                 endpoint=entry,
                 remaining_ms=self._admitted.end_ms - now_ms,
                 organisation=self._admitted.organisation,
-                urgency=self._urgency() if service.runs_models else None,
+                urgency=self._admitted.rank if service.runs_models else None,
                 last_event=self._relay.last_event,
                 fresh=not self._route.repeatable,
             ),
@@ -315,9 +313,6 @@
         )
         self._arm()
 
-    def _urgency(self) -> int:
-        return min(max(self._admitted.tier, MOST_URGENT), LEAST_URGENT)
-
     # -- time
 
     def _arm(self, soonest_ms: int = 1) -> None:
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -150,7 +150,7 @@
             'request-shed',
             request.attempt_id,
             endpoint=record.entry.endpoint,
-            tier=need.tier,
+            rank=need.rank,
             count=taken,
             waited_ms=int(choice.wait_ms),
             age_ms=record.load_age_ms(now_ms),
@@ -193,12 +193,12 @@
         """Log how a request ended."""
         route = admitted.route
         self.metrics.count('requests_total', route=route.name, outcome=outcome)
-        self.metrics.observe('request_ms', summary.duration_ms, admitted.tier)
+        self.metrics.observe('request_ms', summary.duration_ms, admitted.rank)
         if summary.events:
             self.metrics.observe(
-                'first_event_ms', summary.first_event_ms, admitted.tier
+                'first_event_ms', summary.first_event_ms, admitted.rank
             )
-            self.metrics.observe('event_gap_ms', summary.longest_gap_ms, admitted.tier)
+            self.metrics.observe('event_gap_ms', summary.longest_gap_ms, admitted.rank)
         self._write(
             LogLevel.INFO if outcome in OK_OUTCOMES else LogLevel.WARNING,
             'request-finished',
@@ -209,7 +209,7 @@
             service=admitted.service.name,
             endpoint=summary.endpoint,
             organisation=admitted.organisation,
-            tier=admitted.tier,
+            rank=admitted.rank,
             version=admitted.version,
             duration_ms=summary.duration_ms,
             first_event_ms=summary.first_event_ms,
--- a/savorychute/log_fields.py
+++ b/savorychute/log_fields.py
@@ -31,6 +31,7 @@
     'offset': "an offset in the platform's log",
     'operator': "an operator's name",
     'ran': 'what the caller was told about execution',
+    'rank': 'the urgency of a request, 0 first',
     'reason': 'an identifier of the cause',
     'record_id': 'the id of a record',
     'region': 'a region',
--- a/tests/test_gateway/test_configuration_state.py
+++ b/tests/test_gateway/test_configuration_state.py
@@ -29,13 +29,13 @@
     of trust no key may be accepted, for nobody here knows which ones were revoked.
     """
     scene.advance(4_500)
-    assert scene.admit().tier == 2
+    assert scene.admit().rank == 8
     scene.advance(1)
 
     verdict = scene.admit()
 
     assert verdict.code is ResultCode.NOT_READY
-    assert scene.admit('/open/1', key='').tier == 2
+    assert scene.admit('/open/1', key='').rank == 8
 
 
 @pytest.mark.parametrize(
--- a/tests/test_gateway/test_overload_guard.py
+++ b/tests/test_gateway/test_overload_guard.py
@@ -15,34 +15,34 @@
 from savorychute.ran import Ran
 from savorychute.result_code import ResultCode
 
-TIERS = (0, 1, 2, 7)
+RANKS = tuple(range(10))
 
 
-def admits(tier, taken=0, wait_ms=100.0, known=True, waiting=0):
+def admits(rank, taken=0, wait_ms=100.0, known=True, waiting=0):
     record = EndpointRecord(make_entry('e0', 'pool', slots=64))
     record.report(EngineLoad(waiting, 0, taken, 5_000), 1_000)
-    need = Need(make_prompt(), 1_000, target_ms=1_500, tier=tier)
+    need = Need(make_prompt(), 1_000, target_ms=1_500, rank=rank)
     choice = Choice(record, 4_000, wait_ms, wait_ms, known)
     return OverloadGuard(random.Random(1)).admits(choice, need)
 
 
-@pytest.mark.parametrize('tier', TIERS)
-def test_engine_with_free_places_takes_every_tier(tier):
-    assert admits(tier, taken=20)
+@pytest.mark.parametrize('rank', RANKS)
+def test_engine_with_free_places_takes_every_rank(rank):
+    assert admits(rank, taken=20)
 
 
 @pytest.mark.parametrize('waiting', [0, 4, 7, 20, 80])
 @pytest.mark.parametrize('taken', range(0, 140, 10))
 @pytest.mark.parametrize('wait_ms', [100, 1_400, 1_700, 4_000, 9_000])
-def test_no_tier_is_refused_where_a_lower_one_is_taken(taken, wait_ms, waiting):
+def test_no_rank_is_refused_where_a_lower_one_is_taken(taken, wait_ms, waiting):
     """A diagnosis that was refused for a summary.
 
-    With one report in hand, the answer for a tier must be at least that for each tier
+    With one report in hand, the answer for a rank must be at least that for each tier
     below it.
     """
-    taken_by_tier = [admits(tier, taken, wait_ms, waiting=waiting) for tier in TIERS]
+    taken_by_rank = [admits(rank, taken, wait_ms, waiting=waiting) for rank in RANKS]
 
-    assert taken_by_tier == sorted(taken_by_tier, reverse=True)
+    assert taken_by_rank == sorted(taken_by_rank, reverse=True)
 
 
 def test_unknown_load_refuses_nothing():
--- a/tests/test_gateway/test_request_course.py
+++ b/tests/test_gateway/test_request_course.py
@@ -341,7 +341,7 @@
     verdict = scene.admit('/parts/1', method='POST', body=b'poison')
     assert verdict.code is ResultCode.CRASH_SUSPECT
     assert verdict.ran is Ran.NOT_RUN
-    assert scene.admit('/parts/1', method='POST', body=b'other').tier == 2
+    assert scene.admit('/parts/1', method='POST', body=b'other').rank == 8
 
 
 def test_request_without_endpoints_is_refused_at_once():
@@ -364,4 +364,4 @@
         scene.last.reach()
         scene.last.lose()
 
-    assert scene.admit('/parts/1', method='POST', body=b'popular').tier == 2
+    assert scene.admit('/parts/1', method='POST', body=b'popular').rank == 8
