--- a/benches/gateway_soak/site.py
+++ b/benches/gateway_soak/site.py
@@ -39,7 +39,6 @@
         self.settings = folder / f'gateway-{number}.jsonc'
         self.ports = free_ports(5)
         self.process: asyncio.subprocess.Process | None = None
-        self.stopping = False
         self.settings.write_text(json.dumps(self._document()))
 
     @property
@@ -48,8 +47,9 @@
         return self.ports[0]
 
     async def start(self) -> None:
-        """Start the process."""
-        self.stopping = False
+        """Start the process, unless another fault has started it already."""
+        if self.process is not None and self.process.returncode is None:
+            return
         with self.log.open('ab') as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
