Play a quick sample of the fault matrix, and show how far it is

Cause: the full matrix takes over 200 s in one process, longer than a newcomer waits. Ruled out: fewer steps (a step that never comes hides what it would show).

--- a/savorychute/cmd/faults.py
+++ b/savorychute/cmd/faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from typing import TYPE_CHECKING, Any
 
 from savorychute.cmd.command import COMMANDS
@@ -14,6 +15,8 @@
     from savorychute.testing.matrix.cell import Cell, CellResult
 
 SAMPLED_PAIRS = 200
+# Between two lines of progress where no terminal can overwrite them.
+PROGRESS_CELLS = 50
 
 
 @COMMANDS.register('faults')
@@ -25,6 +28,11 @@
     def add_arguments(self, parser: ArgumentParser) -> None:
         """Add which cells to run."""
         parser.add_argument('--pairs', action='store_true', help='two faults together')
+        parser.add_argument(
+            '--quick',
+            action='store_true',
+            help='a sample in which every fault and every step comes',
+        )
         parser.add_argument(
             '--count', type=int, default=SAMPLED_PAIRS, help='how many pairs'
         )
@@ -39,7 +47,11 @@
         # The stand-ins are loaded only here: no other command needs them.
         from savorychute.testing.matrix.cell import run_cell
 
-        results = [run_cell(cell) for cell in _choose(arguments)]
+        cells = _choose(arguments)
+        results = []
+        for number, cell in enumerate(cells, 1):
+            results.append(run_cell(cell))
+            _show_progress(number, len(cells))
         document = _describe(results)
         if arguments.json:
             print_document(document, True)
@@ -49,11 +61,18 @@
 
 
 def _choose(arguments: Namespace) -> list[Cell]:
-    from savorychute.testing.matrix.plan import PAIR_SEED, list_singles, sample_pairs
+    from savorychute.testing.matrix.plan import (
+        PAIR_SEED,
+        list_singles,
+        sample_pairs,
+        sample_singles,
+    )
 
     if arguments.pairs:
         seed = PAIR_SEED if arguments.seed is None else arguments.seed
         cells = sample_pairs(arguments.count, seed)
+    elif arguments.quick:
+        cells = sample_singles(1 if arguments.seed is None else arguments.seed)
     else:
         cells = list_singles(1 if arguments.seed is None else arguments.seed)
     return [
@@ -65,6 +84,13 @@
     ]
 
 
+def _show_progress(done: int, count: int) -> None:
+    """Show how far the run is, to a person who waits for it."""
+    if sys.stderr.isatty() or done == count or done % PROGRESS_CELLS == 0:
+        end = '\r' if sys.stderr.isatty() and done < count else '\n'
+        print(f'{done} of {count} cells', end=end, file=sys.stderr, flush=True)
+
+
 def _describe(results: list[CellResult]) -> dict[str, Any]:
     broken = [
         {
--- a/savorychute/testing/matrix/plan.py
+++ b/savorychute/testing/matrix/plan.py
@@ -39,3 +39,26 @@
         kind = rng.choice(KINDS)
         cells.append(Cell(faults, rng.choice(list_steps(kind)), kind, seed))
     return cells
+
+
+def sample_singles(seed: int = 1) -> list[Cell]:
+    """Return few cells in which every fault and every step of each kind comes.
+
+    Faults and steps are shuffled and dealt to each other; the longer list is used up.
+
+    :param seed: of the choice, and of the runs.
+    """
+    rng = Random(seed)
+    places = [(kind, step) for kind in KINDS for step in list_steps(kind)]
+    faults = list(CELL_FAULTS)
+    rng.shuffle(places)
+    rng.shuffle(faults)
+    return [
+        Cell(
+            (faults[number % len(faults)],),
+            places[number % len(places)][1],
+            places[number % len(places)][0],
+            seed,
+        )
+        for number in range(max(len(places), len(faults)))
+    ]
--- a/tests/test_faults/test_matrix.py
+++ b/tests/test_faults/test_matrix.py
@@ -7,7 +7,11 @@
 from savorychute.cmd.main import main
 from savorychute.testing.matrix.cell import KINDS, Cell, list_steps, run_cell
 from savorychute.testing.matrix.cell_faults import CELL_FAULTS
-from savorychute.testing.matrix.plan import list_singles, sample_pairs
+from savorychute.testing.matrix.plan import (
+    list_singles,
+    sample_pairs,
+    sample_singles,
+)
 
 PAIRS = 60
 PAIRS_PER_TEST = 10
@@ -47,3 +51,15 @@
     arguments = ['faults', '--fault', 'log-slow', '--kind', 'amendment', '--json']
     assert main(arguments) == 0
     assert '"cells": 5, "reached": 5, "broken": 0' in capsys.readouterr().out
+
+
+def test_quick_sample_has_every_fault_and_every_step():
+    everything = list_singles()
+    sample = sample_singles(3)
+
+    assert {cell.faults for cell in sample} == {cell.faults for cell in everything}
+    assert {(cell.kind, cell.step) for cell in sample} == {
+        (cell.kind, cell.step) for cell in everything
+    }
+    assert len(sample) < len(everything) / 10
+    assert sample == sample_singles(3)
