Take every bound from the deployment, also fractions and missing ones

Cause: the time for which keys are trusted was a constant that happened to fit 5,000 ms; a fraction of a second or a bound that a deployment lacks would have made a settings file that no process starts with. Found while writing the settings' reference.

--- a/benches/gateway_soak/site.py
+++ b/benches/gateway_soak/site.py
@@ -25,7 +25,7 @@
 
 from store_stand_in import StoreStandIn, run_store  # noqa: E402
 
-GRACE_MS = 3_000
+GRACE_S = 3.0
 KILL_MARGIN_S = 1.0
 
 
@@ -39,6 +39,7 @@
         self.settings = folder / f'gateway-{number}.jsonc'
         self.ports = free_ports(5)
         self.process: asyncio.subprocess.Process | None = None
+        self._starting = asyncio.Lock()
         self.settings.write_text(json.dumps(self._document()))
 
     @property
@@ -48,18 +49,19 @@
 
     async def start(self) -> None:
         """Start the process, unless another fault has started it already."""
-        if self.process is not None and self.process.returncode is None:
-            return
-        with self.log.open('ab') as log:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                '-m',
-                'savorychute.gateway',
-                str(self.settings),
-                stdout=log,
-                stderr=log,
-                cwd=ROOT,
-            )
+        async with self._starting:
+            if self.process is not None and self.process.returncode is None:
+                return
+            with self.log.open('ab') as log:
+                self.process = await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    '-m',
+                    'savorychute.gateway',
+                    str(self.settings),
+                    stdout=log,
+                    stderr=log,
+                    cwd=ROOT,
+                )
 
     def send(self, number: signal.Signals) -> None:
         """Send the process a signal, if it is there."""
@@ -72,7 +74,7 @@
         if self.process is None:
             return
         try:
-            async with asyncio.timeout(GRACE_MS / 1_000 + KILL_MARGIN_S):
+            async with asyncio.timeout(GRACE_S + KILL_MARGIN_S):
                 await self.process.wait()
         except TimeoutError:
             self.send(signal.SIGKILL)
@@ -93,7 +95,7 @@
             'extension_paths': [str(ROOT / 'platform')],
             'extensions': ['fleet'],
             'platform': 'fleet',
-            'grace_ms': GRACE_MS,
+            'grace_s': GRACE_S,
             'store_timeout_ms': 400,
         } | fields
 
--- a/savorychute/cmd/reference_pages.py
+++ b/savorychute/cmd/reference_pages.py
@@ -10,6 +10,8 @@
 from savorychute.cmd.exit_code import ExitCode
 from savorychute.cmd.parser import load_commands
 from savorychute.cmd.scenario_page import write_scenario_page
+from savorychute.gateway.metric_rows import GATEWAY_METRICS
+from savorychute.gateway.settings.table import GATEWAY_SETTINGS
 from savorychute.log_fields import FIELDS
 from savorychute.metric_table import BUCKETS_MS, METRICS
 from savorychute.metrics import MAX_SERIES
@@ -21,13 +23,49 @@
 from savorychute.util.rst_table import format_table, format_title
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
+
+    from savorychute.settings.setting import Setting
 
 NOTE = '.. Written by "savorychute docs"; change the code, not this page.\n\n'
 
 
 def write_settings_page() -> str:
     """Return the reference of settings."""
+    return (
+        NOTE
+        + format_title('Settings')
+        + 'A file of settings is JSON with comments (JSON5).  ``savorychute check '
+        '<file>`` lists all\nof its faults with file, line, value and what was '
+        'expected.  The scope ``instance``\nmarks values that differ between '
+        'instances; those of scope ``deployment`` must agree\neverywhere.  A '
+        'change takes effect at the next start; the two TLS files alone are\nread '
+        'again while an instance runs.\n\n' + _tabulate_settings(SETTINGS)
+    )
+
+
+def write_gateway_page() -> str:
+    """Return the reference of a gateway's settings and metrics."""
+    metrics = [
+        (f'``savorychute_{row.name}``', row.kind, ', '.join(row.labels), row.doc)
+        for row in GATEWAY_METRICS
+    ]
+    return (
+        NOTE
+        + format_title('Gateways: settings and metrics')
+        + format_title('Settings', '-')
+        + 'A file of JSON with comments (JSON5).  A change is followed while the '
+        'gateway runs,\nbut for addresses, which change with the next start.\n\n'
+        + _tabulate_settings(GATEWAY_SETTINGS)
+        + '\n'
+        + format_title('Metrics', '-')
+        + 'Every series has the label ``instance`` besides.  ``tier`` is the rank of '
+        'a request,\n0 for the most urgent.\n\n'
+        + format_table(('metric', 'kind', 'labels', 'meaning'), metrics)
+    )
+
+
+def _tabulate_settings(settings: Sequence[Setting]) -> str:
     rows = [
         (
             f'``{row.name}``',
@@ -37,19 +75,10 @@
             row.kind,
             row.doc,
         )
-        for row in SETTINGS
+        for row in settings
     ]
     head = ('setting', 'default', 'unit', 'scope', 'values', 'meaning')
-    return (
-        NOTE
-        + format_title('Settings')
-        + 'A file of settings is JSON with comments (JSON5).  ``savorychute check '
-        '<file>`` lists all\nof its faults with file, line, value and what was '
-        'expected.  The scope ``instance``\nmarks values that differ between '
-        'instances; those of scope ``deployment`` must agree\neverywhere.  A '
-        'change takes effect at the next start; the two TLS files alone are\nread '
-        'again while an instance runs.\n\n' + format_table(head, rows)
-    )
+    return format_table(head, rows)
 
 
 def write_result_codes_page() -> str:
@@ -129,6 +158,7 @@
 
 PAGES: dict[str, Callable[[], str]] = {
     'settings.rst': write_settings_page,
+    'gateway.rst': write_gateway_page,
     'result-codes.rst': write_result_codes_page,
     'metrics.rst': write_metrics_page,
     'command-line.rst': write_command_line_page,
--- a/savorychute/gateway/configuration/configuration_state.py
+++ b/savorychute/gateway/configuration/configuration_state.py
@@ -20,11 +20,12 @@
     is known here.  An instance that the store turns away cannot know of a key that was
     taken back meanwhile, so beyond ``key_trust_ms`` it accepts no keys.
 
-    :param key_trust_ms: for how long after the last confirmation keys are accepted.
+    :param key_trust_ms: for how long after the last confirmation keys are accepted;
+        None for always.
     :param fresh_ms: for how long absence of a route or key is taken for a fact.
     """
 
-    def __init__(self, key_trust_ms: int, fresh_ms: int) -> None:
+    def __init__(self, key_trust_ms: int | None, fresh_ms: int) -> None:
         self.table: RouteTable | None = None
         self.confirmed_ms = NEVER_MS
         self.key_trust_ms = key_trust_ms
@@ -62,7 +63,8 @@
 
         :param now_ms: the time.
         """
-        return self.age_ms(now_ms) <= self.key_trust_ms
+        bound_ms = self.key_trust_ms
+        return bound_ms is None or self.age_ms(now_ms) <= bound_ms
 
     def is_fresh(self, now_ms: int) -> bool:
         """Return whether a route that is missing here is missing for good.
--- a/savorychute/gateway/daemon/gateway_host.py
+++ b/savorychute/gateway/daemon/gateway_host.py
@@ -9,9 +9,10 @@
 from savorychute.gateway.daemon.caller_exchange import CallerExchange
 from savorychute.gateway.daemon.leaving import plan_leaving
 from savorychute.gateway.daemon.peer_group import NOT_READY
-from savorychute.gateway.recovery.retry_allowance import RetryBounds
 from savorychute.gateway.requests.refusal import Refusal
 from savorychute.gateway.requests.request_course import RequestCourse
+from savorychute.gateway.settings.key_trust import key_trust_ms
+from savorychute.gateway.settings.retry_bounds import read_bounds
 from savorychute.gateway.translation_error import TranslationError
 from savorychute.logs import LogLevel
 from savorychute.ran import Ran
@@ -69,7 +70,7 @@
         self._directory = directory
         self._leaving_since_ms: int | None = None
         self._last_request_ms = 0
-        self._plan = plan_leaving(settings.grace_ms)
+        self._plan = plan_leaving(settings.grace_s)
         self.in_progress = 0
         self.caller_server: HttpServer | None = None
 
@@ -159,7 +160,7 @@
             exchange.respond(STATUS_UNAVAILABLE, (), b'')
             return
         response = self._adapter.encode_discovery(
-            members, self._settings.discovery_lifetime_ms
+            members, int(self._settings.discovery_lifetime_ms)
         )
         exchange.respond(
             response.status, tuple(response.headers.items()), response.body
@@ -206,12 +207,10 @@
         :param settings: the new ones.
         """
         self._settings = settings
-        self._plan = plan_leaving(settings.grace_ms)
+        self._plan = plan_leaving(settings.grace_s)
         self._parts.telemetry.log.level = LogLevel[settings.log_level.upper()]
-        self._parts.allowance.bounds = RetryBounds(
-            settings.retry_ratio, settings.retry_window_ms, settings.retry_slack
-        )
-        self._parts.configuration.key_trust_ms = settings.key_trust_ms
+        self._parts.allowance.bounds = read_bounds(settings)
+        self._parts.configuration.key_trust_ms = key_trust_ms(settings)
 
     def apply_limits(self, deployment: Deployment) -> None:
         """Follow a version of the configuration that is now in force.
--- a/savorychute/gateway/daemon/leaving.py
+++ b/savorychute/gateway/daemon/leaving.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+from savorychute.clock import MS_PER_S
+
 
 class LeavingPlan(NamedTuple):
     """When, after the signal to leave, what happens.
@@ -30,11 +32,12 @@
 END_MARGIN_MS = 400
 
 
-def plan_leaving(grace_ms: int) -> LeavingPlan:
+def plan_leaving(grace_s: float) -> LeavingPlan:
     """Return the plan for a time of grace.
 
-    :param grace_ms: from the signal to the end by force.
+    :param grace_s: from the signal to the end by force.
     """
+    grace_ms = int(MS_PER_S * grace_s)
     return LeavingPlan(
         refuse_ms=int(REFUSE_SHARE * grace_ms),
         least_ms=int(LEAST_SHARE * grace_ms),
--- a/savorychute/gateway/daemon/run_gateway.py
+++ b/savorychute/gateway/daemon/run_gateway.py
@@ -26,8 +26,10 @@
 from savorychute.gateway.parts import GatewayParts
 from savorychute.gateway.platform_adapter import PLATFORMS
 from savorychute.gateway.recovery.crash_book import CrashBook
-from savorychute.gateway.recovery.retry_allowance import RetryAllowance, RetryBounds
+from savorychute.gateway.recovery.retry_allowance import RetryAllowance
 from savorychute.gateway.requests.intake import Intake
+from savorychute.gateway.settings.key_trust import key_trust_ms
+from savorychute.gateway.settings.retry_bounds import read_bounds
 from savorychute.gateway.settings.table import GATEWAY_SCHEMA
 from savorychute.gateway.store.configuration_listener import ConfigurationListener
 from savorychute.gateway.store.endpoint_journal import EndpointJournal
@@ -67,7 +69,7 @@
 # A poll of the configuration that hears nothing confirms it as of the poll's begin, so
 # what a reader knows grows as old as two polls, and what others know by a question
 # more; the rest is for a poll that is lost.
-POLL_SHARE = 0.22
+POLL_SHARE = 0.2
 # Part of the time in which a leaving endpoint must get nothing new that may pass
 # between two reads of the entries; the rest is for other instances' questions and for
 # requests under way.
@@ -131,12 +133,12 @@
     clock = clock or SystemClock()
     rng = rng or random.Random(random.SystemRandom().getrandbits(SEED_BITS))
     adapter = PLATFORMS.get(settings.platform)()
-    pool_settings = PoolSettings(connect_timeout_ms=settings.connect_timeout_ms)
+    pool_settings = PoolSettings(connect_timeout_ms=int(settings.connect_timeout_ms))
     async with AsyncExitStack() as stack:
         endpoints = stack.enter_context(open_pool(pool_settings, clock))
         store_settings = PoolSettings(
             connections=STORE_CONNECTIONS,
-            connect_timeout_ms=settings.store_timeout_ms,
+            connect_timeout_ms=int(settings.store_timeout_ms),
         )
         store = stack.enter_context(open_pool(store_settings, clock))
         host = _assemble(settings, adapter, endpoints, store, log, clock, rng, stack)
@@ -159,11 +161,8 @@
     metrics = Metrics(settings.instance, GATEWAY_METRICS)
     telemetry = GatewayTelemetry(log, metrics, clock)
     configuration = ConfigurationState(
-        settings.key_trust_ms,
-        settings.configuration_notice_ms,
-    )
-    bounds = RetryBounds(
-        settings.retry_ratio, settings.retry_window_ms, settings.retry_slack
+        key_trust_ms(settings),
+        int(settings.configuration_notice_ms),
     )
     crashes = CrashBook()
     attempts = AttemptSender(endpoints, adapter)
@@ -178,7 +177,7 @@
         service_chooser=CHOOSERS.get('least-outstanding')(settings.failure_domain, rng),
         guard=OverloadGuard(rng),
         loads=LoadWatch(attempts, roster, clock),
-        allowance=RetryAllowance(bounds),
+        allowance=RetryAllowance(read_bounds(settings)),
         crashes=crashes,
         telemetry=telemetry,
     )
@@ -192,10 +191,10 @@
         settings.peer_port,
     )
     directory = InstanceDirectory(own)
-    timeout_ms = settings.store_timeout_ms
+    timeout_ms = int(settings.store_timeout_ms)
     store_address = ServerAddress(*settings.store_address)
     instances = adapter.instance_topic(store, store_address, timeout_ms)
-    plan = ReadingPlan(configuration, settings.drain_notice_ms, clock)
+    plan = ReadingPlan(configuration, int(settings.drain_notice_ms), clock)
     journal = EndpointJournal()
     endpoint_listener = EndpointListener(
         roster, journal, plan, adapter.decode_endpoint, telemetry, clock
@@ -218,7 +217,7 @@
     followers = (
         TopicFollower(
             adapter.configuration_topic(store, store_address, timeout_ms),
-            Pace(int(POLL_SHARE * settings.key_trust_ms), 0),
+            Pace(int(POLL_SHARE * settings.revoke_notice_ms), 0),
             ConfigurationGate(plan),
             ConfigurationListener(
                 configuration,
--- a/savorychute/gateway/settings/gateway_settings.py
+++ b/savorychute/gateway/settings/gateway_settings.py
@@ -24,13 +24,14 @@
     platform: str
     log_level: str
     memory_mb: int
-    grace_ms: int
-    discovery_lifetime_ms: int
-    drain_notice_ms: int
-    configuration_notice_ms: int
-    key_trust_ms: int
+    grace_s: float
+    discovery_lifetime_ms: float
+    drain_notice_ms: float
+    configuration_notice_ms: float
+    revoke_notice_ms: float
+    refuse_unconfirmed_keys: bool
     retry_ratio: float
-    retry_window_ms: int
+    retry_window_s: float
     retry_slack: int
-    connect_timeout_ms: int
-    store_timeout_ms: int
+    connect_timeout_ms: float
+    store_timeout_ms: float
--- a/savorychute/gateway/settings/table.py
+++ b/savorychute/gateway/settings/table.py
@@ -11,7 +11,9 @@
 from savorychute.settings.readers import (
     read_address,
     read_choice,
+    read_flag,
     read_name,
+    read_number,
     read_share,
     read_text,
     read_whole,
@@ -23,6 +25,8 @@
 from savorychute.settings.table import LOG_LEVELS, MAX_DURATION_MS
 
 MAX_PORT = 65_535
+LEAST_S = 0.1
+MAX_DURATION_S = MAX_DURATION_MS // 1_000
 MAX_COUNT = 1_000_000
 MAX_MEMORY_MB = 1 << 20
 
@@ -47,12 +51,19 @@
     return Setting(name, REQUIRED, '', Scope.INSTANCE, '1 to 65535', reader, doc)
 
 
-def _duration(name: str, default: int, doc: str) -> Setting:
-    reader = read_whole(1, MAX_DURATION_MS)
+def _duration(name: str, default: float, doc: str) -> Setting:
+    # A platform may state its bounds in fractions of a millisecond.
+    reader = read_number(1, MAX_DURATION_MS)
     kind = f'1 to {MAX_DURATION_MS}'
     return Setting(name, default, 'ms', Scope.DEPLOYMENT, kind, reader, doc)
 
 
+def _seconds(name: str, default: float, doc: str) -> Setting:
+    reader = read_number(LEAST_S, MAX_DURATION_S)
+    kind = f'{LEAST_S:g} to {MAX_DURATION_S}'
+    return Setting(name, default, 's', Scope.DEPLOYMENT, kind, reader, doc)
+
+
 def _count(name: str, default: int, maximum: int, unit: str, doc: str) -> Setting:
     reader = read_whole(0, maximum)
     return Setting(
@@ -107,22 +118,31 @@
         'The least severe level that is logged.',
     ),
     _count('memory_mb', 256, MAX_MEMORY_MB, 'MB', 'What the process may use.'),
-    _duration('grace_ms', 8_000, 'From the signal to leave to the end by force.'),
-    _duration('discovery_lifetime_ms', 2_000, 'How long callers keep addresses.'),
+    _seconds('grace_s', 8.0, 'From the signal to leave to the end by force.'),
+    _duration('discovery_lifetime_ms', 2_000.0, 'How long callers keep addresses.'),
     _duration(
         'drain_notice_ms',
-        2_000,
+        2_000.0,
         'Within which a leaving endpoint must get nothing new.',
     ),
     _duration(
         'configuration_notice_ms',
-        2_000,
+        2_000.0,
         'Within which an accepted configuration must be in force.',
     ),
     _duration(
-        'key_trust_ms',
-        4_500,
-        'How long keys are accepted after the store was last heard.',
+        'revoke_notice_ms',
+        5_000.0,
+        'Within which a key that was taken back must be refused.',
+    ),
+    Setting(
+        'refuse_unconfirmed_keys',
+        True,
+        '',
+        Scope.DEPLOYMENT,
+        'true or false',
+        read_flag,
+        'Refuse all keys when the store has been silent for nearly that long.',
     ),
     Setting(
         'retry_ratio',
@@ -133,7 +153,7 @@
         read_share,
         'Further attempts at a service for each of its requests.',
     ),
-    _duration('retry_window_ms', 10_000, 'The span in which both are counted.'),
+    _seconds('retry_window_s', 10.0, 'The span in which both are counted.'),
     _count(
         'retry_slack',
         50,
@@ -141,8 +161,8 @@
         '',
         'Further attempts besides, of all instances together.',
     ),
-    _duration('connect_timeout_ms', 400, 'Time to connect to an endpoint.'),
-    _duration('store_timeout_ms', 1_000, 'Time for an answer of the store.'),
+    _duration('connect_timeout_ms', 400.0, 'Time to connect to an endpoint.'),
+    _duration('store_timeout_ms', 1_000.0, 'Time for an answer of the store.'),
 )
 
 GATEWAY_RULES: tuple[Rule[GatewaySettings], ...] = (
--- a/savorychute/settings/readers.py
+++ b/savorychute/settings/readers.py
@@ -46,6 +46,29 @@
     return read
 
 
+def read_number(minimum: float, maximum: float) -> Callable[[Any], float]:
+    """Return a reader of numbers, whole or not.
+
+    :param minimum: the least value accepted.
+    :param maximum: the greatest value accepted.
+    """
+
+    def read(value: Any) -> float:
+        number = isinstance(value, int | float) and not isinstance(value, bool)
+        if not number or not minimum <= value <= maximum:
+            raise ValueError(f'a number from {minimum:g} to {maximum:g}')
+        return float(value)
+
+    return read
+
+
+def read_flag(value: Any) -> bool:
+    """Return true or false."""
+    if not isinstance(value, bool):
+        raise ValueError('true or false')
+    return value
+
+
 def read_share(value: Any) -> float:
     """Return a number from 0 to 1."""
     number = isinstance(value, int | float) and not isinstance(value, bool)
--- a/tests/test_fleet/test_whole_path.py
+++ b/tests/test_fleet/test_whole_path.py
@@ -115,12 +115,25 @@
         await rig.until_status(200)
         return refused, ready
 
-    refused, ready = run(scenario, key_trust_ms=900)
+    refused, ready = run(scenario, revoke_notice_ms=1_000)
 
     assert json.loads(refused.body)['error']['message'] == 'key-unconfirmed'
     assert ready.status == 503
 
 
+def test_keys_stay_good_where_the_deployment_wants_it():
+    async def scenario(rig):
+        rig.store.mode = 'busy'
+        configuration = rig.gateways[0].host._parts.configuration
+        now_ms = rig.gateways[0].host._parts.clock.now_ms
+        await until(lambda: configuration.age_ms(now_ms()) > 1_500)
+        return await rig.call()
+
+    answer = run(scenario, revoke_notice_ms=1_000, refuse_unconfirmed_keys=False)
+
+    assert answer.status == 200
+
+
 def test_instances_that_start_together_share_one_secret():
     """Instances that did not understand each other.
 
@@ -157,7 +170,7 @@
         await leaving
         return ready, late, whole
 
-    ready, late, whole = run(scenario, grace_ms=3_000)
+    ready, late, whole = run(scenario, grace_s=3.0)
 
     assert ready.status == 503
     assert json.loads(late.body)['error']['ran'] == 'not-run'
--- a/tests/test_gateway/test_settings_watch.py
+++ b/tests/test_gateway/test_settings_watch.py
@@ -82,3 +82,18 @@
     watch.reload()
 
     assert changes == []
+
+
+@pytest.mark.parametrize(
+    'change', [{'grace_s': 7.5}, {'drain_notice_ms': 1_800.5}, {'retry_window_s': 8.2}]
+)
+def test_bounds_may_be_fractions(path, change):
+    """A deployment that did not start.
+
+    Its platform states a bound as a fraction, which the settings took for a fault.
+    """
+    path.write_text(json.dumps(DOCUMENT | change))
+
+    settings = read_schema(path, GATEWAY_SCHEMA)
+
+    assert all(getattr(settings, name) == value for name, value in change.items())
