Split the assembly, and begin failed background work anew

Cause: one function of 80 lines built everything; and a defect in the task that follows the store would have left an instance with what it knew, without a word (test failed first: there was no supervisor). A configuration that was read before the sockets were open now sets their limits too.

--- /dev/null
+++ b/savorychute/gateway/daemon/assembly.py
@@ -0,0 +1,202 @@
+"""Puts the parts of a gateway together."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from savorychute.gateway.admission.overload_guard import OverloadGuard
+from savorychute.gateway.configuration.configuration_state import ConfigurationState
+from savorychute.gateway.daemon.attempt_sender import AttemptSender
+from savorychute.gateway.daemon.gateway_host import GatewayHost
+from savorychute.gateway.daemon.loop_timers import LoopTimers
+from savorychute.gateway.daemon.peer_group import PeerGroup
+from savorychute.gateway.discovery.instance_directory import InstanceDirectory
+from savorychute.gateway.endpoints import load_choosers
+from savorychute.gateway.endpoints.chooser import CHOOSERS
+from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
+from savorychute.gateway.endpoints.load_watch import LoadWatch
+from savorychute.gateway.metric_rows import GATEWAY_METRICS
+from savorychute.gateway.parts import GatewayParts
+from savorychute.gateway.recovery.crash_book import CrashBook
+from savorychute.gateway.recovery.retry_allowance import RetryAllowance
+from savorychute.gateway.requests.intake import Intake
+from savorychute.gateway.settings.key_trust import key_trust_ms
+from savorychute.gateway.settings.retry_bounds import read_bounds
+from savorychute.gateway.store.configuration_listener import ConfigurationListener
+from savorychute.gateway.store.endpoint_journal import EndpointJournal
+from savorychute.gateway.store.endpoint_listener import EndpointListener
+from savorychute.gateway.store.gates import ConfigurationGate, EndpointGate
+from savorychute.gateway.store.pace import Pace
+from savorychute.gateway.store.reading_plan import ReadingPlan
+from savorychute.gateway.store.registration import Registration
+from savorychute.gateway.store.shared_reading import SharedReading
+from savorychute.gateway.store.topic_follower import TopicFollower
+from savorychute.gateway.telemetry import GatewayTelemetry
+from savorychute.http.client_pool import ServerAddress
+from savorychute.member_address import MemberAddress
+from savorychute.metrics import Metrics
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Awaitable, Callable
+
+    from savorychute.clock import Clock
+    from savorychute.gateway.platform_adapter import PlatformAdapter
+    from savorychute.gateway.settings.gateway_settings import GatewaySettings
+    from savorychute.gateway.store.keyed_topic import KeyedTopic
+    from savorychute.http.client_pool import ClientPool
+    from savorychute.logs import InstanceLog
+
+# A poll of the configuration that hears nothing confirms it as of the poll's begin, so
+# what a reader knows grows as old as two polls, and what others know by a question
+# more; the rest is for a poll that is lost.
+POLL_SHARE = 0.2
+# Part of the time in which a leaving endpoint must get nothing new that may pass
+# between two reads of the entries; the rest is for other instances' questions and for
+# requests under way.
+ENDPOINT_READ_SHARE = 0.4
+
+
+class Surroundings(NamedTuple):
+    """What a gateway is given from outside."""
+
+    settings: GatewaySettings
+    adapter: PlatformAdapter
+    endpoints: ClientPool
+    store: ClientPool
+    log: InstanceLog
+    clock: Clock
+    rng: random.Random
+
+
+class Topics(NamedTuple):
+    """The topics of the platform's store."""
+
+    configuration: KeyedTopic
+    endpoints: KeyedTopic
+    instances: KeyedTopic
+
+
+class Assembly(NamedTuple):
+    """The host, and the work that runs besides requests, by name."""
+
+    host: GatewayHost
+    works: dict[str, Callable[[], Awaitable[None]]]
+
+
+def assemble(around: Surroundings) -> Assembly:
+    """Return a gateway that is not running yet.
+
+    :param around: what it is given.
+    """
+    settings = around.settings
+    topics = _open_topics(around)
+    parts = _make_parts(around)
+    plan = ReadingPlan(parts.configuration, int(settings.drain_notice_ms), around.clock)
+    journal = EndpointJournal()
+    entries = EndpointListener(
+        parts.roster,
+        journal,
+        plan,
+        around.adapter.decode_endpoint,
+        parts.telemetry,
+        around.clock,
+    )
+    reading = SharedReading(
+        plan, parts.configuration, journal, entries.take_changes, around.rng
+    )
+    own = _find_address(settings)
+    directory = InstanceDirectory(own)
+    peers = PeerGroup(
+        Registration(topics.instances, own),
+        directory,
+        parts.crashes,
+        plan,
+        reading,
+        around.clock,
+        around.rng,
+        parts.telemetry,
+    )
+    intake = Intake(parts.configuration, parts.crashes, around.rng)
+    host = GatewayHost(settings, parts, intake, around.adapter, peers, directory)
+    configuration = ConfigurationListener(
+        parts.configuration,
+        plan,
+        around.adapter.decode_configuration,
+        parts.telemetry,
+        host.apply_limits,
+    )
+    return Assembly(
+        host,
+        {
+            'configuration': TopicFollower(
+                topics.configuration,
+                Pace(int(POLL_SHARE * settings.revoke_notice_ms), 0),
+                ConfigurationGate(plan),
+                configuration,
+                around.clock,
+                around.rng,
+            ).run,
+            'endpoints': TopicFollower(
+                topics.endpoints,
+                Pace(0, int(ENDPOINT_READ_SHARE * settings.drain_notice_ms)),
+                EndpointGate(plan, journal),
+                entries,
+                around.clock,
+                around.rng,
+            ).run,
+            'peers': peers.run,
+            'housekeeping': host.run,
+        },
+    )
+
+
+def _open_topics(around: Surroundings) -> Topics:
+    place = (
+        around.store,
+        ServerAddress(*around.settings.store_address),
+        int(around.settings.store_timeout_ms),
+    )
+    return Topics(
+        around.adapter.configuration_topic(*place),
+        around.adapter.endpoint_topic(*place),
+        around.adapter.instance_topic(*place),
+    )
+
+
+def _make_parts(around: Surroundings) -> GatewayParts:
+    load_choosers()
+    settings, clock, rng = around.settings, around.clock, around.rng
+    crashes = CrashBook()
+    attempts = AttemptSender(around.endpoints, around.adapter)
+    roster = EndpointRoster(crashes.endpoint_ended, clock)
+    metrics = Metrics(settings.instance, GATEWAY_METRICS)
+    return GatewayParts(
+        clock=clock,
+        timers=LoopTimers(),
+        attempts=attempts,
+        configuration=ConfigurationState(
+            key_trust_ms(settings), int(settings.configuration_notice_ms)
+        ),
+        roster=roster,
+        model_chooser=CHOOSERS.get('prompt-cache')(settings.failure_domain, rng),
+        service_chooser=CHOOSERS.get('least-outstanding')(settings.failure_domain, rng),
+        guard=OverloadGuard(rng),
+        loads=LoadWatch(attempts, roster, clock),
+        allowance=RetryAllowance(read_bounds(settings)),
+        crashes=crashes,
+        telemetry=GatewayTelemetry(around.log, metrics, clock),
+    )
+
+
+def _find_address(settings: GatewaySettings) -> MemberAddress:
+    """Return this instance's address; its incarnation is set when it registers."""
+    return MemberAddress(
+        settings.instance,
+        0,
+        settings.region,
+        settings.failure_domain,
+        settings.caller_address.host,
+        settings.caller_address.port,
+        settings.peer_port,
+    )
--- a/savorychute/gateway/daemon/gateway_host.py
+++ b/savorychute/gateway/daemon/gateway_host.py
@@ -87,6 +87,16 @@
         now_ms = self._parts.clock.now_ms()
         return not configuration.table.needs_keys or configuration.trusts_keys(now_ms)
 
+    def serve_callers(self, server: HttpServer) -> None:
+        """Take the server that callers reach, once it listens.
+
+        :param server: the server.
+        """
+        self.caller_server = server
+        table = self._parts.configuration.table
+        if table is not None:
+            self.apply_limits(table.deployment)
+
     async def run(self) -> None:
         """Do what is due now and then, until the task is cancelled."""
         while True:
--- a/savorychute/gateway/store/topic_follower.py
+++ b/savorychute/gateway/store/topic_follower.py
@@ -98,7 +98,8 @@
         self._retry_ms = FIRST_RETRY_MS
 
     async def run(self) -> None:
-        """Follow the topic until the task is cancelled."""
+        """Follow the topic until the task is cancelled; begin with a listing."""
+        self._offset = None
         while True:
             if not self._gate.is_open():
                 await asyncio.sleep(GATE_MS / MS_PER_S)
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -82,6 +82,15 @@
             reason=_word(error.faults[0]),
         )
 
+    def work_failed(self, name: str, error: Exception) -> None:
+        """Log a defect that ended background work, which begins anew."""
+        self.log.error(
+            'work-failed',
+            item=name,
+            error=type(error).__name__,
+            reason=_word(str(error)),
+        )
+
     # -- beliefs
 
     def configuration_applied(self, deployment: Deployment, offset: int) -> None:
