--- a/benches/gateway_soak/site.py
+++ b/benches/gateway_soak/site.py
@@ -52,6 +52,8 @@
         async with self._starting:
             if self.process is not None and self.process.returncode is None:
                 return
+            # With the fault that a reload left in it, no process starts.
+            self.settings.write_text(json.dumps(self._document()))
             with self.log.open('ab') as log:
                 self.process = await asyncio.create_subprocess_exec(
                     sys.executable,
