Let an attempt know its owner by a protocol

Cause: five files of the gateway imported each other in a circle. Ruled out: callbacks one by one (seven of them).

--- a/savorychute/gateway/requests/attempt.py
+++ b/savorychute/gateway/requests/attempt.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from savorychute.gateway.requests.endpoint_answer import AnswerKind
 
@@ -10,7 +10,6 @@
     from savorychute.gateway.endpoints.chooser import Choice
     from savorychute.gateway.requests.attempt_port import RunningAttempt
     from savorychute.gateway.requests.endpoint_answer import EndpointAnswer
-    from savorychute.gateway.requests.request_course import RequestCourse
     from savorychute.http.call_failure import CallFailure
 
 # An answer up to this size is held until it is whole, so that another endpoint can
@@ -18,10 +17,42 @@
 HELD_BYTES = 256 * 1024
 
 
+class AttemptOwner(Protocol):
+    """The request that an attempt belongs to."""
+
+    def now_ms(self) -> int:
+        """Return the time."""
+        ...
+
+    def stream_data(self, attempt: Attempt, data: bytes) -> None:
+        """Take a part of a stream."""
+        ...
+
+    def pass_head(self, attempt: Attempt) -> None:
+        """Begin to pass on an answer that is too large to be held."""
+        ...
+
+    def pass_data(self, data: bytes) -> None:
+        """Pass on more of it."""
+        ...
+
+    def attempt_unsent(self, attempt: Attempt, reason: str) -> None:
+        """Go on after an attempt of which no byte has left."""
+        ...
+
+    def attempt_broke(self, attempt: Attempt, reason: str) -> None:
+        """Go on after an attempt that may have run and has no whole answer."""
+        ...
+
+    def attempt_answered(self, attempt: Attempt) -> None:
+        """Take a whole answer."""
+        ...
+
+
 class Attempt:
     """Collects an answer, or hands on the parts of a stream.
 
-    :param course: the request that it belongs to.
+    :param owner: the request that it belongs to.
     :param choice: the endpoint, and what it is expected to read.
     :param began_ms: when it was started.
     """
@@ -30,19 +61,19 @@
         'answer',
         'began_ms',
         'choice',
-        'course',
         'ended',
         'heard_ms',
         'held',
         'held_bytes',
+        'owner',
         'passing',
         'running',
         'sent',
         'waiting',
     )
 
-    def __init__(self, course: RequestCourse, choice: Choice, began_ms: int) -> None:
-        self.course = course
+    def __init__(self, owner: AttemptOwner, choice: Choice, began_ms: int) -> None:
+        self.owner = owner
         self.choice = choice
         self.began_ms = began_ms
         self.heard_ms = began_ms
@@ -66,37 +97,37 @@
     def answer_began(self, answer: EndpointAnswer) -> None:
         """Take the head."""
         self.answer = answer
-        self.heard_ms = self.course.now_ms()
+        self.heard_ms = self.owner.now_ms()
         self.choice.record.heard_ms = self.heard_ms
         if answer.kind is AnswerKind.FOREIGN:
             # What follows belongs to nobody here; the connection must not be reused.
             self.stop()
-            self.course.attempt_broke(self, 'foreign-answer')
+            self.owner.attempt_broke(self, 'foreign-answer')
 
     def answer_data(self, data: bytes) -> None:
         """Take a part of the body."""
         if self.answer is None or self.ended:
             return
-        self.heard_ms = self.course.now_ms()
+        self.heard_ms = self.owner.now_ms()
         self.choice.record.heard_ms = self.heard_ms
         if self.answer.is_stream:
-            self.course.stream_data(self, data)
+            self.owner.stream_data(self, data)
             return
         if self.passing:
-            self.course.pass_data(data)
+            self.owner.pass_data(data)
             return
         self.held.append(data)
         self.held_bytes += len(data)
         if self.held_bytes > HELD_BYTES and self.answer.kind is AnswerKind.SUCCESS:
             self.passing = True
-            self.course.pass_head(self)
+            self.owner.pass_head(self)
 
     def answer_ended(self) -> None:
         """Take the end of a whole answer."""
         if self.ended:
             return
         self.close()
-        self.course.attempt_answered(self)
+        self.owner.attempt_answered(self)
 
     def attempt_failed(self, failure: CallFailure) -> None:
         """Take the failure."""
@@ -105,9 +136,9 @@
         self.sent = failure.sent
         self.close()
         if failure.sent:
-            self.course.attempt_broke(self, 'connection-lost')
+            self.owner.attempt_broke(self, 'connection-lost')
         else:
-            self.course.attempt_unsent(self, failure.reason)
+            self.owner.attempt_unsent(self, failure.reason)
 
     # -- what the course does
 
