Read by oneself while no reader is fresh

A reader whose knowledge is older than two of its polls is passed over, and after one round without a fresh one an instance reads as readers do. Ruled out: suspicion of the readers (they were alive).

--- a/savorychute/gateway/daemon/assembly.py
+++ b/savorychute/gateway/daemon/assembly.py
@@ -47,10 +47,12 @@
     from savorychute.http.client_pool import ClientPool
     from savorychute.logs import InstanceLog
 
-# A poll of the configuration that hears nothing confirms it as of the poll's begin, so
-# what a reader knows grows as old as two polls, and what others know by a question
-# more; the rest is for a poll that is lost.
-POLL_SHARE = 0.2
+# Parts of the time in which a configuration must be in force.  A poll that hears nothing
+# confirms what held at its begin, so what a reader knows grows as old as two polls; one
+# whose knowledge is older is cut off.  The rest is for asking each reader in turn, and
+# for reading by oneself when none is fresh.
+POLL_SHARE = 0.25
+VOUCH_SHARE = 0.6
 # Part of the time in which a leaving endpoint must get nothing new that may pass
 # between two reads of the entries; the rest is for other instances' questions and for
 # requests under way.
@@ -103,7 +105,12 @@
         around.clock,
     )
     reading = SharedReading(
-        plan, parts.configuration, journal, entries.take_changes, around.rng
+        plan,
+        parts.configuration,
+        journal,
+        entries.take_changes,
+        int(VOUCH_SHARE * settings.configuration_notice_ms),
+        around.rng,
     )
     own = _find_address(settings)
     directory = InstanceDirectory(own)
@@ -131,7 +138,7 @@
         {
             'configuration': TopicFollower(
                 topics.configuration,
-                Pace(int(POLL_SHARE * settings.revoke_notice_ms), 0),
+                Pace(int(POLL_SHARE * settings.configuration_notice_ms), 0),
                 ConfigurationGate(plan),
                 configuration,
                 around.clock,
--- a/savorychute/gateway/store/gates.py
+++ b/savorychute/gateway/store/gates.py
@@ -24,7 +24,7 @@
 
     def is_regular(self) -> bool:
         """Return whether this instance reads for all."""
-        return self._plan.is_reader
+        return self._plan.is_regular()
 
     def next_offset(self, read: int | None) -> int | None:
         """Return where this instance's own reading ended."""
@@ -50,7 +50,7 @@
 
     def is_regular(self) -> bool:
         """Return whether this instance reads for all."""
-        return self._plan.is_reader
+        return self._plan.is_regular()
 
     def next_offset(self, read: int | None) -> int | None:
         """Return the end of the journal, or None if the topic must be listed."""
--- a/savorychute/gateway/store/reading_plan.py
+++ b/savorychute/gateway/store/reading_plan.py
@@ -24,10 +24,8 @@
 # A question and its answer take a reader 20 us in the codec, as measured, besides the
 # socket; two a second from each of this many askers stay far below 1 % of a core.
 ASKERS_PER_READER = 24
-# Older knowledge than this is not left to others to renew.  Readers' polls and the
-# questions between instances keep it below 2.5 s.
-CONFIGURATION_STALE_MS = 2_800
-# Parts of the time in which a leaving endpoint must get nothing new.
+# Part of the time in which a leaving endpoint must get nothing new; older knowledge
+# than this is not left to others to renew.
 ENDPOINT_STALE_SHARE = 0.6
 
 
@@ -60,6 +58,8 @@
         self.wanted_version = -1
         self.endpoints_ms: int | None = None
         self.must_list_endpoints = False
+        # Set while no reader answers with fresh knowledge: all may be cut off.
+        self.nobody_vouches = False
         # Topics whose last read failed; an instance with any vouches for nothing.
         self.failing_topics: set[str] = set()
 
@@ -90,16 +90,18 @@
         """Note that a read or a question which began then brought all changes."""
         self.endpoints_ms = max(self.endpoints_ms or began_ms, began_ms)
 
+    def is_regular(self) -> bool:
+        """Return whether this instance reads all the time."""
+        return self.is_reader or self.nobody_vouches
+
     def reads_configuration(self) -> bool:
         """Return whether this instance has to read the configuration itself now."""
-        if self.is_reader or self.wanted_version > self._configuration.version:
-            return True
-        age_ms = self._configuration.age_ms(self._clock.now_ms())
-        return age_ms > CONFIGURATION_STALE_MS
+        missing = self.wanted_version > self._configuration.version
+        return self.is_regular() or missing or self._configuration.table is None
 
     def reads_endpoints(self) -> bool:
         """Return whether this instance has to read the entries itself now."""
-        if self.is_reader or self.must_list_endpoints:
+        if self.is_regular() or self.must_list_endpoints:
             return True
         age_ms = self.endpoint_age_ms(self._clock.now_ms())
         return age_ms is None or age_ms > self._endpoint_stale_ms
--- a/savorychute/gateway/store/shared_reading.py
+++ b/savorychute/gateway/store/shared_reading.py
@@ -41,6 +41,7 @@
     :param configuration: what is in force here.
     :param journal: changes of endpoints.
     :param on_changes: is given changes from others, in order.
+    :param vouch_ms: how old a reader's knowledge may be; an older one is cut off.
     :param rng: picks the first reader.
     """
 
@@ -50,12 +51,15 @@
         configuration: ConfigurationState,
         journal: EndpointJournal,
         on_changes: Callable[[Sequence[EndpointNews], int], None],
+        vouch_ms: int,
         rng: random.Random,
     ) -> None:
         self._plan = plan
         self._configuration = configuration
         self._journal = journal
         self._on_changes = on_changes
+        self._vouch_ms = vouch_ms
+        self._unvouched = 0
         self._sequence = 0
         self._asked: dict[int, int] = {}
         self._next_ms = 0
@@ -76,6 +80,10 @@
         # In turn, so that one that the store has turned away without a word hides a
         # change for one question only.
         self._turn += 1
+        # Each reader was asked, and none has answered with fresh knowledge: all may be
+        # cut off from the store, without a word.  Then this instance reads by itself.
+        self._plan.nobody_vouches = self._unvouched > len(readers)
+        self._unvouched += 1
         reader = readers[self._turn % len(readers)]
         self._next_ms = now_ms + ANSWER_MS
         self._sequence += 1
@@ -125,10 +133,12 @@
         asked_ms = self._asked.pop(answer.sequence, None)
         if asked_ms is None:
             return
-        if answer.configuration_age_ms >= NEVER_AGE_MS:
-            # The reader knows that it is cut off; another one may not be.
+        if answer.configuration_age_ms > self._vouch_ms:
+            # The reader is cut off; another one may not be.
             self._next_ms = now_ms
             return
+        self._unvouched = 0
+        self._plan.nobody_vouches = False
         self._next_ms = max(self._next_ms, asked_ms + ASK_MS)
         self._take_version(answer, asked_ms)
         if answer.endpoint_offset < 0:
--- a/tests/test_gateway/test_shared_reading.py
+++ b/tests/test_gateway/test_shared_reading.py
@@ -74,7 +74,7 @@
     roster = EndpointRoster(ignore, clock)
     listener = EndpointListener(roster, journal, plan, None, Silent(), clock)
     reading = SharedReading(
-        plan, configuration, journal, listener.take_changes, random.Random(4)
+        plan, configuration, journal, listener.take_changes, 1_200, random.Random(4)
     )
     plan.follow(MemberView(own, MEMBERS))
     return Node(configuration, plan, journal, roster, listener, reading)
@@ -194,6 +194,7 @@
 
     now_ms = START_MS
     for _ in range(6):
+        reader.configuration.confirm(now_ms)
         exchange(other, reader, now_ms)
         now_ms += ASK_MS
 
@@ -212,23 +213,52 @@
     assert other.plan.must_list_endpoints
 
 
+def ask_all(nodes, other, begin_ms, end_ms, clock):
+    """Let an instance ask its readers; all answer at once."""
+    by_name = {
+        member.instance: node for node, member in zip(nodes, MEMBERS, strict=True)
+    }
+    for now_ms in range(begin_ms, end_ms, 50):
+        clock.advance_to(now_ms)
+        for action in other.reading.tick(now_ms):
+            answer = by_name[action.instance].reading.answer(action.message, now_ms)
+            other.reading.take_answer(answer, now_ms + 5)
+
+
 def test_instance_that_hears_nothing_fresh_reads_by_itself(nodes, clock):
-    """Readers that the store turned away.
+    """Readers that the store cut off without a word.
 
-    They answer, but what they know grows old; the others must not follow them into it.
+    Both readers lose the store at once and notice only when their polls time out.  They
+    answer, and what they know grows old; a key was taken back meanwhile, and the others
+    accepted it for 2.6 s.
     """
-    reader, other = pick(nodes)
-    other.read_store(1, [], 10, START_MS)
-    reader.read_store(1, [], 10, START_MS)
-    assert not other.plan.reads_endpoints()
+    _, other = pick(nodes)
+    for node in nodes:
+        node.read_store(1, [], 10, START_MS)
+    ask_all(nodes, other, START_MS, START_MS + 1_000, clock)
+    assert not other.plan.reads_configuration()
 
-    for now_ms in range(START_MS, START_MS + 3_500, ASK_MS):
-        clock.advance_to(now_ms)
-        exchange(other, reader, now_ms)
+    ask_all(nodes, other, START_MS + 1_000, START_MS + 1_900, clock)
 
+    assert other.plan.reads_configuration()
     assert other.plan.reads_endpoints()
+
+
+def test_fresh_reader_ends_the_own_reading(nodes, clock):
+    _, other = pick(nodes)
+    for node in nodes:
+        node.read_store(1, [], 10, START_MS)
+    ask_all(nodes, other, START_MS, START_MS + 3_000, clock)
     assert other.plan.reads_configuration()
 
+    for node in nodes:
+        if node.plan.is_reader:
+            node.read_store(1, [], 10, START_MS + 3_000)
+    other.read_store(1, [], 10, START_MS + 3_000)
+    ask_all(nodes, other, START_MS + 3_000, START_MS + 3_600, clock)
+
+    assert not other.plan.reads_configuration()
+
 
 def test_reader_that_the_store_turns_away_hides_nothing(nodes, clock):
     """A configuration that one instance learned too late.
