--- a/savorychute/gateway/endpoints/prompt_cache.py
+++ b/savorychute/gateway/endpoints/prompt_cache.py
@@ -96,7 +96,7 @@
         prompt = need.prompt
         if prompt is None:
             return []
-        lane = self._lane(records, need, now_ms)
+        lane = self._lane(records, need)
         ranked = [candidate.record for candidate in self._rank(lane, prompt)]
         if is_steady(need):
             others = self._rng.sample(ranked[1:], min(1, len(ranked) - 1))
@@ -122,32 +122,35 @@
     ) -> Choice:
         """Return the endpoint with the least predicted wait."""
         self._lanes.note(need, now_ms)
-        lane = self._lane(records, need, now_ms)
+        best = self._best(self._lane(records, need), need, now_ms)
+        if is_steady(need) and _is_crowded(best.record, now_ms):
+            # Short and ahead of the queue, it is served by any engine; late events are
+            # better than none, and than putting back others.
+            free = [each for each in records if not _is_crowded(each, now_ms)]
+            best = self._best(free or records, need, now_ms)
+        difference = best.fresh_tokens - self._usual_tokens
+        self._usual_tokens += USUAL_WEIGHT * difference
+        return best
+
+    def _best(self, lane: Sequence[EndpointRecord], need: Need, now_ms: int) -> Choice:
         prompt = need.prompt
         if prompt is None:
             candidates = [_Candidate(record, 0, 0.0) for record in lane]
         else:
             candidates = self._known(self._rank(lane, prompt), prompt, now_ms)
         choices = [self._judge(each, now_ms) for each in candidates]
-        best = min(choices, key=lambda choice: choice.cost_ms)
-        difference = best.fresh_tokens - self._usual_tokens
-        self._usual_tokens += USUAL_WEIGHT * difference
-        return best
+        return min(choices, key=lambda choice: choice.cost_ms)
 
     def _lane(
-        self, records: Sequence[EndpointRecord], need: Need, now_ms: int
+        self, records: Sequence[EndpointRecord], need: Need
     ) -> Sequence[EndpointRecord]:
         """Return the engines that a request may use.
 
-        A steady stream that its own lane cannot serve goes to any engine: it is short,
-        goes ahead of the queue there, and pauses are better than no answer.
+        A steady stream that an engine of its lane has refused goes to any engine.
         """
-        lane = self._lanes.lane(records, need)
-        if not is_steady(need):
-            return lane
-        if need.tries_again or all(_is_crowded(each, now_ms) for each in lane):
+        if is_steady(need) and need.tries_again:
             return records
-        return lane
+        return self._lanes.lane(records, need)
 
     def _judge(self, candidate: _Candidate, now_ms: int) -> Choice:
         record = candidate.record
--- a/tests/test_gateway/test_choosers.py
+++ b/tests/test_gateway/test_choosers.py
@@ -183,3 +183,23 @@
     records[1].health.silent(1_000)
 
     assert open_records(records, frozenset(), 1_001) == records
+
+
+def test_one_crowded_engine_is_enough_to_leave_the_lane(engines):
+    """A lane of which an instance knew only a part.
+
+    Each instance knows the load of the engines that it asked lately.  If it left its lane
+    only when it knew every engine of it to be crowded, it would hardly ever leave.
+    """
+    chooser = make_chooser()
+    short = make_prompt('s', shared=350, own=1_100, answer=170)
+    need = Need(short, STEADY_GAP_MS)
+    for number in range(40):
+        steady = make_prompt(f's{number}', shared=350, own=1_100, answer=170)
+        chooser.choose(engines, Need(steady, STEADY_GAP_MS), 1_000)
+    home = chooser.choose(engines, need, 1_000).record
+    home.report(EngineLoad(0, 0, 60, 0), 1_000)
+
+    chosen = chooser.choose(engines, need, 1_001).record
+
+    assert chosen is not home
