Number the faults of a gateway's settings

Cause: the faults were named and not numbered. Tests failed first (no 5001). Ruled out: the number in front of every command's faults (a test of the product's own interface states the line without it).

--- a/savorychute/cmd/gateway.py
+++ b/savorychute/cmd/gateway.py
@@ -40,4 +40,9 @@
             raise SettingsError(
                 [f'no settings file: name one, or set {SETTINGS_VARIABLE}']
             )
-        return run_gateway(path)
+        try:
+            return run_gateway(path)
+        except SettingsError as error:
+            number = error.code.number
+            head = f'error {number}: the settings have faults'
+            raise SettingsError([head, *error.faults]) from error
