Take peers' messages by their types

Cause: a gateway's peer group read 'sender', 'message', 'origin' and the version by getattr, so a renamed field would have been passed over without an error; the relay returned a count of which only the truth was used; a bound in the roster had no unit. Ruled out: another message with an origin (only acknowledgements and digests have a version).

--- a/savorychute/gateway/daemon/peer_group.py
+++ b/savorychute/gateway/daemon/peer_group.py
@@ -15,6 +15,9 @@
 from savorychute.gateway.store.store_errors import StoreUnavailableError
 from savorychute.gateway.store.store_question import StoreQuestion
 from savorychute.inputs.listing_fetched import ListingFetched
+from savorychute.inputs.peer_received import PeerReceived
+from savorychute.membership.ack import Ack
+from savorychute.membership.digest import Digest
 from savorychute.membership.membership import Membership
 from savorychute.membership.settings import MembershipSettings
 from savorychute.wire.peer_codec import PeerCodec
@@ -155,27 +158,28 @@
 
     def _take(self, received: Input) -> None:
         membership = self._membership
-        sender = getattr(received, 'sender', '')
-        message = getattr(received, 'message', None)
-        if membership is None or message is None:
+        if membership is None or not isinstance(received, PeerReceived):
             return
+        sender, message = received
         now_ms = self._clock.now_ms()
         if isinstance(message, CrashNews):
             self._crashes.take_in(message.sightings, now_ms)
-            return
-        if isinstance(message, StoreAnswer):
+        elif isinstance(message, StoreAnswer):
             self._reading.take_answer(message, now_ms)
-            return
-        if isinstance(message, StoreQuestion):
+        elif isinstance(message, StoreQuestion):
             self._answer(membership, sender, message, now_ms)
-            return
-        self._carry_out(membership.receive(sender, message, now_ms))
-        origin = getattr(message, 'origin', None)
-        version = getattr(message, 'configuration_offset', None)
-        if origin is None or version is None:
-            return
-        ready = version > NOT_READY and sender not in membership.view().leaving
-        self._directory.hear(origin.address, ready, now_ms)
+        else:
+            self._carry_out(membership.receive(sender, message, now_ms))
+            if isinstance(message, Ack | Digest):
+                self._hear_ready(membership, sender, message, now_ms)
+
+    def _hear_ready(
+        self, membership: Membership, sender: str, message: Ack | Digest, now_ms: int
+    ) -> None:
+        """Note whether a member takes callers, by the version that it advertises."""
+        ready = message.configuration_offset > NOT_READY
+        ready = ready and sender not in membership.view().leaving
+        self._directory.hear(message.origin.address, ready, now_ms)
 
     def _answer(
         self,
--- a/savorychute/gateway/endpoints/endpoint_roster.py
+++ b/savorychute/gateway/endpoints/endpoint_roster.py
@@ -15,7 +15,9 @@
 # Entries that lapsed during an outage of the store are written again within about two
 # seconds of its return; the rest is for the read that shows them.
 RETURN_MS = 2_500
-# A refusal is believed for longer than a late entry can contradict it.
+# Endpoints whose end is remembered, the newest.  A late entry may name one again for as
+# long as the store keeps it, some seconds: with 100 endpoints that each end once in 2 s
+# this is more than 10 s of ends.
 ENDED_KEPT = 512
 
 
--- a/savorychute/gateway/requests/stream_relay.py
+++ b/savorychute/gateway/requests/stream_relay.py
@@ -35,8 +35,10 @@
         """Drop the part of an event that the last endpoint left behind."""
         self._splitter = EventSplitter()
 
-    def take(self, data: bytes, status: int, headers: Sequence[tuple[str, str]]) -> int:
-        """Pass on the events that more bytes complete; return how many.
+    def take(
+        self, data: bytes, status: int, headers: Sequence[tuple[str, str]]
+    ) -> bool:
+        """Pass on the events that more bytes complete; return whether there were any.
 
         The head goes out with the first event: until then another endpoint's head
         could still take its place.
@@ -53,13 +55,13 @@
             if event.event_id:
                 self.last_event = event.event_id
         if not passed:
-            return 0
+            return False
         if not self.begun:
             self.begun = True
             self._caller.begin(status, headers)
         self._caller.send(b''.join(passed))
         self.events += len(passed)
-        return len(passed)
+        return True
 
     def _is_next(self, event_id: str) -> bool:
         """Return whether an event comes after the last one; ids grow.
