Share the rows that both tables of settings have

Cause: the gateway's table of settings repeated the rows of names, log level and extensions and the makers of address and port rows of the other table, so a changed bound had to be made twice.

--- a/savorychute/gateway/settings/table.py
+++ b/savorychute/gateway/settings/table.py
@@ -6,25 +6,27 @@
 
 from savorychute.gateway.platform_adapter import PLATFORMS
 from savorychute.gateway.settings.gateway_settings import GatewaySettings
-from savorychute.settings.extension_reader import read_extensions
 from savorychute.settings.path_reader import read_extension_paths
 from savorychute.settings.readers import (
-    read_address,
-    read_choice,
     read_flag,
-    read_name,
     read_number,
     read_share,
     read_text,
     read_whole,
 )
+from savorychute.settings.rows import (
+    LOG_LEVEL_ROW,
+    MAX_DURATION_MS,
+    PLACE_ROWS,
+    address_row,
+    extensions_row,
+    port_row,
+)
 from savorychute.settings.rule import Rule
 from savorychute.settings.schema import SettingsSchema
 from savorychute.settings.scope import Scope
 from savorychute.settings.setting import REQUIRED, Setting
-from savorychute.settings.table import LOG_LEVELS, MAX_DURATION_MS
 
-MAX_PORT = 65_535
 LEAST_S = 0.1
 MAX_DURATION_S = MAX_DURATION_MS // 1_000
 MAX_COUNT = 1_000_000
@@ -38,19 +40,6 @@
     return name
 
 
-def _name(name: str, doc: str) -> Setting:
-    return Setting(name, REQUIRED, '', Scope.INSTANCE, 'name', read_name, doc)
-
-
-def _address(name: str, doc: str) -> Setting:
-    return Setting(name, REQUIRED, '', Scope.INSTANCE, 'host:port', read_address, doc)
-
-
-def _port(name: str, doc: str) -> Setting:
-    reader = read_whole(1, MAX_PORT)
-    return Setting(name, REQUIRED, '', Scope.INSTANCE, '1 to 65535', reader, doc)
-
-
 def _duration(name: str, default: float, doc: str) -> Setting:
     # A platform may state its bounds in fractions of a millisecond.
     reader = read_number(1, MAX_DURATION_MS)
@@ -72,15 +61,19 @@
 
 
 GATEWAY_SETTINGS: tuple[Setting, ...] = (
-    _name('instance', 'The name of this instance, unique.'),
-    _name('region', 'The region it runs in.'),
-    _name('failure_domain', 'The failure domain it runs in.'),
-    _address('caller_address', 'Where callers send requests.'),
-    _address('readiness_address', 'Where the platform asks whether it is ready.'),
-    _address('discovery_address', 'Where callers ask which instances to use.'),
-    _port('metrics_port', 'Where metrics are served.'),
-    _port('peer_port', 'Where other instances reach it.'),
-    _address('store_address', "The platform's store."),
+    *PLACE_ROWS,
+    address_row('caller_address', Scope.INSTANCE, 'Where callers send requests.'),
+    address_row(
+        'readiness_address',
+        Scope.INSTANCE,
+        'Where the platform asks whether it is ready.',
+    ),
+    address_row(
+        'discovery_address', Scope.INSTANCE, 'Where callers ask which instances to use.'
+    ),
+    port_row('metrics_port', REQUIRED, 'Where metrics are served.', minimum=1),
+    port_row('peer_port', REQUIRED, 'Where other instances reach it.', minimum=1),
+    address_row('store_address', Scope.INSTANCE, "The platform's store."),
     Setting(
         'extension_paths',
         (),
@@ -90,15 +83,7 @@
         read_extension_paths,
         'Folders in which extensions are looked for.',
     ),
-    Setting(
-        'extensions',
-        (),
-        '',
-        Scope.DEPLOYMENT,
-        'list of modules',
-        read_extensions,
-        'Modules that register variants, for example a platform.',
-    ),
+    extensions_row('Modules that register variants, for example a platform.'),
     Setting(
         'platform',
         REQUIRED,
@@ -108,15 +93,7 @@
         _read_platform,
         'How the platform, callers and endpoints speak.',
     ),
-    Setting(
-        'log_level',
-        'info',
-        '',
-        Scope.INSTANCE,
-        ', '.join(LOG_LEVELS),
-        read_choice(LOG_LEVELS),
-        'The least severe level that is logged.',
-    ),
+    LOG_LEVEL_ROW,
     _count('memory_mb', 256, MAX_MEMORY_MB, 'MB', 'What the process may use.'),
     _seconds('grace_s', 8.0, 'From the signal to leave to the end by force.'),
     _duration('discovery_lifetime_ms', 2_000.0, 'How long callers keep addresses.'),
--- a/savorychute/settings/table.py
+++ b/savorychute/settings/table.py
@@ -4,16 +4,20 @@
 
 from typing import TYPE_CHECKING, Any
 
-from savorychute.settings.extension_reader import read_extensions
 from savorychute.settings.peer_key_reader import read_peer_keys
 from savorychute.settings.readers import (
-    read_address,
-    read_choice,
-    read_name,
     read_text,
     read_token_hashes,
     read_whole,
 )
+from savorychute.settings.rows import (
+    LOG_LEVEL_ROW,
+    MAX_DURATION_MS,
+    PLACE_ROWS,
+    address_row,
+    extensions_row,
+    port_row,
+)
 from savorychute.settings.scope import Scope
 from savorychute.settings.setting import REQUIRED, Setting
 from savorychute.settings.variant_readers import (
@@ -26,8 +30,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-LOG_LEVELS = ('debug', 'info', 'warning', 'error')
-MAX_DURATION_MS = 86_400_000
 MAX_BYTES = 1 << 32
 MAX_COUNT = 1_000_000
 HOUR_MS = 3_600_000
@@ -35,23 +37,10 @@
 MIN_SUSPICION_MS = 1_500
 
 
-def _name(name: str, scope: Scope, doc: str) -> Setting:
-    return Setting(name, REQUIRED, '', scope, 'name', read_name, doc)
-
-
-def _port(name: str, default: int, doc: str) -> Setting:
-    reader = read_whole(0, 65_535)
-    return Setting(name, default, '', Scope.INSTANCE, '0 to 65535', reader, doc)
-
-
 def _text(name: str, default: str, doc: str) -> Setting:
     return Setting(name, default, '', Scope.INSTANCE, 'string', read_text, doc)
 
 
-def _address(name: str, doc: str) -> Setting:
-    return Setting(name, REQUIRED, '', Scope.DEPLOYMENT, 'host:port', read_address, doc)
-
-
 def _duration(name: str, default: int, doc: str, minimum: int = 1) -> Setting:
     reader = read_whole(minimum, MAX_DURATION_MS)
     kind = f'{minimum} to {MAX_DURATION_MS}'
@@ -79,9 +68,7 @@
 
 
 SETTINGS: tuple[Setting, ...] = (
-    _name('instance', Scope.INSTANCE, 'The name of this instance, unique.'),
-    _name('region', Scope.INSTANCE, 'The region it runs in.'),
-    _name('failure_domain', Scope.INSTANCE, 'The failure domain it runs in.'),
+    *PLACE_ROWS,
     Setting(
         'host',
         REQUIRED,
@@ -92,8 +79,8 @@
         'The IP number by which callers and other instances reach it.',
     ),
     _text('bind_host', '', 'The IP number to listen on; empty: that of "host".'),
-    _port('caller_port', 8080, 'Port for callers and operators; 0: any free one.'),
-    _port('peer_port', 8081, 'Port for other instances; 0: any free one.'),
+    port_row('caller_port', 8080, 'Port for callers and operators; 0: any free one.'),
+    port_row('peer_port', 8081, 'Port for other instances; 0: any free one.'),
     Setting(
         'operator_token_hashes',
         {},
@@ -103,9 +90,9 @@
         read_token_hashes,
         'Digest of the bearer token of each operator.',
     ),
-    _address('log_address', "The platform's log."),
+    address_row('log_address', Scope.DEPLOYMENT, "The platform's log."),
     _variant('log_dialect', 'http', read_log_dialect, 'The protocol of the log.'),
-    _address('list_address', "The platform's list of instances."),
+    address_row('list_address', Scope.DEPLOYMENT, "The platform's list of instances."),
     _variant('list_dialect', 'http', read_list_dialect, 'The protocol of the list.'),
     Setting(
         'peer_keys',
@@ -119,24 +106,8 @@
     _text('tls_certificate_file', '', 'PEM chain for callers; empty: no TLS.'),
     _text('tls_key_file', '', 'PEM key that belongs to the chain.'),
     _duration('tls_reload_interval_ms', 60_000, 'How often both files are read anew.'),
-    Setting(
-        'log_level',
-        'info',
-        '',
-        Scope.INSTANCE,
-        ', '.join(LOG_LEVELS),
-        read_choice(LOG_LEVELS),
-        'The least severe level that is logged.',
-    ),
-    Setting(
-        'extensions',
-        (),
-        '',
-        Scope.DEPLOYMENT,
-        'list of modules',
-        read_extensions,
-        'Modules that extend the instance, set up in this order.',
-    ),
+    LOG_LEVEL_ROW,
+    extensions_row('Modules that extend the instance, set up in this order.'),
     _variant('router', 'predicted', read_router, 'How an endpoint is chosen.'),
     _variant('admission', 'tiered', read_admission, 'How requests wait and are shed.'),
     _count('max_connections', 4096, 'Open connections of callers.'),
