--- /dev/null
+++ b/benches/days/__init__.py
@@ -0,0 +1,1 @@
+"""Days of trouble, one kind or several that overlap, and what plays them."""
--- /dev/null
+++ b/tests/test_days/test_days.py
@@ -0,0 +1,97 @@
+"""Tests of the days of trouble, and of what plays them."""
+
+from __future__ import annotations
+
+import json
+import stat
+
+import pytest
+
+from benches.days.__main__ import main
+from benches.days.day_file import read_days
+from benches.days.day_player import read_kinds
+from benches.days.day_result import DayResult, read_report
+
+KINDS = """Each entry has 'at'.
+burst: x times the traffic
+roll_term: share (1) get SIGTERM
+
+these may come too:
+hup: share (.3) get SIGHUP
+"""
+REPORT = {
+    'G': 0.8816,
+    'served': 0.9747,
+    'refused': 0.01,
+    'failed': 0.0095,
+    'breaks': {'DRAIN': 2},
+    'fault': None,
+}
+
+
+def test_every_day_names_itself_and_holds_trouble():
+    days = read_days([])
+
+    assert len(days) > 50
+    assert all(day.kinds for day in days)
+
+
+def test_a_day_is_found_by_its_name():
+    (day,) = read_days(['pair-roll-burst'])
+
+    assert day.kinds == {'roll_term', 'burst'}
+
+
+def test_kinds_are_read_from_the_list():
+    assert read_kinds(KINDS) == {'burst', 'roll_term', 'hup'}
+
+
+def test_a_report_gives_a_row():
+    result = read_report('kochi', 'roll', json.dumps(REPORT))
+
+    assert result.row() == (
+        '| kochi | roll | 0.882 | 0.975 | 0.010 | 0.009 | DRAIN 2 |'
+    )
+
+
+def test_a_day_that_was_not_played_says_why():
+    result = DayResult('kochi', 'roll', trouble='not played, status 2: no site')
+
+    assert result.row() == '| kochi | roll | | | | | not played, status 2: no site |'
+
+
+@pytest.fixture
+def bench(tmp_path):
+    """A program in place of the bench: one day ends well, another leaves no report."""
+    program = tmp_path / 'bench'
+    program.write_text(
+        '#!/bin/sh\n'
+        'case "$1 $3" in\n'
+        f"kinds*) printf '%s' '{KINDS}' | sed \"s/'//g\" ;;\n"
+        '*roll.toml) echo "too busy"; exit 3 ;;\n'
+        f'run*) echo \'{json.dumps(REPORT | {"breaks": {}})}\' > "$6" ;;\n'
+        'esac\n'
+    )
+    program.chmod(program.stat().st_mode | stat.S_IXUSR)
+    return program
+
+
+def play(bench, capsys, *days):
+    """Play some days; return the status and the rows."""
+    names = [part for day in days for part in ('--day', day)]
+    status = main(['--bench', str(bench), '--why', 'test', *names, 'kochi.toml'])
+    return status, capsys.readouterr().out.splitlines()[2:]
+
+
+def test_days_are_played_where_their_trouble_may_come(bench, capsys):
+    status, rows = play(bench, capsys, 'burst', 'cut')
+
+    assert status == 0
+    assert rows == ['| kochi | burst | 0.882 | 0.975 | 0.010 | 0.009 | - |']
+
+
+def test_a_day_without_a_report_is_a_failure(bench, capsys):
+    status, rows = play(bench, capsys, 'roll')
+
+    assert status == 1
+    assert rows == ['| kochi | roll | | | | | not played, status 3: too busy |']
