--- /dev/null
+++ b/savorychute/gateway/endpoints/endpoint_search.py
@@ -0,0 +1,89 @@
+"""Finds an endpoint for each attempt of one request."""
+
+from __future__ import annotations
+
+from enum import Enum, auto
+from typing import TYPE_CHECKING
+
+from savorychute.gateway.endpoints.chooser import open_records
+from savorychute.gateway.endpoints.need import Need
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from savorychute.gateway.endpoints.chooser import Choice
+    from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
+    from savorychute.gateway.parts import GatewayParts
+    from savorychute.gateway.requests.admitted import Admitted
+    from savorychute.gateway.requests.inbound_request import InboundRequest
+
+# Rounds of load reports before a choice: of the likeliest engine, then of others.
+MOST_ASKED = 2
+
+
+class NotFound(Enum):
+    """Why there is no endpoint now; ``ASKING`` calls back when reports have come."""
+
+    ASKING = auto()
+    NONE_LEFT = auto()
+    OVERLOADED = auto()
+
+
+class EndpointSearch:
+    """Chooses among the endpoints that the request has not been sent to yet.
+
+    :param parts: what all requests share.
+    :param request: the request.
+    :param admitted: what it is owed.
+    """
+
+    def __init__(
+        self, parts: GatewayParts, request: InboundRequest, admitted: Admitted
+    ) -> None:
+        self._parts = parts
+        self._request = request
+        self._service = admitted.service
+        self._need = Need(
+            request.prompt,
+            admitted.route.gap_target_ms,
+            admitted.route.target_ms,
+            admitted.rank,
+        )
+        self._tried: set[str] = set()
+        self._asked = 0
+
+    def find(
+        self, now_ms: int, can_have_run: bool, on_reports: Callable[[], None]
+    ) -> Choice | NotFound:
+        """Return an endpoint for the next attempt, or why there is none.
+
+        :param now_ms: the time.
+        :param can_have_run: a request of which an attempt can have run is not refused
+            for want of room: nobody could be told that it had not run.
+        :param on_reports: called once after ``ASKING``, when the search should go on.
+        """
+        candidates = self._candidates(now_ms)
+        if not candidates:
+            return NotFound.NONE_LEFT
+        chooser = self._parts.chooser(self._service)
+        need = self._need._replace(tries_again=bool(self._tried))
+        wanted = chooser.wants_reports(candidates, need, now_ms)
+        if wanted and self._asked < MOST_ASKED:
+            self._asked += 1
+            self._parts.loads.refresh(wanted, on_reports)
+            return NotFound.ASKING
+        choice = chooser.choose(candidates, need, now_ms)
+        if not can_have_run and not self._parts.guard.admits(choice, need):
+            self._parts.telemetry.request_shed(self._request, choice, need, now_ms)
+            return NotFound.OVERLOADED
+        self._tried.add(choice.record.entry.endpoint)
+        self._asked = 0
+        return choice
+
+    def has_other(self, now_ms: int) -> bool:
+        """Return whether there is an endpoint that has not had the request."""
+        return bool(self._candidates(now_ms))
+
+    def _candidates(self, now_ms: int) -> list[EndpointRecord]:
+        records = self._parts.roster.usable(self._service.name)
+        return open_records(records, frozenset(self._tried), now_ms)
--- a/savorychute/gateway/requests/request_course.py
+++ b/savorychute/gateway/requests/request_course.py
@@ -4,17 +4,16 @@
 
 from typing import TYPE_CHECKING
 
-from savorychute.gateway.endpoints.chooser import open_records
-from savorychute.gateway.endpoints.need import Need
+from savorychute.gateway.endpoints.endpoint_search import EndpointSearch, NotFound
 from savorychute.gateway.recovery.crash_sighting import CrashSighting
 from savorychute.gateway.requests.attempt import Attempt
+from savorychute.gateway.requests.caller_answer import CallerAnswer
 from savorychute.gateway.requests.course_summary import CourseSummary
 from savorychute.gateway.requests.endpoint_answer import AnswerKind
 from savorychute.gateway.requests.event_times import EventTimes
 from savorychute.gateway.requests.outbound_attempt import OutboundAttempt
 from savorychute.gateway.requests.refusal import Refusal
 from savorychute.gateway.requests.silence import silence_ends_ms
-from savorychute.gateway.requests.stream_relay import StreamRelay
 from savorychute.ran import Ran
 from savorychute.result_code import ResultCode
 
@@ -36,8 +35,6 @@
 NO_ENDPOINT_RETRY_MS = 300
 # Between two looks at a silent endpoint that may not be left.
 RECHECK_MS = 50
-# Rounds of load reports before a choice: of the likeliest engine, then of others.
-MOST_ASKED = 2
 
 
 class RequestCourse:
@@ -63,17 +60,14 @@
         self._parts = parts
         self._request = request
         self._admitted = admitted
-        self._caller = caller
         self._route = admitted.route
-        self._relay = StreamRelay(caller, request.last_event)
+        self._search = EndpointSearch(parts, request, admitted)
+        self._answer = CallerAnswer(caller, request.last_event)
         self._attempt: Attempt | None = None
         self._timer: TimerHandle | None = None
-        self._tried: set[str] = set()
         self._sends = 0
-        self._asked = 0
         self._refused_after_ms = 0
         self._overloaded = False
-        self._passing = False
         self.possible_runs = 0
         self.began_ms = parts.clock.now_ms()
         self._times = EventTimes(self.began_ms)
@@ -103,8 +97,7 @@
         """Pass on events; the caller of a stream waits for each of them."""
         answer = attempt.answer
         assert answer is not None
-        passed = self._relay.take(data, answer.status, answer.headers)
-        if not passed:
+        if not self._answer.relay.take(data, answer.status, answer.headers):
             return
         attempt.began_to_answer()
         self._times.note(self.now_ms())
@@ -112,14 +105,12 @@
     def pass_head(self, attempt: Attempt) -> None:
         """Begin to pass on an answer that is too large to be held."""
         assert attempt.answer is not None
-        self._passing = True
-        self._caller.begin(attempt.answer.status, attempt.answer.headers)
-        self._caller.send(b''.join(attempt.held))
+        self._answer.pass_head(attempt.answer, attempt.held)
         attempt.held.clear()
 
     def pass_data(self, data: bytes) -> None:
         """Pass on more of it."""
-        self._caller.send(data)
+        self._answer.pass_data(data)
 
     def attempt_unsent(self, attempt: Attempt, reason: str) -> None:
         """Go on after an attempt of which no byte has left."""
@@ -155,27 +146,16 @@
         if answer.kind is AnswerKind.FAILURE:
             self._take_failure(attempt)
             return
-        if answer.is_stream and not self._relay.is_between_events:
+        if answer.is_stream and not self._answer.relay.is_between_events:
             self.attempt_broke(attempt, 'event-cut')
             return
         attempt.choice.record.health.succeeded()
         self._log_attempt(attempt, 'answered', '')
-        if answer.is_stream:
-            self._end_stream(attempt)
-        elif self._passing:
-            self._caller.finish()
-        else:
-            self._caller.respond(answer.status, answer.headers, b''.join(attempt.held))
+        self._answer.complete(answer, attempt.held)
         self._finish('answered', answer.status)
 
     # -- after an attempt
 
-    def _end_stream(self, attempt: Attempt) -> None:
-        assert attempt.answer is not None
-        if not self._relay.begun:
-            self._caller.begin(attempt.answer.status, attempt.answer.headers)
-        self._caller.finish()
-
     def _take_rejection(self, attempt: Attempt) -> None:
         """Go on after an endpoint that states that it did not run the request."""
         answer = attempt.answer
@@ -200,21 +180,18 @@
         self._log_attempt(attempt, 'failed', str(answer.status))
         if self._repeat():
             return
-        if self._relay.begun or self._passing:
-            self._caller.cut()
-        else:
-            self._caller.respond(answer.status, answer.headers, b''.join(attempt.held))
+        self._answer.fail(answer, attempt.held)
         self._finish('endpoint-failed', answer.status)
 
     def _repeat(self) -> bool:
         """Send a request again that may have run, if that does no harm."""
-        if not self._route.repeatable or self._passing:
+        if not self._route.repeatable or self._answer.passing:
             return False
         if self.possible_runs >= self._route.max_attempts or not self._may_go_on():
             return False
         if self._parts.crashes.is_suspect(self._admitted.fingerprint, self.now_ms()):
             return False
-        self._relay.restart()
+        self._answer.relay.restart()
         return self._spend() and self._send()
 
     def _may_go_on(self) -> bool:
@@ -226,63 +203,40 @@
         return self._parts.allowance.try_spend(service, self.now_ms())
 
     def _give_up(self, reason: str) -> None:
-        """End without an answer of an endpoint, and say truly what is known."""
-        if self._relay.begun or self._passing:
-            self._caller.cut()
-            self._finish(f'cut-{reason}')
-        elif self.possible_runs:
-            self._caller.refuse(
-                Refusal(ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN, reason)
+        """End without an answer of an endpoint."""
+        retry_after_ms = self._refused_after_ms or NO_ENDPOINT_RETRY_MS
+        if self._overloaded:
+            not_run = Refusal(
+                ResultCode.OVERLOADED, Ran.NOT_RUN, 'overload', retry_after_ms
             )
-            self._finish(reason, ResultCode.OUTCOME_UNKNOWN.status)
         else:
-            retry_after_ms = self._refused_after_ms or NO_ENDPOINT_RETRY_MS
-            if self._overloaded:
-                self._refuse(ResultCode.OVERLOADED, 'overload', retry_after_ms)
-            else:
-                self._refuse(ResultCode.NO_ENDPOINT, reason, retry_after_ms)
+            not_run = Refusal(
+                ResultCode.NO_ENDPOINT, Ran.NOT_RUN, reason, retry_after_ms
+            )
+        self._end_unanswered(not_run, ResultCode.OUTCOME_UNKNOWN)
 
-    def _refuse(self, code: ResultCode, reason: str, retry_after_ms: int) -> None:
-        assert not self.possible_runs
-        self._caller.refuse(Refusal(code, Ran.NOT_RUN, reason, retry_after_ms))
-        self._finish(reason, code.status)
+    def _end_unanswered(self, not_run: Refusal, unknown: ResultCode) -> None:
+        ending = self._answer.give_up(not_run, unknown, self.possible_runs)
+        self._finish(ending.outcome, ending.status)
 
     # -- sending
 
     def _send(self) -> bool:
         """Start an attempt; return false if there is no endpoint for it."""
         now_ms = self.now_ms()
-        service = self._admitted.service
-        records = self._parts.roster.usable(service.name)
-        candidates = open_records(records, frozenset(self._tried), now_ms)
-        if not candidates:
-            return False
-        chooser = self._parts.chooser(service)
-        need = self._need()
-        wanted = chooser.wants_reports(candidates, need, now_ms)
-        if wanted and self._asked < MOST_ASKED:
-            self._asked += 1
+        found = self._search.find(now_ms, bool(self.possible_runs), self._reports_came)
+        if found is NotFound.ASKING:
             self._arm()
-            self._parts.loads.refresh(wanted, self._reports_came)
             return True
-        choice = chooser.choose(candidates, need, now_ms)
-        if not self._parts.guard.admits(choice, need) and not self.possible_runs:
+        if found is NotFound.NONE_LEFT:
+            return False
+        if found is NotFound.OVERLOADED:
             self._refused_after_ms = self._parts.guard.retry_after_ms()
             self._overloaded = True
-            self._parts.telemetry.request_shed(self._request, choice, need, now_ms)
             return False
-        self._send_to(choice, now_ms)
+        self._send_to(found, now_ms)
         return True
 
-    def _need(self) -> Need:
-        return Need(
-            self._request.prompt,
-            self._route.gap_target_ms,
-            self._route.target_ms,
-            self._admitted.rank,
-            tries_again=bool(self._tried),
-        )
-
     def _reports_came(self) -> None:
         """Go on with the choice that waited for reports."""
         if not self.finished and not self._send():
@@ -290,20 +244,17 @@
 
     def _send_to(self, choice: Choice, now_ms: int) -> None:
         service = self._admitted.service
-        entry = choice.record.entry
-        self._tried.add(entry.endpoint)
         self._sends += 1
-        self._asked = 0
         attempt = Attempt(self, choice, now_ms)
         self._attempt = attempt
         attempt.running = self._parts.attempts.send(
             OutboundAttempt(
                 request=self._request,
-                endpoint=entry,
+                endpoint=choice.record.entry,
                 remaining_ms=self._admitted.end_ms - now_ms,
                 organisation=self._admitted.organisation,
                 urgency=self._admitted.rank if service.runs_models else None,
-                last_event=self._relay.last_event,
+                last_event=self._answer.relay.last_event,
                 fresh=not self._route.repeatable,
             ),
             attempt,
@@ -329,7 +280,7 @@
     def _leavable_attempt(self) -> Attempt | None:
         """Return the attempt under way if another endpoint may be tried instead."""
         attempt = self._attempt
-        if attempt is None or attempt.ended or self._passing:
+        if attempt is None or attempt.ended or self._answer.passing:
             return None
         if not self._route.repeatable:
             return None
@@ -369,21 +320,17 @@
 
     def _leave_silent(self, attempt: Attempt) -> None:
         """Close a silent attempt and try another endpoint, if there is one."""
-        can_go = self._may_go_on() and self._has_other(self.now_ms())
+        can_go = self._may_go_on() and self._search.has_other(self.now_ms())
         if not can_go or not self._spend():
             return
         attempt.stop()
         attempt.choice.record.health.silent(self.now_ms())
         self.possible_runs += attempt.sent
         self._log_attempt(attempt, 'silent', '')
-        self._relay.restart()
+        self._answer.relay.restart()
         if not self._send():
             self._give_up('silent')
 
-    def _has_other(self, now_ms: int) -> bool:
-        records = self._parts.roster.usable(self._admitted.service.name)
-        return bool(open_records(records, frozenset(self._tried), now_ms))
-
     def _time_out(self) -> None:
         """End a request whose time is over."""
         attempt = self._attempt
@@ -391,15 +338,10 @@
             attempt.stop()
             self.possible_runs += attempt.sent
             self._log_attempt(attempt, 'timeout', '')
-        if self._relay.begun or self._passing:
-            self._caller.cut()
-            self._finish('cut-timeout')
-        elif self.possible_runs:
-            code = ResultCode.ANSWER_TIMEOUT
-            self._caller.refuse(Refusal(code, Ran.UNKNOWN, 'timeout'))
-            self._finish('timeout', code.status)
-        else:
-            self._refuse(ResultCode.NO_ENDPOINT, 'timeout', NO_ENDPOINT_RETRY_MS)
+        not_run = Refusal(
+            ResultCode.NO_ENDPOINT, Ran.NOT_RUN, 'timeout', NO_ENDPOINT_RETRY_MS
+        )
+        self._end_unanswered(not_run, ResultCode.ANSWER_TIMEOUT)
 
     def _finish(self, outcome: str, status: int = 0) -> None:
         self.finished = True
@@ -420,7 +362,7 @@
             self._times.first_ms,
             self._sends,
             self.possible_runs,
-            self._relay.events,
+            self._answer.relay.events,
             self._times.longest_gap_ms,
             self._attempt.choice.record.entry.endpoint if self._attempt else '',
         )
