Rank engines once for each choice, and leave out what no decision uses

Cause: the lane and the order of homes were computed when reports were asked for and again for the choice, and each engine's name was formatted and encoded each time; four decoded fields (health path, connections, sticky, warm-up) were used by no decision. Ruled out: a bounded subset of engines for each prompt (the order is needed for the subset too).

--- /dev/null
+++ b/benches/gateway_choice.py
@@ -0,0 +1,78 @@
+"""Cost of a gateway's choice among a model's engines."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import TYPE_CHECKING
+
+from benches.bench_row import BenchRow, make_row
+from savorychute.gateway.endpoints import load_choosers
+from savorychute.gateway.endpoints.chooser import CHOOSERS
+from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
+from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
+from savorychute.gateway.endpoints.need import Need
+from savorychute.gateway.requests.prompt import Prompt, PromptPart
+from savorychute.http.client_pool import ServerAddress
+
+if TYPE_CHECKING:
+    from savorychute.gateway.endpoints.chooser import Chooser
+
+# Engines of one model: on the users' grown sites, and at the target size.
+ENGINES = (45, 160)
+PROMPTS = 200
+DECISIONS = 1_000
+NS_PER_US = 1_000
+GAP_TARGET_MS = 1_000
+TARGET_MS = 2_500
+
+
+def run(repeats: int, rng: random.Random) -> list[BenchRow]:
+    """Return the cost of one choice beside that of the fewest outstanding requests.
+
+    :param repeats: rounds; the quickest counts.
+    :param rng: gives the seeds.
+    """
+    load_choosers()
+    return [_measure(engines, repeats, rng) for engines in ENGINES]
+
+
+def _measure(engines: int, repeats: int, rng: random.Random) -> BenchRow:
+    costs = {}
+    for name in ('prompt-cache', 'least-outstanding'):
+        chooser = CHOOSERS.get(name)('hall', random.Random(rng.getrandbits(32)))
+        costs[name] = min(_cost_us(chooser, engines) for _ in range(repeats))
+    return make_row(
+        f'choice among {engines} engines',
+        costs['prompt-cache'],
+        'us',
+        costs['least-outstanding'],
+    )
+
+
+def _cost_us(chooser: Chooser, engines: int) -> float:
+    records = [EndpointRecord(_entry(number)) for number in range(engines)]
+    needs = [Need(_prompt(n), GAP_TARGET_MS, TARGET_MS) for n in range(PROMPTS)]
+    began_ns = time.process_time_ns()
+    for number in range(DECISIONS):
+        need = needs[number % PROMPTS]
+        chooser.wants_reports(records, need, number)
+        chooser.choose(records, need, number)
+    return (time.process_time_ns() - began_ns) / NS_PER_US / DECISIONS
+
+
+def _entry(number: int) -> EndpointEntry:
+    return EndpointEntry(
+        endpoint=f'i-{number:010x}',
+        service='pool',
+        address=ServerAddress('10.0.0.1', 8_000 + number),
+        failure_domain='hall',
+        slots=64,
+        draining=False,
+        sequence=1,
+    )
+
+
+def _prompt(number: int) -> Prompt:
+    parts = (PromptPart(f'shared-{number}', 13_300), PromptPart(f'own-{number}', 3_720))
+    return Prompt('m', 17_020, 120, parts)
--- a/savorychute/gateway/configuration/route.py
+++ b/savorychute/gateway/configuration/route.py
@@ -17,8 +17,7 @@
     objective (of a stream: to its first event), ``gap_target_ms`` the longest pause
     between events of a stream that is still on time.  A lower ``tier`` is more urgent.
     ``max_attempts`` bounds the endpoints that one request may run on.  A ``public``
-    route needs no key.  ``keeps_prompts`` says that requests carry prompts that
-    endpoints cache.  A ``resumable`` stream may go on at another endpoint.
+    route needs no key.  A ``resumable`` stream may go on at another endpoint.
     """
 
     name: str
@@ -32,7 +31,6 @@
     shares: tuple[ServiceShare, ...]
     max_attempts: int
     public: bool
-    keeps_prompts: bool
     resumable: bool
 
     @property
--- a/savorychute/gateway/endpoints/endpoint_entry.py
+++ b/savorychute/gateway/endpoints/endpoint_entry.py
@@ -12,9 +12,8 @@
     """One run of an endpoint.
 
     ``endpoint`` is new at each start, while ``address`` may be used again by an
-    endpoint of another service.  ``slots`` requests run at once.  ``warm_up_ms`` is
-    how much longer it stays slow after its start.  ``sequence`` grows with each
-    report.
+    endpoint of another service.  ``slots`` requests run at once.  ``sequence`` grows
+    with each report.
     """
 
     endpoint: str
@@ -23,5 +22,4 @@
     failure_domain: str
     slots: int
     draining: bool
-    warm_up_ms: int
     sequence: int
--- a/savorychute/gateway/endpoints/endpoint_record.py
+++ b/savorychute/gateway/endpoints/endpoint_record.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import xxhash
+
 from savorychute.gateway.endpoints.endpoint_health import EndpointHealth
 
 if TYPE_CHECKING:
@@ -17,14 +19,19 @@
 class EndpointRecord:
     """An endpoint's entry, its health, its last report, and what this instance has there.
 
+    ``hash_key`` and ``lane_key`` place the endpoint among others by its name, alike on all
+    instances.
+
     :param entry: what the platform lists.
     """
 
     __slots__ = (
         '_unread',
         'entry',
+        'hash_key',
         'health',
         'heard_ms',
+        'lane_key',
         'load',
         'load_ms',
         'missing_until_ms',
@@ -33,6 +40,8 @@
 
     def __init__(self, entry: EndpointEntry) -> None:
         self.entry = entry
+        self.hash_key = entry.endpoint.encode()
+        self.lane_key = int(xxhash.xxh3_64_intdigest(self.hash_key))
         self.health = EndpointHealth()
         self.heard_ms = 0
         self.load: EngineLoad | None = None
--- a/savorychute/gateway/endpoints/lane_split.py
+++ b/savorychute/gateway/endpoints/lane_split.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 from math import ceil
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
-import xxhash
-
 from savorychute.clock import MS_PER_S
 
 if TYPE_CHECKING:
@@ -38,6 +37,8 @@
 # some instances count to one lane and some to the other would serve both badly.
 MARGIN = 0.25
 
+lane_key = attrgetter('lane_key')
+
 
 class LaneSplit:
     """Divides engines into a steady lane and a lane for all else, by demand.
@@ -80,7 +81,7 @@
         wanted = self._wanted(len(records))
         if wanted is None:
             return records
-        ranked = sorted(records, key=_rank, reverse=True)
+        ranked = sorted(records, key=lane_key, reverse=True)
         most = len(records) - 1
         if is_steady(need):
             return ranked[: min(max(round(wanted - MARGIN), 1), most)]
@@ -109,7 +110,3 @@
     :param need: of the request.
     """
     return 0 < need.gap_target_ms <= STEADY_GAP_MS
-
-
-def _rank(record: EndpointRecord) -> int:
-    return int(xxhash.xxh3_64_intdigest(record.entry.endpoint.encode()))
--- a/savorychute/gateway/endpoints/prompt_cache.py
+++ b/savorychute/gateway/endpoints/prompt_cache.py
@@ -4,9 +4,8 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-import xxhash
-
 from savorychute.gateway.endpoints.chooser import CHOOSERS, Choice
+from savorychute.gateway.endpoints.home_ranking import HomeRanking
 from savorychute.gateway.endpoints.lane_split import LaneSplit, is_steady
 
 if TYPE_CHECKING:
@@ -83,6 +82,7 @@
         self._failure_domain = failure_domain
         self._rng = rng
         self._lanes = LaneSplit()
+        self._homes = HomeRanking()
         self._usual_tokens = USUAL_TOKENS
 
     def wants_reports(
@@ -97,7 +97,7 @@
         if prompt is None:
             return []
         lane = self._lane(records, need)
-        ranked = [candidate.record for candidate in self._rank(lane, prompt)]
+        ranked = self._ranked(lane, prompt)
         if is_steady(need):
             others = self._rng.sample(ranked[1:], min(1, len(ranked) - 1))
             return self._unknown([ranked[0], *others], now_ms, STEADY_REPORT_MS)
@@ -137,7 +137,7 @@
         if prompt is None:
             candidates = [_Candidate(record, 0, 0.0) for record in lane]
         else:
-            candidates = self._known(self._rank(lane, prompt), prompt, now_ms)
+            candidates = self._candidates(self._ranked(lane, prompt), prompt, now_ms)
         choices = [self._judge(each, now_ms) for each in candidates]
         return min(choices, key=lambda choice: choice.cost_ms)
 
@@ -161,11 +161,11 @@
             candidate.fresh_tokens,
             candidate.extra_ms + reading_ms + wait_ms,
             wait_ms,
-            _is_recent(record, now_ms, USABLE_REPORT_MS),
+            _is_usable(record, now_ms),
         )
 
-    def _known(
-        self, ranked: list[_Candidate], prompt: Prompt, now_ms: int
+    def _candidates(
+        self, ranked: Sequence[EndpointRecord], prompt: Prompt, now_ms: int
     ) -> list[_Candidate]:
         """Return the home, and the engines that may stand in for it.
 
@@ -174,34 +174,37 @@
         indeed: where all are busy, every prompt that is read anew takes the place of
         four that are cached, and more homes become busy.
         """
-        known = [
-            each
-            for each in ranked[1:]
-            if _is_recent(each.record, now_ms, USABLE_REPORT_MS)
+        if not prompt.affinity:
+            known = [each for each in ranked if _is_usable(each, now_ms)]
+            return [_Candidate(each, prompt.tokens, 0.0) for each in known or ranked]
+        home, *others = ranked
+        stand_ins = [
+            (rank, each) for rank, each in enumerate(others) if _is_usable(each, now_ms)
         ]
-        if prompt.shared_tokens < LARGE_TOKENS:
-            return [ranked[0], *known] if known else ranked
-        idle = [each for each in known if self._wait(each.record, now_ms) <= IDLE_MS]
-        return [ranked[0], *idle]
-
-    def _rank(self, lane: Sequence[EndpointRecord], prompt: Prompt) -> list[_Candidate]:
-        """Return the engines, the home of the prompt first."""
-        affinity = prompt.affinity
-        if not affinity:
-            return [_Candidate(record, prompt.tokens, 0.0) for record in lane]
-        ranked = sorted(lane, key=lambda each: _score(affinity, each), reverse=True)
-        again_ms = AGAIN_WEIGHT * prompt.shared_tokens / TOKENS_PER_MS
-        own_tokens = prompt.tokens - prompt.shared_tokens
-        home = _Candidate(ranked[0], own_tokens, 0.0)
-        others = [
-            _Candidate(record, prompt.tokens, again_ms + RANK_MS * rank)
-            for rank, record in enumerate(ranked[1:])
+        if prompt.shared_tokens >= LARGE_TOKENS:
+            stand_ins = [
+                (rank, each)
+                for rank, each in stand_ins
+                if self._wait(each, now_ms) <= IDLE_MS
+            ]
+        elif not stand_ins:
+            stand_ins = list(enumerate(others))
+        return [
+            _at_home(home, prompt),
+            *(_elsewhere(record, rank, prompt) for rank, record in stand_ins),
         ]
-        return [home, *others]
+
+    def _ranked(
+        self, lane: Sequence[EndpointRecord], prompt: Prompt
+    ) -> list[EndpointRecord]:
+        """Return the engines, the home of the prompt first if it has one."""
+        if not prompt.affinity:
+            return list(lane)
+        return self._homes.order(lane, prompt.affinity)
 
     def _wait(self, record: EndpointRecord, now_ms: int) -> float:
         """Predict how long a request waits there before its prompt is read."""
-        if record.load is not None and _is_recent(record, now_ms, USABLE_REPORT_MS):
+        if record.load is not None and _is_usable(record, now_ms):
             load = record.load
             each_tokens = min(load.next_tokens, self._usual_tokens)
             queued = (load.waiting + load.reading) * each_tokens
@@ -221,15 +224,25 @@
     return age_ms is not None and age_ms <= bound_ms
 
 
+def _is_usable(record: EndpointRecord, now_ms: int) -> bool:
+    return _is_recent(record, now_ms, USABLE_REPORT_MS)
+
+
 def _is_crowded(record: EndpointRecord, now_ms: int) -> bool:
     """Return whether an engine is known to have too many streams."""
     load = record.load
-    if load is None or not _is_recent(record, now_ms, USABLE_REPORT_MS):
+    if load is None or not _is_usable(record, now_ms):
         return False
     taken = load.waiting + load.reading + load.generating
     return taken > CROWDED_SHARE * record.entry.slots
 
 
-def _score(affinity: str, record: EndpointRecord) -> int:
-    seed = f'{affinity}/{record.entry.endpoint}'
-    return int(xxhash.xxh3_64_intdigest(seed.encode()))
+def _at_home(record: EndpointRecord, prompt: Prompt) -> _Candidate:
+    """Return the engine that has read the shared part."""
+    return _Candidate(record, prompt.tokens - prompt.shared_tokens, 0.0)
+
+
+def _elsewhere(record: EndpointRecord, rank: int, prompt: Prompt) -> _Candidate:
+    """Return an engine that has to read all."""
+    again_ms = AGAIN_WEIGHT * prompt.shared_tokens / TOKENS_PER_MS
+    return _Candidate(record, prompt.tokens, again_ms + RANK_MS * rank)
--- a/savorychute/gateway/store/endpoint_news.py
+++ b/savorychute/gateway/store/endpoint_news.py
@@ -20,7 +20,6 @@
     failure_domain: str = ''
     slots: int = 0
     draining: bool = False
-    warm_up_ms: int = 0
     sequence: int = 0
 
     def to_entry(self) -> EndpointEntry:
@@ -32,7 +31,6 @@
             self.failure_domain,
             self.slots,
             self.draining,
-            self.warm_up_ms,
             self.sequence,
         )
 
@@ -53,6 +51,5 @@
         failure_domain=entry.failure_domain,
         slots=entry.slots,
         draining=entry.draining,
-        warm_up_ms=entry.warm_up_ms,
         sequence=entry.sequence,
     )
--- a/tests/test_fleet/test_dialects.py
+++ b/tests/test_fleet/test_dialects.py
@@ -46,9 +46,7 @@
     ),
     b'ab',
 )
-ENTRY = EndpointEntry(
-    'i-1', 'pool', ServerAddress('10.0.0.9', 80), 'hall', 6, False, 0, 1
-)
+ENTRY = EndpointEntry('i-1', 'pool', ServerAddress('10.0.0.9', 80), 'hall', 6, False, 1)
 
 
 def make_attempt(**fields):
@@ -282,7 +280,7 @@
     entry = decode_endpoint('i-1', value)
 
     assert entry == EndpointEntry(
-        'i-1', 'x', ServerAddress('10.128.0.9', 8080), 'hall', 64, True, 250, 4
+        'i-1', 'x', ServerAddress('10.128.0.9', 8080), 'hall', 64, True, 4
     )
 
 
--- a/tests/test_gateway/gateway_fakes.py
+++ b/tests/test_gateway/gateway_fakes.py
@@ -232,7 +232,6 @@
         'shares': (ServiceShare('desk', 1.0),),
         'max_attempts': 2,
         'public': False,
-        'keeps_prompts': False,
         'resumable': False,
     }
     return Route(**(values | fields))
@@ -269,8 +268,8 @@
     if organisations is None:
         organisations = (Organisation('kochi', (KEY,)),)
     services = (
-        Service('desk', '/healthz', 100, False),
-        Service('pool', '/healthz', 300, True),
+        Service('desk', False),
+        Service('pool', True),
     )
     return Deployment(version, routes, services, organisations, LIMITS)
 
@@ -283,7 +282,6 @@
         'failure_domain': 'hall',
         'slots': 6,
         'draining': False,
-        'warm_up_ms': 0,
         'sequence': 1,
     }
     return EndpointEntry(**(values | fields))
