--- a/savorychute/wire/messages.capnp
+++ b/savorychute/wire/messages.capnp
@@ -305,8 +305,7 @@
   failureDomain @6 :Text;
   slots @7 :Int64;
   draining @8 :Bool;
-  warmUpMs @9 :Int64;
-  sequence @10 :Int64;
+  sequence @9 :Int64;
 }
 
 struct StoreAnswer {  # tag 92
