--- a/tests/test_fleet/rig.py
+++ b/tests/test_fleet/rig.py
@@ -1,4 +1,4 @@
-"""Gateways, endpoints and a store on loopback."""
+"""Gateways, endpoints and a store on loopback and on virtual time."""
 
 from __future__ import annotations
 
@@ -10,7 +10,6 @@
 
 from store_stand_in import run_store
 
-from savorychute.clock import SystemClock
 from savorychute.gateway.daemon.run_gateway import run_host
 from savorychute.gateway.settings.table import GATEWAY_SCHEMA
 from savorychute.http.client_pool import PoolSettings, ServerAddress, open_pool
@@ -20,6 +19,7 @@
 from savorychute.settings.settings_file import parse_schema
 from savorychute.testing.ports import free_ports
 from savorychute.testing.stand_in_http import LOOPBACK, serve
+from savorychute.testing.virtual_loop import LoopClock
 
 PLATFORM = str(Path(__file__).parents[2] / 'platform')
 KEY = 'kochi-key'
@@ -42,6 +42,8 @@
         self.engine = engine
         self.port = 0
         self.got = []
+        self.times = []
+        self.event_s = 0.0
         self.hold = None
         self.breaks = False
         self.report = b'{"waiting":0,"running":0,"runs":[]}'
@@ -69,6 +71,7 @@
             exchange.respond(200, (), self.report)
             return
         self.got.append(headers)
+        self.times.append(asyncio.get_running_loop().time())
         if headers.get('target-instance') != self.name:
             exchange.respond(421, (), b'')
             return
@@ -77,12 +80,14 @@
             return
         proof = [('attempt-id', headers['attempt-id']), ('server-signature', 's')]
         if not self.engine:
+            await asyncio.sleep(self.event_s)
             if self.hold is not None:
                 await self.hold.wait()
             exchange.respond(200, proof, exchange.request.body or b'done')
             return
         exchange.start(200, [*proof, ('content-type', 'text/event-stream')])
         for number in (1, 2, 3):
+            await asyncio.sleep(self.event_s)
             exchange.send(f'id: {number}\ndata: x\n\n'.encode())
             if self.hold is not None:
                 await self.hold.wait()
@@ -154,15 +159,25 @@
         self.store.put('keyed.op', 'config', make_configuration(version, **fields))
 
     def write_entries(self, **fields):
-        for endpoint in self.endpoints.values():
-            self.store.put('keyed.servers', endpoint.name, endpoint.entry(**fields))
+        for name in self.endpoints:
+            self.write_entry(name, **fields)
+
+    def write_entry(self, name, **fields):
+        self.store.put('keyed.servers', name, self.endpoints[name].entry(**fields))
 
     async def get(self, address, target):
         request = HttpRequest('GET', target)
         return await fetch(self._pool, ServerAddress(*address), request, CALL_MS)
 
     async def call(
-        self, path='/a/1', gateway=0, key=KEY, method='GET', body=b'', extra=()
+        self,
+        path='/a/1',
+        gateway=0,
+        key=KEY,
+        method='GET',
+        body=b'',
+        extra=(),
+        address=None,
     ):
         self._number += 1
         self.last_id = f'try-{self._number}'
@@ -173,7 +188,7 @@
             ('authorization', f'Bearer {key}'),
             *extra,
         )
-        address = self.gateways[gateway].settings.caller_address
+        address = address or self.gateways[gateway].settings.caller_address
         request = HttpRequest(method, path, headers, body)
         return await fetch(self._pool, ServerAddress(*address), request, CALL_MS)
 
@@ -207,20 +222,26 @@
 
 
 @asynccontextmanager
-async def run_rig(gateways=1, **settings):
-    """Run a store, two endpoints and some gateways until the block ends."""
+async def run_rig(gateways=1, spare=False, **settings):
+    """Run a store, endpoints and some gateways until the block ends.
+
+    A spare endpoint does the same as the plain one.
+    """
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(run_store())
         endpoints = {
             'd1': Endpoint('d1', 'desk', engine=False),
             'e1': Endpoint('e1', 'pool', engine=True),
         }
+        if spare:
+            endpoints['d2'] = Endpoint('d2', 'desk', engine=False)
         for endpoint in endpoints.values():
             server = await stack.enter_async_context(
                 serve(endpoint.handle, LOOPBACK, 0)
             )
             endpoint.port = server.port
-        pool = stack.enter_context(open_pool(PoolSettings(), SystemClock()))
+        clock = LoopClock()
+        pool = stack.enter_context(open_pool(PoolSettings(), clock))
         rig = Rig(store, endpoints, [], pool)
         rig.write_configuration()
         rig.write_entries()
@@ -228,7 +249,7 @@
             chosen = make_settings(number, store.port, **settings)
             log = InstanceLog(chosen.instance)
             rng = random.Random(number)
-            host = await stack.enter_async_context(run_host(chosen, log, rng=rng))
+            host = await stack.enter_async_context(run_host(chosen, log, clock, rng))
             rig.gateways.append(Gateway(host, chosen))
         for number in range(gateways):
             await rig.until_status(200, gateway=number)
--- a/tests/test_fleet/test_explaining.py
+++ b/tests/test_fleet/test_explaining.py
@@ -11,6 +11,7 @@
 
 from savorychute.explain.log_reader import read_logs
 from savorychute.explain.story import tell_story
+from savorychute.testing.virtual_loop import run_virtual
 
 TEST_S = 30
 LONG_PROMPT = (
@@ -44,7 +45,7 @@
 
     path = tmp_path / 'log'
     with log_file(path):
-        answer, request_id = asyncio.run(main())
+        answer, request_id = run_virtual(main())
     return answer, '\n'.join(tell_story(request_id, read_logs([path])))
 
 
--- a/tests/test_fleet/test_whole_path.py
+++ b/tests/test_fleet/test_whole_path.py
@@ -8,6 +8,8 @@
 import pytest
 from rig import KEY, run_rig, until
 
+from savorychute.testing.virtual_loop import run_virtual
+
 TEST_S = 30
 
 
@@ -18,7 +20,7 @@
         async with asyncio.timeout(TEST_S), run_rig(gateways, **settings) as rig:
             return await scenario(rig)
 
-    return asyncio.run(main())
+    return run_virtual(main())
 
 
 def test_calm_day():
