Let a host hand its parts narrow ports

Cause: six modules of daemon/ named the host's type and the host each of them, a circle of seven; what a part uses of the host was not to be seen without reading it. Ruled out: passing functions alone (answers and attempts need each other). Tests of daemon and instance pass unchanged.

--- a/savorychute/daemon/attempt_runner.py
+++ b/savorychute/daemon/attempt_runner.py
@@ -15,7 +15,7 @@
 
 if TYPE_CHECKING:
     from savorychute.actions import CancelAttempt, StartAttempt
-    from savorychute.daemon.host import DaemonHost
+    from savorychute.daemon.host_port import HostPort
     from savorychute.http.client_pool import ClientPool
 
 CANCEL_TIMEOUT_MS = 2_000
@@ -29,7 +29,7 @@
     :param pool: connections to endpoints.
     """
 
-    def __init__(self, host: DaemonHost, pool: ClientPool) -> None:
+    def __init__(self, host: HostPort, pool: ClientPool) -> None:
         self._host = host
         self._pool = pool
         self._report_ms = 0
--- a/savorychute/daemon/caller_answers.py
+++ b/savorychute/daemon/caller_answers.py
@@ -21,7 +21,7 @@
         SendChunk,
         StartResponse,
     )
-    from savorychute.daemon.host import DaemonHost
+    from savorychute.daemon.host_port import HostPort
     from savorychute.http.server_exchange import ServerExchange
     from savorychute.inputs import CallerRequest
 
@@ -49,7 +49,7 @@
     :param host: gets requests and news of callers that left.
     """
 
-    def __init__(self, host: DaemonHost) -> None:
+    def __init__(self, host: HostPort) -> None:
         self._host = host
         self._answers: dict[str, OpenAnswer] = {}
 
--- a/savorychute/daemon/engine_control.py
+++ b/savorychute/daemon/engine_control.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from savorychute.actions import PollEndpoint, SendOrder
-    from savorychute.daemon.host import DaemonHost
+    from savorychute.daemon.host_port import HostPort
     from savorychute.http.call_failure import CallFailure
     from savorychute.http.client_pool import ClientPool
     from savorychute.http.http_response import HttpResponse
@@ -28,7 +28,7 @@
     :param pool: connections to engines.
     """
 
-    def __init__(self, host: DaemonHost, pool: ClientPool) -> None:
+    def __init__(self, host: HostPort, pool: ClientPool) -> None:
         self._host = host
         self._pool = pool
 
--- a/savorychute/daemon/operator_answers.py
+++ b/savorychute/daemon/operator_answers.py
@@ -11,7 +11,7 @@
 
 if TYPE_CHECKING:
     from savorychute.actions import OperatorReply
-    from savorychute.daemon.host import DaemonHost
+    from savorychute.daemon.host_port import InputPort
     from savorychute.http.server_exchange import ServerExchange
 
 
@@ -21,7 +21,7 @@
     :param host: gets the commands.
     """
 
-    def __init__(self, host: DaemonHost) -> None:
+    def __init__(self, host: InputPort) -> None:
         self._host = host
         self._exchanges: dict[str, ServerExchange] = {}
 
--- a/savorychute/daemon/platform_runner.py
+++ b/savorychute/daemon/platform_runner.py
@@ -11,7 +11,7 @@
 
 if TYPE_CHECKING:
     from savorychute.actions import AppendRecord, FetchListing, ReadRecords
-    from savorychute.daemon.host import DaemonHost
+    from savorychute.daemon.host_port import HostPort
     from savorychute.http.call_failure import CallFailure
     from savorychute.http.client_pool import ClientPool
     from savorychute.http.http_response import HttpResponse
@@ -24,7 +24,7 @@
     :param pool: connections to the platform.
     """
 
-    def __init__(self, host: DaemonHost, pool: ClientPool) -> None:
+    def __init__(self, host: HostPort, pool: ClientPool) -> None:
         settings = host.settings
         self._host = host
         self._pool = pool
--- a/savorychute/daemon/running_attempt.py
+++ b/savorychute/daemon/running_attempt.py
@@ -12,7 +12,7 @@
     from collections.abc import Callable, Sequence
 
     from savorychute.actions import StartAttempt
-    from savorychute.daemon.host import DaemonHost
+    from savorychute.daemon.host_port import InputPort
     from savorychute.endpoints import Dialect
     from savorychute.http.client_call import ClientCall
     from savorychute.inputs import Input
@@ -53,7 +53,7 @@
         self,
         start: StartAttempt,
         dialect: Dialect,
-        host: DaemonHost,
+        host: InputPort,
         on_end: Callable[[RunningAttempt], None],
     ) -> None:
         self.start = start
--- a/savorychute/instance/operator_desk.py
+++ b/savorychute/instance/operator_desk.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
+import savorychute.instance.operator_commands  # noqa: F401 (fills the registry)
 from savorychute.actions import OperatorReply
 from savorychute.errors import SavorychuteError, UnknownVariantError
-from savorychute.instance import operator_commands  # noqa: F401 (fills the registry)
 from savorychute.instance.directory import hash_token
 from savorychute.instance.operator_call import OperatorCall
 from savorychute.instance.operator_verbs import OPERATOR_VERBS
