--- /dev/null
+++ b/savorychute/gateway/endpoints/lane_demand.py
@@ -0,0 +1,133 @@
+"""How much engine time steady streams and all other requests ask for."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from savorychute.clock import MS_PER_S
+
+if TYPE_CHECKING:
+    from savorychute.gateway.endpoints.need import Need
+
+# An event of several tokens waits for as many steps, and a step that reads a chunk of a
+# long prompt takes about 100 ms: with a bound below this, one long prompt beside a
+# stream makes it late.
+STEADY_GAP_MS = 350
+# Engine time for a token: read in a prompt, and generated beside others in a batch.
+READ_MS = 1 / 60
+GENERATED_MS = 0.1
+# The part of shared prompts that is not found in the cache: one in three tokens of a day.
+MISS_SHARE = 0.35
+# Own demand is averaged over about this time, so that the lanes follow a burst of one
+# kind.
+OWN_S = 4.0
+# What other instances say is kept for about this time.  Four of them are heard a second,
+# whichever the number of instances, so three times as many requests count as are seen.
+HEARD_S = 3.0
+# What is assumed before requests have shown it, in engine time: a part like that of the
+# users' days.  Without it the first prompts of a day get homes that they lose as soon as
+# the lanes are known, and are read twice.
+FIRST_STEADY_MS = 450.0
+FIRST_OTHER_MS = 2_550.0
+# Both figures travel in one number.
+FIGURE_BITS = 24
+MOST_MS = (1 << FIGURE_BITS) - 1
+
+
+class _Fading:
+    """Two sums that fade.
+
+    :param memory_s: how long an amount counts.
+    """
+
+    def __init__(self, memory_s: float) -> None:
+        self.steady_ms = 0.0
+        self.other_ms = 0.0
+        self._memory_s = memory_s
+        self._noted_ms: int | None = None
+
+    def add(self, steady_ms: float, other_ms: float, now_ms: int) -> None:
+        self.fade(now_ms)
+        self.steady_ms += steady_ms
+        self.other_ms += other_ms
+
+    def fade(self, now_ms: int) -> None:
+        if self._noted_ms is not None:
+            elapsed_s = max(0, now_ms - self._noted_ms) / MS_PER_S
+            kept = max(0.0, 1.0 - elapsed_s / self._memory_s)
+            self.steady_ms *= kept
+            self.other_ms *= kept
+        self._noted_ms = now_ms
+
+
+class LaneDemand:
+    """Learns from this instance's requests, and from what others say of theirs.
+
+    An instance of sixty sees two requests a second; lanes that each made of its own
+    requests alone would differ from one instance to the next, and an engine that is in
+    both lanes serves steady streams late.
+    """
+
+    def __init__(self) -> None:
+        self._own = _first_guess()
+        self._heard = _Fading(HEARD_S)
+
+    def note(self, need: Need, now_ms: int) -> None:
+        """Count the engine time that a request is expected to take.
+
+        :param need: of the request.
+        :param now_ms: the time.
+        """
+        self._heard.fade(now_ms)
+        self._own.fade(now_ms)
+        prompt = need.prompt
+        if prompt is None:
+            return
+        cached_tokens = (1.0 - MISS_SHARE) * prompt.shared_tokens
+        work_ms = READ_MS * (prompt.tokens - cached_tokens)
+        work_ms += GENERATED_MS * prompt.answer_tokens
+        if is_steady(need):
+            self._own.add(work_ms, 0.0, now_ms)
+        else:
+            self._own.add(0.0, work_ms, now_ms)
+
+    def advertised(self, now_ms: int) -> int:
+        """Return what other instances are told, in one number.
+
+        :param now_ms: the time.
+        """
+        self._own.fade(now_ms)
+        steady = min(round(self._own.steady_ms), MOST_MS)
+        other = min(round(self._own.other_ms), MOST_MS)
+        return (steady << FIGURE_BITS) | other
+
+    def hear(self, advertised: int, now_ms: int) -> None:
+        """Take in what another instance said.
+
+        :param advertised: its number.
+        :param now_ms: the time.
+        """
+        steady = min(advertised >> FIGURE_BITS, MOST_MS)
+        self._heard.add(steady, advertised & MOST_MS, now_ms)
+
+    def steady_share(self) -> float:
+        """Return the part of the engine time that steady streams ask for."""
+        steady_ms = self._own.steady_ms + self._heard.steady_ms
+        total_ms = steady_ms + self._own.other_ms + self._heard.other_ms
+        return steady_ms / total_ms if total_ms else 0.0
+
+
+def is_steady(need: Need) -> bool:
+    """Return whether a request's events must not pause.
+
+    :param need: of the request.
+    """
+    return 0 < need.gap_target_ms <= STEADY_GAP_MS
+
+
+def _first_guess() -> _Fading:
+    """Return what is assumed at the start; it fades from the first request on."""
+    fading = _Fading(OWN_S)
+    fading.steady_ms = FIRST_STEADY_MS
+    fading.other_ms = FIRST_OTHER_MS
+    return fading
--- /dev/null
+++ b/tests/test_http/pool_rig.py
@@ -0,0 +1,31 @@
+"""Servers that send raw bytes."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager, suppress
+
+from savorychute.http.client_pool import ServerAddress
+from savorychute.http.http_request import HttpRequest
+
+GET = HttpRequest('GET', '/')
+OK = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+
+
+@asynccontextmanager
+async def raw_server(handle):
+    """A server whose *handle* gets reader, writer and the connection's number."""
+    numbers = iter(range(1_000))
+
+    async def accept(reader, writer):
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            await handle(reader, writer, next(numbers))
+        writer.close()
+
+    server = await asyncio.start_server(accept, '127.0.0.1', 0)
+    async with server:
+        yield ServerAddress('127.0.0.1', server.sockets[0].getsockname()[1])
+
+
+async def read_head(reader):
+    return await reader.readuntil(b'\r\n\r\n')
