Share how reports to homes are numbered and forgotten

Cause: the report desks of credits and of limits kept the numbers and times of their reports in the same way, each by itself (found by a comparison of the pair); a fix of one would have missed the other. Ruled out: one desk for both (what is due, what a report holds and how a grant is applied differ in every line).

--- a/savorychute/credits/report_desk.py
+++ b/savorychute/credits/report_desk.py
@@ -7,6 +7,7 @@
 
 from savorychute.credits.credit_report import CreditReport
 from savorychute.credits.send_peer import send_to
+from savorychute.credits.sent_reports import SentReports
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -36,8 +37,7 @@
         self.epoch = epoch
         self._book = book
         self._relay = relay
-        self._number = 0
-        self._sent_ms: dict[int, int] = {}
+        self._sent = SentReports()
 
     def send_reports(self, view: MemberView, now_ms: int) -> list[Action]:
         """Return the reports that are due, one message for each home.
@@ -56,11 +56,10 @@
                 due.setdefault(holding.home, []).append(report)
         actions: list[Action] = []
         for home, reports in due.items():
-            self._number += 1
-            self._sent_ms[self._number] = now_ms
-            message = CreditReport(self.epoch, self._number, tuple(reports))
+            number = self._sent.number(now_ms)
+            message = CreditReport(self.epoch, number, tuple(reports))
             actions += send_to(home, message, view)
-        self._forget_reports(now_ms)
+        self._sent.forget(now_ms - self._book.settings.grant_ms)
         return actions
 
     def receive_grant(
@@ -76,7 +75,7 @@
         :param view: who is alive.
         :param now_ms: the time.
         """
-        sent_ms = self._sent_ms.get(message.report_number)
+        sent_ms = self._sent.sent_ms(message.report_number)
         if message.epoch != self.epoch or sent_ms is None:
             return []
         for grant in message.groups:
@@ -144,14 +143,6 @@
         is_interested = self._book.wants_spare(holding, now_ms)
         return is_interested and age_ms >= settings.idle_report_interval_ms
 
-    def _forget_reports(self, now_ms: int) -> None:
-        oldest_ms = now_ms - self._book.settings.grant_ms
-        while self._sent_ms:
-            number, sent_ms = next(iter(self._sent_ms.items()))
-            if sent_ms > oldest_ms:
-                break
-            del self._sent_ms[number]
-
 
 def _first(by_tier: Iterable[int]) -> float:
     """Return the highest tier with a count, or infinity."""
--- /dev/null
+++ b/savorychute/credits/sent_reports.py
@@ -0,0 +1,42 @@
+"""The reports that a home may still answer."""
+
+from __future__ import annotations
+
+
+class SentReports:
+    """Numbers reports and knows when each was sent.
+
+    A grant counts from the report that it answers: the home cannot have known less
+    than that report says, whenever its answer arrives.
+    """
+
+    def __init__(self) -> None:
+        self._number = 0
+        self._sent_ms: dict[int, int] = {}
+
+    def number(self, now_ms: int) -> int:
+        """Return the number of a report that is sent now.
+
+        :param now_ms: the time.
+        """
+        self._number += 1
+        self._sent_ms[self._number] = now_ms
+        return self._number
+
+    def sent_ms(self, number: int) -> int | None:
+        """Return when a report was sent, or None if it is forgotten or unknown.
+
+        :param number: of the report.
+        """
+        return self._sent_ms.get(number)
+
+    def forget(self, oldest_ms: int) -> None:
+        """Forget the reports that were sent until a time.
+
+        :param oldest_ms: that time.
+        """
+        while self._sent_ms:
+            number, sent_ms = next(iter(self._sent_ms.items()))
+            if sent_ms > oldest_ms:
+                break
+            del self._sent_ms[number]
--- a/savorychute/limits/report_desk.py
+++ b/savorychute/limits/report_desk.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from savorychute.credits.send_peer import send_to
+from savorychute.credits.sent_reports import SentReports
 from savorychute.limits.limit_report import LimitReport
 
 if TYPE_CHECKING:
@@ -26,8 +27,7 @@
 
     def __init__(self, book: ShareBook) -> None:
         self._book = book
-        self._number = 0
-        self._sent_ms: dict[int, int] = {}
+        self._sent = SentReports()
 
     def send_reports(self, view: MemberView, now_ms: int) -> list[Action]:
         """Return the reports that are due, one message for each home.
@@ -51,7 +51,7 @@
         actions: list[Action] = []
         for home, reports in due.items():
             actions += send_to(home, self._write(reports, now_ms), view)
-        self._forget_reports(now_ms)
+        self._sent.forget(now_ms - self._book.settings.grant_ms)
         return actions
 
     def receive_grant(
@@ -67,7 +67,7 @@
         :param view: who is alive.
         :param now_ms: the time.
         """
-        sent_ms = self._sent_ms.get(message.report_number)
+        sent_ms = self._sent.sent_ms(message.report_number)
         if message.epoch != self._book.epoch or sent_ms is None:
             return []
         for grant in message.shares:
@@ -103,13 +103,11 @@
         return self.send_reports(view, now_ms)
 
     def _write(self, reports: list[ShareReport], now_ms: int) -> LimitReport:
-        self._number += 1
-        self._sent_ms[self._number] = now_ms
         electorate = self._book.electorate
         last_ms = electorate.last_loss_ms
         return LimitReport(
             self._book.epoch,
-            self._number,
+            self._sent.number(now_ms),
             tuple(reports),
             self._book.vetoers,
             electorate.list_lost_since(now_ms - self._book.settings.unknown_ms),
@@ -154,11 +152,3 @@
             return True
         is_used = self._book.is_recent(meter, now_ms) or meter.in_use > 0
         return is_used and age_ms >= settings.report_interval_ms
-
-    def _forget_reports(self, now_ms: int) -> None:
-        oldest_ms = now_ms - self._book.settings.grant_ms
-        while self._sent_ms:
-            number, sent_ms = next(iter(self._sent_ms.items()))
-            if sent_ms > oldest_ms:
-                break
-            del self._sent_ms[number]
