Hear from probes who takes callers

Cause: since peers' messages are taken by their types, only answers and digests were read; a probe tells its sender's readiness as well, so instances were heard half as often. Ruled out: reading the version off any message with such a field (the reason for the types).

--- a/savorychute/gateway/daemon/gateway_host.py
+++ b/savorychute/gateway/daemon/gateway_host.py
@@ -8,7 +8,7 @@
 from savorychute.clock import MS_PER_S
 from savorychute.gateway.daemon.caller_exchange import CallerExchange
 from savorychute.gateway.daemon.leaving import plan_leaving
-from savorychute.gateway.daemon.peer_group import NOT_READY
+from savorychute.gateway.discovery.advertised import NOT_READY
 from savorychute.gateway.requests.refusal import Refusal
 from savorychute.gateway.requests.request_course import RequestCourse
 from savorychute.gateway.settings.key_trust import key_trust_ms
--- a/savorychute/gateway/daemon/peer_group.py
+++ b/savorychute/gateway/daemon/peer_group.py
@@ -9,6 +9,7 @@
 from savorychute.actions.send_peer import SendPeer
 from savorychute.clock import MS_PER_S
 from savorychute.daemon.peer_link import open_peer_link
+from savorychute.gateway.discovery.advertised import NOT_READY, read_advertised
 from savorychute.gateway.recovery.crash_news import CrashNews
 from savorychute.gateway.recovery.crash_spread import CrashSpread
 from savorychute.gateway.store.store_answer import StoreAnswer
@@ -16,8 +17,6 @@
 from savorychute.gateway.store.store_question import StoreQuestion
 from savorychute.inputs.listing_fetched import ListingFetched
 from savorychute.inputs.peer_received import PeerReceived
-from savorychute.membership.ack import Ack
-from savorychute.membership.digest import Digest
 from savorychute.membership.membership import Membership
 from savorychute.membership.settings import MembershipSettings
 from savorychute.wire.peer_codec import PeerCodec
@@ -40,8 +39,6 @@
 
 TICK_MS = 100
 REGISTER_RETRY_MS = 500
-# What an instance advertises as its version while callers should go elsewhere.
-NOT_READY = -1
 # Two probes a second: a peer that was killed is suspected within about a second, and
 # callers are told other addresses.
 SETTINGS = MembershipSettings(
@@ -170,16 +167,10 @@
             self._answer(membership, sender, message, now_ms)
         else:
             self._carry_out(membership.receive(sender, message, now_ms))
-            if isinstance(message, Ack | Digest):
-                self._hear_ready(membership, sender, message, now_ms)
-
-    def _hear_ready(
-        self, membership: Membership, sender: str, message: Ack | Digest, now_ms: int
-    ) -> None:
-        """Note whether a member takes callers, by the version that it advertises."""
-        ready = message.configuration_offset > NOT_READY
-        ready = ready and sender not in membership.view().leaving
-        self._directory.hear(message.origin.address, ready, now_ms)
+            said = read_advertised(message)
+            if said is not None:
+                ready = said.ready and sender not in membership.view().leaving
+                self._directory.hear(said.address, ready, now_ms)
 
     def _answer(
         self,
