--- a/savorychute/gateway/daemon/assembly.py
+++ b/savorychute/gateway/daemon/assembly.py
@@ -14,6 +14,7 @@
 from savorychute.gateway.endpoints import load_choosers
 from savorychute.gateway.endpoints.chooser import CHOOSERS
 from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
+from savorychute.gateway.endpoints.lane_demand import LaneDemand
 from savorychute.gateway.endpoints.load_watch import LoadWatch
 from savorychute.gateway.metric_rows import GATEWAY_METRICS
 from savorychute.gateway.parts import GatewayParts
@@ -93,7 +94,8 @@
     """
     settings = around.settings
     topics = _open_topics(around)
-    parts = _make_parts(around)
+    demand = LaneDemand()
+    parts = _make_parts(around, demand)
     plan = ReadingPlan(parts.configuration, int(settings.drain_notice_ms), around.clock)
     journal = EndpointJournal()
     entries = EndpointListener(
@@ -118,6 +120,7 @@
         Registration(topics.instances, own),
         directory,
         parts.crashes,
+        demand,
         plan,
         reading,
         around.clock,
@@ -171,7 +174,7 @@
     )
 
 
-def _make_parts(around: Surroundings) -> GatewayParts:
+def _make_parts(around: Surroundings, demand: LaneDemand) -> GatewayParts:
     load_choosers()
     settings, clock, rng = around.settings, around.clock, around.rng
     crashes = CrashBook()
@@ -186,7 +189,9 @@
             key_trust_ms(settings), int(settings.configuration_notice_ms)
         ),
         roster=roster,
-        model_chooser=CHOOSERS.get('prompt-cache')(settings.failure_domain, rng),
+        model_chooser=CHOOSERS.get('prompt-cache')(
+            settings.failure_domain, rng, demand
+        ),
         service_chooser=CHOOSERS.get('least-outstanding')(settings.failure_domain, rng),
         guard=OverloadGuard(rng),
         loads=LoadWatch(attempts, roster, clock),
--- a/savorychute/gateway/daemon/peer_group.py
+++ b/savorychute/gateway/daemon/peer_group.py
@@ -17,7 +17,9 @@
 from savorychute.gateway.store.store_question import StoreQuestion
 from savorychute.inputs.listing_fetched import ListingFetched
 from savorychute.inputs.peer_received import PeerReceived
+from savorychute.membership.ack import Ack
 from savorychute.membership.membership import Membership
+from savorychute.membership.ping import Ping
 from savorychute.membership.settings import MembershipSettings
 from savorychute.wire.peer_codec import PeerCodec
 
@@ -29,6 +31,7 @@
     from savorychute.clock import Clock
     from savorychute.daemon.peer_link import PeerLink
     from savorychute.gateway.discovery.instance_directory import InstanceDirectory
+    from savorychute.gateway.endpoints.lane_demand import LaneDemand
     from savorychute.gateway.recovery.crash_book import CrashBook
     from savorychute.gateway.store.reading_plan import ReadingPlan
     from savorychute.gateway.store.registration import Registration
@@ -57,6 +60,7 @@
     :param registration: this instance's entry.
     :param directory: what callers are told.
     :param crashes: requests that crash endpoints, told to all.
+    :param demand: of engines, told to all.
     :param plan: who reads the store.
     :param reading: what others have read.
     :param clock: the time.
@@ -69,6 +73,7 @@
         registration: Registration,
         directory: InstanceDirectory,
         crashes: CrashBook,
+        demand: LaneDemand,
         plan: ReadingPlan,
         reading: SharedReading,
         clock: Clock,
@@ -78,6 +83,7 @@
         self._registration = registration
         self._directory = directory
         self._crashes = crashes
+        self._demand = demand
         self._plan = plan
         self._reading = reading
         self._spread = CrashSpread(crashes)
@@ -144,7 +150,7 @@
         membership = self._membership
         assert membership is not None
         now_ms = self._clock.now_ms()
-        membership.advertise(self.ready_version)
+        membership.advertise(self.ready_version, self._demand.advertised(now_ms))
         self._carry_out(membership.tick(now_ms))
         view = membership.view()
         self._plan.follow(view)
@@ -167,6 +173,8 @@
             self._answer(membership, sender, message, now_ms)
         else:
             self._carry_out(membership.receive(sender, message, now_ms))
+            if isinstance(message, Ack | Ping):
+                self._demand.hear(message.load, now_ms)
             said = read_advertised(message)
             if said is not None:
                 ready = said.ready and sender not in membership.view().leaving
--- a/savorychute/gateway/endpoints/chooser.py
+++ b/savorychute/gateway/endpoints/chooser.py
@@ -11,6 +11,7 @@
     from collections.abc import Sequence
 
     from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
+    from savorychute.gateway.endpoints.lane_demand import LaneDemand
     from savorychute.gateway.endpoints.need import Need
 
 
@@ -58,7 +59,12 @@
 class ChooserFactory(Protocol):
     """Makes a chooser."""
 
-    def __call__(self, failure_domain: str, rng: random.Random) -> Chooser:
+    def __call__(
+        self,
+        failure_domain: str,
+        rng: random.Random,
+        demand: LaneDemand | None = None,
+    ) -> Chooser:
         """Return a chooser for an instance in a failure domain."""
         ...
 
--- a/savorychute/gateway/endpoints/lane_demand.py
+++ b/savorychute/gateway/endpoints/lane_demand.py
@@ -19,10 +19,10 @@
 # The part of shared prompts that is not found in the cache: one in three tokens of a day.
 MISS_SHARE = 0.35
 # Own demand is averaged over about this time, so that the lanes follow a burst of one
-# kind.
-OWN_S = 4.0
+# kind.  With 3 s they moved so often that homes were lost, and worth fell by 0.013.
+OWN_S = 8.0
 # What other instances say is kept for about this time.  Four of them are heard a second,
-# whichever the number of instances, so three times as many requests count as are seen.
+# however many there are, so about twelve times as many requests count as are seen.
 HEARD_S = 3.0
 # What is assumed before requests have shown it, in engine time: a part like that of the
 # users' days.  Without it the first prompts of a day get homes that they lose as soon as
--- a/savorychute/gateway/endpoints/least_outstanding.py
+++ b/savorychute/gateway/endpoints/least_outstanding.py
@@ -12,6 +12,7 @@
     from collections.abc import Sequence
 
     from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
+    from savorychute.gateway.endpoints.lane_demand import LaneDemand
     from savorychute.gateway.endpoints.need import Need
 
 # How much an endpoint that fails every request is avoided, in outstanding requests.
@@ -27,9 +28,15 @@
 
     :param failure_domain: of this instance.
     :param rng: breaks ties, so that instances do not all choose the same.
+    :param demand: not used.
     """
 
-    def __init__(self, failure_domain: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        failure_domain: str,
+        rng: random.Random,
+        demand: LaneDemand | None = None,  # noqa: ARG002
+    ) -> None:
         self._failure_domain = failure_domain
         self._rng = rng
 
--- a/savorychute/gateway/endpoints/prompt_cache.py
+++ b/savorychute/gateway/endpoints/prompt_cache.py
@@ -6,7 +6,8 @@
 
 from savorychute.gateway.endpoints.chooser import CHOOSERS, Choice
 from savorychute.gateway.endpoints.home_ranking import HomeRanking
-from savorychute.gateway.endpoints.lane_split import LaneSplit, is_steady
+from savorychute.gateway.endpoints.lane_demand import LaneDemand, is_steady
+from savorychute.gateway.endpoints.lane_split import LaneSplit
 
 if TYPE_CHECKING:
     import random
@@ -76,12 +77,19 @@
 
     :param failure_domain: of this instance.
     :param rng: breaks ties.
+    :param demand: what the lanes are made for; alone this instance's if left out.
     """
 
-    def __init__(self, failure_domain: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        failure_domain: str,
+        rng: random.Random,
+        demand: LaneDemand | None = None,
+    ) -> None:
         self._failure_domain = failure_domain
         self._rng = rng
-        self._lanes = LaneSplit()
+        self._demand = demand or LaneDemand()
+        self._lanes = LaneSplit(self._demand)
         self._homes = HomeRanking()
         self._usual_tokens = USUAL_TOKENS
 
@@ -121,7 +129,7 @@
         self, records: Sequence[EndpointRecord], need: Need, now_ms: int
     ) -> Choice:
         """Return the endpoint with the least predicted wait."""
-        self._lanes.note(need, now_ms)
+        self._demand.note(need, now_ms)
         best = self._best(self._lane(records, need), need, now_ms)
         if is_steady(need) and _is_crowded(best.record, now_ms):
             # Short and ahead of the queue, it is served by any engine; late events are
