--- a/savorychute/cmd/reference_pages.py
+++ b/savorychute/cmd/reference_pages.py
@@ -60,7 +60,8 @@
         + '\n'
         + format_title('Metrics', '-')
         + 'Every series has the label ``instance`` besides.  ``tier`` is the rank of '
-        'a request,\n0 for the most urgent.\n\n'
+        'a request,\n0 for the most urgent: three times the tier of its route, plus that '
+        'of the\norganisation.\n\n'
         + format_table(('metric', 'kind', 'labels', 'meaning'), metrics)
     )
 
