Untie the virtual runs: surroundings, instances, callers

Ruled out: protocols for the whole world (25 members): a base class that its users see does the same with one copy of each signature.

--- a/savorychute/testing/call_try.py
+++ b/savorychute/testing/call_try.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 
@@ -19,12 +19,33 @@
         StartResponse,
     )
     from savorychute.testing.call import Call
-    from savorychute.testing.callers import Callers
     from savorychute.testing.instance_host import InstanceHost
+    from savorychute.testing.surroundings import Surroundings
+
+
+class TryOwner(Protocol):
+    """Who decides what follows a try."""
+
+    @property
+    def world(self) -> Surroundings:
+        """What all parts of the run share."""
+        ...
+
+    def answered(self, call: Call, call_try: CallTry) -> None:
+        """Take a whole answer."""
+        ...
+
+    def failed(self, call: Call, refusal: Refusal, call_try: CallTry) -> None:
+        """Take a refusal or a cut answer."""
+        ...
+
+    def try_broke(self, call: Call, call_try: CallTry) -> None:
+        """Note that the connection broke."""
+        ...
 
 
 class CallTry:
-    """Takes what one instance answers and tells :class:`Callers` how it ended.
+    """Takes what one instance answers and tells its owner how it ended.
 
     :param callers: decides what follows.
     :param call: the call.
@@ -33,7 +54,7 @@
     """
 
     def __init__(
-        self, callers: Callers, call: Call, host: InstanceHost, request_id: str
+        self, callers: TryOwner, call: Call, host: InstanceHost, request_id: str
     ) -> None:
         self.call = call
         self.host = host
@@ -59,7 +80,7 @@
             return
         call = self.call
         now_ms = self._callers.world.heap.now_ms
-        self._callers.world.reached(steps.STREAMING, call.call_id, self.host)
+        self._callers.world.reached(steps.STREAMING, call.call_id, self.host.name)
         if call.first_token_ms is None:
             call.first_token_ms = now_ms
         else:
--- a/savorychute/testing/callers.py
+++ b/savorychute/testing/callers.py
@@ -17,8 +17,8 @@
     from random import Random
 
     from savorychute.testing.call import Call
+    from savorychute.testing.fleet import Fleet
     from savorychute.testing.instance_host import InstanceHost
-    from savorychute.testing.world import World
 
 CHAT_PATH = '/v1/chat/completions'
 MAX_FAILURES = 5
@@ -47,7 +47,7 @@
     :param rng: picks instances.
     """
 
-    def __init__(self, world: World, rng: Random) -> None:
+    def __init__(self, world: Fleet, rng: Random) -> None:
         self.world = world
         self.calls: list[Call] = []
         self.refusals = 0
@@ -67,7 +67,7 @@
 
     def answered(self, call: Call, call_try: CallTry) -> None:
         """Take a whole answer and compare it with what is due."""
-        self.world.reached(steps.ANSWERED, call.call_id, call_try.host)
+        self.world.reached(steps.ANSWERED, call.call_id, call_try.host.name)
         if call.text != call.answer:
             self.world.note_breach(
                 f'call {call.call_id}: {len(call.text)} bytes passed off as the'
@@ -157,7 +157,7 @@
     def _ask_key(self, call: Call, host: InstanceHost) -> None:
         """Let the instance that will get the call issue its key."""
         delay_ms = self.world.network.settings.client_ms
-        self.world.reached(steps.KEYED, call.call_id, host)
+        self.world.reached(steps.KEYED, call.call_id, host.name)
         key = ''
         if host.is_up and not host.is_paused:
             key = self.world.issue_key(host, call.organisation)
--- a/savorychute/testing/configuration_watch.py
+++ b/savorychute/testing/configuration_watch.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from savorychute.testing.world import World
+    from savorychute.testing.fleet import Fleet
 
 WATCH_MS = 250.0
 IN_FORCE_WITHIN_MS = 7_000.0
@@ -32,7 +32,7 @@
     :param world: the run.
     """
 
-    def __init__(self, world: World) -> None:
+    def __init__(self, world: Fleet) -> None:
         self._world = world
         self._seen: dict[str, dict[str, int]] = {}
         self._accepted: list[Accepted] = []
--- a/savorychute/testing/instance_host.py
+++ b/savorychute/testing/instance_host.py
@@ -46,8 +46,8 @@
     from savorychute.inputs import CallerRequest, Input
     from savorychute.instance import Instance
     from savorychute.member_address import MemberAddress
-    from savorychute.testing.call_try import CallTry
-    from savorychute.testing.world import World
+    from savorychute.testing.caller_port import CallerPort
+    from savorychute.testing.surroundings import Surroundings
 
 CONFIGURATION_STREAM = 'configuration'
 CONNECT_TIMEOUT_MS = 1_000.0
@@ -59,20 +59,25 @@
 class InstanceHost:
     """One process: its instance, clock, connections and callers.
 
-    :param world: the run.
+    :param world: what all parts of the run share.
     :param address: who and where it is.
     :param instance: what is driven.
     :param clock_ms: what its clock shows when the run begins.
+    :param find_peer: returns the instance that listens at a host and port.
+    :param on_reply: takes what it answers to operators.
     """
 
     def __init__(
         self,
-        world: World,
+        world: Surroundings,
         address: MemberAddress,
         instance: Instance,
         clock_ms: float,
+        find_peer: Callable[[str, int], InstanceHost | None],
+        on_reply: Callable[[OperatorReply], None],
     ) -> None:
         self.world = world
+        self._find_peer = find_peer
         self.address = address
         self.instance = instance
         self.is_up = True
@@ -81,18 +86,18 @@
         self.clock_ms = clock_ms
         self.served_since_ms = world.heap.now_ms
         self.connections: dict[str, Connection] = {}
-        self.tries: dict[str, CallTry] = {}
+        self.tries: dict[str, CallerPort] = {}
         self._inputs: deque[Input] = deque()
         self._left_while_paused: list[str] = []
         self._draining = False
         self._tick_due_ms: float | None = None
-        platform = PlatformLink(self)
+        platform = PlatformLink(world, self.name, self.deliver)
         self._performers: dict[type, Callable[[Any], None]] = {
             AppendRecord: platform.append,
             CancelAttempt: self._cancel,
             FetchListing: platform.fetch_listing,
             FinishResponse: self._finish,
-            OperatorReply: world.operator_replied,
+            OperatorReply: on_reply,
             PollEndpoint: self._poll,
             ReadRecords: platform.read,
             RefuseRequest: self._refuse,
@@ -139,10 +144,10 @@
         self._inputs.append(told)
         self._drain()
 
-    def take_request(self, request: CallerRequest, call_try: CallTry) -> None:
+    def take_request(self, request: CallerRequest, call_try: CallerPort) -> None:
         """Take a caller's request on a connection of its own."""
         self.tries[request.request_id] = call_try
-        self.world.reached(steps.RECEIVED, call_try.call.call_id, self)
+        self.world.reached(steps.RECEIVED, call_try.call.call_id, self.name)
         self.world.tier_watch.arrived(self.name, request.request_id, call_try.call)
         self.deliver(request)
 
@@ -157,7 +162,7 @@
             self._left_while_paused.append(request_id)
             return
         if self.tries.pop(request_id, None) is not None:
-            self.world.note_left(self, request_id)
+            self.world.note_left(self.name, request_id)
             self.deliver(CallerLeft(request_id))
 
     def start(self) -> None:
@@ -249,7 +254,7 @@
             world.heap, world.network, start, endpoint, domain, self._receive
         )
         self.connections[start.attempt_id] = connection
-        world.note_start(self, start)
+        world.note_start(self.name, start)
         if not world.network.is_reachable(domain, endpoint.failure_domain):
             world.heap.call_later(
                 CONNECT_TIMEOUT_MS, connection.fail, False, False, 'connect timeout'
@@ -268,7 +273,7 @@
 
     def _send_unless_cancelled(self, connection: Connection) -> None:
         if connection.is_open and self.is_up:
-            self.world.note_sent(self, connection.start)
+            self.world.note_sent(self.name, connection.start)
             connection.send_request()
 
     def _receive(self, connection: Connection, told: Input) -> None:
@@ -277,13 +282,13 @@
             self.connections.pop(connection.start.attempt_id, None)
         if isinstance(told, AttemptChunk | AttemptEnded):
             is_end = isinstance(told, AttemptEnded)
-            self.world.note_answer(self, connection.start, is_end)
+            self.world.note_answer(self.name, connection.start, is_end)
         self.deliver(told)
 
     def _cancel(self, cancel: CancelAttempt) -> None:
         connection = self.connections.pop(cancel.attempt_id, None)
         if connection is not None:
-            self.world.note_cancel(self, connection.start, cancel.keep_stream)
+            self.world.note_cancel(self.name, connection.start, cancel.keep_stream)
             connection.cancel(cancel.keep_stream)
 
     def _poll(self, poll: PollEndpoint) -> None:
@@ -326,12 +331,12 @@
 
     def _send_peer(self, send: SendPeer) -> None:
         world = self.world
-        target = world.find_peer(send.host, send.peer_port)
+        target = self._find_peer(send.host, send.peer_port)
         if target is None:
             return
         received = PeerReceived(self.name, send.message)
         if isinstance(send.message, StartNotice):
-            world.reached(steps.ANNOUNCED, steps.ANY_CALL, self)
+            world.reached(steps.ANNOUNCED, steps.ANY_CALL, self.name)
         for delay_ms in world.network.peer_delays(
             self.failure_domain, target.failure_domain
         ):
@@ -363,7 +368,7 @@
             self._to_caller(call_try.refused, refuse)
 
     def _note_telling(
-        self, call_try: CallTry, told: FinishResponse | RefuseRequest
+        self, call_try: CallerPort, told: FinishResponse | RefuseRequest
     ) -> None:
         world = self.world
         telling = Telling(
--- a/savorychute/testing/matrix/cell.py
+++ b/savorychute/testing/matrix/cell.py
@@ -124,13 +124,13 @@
 
     if cell.kind == AMENDMENT:
         subject = propose_rate(world, '', 1.25, '')
-        probe = Probe(world, subject, cell.step, fire)
+        probe = Probe(world.heap, world.ledger, subject, cell.step, fire)
     else:
         wanted = find_kind(world, cell.kind)
         call = stage.workload.make_call(wanted)
         if cell.kind == CLAIMED:
             call.key = make_time_ordered_key(world)
-        probe = Probe(world, call.call_id, cell.step, fire)
+        probe = Probe(world.heap, world.ledger, call.call_id, cell.step, fire)
         if cell.step == steps.QUEUED:
             _crowd(stage, wanted)
         world.heap.call_later(0, world.callers.begin, call)
--- a/savorychute/testing/matrix/probe.py
+++ b/savorychute/testing/matrix/probe.py
@@ -9,9 +9,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from savorychute.testing.instance_host import InstanceHost
-    from savorychute.testing.ledger import Execution
-    from savorychute.testing.world import World
+    from savorychute.testing.event_heap import EventHeap
+    from savorychute.testing.ledger import Execution, Ledger
 
 QUEUED_AFTER_MS = 30.0
 SPREADING_AFTER_MS = 5.0
@@ -20,26 +19,32 @@
 class Probe:
     """Calls back once, the first time that its subject reaches its step.
 
-    :param world: the run.
+    :param heap: the run's time.
+    :param ledger: tells of runs at endpoints.
     :param subject: the call's or command's id.
     :param step: the step to wait for.
     :param on_step: called then.
     """
 
     def __init__(
-        self, world: World, subject: str, step: str, on_step: Callable[[Probe], None]
+        self,
+        heap: EventHeap,
+        ledger: Ledger,
+        subject: str,
+        step: str,
+        on_step: Callable[[Probe], None],
     ) -> None:
         self.subject = subject
         self.step = step
         self.instance = ''
         self.endpoint = ''
         self.has_fired = False
-        self._world = world
+        self._heap = heap
         self._on_step = on_step
         self._is_under_way = False
-        world.ledger.on_execution = self._note_execution
+        ledger.on_execution = self._note_execution
 
-    def reached(self, step: str, subject: str, host: InstanceHost | None) -> None:
+    def reached(self, step: str, subject: str, instance: str) -> None:
         """Take in that something got so far.
 
         A start notice or an append does not say whose it is; it counts if the
@@ -47,16 +52,16 @@
         """
         if subject == self.subject:
             self._is_under_way = True
-            if host is not None:
-                self.instance = host.name
+            if instance:
+                self.instance = instance
         elif not subject.startswith('*') or not self._is_under_way:
             return
         if step == steps.RECEIVED and self.step == steps.QUEUED:
-            self._world.heap.call_later(QUEUED_AFTER_MS, self._fire)
+            self._heap.call_later(QUEUED_AFTER_MS, self._fire)
         elif step == steps.REPLIED and self.step == steps.SPREADING:
-            self._world.heap.call_later(SPREADING_AFTER_MS, self._fire)
+            self._heap.call_later(SPREADING_AFTER_MS, self._fire)
         elif step == self.step:
-            self._world.heap.call_later(0, self._fire)
+            self._heap.call_later(0, self._fire)
 
     def note_endpoint(self, subject: str, endpoint: str) -> None:
         """Remember where the subject runs."""
@@ -65,7 +70,7 @@
 
     def _note_execution(self, execution: Execution) -> None:
         if execution.marker == self.subject:
-            self.reached(steps.ACCEPTED, self.subject, None)
+            self.reached(steps.ACCEPTED, self.subject, '')
 
     def _fire(self) -> None:
         if not self.has_fired:
