Keep the first guess of the demand until requests come

Cause: an instance tells its demand ten times a second from its start on, and that let the guess fade before the first request; the first requests alone then made the lanes (found by reading the change once more). Ruled out: to tell nothing before the first request (others would have to know why).

--- a/savorychute/gateway/endpoints/lane_demand.py
+++ b/savorychute/gateway/endpoints/lane_demand.py
@@ -47,6 +47,11 @@
         self._memory_s = memory_s
         self._noted_ms: int | None = None
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether its amounts have begun to fade."""
+        return self._noted_ms is not None
+
     def add(self, steady_ms: float, other_ms: float, now_ms: int) -> None:
         self.fade(now_ms)
         self.steady_ms += steady_ms
@@ -97,7 +102,8 @@
 
         :param now_ms: the time.
         """
-        self._own.fade(now_ms)
+        if self._own.has_begun:
+            self._own.fade(now_ms)
         steady = min(round(self._own.steady_ms), MOST_MS)
         other = min(round(self._own.other_ms), MOST_MS)
         return (steady << FIGURE_BITS) | other
--- a/tests/test_gateway/test_lane_demand.py
+++ b/tests/test_gateway/test_lane_demand.py
@@ -103,3 +103,20 @@
     listener.hear(teller.advertised(0), 60_000)
 
     assert listener.steady_share() == pytest.approx(teller.steady_share(), abs=0.01)
+
+
+def test_first_guess_stays_until_the_first_request():
+    """Prompts that were read twice at the begin of a day.
+
+    Instances start sixteen seconds before their callers and tell each other their demand
+    ten times a second.  The guess that makes lanes before the first request was gone by
+    then; the first prompts got homes that they lost when the lanes came.
+    """
+    demand, other = LaneDemand(), LaneDemand()
+    guess = demand.steady_share()
+    for now_ms in range(0, 16_000, STEP_MS):
+        other.hear(demand.advertised(now_ms), now_ms)
+        demand.hear(other.advertised(now_ms), now_ms)
+
+    assert demand.steady_share() == pytest.approx(guess, abs=0.01)
+    assert demand.advertised(16_000) == LaneDemand().advertised(0)
