Make the first guess when the sums are made, and share a test's handler

Ruled out: fading only after the first amount, in the sums themselves (without requests demand would then stay, and a test says that it must not).

--- a/savorychute/gateway/endpoints/lane_demand.py
+++ b/savorychute/gateway/endpoints/lane_demand.py
@@ -39,11 +39,15 @@
     """Two sums that fade.
 
     :param memory_s: how long an amount counts.
+    :param steady_ms: the first sum at the start.
+    :param other_ms: the second one.
     """
 
-    def __init__(self, memory_s: float) -> None:
-        self.steady_ms = 0.0
-        self.other_ms = 0.0
+    def __init__(
+        self, memory_s: float, steady_ms: float = 0.0, other_ms: float = 0.0
+    ) -> None:
+        self.steady_ms = steady_ms
+        self.other_ms = other_ms
         self._memory_s = memory_s
         self._noted_ms: int | None = None
 
@@ -75,7 +79,7 @@
     """
 
     def __init__(self) -> None:
-        self._own = _first_guess()
+        self._own = _Fading(OWN_S, FIRST_STEADY_MS, FIRST_OTHER_MS)
         self._heard = _Fading(HEARD_S)
 
     def note(self, need: Need, now_ms: int) -> None:
@@ -102,6 +106,8 @@
 
         :param now_ms: the time.
         """
+        # The first guess must not fade before the first request: it keeps its weight
+        # however long an instance waits for callers.
         if self._own.has_begun:
             self._own.fade(now_ms)
         steady = min(round(self._own.steady_ms), MOST_MS)
@@ -130,11 +136,3 @@
     :param need: of the request.
     """
     return 0 < need.gap_target_ms <= STEADY_GAP_MS
-
-
-def _first_guess() -> _Fading:
-    """Return what is assumed at the start; it fades from the first request on."""
-    fading = _Fading(OWN_S)
-    fading.steady_ms = FIRST_STEADY_MS
-    fading.other_ms = FIRST_OTHER_MS
-    return fading
--- a/savorychute/gateway/endpoints/lane_split.py
+++ b/savorychute/gateway/endpoints/lane_split.py
@@ -22,7 +22,7 @@
 # some instances count to one lane and some to the other would serve both badly.
 MARGIN = 0.25
 
-lane_key = attrgetter('lane_key')
+_lane_key = attrgetter('lane_key')
 
 
 class LaneSplit:
@@ -48,7 +48,7 @@
         wanted = self._wanted(len(records))
         if wanted is None:
             return records
-        ranked = sorted(records, key=lane_key, reverse=True)
+        ranked = sorted(records, key=_lane_key, reverse=True)
         most = len(records) - 1
         if is_steady(need):
             return ranked[: min(max(round(wanted - MARGIN), 1), most)]
--- a/tests/test_http/pool_rig.py
+++ b/tests/test_http/pool_rig.py
@@ -29,3 +29,14 @@
 
 async def read_head(reader):
     return await reader.readuntil(b'\r\n\r\n')
+
+
+def answer_all(numbers):
+    """A handler that answers each request and notes its connection's number."""
+
+    async def handle(reader, writer, number):
+        while await read_head(reader):
+            numbers.append(number)
+            writer.write(OK)
+
+    return handle
--- a/tests/test_http/test_kept_connections.py
+++ b/tests/test_http/test_kept_connections.py
@@ -5,7 +5,7 @@
 import asyncio
 from contextlib import AsyncExitStack
 
-from pool_rig import GET, OK, raw_server, read_head
+from pool_rig import GET, OK, answer_all, raw_server, read_head
 
 from savorychute.clock import ManualClock, SystemClock
 from savorychute.http.client_pool import PoolSettings, open_pool
@@ -45,13 +45,8 @@
     clock = ManualClock()
     numbers = []
 
-    async def handle(reader, writer, number):
-        while await read_head(reader):
-            numbers.append(number)
-            writer.write(OK)
-
     async def main():
-        async with raw_server(handle) as address:
+        async with raw_server(answer_all(numbers)) as address:
             with open_pool(PoolSettings(idle_ms=1_000), clock) as pool:
                 await fetch(pool, address, GET, 5_000)
                 await fetch(pool, address, GET, 5_000)
@@ -116,13 +111,8 @@
 def test_call_that_is_no_longer_wanted_sends_nothing_and_keeps_the_connection():
     numbers = []
 
-    async def handle(reader, writer, number):
-        while await read_head(reader):
-            numbers.append(number)
-            writer.write(OK)
-
     async def main():
-        async with raw_server(handle) as address:
+        async with raw_server(answer_all(numbers)) as address:
             with open_pool(PoolSettings(), SystemClock()) as pool:
                 unwanted = Recorder(False)
                 pool.submit(address, GET, unwanted)
@@ -147,13 +137,8 @@
     """
     numbers = []
 
-    async def handle(reader, writer, number):
-        while await read_head(reader):
-            numbers.append(number)
-            writer.write(OK)
-
     async def main():
-        async with raw_server(handle) as address:
+        async with raw_server(answer_all(numbers)) as address:
             with open_pool(PoolSettings(), SystemClock()) as pool:
                 first = Recorder(True)
                 call = pool.submit(address, GET, first)
