Accept fractions for bounds that count

Cause: the platform states bounds as whole numbers or fractions; one that plays a part of its load gave 37.78 further attempts, and no instance started (error 5001). Ruled out: rounding in the template, which has no arithmetic. Change: retry_slack and memory_mb are numbers.

--- a/savorychute/gateway/recovery/retry_allowance.py
+++ b/savorychute/gateway/recovery/retry_allowance.py
@@ -19,7 +19,7 @@
 
     ratio: float
     window_ms: int
-    slack: int
+    slack: float
 
 
 class _Window:
--- a/savorychute/gateway/settings/gateway_settings.py
+++ b/savorychute/gateway/settings/gateway_settings.py
@@ -23,7 +23,7 @@
     extensions: tuple[str, ...]
     platform: str
     log_level: str
-    memory_mb: int
+    memory_mb: float
     grace_s: float
     discovery_lifetime_ms: float
     drain_notice_ms: float
@@ -32,6 +32,6 @@
     refuse_unconfirmed_keys: bool
     retry_ratio: float
     retry_window_s: float
-    retry_slack: int
+    retry_slack: float
     connect_timeout_ms: float
     store_timeout_ms: float
--- a/savorychute/gateway/settings/table.py
+++ b/savorychute/gateway/settings/table.py
@@ -12,7 +12,6 @@
     read_number,
     read_share,
     read_text,
-    read_whole,
 )
 from savorychute.settings.rows import (
     LOG_LEVEL_ROW,
@@ -53,8 +52,10 @@
     return Setting(name, default, 's', Scope.DEPLOYMENT, kind, reader, doc)
 
 
-def _count(name: str, default: int, maximum: int, unit: str, doc: str) -> Setting:
-    reader = read_whole(0, maximum)
+def _amount(name: str, default: float, maximum: int, unit: str, doc: str) -> Setting:
+    # A platform that plays a part of its load states its bounds as that part of them, so
+    # that even what is counted may be a fraction.
+    reader = read_number(0, maximum)
     return Setting(
         name, default, unit, Scope.DEPLOYMENT, f'0 to {maximum}', reader, doc
     )
@@ -94,7 +95,7 @@
         'How the platform, callers and endpoints speak.',
     ),
     LOG_LEVEL_ROW,
-    _count('memory_mb', 256, MAX_MEMORY_MB, 'MB', 'What the process may use.'),
+    _amount('memory_mb', 256.0, MAX_MEMORY_MB, 'MB', 'What the process may use.'),
     _seconds('grace_s', 8.0, 'From the signal to leave to the end by force.'),
     _duration('discovery_lifetime_ms', 2_000.0, 'How long callers keep addresses.'),
     _duration(
@@ -131,9 +132,9 @@
         'Further attempts at a service for each of its requests.',
     ),
     _seconds('retry_window_s', 10.0, 'The span in which both are counted.'),
-    _count(
+    _amount(
         'retry_slack',
-        50,
+        50.0,
         MAX_COUNT,
         '',
         'Further attempts besides, of all instances together.',
--- /dev/null
+++ b/tests/test_gateway/test_gateway_settings.py
@@ -0,0 +1,31 @@
+"""Tests of the settings that a platform fills in."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from test_settings_watch import DOCUMENT
+
+from savorychute.gateway.settings.table import GATEWAY_SCHEMA
+from savorychute.settings.settings_file import parse_schema
+
+
+@pytest.mark.parametrize(
+    ('name', 'value'),
+    [
+        ('retry_slack', 37.777777),
+        ('memory_mb', 150.5),
+        ('grace_s', 7.5),
+        ('revoke_notice_ms', 4_999.5),
+    ],
+)
+def test_bound_may_be_a_fraction(name, value):
+    """No instance started.
+
+    The deployment plays a part of its load and states its bounds as that part; a count of
+    37.8 further attempts was taken for a fault of the settings.
+    """
+    settings = parse_schema(json.dumps(DOCUMENT | {name: value}), 'x', GATEWAY_SCHEMA)
+
+    assert getattr(settings, name) == value
