--- a/benches/gateway_choice.py
+++ b/benches/gateway_choice.py
@@ -7,16 +7,16 @@
 from typing import TYPE_CHECKING
 
 from benches.bench_row import BenchRow, make_row
-from savorychute.gateway.endpoints import load_choosers
-from savorychute.gateway.endpoints.chooser import CHOOSERS
+from savorychute.gateway.dispatch import load_choosers
+from savorychute.gateway.dispatch.chooser import CHOOSERS
+from savorychute.gateway.dispatch.need import Need
 from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
 from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
-from savorychute.gateway.endpoints.need import Need
 from savorychute.gateway.requests.prompt import Prompt, PromptPart
 from savorychute.http.client_pool import ServerAddress
 
 if TYPE_CHECKING:
-    from savorychute.gateway.endpoints.chooser import Chooser
+    from savorychute.gateway.dispatch.chooser import Chooser
 
 # Engines of one model: on the users' grown sites, and at the target size.
 ENGINES = (45, 160)
--- a/savorychute/gateway/admission/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""When an engine is too full for a request."""
--- a/savorychute/gateway/daemon/assembly.py
+++ b/savorychute/gateway/daemon/assembly.py
@@ -4,17 +4,17 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from savorychute.gateway.admission.overload_guard import OverloadGuard
 from savorychute.gateway.configuration.configuration_state import ConfigurationState
 from savorychute.gateway.daemon.attempt_sender import AttemptSender
 from savorychute.gateway.daemon.gateway_host import GatewayHost
 from savorychute.gateway.daemon.loop_timers import LoopTimers
 from savorychute.gateway.daemon.peer_group import PeerGroup
 from savorychute.gateway.discovery.instance_directory import InstanceDirectory
-from savorychute.gateway.endpoints import load_choosers
-from savorychute.gateway.endpoints.chooser import CHOOSERS
+from savorychute.gateway.dispatch import load_choosers
+from savorychute.gateway.dispatch.chooser import CHOOSERS
+from savorychute.gateway.dispatch.lane_demand import LaneDemand
+from savorychute.gateway.dispatch.overload_guard import OverloadGuard
 from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
-from savorychute.gateway.endpoints.lane_demand import LaneDemand
 from savorychute.gateway.endpoints.load_watch import LoadWatch
 from savorychute.gateway.metric_rows import GATEWAY_METRICS
 from savorychute.gateway.parts import GatewayParts
--- a/savorychute/gateway/daemon/peer_group.py
+++ b/savorychute/gateway/daemon/peer_group.py
@@ -31,7 +31,7 @@
     from savorychute.clock import Clock
     from savorychute.daemon.peer_link import PeerLink
     from savorychute.gateway.discovery.instance_directory import InstanceDirectory
-    from savorychute.gateway.endpoints.lane_demand import LaneDemand
+    from savorychute.gateway.dispatch.lane_demand import LaneDemand
     from savorychute.gateway.recovery.crash_book import CrashBook
     from savorychute.gateway.store.reading_plan import ReadingPlan
     from savorychute.gateway.store.registration import Registration
--- /dev/null
+++ b/savorychute/gateway/dispatch/__init__.py
@@ -0,0 +1,23 @@
+"""How a request is placed at an endpoint, waits there, or is turned away.
+
+Nothing here does I/O or knows a host: the parts take needs, reports and times.
+
+* ``endpoint_search`` goes through the endpoints for one request;
+* ``chooser`` and its variants say which endpoint is best;
+* ``lane_demand`` and ``lane_split`` keep streams that must not pause from long prompts;
+* ``home_ranking`` sends requests of one shared prompt to one engine;
+* ``engine_model`` predicts what a request meets at an engine, from what engines showed;
+* ``overload_guard`` turns away what no engine could serve in time.
+"""
+
+from __future__ import annotations
+
+import importlib
+
+CHOOSER_MODULES = ('least_outstanding', 'prompt_cache')
+
+
+def load_choosers() -> None:
+    """Import the modules that register choosers."""
+    for name in CHOOSER_MODULES:
+        importlib.import_module(f'{__name__}.{name}')
--- a/savorychute/gateway/endpoints/chooser.py
+++ b/savorychute/gateway/dispatch/chooser.py
@@ -10,10 +10,10 @@
     import random
     from collections.abc import Sequence
 
+    from savorychute.gateway.dispatch.lane_demand import LaneDemand
+    from savorychute.gateway.dispatch.need import Need
     from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
     from savorychute.gateway.endpoints.endpoint_run import EndpointRun
-    from savorychute.gateway.endpoints.lane_demand import LaneDemand
-    from savorychute.gateway.endpoints.need import Need
 
 
 class Choice(NamedTuple):
--- a/savorychute/gateway/endpoints/endpoint_search.py
+++ b/savorychute/gateway/dispatch/endpoint_search.py
@@ -5,13 +5,13 @@
 from enum import Enum, auto
 from typing import TYPE_CHECKING
 
-from savorychute.gateway.endpoints.chooser import open_records
-from savorychute.gateway.endpoints.need import Need
+from savorychute.gateway.dispatch.chooser import open_records
+from savorychute.gateway.dispatch.need import Need
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from savorychute.gateway.endpoints.chooser import Choice
+    from savorychute.gateway.dispatch.chooser import Choice
     from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
     from savorychute.gateway.endpoints.endpoint_run import EndpointRun
     from savorychute.gateway.parts import GatewayParts
--- a/savorychute/gateway/endpoints/lane_demand.py
+++ b/savorychute/gateway/dispatch/lane_demand.py
@@ -7,7 +7,7 @@
 from savorychute.clock import MS_PER_S
 
 if TYPE_CHECKING:
-    from savorychute.gateway.endpoints.need import Need
+    from savorychute.gateway.dispatch.need import Need
 
 # An event of several tokens waits for as many steps, and a step that reads a chunk of a
 # long prompt takes about 100 ms: with a bound below this, one long prompt beside a
--- a/savorychute/gateway/endpoints/lane_split.py
+++ b/savorychute/gateway/dispatch/lane_split.py
@@ -6,14 +6,14 @@
 from operator import attrgetter
 from typing import TYPE_CHECKING
 
-from savorychute.gateway.endpoints.lane_demand import is_steady
+from savorychute.gateway.dispatch.lane_demand import is_steady
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from savorychute.gateway.dispatch.lane_demand import LaneDemand
+    from savorychute.gateway.dispatch.need import Need
     from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
-    from savorychute.gateway.endpoints.lane_demand import LaneDemand
-    from savorychute.gateway.endpoints.need import Need
 
 # With less than this of one kind there is nothing to keep apart.
 LEAST_SHARE = 0.02
--- a/savorychute/gateway/endpoints/least_outstanding.py
+++ b/savorychute/gateway/dispatch/least_outstanding.py
@@ -5,15 +5,15 @@
 from statistics import median_low
 from typing import TYPE_CHECKING
 
-from savorychute.gateway.endpoints.chooser import CHOOSERS, Choice
+from savorychute.gateway.dispatch.chooser import CHOOSERS, Choice
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Sequence
 
+    from savorychute.gateway.dispatch.lane_demand import LaneDemand
+    from savorychute.gateway.dispatch.need import Need
     from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
-    from savorychute.gateway.endpoints.lane_demand import LaneDemand
-    from savorychute.gateway.endpoints.need import Need
 
 # How much an endpoint that fails every request is avoided, in outstanding requests.
 FAILURE_WEIGHT = 8.0
--- a/savorychute/gateway/admission/overload_guard.py
+++ b/savorychute/gateway/dispatch/overload_guard.py
@@ -7,8 +7,8 @@
 if TYPE_CHECKING:
     import random
 
-    from savorychute.gateway.endpoints.chooser import Choice
-    from savorychute.gateway.endpoints.need import Need
+    from savorychute.gateway.dispatch.chooser import Choice
+    from savorychute.gateway.dispatch.need import Need
 
 # Part of an engine's places that requests of a rank may take together with all others.
 # Ranks go by the route's tier, three of them for each, and by the organisation's inside it.
--- a/savorychute/gateway/endpoints/prompt_cache.py
+++ b/savorychute/gateway/dispatch/prompt_cache.py
@@ -4,17 +4,17 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from savorychute.gateway.endpoints.chooser import CHOOSERS, Choice
-from savorychute.gateway.endpoints.home_ranking import HomeRanking
-from savorychute.gateway.endpoints.lane_demand import LaneDemand, is_steady
-from savorychute.gateway.endpoints.lane_split import LaneSplit
+from savorychute.gateway.dispatch.chooser import CHOOSERS, Choice
+from savorychute.gateway.dispatch.home_ranking import HomeRanking
+from savorychute.gateway.dispatch.lane_demand import LaneDemand, is_steady
+from savorychute.gateway.dispatch.lane_split import LaneSplit
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Sequence
 
+    from savorychute.gateway.dispatch.need import Need
     from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
-    from savorychute.gateway.endpoints.need import Need
     from savorychute.gateway.requests.prompt import Prompt
 
 # Prompt tokens that an engine reads in a millisecond: the users' engines read 61 and 93.
--- a/savorychute/gateway/parts.py
+++ b/savorychute/gateway/parts.py
@@ -6,12 +6,12 @@
 
 if TYPE_CHECKING:
     from savorychute.clock import Clock
-    from savorychute.gateway.admission.overload_guard import OverloadGuard
     from savorychute.gateway.configuration.configuration_state import (
         ConfigurationState,
     )
     from savorychute.gateway.configuration.service import Service
-    from savorychute.gateway.endpoints.chooser import Chooser
+    from savorychute.gateway.dispatch.chooser import Chooser
+    from savorychute.gateway.dispatch.overload_guard import OverloadGuard
     from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
     from savorychute.gateway.endpoints.load_watch import LoadWatch
     from savorychute.gateway.recovery.crash_book import CrashBook
--- a/savorychute/gateway/requests/attempt.py
+++ b/savorychute/gateway/requests/attempt.py
@@ -7,7 +7,7 @@
 from savorychute.gateway.requests.endpoint_answer import AnswerKind
 
 if TYPE_CHECKING:
-    from savorychute.gateway.endpoints.chooser import Choice
+    from savorychute.gateway.dispatch.chooser import Choice
     from savorychute.gateway.requests.attempt_port import RunningAttempt
     from savorychute.gateway.requests.endpoint_answer import EndpointAnswer
     from savorychute.http.call_failure import CallFailure
--- a/savorychute/gateway/requests/request_course.py
+++ b/savorychute/gateway/requests/request_course.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from savorychute.gateway.endpoints.endpoint_search import EndpointSearch, NotFound
+from savorychute.gateway.dispatch.endpoint_search import EndpointSearch, NotFound
 from savorychute.gateway.recovery.crash_sighting import CrashSighting
 from savorychute.gateway.requests.attempt import Attempt
 from savorychute.gateway.requests.caller_answer import CallerAnswer
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from savorychute.gateway.endpoints.chooser import Choice
+    from savorychute.gateway.dispatch.chooser import Choice
     from savorychute.gateway.parts import GatewayParts
     from savorychute.gateway.requests.admitted import Admitted
     from savorychute.gateway.requests.attempt_port import TimerHandle
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -14,9 +14,9 @@
     from savorychute.clock import Clock
     from savorychute.errors import SavorychuteError, SettingsError
     from savorychute.gateway.configuration.deployment import Deployment
-    from savorychute.gateway.endpoints.chooser import Choice
+    from savorychute.gateway.dispatch.chooser import Choice
+    from savorychute.gateway.dispatch.need import Need
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
-    from savorychute.gateway.endpoints.need import Need
     from savorychute.gateway.requests.admitted import Admitted
     from savorychute.gateway.requests.attempt import Attempt
     from savorychute.gateway.requests.course_summary import CourseSummary
--- a/tests/test_gateway/gateway_fakes.py
+++ b/tests/test_gateway/gateway_fakes.py
@@ -6,7 +6,6 @@
 from typing import NamedTuple
 
 from savorychute.clock import ManualClock
-from savorychute.gateway.admission.overload_guard import OverloadGuard
 from savorychute.gateway.configuration.caller_limits import CallerLimits
 from savorychute.gateway.configuration.configuration_state import ConfigurationState
 from savorychute.gateway.configuration.deployment import Deployment
@@ -15,8 +14,9 @@
 from savorychute.gateway.configuration.route import Route
 from savorychute.gateway.configuration.service import Service
 from savorychute.gateway.configuration.service_share import ServiceShare
-from savorychute.gateway.endpoints import load_choosers
-from savorychute.gateway.endpoints.chooser import CHOOSERS
+from savorychute.gateway.dispatch import load_choosers
+from savorychute.gateway.dispatch.chooser import CHOOSERS
+from savorychute.gateway.dispatch.overload_guard import OverloadGuard
 from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
 from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
 from savorychute.gateway.endpoints.engine_load import EngineLoad
--- a/tests/test_gateway/test_choosers.py
+++ b/tests/test_gateway/test_choosers.py
@@ -8,11 +8,11 @@
 import pytest
 from gateway_fakes import IDLE, make_entry, make_prompt
 
-from savorychute.gateway.endpoints import load_choosers
-from savorychute.gateway.endpoints.chooser import CHOOSERS, open_records
+from savorychute.gateway.dispatch import load_choosers
+from savorychute.gateway.dispatch.chooser import CHOOSERS, open_records
+from savorychute.gateway.dispatch.need import Need
 from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
 from savorychute.gateway.endpoints.engine_load import EngineLoad
-from savorychute.gateway.endpoints.need import Need
 
 LONG_GAP_MS = 1_000
 STEADY_GAP_MS = 250
--- a/tests/test_gateway/test_lane_demand.py
+++ b/tests/test_gateway/test_lane_demand.py
@@ -8,10 +8,10 @@
 import pytest
 from gateway_fakes import make_entry, make_prompt
 
+from savorychute.gateway.dispatch.lane_demand import LaneDemand
+from savorychute.gateway.dispatch.lane_split import LaneSplit
+from savorychute.gateway.dispatch.need import Need
 from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
-from savorychute.gateway.endpoints.lane_demand import LaneDemand
-from savorychute.gateway.endpoints.lane_split import LaneSplit
-from savorychute.gateway.endpoints.need import Need
 
 INSTANCES = 60
 ENGINES = 45
--- a/tests/test_gateway/test_overload_guard.py
+++ b/tests/test_gateway/test_overload_guard.py
@@ -7,11 +7,11 @@
 import pytest
 from gateway_fakes import make_entry, make_prompt, make_scene
 
-from savorychute.gateway.admission.overload_guard import OverloadGuard
-from savorychute.gateway.endpoints.chooser import Choice
+from savorychute.gateway.dispatch.chooser import Choice
+from savorychute.gateway.dispatch.need import Need
+from savorychute.gateway.dispatch.overload_guard import OverloadGuard
 from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
 from savorychute.gateway.endpoints.engine_load import EngineLoad
-from savorychute.gateway.endpoints.need import Need
 from savorychute.ran import Ran
 from savorychute.result_code import ResultCode
 
