Learn what engines do, and judge engines with few places by what slows them

Cause: figures of one kind of engine stood in the decisions. Engines with 12 places were called full at 7 requests, streams that could stand the reading of these engines were kept apart. Change: a model of a service's engines learns reading rate, pauses beside a queue and at rest; who is kept apart and waits are predicted by it; the guard counts at least 24 places; lanes count places.

--- a/savorychute/gateway/daemon/assembly.py
+++ b/savorychute/gateway/daemon/assembly.py
@@ -12,6 +12,7 @@
 from savorychute.gateway.discovery.instance_directory import InstanceDirectory
 from savorychute.gateway.dispatch import load_choosers
 from savorychute.gateway.dispatch.chooser import CHOOSERS
+from savorychute.gateway.dispatch.engine_models import EngineModels
 from savorychute.gateway.dispatch.lane_demand import LaneDemand
 from savorychute.gateway.dispatch.overload_guard import OverloadGuard
 from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
@@ -181,6 +182,7 @@
     attempts = AttemptSender(around.endpoints, around.adapter)
     roster = EndpointRoster(crashes.endpoint_ended, clock)
     metrics = Metrics(settings.instance, GATEWAY_METRICS)
+    models = EngineModels()
     return GatewayParts(
         clock=clock,
         timers=LoopTimers(),
@@ -190,10 +192,11 @@
         ),
         roster=roster,
         model_chooser=CHOOSERS.get('prompt-cache')(
-            settings.failure_domain, rng, demand
+            settings.failure_domain, rng, demand, models
         ),
         service_chooser=CHOOSERS.get('least-outstanding')(settings.failure_domain, rng),
         guard=OverloadGuard(rng),
+        engines=models,
         loads=LoadWatch(attempts, roster, clock),
         allowance=RetryAllowance(read_bounds(settings)),
         crashes=crashes,
--- a/savorychute/gateway/dispatch/chooser.py
+++ b/savorychute/gateway/dispatch/chooser.py
@@ -10,6 +10,7 @@
     import random
     from collections.abc import Sequence
 
+    from savorychute.gateway.dispatch.engine_models import EngineModels
     from savorychute.gateway.dispatch.lane_demand import LaneDemand
     from savorychute.gateway.dispatch.need import Need
     from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
@@ -21,7 +22,8 @@
 
     ``wait_ms`` is how long the request is expected to wait before its prompt is read;
     the reading itself does not count, or the largest prompts would be refused first.
-    ``load_known`` is whether the endpoint's load was reported lately.
+    ``load_known`` is whether the endpoint's load was reported lately, ``idle`` whether it
+    said that nothing waits there.  A stream that is ``apart`` runs away from long prompts.
     """
 
     record: EndpointRecord
@@ -29,6 +31,8 @@
     cost_ms: float
     wait_ms: float = 0.0
     load_known: bool = False
+    idle: bool = False
+    apart: bool = False
 
 
 class Chooser(Protocol):
@@ -65,6 +69,7 @@
         failure_domain: str,
         rng: random.Random,
         demand: LaneDemand | None = None,
+        models: EngineModels | None = None,
     ) -> Chooser:
         """Return a chooser for an instance in a failure domain."""
         ...
--- a/savorychute/gateway/dispatch/lane_demand.py
+++ b/savorychute/gateway/dispatch/lane_demand.py
@@ -7,15 +7,16 @@
 from savorychute.clock import MS_PER_S
 
 if TYPE_CHECKING:
+    from savorychute.gateway.dispatch.engine_model import EngineModel
     from savorychute.gateway.dispatch.need import Need
 
-# An event of several tokens waits for as many steps, and a step that reads a chunk of a
-# long prompt takes about 100 ms: with a bound below this, one long prompt beside a
-# stream makes it late.
-STEADY_GAP_MS = 350
-# Engine time for a token: read in a prompt, and generated beside others in a batch.
+# Requests that an engine runs at once, where its entry is not at hand.
+USUAL_PLACES = 64
+# Streams that must not pause get more places than they need in the mean: one that waits
+# for a place, or runs in a full batch, is late.
+HEADROOM = 1.0
 READ_MS = 1 / 60
-GENERATED_MS = 0.1
+TOKEN_MS = 6.4
 # The part of shared prompts that is not found in the cache: one in three tokens of a day.
 MISS_SHARE = 0.35
 # Own demand is averaged over about this time, so that the lanes follow a burst of one
@@ -82,11 +83,18 @@
         self._own = _Fading(OWN_S, FIRST_STEADY_MS, FIRST_OTHER_MS)
         self._heard = _Fading(HEARD_S)
 
-    def note(self, need: Need, now_ms: int) -> None:
+    def note(
+        self, need: Need, now_ms: int, model: EngineModel, places: int = USUAL_PLACES
+    ) -> None:
         """Count the engine time that a request is expected to take.
 
+        While its answer is generated a request takes one of an engine's places, so where
+        places are few, they are what long answers use up.
+
         :param need: of the request.
         :param now_ms: the time.
+        :param model: of the engines that may serve it.
+        :param places: requests that such an engine runs at once.
         """
         self._heard.fade(now_ms)
         self._own.fade(now_ms)
@@ -95,10 +103,12 @@
             return
         cached_tokens = (1.0 - MISS_SHARE) * prompt.shared_tokens
         work_ms = READ_MS * (prompt.tokens - cached_tokens)
-        work_ms += GENERATED_MS * prompt.answer_tokens
-        if is_steady(need):
+        generating_ms = TOKEN_MS * prompt.answer_tokens / places
+        if model.needs_apart(need):
+            work_ms += HEADROOM * generating_ms
             self._own.add(work_ms, 0.0, now_ms)
         else:
+            work_ms += generating_ms
             self._own.add(0.0, work_ms, now_ms)
 
     def advertised(self, now_ms: int) -> int:
@@ -128,11 +138,3 @@
         steady_ms = self._own.steady_ms + self._heard.steady_ms
         total_ms = steady_ms + self._own.other_ms + self._heard.other_ms
         return steady_ms / total_ms if total_ms else 0.0
-
-
-def is_steady(need: Need) -> bool:
-    """Return whether a request's events must not pause.
-
-    :param need: of the request.
-    """
-    return 0 < need.gap_target_ms <= STEADY_GAP_MS
--- a/savorychute/gateway/dispatch/lane_split.py
+++ b/savorychute/gateway/dispatch/lane_split.py
@@ -6,13 +6,10 @@
 from operator import attrgetter
 from typing import TYPE_CHECKING
 
-from savorychute.gateway.dispatch.lane_demand import is_steady
-
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from savorychute.gateway.dispatch.lane_demand import LaneDemand
-    from savorychute.gateway.dispatch.need import Need
     from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
 
 # With less than this of one kind there is nothing to keep apart.
@@ -38,19 +35,19 @@
         self._demand = demand
 
     def lane(
-        self, records: Sequence[EndpointRecord], need: Need
+        self, records: Sequence[EndpointRecord], *, apart: bool
     ) -> Sequence[EndpointRecord]:
         """Return the engines of a request's lane.
 
         :param records: all engines that it may use, at least one.
-        :param need: of the request.
+        :param apart: whether it is a stream that would be late beside long prompts.
         """
         wanted = self._wanted(len(records))
         if wanted is None:
             return records
         ranked = sorted(records, key=_lane_key, reverse=True)
         most = len(records) - 1
-        if is_steady(need):
+        if apart:
             return ranked[: min(max(round(wanted - MARGIN), 1), most)]
         return ranked[min(max(ceil(wanted - MARGIN), 1), most) :]
 
--- a/savorychute/gateway/dispatch/least_outstanding.py
+++ b/savorychute/gateway/dispatch/least_outstanding.py
@@ -11,6 +11,7 @@
     import random
     from collections.abc import Sequence
 
+    from savorychute.gateway.dispatch.engine_models import EngineModels
     from savorychute.gateway.dispatch.lane_demand import LaneDemand
     from savorychute.gateway.dispatch.need import Need
     from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
@@ -29,6 +30,7 @@
     :param failure_domain: of this instance.
     :param rng: breaks ties, so that instances do not all choose the same.
     :param demand: not used.
+    :param models: not used.
     """
 
     def __init__(
@@ -36,6 +38,7 @@
         failure_domain: str,
         rng: random.Random,
         demand: LaneDemand | None = None,  # noqa: ARG002
+        models: EngineModels | None = None,  # noqa: ARG002
     ) -> None:
         self._failure_domain = failure_domain
         self._rng = rng
--- a/savorychute/gateway/dispatch/overload_guard.py
+++ b/savorychute/gateway/dispatch/overload_guard.py
@@ -16,6 +16,10 @@
 # chunk, about 90 ms, and answers of 120 tokens pass their deadlines; with half of the
 # places taken it finishes about as many requests a second, and nearly all in time.
 PLACES_SHARE = (1.5, 1.1, 0.95, 0.9, 0.75, 0.75, 0.7, 0.6, 0.55)
+# An engine with fewer places is judged as if it had so many.  What slows answers is how
+# many streams run beside the reading; a dozen of them slow none, and an engine with 12
+# places that was called full at seven left a third of its time unused.
+LEAST_PLACES = 24
 # Requests that may wait at an engine for its prompts to be read.  While any waits, every
 # step reads a chunk and each token takes about 80 ms; a short queue leaves steps between.
 MOST_WAITING = (64, 16, 12, 12, 8, 8, 6, 5, 4)
@@ -51,8 +55,8 @@
         if need.prompt is None or load is None or not choice.load_known:
             return True
         rank = min(need.rank, len(PLACES_SHARE) - 1)
-        taken = load.waiting + load.reading + load.generating
-        if taken > PLACES_SHARE[rank] * choice.record.entry.slots:
+        places = max(choice.record.entry.slots, LEAST_PLACES)
+        if load.taken > PLACES_SHARE[rank] * places:
             return False
         if load.waiting + load.reading > MOST_WAITING[rank]:
             return False
--- a/savorychute/gateway/dispatch/prompt_cache.py
+++ b/savorychute/gateway/dispatch/prompt_cache.py
@@ -5,20 +5,21 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from savorychute.gateway.dispatch.chooser import CHOOSERS, Choice
+from savorychute.gateway.dispatch.engine_models import EngineModels
 from savorychute.gateway.dispatch.home_ranking import HomeRanking
-from savorychute.gateway.dispatch.lane_demand import LaneDemand, is_steady
+from savorychute.gateway.dispatch.lane_demand import LaneDemand
 from savorychute.gateway.dispatch.lane_split import LaneSplit
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Sequence
 
+    from savorychute.gateway.dispatch.engine_model import EngineModel
     from savorychute.gateway.dispatch.need import Need
     from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
+    from savorychute.gateway.endpoints.engine_load import EngineLoad
     from savorychute.gateway.requests.prompt import Prompt
 
-# Prompt tokens that an engine reads in a millisecond: the users' engines read 61 and 93.
-TOKENS_PER_MS = 60.0
 # What one more request adds to each step of the batch, until an answer of usual
 # length is out.
 PLACE_MS = 6.0
@@ -52,11 +53,9 @@
 # streams, events came every 350 ms instead of 250, and whoever is more urgent puts back
 # others.
 CROWDED_SHARE = 0.5
-# Weight of the newest request in what requests usually read.
-USUAL_WEIGHT = 0.1
-# What a waiting request is taken to read before this instance has sent any.  A report
-# tells the whole size of the first prompt in the queue, most of which is cached.
-USUAL_TOKENS = 4_000.0
+# A dozen streams beside each other slow no engine; one with few places is crowded when
+# the next stream would take the last one.
+LEAST_CROWDED = 12
 # An engine with a shorter wait may stand in for a busy home.
 IDLE_MS = 120.0
 
@@ -78,6 +77,7 @@
     :param failure_domain: of this instance.
     :param rng: breaks ties.
     :param demand: what the lanes are made for; alone this instance's if left out.
+    :param models: what engines showed; nothing yet if left out.
     """
 
     def __init__(
@@ -85,13 +85,14 @@
         failure_domain: str,
         rng: random.Random,
         demand: LaneDemand | None = None,
+        models: EngineModels | None = None,
     ) -> None:
         self._failure_domain = failure_domain
+        self._models = models or EngineModels()
         self._rng = rng
         self._demand = demand or LaneDemand()
         self._lanes = LaneSplit(self._demand)
         self._homes = HomeRanking()
-        self._usual_tokens = USUAL_TOKENS
 
     def wants_reports(
         self, records: Sequence[EndpointRecord], need: Need, now_ms: int
@@ -106,7 +107,7 @@
             return []
         lane = self._lane(records, need)
         ranked = self._ranked(lane, prompt)
-        if is_steady(need):
+        if self._needs_apart(records, need):
             others = self._rng.sample(ranked[1:], min(1, len(ranked) - 1))
             return self._unknown([ranked[0], *others], now_ms, STEADY_REPORT_MS)
         if prompt.tokens < LARGE_TOKENS:
@@ -129,16 +130,20 @@
         self, records: Sequence[EndpointRecord], need: Need, now_ms: int
     ) -> Choice:
         """Return the endpoint with the least predicted wait."""
-        self._demand.note(need, now_ms)
+        entry = records[0].entry
+        model = self._models.of(entry.service)
+        apart = model.needs_apart(need)
+        self._demand.note(need, now_ms, model, entry.slots)
         best = self._best(self._lane(records, need), need, now_ms)
-        if is_steady(need) and _is_crowded(best.record, now_ms):
+        if apart and _is_crowded(best.record, now_ms):
             # Short and ahead of the queue, it is served by any engine; late events are
             # better than none, and than putting back others.
             free = [each for each in records if not _is_crowded(each, now_ms)]
-            best = self._best(free or records, need, now_ms)
-        difference = best.fresh_tokens - self._usual_tokens
-        self._usual_tokens += USUAL_WEIGHT * difference
-        return best
+            return self._best(free or records, need, now_ms)
+        return best._replace(apart=apart)
+
+    def _needs_apart(self, records: Sequence[EndpointRecord], need: Need) -> bool:
+        return self._models.of(records[0].entry.service).needs_apart(need)
 
     def _best(self, lane: Sequence[EndpointRecord], need: Need, now_ms: int) -> Choice:
         prompt = need.prompt
@@ -156,20 +161,23 @@
 
         A steady stream that an engine of its lane has refused goes to any engine.
         """
-        if is_steady(need) and need.tries_again:
+        apart = self._needs_apart(records, need)
+        if apart and need.tries_again:
             return records
-        return self._lanes.lane(records, need)
+        return self._lanes.lane(records, apart=apart)
 
     def _judge(self, candidate: _Candidate, now_ms: int) -> Choice:
         record = candidate.record
         wait_ms = self._wait(record, now_ms)
-        reading_ms = candidate.fresh_tokens / TOKENS_PER_MS
+        model = self._models.of(record.entry.service)
+        reading_ms = model.reading_ms(candidate.fresh_tokens)
         return Choice(
             record,
             candidate.fresh_tokens,
             candidate.extra_ms + reading_ms + wait_ms,
             wait_ms,
             _is_usable(record, now_ms),
+            idle=_is_idle(record, now_ms),
         )
 
     def _candidates(
@@ -199,9 +207,17 @@
             stand_ins = list(enumerate(others))
         return [
             _at_home(home, prompt),
-            *(_elsewhere(record, rank, prompt) for rank, record in stand_ins),
+            *(self._elsewhere(each, rank, prompt) for rank, each in stand_ins),
         ]
 
+    def _elsewhere(
+        self, record: EndpointRecord, rank: int, prompt: Prompt
+    ) -> _Candidate:
+        """Return an engine that has to read all."""
+        model = self._models.of(record.entry.service)
+        again_ms = AGAIN_WEIGHT * model.reading_ms(prompt.shared_tokens)
+        return _Candidate(record, prompt.tokens, again_ms + RANK_MS * rank)
+
     def _ranked(
         self, lane: Sequence[EndpointRecord], prompt: Prompt
     ) -> list[EndpointRecord]:
@@ -212,14 +228,11 @@
 
     def _wait(self, record: EndpointRecord, now_ms: int) -> float:
         """Predict how long a request waits there before its prompt is read."""
+        model = self._models.of(record.entry.service)
         if record.load is not None and _is_usable(record, now_ms):
-            load = record.load
-            each_tokens = min(load.next_tokens, self._usual_tokens)
-            queued = (load.waiting + load.reading) * each_tokens
-            wait_ms = (queued + record.unreported_tokens()) / TOKENS_PER_MS
-            wait_ms += PLACE_MS * load.generating
+            wait_ms = _reported_wait(record, record.load, model)
         else:
-            wait_ms = OTHERS_FACTOR * record.unread_tokens() / TOKENS_PER_MS
+            wait_ms = OTHERS_FACTOR * model.reading_ms(record.unread_tokens())
             wait_ms += OTHERS_FACTOR * PLACE_MS * record.outstanding
         wait_ms += FAILURE_MS * record.health.failure_share
         if record.entry.failure_domain != self._failure_domain:
@@ -241,8 +254,8 @@
     load = record.load
     if load is None or not _is_usable(record, now_ms):
         return False
-    taken = load.waiting + load.reading + load.generating
-    return taken > CROWDED_SHARE * record.entry.slots
+    slots = record.entry.slots
+    return load.taken >= min(max(CROWDED_SHARE * slots, LEAST_CROWDED), slots - 1)
 
 
 def _at_home(record: EndpointRecord, prompt: Prompt) -> _Candidate:
@@ -250,7 +263,25 @@
     return _Candidate(record, prompt.tokens - prompt.shared_tokens, 0.0)
 
 
-def _elsewhere(record: EndpointRecord, rank: int, prompt: Prompt) -> _Candidate:
-    """Return an engine that has to read all."""
-    again_ms = AGAIN_WEIGHT * prompt.shared_tokens / TOKENS_PER_MS
-    return _Candidate(record, prompt.tokens, again_ms + RANK_MS * rank)
+def _reported_wait(
+    record: EndpointRecord, load: EngineLoad, model: EngineModel
+) -> float:
+    """Predict the wait at an engine from its report.
+
+    A request waits for the prompts before it to be read, and for a place: with 12 places
+    all are taken while there is still little to read.
+    """
+    each_tokens = min(load.next_tokens, model.usual_tokens)
+    queued_tokens = (load.waiting + load.reading) * each_tokens
+    reading_ms = model.reading_ms(queued_tokens + record.unreported_tokens())
+    reading_ms += PLACE_MS * load.generating
+    return max(reading_ms, model.place_wait_ms(load.taken + 1, record.entry.slots))
+
+
+def _is_idle(record: EndpointRecord, now_ms: int) -> bool:
+    """Return whether an engine is known to begin a prompt at once."""
+    load = record.load
+    if load is None or not _is_recent(record, now_ms, REPORT_MS):
+        return False
+    free = load.generating < record.entry.slots and not load.waiting + load.reading
+    return free and not record.unread_tokens()
--- a/savorychute/gateway/endpoints/endpoint_record.py
+++ b/savorychute/gateway/endpoints/endpoint_record.py
@@ -14,6 +14,8 @@
 
 # A report is made from figures of that long ago.
 REPORT_LAG_MS = 200
+# A queue that was reported this long ago may be gone.
+QUEUE_MS = 150
 
 
 class EndpointUser(Protocol):
@@ -107,6 +109,16 @@
         """Return how old the last report is, or None without one."""
         return now_ms - self.load_ms if self.load is not None else None
 
+    def has_queue(self, now_ms: int) -> bool:
+        """Return whether prompts are known to wait at an engine now.
+
+        :param now_ms: the time.
+        """
+        load = self.load
+        if load is None or now_ms - self.load_ms > QUEUE_MS:
+            return False
+        return load.waiting > 0
+
     def unread_tokens(self, since_ms: int | None = None) -> int:
         """Return what this instance's requests still have to read there.
 
--- a/savorychute/gateway/endpoints/engine_load.py
+++ b/savorychute/gateway/endpoints/engine_load.py
@@ -19,3 +19,8 @@
     next_tokens: int
     leaving: bool = False
     born_ms: int = 0
+
+    @property
+    def taken(self) -> int:
+        """All requests that are there."""
+        return self.waiting + self.reading + self.generating
--- a/savorychute/gateway/parts.py
+++ b/savorychute/gateway/parts.py
@@ -11,6 +11,7 @@
     )
     from savorychute.gateway.configuration.service import Service
     from savorychute.gateway.dispatch.chooser import Chooser
+    from savorychute.gateway.dispatch.engine_models import EngineModels
     from savorychute.gateway.dispatch.overload_guard import OverloadGuard
     from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
     from savorychute.gateway.endpoints.load_watch import LoadWatch
@@ -31,6 +32,7 @@
     model_chooser: Chooser
     service_chooser: Chooser
     guard: OverloadGuard
+    engines: EngineModels
     loads: LoadWatch
     allowance: RetryAllowance
     crashes: CrashBook
--- a/savorychute/gateway/requests/event_times.py
+++ b/savorychute/gateway/requests/event_times.py
@@ -17,8 +17,15 @@
         self.first_ms = 0
         self.longest_gap_ms = 0
 
-    def note(self, now_ms: int) -> None:
-        """Note an event.
+    @property
+    def generating_ms(self) -> int:
+        """From the first event to the last."""
+        if self._last_ms is None:
+            return 0
+        return self._last_ms - self._began_ms - self.first_ms
+
+    def note(self, now_ms: int) -> int | None:
+        """Note an event; return the pause before it, or None for the first.
 
         :param now_ms: the time.
         """
@@ -26,5 +33,7 @@
         self._last_ms = now_ms
         if last_ms is None:
             self.first_ms = now_ms - self._began_ms
-        else:
-            self.longest_gap_ms = max(self.longest_gap_ms, now_ms - last_ms)
+            return None
+        gap_ms = now_ms - last_ms
+        self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
+        return gap_ms
--- a/savorychute/gateway/requests/request_course.py
+++ b/savorychute/gateway/requests/request_course.py
@@ -100,7 +100,30 @@
         if not self._answer.relay.take(data, answer.status, answer.headers):
             return
         attempt.began_to_answer()
-        self._times.note(self.now_ms())
+        self._learn_event(attempt, self._times.note(self.now_ms()))
+
+    def _learn_event(self, attempt: Attempt, gap_ms: int | None) -> None:
+        """Tell the model of the service's engines what one of them showed."""
+        choice = attempt.choice
+        model = self._parts.engines.of(self._admitted.service.name)
+        if gap_ms is not None:
+            reading = choice.record.has_queue(self.now_ms())
+            model.note_gap(gap_ms, choice.apart, reading)
+        elif choice.idle:
+            model.note_first_event(
+                choice.fresh_tokens, self.now_ms() - attempt.began_ms
+            )
+
+    def _learn_answer(self, attempt: Attempt) -> None:
+        prompt = self._request.prompt
+        if prompt is None:
+            return
+        self._parts.engines.of(self._admitted.service.name).note_answer(
+            self._answer.relay.events,
+            prompt.answer_tokens,
+            self._times.generating_ms,
+            attempt.choice.apart,
+        )
 
     def pass_head(self, attempt: Attempt) -> None:
         """Begin to pass on an answer that is too large to be held."""
@@ -150,6 +173,8 @@
             self.attempt_broke(attempt, 'event-cut')
             return
         attempt.choice.record.health.succeeded()
+        if answer.is_stream:
+            self._learn_answer(attempt)
         self._log_attempt(attempt, 'answered', '')
         self._answer.complete(answer, attempt.held)
         self._finish('answered', answer.status)
@@ -244,6 +269,10 @@
     def _send_to(self, choice: Choice, now_ms: int) -> None:
         service = self._admitted.service
         self._sends += 1
+        if service.runs_models:
+            self._parts.engines.of(service.name).note_sent(
+                choice.fresh_tokens, choice.apart
+            )
         attempt = Attempt(self, choice, now_ms)
         self._attempt = attempt
         attempt.running = self._parts.attempts.send(
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -15,6 +15,7 @@
     from savorychute.errors import SavorychuteError, SettingsError
     from savorychute.gateway.configuration.deployment import Deployment
     from savorychute.gateway.dispatch.chooser import Choice
+    from savorychute.gateway.dispatch.engine_model import EngineFigures
     from savorychute.gateway.dispatch.need import Need
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
     from savorychute.gateway.requests.admitted import Admitted
@@ -144,6 +145,14 @@
             reason=_word(change.why),
         )
 
+    def engines_learned(self, service: str, figures: EngineFigures) -> None:
+        """Log what predictions for a service's engines are made of."""
+        self.log.info(
+            'engines-learned',
+            service=service,
+            **{name: round(value, 2) for name, value in figures._asdict().items()},
+        )
+
     # -- requests
 
     def request_refused(
--- a/tests/test_gateway/gateway_fakes.py
+++ b/tests/test_gateway/gateway_fakes.py
@@ -16,6 +16,7 @@
 from savorychute.gateway.configuration.service_share import ServiceShare
 from savorychute.gateway.dispatch import load_choosers
 from savorychute.gateway.dispatch.chooser import CHOOSERS
+from savorychute.gateway.dispatch.engine_models import EngineModels
 from savorychute.gateway.dispatch.overload_guard import OverloadGuard
 from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
 from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
@@ -325,6 +326,7 @@
     configuration.apply(make_deployment())
     configuration.confirm(clock.now_ms())
     crashes = CrashBook()
+    models = EngineModels()
     roster = EndpointRoster(crashes.endpoint_ended, clock)
     for number in range(desks):
         roster.apply(make_entry(f'd{number}'))
@@ -336,9 +338,10 @@
         attempts=attempts,
         configuration=configuration,
         roster=roster,
-        model_chooser=CHOOSERS.get('prompt-cache')('hall', rng),
+        model_chooser=CHOOSERS.get('prompt-cache')('hall', rng, models=models),
         service_chooser=CHOOSERS.get('least-outstanding')('hall', rng),
         guard=OverloadGuard(rng),
+        engines=models,
         loads=LoadWatch(attempts, roster, clock),
         allowance=RetryAllowance(RetryBounds(0.2, 10_000, slack)),
         crashes=crashes,
--- a/tests/test_gateway/test_lane_demand.py
+++ b/tests/test_gateway/test_lane_demand.py
@@ -8,11 +8,14 @@
 import pytest
 from gateway_fakes import make_entry, make_prompt
 
+from savorychute.gateway.dispatch.engine_model import EngineModel
 from savorychute.gateway.dispatch.lane_demand import LaneDemand
 from savorychute.gateway.dispatch.lane_split import LaneSplit
 from savorychute.gateway.dispatch.need import Need
 from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
 
+# What engines are taken for before they have shown anything.
+MODEL = EngineModel()
 INSTANCES = 60
 ENGINES = 45
 STEADY_PER_S = 57
@@ -34,7 +37,7 @@
     for demand in demands:
         for need, per_s in ((SHORT, steady_per_s), (LONG, OTHERS_PER_S)):
             if rng.random() < per_s * STEP_MS / 1_000 / len(demands):
-                demand.note(need, now_ms)
+                demand.note(need, now_ms, MODEL)
     if now_ms % PROBE_MS:
         return
     for demand in demands:
@@ -49,8 +52,8 @@
     lanes = [LaneSplit(demand) for demand in demands]
     steady, others = Counter(), Counter()
     for lane in lanes:
-        steady.update(each.entry.endpoint for each in lane.lane(engines, SHORT))
-        others.update(each.entry.endpoint for each in lane.lane(engines, LONG))
+        steady.update(each.entry.endpoint for each in lane.lane(engines, apart=True))
+        others.update(each.entry.endpoint for each in lane.lane(engines, apart=False))
     return sum(min(steady[name], others[name]) for name in steady) / len(demands)
 
 
@@ -79,15 +82,15 @@
     for now_ms in range(0, CALM_MS + 8_000, STEP_MS):
         burst = 2.5 if now_ms >= CALM_MS else 1.0
         live(demands, rng, now_ms, burst * STEADY_PER_S)
-        sizes.append(len(LaneSplit(demands[0]).lane(engines, SHORT)))
+        sizes.append(len(LaneSplit(demands[0]).lane(engines, apart=True)))
 
     assert sizes[-1] > sizes[CALM_MS // STEP_MS - 1]
 
 
 def test_without_requests_there_is_no_demand():
     demand = LaneDemand()
-    demand.note(Need(), 0)
-    demand.note(Need(), 60_000)
+    demand.note(Need(), 0, MODEL)
+    demand.note(Need(), 60_000, MODEL)
 
     assert demand.steady_share() == 0.0
     assert demand.advertised(60_000) == 0
@@ -95,10 +98,10 @@
 
 def test_what_is_told_is_what_is_heard():
     teller, listener = LaneDemand(), LaneDemand()
-    teller.note(SHORT, 0)
-    teller.note(LONG, 0)
-    listener.note(Need(), 0)
-    listener.note(Need(), 60_000)
+    teller.note(SHORT, 0, MODEL)
+    teller.note(LONG, 0, MODEL)
+    listener.note(Need(), 0, MODEL)
+    listener.note(Need(), 60_000, MODEL)
 
     listener.hear(teller.advertised(0), 60_000)
 
