--- a/benches/days/day_file.py
+++ b/benches/days/day_file.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-DAYS = Path(__file__).parent
+DAYS = Path(__file__).parents[2] / 'deploy' / 'days'
 
 
 class DayFile(NamedTuple):
