--- a/tests/test_gateway/test_overload_guard.py
+++ b/tests/test_gateway/test_overload_guard.py
@@ -81,3 +81,26 @@
     _, caller = scene.start('/draft/1', prompt=make_prompt(own=own))
 
     assert caller.refusal is None
+
+
+def test_engine_with_few_places_is_used_as_far_as_it_goes():
+    """Refusals on a calm day, one in 22.
+
+    Engines run 12 requests at once.  By a share of their places they were called full at
+    seven, although a dozen streams slow none of them.
+    """
+    record = EndpointRecord(make_entry('e0', 'pool', slots=12))
+    record.report(EngineLoad(0, 1, 11, 5_000), 1_000)
+    need = Need(make_prompt(), 600, target_ms=1_200, rank=8)
+    choice = Choice(record, 4_000, 200.0, 200.0, load_known=True)
+
+    assert OverloadGuard(random.Random(1)).admits(choice, need)
+
+
+def test_full_engine_with_few_places_takes_no_more_of_the_lowest_rank():
+    record = EndpointRecord(make_entry('e0', 'pool', slots=12))
+    record.report(EngineLoad(3, 1, 11, 5_000), 1_000)
+    need = Need(make_prompt(), 600, target_ms=1_200, rank=8)
+    choice = Choice(record, 4_000, 200.0, 200.0, load_known=True)
+
+    assert not OverloadGuard(random.Random(1)).admits(choice, need)
