--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -251,6 +251,8 @@
             count=summary.sends,
             events=summary.events,
             gap_ms=summary.longest_gap_ms,
+            target_ms=route.target_ms,
+            gap_target_ms=route.gap_target_ms,
         )
 
     def tell_omitted(self) -> None:
