--- /dev/null
+++ b/savorychute/gateway/dispatch/engine_state.py
@@ -0,0 +1,73 @@
+"""What a choice takes an engine for, by its last report and what it did lately."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
+
+# What failing every request costs an engine in a comparison, as a wait.
+FAILURE_MS = 2_000.0
+# A lane is left when its best engine fails more than this part of its requests.
+FAILING_SHARE = 0.25
+# Requests move a queue by their own size; reports older than this say little of it.
+REPORT_MS = 300
+USABLE_REPORT_MS = 1_500
+# With more of its places taken an engine of the steady lane is no longer steady: at 64
+# streams, events came every 350 ms instead of 250, and whoever is more urgent puts back
+# others.
+CROWDED_SHARE = 0.5
+# A dozen streams beside each other slow no engine; one with few places is crowded when
+# the next stream would take the last one.
+LEAST_CROWDED = 12
+
+
+def is_recent(record: EndpointRecord, now_ms: int, bound_ms: int) -> bool:
+    """Return whether an engine was heard of within some time.
+
+    :param record: the engine.
+    :param now_ms: the time.
+    :param bound_ms: that time.
+    """
+    age_ms = record.load_age_ms(now_ms)
+    return age_ms is not None and age_ms <= bound_ms
+
+
+def is_usable(record: EndpointRecord, now_ms: int) -> bool:
+    """Return whether a report still says something of an engine's load."""
+    return is_recent(record, now_ms, USABLE_REPORT_MS)
+
+
+def is_crowded(record: EndpointRecord, now_ms: int) -> bool:
+    """Return whether an engine is known to have too many streams."""
+    load = record.load
+    if load is None or not is_usable(record, now_ms):
+        return False
+    slots = record.entry.slots
+    return load.taken >= min(max(CROWDED_SHARE * slots, LEAST_CROWDED), slots - 1)
+
+
+def failure_ms(record: EndpointRecord, now_ms: int) -> float:
+    """Return the failures of an engine as a cost.
+
+    They are no wait: where failures counted as one, the most urgent streams, which may
+    wait least, were refused (40 of 249) while the least urgent were served.
+    """
+    return FAILURE_MS * record.health.failure_share(now_ms)
+
+
+def serves_well(record: EndpointRecord, now_ms: int) -> bool:
+    """Return whether an engine of the steady lane should get another stream."""
+    if record.health.failure_share(now_ms) > FAILING_SHARE:
+        return False
+    return not is_crowded(record, now_ms)
+
+
+def is_idle(record: EndpointRecord, now_ms: int) -> bool:
+    """Return whether an engine is known to begin a prompt at once."""
+    load = record.load
+    if load is None or not is_recent(record, now_ms, REPORT_MS):
+        return False
+    free = load.generating < record.entry.slots and not load.waiting + load.reading
+    return free and not record.unread_tokens()
--- a/savorychute/gateway/dispatch/prompt_cache.py
+++ b/savorychute/gateway/dispatch/prompt_cache.py
@@ -6,6 +6,14 @@
 
 from savorychute.gateway.dispatch.chooser import CHOOSERS, Choice
 from savorychute.gateway.dispatch.engine_models import EngineModels
+from savorychute.gateway.dispatch.engine_state import (
+    REPORT_MS,
+    failure_ms,
+    is_idle,
+    is_recent,
+    is_usable,
+    serves_well,
+)
 from savorychute.gateway.dispatch.home_ranking import HomeRanking
 from savorychute.gateway.dispatch.lane_demand import LaneDemand
 from savorychute.gateway.dispatch.lane_split import LaneSplit
@@ -26,9 +34,6 @@
 # Without a report: this instance sees only its own requests; others send about as many.
 OTHERS_FACTOR = 2.0
 DISTANCE_MS = 4.0
-FAILURE_MS = 2_000.0
-# A lane is left when its best engine fails more than this part of its requests.
-FAILING_SHARE = 0.25
 # Reading a cached prompt elsewhere also delays every request there, and the users price
 # 13,000 tokens read again like a whole answer; so the queue at home must be that
 # many times as long as the reading.
@@ -39,9 +44,6 @@
 # A report is asked for before a prompt of this size; a smaller one is read before the
 # report could change much.
 LARGE_TOKENS = 2_000
-# Requests move a queue by their own size; reports older than this say little of it.
-REPORT_MS = 300
-USABLE_REPORT_MS = 1_500
 # With a wait beyond this at home some other engines are asked as well: the next in the
 # ranking, and two at random.  The better of two random engines is nearly as good as the
 # best of all, and with 45 engines asking all took ten reports for each prompt.
@@ -51,13 +53,6 @@
 # Steady streams are short and many; a report of this age still tells how crowded a lane
 # is.  Asking for them cost 0.0003 of the worth of a calm day and brought 0.046.
 STEADY_REPORT_MS = 500
-# With more of its places taken an engine of the steady lane is no longer steady: at 64
-# streams, events came every 350 ms instead of 250, and whoever is more urgent puts back
-# others.
-CROWDED_SHARE = 0.5
-# A dozen streams beside each other slow no engine; one with few places is crowded when
-# the next stream would take the last one.
-LEAST_CROWDED = 12
 # An engine with a shorter wait may stand in for a busy home.
 IDLE_MS = 120.0
 
@@ -115,9 +110,9 @@
         if prompt.tokens < LARGE_TOKENS:
             return []
         home = ranked[0]
-        if not _is_recent(home, now_ms, REPORT_MS):
+        if not is_recent(home, now_ms, REPORT_MS):
             return [home]
-        if self._wait(home, now_ms) + _failure_ms(home, now_ms) <= BUSY_MS:
+        if self._wait(home, now_ms) + failure_ms(home, now_ms) <= BUSY_MS:
             return []
         rest = ranked[1 + NEXT_ASKED :]
         others = self._rng.sample(rest, min(RANDOM_ASKED, len(rest)))
@@ -126,7 +121,7 @@
     def _unknown(
         self, records: Sequence[EndpointRecord], now_ms: int, bound_ms: int
     ) -> list[EndpointRecord]:
-        return [each for each in records if not _is_recent(each, now_ms, bound_ms)]
+        return [each for each in records if not is_recent(each, now_ms, bound_ms)]
 
     def choose(
         self, records: Sequence[EndpointRecord], need: Need, now_ms: int
@@ -137,10 +132,10 @@
         apart = model.needs_apart(need)
         self._demand.note(need, now_ms, model, entry.slots)
         best = self._best(self._lane(records, need), need, now_ms)
-        if apart and not _serves_well(best.record, now_ms):
+        if apart and not serves_well(best.record, now_ms):
             # Short and ahead of the queue, it is served by any engine; late events are
             # better than none, and than putting back others.
-            free = [each for each in records if _serves_well(each, now_ms)]
+            free = [each for each in records if serves_well(each, now_ms)]
             return self._best(free or records, need, now_ms)
         return best._replace(apart=apart)
 
@@ -176,10 +171,10 @@
         return Choice(
             record,
             candidate.fresh_tokens,
-            candidate.extra_ms + reading_ms + wait_ms + _failure_ms(record, now_ms),
+            candidate.extra_ms + reading_ms + wait_ms + failure_ms(record, now_ms),
             wait_ms,
-            _is_usable(record, now_ms),
-            idle=_is_idle(record, now_ms),
+            is_usable(record, now_ms),
+            idle=is_idle(record, now_ms),
         )
 
     def _candidates(
@@ -193,11 +188,11 @@
         four that are cached, and more homes become busy.
         """
         if not prompt.affinity:
-            known = [each for each in ranked if _is_usable(each, now_ms)]
+            known = [each for each in ranked if is_usable(each, now_ms)]
             return [_Candidate(each, prompt.tokens, 0.0) for each in known or ranked]
         home, *others = ranked
         stand_ins = [
-            (rank, each) for rank, each in enumerate(others) if _is_usable(each, now_ms)
+            (rank, each) for rank, each in enumerate(others) if is_usable(each, now_ms)
         ]
         if prompt.shared_tokens >= LARGE_TOKENS:
             stand_ins = [
@@ -231,7 +226,7 @@
     def _wait(self, record: EndpointRecord, now_ms: int) -> float:
         """Predict how long a request waits there before its prompt is read."""
         model = self._models.of(record.entry.service)
-        if record.load is not None and _is_usable(record, now_ms):
+        if record.load is not None and is_usable(record, now_ms):
             wait_ms = _reported_wait(record, record.load, model)
         else:
             wait_ms = OTHERS_FACTOR * model.reading_ms(record.unread_tokens())
@@ -241,24 +236,6 @@
         return wait_ms + self._rng.random()
 
 
-def _is_recent(record: EndpointRecord, now_ms: int, bound_ms: int) -> bool:
-    age_ms = record.load_age_ms(now_ms)
-    return age_ms is not None and age_ms <= bound_ms
-
-
-def _is_usable(record: EndpointRecord, now_ms: int) -> bool:
-    return _is_recent(record, now_ms, USABLE_REPORT_MS)
-
-
-def _is_crowded(record: EndpointRecord, now_ms: int) -> bool:
-    """Return whether an engine is known to have too many streams."""
-    load = record.load
-    if load is None or not _is_usable(record, now_ms):
-        return False
-    slots = record.entry.slots
-    return load.taken >= min(max(CROWDED_SHARE * slots, LEAST_CROWDED), slots - 1)
-
-
 def _at_home(record: EndpointRecord, prompt: Prompt) -> _Candidate:
     """Return the engine that has read the shared part."""
     return _Candidate(record, prompt.tokens - prompt.shared_tokens, 0.0)
@@ -277,28 +254,3 @@
     reading_ms = model.reading_ms(queued_tokens + record.unreported_tokens())
     reading_ms += PLACE_MS * load.generating
     return max(reading_ms, model.place_wait_ms(load.taken + 1, record.entry.slots))
-
-
-def _failure_ms(record: EndpointRecord, now_ms: int) -> float:
-    """Return the failures of an engine as a cost.
-
-    They are no wait: where failures counted as one, the most urgent streams, which may
-    wait least, were refused (40 of 249) while the least urgent were served.
-    """
-    return FAILURE_MS * record.health.failure_share(now_ms)
-
-
-def _serves_well(record: EndpointRecord, now_ms: int) -> bool:
-    """Return whether an engine of the steady lane should get another stream."""
-    if record.health.failure_share(now_ms) > FAILING_SHARE:
-        return False
-    return not _is_crowded(record, now_ms)
-
-
-def _is_idle(record: EndpointRecord, now_ms: int) -> bool:
-    """Return whether an engine is known to begin a prompt at once."""
-    load = record.load
-    if load is None or not _is_recent(record, now_ms, REPORT_MS):
-        return False
-    free = load.generating < record.entry.slots and not load.waiting + load.reading
-    return free and not record.unread_tokens()
--- a/savorychute/gateway/requests/request_course.py
+++ b/savorychute/gateway/requests/request_course.py
@@ -10,6 +10,7 @@
 from savorychute.gateway.requests.caller_answer import CallerAnswer
 from savorychute.gateway.requests.course_summary import CourseSummary
 from savorychute.gateway.requests.endpoint_answer import AnswerKind
+from savorychute.gateway.requests.engine_observer import EngineObserver
 from savorychute.gateway.requests.event_times import EventTimes
 from savorychute.gateway.requests.outbound_attempt import OutboundAttempt
 from savorychute.gateway.requests.refusal import Refusal
@@ -62,6 +63,7 @@
         self._admitted = admitted
         self._route = admitted.route
         self._search = EndpointSearch(parts, request, admitted)
+        self._observer = EngineObserver(parts.engines, admitted.service.name)
         self._answer = CallerAnswer(caller, request.last_event)
         self._attempt: Attempt | None = None
         self._timer: TimerHandle | None = None
@@ -100,23 +102,8 @@
         if not self._answer.relay.take(data, answer.status, answer.headers):
             return
         attempt.began_to_answer()
-        self._learn_event(attempt, self._times.note(self.now_ms()))
-
-    def _learn_event(self, attempt: Attempt, gap_ms: int | None) -> None:
-        """Tell the model of the service's engines what one of them showed."""
-        choice = attempt.choice
-        model = self._parts.engines.of(self._admitted.service.name)
-        if gap_ms is not None:
-            reading = choice.record.has_queue(self.now_ms())
-            model.note_gap(gap_ms, choice.apart, reading)
-        elif choice.idle:
-            model.note_first_event(
-                choice.fresh_tokens, self.now_ms() - attempt.began_ms
-            )
-
-    def _learn_answer(self, attempt: Attempt) -> None:
-        model = self._parts.engines.of(self._admitted.service.name)
-        model.note_answer(self._answer.relay.events, attempt.choice.apart)
+        now_ms = self.now_ms()
+        self._observer.event_came(attempt, self._times.note(now_ms), now_ms)
 
     def pass_head(self, attempt: Attempt) -> None:
         """Begin to pass on an answer that is too large to be held."""
@@ -167,7 +154,7 @@
             return
         attempt.choice.record.health.succeeded(self.now_ms())
         if answer.is_stream:
-            self._learn_answer(attempt)
+            self._observer.stream_ended(attempt, self._answer.relay.events)
         self._log_attempt(attempt, 'answered', '')
         self._answer.complete(answer, attempt.held)
         self._finish('answered', answer.status)
@@ -263,9 +250,7 @@
         service = self._admitted.service
         self._sends += 1
         if service.runs_models:
-            self._parts.engines.of(service.name).note_sent(
-                choice.fresh_tokens, choice.apart
-            )
+            self._observer.sent(choice)
         attempt = Attempt(self, choice, now_ms)
         self._attempt = attempt
         attempt.running = self._parts.attempts.send(
