--- a/tests/test_fleet/test_unreadable_records.py
+++ b/tests/test_fleet/test_unreadable_records.py
@@ -173,3 +173,20 @@
     assert page.records[min(place, len(others))] == KeyedRecord(
         min(place, len(others)), 'i-1', b'{}'
     )
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=6),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(['key', 'value', 'offset']), inner, max_size=3
+        )
+    ),
+    max_leaves=6,
+)
+
+
+@given(JSON)
+def test_arbitrary_row_of_a_listing_is_a_record_or_unreadable(row):
+    assert isinstance(decode_newest_item(row), KeyedRecord | UnreadableRecord)
