Register again where the answer to the entry's write was lost

Cause: an instance that has the secret but no answer to the write of its own entry tried to register again without a listing; the next line used the listing of the try before and raised UnboundLocalError, which ended the work of its peers' group, each second anew. It never became a member: it heard no gossip, asked no reader and was told to no caller. Where a part of the store's answers is lost after all power was, a part of the fleet stayed outside.

Ruled out: a listing kept on the object between tries; the entry may have been written, so the incarnation has to be drawn anew.

Change: each try lists anew. The listing is kept as the first one of the members.

Test: test_entry_whose_write_was_not_answered_is_written_again failed with UnboundLocalError before.

--- a/savorychute/gateway/store/registration.py
+++ b/savorychute/gateway/store/registration.py
@@ -19,6 +19,7 @@
 
     from savorychute.gateway.store.keyed_record import KeyedRecord
     from savorychute.gateway.store.keyed_topic import KeyedTopic
+    from savorychute.gateway.store.topic_snapshot import TopicSnapshot
 
 # No instance can have this name: names begin with a letter or a digit.
 SECRET_KEY = '@secret'
@@ -49,6 +50,8 @@
         self._count_call = count_call
         self.address = address
         self.keys: PeerKeys | None = None
+        # The other instances, as they were when this one registered.
+        self.listed: tuple[MemberAddress, ...] = ()
 
     async def register(self) -> None:
         """Enter this instance with a larger incarnation than any run before it.
@@ -60,12 +63,22 @@
 
         :raises StoreUnavailableError: if the store does not answer.
         """
-        while self.keys is None:
-            self._count_call(CallPurpose.REGISTER)
-            snapshot = await self._topic.list_newest()
-            self.keys = _find_secret(snapshot.records)
-            if self.keys is not None:
-                break
+        snapshot = await self._list_with_secret()
+        self.keys = _find_secret(snapshot.records)
+        self.address = self.address._replace(incarnation=snapshot.next_offset + 1)
+        self.listed = decode_addresses(snapshot.records)
+        await self.enter()
+
+    async def _list_with_secret(self) -> TopicSnapshot:
+        """Return a listing that holds the secret; write one if there is none.
+
+        Each try lists anew.  Where the answer to the entry's write was lost, nothing of
+        the try before is left to rely on.
+        """
+        while True:
+            snapshot = await self._list()
+            if _find_secret(snapshot.records) is not None:
+                return snapshot
             self._count_call(CallPurpose.REGISTER)
             try:
                 await self._topic.write(
@@ -74,9 +87,12 @@
                     snapshot.next_offset,
                 )
             except WriteConflictError:
+                # Another instance was first, and the next listing shows its secret.
                 continue
-        self.address = self.address._replace(incarnation=snapshot.next_offset + 1)
-        await self.enter()
+
+    async def _list(self) -> TopicSnapshot:
+        self._count_call(CallPurpose.REGISTER)
+        return await self._topic.list_newest()
 
     async def enter(self) -> None:
         """Write this instance's entry."""
--- a/tests/test_gateway/test_registration.py
+++ b/tests/test_gateway/test_registration.py
@@ -85,3 +85,23 @@
             asyncio.run(registration.remove(OWN.instance))
 
     assert seen == sorted(set(seen))
+
+
+def test_entry_whose_write_was_not_answered_is_written_again():
+    """An instance that its peers never heard of.
+
+    The store is short of answers when an instance starts: the listing comes, the answer
+    to its entry's write is lost.  The second try has the secret already and must not
+    rely on anything that only the first one read.
+    """
+    topic = MemoryTopic()
+    register(topic, OWN._replace(instance='k1'))
+    topic.lose = 1
+    registration = Registration(topic, OWN, count_nothing)
+    with pytest.raises(StoreUnavailableError):
+        asyncio.run(registration.register())
+
+    asyncio.run(registration.register())
+
+    assert registration.address.incarnation > 0
+    assert [each.instance for each in registration.listed] == ['k1', 'k0']
