Call the store less: at the start, for members, and in an outage

Change: the listing of the registration is the first one; members list each 30 s, and not more than twice a second together; questions to readers follow the notice that a deployment states, so that large ones need five readers instead of nine; before members are known an instance reads what it lacks, and lets the read wait; instances that are no readers retry less often the more they are, never later than 0.4 of the notice.

--- a/savorychute/gateway/daemon/peer_group.py
+++ b/savorychute/gateway/daemon/peer_group.py
@@ -38,6 +38,7 @@
     from savorychute.gateway.store.shared_reading import SharedReading
     from savorychute.gateway.telemetry import GatewayTelemetry
     from savorychute.inputs import Input
+    from savorychute.member_address import MemberAddress
     from savorychute.membership.member_view import MemberView
 
 TICK_MS = 100
@@ -50,7 +51,9 @@
     suspicion_ms=2_000,
     challenge_ms=800,
     dead_retry_period_ms=2_000,
-    listing_period_ms=10_000,
+    # Members meet by gossip; a listing only finds those that no gossip reached.
+    listing_period_ms=30_000,
+    listing_spacing_ms=500,
 )
 
 
@@ -121,6 +124,7 @@
             self._link = link
             self._membership = Membership(SETTINGS, address, self._rng)
             link.on_input = self._take
+            self._take_listing(self._registration.listed)
             while True:
                 self._tick()
                 await asyncio.sleep(TICK_MS / MS_PER_S)
@@ -214,6 +218,10 @@
             self._telemetry.store_failed('instances', error)
             return
         self._telemetry.store_answered('instances')
+        self._take_listing(live)
+
+    def _take_listing(self, live: tuple[MemberAddress, ...]) -> None:
+        assert self._membership is not None
         self._listed = len(live)
         listing = ListingFetched(live=live, leaving=frozenset(), ok=True)
         self._carry_out(self._membership.apply_listing(listing, self._clock.now_ms()))
--- a/savorychute/gateway/store/gates.py
+++ b/savorychute/gateway/store/gates.py
@@ -26,6 +26,14 @@
         """Return whether this instance reads for all."""
         return self._plan.is_regular()
 
+    def may_wait(self) -> bool:
+        """Return whether a read may wait for a change."""
+        return self._plan.may_wait()
+
+    def longest_retry_ms(self) -> int:
+        """Return the longest pause between two reads that fail."""
+        return self._plan.longest_retry_ms()
+
     def next_offset(self, read: int | None) -> int | None:
         """Return where this instance's own reading ended."""
         return read
@@ -52,6 +60,14 @@
         """Return whether this instance reads for all."""
         return self._plan.is_regular()
 
+    def may_wait(self) -> bool:
+        """Return whether a read may wait for a change."""
+        return self._plan.may_wait()
+
+    def longest_retry_ms(self) -> int:
+        """Return the longest pause between two reads that fail."""
+        return self._plan.longest_retry_ms()
+
     def next_offset(self, read: int | None) -> int | None:
         """Return the end of the journal, or None if the topic must be listed."""
         if read is None or self._plan.must_list_endpoints:
--- a/savorychute/gateway/store/reading_plan.py
+++ b/savorychute/gateway/store/reading_plan.py
@@ -5,6 +5,7 @@
 from math import ceil
 from typing import TYPE_CHECKING
 
+from savorychute.clock import MS_PER_S
 from savorychute.membership.rendezvous import choose_homes
 
 if TYPE_CHECKING:
@@ -16,17 +17,30 @@
     from savorychute.membership.member_view import MemberView
 
 READER_KEY = 'store-readers'
+# A reader notices within half a second that the store answers again, and tells the others;
+# a store that is down gets a few calls a second from it, not hundreds.
+READER_RETRY_MS = 500
+# The other instances also try for themselves, since the store may have turned away the
+# readers alone, but only so many of them in a time: together they try some thirty times
+# a second, however many they are.
+RETRY_SPACING_MS = 30
+# Part of the time in which a leaving endpoint must get nothing new; longer than this no
+# instance waits for its next try.
+RETRY_SHARE = 0.4
 # One may be killed and a second cut off from the store at the same time.
 READERS = 3
 # Among few instances two are enough: the others notice within a question.
 READERS_OF_FEW = 2
-FEW = 12
+FEW = 24
 # A question and its answer take a reader 20 us in the codec, as measured, besides the
-# socket; two a second from each of this many askers stay far below 1 % of a core.
-ASKERS_PER_READER = 24
-# Part of the time in which a leaving endpoint must get nothing new; older knowledge
-# than this is not left to others to renew.
-ENDPOINT_STALE_SHARE = 0.6
+# socket; this many a second stay far below 1 % of a core.
+QUESTIONS_PER_S = 48
+# Parts of the time in which a leaving endpoint must get nothing new.  After the first one
+# a reader is asked again; knowledge older than the second is not left to others to renew.
+# What a reader tells is up to two fifths old, so an instance whose readers answer never
+# reads by itself, and the rest is enough for a read and for requests under way.
+ASK_SHARE = 0.25
+ENDPOINT_STALE_SHARE = 0.7
 
 
 class ReadingPlan:
@@ -52,9 +66,12 @@
         self._configuration = configuration
         self._clock = clock
         self._endpoint_stale_ms = int(ENDPOINT_STALE_SHARE * drain_notice_ms)
+        self.ask_ms = int(ASK_SHARE * drain_notice_ms)
+        self._longest_retry_ms = int(RETRY_SHARE * drain_notice_ms)
         self._readers: tuple[MemberAddress, ...] = ()
         self._view: MemberView | None = None
-        self.is_reader = True
+        # Until the others are known an instance reads what it lacks, but not for all.
+        self.is_reader = False
         self.wanted_version = -1
         self.endpoints_ms: int | None = None
         self.must_list_endpoints = False
@@ -73,7 +90,8 @@
         self._view = view
         alive = [each for each in view.alive if each.instance not in view.suspects]
         least = READERS if len(alive) > FEW else READERS_OF_FEW
-        count = max(least, ceil(len(alive) / ASKERS_PER_READER))
+        questions_per_s = len(alive) * MS_PER_S / self.ask_ms
+        count = max(least, ceil(questions_per_s / QUESTIONS_PER_S))
         self._readers = choose_homes(READER_KEY, alive, count)
         self.is_reader = view.own in self._readers or len(self._readers) < count
 
@@ -94,10 +112,31 @@
         """Return whether this instance reads all the time."""
         return self.is_reader or self.nobody_vouches
 
+    def may_wait(self) -> bool:
+        """Return whether a read may wait for a change.
+
+        Before anything is published nobody has what this instance lacks, and reads that
+        return at once would only repeat that.
+        """
+        return self.is_regular() or self._configuration.table is None
+
+    def longest_retry_ms(self) -> int:
+        """Return the longest pause between two reads that fail."""
+        if self.is_reader:
+            return READER_RETRY_MS
+        members = len(self._view.alive) if self._view is not None else 1
+        spaced_ms = max(READER_RETRY_MS, RETRY_SPACING_MS * members)
+        return min(spaced_ms, self._longest_retry_ms)
+
     def reads_configuration(self) -> bool:
         """Return whether this instance has to read the configuration itself now."""
-        missing = self.wanted_version > self._configuration.version
-        return self.is_regular() or missing or self._configuration.table is None
+        if self.is_regular() or self._configuration.table is None:
+            return True
+        if self.wanted_version > self._configuration.version:
+            return True
+        # Nobody is known that could vouch for it.
+        age_ms = self._configuration.age_ms(self._clock.now_ms())
+        return self._view is None and age_ms > self._endpoint_stale_ms
 
     def reads_endpoints(self) -> bool:
         """Return whether this instance has to read the entries itself now."""
--- a/savorychute/gateway/store/shared_reading.py
+++ b/savorychute/gateway/store/shared_reading.py
@@ -19,8 +19,6 @@
     from savorychute.gateway.store.endpoint_news import EndpointNews
     from savorychute.gateway.store.reading_plan import ReadingPlan
 
-# A change is known to all within this time of the readers.
-ASK_MS = 500
 # Then another reader is asked; between failure domains an answer takes a few ms.
 ANSWER_MS = 150
 # A change that does not fit into one datagram is fetched by the next question.
@@ -31,7 +29,7 @@
 
 
 class SharedReading:
-    """Asks a reader twice a second, and answers others.
+    """Asks a reader now and then, and answers others.
 
     A confirmation counts from the moment at which the question was sent, less the age
     that the answer states.  So an answer that was under way for long, or lay unread
@@ -90,7 +88,7 @@
         self._asked = {
             sequence: asked_ms
             for sequence, asked_ms in self._asked.items()
-            if now_ms - asked_ms < ASK_MS
+            if now_ms - asked_ms < self._plan.ask_ms
         }
         self._asked[self._sequence] = now_ms
         question = StoreQuestion(self._sequence, self._journal.offset)
@@ -139,7 +137,7 @@
             return
         self._unvouched = 0
         self._plan.nobody_vouches = False
-        self._next_ms = max(self._next_ms, asked_ms + ASK_MS)
+        self._next_ms = max(self._next_ms, asked_ms + self._plan.ask_ms)
         self._take_version(answer, asked_ms)
         if answer.endpoint_offset < 0:
             self._plan.must_list_endpoints = True
--- a/savorychute/gateway/store/topic_follower.py
+++ b/savorychute/gateway/store/topic_follower.py
@@ -22,12 +22,7 @@
     from savorychute.gateway.store.topic_delta import TopicDelta
     from savorychute.gateway.store.topic_snapshot import TopicSnapshot
 
-# A store that answers again is noticed within half a second, and one that is down gets
-# a few calls a second from each instance, not hundreds.
 FIRST_RETRY_MS = 100
-LONGEST_RETRY_MS = 500
-
-
 # Between two looks at a gate that is shut.
 GATE_MS = 100
 
@@ -43,6 +38,17 @@
         """Return whether this instance is one of those that read for all."""
         ...
 
+    def may_wait(self) -> bool:
+        """Return whether a read may wait for a change.
+
+        One that reads only because others are silent has no time to wait.
+        """
+        ...
+
+    def longest_retry_ms(self) -> int:
+        """Return the longest pause between two reads that fail."""
+        ...
+
     def next_offset(self, read: int | None) -> int | None:
         """Return where to read on, or None to list the topic.
 
@@ -117,7 +123,7 @@
             except StoreUnavailableError as error:
                 self._listener.topic_failed(error)
                 await self._rest(self._retry_ms)
-                self._retry_ms = min(2 * self._retry_ms, LONGEST_RETRY_MS)
+                self._retry_ms = min(2 * self._retry_ms, self._gate.longest_retry_ms())
 
     async def _step(self) -> None:
         began_ms = self._clock.now_ms()
@@ -128,8 +134,7 @@
             self._offset = snapshot.next_offset
             self._listener.topic_listed(snapshot, began_ms)
         else:
-            # One that reads only because others are silent has no time to wait.
-            wait_ms = self._pace.wait_ms if self._gate.is_regular() else 0
+            wait_ms = self._pace.wait_ms if self._gate.may_wait() else 0
             delta = await self._topic.read_from(offset, wait_ms)
             self._offset = delta.next_offset
             self._listener.topic_changed(delta, began_ms)
--- a/savorychute/membership/membership.py
+++ b/savorychute/membership/membership.py
@@ -124,6 +124,9 @@
         for address in self._listed.values():
             self._table.apply(MemberUpdate(address), 'listed', now_ms)
         self._table.set_listed_leaving(listing.leaving, now_ms)
+        if self._next_listing_ms is None:
+            # What was read before the first tick need not be read again at once.
+            self._next_listing_ms = now_ms + self._draw_listing_ms()
         own = self._own.address
         self._listed_leaving = own in listing.live and (own.instance in listing.leaving)
         self._sync.meet_regions(now_ms)
@@ -320,14 +323,18 @@
     def _fetch_listing(self, now_ms: int) -> list[Action]:
         if self._next_listing_ms is not None and now_ms < self._next_listing_ms:
             return []
-        period_ms = self._settings.listing_period_ms
-        if not self._listed:
-            period_ms = self._settings.first_listing_period_ms
-        self._next_listing_ms = now_ms + self._rng.randint(
-            period_ms // 2, period_ms * 3 // 2
-        )
+        self._next_listing_ms = now_ms + self._draw_listing_ms()
         return [FetchListing()]
 
+    def _draw_listing_ms(self) -> int:
+        """Return when to list next, spread so that members do not list together."""
+        settings = self._settings
+        spaced_ms = settings.listing_spacing_ms * len(self._table)
+        period_ms = max(settings.listing_period_ms, spaced_ms)
+        if not self._listed:
+            period_ms = settings.first_listing_period_ms
+        return self._rng.randint(period_ms // 2, period_ms * 3 // 2)
+
 
 def send_to(address: MemberAddress, message: tuple[object, ...]) -> SendPeer:
     """Return the action that sends a message to a member.
--- a/savorychute/membership/settings.py
+++ b/savorychute/membership/settings.py
@@ -14,6 +14,9 @@
     ``challenge_ms`` before its end each member pings the suspect itself.  ``pause_ms`` is the
     gap between two ticks from which on the instance takes itself to have been
     paused.  ``updates_per_s`` and ``updates_burst`` bound what gossip sends.
+    ``listing_period_ms`` is the usual time between two listings of one member,
+    ``listing_spacing_ms`` the least between those of any two members, so that the
+    platform's list costs no more in a larger fleet.
     """
 
     probe_period_ms: int = 1_000
@@ -37,5 +40,6 @@
     forget_dead_ms: int = 7_200_000
     max_dead: int = 1_500
     listing_period_ms: int = 10_000
+    listing_spacing_ms: int = 0
     first_listing_period_ms: int = 1_000
     max_changes: int = 2_000
--- a/tests/test_gateway/test_shared_reading.py
+++ b/tests/test_gateway/test_shared_reading.py
@@ -15,7 +15,7 @@
 from savorychute.gateway.store.endpoint_listener import EndpointListener
 from savorychute.gateway.store.endpoint_news import make_news
 from savorychute.gateway.store.reading_plan import ReadingPlan
-from savorychute.gateway.store.shared_reading import ASK_MS, SharedReading
+from savorychute.gateway.store.shared_reading import SharedReading
 from savorychute.gateway.store.topic_delta import TopicDelta
 from savorychute.gateway.store.topic_snapshot import TopicSnapshot
 from savorychute.member_address import MemberAddress
@@ -121,6 +121,65 @@
     assert chosen == readers
 
 
+def plan_of_many(clock, count, own):
+    members = tuple(
+        MemberAddress(f'm{n:03}', 1, 'kerala', f'hall-{n % 3}', '10.0.0.1', 80, 70)
+        for n in range(count)
+    )
+    plan = ReadingPlan(ConfigurationState(4_500, 3_000), 4_000, clock)
+    plan.follow(MemberView(members[own], members))
+    return plan
+
+
+def test_outage_of_the_store_is_tried_by_few_at_a_time(clock):
+    """A store that came back under a storm.
+
+    195 instances lose the store.  Each that tries twice a second makes 390 calls a second
+    together, all of them priced and most of them for nothing; the readers alone notice
+    the return within half a second, and the others ask them.
+    """
+    plans = [plan_of_many(clock, 195, own) for own in range(195)]
+
+    tries_per_s = sum(1_000 / plan.longest_retry_ms() for plan in plans)
+    readers = [plan for plan in plans if plan.is_reader]
+
+    assert all(plan.longest_retry_ms() == 500 for plan in readers)
+    assert tries_per_s < 150
+
+
+def test_no_instance_waits_past_its_promises_for_its_next_try(clock):
+    """Readers that the store turned away, and they alone.
+
+    The other instances must find out by their own tries, and early enough to keep what
+    is promised of leaving endpoints and of keys.
+    """
+    for count in (3, 60, 195, 530):
+        assert plan_of_many(clock, count, 0).longest_retry_ms() <= 1_600
+
+
+def test_instance_that_knows_no_other_reads_only_what_it_lacks(nodes, clock):
+    """A start that cost three calls more than it had to.
+
+    Before it has met the others an instance has nobody to read for; polls that it made
+    meanwhile told it what its listing had told it already.
+    """
+    configuration = ConfigurationState(4_500, 3_000)
+    plan = ReadingPlan(configuration, 2_000, clock)
+    assert plan.reads_configuration()
+    assert plan.may_wait()
+    assert plan.reads_endpoints()
+
+    configuration.apply(make_deployment(version=1))
+    configuration.confirm(START_MS)
+    plan.endpoints_confirmed(START_MS)
+    assert not plan.reads_configuration()
+    assert not plan.reads_endpoints()
+
+    clock.advance_to(START_MS + 1_500)
+    assert plan.reads_configuration()
+    assert plan.reads_endpoints()
+
+
 def test_answer_confirms_as_of_the_question(nodes, clock):
     """A revoked key that was vouched for.
 
@@ -196,7 +255,7 @@
     for _ in range(6):
         reader.configuration.confirm(now_ms)
         exchange(other, reader, now_ms)
-        now_ms += ASK_MS
+        now_ms += other.plan.ask_ms
 
     assert other.endpoints() == reader.endpoints()
     assert len(other.endpoints()) == 20
--- a/tests/test_gateway/test_topic_follower.py
+++ b/tests/test_gateway/test_topic_follower.py
@@ -75,6 +75,12 @@
     def is_regular(self):
         return True
 
+    def may_wait(self):
+        return True
+
+    def longest_retry_ms(self):
+        return 500
+
     def next_offset(self, read):
         return read
 
