Listen before the rest of a gateway is loaded

Cause: after a loss of all power every instance loads its modules at once, 0.2 s of processor time beyond an interpreter. A port on which nobody listens resets callers meanwhile; they have one retry, and it meets the same.

Ruled out: fewer imports alone (asyncio, eliot and the codec are needed by the first answer).

Change: the sockets for callers and for questions for addresses are opened right after the settings file can be read, and handed to the servers when they run. Settings are checked as before.

--- a/savorychute/cmd/gateway.py
+++ b/savorychute/cmd/gateway.py
@@ -33,16 +33,20 @@
     def run(self, arguments: Namespace) -> int:
         """Read the settings and run the gateway."""
         # Imported late: other commands need no daemon and start faster.
-        from savorychute.gateway.daemon.run_gateway import run_gateway
+        from savorychute.gateway.daemon.early_listeners import open_early_listeners
 
         path = arguments.settings or os.environ.get(SETTINGS_VARIABLE)
         if not path:
             raise SettingsError(
                 [f'no settings file: name one, or set {SETTINGS_VARIABLE}']
             )
-        try:
-            return run_gateway(path)
-        except SettingsError as error:
-            number = error.code.number
-            head = f'error {number}: the settings have faults'
-            raise SettingsError([head, *error.faults]) from error
+        with open_early_listeners(path) as listeners:
+            # Imported when the sockets listen: it loads all the rest.
+            from savorychute.gateway.daemon.run_gateway import run_gateway
+
+            try:
+                return run_gateway(path, listeners)
+            except SettingsError as error:
+                number = error.code.number
+                head = f'error {number}: the settings have faults'
+                raise SettingsError([head, *error.faults]) from error
--- a/savorychute/gateway/daemon/run_gateway.py
+++ b/savorychute/gateway/daemon/run_gateway.py
@@ -25,6 +25,7 @@
     from pathlib import Path
 
     from savorychute.clock import Clock
+    from savorychute.gateway.daemon.early_listeners import EarlyListeners
     from savorychute.gateway.daemon.gateway_host import GatewayHost
     from savorychute.gateway.settings.gateway_settings import GatewaySettings
 
@@ -33,13 +34,14 @@
 STORE_CONNECTIONS = 8
 
 
-def run_gateway(path: Path | str) -> int:
+def run_gateway(path: Path | str, listeners: EarlyListeners | None = None) -> int:
     """Run a gateway until it is told to leave; return the exit code.
 
     SIGTERM and SIGINT make it leave gracefully, however often they come.  SIGHUP
     reads the settings anew.
 
     :param path: the settings file.
+    :param listeners: sockets that listen already, by address.
     :raises SettingsError: if it has faults.
     """
     settings = read_schema(path, GATEWAY_SCHEMA)
@@ -47,18 +49,23 @@
     with ExitStack() as stack:
         stack.enter_context(open_log(sys.stdout.buffer))
         stack.enter_context(capture_libraries(log))
-        asyncio.run(_serve(path, settings, log))
+        asyncio.run(_serve(path, settings, log, listeners or {}))
     return EXIT_OK
 
 
-async def _serve(path: Path | str, settings: GatewaySettings, log: InstanceLog) -> None:
+async def _serve(
+    path: Path | str,
+    settings: GatewaySettings,
+    log: InstanceLog,
+    listeners: EarlyListeners,
+) -> None:
     loop = asyncio.get_running_loop()
     told_to_leave = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told_to_leave.set)
     # Until there is a host to tell, the signal must not end the process.
     loop.add_signal_handler(signal.SIGHUP, lambda: None)
-    async with run_host(settings, log) as host:
+    async with run_host(settings, log, listeners=listeners) as host:
         watch = SettingsWatch(path, settings, host.telemetry, host.apply_settings)
         loop.add_signal_handler(signal.SIGHUP, watch.reload)
         watching = loop.create_task(watch.run())
@@ -75,6 +82,7 @@
     log: InstanceLog,
     clock: Clock | None = None,
     rng: random.Random | None = None,
+    listeners: EarlyListeners | None = None,
 ) -> AsyncIterator[GatewayHost]:
     """Run an assembled gateway until the block ends.
 
@@ -82,6 +90,7 @@
     :param log: where its lines go.
     :param clock: the time.
     :param rng: the source of its random choices.
+    :param listeners: sockets that listen already, by address.
     """
     clock = clock or SystemClock()
     rng = rng or random.Random(random.SystemRandom().getrandbits(SEED_BITS))
@@ -103,6 +112,8 @@
         for name, work in works.items():
             running = keep_running(name, work, host.telemetry)
             stack.callback(asyncio.create_task(running).cancel)
-        await stack.enter_async_context(open_servers(settings, host, clock))
+        await stack.enter_async_context(
+            open_servers(settings, host, clock, listeners or {})
+        )
         log.info('instance-started', address=str(settings.caller_address))
         yield host
--- a/savorychute/gateway/daemon/servers.py
+++ b/savorychute/gateway/daemon/servers.py
@@ -13,6 +13,7 @@
     from collections.abc import AsyncIterator
 
     from savorychute.clock import Clock
+    from savorychute.gateway.daemon.early_listeners import EarlyListeners
     from savorychute.gateway.daemon.gateway_host import GatewayHost
     from savorychute.gateway.settings.gateway_settings import GatewaySettings
 
@@ -23,13 +24,17 @@
 
 @asynccontextmanager
 async def open_servers(
-    settings: GatewaySettings, host: GatewayHost, clock: Clock
+    settings: GatewaySettings,
+    host: GatewayHost,
+    clock: Clock,
+    listeners: EarlyListeners,
 ) -> AsyncIterator[None]:
     """Listen for callers, for the platform and for metrics until the block ends.
 
     :param settings: the addresses.
     :param host: who takes the requests.
     :param clock: the time for idle connections.
+    :param listeners: sockets that listen already, by address.
     """
     buffered = int(BUFFER_SHARE * settings.memory_mb * BYTES_PER_MB)
     limits = HttpLimits(buffered_bytes=buffered, unread_bytes=buffered)
@@ -48,6 +53,9 @@
             (metrics, HttpServer(limits, clock, host.take_metrics)),
             (settings.caller_address, callers),
         ):
-            await stack.enter_async_context(listen(server, address.host, address.port))
+            listener = listeners.get(str(address))
+            await stack.enter_async_context(
+                listen(server, address.host, address.port, listener=listener)
+            )
         host.serve_callers(callers)
         yield
--- a/savorychute/http/http_server.py
+++ b/savorychute/http/http_server.py
@@ -10,6 +10,7 @@
 from savorychute.http.server_connection import ServerConnection
 
 if TYPE_CHECKING:
+    import socket
     import ssl
     from collections.abc import AsyncIterator, Callable
 
@@ -127,7 +128,11 @@
 
 @asynccontextmanager
 async def listen(
-    server: HttpServer, host: str, port: int, tls: ssl.SSLContext | None = None
+    server: HttpServer,
+    host: str,
+    port: int,
+    tls: ssl.SSLContext | None = None,
+    listener: socket.socket | None = None,
 ) -> AsyncIterator[HttpServer]:
     """Accept connections for *server* until the block ends.
 
@@ -135,25 +140,35 @@
     :param host: the IP number to listen on.
     :param port: the port, or 0 for one of the system's choice.
     :param tls: the context of encrypted connections, or none for plain ones.
+    :param listener: a socket that listens there already; one is opened if left out.
     """
     loop = asyncio.get_running_loop()
     handshake_s = server.limits.header_timeout_ms / MS_PER_S if tls else None
-    listener = await loop.create_server(
-        lambda: ServerConnection(server),
-        host,
-        port,
-        ssl=tls,
-        backlog=LISTEN_BACKLOG,
-        ssl_handshake_timeout=handshake_s,
-    )
-    server.listener = listener
-    server.port = listener.sockets[0].getsockname()[1]
+
+    def accept() -> ServerConnection:
+        return ServerConnection(server)
+
+    if listener is None:
+        accepting = await loop.create_server(
+            accept,
+            host,
+            port,
+            ssl=tls,
+            backlog=LISTEN_BACKLOG,
+            ssl_handshake_timeout=handshake_s,
+        )
+    else:
+        accepting = await loop.create_server(
+            accept, sock=listener, ssl=tls, ssl_handshake_timeout=handshake_s
+        )
+    server.listener = accepting
+    server.port = accepting.sockets[0].getsockname()[1]
     sweeper = loop.create_task(_sweep_forever(server))
     try:
         yield server
     finally:
         sweeper.cancel()
-        listener.close()
+        accepting.close()
         server.abort_all()
 
 
