--- a/savorychute/gateway/daemon/assembly.py
+++ b/savorychute/gateway/daemon/assembly.py
@@ -123,6 +123,7 @@
         directory,
         parts.crashes,
         demand,
+        parts.roster.steady_streams,
         plan,
         reading,
         around.clock,
--- a/savorychute/gateway/daemon/peer_group.py
+++ b/savorychute/gateway/daemon/peer_group.py
@@ -25,7 +25,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from savorychute.actions import Action
     from savorychute.clock import Clock
@@ -64,6 +64,7 @@
     :param directory: what callers are told.
     :param crashes: requests that crash endpoints, told to all.
     :param demand: of engines, told to all.
+    :param count_streams: how many steady streams of this instance run.
     :param plan: who reads the store.
     :param reading: what others have read.
     :param clock: the time.
@@ -77,6 +78,7 @@
         directory: InstanceDirectory,
         crashes: CrashBook,
         demand: LaneDemand,
+        count_streams: Callable[[], int],
         plan: ReadingPlan,
         reading: SharedReading,
         clock: Clock,
@@ -87,6 +89,7 @@
         self._directory = directory
         self._crashes = crashes
         self._demand = demand
+        self._count_streams = count_streams
         self._plan = plan
         self._reading = reading
         self._spread = CrashSpread(crashes)
@@ -158,6 +161,7 @@
         self._carry_out(membership.tick(now_ms))
         view = membership.view()
         self._plan.follow(view)
+        self._demand.observe(self._count_streams(), len(view.alive), now_ms)
         self._carry_out(self._spread.tick(view, now_ms))
         self._carry_out(self._reading.tick(now_ms))
         for change in membership.take_changes():
--- a/savorychute/gateway/dispatch/chooser.py
+++ b/savorychute/gateway/dispatch/chooser.py
@@ -23,7 +23,9 @@
     ``wait_ms`` is how long the request is expected to wait before its prompt is read;
     the reading itself does not count, or the largest prompts would be refused first.
     ``load_known`` is whether the endpoint's load was reported lately, ``idle`` whether it
-    said that nothing waits there.  A stream that is ``apart`` runs away from long prompts.
+    said that nothing waits there.  A stream that is ``steady`` would be late beside long
+    prompts; one that is ``apart`` runs away from them.
+    For a request that leaves its home, ``compared`` are the engines that were asked.
     """
 
     record: EndpointRecord
@@ -32,7 +34,9 @@
     wait_ms: float = 0.0
     load_known: bool = False
     idle: bool = False
+    steady: bool = False
     apart: bool = False
+    compared: tuple[Choice, ...] = ()
 
 
 class Chooser(Protocol):
--- a/savorychute/gateway/dispatch/endpoint_search.py
+++ b/savorychute/gateway/dispatch/endpoint_search.py
@@ -74,7 +74,7 @@
             self._parts.loads.refresh(wanted, on_reports)
             return NotFound.ASKING
         choice = chooser.choose(candidates, need, now_ms)
-        if not can_have_run and not self._parts.guard.admits(choice, need):
+        if not can_have_run and not self._parts.guard.admits(choice, need, now_ms):
             self._parts.telemetry.request_shed(self._request, choice, need, now_ms)
             return NotFound.OVERLOADED
         self._tried.add(choice.record.entry.run)
--- a/savorychute/gateway/dispatch/engine_state.py
+++ b/savorychute/gateway/dispatch/engine_state.py
@@ -19,8 +19,9 @@
 # others.
 CROWDED_SHARE = 0.5
 # A dozen streams beside each other slow no engine; one with few places is crowded when
-# the next stream would take the last one.
+# the streams that all instances send before the next report would take the last ones.
 LEAST_CROWDED = 12
+MOST_CROWDED_SHARE = 2 / 3
 
 
 def is_recent(record: EndpointRecord, now_ms: int, bound_ms: int) -> bool:
@@ -44,8 +45,23 @@
     load = record.load
     if load is None or not is_usable(record, now_ms):
         return False
-    slots = record.entry.slots
-    return load.taken >= min(max(CROWDED_SHARE * slots, LEAST_CROWDED), slots - 1)
+    return load.taken >= steady_places(record.entry.slots)
+
+
+def steady_places(slots: int) -> float:
+    """Return how many streams an engine runs before no further one is sent there.
+
+    :param slots: how many it runs at all.
+    """
+    return max(1.0, min(steady_lane_places(slots), MOST_CROWDED_SHARE * slots))
+
+
+def steady_lane_places(slots: int) -> float:
+    """Return how many streams an engine of the steady lane can run.
+
+    :param slots: how many it runs at all.
+    """
+    return max(1.0, min(max(CROWDED_SHARE * slots, LEAST_CROWDED), slots - 1))
 
 
 def failure_ms(record: EndpointRecord, now_ms: int) -> float:
--- a/savorychute/gateway/dispatch/lane_demand.py
+++ b/savorychute/gateway/dispatch/lane_demand.py
@@ -32,13 +32,17 @@
 # the lanes are known, and are read twice.
 FIRST_STEADY_MS = 450.0
 FIRST_OTHER_MS = 2_550.0
-# Both figures travel in one number.
+# Streams that run are averaged over about this time: a stream takes one or two seconds.
+STREAMS_MS = 1_000
+# All figures travel in one number of 63 bits, streams in parts of one.
 FIGURE_BITS = 24
 MOST_MS = (1 << FIGURE_BITS) - 1
+STREAM_UNITS = 64
+MOST_STREAM_UNITS = (1 << 15) - 1
 
 
 class _Fading:
-    """Two sums that fade.
+    """Sums that fade, and how many amounts they are of.
 
     :param memory_s: how long an amount counts.
     :param steady_ms: the first sum at the start.
@@ -50,6 +54,8 @@
     ) -> None:
         self.steady_ms = steady_ms
         self.other_ms = other_ms
+        self.streams = 0.0
+        self.amounts = 0.0
         self._memory_s = memory_s
         self._noted_ms: int | None = None
 
@@ -58,10 +64,14 @@
         """Whether its amounts have begun to fade."""
         return self._noted_ms is not None
 
-    def add(self, steady_ms: float, other_ms: float, now_ms: int) -> None:
+    def add(
+        self, steady_ms: float, other_ms: float, now_ms: int, streams: float = 0.0
+    ) -> None:
         self.fade(now_ms)
+        self.streams += streams
         self.steady_ms += steady_ms
         self.other_ms += other_ms
+        self.amounts += 1.0
 
     def fade(self, now_ms: int) -> None:
         if self._noted_ms is not None:
@@ -69,6 +79,8 @@
             kept = max(0.0, 1.0 - elapsed_s / self._memory_s)
             self.steady_ms *= kept
             self.other_ms *= kept
+            self.streams *= kept
+            self.amounts *= kept
         self._noted_ms = now_ms
 
 
@@ -83,6 +95,10 @@
     def __init__(self) -> None:
         self._own = _Fading(OWN_S, FIRST_STEADY_MS, FIRST_OTHER_MS)
         self._heard = _Fading(HEARD_S)
+        # Steady streams of this instance that run, averaged.
+        self._streams = 0.0
+        self._observed_ms: int | None = None
+        self._instances = 1
 
     def note(
         self, need: Need, now_ms: int, model: EngineModel, places: int = USUAL_PLACES
@@ -121,7 +137,8 @@
             self._own.fade(now_ms)
         steady = min(round(self._own.steady_ms), MOST_MS)
         other = min(round(self._own.other_ms), MOST_MS)
-        return (steady << FIGURE_BITS) | other
+        streams = min(round(STREAM_UNITS * self._streams), MOST_STREAM_UNITS)
+        return (streams << 2 * FIGURE_BITS) | (steady << FIGURE_BITS) | other
 
     def hear(self, advertised: int, now_ms: int) -> None:
         """Take in what another instance said.
@@ -129,11 +146,33 @@
         :param advertised: its number.
         :param now_ms: the time.
         """
-        steady = min(advertised >> FIGURE_BITS, MOST_MS)
-        self._heard.add(steady, advertised & MOST_MS, now_ms)
+        steady = (advertised >> FIGURE_BITS) & MOST_MS
+        streams = (advertised >> 2 * FIGURE_BITS) / STREAM_UNITS
+        self._heard.add(steady, advertised & MOST_MS, now_ms, streams)
+
+    def observe(self, streams: int, instances: int, now_ms: int) -> None:
+        """Take in what runs now; to be called several times a second.
+
+        :param streams: steady streams of this instance that run.
+        :param instances: how many instances there are.
+        :param now_ms: the time.
+        """
+        self._instances = instances
+        if self._observed_ms is not None:
+            weight = min(1.0, (now_ms - self._observed_ms) / STREAMS_MS)
+            self._streams += weight * (streams - self._streams)
+        self._observed_ms = now_ms
 
     def steady_share(self) -> float:
         """Return the part of the engine time that steady streams ask for."""
         steady_ms = self._own.steady_ms + self._heard.steady_ms
         total_ms = steady_ms + self._own.other_ms + self._heard.other_ms
         return steady_ms / total_ms if total_ms else 0.0
+
+    def steady_streams(self) -> float:
+        """Return how many steady streams run, over all instances.
+
+        The mean of the instances that were heard stands for all.
+        """
+        told = 1.0 + self._heard.amounts
+        return self._instances * (self._streams + self._heard.streams) / told
--- a/savorychute/gateway/dispatch/lane_split.py
+++ b/savorychute/gateway/dispatch/lane_split.py
@@ -6,6 +6,8 @@
 from operator import attrgetter
 from typing import TYPE_CHECKING
 
+from savorychute.gateway.dispatch.engine_state import steady_lane_places
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -19,6 +21,10 @@
 # some instances count to one lane and some to the other would serve both badly.
 MARGIN = 0.25
 
+# Part of all engines that steady streams may need beyond their share of the demand: the
+# rest is for the other requests, which must not starve.
+MOST_NEEDED_SHARE = 0.5
+
 _lane_key = attrgetter('lane_key')
 
 
@@ -42,7 +48,7 @@
         :param records: all engines that it may use, at least one.
         :param apart: whether it is a stream that would be late beside long prompts.
         """
-        wanted = self._wanted(len(records))
+        wanted = self._wanted(records)
         if wanted is None:
             return records
         ranked = sorted(records, key=_lane_key, reverse=True)
@@ -51,9 +57,21 @@
             return ranked[: min(max(round(wanted - MARGIN), 1), most)]
         return ranked[min(max(ceil(wanted - MARGIN), 1), most) :]
 
-    def _wanted(self, engines: int) -> float | None:
-        """Return the size of the steady lane, in engines; None for no lanes."""
-        share = self._demand.steady_share()
-        if engines < 2 or not LEAST_SHARE <= share <= 1.0 - LEAST_SHARE:
+    def _wanted(self, records: Sequence[EndpointRecord]) -> float | None:
+        """Return the size of the steady lane, in engines; None for no lanes.
+
+        Its share of the demand is too little while all else bursts: with summaries at
+        2.4 times their usual, streams that had needed three engines got one and paused
+        beside the summaries on the others.  What runs says how many they need.
+        """
+        engines = len(records)
+        if engines < 2:
             return None
-        return engines * share
+        places = steady_lane_places(records[0].entry.slots)
+        needed = self._demand.steady_streams() / places
+        wanted = max(
+            engines * self._demand.steady_share(),
+            min(needed, MOST_NEEDED_SHARE * engines),
+        )
+        least = LEAST_SHARE * engines
+        return wanted if least <= wanted <= engines - least else None
--- a/savorychute/gateway/dispatch/prompt_cache.py
+++ b/savorychute/gateway/dispatch/prompt_cache.py
@@ -13,6 +13,7 @@
     is_recent,
     is_usable,
     serves_well,
+    steady_places,
 )
 from savorychute.gateway.dispatch.home_ranking import HomeRanking
 from savorychute.gateway.dispatch.lane_demand import LaneDemand
@@ -53,8 +54,10 @@
 # Steady streams are short and many; a report of this age still tells how crowded a lane
 # is.  Asking for them cost 0.0003 of the worth of a calm day and brought 0.046.
 STEADY_REPORT_MS = 500
-# An engine with a shorter wait may stand in for a busy home.
+STEADY_ASKED = 2
+# An engine with a shorter wait may stand in for a busy home, by a report of this age.
 IDLE_MS = 120.0
+STAND_IN_REPORT_MS = 400
 
 
 class _Candidate(NamedTuple):
@@ -105,8 +108,8 @@
         lane = self._lane(records, need)
         ranked = self._ranked(lane, prompt)
         if self._needs_apart(records, need):
-            others = self._rng.sample(ranked[1:], min(1, len(ranked) - 1))
-            return self._unknown([ranked[0], *others], now_ms, STEADY_REPORT_MS)
+            sample = self._rng.sample(ranked, min(STEADY_ASKED, len(ranked)))
+            return self._unknown(sample, now_ms, STEADY_REPORT_MS)
         if prompt.tokens < LARGE_TOKENS:
             return []
         home = ranked[0]
@@ -131,13 +134,34 @@
         model = self._models.of(entry.service)
         apart = model.needs_apart(need)
         self._demand.note(need, now_ms, model, entry.slots)
-        best = self._best(self._lane(records, need), need, now_ms)
+        lane = self._lane(records, need)
+        if apart and need.prompt is not None and need.prompt.tokens < LARGE_TOKENS * 4:
+            spread = self._spread(lane, need.prompt, now_ms)
+            if spread is not None:
+                return spread
+        best = self._best(lane, need, now_ms)
         if apart and not serves_well(best.record, now_ms):
             # Short and ahead of the queue, it is served by any engine; late events are
             # better than none, and than putting back others.
             free = [each for each in records if serves_well(each, now_ms)]
-            return self._best(free or records, need, now_ms)
-        return best._replace(apart=apart)
+            return self._best(free or records, need, now_ms)._replace(steady=True)
+        return best._replace(steady=apart, apart=apart)
+
+    def _spread(
+        self, lane: Sequence[EndpointRecord], prompt: Prompt, now_ms: int
+    ) -> Choice | None:
+        """Return an engine of the steady lane by chance and room, None if all are full.
+
+        Steady streams are short to read, so a home would save them little; it made one
+        engine of the lane run 32 streams where another ran two.  The engine with the most
+        room would be chosen by all instances at once.
+        """
+        rooms = [_steady_room(each, now_ms) for each in lane]
+        if not any(rooms):
+            return None
+        record = self._rng.choices(lane, rooms)[0]
+        candidate = _Candidate(record, prompt.tokens, 0.0)
+        return self._judge(candidate, now_ms)._replace(steady=True, apart=True)
 
     def _needs_apart(self, records: Sequence[EndpointRecord], need: Need) -> bool:
         return self._models.of(records[0].entry.service).needs_apart(need)
@@ -149,7 +173,15 @@
         else:
             candidates = self._candidates(self._ranked(lane, prompt), prompt, now_ms)
         choices = [self._judge(each, now_ms) for each in candidates]
-        return min(choices, key=lambda choice: choice.cost_ms)
+        best = min(choices, key=lambda choice: choice.cost_ms)
+        if prompt is None or not prompt.affinity or best is choices[0]:
+            return best
+        asked = [
+            self._judge(_Candidate(each, 0, 0.0), now_ms)
+            for each in lane
+            if is_recent(each, now_ms, STAND_IN_REPORT_MS)
+        ]
+        return best._replace(compared=tuple(asked))
 
     def _lane(
         self, records: Sequence[EndpointRecord], need: Need
@@ -198,7 +230,8 @@
             stand_ins = [
                 (rank, each)
                 for rank, each in stand_ins
-                if self._wait(each, now_ms) <= IDLE_MS
+                if is_recent(each, now_ms, STAND_IN_REPORT_MS)
+                and self._wait(each, now_ms) <= IDLE_MS
             ]
         elif not stand_ins:
             stand_ins = list(enumerate(others))
@@ -254,3 +287,13 @@
     reading_ms = model.reading_ms(queued_tokens + record.unreported_tokens())
     reading_ms += PLACE_MS * load.generating
     return max(reading_ms, model.place_wait_ms(load.taken + 1, record.entry.slots))
+
+
+def _steady_room(record: EndpointRecord, now_ms: int) -> float:
+    """Return for how many more streams an engine of the steady lane has room."""
+    if not serves_well(record, now_ms):
+        return 0.0
+    taken = OTHERS_FACTOR * record.outstanding
+    if record.load is not None and is_usable(record, now_ms):
+        taken = record.load.taken + record.unreported()
+    return max(0.0, steady_places(record.entry.slots) - taken)
--- a/savorychute/gateway/endpoints/endpoint_record.py
+++ b/savorychute/gateway/endpoints/endpoint_record.py
@@ -36,6 +36,7 @@
     """
 
     __slots__ = (
+        '_steady',
         '_unread',
         '_users',
         'entry',
@@ -63,16 +64,27 @@
         self.missing_until_ms: int | None = None
         self._unread: dict[EndpointUser, tuple[int, int]] = {}
         self._users: set[EndpointUser] = set()
-
-    def begin(self, attempt: EndpointUser, prompt_tokens: int, now_ms: int) -> None:
+        self._steady: set[EndpointUser] = set()
+
+    def begin(
+        self,
+        attempt: EndpointUser,
+        prompt_tokens: int,
+        now_ms: int,
+        *,
+        steady: bool = False,
+    ) -> None:
         """Count a request that is sent there.
 
         :param attempt: identifies it.
         :param prompt_tokens: what it is expected to read anew.
         :param now_ms: the time.
+        :param steady: whether it is a stream that runs away from long prompts.
         """
         self.outstanding += 1
         self._users.add(attempt)
+        if steady:
+            self._steady.add(attempt)
         self._unread[attempt] = (now_ms, prompt_tokens)
 
     def end_reading(self, attempt: EndpointUser) -> None:
@@ -83,8 +95,14 @@
         """Note that a request is no longer there."""
         self.end_reading(attempt)
         self._users.discard(attempt)
+        self._steady.discard(attempt)
         self.outstanding -= 1
 
+    @property
+    def steady_streams(self) -> int:
+        """This instance's streams there that run away from long prompts."""
+        return len(self._steady)
+
     def run_over(self) -> None:
         """Note that the endpoint has started again, and tell whoever waits for it.
 
@@ -133,3 +151,8 @@
     def unreported_tokens(self) -> int:
         """Return what the last report cannot have counted yet."""
         return self.unread_tokens(self.load_ms - REPORT_LAG_MS)
+
+    def unreported(self) -> int:
+        """Return how many requests the last report cannot have counted yet."""
+        since_ms = self.load_ms - REPORT_LAG_MS
+        return sum(sent_ms >= since_ms for sent_ms, _ in self._unread.values())
--- a/savorychute/gateway/endpoints/endpoint_roster.py
+++ b/savorychute/gateway/endpoints/endpoint_roster.py
@@ -57,6 +57,10 @@
         """Return the record of an endpoint that is listed, or None."""
         return self._records.get(endpoint)
 
+    def steady_streams(self) -> int:
+        """Return how many streams of this instance run away from long prompts."""
+        return sum(record.steady_streams for record in self)
+
     def usable(self, service: str) -> list[EndpointRecord]:
         """Return the endpoints of a service that may get new requests.
 
--- a/tests/test_gateway/test_choosers.py
+++ b/tests/test_gateway/test_choosers.py
@@ -203,3 +203,33 @@
     chosen = chooser.choose(engines, need, 1_001).record
 
     assert chosen is not home
+
+
+def test_steady_streams_of_one_prompt_use_all_of_their_lane(engines):
+    """Urgent streams that waited for a place while the engine beside had ten.
+
+    A burst of diagnoses about one pump comes.  By its home each went to the same engine of
+    the lane until a report, half a second late, said that it was full: 32 streams there,
+    two on the next.
+    """
+    need = Need(make_prompt('pump-7', shared=350, own=1_100), STEADY_GAP_MS)
+    chooser = make_chooser()
+    for record in engines:
+        record.report(IDLE, 1_000)
+
+    names = Counter(choose_names(chooser, engines, need, 40))
+
+    lane = len(names)
+    assert lane >= 1
+    assert max(names.values()) <= 40 / lane * 2.5
+
+
+def test_full_engine_gets_no_steady_stream_while_another_has_room(engines):
+    need = Need(make_prompt('pump-7', shared=350, own=1_100), STEADY_GAP_MS)
+    chooser = make_chooser()
+    full = set(choose_names(chooser, engines, need, 40))
+    for record in engines:
+        taken = 60 if record.entry.endpoint in full else 0
+        record.report(EngineLoad(0, 0, taken, 0), 1_000)
+
+    assert not set(choose_names(chooser, engines, need, 40)) & full
--- a/tests/test_gateway/test_lane_demand.py
+++ b/tests/test_gateway/test_lane_demand.py
@@ -87,6 +87,55 @@
     assert sizes[-1] > sizes[CALM_MS // STEP_MS - 1]
 
 
+def test_lane_keeps_what_its_streams_need_while_all_else_bursts():
+    """Urgent streams that paused beside summaries, a third of them.
+
+    Summaries come at five times their usual.  The share of steady streams falls to a few
+    hundredths, and by their share they get one or two engines; 90 of them run, which is
+    what three engines run beside each other.  The others were sent to engines that read.
+    """
+    rng = random.Random(1)
+    demands = [LaneDemand() for _ in range(INSTANCES)]
+    for now_ms in range(0, CALM_MS, STEP_MS):
+        for demand in demands:
+            demand.observe(90 // INSTANCES + (rng.random() < 0.5), INSTANCES, now_ms)
+            for _ in range(5):
+                demand.note(LONG, now_ms, MODEL)
+        live(demands, rng, now_ms)
+
+    engines = [
+        EndpointRecord(make_entry(f'e{n}', 'pool', slots=64)) for n in range(ENGINES)
+    ]
+    sizes = [len(LaneSplit(demand).lane(engines, apart=True)) for demand in demands]
+
+    assert demands[0].steady_share() * ENGINES < 1
+    assert min(sizes) >= 2
+    assert max(sizes) <= 4
+
+
+def test_streams_that_run_never_take_more_than_half_of_the_engines(engines):
+    demand = LaneDemand()
+    for now_ms in range(0, CALM_MS, STEP_MS):
+        demand.observe(10_000, 1, now_ms)
+        demand.note(LONG, now_ms, MODEL)
+        demand.note(SHORT, now_ms, MODEL)
+
+    lane = LaneSplit(demand).lane(engines, apart=True)
+
+    assert len(lane) <= ENGINES / 2
+
+
+def test_streams_that_run_are_told_and_heard():
+    teller, listener = LaneDemand(), LaneDemand()
+    for now_ms in range(0, 5_000, STEP_MS):
+        teller.observe(6, 2, now_ms)
+        listener.observe(0, 2, now_ms)
+
+    listener.hear(teller.advertised(5_000), 5_000)
+
+    assert listener.steady_streams() == pytest.approx(6, abs=0.1)
+
+
 def test_without_requests_there_is_no_demand():
     demand = LaneDemand()
     demand.note(Need(), 0, MODEL)
--- a/tests/test_gateway/test_overload_guard.py
+++ b/tests/test_gateway/test_overload_guard.py
@@ -23,7 +23,7 @@
     record.report(EngineLoad(waiting, 0, taken, 5_000), 1_000)
     need = Need(make_prompt(), 1_000, target_ms=1_500, rank=rank)
     choice = Choice(record, 4_000, wait_ms, wait_ms, known)
-    return OverloadGuard(random.Random(1)).admits(choice, need)
+    return OverloadGuard(random.Random(1)).admits(choice, need, 1_000)
 
 
 @pytest.mark.parametrize('rank', RANKS)
@@ -94,7 +94,7 @@
     need = Need(make_prompt(), 600, target_ms=1_200, rank=8)
     choice = Choice(record, 4_000, 200.0, 200.0, load_known=True)
 
-    assert OverloadGuard(random.Random(1)).admits(choice, need)
+    assert OverloadGuard(random.Random(1)).admits(choice, need, 1_000)
 
 
 def test_full_engine_with_few_places_takes_no_more_of_the_lowest_rank():
@@ -103,7 +103,7 @@
     need = Need(make_prompt(), 600, target_ms=1_200, rank=8)
     choice = Choice(record, 4_000, 200.0, 200.0, load_known=True)
 
-    assert not OverloadGuard(random.Random(1)).admits(choice, need)
+    assert not OverloadGuard(random.Random(1)).admits(choice, need, 1_000)
 
 
 @pytest.mark.parametrize('wait_ms', [300.0, 600.0, 900.0, 2_000.0])
@@ -121,6 +121,6 @@
     summary = Need(make_prompt(), 600, target_ms=1_200, rank=6)
     note = Need(make_prompt(), 250, target_ms=400, rank=3)
 
-    summary_taken = guard.admits(choice, summary)
+    summary_taken = guard.admits(choice, summary, 1_000)
 
-    assert guard.admits(choice, note) or not summary_taken
+    assert guard.admits(choice, note, 1_000) or not summary_taken
