Turn a whole tier away before any of the one above, and split the guard

Cause: refusals are drawn now, and the ramps of the two upper tiers overlapped, so chance could refuse a diagnosis and take a draft beside it; what was seen lately also refused some of a higher tier while a lower one was taken.

Limits by rank and the memory have modules of their own; a steady stream that leaves its lane is no longer taken for one that runs apart.

Test: test_a_lower_tier_is_turned_away_before_any_of_the_one_above failed for the upper two.

--- a/savorychute/gateway/dispatch/__init__.py
+++ b/savorychute/gateway/dispatch/__init__.py
@@ -7,6 +7,7 @@
 * ``lane_demand`` and ``lane_split`` keep streams that must not pause from long prompts;
 * ``home_ranking`` sends requests of one shared prompt to one engine;
 * ``engine_model`` predicts what a request meets at an engine, from what engines showed;
+* ``rank_limits`` and ``recent_shares`` say how much of a rank an engine's load refuses;
 * ``overload_guard`` turns away what no engine could serve in time.
 """
 
--- a/savorychute/gateway/dispatch/engine_state.py
+++ b/savorychute/gateway/dispatch/engine_state.py
@@ -7,6 +7,8 @@
 if TYPE_CHECKING:
     from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
 
+# Without a report: this instance sees only its own requests; others send about as many.
+OTHERS_FACTOR = 2.0
 # What failing every request costs an engine in a comparison, as a wait.
 FAILURE_MS = 2_000.0
 # A lane is left when its best engine fails more than this part of its requests.
@@ -87,3 +89,17 @@
         return False
     free = load.generating < record.entry.slots and not load.waiting + load.reading
     return free and not record.unread_tokens()
+
+
+def steady_room(record: EndpointRecord, now_ms: int) -> float:
+    """Return for how many more streams an engine of the steady lane has room.
+
+    :param record: the engine.
+    :param now_ms: the time.
+    """
+    if not serves_well(record, now_ms):
+        return 0.0
+    taken = OTHERS_FACTOR * record.outstanding
+    if record.load is not None and is_usable(record, now_ms):
+        taken = record.load.taken + record.unreported()
+    return max(0.0, steady_places(record.entry.slots) - taken)
--- a/savorychute/gateway/dispatch/prompt_cache.py
+++ b/savorychute/gateway/dispatch/prompt_cache.py
@@ -7,13 +7,14 @@
 from savorychute.gateway.dispatch.chooser import CHOOSERS, Choice
 from savorychute.gateway.dispatch.engine_models import EngineModels
 from savorychute.gateway.dispatch.engine_state import (
+    OTHERS_FACTOR,
     REPORT_MS,
     failure_ms,
     is_idle,
     is_recent,
     is_usable,
     serves_well,
-    steady_places,
+    steady_room,
 )
 from savorychute.gateway.dispatch.home_ranking import HomeRanking
 from savorychute.gateway.dispatch.lane_demand import LaneDemand
@@ -32,8 +33,6 @@
 # What one more request adds to each step of the batch, until an answer of usual
 # length is out.
 PLACE_MS = 6.0
-# Without a report: this instance sees only its own requests; others send about as many.
-OTHERS_FACTOR = 2.0
 DISTANCE_MS = 4.0
 # Reading a cached prompt elsewhere also delays every request there, and the users price
 # 13,000 tokens read again like a whole answer; so the queue at home must be that
@@ -55,6 +54,9 @@
 # is.  Asking for them cost 0.0003 of the worth of a calm day and brought 0.046.
 STEADY_REPORT_MS = 500
 STEADY_ASKED = 2
+# A steady stream with a longer prompt has a home: reading it anew takes an engine more than
+# a tenth of a second, and lets the streams there wait.
+SPREAD_TOKENS = 8_000
 # An engine with a shorter wait may stand in for a busy home, by a report of this age.
 IDLE_MS = 120.0
 STAND_IN_REPORT_MS = 400
@@ -99,8 +101,8 @@
     ) -> list[EndpointRecord]:
         """Return the engines whose load should be known first.
 
-        For a steady stream that is its home and another engine of its lane; for a long
-        prompt its home, and if that is busy a few others.
+        For a steady stream those are two engines of its lane; for a long prompt its home,
+        and if that is busy a few others.
         """
         prompt = need.prompt
         if prompt is None:
@@ -135,11 +137,8 @@
         apart = model.needs_apart(need)
         self._demand.note(need, now_ms, model, entry.slots)
         lane = self._lane(records, need)
-        if apart and need.prompt is not None and need.prompt.tokens < LARGE_TOKENS * 4:
-            spread = self._spread(lane, need.prompt, now_ms)
-            if spread is not None:
-                return spread
-        best = self._best(lane, need, now_ms)
+        best = self._spread(lane, need, now_ms) if apart else None
+        best = best or self._best(lane, need, now_ms)
         if apart and not serves_well(best.record, now_ms):
             # Short and ahead of the queue, it is served by any engine; late events are
             # better than none, and than putting back others.
@@ -148,20 +147,23 @@
         return best._replace(steady=apart, apart=apart)
 
     def _spread(
-        self, lane: Sequence[EndpointRecord], prompt: Prompt, now_ms: int
+        self, lane: Sequence[EndpointRecord], need: Need, now_ms: int
     ) -> Choice | None:
-        """Return an engine of the steady lane by chance and room, None if all are full.
+        """Return an engine of the steady lane by chance, weighted by its room.
 
-        Steady streams are short to read, so a home would save them little; it made one
-        engine of the lane run 32 streams where another ran two.  The engine with the most
-        room would be chosen by all instances at once.
+        Steady streams are short to read, so a home saves them little; it made one engine
+        of a lane run 32 streams where another ran two.  The engine with the most room
+        would be chosen by all instances at once.  There is none for a stream that leaves
+        the lane, for a long prompt, and where all are full.
         """
-        rooms = [_steady_room(each, now_ms) for each in lane]
+        prompt = need.prompt
+        if prompt is None or prompt.tokens > SPREAD_TOKENS or need.tries_again:
+            return None
+        rooms = [steady_room(each, now_ms) for each in lane]
         if not any(rooms):
             return None
         record = self._rng.choices(lane, rooms)[0]
-        candidate = _Candidate(record, prompt.tokens, 0.0)
-        return self._judge(candidate, now_ms)._replace(steady=True, apart=True)
+        return self._judge(_Candidate(record, prompt.tokens, 0.0), now_ms)
 
     def _needs_apart(self, records: Sequence[EndpointRecord], need: Need) -> bool:
         return self._models.of(records[0].entry.service).needs_apart(need)
@@ -176,12 +178,17 @@
         best = min(choices, key=lambda choice: choice.cost_ms)
         if prompt is None or not prompt.affinity or best is choices[0]:
             return best
-        asked = [
+        return best._replace(compared=self._compared(lane, now_ms))
+
+    def _compared(
+        self, lane: Sequence[EndpointRecord], now_ms: int
+    ) -> tuple[Choice, ...]:
+        """Return the engines of a lane that were asked for this choice."""
+        return tuple(
             self._judge(_Candidate(each, 0, 0.0), now_ms)
             for each in lane
             if is_recent(each, now_ms, STAND_IN_REPORT_MS)
-        ]
-        return best._replace(compared=tuple(asked))
+        )
 
     def _lane(
         self, records: Sequence[EndpointRecord], need: Need
@@ -287,13 +294,3 @@
     reading_ms = model.reading_ms(queued_tokens + record.unreported_tokens())
     reading_ms += PLACE_MS * load.generating
     return max(reading_ms, model.place_wait_ms(load.taken + 1, record.entry.slots))
-
-
-def _steady_room(record: EndpointRecord, now_ms: int) -> float:
-    """Return for how many more streams an engine of the steady lane has room."""
-    if not serves_well(record, now_ms):
-        return 0.0
-    taken = OTHERS_FACTOR * record.outstanding
-    if record.load is not None and is_usable(record, now_ms):
-        taken = record.load.taken + record.unreported()
-    return max(0.0, steady_places(record.entry.slots) - taken)
--- a/tests/test_gateway/test_overload_guard.py
+++ b/tests/test_gateway/test_overload_guard.py
@@ -10,6 +10,7 @@
 from savorychute.gateway.dispatch.chooser import Choice
 from savorychute.gateway.dispatch.need import Need
 from savorychute.gateway.dispatch.overload_guard import OverloadGuard
+from savorychute.gateway.dispatch.rank_limits import LIMITS, RankLimits
 from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
 from savorychute.gateway.endpoints.engine_load import EngineLoad
 from savorychute.ran import Ran
@@ -124,3 +125,17 @@
     summary_taken = guard.admits(choice, summary, 1_000)
 
     assert guard.admits(choice, note, 1_000) or not summary_taken
+
+
+@pytest.mark.parametrize('tier', [0, 1])
+@pytest.mark.parametrize('limit', RankLimits._fields)
+def test_a_lower_tier_is_turned_away_before_any_of_the_one_above(tier, limit):
+    """A summary that was taken while a diagnosis beside it was refused.
+
+    Refusals are drawn.  If a tier's ramp began below the end of the one beneath it, chance
+    would sometimes refuse the urgent request and take the other.
+    """
+    above = [getattr(each, limit) for each in LIMITS[3 * tier : 3 * tier + 3]]
+    below = [getattr(each, limit) for each in LIMITS[3 * tier + 3 : 3 * tier + 6]]
+
+    assert min(ramp.first for ramp in above) >= max(ramp.last for ramp in below)
