--- a/savorychute/gateway/dispatch/engine_state.py
+++ b/savorychute/gateway/dispatch/engine_state.py
@@ -47,19 +47,22 @@
     load = record.load
     if load is None or not is_usable(record, now_ms):
         return False
-    return load.taken >= steady_places(record.entry.slots)
+    return load.taken >= crowded_at(record.entry.slots)
 
 
-def steady_places(slots: int) -> float:
-    """Return how many streams an engine runs before no further one is sent there.
+def crowded_at(slots: int) -> float:
+    """Return from how many requests on an engine gets no further steady stream.
+
+    That is before all of its capacity is used: other instances send some as well before
+    the next report tells of them.
 
     :param slots: how many it runs at all.
     """
-    return max(1.0, min(steady_lane_places(slots), MOST_CROWDED_SHARE * slots))
+    return max(1.0, min(steady_capacity(slots), MOST_CROWDED_SHARE * slots))
 
 
-def steady_lane_places(slots: int) -> float:
-    """Return how many streams an engine of the steady lane can run.
+def steady_capacity(slots: int) -> float:
+    """Return how many steady streams an engine runs well beside each other.
 
     :param slots: how many it runs at all.
     """
@@ -102,4 +105,4 @@
     taken = OTHERS_FACTOR * record.outstanding
     if record.load is not None and is_usable(record, now_ms):
         taken = record.load.taken + record.unreported()
-    return max(0.0, steady_places(record.entry.slots) - taken)
+    return max(0.0, crowded_at(record.entry.slots) - taken)
--- a/savorychute/gateway/dispatch/lane_split.py
+++ b/savorychute/gateway/dispatch/lane_split.py
@@ -6,7 +6,7 @@
 from operator import attrgetter
 from typing import TYPE_CHECKING
 
-from savorychute.gateway.dispatch.engine_state import steady_lane_places
+from savorychute.gateway.dispatch.engine_state import steady_capacity
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -20,7 +20,6 @@
 # streams take the smaller one and long prompts leave out the larger one: an engine that
 # some instances count to one lane and some to the other would serve both badly.
 MARGIN = 0.25
-
 # Part of all engines that steady streams may need beyond their share of the demand: the
 # rest is for the other requests, which must not starve.
 MOST_NEEDED_SHARE = 0.5
@@ -67,8 +66,8 @@
         engines = len(records)
         if engines < 2:
             return None
-        places = steady_lane_places(records[0].entry.slots)
-        needed = self._demand.steady_streams() / places
+        capacity = steady_capacity(records[0].entry.slots)
+        needed = self._demand.steady_streams() / capacity
         wanted = max(
             engines * self._demand.steady_share(),
             min(needed, MOST_NEEDED_SHARE * engines),
--- a/savorychute/gateway/dispatch/prompt_cache.py
+++ b/savorychute/gateway/dispatch/prompt_cache.py
@@ -134,17 +134,17 @@
         """Return the endpoint with the least predicted wait."""
         entry = records[0].entry
         model = self._models.of(entry.service)
-        apart = model.needs_apart(need)
+        steady = model.needs_apart(need)
         self._demand.note(need, now_ms, model, entry.slots)
         lane = self._lane(records, need)
-        best = self._spread(lane, need, now_ms) if apart else None
+        best = self._spread(lane, need, now_ms) if steady else None
         best = best or self._best(lane, need, now_ms)
-        if apart and not serves_well(best.record, now_ms):
+        if steady and not serves_well(best.record, now_ms):
             # Short and ahead of the queue, it is served by any engine; late events are
             # better than none, and than putting back others.
             free = [each for each in records if serves_well(each, now_ms)]
             return self._best(free or records, need, now_ms)._replace(steady=True)
-        return best._replace(steady=apart, apart=apart)
+        return best._replace(steady=steady, apart=steady)
 
     def _spread(
         self, lane: Sequence[EndpointRecord], need: Need, now_ms: int
