Know no objective of a rank that has not come yet; survive a reload at the start

A rank of which no request had come had an objective of nothing, so any wait seemed too long for it, and what was remembered of the least urgent tier refused its first requests on idle engines. Now the objective of the request at hand stands in.

SIGHUP while a gateway was loading ended the process, since nothing took the signal before the loop ran. It is ignored from the begin of the command on; the settings are read after that. Test: test_starting_gateway_survives_a_reload.

--- a/savorychute/cmd/gateway.py
+++ b/savorychute/cmd/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import signal
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -32,6 +33,9 @@
 
     def run(self, arguments: Namespace) -> int:
         """Read the settings and run the gateway."""
+        # Asked to read its settings anew while it is loading, the process would end; it
+        # reads them after this, so nothing is missed.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         # Imported late: other commands need no daemon and start faster.
         from savorychute.gateway.daemon.early_listeners import open_early_listeners
 
--- a/savorychute/gateway/dispatch/overload_guard.py
+++ b/savorychute/gateway/dispatch/overload_guard.py
@@ -64,23 +64,24 @@
             return True
         rank = min(need.rank, len(LIMITS) - 1)
         self._targets_ms[rank] = max(need.target_ms, self._targets_ms[rank])
-        last_tier = [self._share_of(choice, each) for each in LAST_TIER]
+        last_tier = [self._share_of(choice, need, each) for each in LAST_TIER]
         recent = self._recent.take(last_tier, now_ms)
         if rank in LAST_TIER:
             index = LAST_TIER.index(rank)
             share = max(last_tier[index], RECENT_WEIGHT * recent[index])
         else:
-            share = self._share_of(choice, rank)
+            share = self._share_of(choice, need, rank)
         return self._rng.random() >= share
 
-    def _share_of(self, choice: Choice, rank: int) -> float:
+    def _share_of(self, choice: Choice, need: Need, rank: int) -> float:
         """Return the part of a rank's requests that engines' loads ask to refuse.
 
         Where a request leaves its home, all engines that were asked count: under load the
         best of them is idle by chance, and by its report alone every instance would send
         it all that its own homes have no room for.
         """
-        target_ms = max(1, *self._targets_ms[rank:])
+        # Of a rank that has not been seen yet no objective is known.
+        target_ms = max(self._targets_ms[rank:]) or need.target_ms or 1
         return fmean(
             _refused_share(each, LIMITS[rank], target_ms)
             for each in choice.compared or (choice,)
--- a/tests/test_gateway/test_early_listeners.py
+++ b/tests/test_gateway/test_early_listeners.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import argparse
+import os
+import signal
 import socket
 import subprocess
 import sys
+import types
 
 import pytest
 
+from savorychute.cmd.gateway import Gateway
 from savorychute.gateway.daemon.early_listeners import open_early_listeners
 from savorychute.testing.ports import free_ports
 
@@ -90,3 +95,28 @@
     )
 
     assert done.stdout.strip() == '[]'
+
+
+def test_starting_gateway_survives_a_reload(tmp_path, monkeypatch):
+    """An instance that ended because its settings had changed.
+
+    It started while the platform wrote new settings and told all instances to read them.
+    Until its loop runs nothing takes the signal, and the default is to end the process.
+    """
+    ended = []
+    before = signal.signal(signal.SIGHUP, lambda *_: ended.append('hang-up'))
+    loaded = types.ModuleType('savorychute.gateway.daemon.run_gateway')
+
+    def run_gateway(path, listeners):
+        os.kill(os.getpid(), signal.SIGHUP)
+        return 0
+
+    loaded.run_gateway = run_gateway
+    monkeypatch.setitem(sys.modules, loaded.__name__, loaded)
+    try:
+        code = Gateway().run(argparse.Namespace(settings=tmp_path / 'none.jsonc'))
+    finally:
+        signal.signal(signal.SIGHUP, before)
+
+    assert code == 0
+    assert not ended
--- a/tests/test_gateway/test_overload_guard.py
+++ b/tests/test_gateway/test_overload_guard.py
@@ -139,3 +139,27 @@
     below = [getattr(each, limit) for each in LIMITS[3 * tier + 3 : 3 * tier + 6]]
 
     assert min(ramp.first for ramp in above) >= max(ramp.last for ramp in below)
+
+
+@pytest.mark.parametrize('rank', [6, 7, 8])
+def test_first_request_of_a_rank_is_not_refused_for_want_of_its_objective(rank):
+    """Summaries that were refused at the begin of a day.
+
+    An instance that had seen diagnoses alone knew no objective of summaries.  It took any
+    wait for longer than that, remembered that all summaries were to be refused, and turned
+    away the first ones that came, while the engines were idle.
+    """
+    record = EndpointRecord(make_entry('e0', 'pool', slots=64))
+    record.report(EngineLoad(0, 0, 3, 0), 1_000)
+    choice = Choice(record, 400, 20.0, 20.0, load_known=True)
+    diagnosis = Need(make_prompt(), 250, target_ms=1_500, rank=1)
+    other = Need(make_prompt(), 1_000, target_ms=2_500, rank=6)
+    summary = Need(make_prompt(), 1_000, target_ms=2_500, rank=rank)
+    taken = []
+    for seed in range(20):
+        guard = OverloadGuard(random.Random(seed))
+        for before in (diagnosis, diagnosis, other, diagnosis):
+            guard.admits(choice, before, 1_000)
+        taken.append(guard.admits(choice, summary, 1_000))
+
+    assert all(taken)
