--- a/savorychute/gateway/dispatch/prompt_cache.py
+++ b/savorychute/gateway/dispatch/prompt_cache.py
@@ -108,12 +108,12 @@
         if prompt is None:
             return []
         lane = self._lane(records, need)
-        ranked = self._ranked(lane, prompt)
         if self._needs_apart(records, need):
-            sample = self._rng.sample(ranked, min(STEADY_ASKED, len(ranked)))
+            sample = self._rng.sample(lane, min(STEADY_ASKED, len(lane)))
             return self._unknown(sample, now_ms, STEADY_REPORT_MS)
         if prompt.tokens < LARGE_TOKENS:
             return []
+        ranked = self._ranked(lane, prompt)
         home = ranked[0]
         if not is_recent(home, now_ms, REPORT_MS):
             return [home]
--- a/savorychute/gateway/endpoints/endpoint_record.py
+++ b/savorychute/gateway/endpoints/endpoint_record.py
@@ -79,7 +79,7 @@
         :param attempt: identifies it.
         :param prompt_tokens: what it is expected to read anew.
         :param now_ms: the time.
-        :param steady: whether it is a stream that runs away from long prompts.
+        :param steady: whether it is a stream that would be late beside long prompts.
         """
         self.outstanding += 1
         self._users.add(attempt)
@@ -100,7 +100,7 @@
 
     @property
     def steady_streams(self) -> int:
-        """This instance's streams there that run away from long prompts."""
+        """This instance's streams there that would be late beside long prompts."""
         return len(self._steady)
 
     def run_over(self) -> None:
@@ -142,11 +142,7 @@
 
         :param since_ms: count only those sent from then on.
         """
-        return sum(
-            tokens
-            for sent_ms, tokens in self._unread.values()
-            if since_ms is None or sent_ms >= since_ms
-        )
+        return sum(self._unread_since(since_ms))
 
     def unreported_tokens(self) -> int:
         """Return what the last report cannot have counted yet."""
@@ -154,5 +150,12 @@
 
     def unreported(self) -> int:
         """Return how many requests the last report cannot have counted yet."""
-        since_ms = self.load_ms - REPORT_LAG_MS
-        return sum(sent_ms >= since_ms for sent_ms, _ in self._unread.values())
+        return len(self._unread_since(self.load_ms - REPORT_LAG_MS))
+
+    def _unread_since(self, since_ms: int | None) -> list[int]:
+        """Return what each request sent from then on still has to read there."""
+        return [
+            tokens
+            for sent_ms, tokens in self._unread.values()
+            if since_ms is None or sent_ms >= since_ms
+        ]
--- a/savorychute/gateway/endpoints/endpoint_roster.py
+++ b/savorychute/gateway/endpoints/endpoint_roster.py
@@ -58,7 +58,7 @@
         return self._records.get(endpoint)
 
     def steady_streams(self) -> int:
-        """Return how many streams of this instance run away from long prompts."""
+        """Return how many streams run here that would be late beside long prompts."""
         return sum(record.steady_streams for record in self)
 
     def usable(self, service: str) -> list[EndpointRecord]:
--- a/savorychute/gateway/store/reading_plan.py
+++ b/savorychute/gateway/store/reading_plan.py
@@ -21,11 +21,11 @@
 # a store that is down gets a few calls a second from it, not hundreds.
 READER_RETRY_MS = 500
 # The other instances also try for themselves, since the store may have turned away the
-# readers alone, but only so many of them in a time: together they try some thirty times
-# a second, however many they are.
+# readers alone; the more they are, the longer each waits, up to the share below.
 RETRY_SPACING_MS = 30
 # Part of the time in which a leaving endpoint must get nothing new; longer than this no
-# instance waits for its next try.
+# instance waits for its next try, so that 195 instances with a notice of 4 s still make some
+# 120 tries a second together.
 RETRY_SHARE = 0.4
 # One may be killed and a second cut off from the store at the same time.
 READERS = 3
