Report usage by one instance for all: a lease of duties, settled reports, the true time

Change: gateway/duties, without I/O. The lease is that of savorychute/leases over a keyed topic of the store (claims by conditional append); a fencing number is the store's era and the offset of the claim. A report is settled in the same topic, on the condition that its writer has read all before it, before it is first sent; whoever sends it sends what is settled. Instances tell three candidates their counts once a second, all of a window each time, so that a successor has what was told to a holder that has ended. Windows are cut by the median of what instances say of the time of day.

Ruled out: a report made by whoever sends it (two reports for a window after a lost answer), an unconditional write (a late one of an earlier holder replaces the settled report), an offset alone as fencing number, reports of an earlier era found in a copy; each fails a test.

Tests: 38, of them a law over killed, paused and cut instances, lost and late writes and calls, and a store that goes back.

--- a/savorychute/clock.py
+++ b/savorychute/clock.py
@@ -17,6 +17,22 @@
         ...
 
 
+class WallClock(Protocol):
+    """The time of day, which may be wrong and may jump."""
+
+    def wall_ms(self) -> int:
+        """Return milliseconds since the start of 1970, as this host knows them."""
+        ...
+
+
+class SystemWallClock:
+    """The host's time of day."""
+
+    def wall_ms(self) -> int:
+        """Return milliseconds since the start of 1970."""
+        return time.time_ns() // NS_PER_MS
+
+
 class SystemClock:
     """The host's monotonic clock, counting time spent suspended.
 
--- a/savorychute/gateway/daemon/assembly.py
+++ b/savorychute/gateway/daemon/assembly.py
@@ -4,8 +4,10 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from savorychute.clock import MS_PER_S
 from savorychute.gateway.configuration.configuration_state import ConfigurationState
 from savorychute.gateway.daemon.attempt_sender import AttemptSender
+from savorychute.gateway.daemon.duty_worker import DutyWorker, PlatformLine
 from savorychute.gateway.daemon.gateway_host import GatewayHost
 from savorychute.gateway.daemon.loop_timers import LoopTimers
 from savorychute.gateway.daemon.peer_group import PeerGroup
@@ -16,6 +18,15 @@
 from savorychute.gateway.dispatch.lane_demand import LaneDemand
 from savorychute.gateway.dispatch.overload_guard import OverloadGuard
 from savorychute.gateway.dispatch.shortages import Shortages
+from savorychute.gateway.duties.duty_claims import DutyClaims
+from savorychute.gateway.duties.duty_kind import DutyKind
+from savorychute.gateway.duties.duty_lease import DUTY_LEASE
+from savorychute.gateway.duties.true_time import TrueTime
+from savorychute.gateway.duties.usage_duty import UsageDuty
+from savorychute.gateway.duties.usage_gathering import UsageGathering
+from savorychute.gateway.duties.usage_ledger import UsageLedger
+from savorychute.gateway.duties.usage_spread import UsageSpread
+from savorychute.gateway.duties.usage_windows import UsageWindows
 from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
 from savorychute.gateway.endpoints.load_watch import LoadWatch
 from savorychute.gateway.metric_rows import GATEWAY_METRICS
@@ -33,6 +44,8 @@
 from savorychute.gateway.store.reading_plan import ReadingPlan
 from savorychute.gateway.store.registration import Registration
 from savorychute.gateway.store.shared_reading import SharedReading
+from savorychute.gateway.store.store_access import StoreAccess
+from savorychute.gateway.store.store_era import StoreEra
 from savorychute.gateway.store.topic_follower import TopicFollower
 from savorychute.gateway.telemetry import GatewayTelemetry
 from savorychute.http.client_pool import ServerAddress
@@ -43,7 +56,7 @@
     import random
     from collections.abc import Awaitable, Callable
 
-    from savorychute.clock import Clock
+    from savorychute.clock import Clock, WallClock
     from savorychute.gateway.platform_adapter import PlatformAdapter
     from savorychute.gateway.settings.gateway_settings import GatewaySettings
     from savorychute.gateway.store.keyed_topic import KeyedTopic
@@ -71,6 +84,7 @@
     store: ClientPool
     log: InstanceLog
     clock: Clock
+    wall: WallClock
     rng: random.Random
 
 
@@ -80,6 +94,7 @@
     configuration: KeyedTopic
     endpoints: KeyedTopic
     instances: KeyedTopic
+    duties: KeyedTopic
 
 
 class Assembly(NamedTuple):
@@ -95,9 +110,12 @@
     :param around: what it is given.
     """
     settings = around.settings
-    topics = _open_topics(around)
+    eras = StoreEra()
+    topics = _open_topics(around, eras)
     demand = LaneDemand()
-    parts = _make_parts(around, demand)
+    time = TrueTime(around.clock, around.wall)
+    windows = _usage_windows(around)
+    parts = _make_parts(around, demand, UsageLedger(windows, time))
     calls = parts.telemetry.calls
     plan = ReadingPlan(parts.configuration, int(settings.drain_notice_ms), around.clock)
     journal = EndpointJournal()
@@ -118,6 +136,8 @@
         around.rng,
     )
     own = _find_address(settings)
+    gathering = UsageGathering()
+    spread = UsageSpread(parts.usage, gathering) if windows is not None else None
     directory = InstanceDirectory(own)
     peers = PeerGroup(
         Registration(topics.instances, own, calls.topic('instances')),
@@ -128,12 +148,28 @@
         parts.roster.steady_streams,
         plan,
         reading,
+        spread,
+        time,
         around.clock,
         around.rng,
         parts.telemetry,
     )
     intake = Intake(parts.configuration, parts.crashes, around.rng)
-    host = GatewayHost(settings, parts, intake, around.adapter, peers, directory)
+    duties = None
+    if windows is not None and spread is not None:
+        duties = _make_duties(
+            around,
+            topics.duties,
+            eras,
+            windows,
+            gathering,
+            spread,
+            time,
+            parts.telemetry,
+        )
+    host = GatewayHost(
+        settings, parts, intake, around.adapter, peers, directory, duties
+    )
     configuration = ConfigurationListener(
         parts.configuration,
         plan,
@@ -141,47 +177,51 @@
         parts.telemetry,
         host.apply_limits,
     )
-    return Assembly(
-        host,
-        {
-            'configuration': TopicFollower(
-                topics.configuration,
-                Pace(int(POLL_SHARE * settings.configuration_notice_ms), 0),
-                ConfigurationGate(plan),
-                configuration,
-                around.clock,
-                around.rng,
-                calls.topic('configuration'),
-            ).run,
-            'endpoints': TopicFollower(
-                topics.endpoints,
-                Pace(0, int(ENDPOINT_READ_SHARE * settings.drain_notice_ms)),
-                EndpointGate(plan, journal),
-                entries,
-                around.clock,
-                around.rng,
-                calls.topic('endpoints'),
-            ).run,
-            'peers': peers.run,
-            'housekeeping': host.run,
-        },
-    )
+    works: dict[str, Callable[[], Awaitable[None]]] = {
+        'configuration': TopicFollower(
+            topics.configuration,
+            Pace(int(POLL_SHARE * settings.configuration_notice_ms), 0),
+            ConfigurationGate(plan),
+            configuration,
+            around.clock,
+            around.rng,
+            calls.topic('configuration'),
+        ).run,
+        'endpoints': TopicFollower(
+            topics.endpoints,
+            Pace(0, int(ENDPOINT_READ_SHARE * settings.drain_notice_ms)),
+            EndpointGate(plan, journal),
+            entries,
+            around.clock,
+            around.rng,
+            calls.topic('endpoints'),
+        ).run,
+        'peers': peers.run,
+        'housekeeping': host.run,
+    }
+    if duties is not None:
+        works['duties'] = duties.run
+    return Assembly(host, works)
 
 
-def _open_topics(around: Surroundings) -> Topics:
-    place = (
+def _open_topics(around: Surroundings, eras: StoreEra) -> Topics:
+    access = StoreAccess(
         around.store,
         ServerAddress(*around.settings.store_address),
         int(around.settings.store_timeout_ms),
+        eras,
     )
     return Topics(
-        around.adapter.configuration_topic(*place),
-        around.adapter.endpoint_topic(*place),
-        around.adapter.instance_topic(*place),
+        around.adapter.configuration_topic(access),
+        around.adapter.endpoint_topic(access),
+        around.adapter.instance_topic(access),
+        around.adapter.duty_topic(access),
     )
 
 
-def _make_parts(around: Surroundings, demand: LaneDemand) -> GatewayParts:
+def _make_parts(
+    around: Surroundings, demand: LaneDemand, usage: UsageLedger
+) -> GatewayParts:
     load_choosers()
     settings, clock, rng = around.settings, around.clock, around.rng
     crashes = CrashBook()
@@ -208,10 +248,50 @@
         loads=LoadWatch(attempts, roster, clock),
         allowance=RetryAllowance(read_bounds(settings)),
         crashes=crashes,
+        usage=usage,
         telemetry=GatewayTelemetry(around.log, metrics, clock),
     )
 
 
+def _usage_windows(around: Surroundings) -> UsageWindows | None:
+    """Return the windows over which usage is counted, None if nobody wants it."""
+    settings = around.settings
+    duties = around.adapter.decode_duties(settings.duties)
+    if settings.duty_address is None or DutyKind.USAGE not in duties:
+        return None
+    return UsageWindows(
+        int(MS_PER_S * settings.usage_window_s), int(MS_PER_S * settings.usage_due_s)
+    )
+
+
+def _make_duties(
+    around: Surroundings,
+    topic: KeyedTopic,
+    eras: StoreEra,
+    windows: UsageWindows,
+    gathering: UsageGathering,
+    spread: UsageSpread,
+    time: TrueTime,
+    telemetry: GatewayTelemetry,
+) -> DutyWorker:
+    settings = around.settings
+    assert settings.duty_address is not None
+    address = ServerAddress(*settings.duty_address)
+    claims = DutyClaims(settings.instance, DUTY_LEASE, around.rng, eras)
+    return DutyWorker(
+        settings.instance,
+        topic,
+        PlatformLine(around.store, address, around.adapter),
+        claims,
+        UsageDuty(windows, claims, gathering),
+        spread,
+        time,
+        around.clock,
+        telemetry,
+        telemetry.calls.topic('duties'),
+    )
+
+
 def _find_address(settings: GatewaySettings) -> MemberAddress:
     """Return this instance's address; its incarnation is set when it registers."""
     return MemberAddress(
--- a/savorychute/gateway/daemon/gateway_host.py
+++ b/savorychute/gateway/daemon/gateway_host.py
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:
     from savorychute.gateway.configuration.deployment import Deployment
+    from savorychute.gateway.daemon.duty_worker import DutyWorker
     from savorychute.gateway.daemon.peer_group import PeerGroup
     from savorychute.gateway.discovery.instance_directory import InstanceDirectory
     from savorychute.gateway.parts import GatewayParts
@@ -54,6 +55,7 @@
     :param adapter: how the platform, callers and endpoints speak.
     :param peers: the other instances.
     :param directory: what callers are told.
+    :param duties: what this instance may do for all; None for nothing.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         adapter: PlatformAdapter,
         peers: PeerGroup,
         directory: InstanceDirectory,
+        duties: DutyWorker | None = None,
     ) -> None:
         self._settings = settings
         self._parts = parts
@@ -71,6 +74,7 @@
         self._adapter = adapter
         self._peers = peers
         self._directory = directory
+        self._duties = duties
         self._leaving_since_ms: int | None = None
         self._last_request_ms = 0
         self._summary_ms = 0
@@ -259,9 +263,12 @@
         self._leaving_since_ms = began_ms
         if self.caller_server is not None:
             self.caller_server.closing = True
+        if self._duties is not None:
+            self._duties.leave()
         farewell = asyncio.get_running_loop().create_task(self._peers.leave())
         while not self._may_end(self._parts.clock.now_ms() - began_ms):
             await asyncio.sleep(LEAVING_STEP_MS / MS_PER_S)
+        self._peers.tell_usage()
         farewell.cancel()
 
     def _may_end(self, leaving_ms: int) -> bool:
--- a/savorychute/gateway/daemon/peer_group.py
+++ b/savorychute/gateway/daemon/peer_group.py
@@ -10,6 +10,7 @@
 from savorychute.clock import MS_PER_S
 from savorychute.daemon.peer_link import open_peer_link
 from savorychute.gateway.discovery.advertised import NOT_READY, read_advertised
+from savorychute.gateway.duties.usage_told import UsageTold
 from savorychute.gateway.recovery.crash_news import CrashNews
 from savorychute.gateway.recovery.crash_spread import CrashSpread
 from savorychute.gateway.store.store_answer import StoreAnswer
@@ -33,6 +34,8 @@
     from savorychute.gateway.discovery.instance_directory import InstanceDirectory
     from savorychute.gateway.dispatch.lane_demand import LaneDemand
     from savorychute.gateway.dispatch.shortages import Shortages
+    from savorychute.gateway.duties.true_time import TrueTime
+    from savorychute.gateway.duties.usage_spread import UsageSpread
     from savorychute.gateway.recovery.crash_book import CrashBook
     from savorychute.gateway.store.reading_plan import ReadingPlan
     from savorychute.gateway.store.registration import Registration
@@ -69,6 +72,8 @@
     :param count_streams: how many steady streams of this instance run.
     :param plan: who reads the store.
     :param reading: what others have read.
+    :param usage: what endpoints began, told to those who may report it.
+    :param time: the true time, of which instances tell each other.
     :param clock: the time.
     :param rng: the source of random choices.
     :param telemetry: is told of members that come and go.
@@ -84,6 +89,8 @@
         count_streams: Callable[[], int],
         plan: ReadingPlan,
         reading: SharedReading,
+        usage: UsageSpread | None,
+        time: TrueTime,
         clock: Clock,
         rng: random.Random,
         telemetry: GatewayTelemetry,
@@ -96,6 +103,8 @@
         self._count_streams = count_streams
         self._plan = plan
         self._reading = reading
+        self._usage = usage
+        self._time = time
         self._spread = CrashSpread(crashes)
         self._clock = clock
         self._rng = rng
@@ -146,6 +155,11 @@
         except StoreUnavailableError as error:
             self._telemetry.store_failed('instances', error)
 
+    def tell_usage(self) -> None:
+        """Tell the last counts, before this instance ends."""
+        if self._usage is not None:
+            self._carry_out(self._usage.tell())
+
     async def _register(self) -> None:
         while True:
             try:
@@ -165,6 +179,7 @@
             self.ready_version,
             self._demand.advertised(now_ms),
             self._shortages.advertised(now_ms),
+            self._time.own_offset_ms() if self._usage is not None else None,
         )
         self._carry_out(membership.tick(now_ms))
         view = membership.view()
@@ -173,6 +188,8 @@
         self._shortages.instances = max(1, len(view.alive))
         self._carry_out(self._spread.tick(view, now_ms))
         self._carry_out(self._reading.tick(now_ms))
+        if self._usage is not None:
+            self._carry_out(self._usage.tick(view, now_ms))
         for change in membership.take_changes():
             self._telemetry.member_changed(change)
 
@@ -186,6 +203,9 @@
             self._crashes.take_in(message.sightings, now_ms)
         elif isinstance(message, StoreAnswer):
             self._reading.take_answer(message, now_ms)
+        elif isinstance(message, UsageTold):
+            if self._usage is not None:
+                self._usage.take(sender, message)
         elif isinstance(message, StoreQuestion):
             self._answer(membership, sender, message, now_ms)
         else:
@@ -193,6 +213,7 @@
             if isinstance(message, Ack | Ping):
                 self._demand.hear(message.load, now_ms)
                 self._shortages.hear(message.shortages, now_ms)
+                self._time.hear(sender, message.wall_ms, now_ms)
             said = read_advertised(message)
             if said is not None:
                 ready = said.ready and sender not in membership.view().leaving
--- a/savorychute/gateway/daemon/run_gateway.py
+++ b/savorychute/gateway/daemon/run_gateway.py
@@ -9,7 +9,7 @@
 from contextlib import AsyncExitStack, ExitStack, asynccontextmanager
 from typing import TYPE_CHECKING
 
-from savorychute.clock import SystemClock
+from savorychute.clock import SystemClock, SystemWallClock
 from savorychute.gateway.daemon.assembly import Surroundings, assemble
 from savorychute.gateway.daemon.servers import open_servers
 from savorychute.gateway.daemon.settings_watch import SettingsWatch
@@ -24,7 +24,7 @@
     from collections.abc import AsyncIterator
     from pathlib import Path
 
-    from savorychute.clock import Clock
+    from savorychute.clock import Clock, WallClock
     from savorychute.gateway.daemon.early_listeners import EarlyListeners
     from savorychute.gateway.daemon.gateway_host import GatewayHost
     from savorychute.gateway.settings.gateway_settings import GatewaySettings
@@ -83,6 +83,7 @@
     clock: Clock | None = None,
     rng: random.Random | None = None,
     listeners: EarlyListeners | None = None,
+    wall: WallClock | None = None,
 ) -> AsyncIterator[GatewayHost]:
     """Run an assembled gateway until the block ends.
 
@@ -91,6 +92,7 @@
     :param clock: the time.
     :param rng: the source of its random choices.
     :param listeners: sockets that listen already, by address.
+    :param wall: the time of day.
     """
     clock = clock or SystemClock()
     rng = rng or random.Random(random.SystemRandom().getrandbits(SEED_BITS))
@@ -106,6 +108,7 @@
             store=stack.enter_context(open_pool(to_store, clock)),
             log=log,
             clock=clock,
+            wall=wall or SystemWallClock(),
             rng=rng,
         )
         host, works = assemble(around)
--- /dev/null
+++ b/savorychute/gateway/duties/duty_record.py
@@ -0,0 +1,70 @@
+"""Records of the topic of duties."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import msgspec
+
+from savorychute.gateway.duties.usage_report import UsageReport  # noqa: TC001
+
+# Keys.  Reports take turns in a few keys, so that the store, which keeps the newest record
+# of each key for good, does not grow.
+CLAIM_KEY = 'claim'
+ERA_KEY = 'era'
+REPORT_KEYS = 16
+
+
+class EraRecord(NamedTuple):
+    """An era of the store, and a moment of true time by which it had begun."""
+
+    era: int
+    since_ms: int
+
+
+class SettledRecord(NamedTuple):
+    """A report that is never changed again, and the era of the store for its writer."""
+
+    era: int
+    report: UsageReport
+
+
+_ERA_DECODER = msgspec.json.Decoder(EraRecord)
+_SETTLED_DECODER = msgspec.json.Decoder(SettledRecord)
+
+
+def report_key(window: int) -> str:
+    """Return the key of a window's report."""
+    return f'usage-{window % REPORT_KEYS}'
+
+
+def is_report_key(key: str) -> bool:
+    """Return whether a key is that of a report."""
+    return key.startswith('usage-')
+
+
+def encode_record(record: EraRecord | SettledRecord) -> bytes:
+    """Return a record as JSON."""
+    return msgspec.json.encode(record)
+
+
+def decode_era(data: bytes) -> EraRecord | None:
+    """Return the record in some bytes, or None if they hold none.
+
+    :param data: anybody may have written them.
+    """
+    try:
+        return _ERA_DECODER.decode(data)
+    except msgspec.MsgspecError:
+        return None
+
+
+def decode_settled(data: bytes) -> SettledRecord | None:
+    """Return the record in some bytes, or None if they hold none.
+
+    :param data: anybody may have written them.
+    """
+    try:
+        return _SETTLED_DECODER.decode(data)
+    except msgspec.MsgspecError:
+        return None
--- a/savorychute/gateway/metric_rows.py
+++ b/savorychute/gateway/metric_rows.py
@@ -72,5 +72,17 @@
         ('topic', 'purpose'),
         'Calls to the store, by topic and what they were made for.',
     ),
+    MetricRow(
+        'duty_steps_total',
+        'counter',
+        ('duty', 'step', 'outcome'),
+        'What the holder of a duty did, and how it ended.',
+    ),
+    MetricRow(
+        'duty_changes_total',
+        'counter',
+        ('change',),
+        'How often this instance began or ceased to hold the duties.',
+    ),
     MetricRow('log_lines_omitted_total', 'counter', (), 'Routine log lines left out.'),
 )
--- a/savorychute/gateway/parts.py
+++ b/savorychute/gateway/parts.py
@@ -14,6 +14,7 @@
     from savorychute.gateway.dispatch.engine_models import EngineModels
     from savorychute.gateway.dispatch.overload_guard import OverloadGuard
     from savorychute.gateway.dispatch.shortages import Shortages
+    from savorychute.gateway.duties.usage_ledger import UsageLedger
     from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
     from savorychute.gateway.endpoints.load_watch import LoadWatch
     from savorychute.gateway.recovery.crash_book import CrashBook
@@ -38,6 +39,7 @@
     loads: LoadWatch
     allowance: RetryAllowance
     crashes: CrashBook
+    usage: UsageLedger
     telemetry: GatewayTelemetry
 
     def chooser(self, service: Service) -> Chooser:
--- a/savorychute/gateway/platform_adapter.py
+++ b/savorychute/gateway/platform_adapter.py
@@ -11,6 +11,9 @@
 
     from savorychute.gateway.configuration.deployment import Deployment
     from savorychute.gateway.discovery.discovery_question import DiscoveryQuestion
+    from savorychute.gateway.duties.duty_kind import DutyKind
+    from savorychute.gateway.duties.duty_order import DutyOrder, DutyOutcome
+    from savorychute.gateway.duties.usage_report import UsageReport
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
     from savorychute.gateway.endpoints.engine_load import EngineLoad
     from savorychute.gateway.requests.endpoint_answer import EndpointAnswer
@@ -18,7 +21,7 @@
     from savorychute.gateway.requests.outbound_attempt import OutboundAttempt
     from savorychute.gateway.requests.refusal import Refusal
     from savorychute.gateway.store.keyed_topic import KeyedTopic
-    from savorychute.http.client_pool import ClientPool, ServerAddress
+    from savorychute.gateway.store.store_access import StoreAccess
     from savorychute.http.http_request import HttpRequest
     from savorychute.http.http_response import HttpResponse
     from savorychute.member_address import MemberAddress
@@ -31,24 +34,34 @@
     :class:`~savorychute.gateway.translation_error.TranslationError`.
     """
 
-    def configuration_topic(
-        self, pool: ClientPool, address: ServerAddress, timeout_ms: int
-    ) -> KeyedTopic:
+    def configuration_topic(self, access: StoreAccess) -> KeyedTopic:
         """Return the topic in which operators publish the configuration."""
         ...
 
-    def endpoint_topic(
-        self, pool: ClientPool, address: ServerAddress, timeout_ms: int
-    ) -> KeyedTopic:
+    def endpoint_topic(self, access: StoreAccess) -> KeyedTopic:
         """Return the topic in which endpoints register."""
         ...
 
-    def instance_topic(
-        self, pool: ClientPool, address: ServerAddress, timeout_ms: int
-    ) -> KeyedTopic:
+    def instance_topic(self, access: StoreAccess) -> KeyedTopic:
         """Return the topic in which instances of the gateway register."""
         ...
 
+    def duty_topic(self, access: StoreAccess) -> KeyedTopic:
+        """Return the topic in which instances claim duties and settle reports."""
+        ...
+
+    def decode_duties(self, names: Sequence[str]) -> frozenset[DutyKind]:
+        """Return the duties among some names of the platform's."""
+        ...
+
+    def encode_usage(self, report: UsageReport, order: DutyOrder) -> HttpRequest:
+        """Return the call that reports a window's usage."""
+        ...
+
+    def decode_duty_answer(self, status: int) -> DutyOutcome:
+        """Return what the status of the answer to a duty's call says."""
+        ...
+
     def decode_configuration(self, key: str, value: bytes) -> Deployment | None:
         """Return the configuration in a record, or None for another record."""
         ...
--- a/savorychute/gateway/requests/attempt.py
+++ b/savorychute/gateway/requests/attempt.py
@@ -28,6 +28,10 @@
         """Take a part of a stream."""
         ...
 
+    def attempt_ended(self, attempt: Attempt) -> None:
+        """Take in that nothing more comes of an attempt."""
+        ...
+
     def pass_head(self, attempt: Attempt) -> None:
         """Begin to pass on an answer that is too large to be held."""
         ...
@@ -69,6 +73,7 @@
         'passing',
         'running',
         'sent',
+        'sent_ms',
         'waiting',
     )
 
@@ -83,6 +88,7 @@
         self.held_bytes = 0
         self.passing = False
         self.sent = False
+        self.sent_ms = began_ms
         self.ended = False
         self.waiting = True
         choice.record.begin(
@@ -98,6 +104,7 @@
     def may_send(self) -> bool:
         """Return whether the attempt is still wanted."""
         self.sent = True
+        self.sent_ms = self.owner.now_ms()
         return True
 
     def answer_began(self, answer: EndpointAnswer) -> None:
@@ -172,5 +179,6 @@
     def close(self) -> None:
         """Count the attempt as no longer at its endpoint."""
         self.ended = True
+        self.owner.attempt_ended(self)
         self.began_to_answer()
         self.choice.record.end(self)
--- a/savorychute/gateway/requests/request_course.py
+++ b/savorychute/gateway/requests/request_course.py
@@ -15,6 +15,7 @@
 from savorychute.gateway.requests.outbound_attempt import OutboundAttempt
 from savorychute.gateway.requests.refusal import Refusal
 from savorychute.gateway.requests.silence import silence_ends_ms
+from savorychute.gateway.requests.usage_observer import UsageObserver
 from savorychute.ran import Ran
 from savorychute.result_code import ResultCode
 
@@ -64,6 +65,7 @@
         self._route = admitted.route
         self._search = EndpointSearch(parts, request, admitted)
         self._observer = EngineObserver(parts.engines, parts.shortages, admitted)
+        self._usage = UsageObserver(parts.usage, admitted)
         self._answer = CallerAnswer(caller, request.last_event)
         self._attempt: Attempt | None = None
         self._timer: TimerHandle | None = None
@@ -103,10 +105,16 @@
         assert answer is not None
         if not self._answer.relay.take(data, answer.status, answer.headers):
             return
-        attempt.began_to_answer()
         now_ms = self.now_ms()
+        if attempt.waiting:
+            self._usage.stream_began(now_ms)
+        attempt.began_to_answer()
         self._observer.event_came(attempt, self._times.note(now_ms), now_ms)
 
+    def attempt_ended(self, attempt: Attempt) -> None:
+        """Count what a plain service has run."""
+        self._usage.ended(attempt)
+
     def pass_head(self, attempt: Attempt) -> None:
         """Begin to pass on an answer that is too large to be held."""
         assert attempt.answer is not None
--- a/savorychute/gateway/settings/gateway_settings.py
+++ b/savorychute/gateway/settings/gateway_settings.py
@@ -35,3 +35,7 @@
     retry_slack: float
     connect_timeout_ms: float
     store_timeout_ms: float
+    duty_address: NetworkAddress | None
+    duties: tuple[str, ...]
+    usage_window_s: float
+    usage_due_s: float
--- a/savorychute/gateway/settings/table.py
+++ b/savorychute/gateway/settings/table.py
@@ -8,10 +8,12 @@
 from savorychute.gateway.settings.gateway_settings import GatewaySettings
 from savorychute.settings.path_reader import read_extension_paths
 from savorychute.settings.readers import (
+    read_address,
     read_flag,
     read_number,
     read_share,
     read_text,
+    read_texts,
 )
 from savorychute.settings.rows import (
     LOG_LEVEL_ROW,
@@ -140,7 +142,27 @@
         'Further attempts besides, of all instances together.',
     ),
     _duration('connect_timeout_ms', 400.0, 'Time to connect to an endpoint.'),
-    _duration('store_timeout_ms', 1_000.0, 'Time for an answer of the store.'),
+    _duration('store_timeout_ms', 1_000.0, 'How long the store may be silent.'),
+    Setting(
+        'duty_address',
+        None,
+        '',
+        Scope.DEPLOYMENT,
+        'host:port',
+        read_address,
+        'Where the platform takes what one instance does for all; none for no duties.',
+    ),
+    Setting(
+        'duties',
+        (),
+        '',
+        Scope.DEPLOYMENT,
+        'list of names',
+        read_texts,
+        'The duties that the platform wants, as it names them.',
+    ),
+    _seconds('usage_window_s', 5.0, 'The time over which usage is counted.'),
+    _seconds('usage_due_s', 10.0, 'From the end of a window until its report is due.'),
 )
 
 GATEWAY_RULES: tuple[Rule[GatewaySettings], ...] = (
--- a/savorychute/gateway/store/call_purpose.py
+++ b/savorychute/gateway/store/call_purpose.py
@@ -14,3 +14,5 @@
     LIST = 'list'
     READ_FOR_ALL = 'read-for-all'
     READ_FOR_ITSELF = 'read-for-itself'
+    READ_DUTIES = 'read-duties'
+    WRITE_DUTIES = 'write-duties'
--- a/savorychute/gateway/store/keyed_topic.py
+++ b/savorychute/gateway/store/keyed_topic.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     from savorychute.gateway.store.topic_delta import TopicDelta
     from savorychute.gateway.store.topic_snapshot import TopicSnapshot
+    from savorychute.gateway.store.write_receipt import WriteReceipt
 
 
 class KeyedTopic(Protocol):
@@ -31,8 +32,8 @@
 
     async def write(
         self, key: str, value: bytes | None, expected_end: int | None = None
-    ) -> None:
-        """Append a record.
+    ) -> WriteReceipt:
+        """Append a record, and return where it stands.
 
         :param key: the record's key.
         :param value: its value, or None to remove the key.
--- a/savorychute/gateway/store/topic_delta.py
+++ b/savorychute/gateway/store/topic_delta.py
@@ -12,12 +12,13 @@
 class TopicDelta(NamedTuple):
     """What was written from an offset on, up to ``next_offset``.
 
-    ``end`` is where the topic ended then, 0 if that is not known.
+    ``end`` is where the topic ended then, 0 if that is not known; ``era`` is the store's.
     """
 
     records: tuple[KeyedRecord | UnreadableRecord, ...]
     next_offset: int
     end: int = 0
+    era: int = 0
 
     @property
     def left(self) -> int:
--- a/savorychute/gateway/store/topic_snapshot.py
+++ b/savorychute/gateway/store/topic_snapshot.py
@@ -13,8 +13,9 @@
     """The newest record of each key.
 
     Reading on from ``next_offset`` misses nothing; it may show again what the
-    snapshot holds already.
+    snapshot holds already.  ``era`` is the store's.
     """
 
     records: tuple[KeyedRecord | UnreadableRecord, ...]
     next_offset: int
+    era: int = 0
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -5,6 +5,8 @@
 import re
 from typing import TYPE_CHECKING
 
+from savorychute.gateway.duties.duty_kind import DutyKind
+from savorychute.gateway.duties.duty_order import DutyOutcome
 from savorychute.gateway.endpoints.engine_load import EngineLoad
 from savorychute.gateway.log_budget import LogBudget
 from savorychute.gateway.store.call_meter import CallMeter
@@ -19,6 +21,7 @@
     from savorychute.gateway.dispatch.chooser import Choice
     from savorychute.gateway.dispatch.engine_model import EngineFigures
     from savorychute.gateway.dispatch.need import Need
+    from savorychute.gateway.duties.usage_duty import UsageStep
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
     from savorychute.gateway.requests.admitted import Admitted
     from savorychute.gateway.requests.attempt import Attempt
@@ -26,6 +29,7 @@
     from savorychute.gateway.requests.inbound_request import InboundRequest
     from savorychute.gateway.requests.refusal import Refusal
     from savorychute.gateway.store.unreadable_record import UnreadableRecord
+    from savorychute.leases.lease_change import LeaseChange
     from savorychute.logs import InstanceLog, Value
     from savorychute.membership.member_change import MemberChange
     from savorychute.metrics import Metrics
@@ -165,6 +169,36 @@
             **{name: round(value, 2) for name, value in figures._asdict().items()},
         )
 
+    # -- duties
+
+    def duty_changed(self, change: LeaseChange) -> None:
+        """Log that this instance began or ceased to hold the duties."""
+        self.metrics.count('duty_changes_total', change=change.change)
+        self.log.info(
+            'duty-changed',
+            state=change.change,
+            fencing=change.fencing,
+            reason=_word(change.why),
+        )
+
+    def usage_step(self, step: UsageStep, outcome: DutyOutcome, fencing: int) -> None:
+        """Log what was done about a window's usage, and how it ended."""
+        kind, result = step.kind.name.lower(), outcome.name.lower()
+        self.metrics.count(
+            'duty_steps_total', duty=DutyKind.USAGE.value, step=kind, outcome=result
+        )
+        self._write(
+            LogLevel.INFO if outcome is DutyOutcome.ACCEPTED else LogLevel.WARNING,
+            'usage-step',
+            '',
+            item=kind,
+            state=result,
+            window=step.report.window,
+            fencing=fencing,
+            age_ms=step.age_ms,
+            count=sum(count for _, count in step.report.counts),
+        )
+
     # -- requests
 
     def request_refused(
--- a/savorychute/log_fields.py
+++ b/savorychute/log_fields.py
@@ -19,7 +19,7 @@
     'events': 'a number of events of a stream',
     'extension': 'a module that extends the instance',
     'failure_domain': 'a failure domain',
-    'fencing': 'the fencing number of an order',
+    'fencing': 'the fencing number of an order, 0 for none',
     'first_event_ms': 'from a request to the first event of its answer',
     'fresh_tokens': 'prompt tokens that a request usually has read anew',
     'from_state': 'the state before',
@@ -57,4 +57,5 @@
     'version': 'the version of a contract or an endpoint',
     'waiting': 'requests that wait at an engine for their prompts to be read',
     'waited_ms': 'how long it waited',
+    'window': 'the number of a window of usage',
 }
--- a/savorychute/membership/ack.py
+++ b/savorychute/membership/ack.py
@@ -14,7 +14,8 @@
     """Answer the :class:`Ping` of this sequence number.
 
     ``load`` is how busy the sender is, in the unit of the host's choice;
-    ``shortages`` are the tiers whose requests get nothing there.
+    ``shortages`` are the tiers whose requests get nothing there; ``wall_ms`` is the
+    sender's time of day, 0 if it does not tell.
     """
 
     sequence: int
@@ -23,3 +24,4 @@
     updates: tuple[MemberUpdate, ...] = ()
     load: int = 0
     shortages: tuple[TierShortage, ...] = ()
+    wall_ms: int = 0
--- a/savorychute/membership/membership.py
+++ b/savorychute/membership/membership.py
@@ -57,6 +57,7 @@
         self._configuration_offset = -1
         self._load = 0
         self._shortages: tuple[TierShortage, ...] = ()
+        self._wall_offset_ms: int | None = None
         self._news = PeerNews()
         self._table = MemberTable(settings)
         self._queue = UpdateQueue(settings)
@@ -88,16 +89,19 @@
         configuration_offset: int,
         load: int = 0,
         shortages: tuple[TierShortage, ...] = (),
+        wall_offset_ms: int | None = None,
     ) -> None:
         """Tell the others, on each probe, how far and how busy this instance is.
 
         :param configuration_offset: the log offset that was read last.
         :param load: requests in progress, or any other unit that all use.
         :param shortages: tiers whose requests get nothing here.
+        :param wall_offset_ms: the time of day less the clock's; None is not told.
         """
         self._configuration_offset = configuration_offset
         self._load = load
         self._shortages = shortages
+        self._wall_offset_ms = wall_offset_ms
 
     def peer_offsets(self) -> dict[str, int]:
         """Return the offsets that members advertised last."""
@@ -269,6 +273,7 @@
             updates,
             self._load,
             self._shortages,
+            self._wall_ms(now_ms),
         )
         return [send_to(ping.origin.address, ack)]
 
@@ -296,8 +301,13 @@
             updates,
             self._load,
             self._shortages,
+            self._wall_ms(now_ms),
         )
 
+    def _wall_ms(self, now_ms: int) -> int:
+        offset_ms = self._wall_offset_ms
+        return now_ms + offset_ms if offset_ms is not None else 0
+
     def _announce(self, now_ms: int) -> list[Action]:
         """Tell some members of the own region and all other regions at once."""
         targets = self._regions.announcement_targets()
--- a/savorychute/settings/readers.py
+++ b/savorychute/settings/readers.py
@@ -29,6 +29,13 @@
     return value
 
 
+def read_texts(value: Any) -> tuple[str, ...]:
+    """Return a list of strings."""
+    if not isinstance(value, list) or not all(isinstance(each, str) for each in value):
+        raise ValueError('a list of strings')
+    return tuple(value)
+
+
 def read_whole(minimum: int, maximum: int) -> Callable[[Any], int]:
     """Return a reader of whole numbers.
 
--- a/savorychute/wire/messages.capnp
+++ b/savorychute/wire/messages.capnp
@@ -38,6 +38,7 @@
   updates @3 :List(MemberUpdate);
   load @4 :Int64;
   shortages @5 :List(TierShortage);
+  wallMs @6 :Int64;
 }
 
 struct Ack {  # tag 11
@@ -47,6 +48,7 @@
   updates @3 :List(MemberUpdate);
   load @4 :Int64;
   shortages @5 :List(TierShortage);
+  wallMs @6 :Int64;
 }
 
 struct PingRequest {  # tag 12
@@ -332,3 +334,19 @@
   endpointAgeMs @4 :Int64;
   changes @5 :List(EndpointNews);
 }
+
+struct OrganisationCount {
+  organisation @0 :Text;
+  requests @1 :Int64;
+}
+
+struct WindowCounts {
+  window @0 :Int64;
+  counts @1 :List(OrganisationCount);
+}
+
+struct UsageTold {  # tag 93
+  run @0 :Int64;
+  wholeUntilMs @1 :Int64;
+  windows @2 :List(WindowCounts);
+}
--- a/savorychute/wire/peer_packages.py
+++ b/savorychute/wire/peer_packages.py
@@ -16,6 +16,7 @@
     'savorychute.requests',
     'savorychute.recovery',
     'savorychute.leases',
+    'savorychute.gateway.duties',
     'savorychute.gateway.recovery',
     'savorychute.gateway.store',
 )
--- a/tests/test_gateway/gateway_fakes.py
+++ b/tests/test_gateway/gateway_fakes.py
@@ -19,6 +19,8 @@
 from savorychute.gateway.dispatch.engine_models import EngineModels
 from savorychute.gateway.dispatch.overload_guard import OverloadGuard
 from savorychute.gateway.dispatch.shortages import Shortages
+from savorychute.gateway.duties.true_time import TrueTime
+from savorychute.gateway.duties.usage_ledger import UsageLedger
 from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
 from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
 from savorychute.gateway.endpoints.engine_load import EngineLoad
@@ -312,6 +314,13 @@
     return Prompt('m', shared + own, answer, parts)
 
 
+class StillWall:
+    """A time of day that stands still."""
+
+    def wall_ms(self):
+        return 0
+
+
 def make_telemetry(clock):
     metrics = Metrics('kochi-1', GATEWAY_METRICS)
     return GatewayTelemetry(InstanceLog('kochi-1'), metrics, clock)
@@ -365,6 +374,7 @@
         loads=LoadWatch(attempts, roster, clock),
         allowance=RetryAllowance(RetryBounds(0.2, 10_000, slack)),
         crashes=crashes,
+        usage=UsageLedger(None, TrueTime(clock, StillWall())),
         telemetry=make_telemetry(clock),
     )
     parts.allowance.instances = 1
