Let nothing of an older era win when the store comes back from an older copy

Cause: offsets go back and are given out again, so an offset that was read before may be of another record, or of none.

Change: each answer's era is noted; a topic is listed anew in a new era; questions and answers between instances name their era; an incarnation begins with the era; a version is confirmed only by a listing that shows it; a run of an endpoint whose entry is gone does not come back with a report that was known; endpoints that a copy lacks stay in use until they had time to write; the entry and the secret are written again, and a second secret replaces the first one, which stays accepted.

Ruled out: reading on from the offset where the store answers 410 (it may have grown past it).

--- a/savorychute/gateway/daemon/assembly.py
+++ b/savorychute/gateway/daemon/assembly.py
@@ -132,6 +132,7 @@
         parts.configuration,
         journal,
         entries.take_changes,
+        eras,
         int(VOUCH_SHARE * settings.configuration_notice_ms),
         around.rng,
     )
@@ -141,6 +142,7 @@
     directory = InstanceDirectory(own)
     peers = PeerGroup(
         Registration(topics.instances, own, calls.topic('instances')),
+        eras,
         directory,
         parts.crashes,
         demand,
--- a/savorychute/gateway/daemon/peer_group.py
+++ b/savorychute/gateway/daemon/peer_group.py
@@ -26,7 +26,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Coroutine, Iterable
 
     from savorychute.actions import Action
     from savorychute.clock import Clock
@@ -40,6 +40,7 @@
     from savorychute.gateway.store.reading_plan import ReadingPlan
     from savorychute.gateway.store.registration import Registration
     from savorychute.gateway.store.shared_reading import SharedReading
+    from savorychute.gateway.store.store_era import StoreEra
     from savorychute.gateway.telemetry import GatewayTelemetry
     from savorychute.inputs import Input
     from savorychute.member_address import MemberAddress
@@ -47,6 +48,8 @@
 
 TICK_MS = 100
 REGISTER_RETRY_MS = 500
+# All instances write again after the store went back; together they would be refused.
+ENTER_AGAIN_MS = 1_000
 # Two probes a second: a peer that was killed is suspected within about a second, and
 # callers are told other addresses.
 SETTINGS = MembershipSettings(
@@ -65,6 +68,7 @@
     """Registers in the store, probes the others, and hears who is ready.
 
     :param registration: this instance's entry.
+    :param eras: the newest era that is known of the store.
     :param directory: what callers are told.
     :param crashes: requests that crash endpoints, told to all.
     :param demand: of engines, told to all.
@@ -82,6 +86,7 @@
     def __init__(
         self,
         registration: Registration,
+        eras: StoreEra,
         directory: InstanceDirectory,
         crashes: CrashBook,
         demand: LaneDemand,
@@ -96,6 +101,8 @@
         telemetry: GatewayTelemetry,
     ) -> None:
         self._registration = registration
+        self._eras = eras
+        self._entering = False
         self._directory = directory
         self._crashes = crashes
         self._demand = demand
@@ -111,7 +118,8 @@
         self._telemetry = telemetry
         self._membership: Membership | None = None
         self._link: PeerLink | None = None
-        self._listings: set[asyncio.Task[None]] = set()
+        self._codec: PeerCodec | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
         self._listed: int | None = None
         self.ready_version = NOT_READY
 
@@ -136,6 +144,7 @@
         assert keys is not None
         address = self._registration.address
         codec = PeerCodec(address.instance, address.incarnation, keys)
+        self._codec = codec
         async with open_peer_link(codec, address.host, address.peer_port) as link:
             self._link = link
             self._membership = Membership(SETTINGS, address, self._rng)
@@ -181,6 +190,9 @@
             self._shortages.advertised(now_ms),
             self._time.own_offset_ms() if self._usage is not None else None,
         )
+        if self._eras.current != self._registration.era and not self._entering:
+            self._entering = True
+            self._start(self._enter_again())
         self._carry_out(membership.tick(now_ms))
         view = membership.view()
         self._plan.follow(view)
@@ -238,9 +250,27 @@
             if isinstance(action, SendPeer) and self._link is not None:
                 self._link.send(action)
             elif isinstance(action, FetchListing):
-                task = asyncio.get_running_loop().create_task(self._fetch_listing())
-                self._listings.add(task)
-                task.add_done_callback(self._listings.discard)
+                self._start(self._fetch_listing())
+
+    def _start(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _enter_again(self) -> None:
+        """Write again what the store has lost, at another moment than the others do."""
+        try:
+            await asyncio.sleep(self._rng.uniform(0, ENTER_AGAIN_MS) / MS_PER_S)
+            live = await self._registration.enter_again()
+        except StoreUnavailableError as error:
+            self._telemetry.store_failed('instances', error)
+            return
+        finally:
+            self._entering = False
+        self._telemetry.store_went_back(self._registration.era)
+        if self._codec is not None and self._registration.keys is not None:
+            self._codec.keys = self._registration.keys
+        self._take_listing(live)
 
     async def _fetch_listing(self) -> None:
         assert self._membership is not None
--- a/savorychute/gateway/endpoints/endpoint_roster.py
+++ b/savorychute/gateway/endpoints/endpoint_roster.py
@@ -44,6 +44,8 @@
         self._records: dict[str, EndpointRecord] = {}
         self._by_service: dict[str, dict[str, EndpointRecord]] = {}
         self._ended: dict[EndpointRun, None] = {}
+        # The last report of each run whose entry is gone, the newest.
+        self._gone: dict[EndpointRun, int] = {}
         self._order = RunOrder()
         self._doubt_until_ms = 0
 
@@ -88,6 +90,9 @@
         verdict = self._order.judge(entry)
         if verdict is EntryVerdict.OLD_RUN or entry.run in self._ended:
             return EntryVerdict.OLD_RUN
+        if entry.sequence <= self._gone.get(entry.run, -1):
+            # The store went back to a copy in which the endpoint was still there.
+            return EntryVerdict.OLD_RUN
         record = self._records.get(entry.endpoint)
         if record is None:
             self._add(entry)
@@ -190,6 +195,9 @@
 
     def _drop(self, record: EndpointRecord) -> None:
         self._forget(record)
+        self._gone[record.entry.run] = record.entry.sequence
+        if len(self._gone) > ENDED_KEPT:
+            self._gone.pop(next(iter(self._gone)))
         if not record.entry.draining:
             self._on_ended(record.entry.run, self._clock.now_ms())
 
--- a/savorychute/gateway/store/configuration_listener.py
+++ b/savorychute/gateway/store/configuration_listener.py
@@ -27,7 +27,9 @@
 
     A read that shows nothing new confirms the version in force.  A record that
     cannot be read confirms nothing: a newer version exists that is not known here.  Nor
-    does a read that left records behind, one of which may take a key back.
+    does a read that left records behind, one of which may take a key back, nor one in which
+    the store, back from an older copy, shows no version as new as the one in force: a newer
+    one may be lost until the operator writes it again.
 
     :param state: the version in force.
     :param plan: is told whether the store can be read.
@@ -49,9 +51,12 @@
         self._decode = decode
         self._telemetry = telemetry
         self._on_applied = on_applied
+        # The newest version since the last listing, -1 for none.
+        self._shown_version = -1
 
     def topic_listed(self, snapshot: TopicSnapshot, began_ms: int) -> None:
         """Take the newest records."""
+        self._shown_version = -1
         self._take(snapshot.records, began_ms, read_all=True)
 
     def topic_changed(self, delta: TopicDelta, began_ms: int) -> None:
@@ -90,8 +95,10 @@
             if deployment is None:
                 continue
             newest_read = True
+            self._shown_version = max(self._shown_version, deployment.version)
             if self._state.apply(deployment):
                 self._telemetry.configuration_applied(deployment, record.offset)
                 self._on_applied(deployment)
-        if read_all and newest_read and self._state.table is not None:
+        shown = self._shown_version >= self._state.version
+        if read_all and newest_read and shown and self._state.table is not None:
             self._state.confirm(began_ms)
--- a/savorychute/gateway/store/endpoint_journal.py
+++ b/savorychute/gateway/store/endpoint_journal.py
@@ -15,22 +15,26 @@
     """What an instance can tell another that has read up to some offset.
 
     Most records are heartbeats that change nothing; only those that do are kept.
-    ``offset`` is where the topic was read last, ``first`` where the journal begins.
+    ``offset`` is where the topic was read last, ``first`` where the journal begins, both in
+    one ``era`` of the store.
     """
 
     def __init__(self) -> None:
         self.offset = -1
         self.first = -1
+        self.era = 0
         self._news: deque[EndpointNews] = deque()
 
-    def restart(self, offset: int) -> None:
+    def restart(self, offset: int, era: int) -> None:
         """Begin anew after a listing, which shows no single changes.
 
         :param offset: where reading goes on.
+        :param era: of the store.
         """
         self._news.clear()
         self.first = offset
         self.offset = offset
+        self.era = era
 
     def add(self, news: EndpointNews) -> None:
         """Keep a change.
--- a/savorychute/gateway/store/endpoint_listener.py
+++ b/savorychute/gateway/store/endpoint_listener.py
@@ -61,13 +61,16 @@
         read = [self._read(record) for record in snapshot.records]
         entries = [each for each in read if not isinstance(each, EndpointNews)]
         now_ms = self._clock.now_ms()
+        if snapshot.era != self._journal.era:
+            # An older copy lacks endpoints that came since, until they write again.
+            self._roster.store_failed(now_ms)
         for news in read:
             if isinstance(news, EndpointNews) and news.unreadable:
                 self._roster.withhold(news.endpoint)
         self._roster.apply_all(entries, now_ms)
         self._told = {each.endpoint: (each.run, each.draining) for each in entries}
         self._roster.expire(now_ms)
-        self._journal.restart(snapshot.next_offset)
+        self._journal.restart(snapshot.next_offset, snapshot.era)
         self._plan.must_list_endpoints = False
         self._plan.endpoints_confirmed(began_ms)
 
--- a/savorychute/gateway/store/registration.py
+++ b/savorychute/gateway/store/registration.py
@@ -6,12 +6,13 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+import xxhash
 
 from savorychute.gateway.store.call_purpose import CallPurpose
 from savorychute.gateway.store.store_errors import WriteConflictError
 from savorychute.gateway.store.unreadable_record import UnreadableRecord
 from savorychute.member_address import MemberAddress
-from savorychute.wire.peer_key import PeerKey
+from savorychute.wire.peer_key import MAX_KEY_ID, PeerKey
 from savorychute.wire.peer_keys import PeerKeys
 
 if TYPE_CHECKING:
@@ -24,7 +25,8 @@
 # No instance can have this name: names begin with a letter or a digit.
 SECRET_KEY = '@secret'
 SECRET_BYTES = 32
-KEY_ID = 1
+# An incarnation is an era and an offset in it; offsets of the topic stay far below this.
+ERA_SHIFT = 32
 
 
 class Registration:
@@ -50,30 +52,37 @@
         self._count_call = count_call
         self.address = address
         self.keys: PeerKeys | None = None
+        # Of the store when this instance entered last.
+        self.era = 0
         # The other instances, as they were when this one registered.
         self.listed: tuple[MemberAddress, ...] = ()
 
     async def register(self) -> None:
         """Enter this instance with a larger incarnation than any run before it.
 
-        The incarnation is the offset at which the topic ended, which only grows.  The
-        time of day may jump back, and the entry of the run before is gone if it left in
-        order; with its incarnation peers would take this run's messages for repetitions
-        and ignore them.
+        The incarnation is the era of the store and the offset at which the topic ended in
+        it, which only grow.  The time of day may jump back, and the entry of the run
+        before is gone if it left in order; with its incarnation peers would take this
+        run's messages for repetitions and ignore them.  The offset alone goes back with a
+        store that comes back from an older copy.
 
         :raises StoreUnavailableError: if the store does not answer.
         """
         snapshot = await self._list_with_secret()
         self.keys = _find_secret(snapshot.records)
-        self.address = self.address._replace(incarnation=snapshot.next_offset + 1)
+        incarnation = (snapshot.era << ERA_SHIFT) + snapshot.next_offset + 1
+        self.address = self.address._replace(incarnation=incarnation)
+        self.era = snapshot.era
         self.listed = decode_addresses(snapshot.records)
         await self.enter()
 
-    async def _list_with_secret(self) -> TopicSnapshot:
-        """Return a listing that holds the secret; write one if there is none.
+    async def _list_with_secret(self, secret: bytes | None = None) -> TopicSnapshot:
+        """Return a listing that holds a secret; write one if there is none.
 
         Each try lists anew.  Where the answer to the entry's write was lost, nothing of
         the try before is left to rely on.
+
+        :param secret: to be written; None for a new one.
         """
         while True:
             snapshot = await self._list()
@@ -83,7 +92,7 @@
             try:
                 await self._topic.write(
                     SECRET_KEY,
-                    secrets.token_bytes(SECRET_BYTES),
+                    secret or secrets.token_bytes(SECRET_BYTES),
                     snapshot.next_offset,
                 )
             except WriteConflictError:
@@ -107,6 +116,26 @@
         snapshot = await self._topic.list_newest()
         return decode_addresses(snapshot.records)
 
+    async def enter_again(self) -> tuple[MemberAddress, ...]:
+        """Write again what an older copy of the store lacks; return all entries.
+
+        An instance that has started meanwhile may have found no secret and written
+        another.  That one is used from now on, and the one before is still accepted, until
+        all others have read the new one as well.
+
+        :raises StoreUnavailableError: if the store does not answer.
+        """
+        assert self.keys is not None
+        snapshot = await self._list_with_secret(self.keys.signing.secret)
+        found = _find_secret(snapshot.records)
+        assert found is not None
+        if found.signing != self.keys.signing:
+            self.keys = PeerKeys(found.signing, (self.keys.signing,))
+        if self.address not in decode_addresses(snapshot.records):
+            await self.enter()
+        self.era = snapshot.era
+        return decode_addresses(snapshot.records)
+
     async def remove(self, instance: str) -> None:
         """Remove the entry of an instance that has left.
 
@@ -143,5 +172,10 @@
         if isinstance(record, UnreadableRecord):
             continue
         if record.key == SECRET_KEY and record.value is not None:
-            return PeerKeys(PeerKey(KEY_ID, record.value))
+            return PeerKeys(PeerKey(_key_id(record.value), record.value))
     return None
+
+
+def _key_id(secret: bytes) -> int:
+    """Return a number that tells two secrets apart."""
+    return 1 + xxhash.xxh3_64_intdigest(secret) % MAX_KEY_ID
--- a/savorychute/gateway/store/shared_reading.py
+++ b/savorychute/gateway/store/shared_reading.py
@@ -18,6 +18,7 @@
     from savorychute.gateway.store.endpoint_journal import EndpointJournal
     from savorychute.gateway.store.endpoint_news import EndpointNews
     from savorychute.gateway.store.reading_plan import ReadingPlan
+    from savorychute.gateway.store.store_era import StoreEra
 
 # Then another reader is asked; between failure domains an answer takes a few ms.
 ANSWER_MS = 150
@@ -39,6 +40,7 @@
     :param configuration: what is in force here.
     :param journal: changes of endpoints.
     :param on_changes: is given changes from others, in order.
+    :param eras: the newest era that is known of the store.
     :param vouch_ms: how old a reader's knowledge may be; an older one is cut off.
     :param rng: picks the first reader.
     """
@@ -49,6 +51,7 @@
         configuration: ConfigurationState,
         journal: EndpointJournal,
         on_changes: Callable[[Sequence[EndpointNews], int], None],
+        eras: StoreEra,
         vouch_ms: int,
         rng: random.Random,
     ) -> None:
@@ -56,6 +59,7 @@
         self._configuration = configuration
         self._journal = journal
         self._on_changes = on_changes
+        self._eras = eras
         self._vouch_ms = vouch_ms
         self._unvouched = 0
         self._sequence = 0
@@ -91,7 +95,9 @@
             if now_ms - asked_ms < self._plan.ask_ms
         }
         self._asked[self._sequence] = now_ms
-        question = StoreQuestion(self._sequence, self._journal.offset)
+        question = StoreQuestion(
+            self._sequence, self._journal.offset, self._journal.era
+        )
         return [SendPeer(reader.instance, reader.host, reader.peer_port, question)]
 
     def answer(self, question: StoreQuestion, now_ms: int) -> StoreAnswer:
@@ -103,11 +109,18 @@
         age_ms = min(self._configuration.age_ms(now_ms), NEVER_AGE_MS)
         if self._plan.failing_topics:
             age_ms = NEVER_AGE_MS
-        changes = self._journal.since(question.endpoint_offset)
+        changes = None
+        if question.era == self._journal.era:
+            changes = self._journal.since(question.endpoint_offset)
         endpoint_age_ms = self._plan.endpoint_age_ms(now_ms)
         if changes is None or endpoint_age_ms is None:
             return StoreAnswer(
-                question.sequence, self._configuration.version, age_ms, -1, NEVER_AGE_MS
+                question.sequence,
+                self._configuration.version,
+                age_ms,
+                -1,
+                NEVER_AGE_MS,
+                era=self._journal.era,
             )
         offset = self._journal.offset
         if len(changes) > CHANGES_PER_ANSWER:
@@ -120,6 +133,7 @@
             offset,
             endpoint_age_ms,
             changes,
+            self._journal.era,
         )
 
     def take_answer(self, answer: StoreAnswer, now_ms: int) -> None:
@@ -131,15 +145,20 @@
         asked_ms = self._asked.pop(answer.sequence, None)
         if asked_ms is None:
             return
-        if answer.configuration_age_ms > self._vouch_ms:
-            # The reader is cut off; another one may not be.
+        if (
+            answer.configuration_age_ms > self._vouch_ms
+            or answer.era < self._eras.current
+        ):
+            # The reader is cut off, or has not noticed that the store went back to an older
+            # copy; another one may have.
             self._next_ms = now_ms
             return
+        self._eras.note(answer.era)
         self._unvouched = 0
         self._plan.nobody_vouches = False
         self._next_ms = max(self._next_ms, asked_ms + self._plan.ask_ms)
         self._take_version(answer, asked_ms)
-        if answer.endpoint_offset < 0:
+        if answer.endpoint_offset < 0 or answer.era != self._journal.era:
             self._plan.must_list_endpoints = True
             return
         if answer.endpoint_offset < self._journal.offset:
--- a/savorychute/gateway/store/store_answer.py
+++ b/savorychute/gateway/store/store_answer.py
@@ -13,7 +13,7 @@
     """The answer to the question with the same sequence number.
 
     Ages are counted when the answer is written.  ``endpoint_offset`` is -1 if the
-    changes that were asked for are not all known.
+    changes that were asked for are not all known; offsets are of an ``era`` of the store.
     """
 
     sequence: int
@@ -22,3 +22,4 @@
     endpoint_offset: int
     endpoint_age_ms: int
     changes: tuple[EndpointNews, ...] = ()
+    era: int = 0
--- a/savorychute/gateway/store/store_question.py
+++ b/savorychute/gateway/store/store_question.py
@@ -9,7 +9,11 @@
 
 @peer_message(91)
 class StoreQuestion(NamedTuple):
-    """Ask for changes of endpoints from an offset on; -1 asks for none."""
+    """Ask for changes of endpoints from an offset on; -1 asks for none.
+
+    The offset is of an ``era`` of the store.
+    """
 
     sequence: int
     endpoint_offset: int
+    era: int = 0
--- a/savorychute/gateway/store/topic_follower.py
+++ b/savorychute/gateway/store/topic_follower.py
@@ -81,7 +81,8 @@
     After a loss of history, and after an outage, the topic is listed anew: the
     store keeps the newest record of each key when it forgets all others.  So it is where a
     read could not bring all that was written: the records are large then, and one after the
-    other would be old before it has arrived.
+    other would be old before it has arrived.  And so it is when the store has come back from
+    an older copy: the offset may hold another record now, or none.
 
     :param topic: the topic.
     :param pace: how often it is read.
@@ -110,6 +111,7 @@
         self._rng = rng
         self._count_call = count_call
         self._offset: int | None = None
+        self._era = 0
         self._retry_ms = FIRST_RETRY_MS
 
     async def run(self) -> None:
@@ -136,10 +138,13 @@
         if offset is None:
             snapshot = await self._topic.list_newest()
             self._offset = snapshot.next_offset
+            self._era = snapshot.era
             self._listener.topic_listed(snapshot, began_ms)
         else:
             wait_ms = self._pace.wait_ms if self._gate.may_wait() else 0
             delta = await self._topic.read_from(offset, wait_ms)
+            if delta.era != self._era:
+                raise HistoryLostError('the store has gone back to an older copy')
             self._offset = delta.next_offset if delta.left < FAR_BEHIND else None
             self._listener.topic_changed(delta, began_ms)
         if self._pace.pause_ms:
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -76,6 +76,10 @@
         for topic, counts in self.calls.summary().items():
             self.log.info('store-used', item=topic, reason=counts)
 
+    def store_went_back(self, era: int) -> None:
+        """Log that the store has come back from an older copy, and what it lost is there."""
+        self.log.warning('store-went-back', era=era)
+
     def store_answered(self, topic: str) -> None:
         """Log the first answer after failures."""
         if topic in self._lost:
--- a/savorychute/log_fields.py
+++ b/savorychute/log_fields.py
@@ -15,6 +15,7 @@
     'count': 'how many',
     'duration_ms': 'how long it took',
     'endpoint': 'an endpoint',
+    'era': 'how often the store has come back from an older copy',
     'error': "an exception's type",
     'events': 'a number of events of a stream',
     'extension': 'a module that extends the instance',
--- a/savorychute/wire/messages.capnp
+++ b/savorychute/wire/messages.capnp
@@ -308,6 +308,7 @@
 struct StoreQuestion {  # tag 91
   sequence @0 :Int64;
   endpointOffset @1 :Int64;
+  era @2 :Int64;
 }
 
 struct EndpointNews {
@@ -333,6 +334,7 @@
   endpointOffset @3 :Int64;
   endpointAgeMs @4 :Int64;
   changes @5 :List(EndpointNews);
+  era @6 :Int64;
 }
 
 struct OrganisationCount {
--- a/tests/test_fleet/store_stand_in.py
+++ b/tests/test_fleet/store_stand_in.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import struct
 from base64 import b64encode
 from contextlib import asynccontextmanager, suppress
 from urllib.parse import parse_qs, urlsplit
 
-from savorychute.testing.stand_in_http import LOOPBACK, respond_json, serve
+from savorychute.testing.stand_in_http import LOOPBACK, serve
 
 HEAD = struct.Struct('>QQ')
 LENGTH = struct.Struct('>I')
@@ -25,6 +26,8 @@
         self.first = 0
         self.newest = {}
         self.written = asyncio.Event()
+        # Every content since the first one, for copies.
+        self.history = []
 
     @property
     def end(self):
@@ -35,6 +38,7 @@
         key, value = content[1:key_end].decode(), content[key_end:]
         offset = self.end
         self.records.append(content)
+        self.history.append((asyncio.get_running_loop().time(), content))
         if value:
             self.newest[key] = (offset, value)
         else:
@@ -43,6 +47,16 @@
         self.written = asyncio.Event()
         return offset
 
+    def go_back(self, until_s):
+        """Hold again what was written up to a time of the loop."""
+        kept = [each for each in self.history if each[0] <= until_s]
+        written = self.written
+        self.__init__()
+        for _, content in kept:
+            self.append(content)
+        self.history = kept
+        written.set()
+
     def forget(self):
         """Drop the history; the newest records stay."""
         self.first = self.end
@@ -59,6 +73,7 @@
     def __init__(self):
         self.topics = {}
         self.mode = 'up'
+        self.era = 1
         # Between two parts of what a read answers with.
         self.part_pause_s = 0.0
         self.calls = []
@@ -68,6 +83,13 @@
     def topic(self, name):
         return self.topics.setdefault(name, Topic())
 
+    def go_back(self, age_s):
+        """Come back from a copy of some time ago."""
+        self.era += 1
+        until_s = asyncio.get_running_loop().time() - age_s
+        for topic in self.topics.values():
+            topic.go_back(until_s)
+
     def put(self, topic, key, value):
         """Write a record as the operator and the servers do."""
         name = key.encode()
@@ -86,7 +108,7 @@
         if self.mode == 'silent':
             return
         if self.mode == 'busy':
-            exchange.respond(STATUS_UNAVAILABLE, (), b'')
+            exchange.respond(STATUS_UNAVAILABLE, self._era(), b'')
             return
         topic = self.topic(query['topic'])
         if url.path == '/-/log-append':
@@ -98,14 +120,14 @@
 
     def _append(self, exchange, topic, query):
         if 'at' in query and int(query['at']) != topic.end:
-            respond_json(exchange, 412, {'end': topic.end})
+            self._respond(exchange, 412, {'end': topic.end})
             return
         body = exchange.request.body
         offset = topic.append(body[LENGTH.size :])
         if self.mode == 'lossy':
             exchange.abort()
             return
-        respond_json(exchange, 200, {'offset': offset, 'end': topic.end})
+        self._respond(exchange, 200, {'offset': offset, 'end': topic.end})
 
     def _list(self, exchange, topic, after):
         keys = sorted(key for key in topic.newest if key > after)
@@ -119,17 +141,28 @@
             for key in page
         ]
         more = len(keys) > len(page)
-        respond_json(exchange, 200, {'items': items, 'hasMore': more, 'end': topic.end})
+        document = {'items': items, 'hasMore': more, 'end': topic.end}
+        self._respond(exchange, 200, document)
+
+    def _respond(self, exchange, status, document):
+        headers = [('content-type', 'application/json'), *self._era()]
+        exchange.respond(status, headers, json.dumps(document).encode())
+
+    def _era(self):
+        return [('store-era', str(self.era))]
 
     async def _read(self, exchange, topic, query):
         offset = int(query['from'])
-        if offset < topic.first:
-            respond_json(exchange, 410, {'first': topic.first})
+        if not topic.first <= offset <= topic.end:
+            self._respond(exchange, 410, {'first': topic.first})
             return
         wait_s = int(query.get('waitMs', 0)) / 1_000
         if offset >= topic.end and wait_s:
             with suppress(TimeoutError):
                 await asyncio.wait_for(topic.written.wait(), wait_s)
+        if offset > topic.end:
+            self._respond(exchange, 410, {'first': topic.first})
+            return
         records = topic.records[offset - topic.first :]
         body = HEAD.pack(topic.end, topic.first)
         for record in records:
@@ -138,9 +171,9 @@
 
     async def _send(self, exchange, body):
         if not self.part_pause_s:
-            exchange.respond(200, (), body)
+            exchange.respond(200, self._era(), body)
             return
-        exchange.start(200, ())
+        exchange.start(200, self._era())
         size = -(-len(body) // PARTS)
         for begin in range(0, len(body), size):
             await asyncio.sleep(self.part_pause_s)
--- a/tests/test_gateway/test_registration.py
+++ b/tests/test_gateway/test_registration.py
@@ -24,10 +24,16 @@
     def __init__(self, lose=0):
         self.records = []
         self.lose = lose
+        self.era = 1
+
+    def go_back(self, records):
+        """Hold the first records only."""
+        del self.records[records:]
+        self.era += 1
 
     async def list_newest(self):
         newest = {record.key: record for record in self.records}
-        return TopicSnapshot(tuple(newest.values()), len(self.records))
+        return TopicSnapshot(tuple(newest.values()), len(self.records), self.era)
 
     async def write(self, key, value, expected_end=None):
         if expected_end not in (None, len(self.records)):
@@ -105,3 +111,50 @@
 
     assert registration.address.incarnation > 0
     assert [each.instance for each in registration.listed] == ['k1', 'k0']
+
+
+def test_incarnation_is_larger_after_the_store_went_back():
+    """A restarted instance that its peers ignored.
+
+    The store comes back from a copy that is shorter than the topic was when the instance
+    started first, so by the offset alone its second run looks older.
+    """
+    topic = MemoryTopic()
+    for number in range(5):
+        register(topic, OWN._replace(instance=f'k{number + 1}'))
+    first = register(topic).address.incarnation
+    topic.go_back(3)
+
+    assert register(topic).address.incarnation > first
+
+
+def test_entry_and_secret_that_a_copy_lacks_are_written_again():
+    topic = MemoryTopic()
+    registration = register(topic)
+    keys = registration.keys
+    topic.go_back(0)
+
+    live = asyncio.run(registration.enter_again())
+
+    assert registration.keys == keys
+    assert [each.instance for each in live] == []
+    assert topic.count(SECRET_KEY) == 1
+    assert [each.instance for each in register(topic).listed] == ['k0']
+
+
+def test_secret_that_another_instance_wrote_meanwhile_is_used():
+    """Two halves that did not understand each other.
+
+    The copy is from before the first start, and an instance that starts finds no secret.
+    """
+    topic = MemoryTopic()
+    old = register(topic)
+    before = old.keys.signing
+    topic.go_back(0)
+    new = register(topic, OWN._replace(instance='k1'))
+
+    asyncio.run(old.enter_again())
+
+    assert old.keys.signing == new.keys.signing
+    assert old.keys.find(before.key_id) == before
+    assert before.key_id != new.keys.signing.key_id
--- a/tests/test_gateway/test_shared_reading.py
+++ b/tests/test_gateway/test_shared_reading.py
@@ -16,6 +16,7 @@
 from savorychute.gateway.store.endpoint_news import make_news
 from savorychute.gateway.store.reading_plan import ReadingPlan
 from savorychute.gateway.store.shared_reading import SharedReading
+from savorychute.gateway.store.store_era import StoreEra
 from savorychute.gateway.store.topic_delta import TopicDelta
 from savorychute.gateway.store.topic_snapshot import TopicSnapshot
 from savorychute.member_address import MemberAddress
@@ -47,12 +48,14 @@
     roster: EndpointRoster
     listener: EndpointListener
     reading: SharedReading
+    eras: StoreEra
 
-    def read_store(self, version, entries, offset, now_ms):
+    def read_store(self, version, entries, offset, now_ms, era=0):
         """Read configuration and entries as a reader does."""
         self.configuration.apply(make_deployment(version=version))
         self.configuration.confirm(now_ms)
-        self.listener.topic_listed(TopicSnapshot((), offset), now_ms)
+        self.eras.note(era)
+        self.listener.topic_listed(TopicSnapshot((), offset, era), now_ms)
         self.listener.take_changes(
             [make_news(offset + n, entry) for n, entry in enumerate(entries)],
             offset + len(entries),
@@ -73,11 +76,18 @@
     journal = EndpointJournal()
     roster = EndpointRoster(ignore, clock)
     listener = EndpointListener(roster, journal, plan, None, Silent(), clock)
+    eras = StoreEra()
     reading = SharedReading(
-        plan, configuration, journal, listener.take_changes, 1_200, random.Random(4)
+        plan,
+        configuration,
+        journal,
+        listener.take_changes,
+        eras,
+        1_200,
+        random.Random(4),
     )
     plan.follow(MemberView(own, MEMBERS))
-    return Node(configuration, plan, journal, roster, listener, reading)
+    return Node(configuration, plan, journal, roster, listener, reading, eras)
 
 
 @pytest.fixture
@@ -381,3 +391,35 @@
     reader.listener.topic_changed(TopicDelta((), 5), START_MS)
 
     assert reader.journal.offset == 11
+
+
+def test_offset_of_an_older_copy_is_not_taken_for_one_of_the_newer(nodes, clock):
+    """Changes of endpoints that an instance never heard of.
+
+    The store comes back from an older copy and the reader reads on there.  The other one's
+    offset was given out again, so by the offset alone it seems to know all.
+    """
+    reader, other = pick(nodes)
+    for node in (reader, other):
+        node.read_store(1, [make_entry('d1')], 40, clock.now_ms(), era=1)
+    reader.read_store(1, [make_entry('d1')], 20, clock.now_ms(), era=2)
+    changes = [make_news(21 + n, make_entry(f'd{n + 2}')) for n in range(25)]
+    reader.listener.take_changes(changes, 46)
+
+    exchange(other, reader, clock.now_ms())
+
+    assert other.plan.must_list_endpoints
+    assert other.eras.current == 2
+
+
+def test_reader_that_has_not_noticed_the_older_copy_vouches_for_nothing(nodes, clock):
+    reader, other = pick(nodes)
+    reader.read_store(1, [make_entry('d1')], 40, clock.now_ms(), era=1)
+    other.read_store(1, [make_entry('d1')], 20, clock.now_ms(), era=2)
+    confirmed_ms = other.configuration.confirmed_ms
+    clock.advance_to(clock.now_ms() + 600)
+    reader.configuration.confirm(clock.now_ms())
+
+    exchange(other, reader, clock.now_ms())
+
+    assert other.configuration.confirmed_ms == confirmed_ms
--- a/tests/test_gateway/test_topic_follower.py
+++ b/tests/test_gateway/test_topic_follower.py
@@ -191,3 +191,17 @@
     follow(topic)
 
     assert topic.calls == ['list', 1, 2, 3]
+
+
+def test_records_of_another_era_are_not_taken():
+    """Offsets that the store gave out again after it came back from an older copy."""
+    topic = ScriptedTopic(
+        TopicSnapshot((KeyedRecord(6, 'config', b'1'),), 7, 1),
+        TopicDelta((KeyedRecord(7, 'config', b'9'),), 8, 8, 2),
+        TopicSnapshot((KeyedRecord(3, 'config', b'2'),), 8, 2),
+    )
+
+    heard = follow(topic)
+
+    assert topic.calls == ['list', 7, 'list', 8]
+    assert [event for event, _ in heard.events] == ['listed', 'listed']
