--- a/savorychute/gateway/duties/duty_claims.py
+++ b/savorychute/gateway/duties/duty_claims.py
@@ -36,7 +36,7 @@
     from savorychute.leases.lease_change import LeaseChange
     from savorychute.leases.lease_settings import LeaseSettings
 
-LEASE = 'duties'
+LEASE_PREFIX = 'duties.'
 # A fencing number is an era and an offset in it; offsets of a topic stay far below this.
 ERA_SHIFT = 32
 # In a new era the holder of the one before goes first: it knows what it has settled.
@@ -190,11 +190,11 @@
         keeper = self._keeper
         if keeper is None or self._is_behind():
             return []
-        holds = keeper.holds(LEASE, now_ms) is not None
+        holds = keeper.holds(self._lease, now_ms) is not None
         if holds or (wanted and now_ms >= self._claim_from_ms):
-            keeper.want(LEASE)
+            keeper.want(self._lease)
         else:
-            keeper.release(LEASE, now_ms)
+            keeper.release(self._lease, now_ms)
         return self._writes(keeper.tick(now_ms))
 
     def fencing(self, now_ms: int) -> int | None:
@@ -206,7 +206,7 @@
         """
         if self._keeper is None or self._is_behind():
             return None
-        first_claim = self._keeper.holds(LEASE, now_ms)
+        first_claim = self._keeper.holds(self._lease, now_ms)
         if first_claim is None:
             return None
         return self._fencing_number(first_claim)
@@ -222,8 +222,8 @@
         first_claim = fencing - (self._era << ERA_SHIFT) - 1
         self._claim_from_ms = now_ms + self._settings.duration_ms
         if self._keeper is not None:
-            self._keeper.surrender(LEASE, first_claim, 'a larger number was seen')
-            self._keeper.release(LEASE, now_ms)
+            self._keeper.surrender(self._lease, first_claim, 'a larger number was seen')
+            self._keeper.release(self._lease, now_ms)
 
     def release(self, now_ms: int, again_ms: int) -> list[ConditionalWrite]:
         """Give the duties up, so that another instance need not wait.
@@ -234,7 +234,7 @@
         self._claim_from_ms = max(self._claim_from_ms, again_ms)
         if self._keeper is None or self._is_behind():
             return []
-        return self._writes(self._keeper.release(LEASE, now_ms))
+        return self._writes(self._keeper.release(self._lease, now_ms))
 
     def write_finished(
         self,
@@ -278,6 +278,11 @@
     def _fencing_number(self, first_claim: int) -> int:
         return (self._era << ERA_SHIFT) + first_claim + 1
 
+    @property
+    def _lease(self) -> str:
+        """The lease of this era: whoever held one before it holds nothing now."""
+        return f'{LEASE_PREFIX}{self._era}'
+
     def _is_behind(self) -> bool:
         """Return whether the store has begun an era that is not read here yet."""
         return self._eras.current != self._era
--- a/tests/test_duties/duty_world.py
+++ b/tests/test_duties/duty_world.py
@@ -136,18 +136,18 @@
         self._line = line
 
     async def list_newest(self):
-        await self._arrive()
+        await self.arrive()
         newest = {each.key: each for each in self._store.records}
         self._eras.note(self._store.era)
         end = len(self._store.records)
         return TopicSnapshot(tuple(newest.values()), end, self._store.era)
 
     async def read_from(self, offset, wait_ms):
-        await self._arrive()
+        await self.arrive()
         store = self._store
         if offset == len(store.records):
             await store.until_written(wait_ms)
-            await self._arrive()
+            await self.arrive()
         self._eras.note(store.era)
         if offset > len(store.records) or offset < store.first:
             raise HistoryLostError('not kept')
@@ -156,7 +156,7 @@
         return TopicDelta(records, end, end, store.era)
 
     async def write(self, key, value, expected_end=None):
-        await self._arrive()
+        await self.arrive()
         store, rng = self._store, self._store.rng
         if rng.random() < store.trouble.late:
             self._line.start(self._append_late(key, value, expected_end))
@@ -177,7 +177,7 @@
         with suppress(WriteConflictError):
             self._store.append(key, value, expected_end)
 
-    async def _arrive(self):
+    async def arrive(self):
         await self._line.thawed()
         self._store.calls += 1
         if self._store.down or self._line.cut_from_store:
@@ -242,6 +242,10 @@
         self._late.add(task)
         task.add_done_callback(self._late.discard)
 
+    @property
+    def is_frozen(self):
+        return not self._thawed.is_set()
+
     def freeze(self):
         self._thawed.clear()
 
@@ -326,6 +330,7 @@
 
     def __init__(self, world, name, rng):
         self.name = name
+        self._killed = False
         self.line = InstanceLine(world.platform)
         self.telemetry = Silent()
         eras = StoreEra()
@@ -354,7 +359,14 @@
             asyncio.create_task(self._count()),
         ]
 
+    def acts(self):
+        """Return whether it is neither killed, paused nor cut off."""
+        line = self.line
+        cut = line.cut_from_store or line.cut_from_platform
+        return not (self._killed or cut or line.is_frozen)
+
     def kill(self):
+        self._killed = True
         for task in (*self._tasks, *self.worker._tasks):
             task.cancel()
 
--- a/tests/test_duties/test_duty_holder.py
+++ b/tests/test_duties/test_duty_holder.py
@@ -5,6 +5,7 @@
 import pytest
 from duty_world import WINDOWS, Trouble, World, loop_ms, run_world, sleep_ms
 
+from savorychute.gateway.duties.duty_claims import ERA_PATIENCE_MS
 from savorychute.gateway.duties.duty_order import DutyOutcome
 
 # A report is due so long after its window.
@@ -295,3 +296,20 @@
 
     assert all(len(each) == 1 for each in world.platform.accepted().values())
     assert DutyOutcome.UNKNOWN is not DutyOutcome.ACCEPTED
+
+
+def test_holder_goes_on_when_the_store_went_back():
+    """Seconds without a holder after each older copy.
+
+    The copy holds a claim of the holder, and in the new era it took itself for another one,
+    which has to wait until that claim has lapsed.
+    """
+
+    async def scenario(world):
+        await sleep_ms(20_000)
+        holder = world.holder()
+        world.store.go_back(3_000)
+        await sleep_ms(ERA_PATIENCE_MS)
+        assert world.holder() == holder
+
+    play(scenario)
