Split what the topic of duties says from who holds them

Cause: DutyClaims had grown to 398 lines with three jobs: the lease, the records of the topic, the writes.

--- a/benches/duty_holders.py
+++ b/benches/duty_holders.py
@@ -32,7 +32,7 @@
     import random
     from collections.abc import Awaitable, Callable
 
-    from savorychute.gateway.duties.duty_claims import ConditionalWrite
+    from savorychute.gateway.duties.conditional_write import ConditionalWrite
 
 SEEDS = range(12)
 STEADY_MS = 30_000
@@ -111,9 +111,9 @@
 
     def fencing(self, now_ms: int) -> int | None:
         """Return era and generation while the partition is this member's."""
-        if now_ms >= self._until_ms or self._eras.current != self._era:
+        if now_ms >= self._until_ms or self._eras.current != self.records.era:
             return None
-        return (self._era << ERA_SHIFT) + self._generation
+        return (self.records.era << ERA_SHIFT) + self._generation
 
 
 class Outcome(NamedTuple):
--- a/savorychute/gateway/daemon/duty_assembly.py
+++ b/savorychute/gateway/daemon/duty_assembly.py
@@ -84,12 +84,12 @@
     claims = DutyClaims(settings.instance, DUTY_LEASE, around.rng, eras)
     usage = None
     if DutyKind.USAGE in side.kinds:
-        usage = UsageDuty(side.windows, claims, side.gathering)
+        usage = UsageDuty(side.windows, claims.records, side.gathering)
     servers = None
     if DutyKind.SERVERS in side.kinds:
         policy = SERVER_POLICIES.get(settings.server_policy)
         servers = ServerWork(
-            ServerDuty(policy, claims), parts.configuration, parts.roster, plan
+            ServerDuty(policy, claims.records), parts.configuration, parts.roster, plan
         )
     address = ServerAddress(*settings.duty_address)
     return DutyWorker(
--- a/savorychute/gateway/daemon/duty_worker.py
+++ b/savorychute/gateway/daemon/duty_worker.py
@@ -22,8 +22,9 @@
 
     from savorychute.clock import Clock
     from savorychute.gateway.daemon.server_work import ServerWork
+    from savorychute.gateway.duties.conditional_write import ConditionalWrite
     from savorychute.gateway.duties.duty_candidates import DutyCandidates
-    from savorychute.gateway.duties.duty_claims import ConditionalWrite, DutyClaims
+    from savorychute.gateway.duties.duty_claims import DutyClaims
     from savorychute.gateway.duties.server_duty import ServerOrder
     from savorychute.gateway.duties.true_time import TrueTime
     from savorychute.gateway.duties.usage_duty import UsageDuty, UsageStep
@@ -153,7 +154,7 @@
             try:
                 await self._read()
             except HistoryLostError:
-                self._claims.next_offset = None
+                self._claims.records.next_offset = None
             except StoreUnavailableError as error:
                 self._telemetry.store_failed('duties', error)
                 await asyncio.sleep(RETRY_MS / MS_PER_S)
@@ -161,7 +162,7 @@
                 self._telemetry.store_answered('duties')
 
     async def _read(self) -> None:
-        offset = self._claims.next_offset
+        offset = self._claims.records.next_offset
         if offset is None:
             self._count_call(CallPurpose.LIST)
             snapshot = await self._topic.list_newest()
@@ -192,7 +193,7 @@
             self._telemetry.duty_changed(change)
         if self._claims.fencing(now_ms) is None:
             return
-        era_write = self._claims.era_write()
+        era_write = self._claims.records.era_write()
         if era_write is not None and not self._writing:
             self._writing = True
             self._start(self._write_record(era_write))
@@ -210,7 +211,7 @@
 
     def _order_servers(self, servers: ServerWork, now_ms: int) -> None:
         decided = servers.look(now_ms)
-        write = self._claims.fleet_write(decided)
+        write = self._claims.records.fleet_write(decided)
         if write is not None and not self._writing:
             self._writing = True
             self._telemetry.servers_decided(decided)
@@ -260,10 +261,10 @@
 
     async def _settle(self, usage: UsageDuty, step: UsageStep) -> None:
         outcome = DutyOutcome.UNAVAILABLE
-        write = self._claims.settle_write(step.report)
+        write = self._claims.records.settle_write(step.report)
         receipt = await self._write(write) if write is not None else None
         if receipt is not None:
-            self._claims.report_written(step.report, receipt)
+            self._claims.records.report_written(step.report, receipt)
             outcome = DutyOutcome.ACCEPTED
         self._end_step(usage, step, outcome, 0)
 
--- a/savorychute/gateway/duties/server_duty.py
+++ b/savorychute/gateway/duties/server_duty.py
@@ -12,7 +12,7 @@
     from collections.abc import Iterable
 
     from savorychute.gateway.configuration.service import Service
-    from savorychute.gateway.duties.duty_claims import DutyClaims
+    from savorychute.gateway.duties.duty_records import DutyRecords
     from savorychute.gateway.duties.server_policies import ServerPolicy
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
 
@@ -46,12 +46,12 @@
     reclaimable ones serve.
 
     :param policy: decides how many are wanted.
-    :param claims: where what is wanted lies.
+    :param records: where what is wanted lies.
     """
 
-    def __init__(self, policy: ServerPolicy, claims: DutyClaims) -> None:
+    def __init__(self, policy: ServerPolicy, records: DutyRecords) -> None:
         self._policy = policy
-        self._claims = claims
+        self._records = records
         self._seen: dict[str, ServerFleet] = {}
         self._seen_ms: dict[str, int] = {}
         # The last order of each kind, and when it may be given again.
@@ -88,7 +88,7 @@
             standing = self._seen.get(service.name)
             if service.scaling is None or standing is None:
                 continue
-            if self._claims.wanted_fleet(service.name) is not None:
+            if self._records.wanted_fleet(service.name) is not None:
                 continue
             if now_ms - self._seen_ms[service.name] < STABLE_MS:
                 continue
@@ -108,7 +108,7 @@
         """
         orders: list[ServerOrder] = []
         for service in services:
-            wanted = self._claims.wanted_fleet(service.name)
+            wanted = self._records.wanted_fleet(service.name)
             standing = self._seen.get(service.name)
             if service.scaling is None or wanted is None or standing is None:
                 continue
--- a/savorychute/gateway/duties/usage_duty.py
+++ b/savorychute/gateway/duties/usage_duty.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from savorychute.gateway.duties.duty_claims import DutyClaims
+    from savorychute.gateway.duties.duty_records import DutyRecords
     from savorychute.gateway.duties.usage_gathering import UsageGathering
     from savorychute.gateway.duties.usage_windows import UsageWindows
     from savorychute.member_address import MemberAddress
@@ -47,15 +47,15 @@
     or told more since, and the platform has two reports for one window.
 
     :param windows: the windows.
-    :param claims: what is settled.
+    :param records: what is settled.
     :param gathering: what instances have told.
     """
 
     def __init__(
-        self, windows: UsageWindows, claims: DutyClaims, gathering: UsageGathering
+        self, windows: UsageWindows, records: DutyRecords, gathering: UsageGathering
     ) -> None:
         self._windows = windows
-        self._claims = claims
+        self._records = records
         self._gathering = gathering
         self._accepted: set[int] = set()
         self._busy: set[int] = set()
@@ -103,10 +103,10 @@
     ) -> UsageStep | None:
         end_ms = self._windows.end_ms(window)
         age_ms = true_ms - end_ms
-        report = self._claims.settled(window)
+        report = self._records.settled(window)
         if report is not None:
             return UsageStep(StepKind.SEND, report, age_ms)
-        if not self._claims.may_settle(end_ms):
+        if not self._records.may_settle(end_ms):
             return None
         waited = age_ms >= WAIT_SHARE * self._windows.due_ms
         if not waited and not self._gathering.is_whole(end_ms, members):
--- a/tests/test_duties/duty_world.py
+++ b/tests/test_duties/duty_world.py
@@ -347,7 +347,7 @@
             InstanceTopic(world.store, eras, self.line),
             self.line,
             claims,
-            UsageDuty(WINDOWS, claims, gathering),
+            UsageDuty(WINDOWS, claims.records, gathering),
             None,
             Everyone(),
             time,
--- a/tests/test_duties/test_duty_claims.py
+++ b/tests/test_duties/test_duty_claims.py
@@ -41,7 +41,7 @@
 def test_report_of_this_era_is_settled():
     claims, _ = make_claims(settled_in(2), era=2)
 
-    assert claims.settled(REPORT.window) == REPORT
+    assert claims.records.settled(REPORT.window) == REPORT
 
 
 def test_report_of_an_earlier_era_is_not_taken_for_settled():
@@ -51,7 +51,7 @@
     """
     claims, _ = make_claims(settled_in(1), era=2)
 
-    assert claims.settled(REPORT.window) is None
+    assert claims.records.settled(REPORT.window) is None
 
 
 def test_report_that_was_read_in_its_era_stays_known():
@@ -59,14 +59,14 @@
     eras.note(2)
     claims.take_listing(TopicSnapshot((), 5, 2), NOW_MS, TRUE_MS)
 
-    assert claims.settled(REPORT.window) == REPORT
+    assert claims.records.settled(REPORT.window) == REPORT
 
 
 def test_window_that_ended_before_the_era_may_have_a_lost_report():
     claims, _ = make_claims()
 
-    assert not claims.may_settle(TRUE_MS - 1)
-    assert claims.may_settle(TRUE_MS + 5_000)
+    assert not claims.records.may_settle(TRUE_MS - 1)
+    assert claims.records.may_settle(TRUE_MS + 5_000)
 
 
 def test_era_that_others_know_longer_is_believed():
@@ -74,15 +74,15 @@
     record = EraRecord(2, TRUE_MS - 60_000)
     claims, _ = make_claims(KeyedRecord(3, ERA_KEY, encode_record(record)))
 
-    assert claims.may_settle(TRUE_MS - 10_000)
-    assert claims.era_write() is None
+    assert claims.records.may_settle(TRUE_MS - 10_000)
+    assert claims.records.era_write() is None
 
 
 def test_era_of_a_copy_says_nothing_of_this_one():
     record = EraRecord(1, TRUE_MS - 60_000)
     claims, _ = make_claims(KeyedRecord(3, ERA_KEY, encode_record(record)))
 
-    assert not claims.may_settle(TRUE_MS - 10_000)
+    assert not claims.records.may_settle(TRUE_MS - 10_000)
 
 
 def test_records_at_an_offset_of_another_era_are_not_taken():
@@ -90,8 +90,8 @@
     claims, _ = make_claims(era=1)
     claims.take_delta(TopicDelta((settled_in(2),), 21, 21, 2), NOW_MS)
 
-    assert claims.next_offset is None
-    assert claims.settled(REPORT.window) is None
+    assert claims.records.next_offset is None
+    assert claims.records.settled(REPORT.window) is None
 
 
 def test_nothing_is_held_in_an_era_that_is_not_read_yet():
