--- a/savorychute/gateway/dispatch/engine_state.py
+++ b/savorychute/gateway/dispatch/engine_state.py
@@ -88,7 +88,7 @@
     """Return the failures of an engine as a cost.
 
     They are no wait: where failures counted as one, the most urgent streams, which may
-    wait least, were refused (40 of 249) while the least urgent were served.
+    wait least, were refused while the least urgent were served.
     """
     return FAILURE_MS * record.health.failure_share(now_ms)
 
--- a/savorychute/gateway/dispatch/lane_demand.py
+++ b/savorychute/gateway/dispatch/lane_demand.py
@@ -14,15 +14,13 @@
 USUAL_PLACES = 64
 # Engine time for a token: read in a prompt, and generated in one of an engine's places.
 # These are the same on all instances, so that their lanes are: figures that each learns
-# alone would not be, and brought nothing (mean worth of 20 played days 0.709 with them, 0.707
-# with these).
+# alone would not be, and bring nothing.
 READ_MS = 1 / 60
 TOKEN_MS = 6.4
 # The part of shared prompts that is not found in the cache: one in three tokens of a day.
 MISS_SHARE = 0.35
 # Own demand is averaged over about this time, so that the lanes follow a burst of one
-# kind.  With 3 s, and 2 s for what is heard, the worth of a calm day of sixty instances was
-# 0.783 instead of 0.810.
+# kind.  A shorter memory makes lanes that change with each group of callers.
 OWN_S = 8.0
 # What other instances say is kept for about this time.  Four of them are heard a second,
 # however many there are, so about twelve times as many requests count as are seen.
--- a/savorychute/gateway/dispatch/overload_guard.py
+++ b/savorychute/gateway/dispatch/overload_guard.py
@@ -17,8 +17,8 @@
 
 
 # An engine with fewer places is judged as if it had so many.  What slows answers is how
-# many streams run beside the reading, not the places.  With engines of 12 places called full at
-# seven, 0.046 of a calm day's requests were refused; with this and learned waits 0.008.
+# many streams run beside the reading, not the places: small engines called full too early
+# turn callers away on a calm day.
 LEAST_PLACES = 24
 # When callers come back, spread so that they do not come together.  A queue that is
 # too long for one objective is gone after about as long.
@@ -48,8 +48,8 @@
     engine read prompts for callers that had left, and a quarter of all requests was
     served.  Lower ranks are refused first, so that none waits for a lower one: a rank may
     wait as long as any below it, although its own objective be shorter.  With each bounded by
-    its own, one note in 30 of a day, due within 400 ms, was refused after a loss of power,
-    where summaries due within 1,200 ms were taken.
+    its own, an urgent request with a short objective is refused where a less urgent one with a
+    long objective is taken.
 
     Requests are refused more and more often as an engine fills, not all from one moment
     on: a report is half a second old when it is used, and all instances use it.  With a
@@ -137,9 +137,8 @@
 def _refused_shares(choice: Choice, rank: int, target_ms: int) -> RefusedShares:
     """Return the part of a rank's requests that an engine's load asks to refuse.
 
-    Only what a request cannot pass counts: where all that waited did, the summaries at an
-    engine refused every note (39 of 47 within two seconds), while notes that were sent
-    there had their first event after 0.2 s.
+    Only what a request cannot pass counts.  Where all that waits does, the least urgent
+    prompts at an engine refuse every request that would be read before them.
     """
     limits = LIMITS[rank]
     load = choice.record.load
--- a/savorychute/gateway/dispatch/report_selection.py
+++ b/savorychute/gateway/dispatch/report_selection.py
@@ -26,11 +26,11 @@
 NEXT_ASKED = 1
 RANDOM_ASKED = 2
 # Steady streams are short and many; a report of this age still tells how crowded a lane
-# is.  Asking for them cost 0.0003 of the worth of a calm day and brought 0.046.
+# is.
 STEADY_REPORT_MS = 500
 STEADY_ASKED = 2
 # Where their lane is full they fill the last places of others, and soon, so more engines are
-# asked and more often: 5,823 of 8,680 in a crowd were in time instead of 5,666.
+# asked and more often.
 CROWDED_REPORT_MS = 150
 CROWDED_ASKED = 3
 # Engines of any lane that are asked before a request of a tier above the last is refused.
--- a/savorychute/gateway/store/reading_plan.py
+++ b/savorychute/gateway/store/reading_plan.py
@@ -32,8 +32,7 @@
 # Among few instances two are enough: the others notice within a question.
 READERS_OF_FEW = 2
 FEW = 24
-# A question and its answer take a reader 20 us in the codec, as measured, besides the
-# socket; this many a second stay far below 1 % of a core.
+# So many a second take a reader far less than 1 % of a core.
 QUESTIONS_PER_S = 48
 # Parts of the time in which a leaving endpoint must get nothing new.  After the first one
 # a reader is asked again; knowledge older than the second is not left to others to renew.
@@ -47,7 +46,7 @@
     """Lets a few instances read the store for all.
 
     Every call to the store has a price, and each instance that polls it learns the
-    same: 79 instances made 6,400 calls in a minute.  The readers are those that win a
+    same.  The readers are those that win a
     hash over the members, spread over failure domains; views that differ for a moment
     only make a reader more or less.
 
