Decode the records of duties in one place

Cause: three decoders that differ by a type alone (found by a search for duplicates).

Change: decode_record takes the kind.

--- a/savorychute/gateway/duties/duty_record.py
+++ b/savorychute/gateway/duties/duty_record.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 import msgspec
 
@@ -37,9 +37,7 @@
     fleets: tuple[ServerFleet, ...]
 
 
-_FLEET_DECODER = msgspec.json.Decoder(FleetRecord)
-_ERA_DECODER = msgspec.json.Decoder(EraRecord)
-_SETTLED_DECODER = msgspec.json.Decoder(SettledRecord)
+R = TypeVar('R', EraRecord, SettledRecord, FleetRecord)
 
 
 def report_key(window: int) -> str:
@@ -57,34 +55,13 @@
     return msgspec.json.encode(record)
 
 
-def decode_era(data: bytes) -> EraRecord | None:
-    """Return the record in some bytes, or None if they hold none.
+def decode_record(data: bytes, kind: type[R]) -> R | None:
+    """Return the record in some bytes, or None if they hold none of its kind.
 
     :param data: anybody may have written them.
+    :param kind: which one the key says it is.
     """
     try:
-        return _ERA_DECODER.decode(data)
-    except msgspec.MsgspecError:
-        return None
-
-
-def decode_settled(data: bytes) -> SettledRecord | None:
-    """Return the record in some bytes, or None if they hold none.
-
-    :param data: anybody may have written them.
-    """
-    try:
-        return _SETTLED_DECODER.decode(data)
-    except msgspec.MsgspecError:
-        return None
-
-
-def decode_fleets(data: bytes) -> FleetRecord | None:
-    """Return the record in some bytes, or None if they hold none.
-
-    :param data: anybody may have written them.
-    """
-    try:
-        return _FLEET_DECODER.decode(data)
+        return msgspec.json.decode(data, type=kind)
     except msgspec.MsgspecError:
         return None
--- a/savorychute/gateway/duties/duty_records.py
+++ b/savorychute/gateway/duties/duty_records.py
@@ -11,9 +11,7 @@
     EraRecord,
     FleetRecord,
     SettledRecord,
-    decode_era,
-    decode_fleets,
-    decode_settled,
+    decode_record,
     encode_record,
     is_report_key,
     report_key,
@@ -81,14 +79,14 @@
             self._take_report(record.value)
 
     def _take_era(self, value: bytes) -> None:
-        known = decode_era(value)
+        known = decode_record(value, EraRecord)
         if known is not None and known.era == self.era:
             self._era_is_written = True
             self._era_since_ms = min(self._era_since_ms, known.since_ms)
 
     def _take_fleets(self, value: bytes) -> None:
         """Keep what endpoints are wanted; a copy may hold an older word, but no wrong one."""
-        record = decode_fleets(value)
+        record = decode_record(value, FleetRecord)
         if record is None:
             return
         for fleet in record.fleets:
@@ -101,7 +99,7 @@
         One of an earlier era may be a copy of what was settled, or a write that was carried
         out late and never was; the two cannot be told apart.
         """
-        settled = decode_settled(value)
+        settled = decode_record(value, SettledRecord)
         if settled is not None and settled.era == self.era:
             self._keep(settled.report)
 
