Keep the counts of few windows, and report no window as empty that nobody remembers

Cause: candidates kept the counts of every window for good (0.7 MB a minute with 65 instances, by the size of the messages).

Change: the newest 16 windows are kept, and runs that told something in the last minute; a window without any counts that ended before the holder began to gather is left unreported.

Tests: one for each; the second fails before.

--- a/savorychute/gateway/duties/usage_duty.py
+++ b/savorychute/gateway/duties/usage_duty.py
@@ -60,6 +60,8 @@
         self._accepted: set[int] = set()
         self._busy: set[int] = set()
         self._next_ms: dict[int, int] = {}
+        # Since when this instance gathers counts, in true time.
+        self._since_ms: int | None = None
 
     def steps(
         self, members: Collection[MemberAddress], true_ms: int, now_ms: int
@@ -70,6 +72,8 @@
         :param true_ms: the true time.
         :param now_ms: the time.
         """
+        if self._since_ms is None:
+            self._since_ms = true_ms
         windows = self._windows.reportable(true_ms)
         self._forget(windows.start)
         steps = []
@@ -112,6 +116,9 @@
         if not waited and not self._gathering.is_whole(end_ms, members):
             return None
         total = self._gathering.total(window)
+        if not total and (self._since_ms is None or end_ms < self._since_ms):
+            # All who counted it have ended, and nothing would be an untrue report.
+            return None
         return UsageStep(StepKind.SETTLE, make_report(window, total), age_ms)
 
     def _forget(self, first: int) -> None:
--- a/savorychute/gateway/duties/usage_gathering.py
+++ b/savorychute/gateway/duties/usage_gathering.py
@@ -14,6 +14,12 @@
     Run = tuple[str, int]
 
 
+# Windows that are kept, the newest; reports of older ones are overdue.
+WINDOWS_KEPT = 16
+# A run that has told nothing for so long is over.
+RUNS_KEPT_MS = 60_000
+
+
 class UsageGathering:
     """Keeps the last word of each run of each instance, and adds them up.
 
@@ -36,6 +42,8 @@
             return  # An older message that was overtaken.
         self._whole_until_ms[run] = told.whole_until_ms
         for window, counts in told.windows:
+            if window not in self._counts:
+                self._forget_before(window, told.whole_until_ms)
             self._counts.setdefault(window, {})[run] = dict(counts)
 
     def is_whole(self, window_end_ms: int, members: Iterable[MemberAddress]) -> bool:
@@ -60,14 +68,15 @@
             total.update(counts)
         return dict(total)
 
-    def forget(self, first_window: int, oldest_ms: int) -> None:
+    def _forget_before(self, newest: int, whole_until_ms: int) -> None:
         """Drop what no report is made of any more.
 
-        :param first_window: the oldest one that may still be reported.
-        :param oldest_ms: runs that have told nothing since are over.
+        :param newest: a window that was not known before.
+        :param whole_until_ms: of the run that told it.
         """
-        for window in [each for each in self._counts if each < first_window]:
+        for window in [each for each in self._counts if each <= newest - WINDOWS_KEPT]:
             del self._counts[window]
+        oldest_ms = whole_until_ms - RUNS_KEPT_MS
         for run, until_ms in list(self._whole_until_ms.items()):
             if until_ms < oldest_ms:
                 del self._whole_until_ms[run]
--- a/tests/test_duties/test_duty_holder.py
+++ b/tests/test_duties/test_duty_holder.py
@@ -313,3 +313,20 @@
         assert world.holder() == holder
 
     play(scenario)
+
+
+def test_window_that_nobody_remembers_is_not_reported_as_empty():
+    """A report of no requests, after all instances had lost power together."""
+
+    async def scenario(world):
+        await sleep_ms(19_000)
+        world.store.down = True
+        await sleep_ms(4_000)
+        world.store.down = False
+        for number in range(3):
+            world.restart(number)
+        await sleep_ms(30_000)
+
+    world = play(scenario)
+
+    assert all(call.counts for call in world.platform.calls)
--- a/tests/test_duties/test_usage_counts.py
+++ b/tests/test_duties/test_usage_counts.py
@@ -9,7 +9,7 @@
 from savorychute.clock import ManualClock
 from savorychute.gateway.duties.duty_candidates import CANDIDATES, DutyCandidates
 from savorychute.gateway.duties.true_time import TrueTime
-from savorychute.gateway.duties.usage_gathering import UsageGathering
+from savorychute.gateway.duties.usage_gathering import WINDOWS_KEPT, UsageGathering
 from savorychute.gateway.duties.usage_ledger import UsageLedger
 from savorychute.gateway.duties.usage_spread import UsageSpread
 from savorychute.gateway.duties.usage_windows import UsageWindows
@@ -193,3 +193,17 @@
 
     assert told
     assert all(action.message.windows for action in told)
+
+
+def test_counts_of_hours_take_no_more_memory(clock):
+    """A candidate that grew until it was ended for want of memory."""
+    gathering = UsageGathering()
+    ledger, _ = make_ledger(clock)
+    for run in range(400):
+        clock.advance_to(5_000 * run)
+        ledger.began('kochi', clock.now_ms())
+        gathering.take('k0', ledger.told(run, all_windows=True))
+
+    assert len(gathering._counts) <= WINDOWS_KEPT
+    assert len(gathering._whole_until_ms) < 20
+    assert gathering.total(WINDOW + 399) == {'kochi': 1}
