Make the number of an era and an offset in one place

Cause: an incarnation and a fencing number were put together by two constants and three expressions that say the same (found by reading the whole change again).

--- a/benches/duty_holders.py
+++ b/benches/duty_holders.py
@@ -13,7 +13,8 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from benches.bench_row import BenchRow, make_row
-from savorychute.gateway.duties.duty_claims import ERA_SHIFT, DutyClaims
+from savorychute.gateway.duties.duty_claims import DutyClaims
+from savorychute.gateway.store.store_era import number_in_era
 from savorychute.gateway.store.store_errors import StoreUnavailableError
 
 sys.path.append(str(Path(__file__).parents[1] / 'tests' / 'test_duties'))
@@ -113,7 +114,7 @@
         """Return era and generation while the partition is this member's."""
         if now_ms >= self._until_ms or self._eras.current != self.records.era:
             return None
-        return (self.records.era << ERA_SHIFT) + self._generation
+        return number_in_era(self.records.era, self._generation)
 
 
 class Outcome(NamedTuple):
--- a/savorychute/gateway/duties/duty_claims.py
+++ b/savorychute/gateway/duties/duty_claims.py
@@ -9,6 +9,7 @@
 from savorychute.gateway.duties.duty_record import CLAIM_KEY
 from savorychute.gateway.duties.duty_records import DutyRecords
 from savorychute.gateway.store.keyed_record import KeyedRecord
+from savorychute.gateway.store.store_era import number_in_era
 from savorychute.gateway.store.unreadable_record import UnreadableRecord
 from savorychute.inputs.append_finished import AppendFinished
 from savorychute.inputs.log_record import LogRecord
@@ -28,8 +29,6 @@
     from savorychute.leases.lease_settings import LeaseSettings
 
 LEASE_PREFIX = 'duties.'
-# A fencing number is an era and an offset in it; offsets of a topic stay far below this.
-ERA_SHIFT = 32
 # In a new era the holder of the one before goes first: it knows what it has settled.
 ERA_PATIENCE_MS = 1_500
 
@@ -162,7 +161,7 @@
         :param fencing: the number that was refused.
         :param now_ms: the time.
         """
-        first_claim = fencing - (self.records.era << ERA_SHIFT) - 1
+        first_claim = fencing - self._fencing_number(0)
         self._claim_from_ms = now_ms + self._settings.duration_ms
         if self._keeper is not None:
             self._keeper.surrender(self._lease, first_claim, 'a larger number was seen')
@@ -219,7 +218,7 @@
             ]
 
     def _fencing_number(self, first_claim: int) -> int:
-        return (self.records.era << ERA_SHIFT) + first_claim + 1
+        return number_in_era(self.records.era, first_claim)
 
     @property
     def _lease(self) -> str:
--- a/savorychute/gateway/store/registration.py
+++ b/savorychute/gateway/store/registration.py
@@ -9,6 +9,7 @@
 import xxhash
 
 from savorychute.gateway.store.call_purpose import CallPurpose
+from savorychute.gateway.store.store_era import number_in_era
 from savorychute.gateway.store.store_errors import WriteConflictError
 from savorychute.gateway.store.unreadable_record import UnreadableRecord
 from savorychute.member_address import MemberAddress
@@ -25,8 +26,6 @@
 # No instance can have this name: names begin with a letter or a digit.
 SECRET_KEY = '@secret'
 SECRET_BYTES = 32
-# An incarnation is an era and an offset in it; offsets of the topic stay far below this.
-ERA_SHIFT = 32
 
 
 class Registration:
@@ -70,7 +69,7 @@
         """
         snapshot = await self._list_with_secret()
         self.keys = _find_secret(snapshot.records)
-        incarnation = (snapshot.era << ERA_SHIFT) + snapshot.next_offset + 1
+        incarnation = number_in_era(snapshot.era, snapshot.next_offset)
         self.address = self.address._replace(incarnation=incarnation)
         self.era = snapshot.era
         self.listed = decode_addresses(snapshot.records)
--- a/savorychute/gateway/store/store_era.py
+++ b/savorychute/gateway/store/store_era.py
@@ -2,6 +2,18 @@
 
 from __future__ import annotations
 
+# Offsets of a topic stay far below the number that these bits hold.
+OFFSET_BITS = 32
+
+
+def number_in_era(era: int, offset: int) -> int:
+    """Return a number that rises with eras, and in one era with offsets; at least 1.
+
+    :param era: of the store.
+    :param offset: of a topic in that era.
+    """
+    return (era << OFFSET_BITS) + offset + 1
+
 
 class StoreEra:
     """The newest era that any answer of the store has named.
