--- a/savorychute/explain/sentences.py
+++ b/savorychute/explain/sentences.py
@@ -69,6 +69,16 @@
     )
 
 
+@SENTENCES.register('repeat-decided')
+def _tell_repeat(fields: dict[str, Any]) -> str:
+    return (
+        f'a further attempt at {fields.get("service")} was {fields.get("state")}: '
+        f'{fields.get("count")} sent within the window, of {fields.get("bound")} for '
+        f'{fields.get("requests")} requests and a slack that {fields.get("instances")} '
+        'instances share'
+    )
+
+
 @SENTENCES.register('request-finished')
 def _tell_finished(fields: dict[str, Any]) -> str:
     text = (
--- a/savorychute/gateway/metric_rows.py
+++ b/savorychute/gateway/metric_rows.py
@@ -29,6 +29,24 @@
         ('rank', 'limit'),
         'Requests turned away for the load of engines, by the limit that asked for it.',
     ),
+    MetricRow(
+        'repeats_total',
+        'counter',
+        ('service', 'outcome'),
+        'Further attempts that were asked for, by whether the shared bound let them go.',
+    ),
+    MetricRow(
+        'repeats_recent',
+        'gauge',
+        ('service',),
+        'Further attempts of this instance within the window, at the last decision.',
+    ),
+    MetricRow(
+        'repeat_bound',
+        'gauge',
+        ('service',),
+        "This instance's part of the bound on them, at the last decision.",
+    ),
     MetricRow(
         'records_unreadable_total',
         'counter',
--- a/savorychute/gateway/recovery/retry_allowance.py
+++ b/savorychute/gateway/recovery/retry_allowance.py
@@ -22,6 +22,21 @@
     slack: float
 
 
+class RepeatDecision(NamedTuple):
+    """Whether a further attempt may be sent, and out of what.
+
+    ``spent`` and ``requests`` are those of this instance within the window, ``bound`` is
+    its part of what may be spent there, and ``instances`` how many share the slack (0
+    before that is known).
+    """
+
+    granted: bool
+    spent: int
+    requests: int
+    bound: float
+    instances: int
+
+
 class _Window:
     """Times of requests and of further attempts within the window."""
 
@@ -64,8 +79,8 @@
         """
         self._window(service, now_ms).requests.append(now_ms)
 
-    def try_spend(self, service: str, now_ms: int) -> bool:
-        """Take one further attempt; false if there is none left.
+    def try_spend(self, service: str, now_ms: int) -> RepeatDecision:
+        """Take one further attempt, if there is one left.
 
         :param service: where it goes.
         :param now_ms: the time.
@@ -73,10 +88,16 @@
         window = self._window(service, now_ms)
         slack = self.bounds.slack / self.instances if self.instances else 0.0
         bound = SAFE_SHARE * (self.bounds.ratio * len(window.requests) + slack)
-        if len(window.repeats) + 1 > bound:
-            return False
-        window.repeats.append(now_ms)
-        return True
+        granted = len(window.repeats) + 1 <= bound
+        if granted:
+            window.repeats.append(now_ms)
+        return RepeatDecision(
+            granted,
+            len(window.repeats),
+            len(window.requests),
+            bound,
+            self.instances or 0,
+        )
 
     def _window(self, service: str, now_ms: int) -> _Window:
         window = self._windows.get(service)
--- a/savorychute/gateway/requests/request_course.py
+++ b/savorychute/gateway/requests/request_course.py
@@ -214,7 +214,9 @@
 
     def _spend(self) -> bool:
         service = self._admitted.service.name
-        return self._parts.allowance.try_spend(service, self.now_ms())
+        decision = self._parts.allowance.try_spend(service, self.now_ms())
+        self._parts.telemetry.repeat_decided(self._request, service, decision)
+        return decision.granted
 
     def _give_up(self, reason: str) -> None:
         """End without an answer of an endpoint."""
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -25,6 +25,7 @@
     from savorychute.gateway.duties.server_fleet import ServerFleet
     from savorychute.gateway.duties.usage_duty import UsageStep
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
+    from savorychute.gateway.recovery.retry_allowance import RepeatDecision
     from savorychute.gateway.requests.admitted import Admitted
     from savorychute.gateway.requests.attempt import Attempt
     from savorychute.gateway.requests.course_summary import CourseSummary
@@ -318,6 +319,26 @@
             count=record.outstanding,
         )
 
+    def repeat_decided(
+        self, request: InboundRequest, service: str, decision: RepeatDecision
+    ) -> None:
+        """Log whether a further attempt may be sent, and out of what."""
+        outcome = 'granted' if decision.granted else 'withheld'
+        self.metrics.count('repeats_total', service=service, outcome=outcome)
+        self.metrics.set('repeats_recent', decision.spent, service=service)
+        self.metrics.set('repeat_bound', decision.bound, service=service)
+        self._write(
+            LogLevel.WARNING,
+            'repeat-decided',
+            request.attempt_id,
+            service=service,
+            state=outcome,
+            count=decision.spent,
+            requests=decision.requests,
+            bound=round(decision.bound, 2),
+            instances=decision.instances,
+        )
+
     def request_finished(
         self,
         request: InboundRequest,
--- a/tests/test_gateway/test_retry_allowance.py
+++ b/tests/test_gateway/test_retry_allowance.py
@@ -18,7 +18,7 @@
         allowance.instances = 8
         for _ in range(20):
             allowance.request('pool', 1_000)
-        spent += sum(allowance.try_spend('pool', 1_000) for _ in range(100))
+        spent += sum(allowance.try_spend('pool', 1_000).granted for _ in range(100))
 
     assert 0 < spent <= 0.2 * 160 + 56
 
@@ -33,23 +33,25 @@
     for _ in range(20):
         allowance.request('pool', 1_000)
 
-    assert sum(allowance.try_spend('pool', 1_000) for _ in range(100)) <= 0.2 * 20
+    assert (
+        sum(allowance.try_spend('pool', 1_000).granted for _ in range(100)) <= 0.2 * 20
+    )
 
 
 def test_spent_repeats_come_back_after_the_window():
     allowance = RetryAllowance(BOUNDS)
     allowance.instances = 1
-    while allowance.try_spend('pool', 1_000):
+    while allowance.try_spend('pool', 1_000).granted:
         pass
 
-    assert not allowance.try_spend('pool', 10_999)
-    assert allowance.try_spend('pool', 11_000)
+    assert not allowance.try_spend('pool', 10_999).granted
+    assert allowance.try_spend('pool', 11_000).granted
 
 
 def test_services_do_not_share_a_window():
     allowance = RetryAllowance(BOUNDS)
     allowance.instances = 1
-    while allowance.try_spend('pool', 1_000):
+    while allowance.try_spend('pool', 1_000).granted:
         pass
 
-    assert allowance.try_spend('desk', 1_000)
+    assert allowance.try_spend('desk', 1_000).granted
