--- a/tests/test_fleet/rig.py
+++ b/tests/test_fleet/rig.py
@@ -46,6 +46,7 @@
         self.event_s = 0.0
         self.hold = None
         self.breaks = False
+        self.sheds = False
         self.report = b'{"waiting":0,"running":0,"runs":[]}'
         self._tasks = set()
 
@@ -78,6 +79,9 @@
         if self.breaks:
             exchange.abort()
             return
+        if self.sheds:
+            exchange.respond(503, (('not-executed', '1'),), b'')
+            return
         proof = [('attempt-id', headers['attempt-id']), ('server-signature', 's')]
         if not self.engine:
             await asyncio.sleep(self.event_s)
@@ -137,11 +141,29 @@
 
 
 class Gateway:
-    """One running gateway and its addresses."""
+    """One instance and its addresses, whether it runs or not."""
 
-    def __init__(self, host, settings):
-        self.host = host
+    def __init__(self, settings, clock, rng):
         self.settings = settings
+        self.host = None
+        self._clock = clock
+        self._rng = rng
+        self._stack = AsyncExitStack()
+
+    async def start(self):
+        log = InstanceLog(self.settings.instance)
+        host = run_host(self.settings, log, self._clock, self._rng)
+        self.host = await self._stack.enter_async_context(host)
+
+    async def stop(self):
+        """Leave in order, as after SIGTERM."""
+        await self.host.leave()
+        await self.kill()
+
+    async def kill(self):
+        """End at once, and tell nobody."""
+        self.host = None
+        await self._stack.aclose()
 
 
 class Rig:
@@ -155,6 +177,9 @@
         self._number = 0
         self.last_id = ''
 
+    def now_s(self):
+        return asyncio.get_running_loop().time()
+
     def write_configuration(self, version=1, **fields):
         self.store.put('keyed.op', 'config', make_configuration(version, **fields))
 
@@ -222,19 +247,17 @@
 
 
 @asynccontextmanager
-async def run_rig(gateways=1, spare=False, **settings):
+async def run_rig(gateways=1, spare=False, desks=1, **settings):
     """Run a store, endpoints and some gateways until the block ends.
 
-    A spare endpoint does the same as the plain one.
+    All plain endpoints do the same; a spare one is one more of them.
     """
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(run_store())
-        endpoints = {
-            'd1': Endpoint('d1', 'desk', engine=False),
-            'e1': Endpoint('e1', 'pool', engine=True),
-        }
-        if spare:
-            endpoints['d2'] = Endpoint('d2', 'desk', engine=False)
+        endpoints = {'e1': Endpoint('e1', 'pool', engine=True)}
+        for number in range(1, desks + spare + 1):
+            name = f'd{number}'
+            endpoints[name] = Endpoint(name, 'desk', engine=False)
         for endpoint in endpoints.values():
             server = await stack.enter_async_context(
                 serve(endpoint.handle, LOOPBACK, 0)
@@ -247,10 +270,10 @@
         rig.write_entries()
         for number in range(gateways):
             chosen = make_settings(number, store.port, **settings)
-            log = InstanceLog(chosen.instance)
-            rng = random.Random(number)
-            host = await stack.enter_async_context(run_host(chosen, log, clock, rng))
-            rig.gateways.append(Gateway(host, chosen))
+            gateway = Gateway(chosen, clock, random.Random(number))
+            stack.push_async_callback(gateway.kill)
+            await gateway.start()
+            rig.gateways.append(gateway)
         for number in range(gateways):
             await rig.until_status(200, gateway=number)
         yield rig
