Count instances that left among those that share the slack of repeats

What callers saw: nothing at once; endpoints got more repeats than the bound while instances were restarted in order.

Change: a leaving instance writes that it has left in place of removing its entry. Its name goes on counting, its address does not. Entries of the earlier form are read.

Why it works: names in the store and those that were met since can only be too many, which makes each part smaller.

New tests fail before.

--- a/savorychute/gateway/daemon/assembly.py
+++ b/savorychute/gateway/daemon/assembly.py
@@ -116,6 +116,7 @@
         eras,
         directory,
         parts.crashes,
+        parts.allowance,
         demand,
         parts.shortages,
         parts.roster.steady_streams,
--- a/savorychute/gateway/daemon/gateway_host.py
+++ b/savorychute/gateway/daemon/gateway_host.py
@@ -150,7 +150,6 @@
         exchange.on_left = course.caller_left
         self.in_progress += 1
         course.on_finished = self._note_finished
-        self._parts.allowance.instances = self._peers.count()
         course.start()
 
     def _note_finished(self) -> None:
--- a/savorychute/gateway/daemon/peer_group.py
+++ b/savorychute/gateway/daemon/peer_group.py
@@ -9,10 +9,12 @@
 from savorychute.actions.send_peer import SendPeer
 from savorychute.clock import MS_PER_S
 from savorychute.daemon.peer_link import open_peer_link
+from savorychute.gateway.discovery.absent_instances import AbsentInstances
 from savorychute.gateway.discovery.advertised import NOT_READY, read_advertised
 from savorychute.gateway.duties.usage_told import UsageTold
 from savorychute.gateway.recovery.crash_news import CrashNews
 from savorychute.gateway.recovery.crash_spread import CrashSpread
+from savorychute.gateway.recovery.slack_sharers import SlackSharers
 from savorychute.gateway.store.store_answer import StoreAnswer
 from savorychute.gateway.store.store_errors import StoreUnavailableError
 from savorychute.gateway.store.store_question import StoreQuestion
@@ -38,13 +40,14 @@
     from savorychute.gateway.duties.true_time import TrueTime
     from savorychute.gateway.duties.usage_spread import UsageSpread
     from savorychute.gateway.recovery.crash_book import CrashBook
+    from savorychute.gateway.recovery.retry_allowance import RetryAllowance
+    from savorychute.gateway.store.instance_entry import InstanceListing
     from savorychute.gateway.store.reading_plan import ReadingPlan
     from savorychute.gateway.store.registration import Registration
     from savorychute.gateway.store.shared_reading import SharedReading
     from savorychute.gateway.store.store_era import StoreEra
     from savorychute.gateway.telemetry import GatewayTelemetry
     from savorychute.inputs import Input
-    from savorychute.member_address import MemberAddress
     from savorychute.membership.member_view import MemberView
 
 TICK_MS = 100
@@ -72,6 +75,7 @@
     :param eras: the newest era that is known of the store.
     :param directory: what callers are told.
     :param crashes: requests that crash endpoints, told to all.
+    :param allowance: of repeats, divided by all instances.
     :param demand: of engines, told to all.
     :param shortages: tiers that get too little, told to all.
     :param count_streams: how many steady streams of this instance run.
@@ -91,6 +95,7 @@
         eras: StoreEra,
         directory: InstanceDirectory,
         crashes: CrashBook,
+        allowance: RetryAllowance,
         demand: LaneDemand,
         shortages: Shortages,
         count_streams: Callable[[], int],
@@ -108,6 +113,7 @@
         self._entering = False
         self._directory = directory
         self._crashes = crashes
+        self._allowance = allowance
         self._demand = demand
         self._shortages = shortages
         self._count_streams = count_streams
@@ -124,23 +130,15 @@
         self._link: PeerLink | None = None
         self._codec: PeerCodec | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        self._listed: int | None = None
+        self._sharers = SlackSharers()
+        self._counted: MemberView | None = None
+        self._absent = AbsentInstances()
         self.ready_version = NOT_READY
 
     def view(self) -> MemberView | None:
         """Return the members, or None before this instance has registered."""
         return self._membership.view() if self._membership is not None else None
 
-    def count(self) -> int | None:
-        """Return how many instances there are, at least; None before that is known.
-
-        Those that were killed are listed until somebody notices; counting them only
-        makes each part smaller.
-        """
-        if self._membership is None or self._listed is None:
-            return None
-        return max(self._listed, len(self._membership.view().alive))
-
     async def run(self) -> None:
         """Take part until the task is cancelled."""
         await self._register()
@@ -153,18 +151,18 @@
             self._link = link
             self._membership = Membership(SETTINGS, address, self._rng)
             link.on_input = self._take
-            self._take_listing(self._registration.listed)
+            self._take_listing(self._registration.listing)
             while True:
                 self._tick()
                 await asyncio.sleep(TICK_MS / MS_PER_S)
 
     async def leave(self) -> None:
-        """Tell the others, and remove the entry."""
+        """Tell the others, and write that this instance has left."""
         if self._membership is None:
             return
         self._carry_out(self._membership.leave(self._clock.now_ms()))
         try:
-            await self._registration.remove(self._registration.address.instance)
+            await self._registration.leave()
         except StoreUnavailableError as error:
             self._telemetry.store_failed('instances', error)
 
@@ -199,6 +197,7 @@
             self._start(self._enter_again())
         self._carry_out(membership.tick(now_ms))
         view = membership.view()
+        self._count_sharers(view)
         self._plan.follow(view)
         self._demand.observe(self._count_streams(), len(view.alive), now_ms)
         self._shortages.instances = max(1, len(view.alive))
@@ -266,7 +265,7 @@
         """Write again what the store has lost, at another moment than the others do."""
         try:
             await asyncio.sleep(self._rng.uniform(0, ENTER_AGAIN_MS) / MS_PER_S)
-            live = await self._registration.enter_again()
+            listing = await self._registration.enter_again()
         except StoreUnavailableError as error:
             self._telemetry.store_failed('instances', error)
             return
@@ -275,23 +274,44 @@
         self._telemetry.store_went_back(self._registration.era)
         if self._codec is not None and self._registration.keys is not None:
             self._codec.keys = self._registration.keys
-        self._take_listing(live)
+        self._take_listing(listing)
 
     async def _fetch_listing(self) -> None:
         assert self._membership is not None
         own = self._registration.address
         try:
-            live = await self._registration.list_instances()
-            if own not in live and own.instance not in self._membership.view().leaving:
+            listing = await self._registration.list_instances()
+            leaving = self._membership.view().leaving
+            if own not in listing.live and own.instance not in leaving:
                 await self._registration.enter()
+            for instance in self._find_absent(listing):
+                await self._registration.remove(instance)
         except StoreUnavailableError as error:
             self._telemetry.store_failed('instances', error)
             return
         self._telemetry.store_answered('instances')
-        self._take_listing(live)
+        self._take_listing(listing)
+
+    def _find_absent(self, listing: InstanceListing) -> frozenset[str]:
+        """Return listed instances that have been gone for long."""
+        assert self._membership is not None
+        view = self._membership.view()
+        present = {member.instance for member in view.alive} | view.leaving
+        own = {self._registration.address.instance}
+        gone = listing.names - present - own
+        return self._absent.find_lasting(gone, self._clock.now_ms())
 
-    def _take_listing(self, live: tuple[MemberAddress, ...]) -> None:
+    def _take_listing(self, listing: InstanceListing) -> None:
         assert self._membership is not None
-        self._listed = len(live)
-        listing = ListingFetched(live=live, leaving=frozenset(), ok=True)
-        self._carry_out(self._membership.apply_listing(listing, self._clock.now_ms()))
+        self._sharers.list(listing.names)
+        self._counted = None
+        self._count_sharers(self._membership.view())
+        fetched = ListingFetched(live=listing.live, leaving=frozenset(), ok=True)
+        self._carry_out(self._membership.apply_listing(fetched, self._clock.now_ms()))
+
+    def _count_sharers(self, view: MemberView) -> None:
+        if view is self._counted:
+            return
+        self._counted = view
+        self._sharers.meet(member.instance for member in view.alive)
+        self._allowance.instances = self._sharers.count
--- /dev/null
+++ b/savorychute/gateway/store/instance_entry.py
@@ -0,0 +1,92 @@
+"""What an instance has written of itself in the platform's store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import msgspec
+
+from savorychute.gateway.store.unreadable_record import UnreadableRecord
+from savorychute.member_address import MemberAddress
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from savorychute.gateway.store.keyed_record import KeyedRecord
+
+# No instance can have this name: names begin with a letter or a digit.
+SECRET_KEY = '@secret'
+
+
+class InstanceEntry(NamedTuple):
+    """Where an instance is, or was; ``left`` says that it has ended in order."""
+
+    address: MemberAddress
+    left: bool = False
+
+
+class InstanceListing(NamedTuple):
+    """The entries of all instances, those of ones that ended among them."""
+
+    entries: tuple[InstanceEntry, ...]
+
+    @property
+    def live(self) -> tuple[MemberAddress, ...]:
+        """The addresses of instances that have not left."""
+        return tuple(entry.address for entry in self.entries if not entry.left)
+
+    @property
+    def names(self) -> frozenset[str]:
+        """The names of all instances."""
+        return frozenset(entry.address.instance for entry in self.entries)
+
+    def find(self, instance: str) -> InstanceEntry | None:
+        """Return the entry of an instance, or None.
+
+        :param instance: its name.
+        """
+        for entry in self.entries:
+            if entry.address.instance == instance:
+                return entry
+        return None
+
+
+def encode_entry(entry: InstanceEntry) -> bytes:
+    """Return an entry as a record's value.
+
+    :param entry: the entry.
+    """
+    return msgspec.json.encode(entry)
+
+
+def decode_listing(
+    records: Iterable[KeyedRecord | UnreadableRecord],
+) -> InstanceListing:
+    """Return the entries in some records; others are passed over.
+
+    :param records: of the topic of instances.
+    """
+    entries = []
+    for record in records:
+        if isinstance(record, UnreadableRecord):
+            # Whatever wrote it, it is no instance that could be asked.
+            continue
+        if record.key == SECRET_KEY or record.value is None:
+            continue
+        entry = _decode_entry(record.value)
+        if entry is not None:
+            entries.append(entry)
+    return InstanceListing(tuple(entries))
+
+
+def _decode_entry(value: bytes) -> InstanceEntry | None:
+    try:
+        return msgspec.json.decode(value, type=InstanceEntry)
+    except msgspec.DecodeError:
+        pass
+    try:
+        # Earlier versions wrote the address alone.
+        return InstanceEntry(msgspec.json.decode(value, type=MemberAddress))
+    except msgspec.DecodeError:
+        # An instance of a later version may write more than this one reads.
+        return None
--- a/savorychute/gateway/store/registration.py
+++ b/savorychute/gateway/store/registration.py
@@ -5,14 +5,19 @@
 import secrets
 from typing import TYPE_CHECKING
 
-import msgspec
 import xxhash
 
 from savorychute.gateway.store.call_purpose import CallPurpose
+from savorychute.gateway.store.instance_entry import (
+    SECRET_KEY,
+    InstanceEntry,
+    InstanceListing,
+    decode_listing,
+    encode_entry,
+)
 from savorychute.gateway.store.store_era import number_in_era
 from savorychute.gateway.store.store_errors import WriteConflictError
 from savorychute.gateway.store.unreadable_record import UnreadableRecord
-from savorychute.member_address import MemberAddress
 from savorychute.wire.peer_key import MAX_KEY_ID, PeerKey
 from savorychute.wire.peer_keys import PeerKeys
 
@@ -22,9 +27,8 @@
     from savorychute.gateway.store.keyed_record import KeyedRecord
     from savorychute.gateway.store.keyed_topic import KeyedTopic
     from savorychute.gateway.store.topic_snapshot import TopicSnapshot
+    from savorychute.member_address import MemberAddress
 
-# No instance can have this name: names begin with a letter or a digit.
-SECRET_KEY = '@secret'
 SECRET_BYTES = 32
 
 
@@ -53,8 +57,8 @@
         self.keys: PeerKeys | None = None
         # Of the store when this instance entered last.
         self.era = 0
-        # The other instances, as they were when this one registered.
-        self.listed: tuple[MemberAddress, ...] = ()
+        # All instances, as they were when this one registered.
+        self.listing = InstanceListing(())
 
     async def register(self) -> None:
         """Enter this instance with a larger incarnation than any run before it.
@@ -72,7 +76,7 @@
         incarnation = number_in_era(snapshot.era, snapshot.next_offset)
         self.address = self.address._replace(incarnation=incarnation)
         self.era = snapshot.era
-        self.listed = decode_addresses(snapshot.records)
+        self.listing = decode_listing(snapshot.records)
         await self.enter()
 
     async def _list_with_secret(self, secret: bytes | None = None) -> TopicSnapshot:
@@ -105,17 +109,16 @@
     async def enter(self) -> None:
         """Write this instance's entry."""
         self._count_call(CallPurpose.REGISTER)
-        await self._topic.write(
-            self.address.instance, msgspec.json.encode(self.address)
-        )
+        entry = InstanceEntry(self.address)
+        await self._topic.write(self.address.instance, encode_entry(entry))
 
-    async def list_instances(self) -> tuple[MemberAddress, ...]:
+    async def list_instances(self) -> InstanceListing:
         """Return the entries of all instances."""
         self._count_call(CallPurpose.MEMBERS)
         snapshot = await self._topic.list_newest()
-        return decode_addresses(snapshot.records)
+        return decode_listing(snapshot.records)
 
-    async def enter_again(self) -> tuple[MemberAddress, ...]:
+    async def enter_again(self) -> InstanceListing:
         """Write again what an older copy of the store lacks; return all entries.
 
         An instance that has started meanwhile may have found no secret and written
@@ -130,13 +133,23 @@
         assert found is not None
         if found.signing != self.keys.signing:
             self.keys = PeerKeys(found.signing, (self.keys.signing,))
-        if self.address not in decode_addresses(snapshot.records):
+        listing = decode_listing(snapshot.records)
+        if self.address not in listing.live:
             await self.enter()
         self.era = snapshot.era
-        return decode_addresses(snapshot.records)
+        return listing
+
+    async def leave(self) -> None:
+        """Write that this run ends in order.
+
+        :raises StoreUnavailableError: if the store does not answer.
+        """
+        self._count_call(CallPurpose.LEAVE)
+        entry = InstanceEntry(self.address, left=True)
+        await self._topic.write(self.address.instance, encode_entry(entry))
 
     async def remove(self, instance: str) -> None:
-        """Remove the entry of an instance that has left.
+        """Remove the entry of an instance that does not come back.
 
         :param instance: its name.
         """
@@ -144,28 +157,6 @@
         await self._topic.write(instance, None)
 
 
-def decode_addresses(
-    records: Iterable[KeyedRecord | UnreadableRecord],
-) -> tuple[MemberAddress, ...]:
-    """Return the addresses in some records; others are passed over.
-
-    :param records: of the topic of instances.
-    """
-    addresses = []
-    for record in records:
-        if isinstance(record, UnreadableRecord):
-            # Whatever wrote it, it is no instance that could be asked.
-            continue
-        if record.key == SECRET_KEY or record.value is None:
-            continue
-        try:
-            addresses.append(msgspec.json.decode(record.value, type=MemberAddress))
-        except msgspec.DecodeError:
-            # An instance of a later version may write more than this one reads.
-            continue
-    return tuple(addresses)
-
-
 def _find_secret(records: Iterable[KeyedRecord | UnreadableRecord]) -> PeerKeys | None:
     for record in records:
         if isinstance(record, UnreadableRecord):
--- a/tests/test_gateway/test_registration.py
+++ b/tests/test_gateway/test_registration.py
@@ -4,10 +4,12 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
+from savorychute.gateway.store.instance_entry import SECRET_KEY
 from savorychute.gateway.store.keyed_record import KeyedRecord
-from savorychute.gateway.store.registration import SECRET_KEY, Registration
+from savorychute.gateway.store.registration import Registration
 from savorychute.gateway.store.store_errors import (
     StoreUnavailableError,
     WriteConflictError,
@@ -88,7 +90,7 @@
         registration = register(topic)
         seen.append(registration.address.incarnation)
         if leaves:
-            asyncio.run(registration.remove(OWN.instance))
+            asyncio.run(registration.leave())
 
     assert seen == sorted(set(seen))
 
@@ -110,7 +112,7 @@
     asyncio.run(registration.register())
 
     assert registration.address.incarnation > 0
-    assert [each.instance for each in registration.listed] == ['k1', 'k0']
+    assert [each.instance for each in registration.listing.live] == ['k1', 'k0']
 
 
 def test_incarnation_is_larger_after_the_store_went_back():
@@ -137,9 +139,9 @@
     live = asyncio.run(registration.enter_again())
 
     assert registration.keys == keys
-    assert [each.instance for each in live] == []
+    assert live.entries == ()
     assert topic.count(SECRET_KEY) == 1
-    assert [each.instance for each in register(topic).listed] == ['k0']
+    assert [each.instance for each in register(topic).listing.live] == ['k0']
 
 
 def test_secret_that_another_instance_wrote_meanwhile_is_used():
@@ -158,3 +160,21 @@
     assert old.keys.signing == new.keys.signing
     assert old.keys.find(before.key_id) == before
     assert before.key_id != new.keys.signing.key_id
+
+
+def test_instance_that_left_is_no_address_and_still_a_name():
+    """Guards against a bound that is divided by too few while instances restart."""
+    topic = MemoryTopic()
+    asyncio.run(register(topic).leave())
+    listing = register(topic, OWN._replace(instance='k1')).listing
+
+    assert listing.live == ()
+    assert listing.names == {'k0'}
+
+
+def test_entry_of_an_earlier_version_is_read():
+    topic = MemoryTopic()
+    value = msgspec.json.encode(OWN._replace(instance='k1'))
+    asyncio.run(topic.write('k1', value))
+
+    assert [each.instance for each in register(topic).listing.live] == ['k1']
