Let a run repeat only what the runs before it cannot have spent

What callers saw: endpoints got more repeats than the bound after kills and restarts; repeats that take the places of first attempts when least is left of a service.

Cause: what a run spends of the bound is in its memory only. The next run of the same instance took a whole part again, of the slack and of its requests, while the repeats of the run before still counted in the window.

Change: a run waits for a window before its first repeat, unless the run before has left in order and written the most that it can have sent. That word is written on a condition, so that it cannot replace a later entry, and does not count in another era of the store. A leaving run may send one more repeat at most. Requests count by 0.95 and the slack by 0.8 (0.8 both before): only the slack depends on how many instances are known.

Why it works: a run starts either after all that was spent has left the window, or with the most of it counted. No message has to arrive for that.

--- a/savorychute/gateway/daemon/assembly.py
+++ b/savorychute/gateway/daemon/assembly.py
@@ -210,7 +210,7 @@
         shortages=shortages,
         engines=models,
         loads=LoadWatch(attempts, roster, clock),
-        allowance=RetryAllowance(read_bounds(settings)),
+        allowance=RetryAllowance(read_bounds(settings), clock.now_ms()),
         crashes=crashes,
         usage=usage,
         telemetry=GatewayTelemetry(around.log, metrics, clock),
--- a/savorychute/gateway/daemon/gateway_host.py
+++ b/savorychute/gateway/daemon/gateway_host.py
@@ -264,7 +264,8 @@
             self.caller_server.closing = True
         if self._duties is not None:
             self._duties.leave()
-        farewell = asyncio.get_running_loop().create_task(self._peers.leave())
+        repeats = self._parts.allowance.close(began_ms)
+        farewell = asyncio.get_running_loop().create_task(self._peers.leave(repeats))
         while not self._may_end(self._parts.clock.now_ms() - began_ms):
             await asyncio.sleep(LEAVING_STEP_MS / MS_PER_S)
         self._peers.tell_usage()
--- a/savorychute/gateway/daemon/peer_group.py
+++ b/savorychute/gateway/daemon/peer_group.py
@@ -151,18 +151,23 @@
             self._link = link
             self._membership = Membership(SETTINGS, address, self._rng)
             link.on_input = self._take
+            self._allowance.inherit(self._registration.inherited_repeats())
             self._take_listing(self._registration.listing)
             while True:
                 self._tick()
                 await asyncio.sleep(TICK_MS / MS_PER_S)
 
-    async def leave(self) -> None:
-        """Tell the others, and write that this instance has left."""
+    async def leave(self, repeats: float | None) -> None:
+        """Tell the others, and write that this instance has left.
+
+        :param repeats: the most that it can have sent to a service within the window of
+            the retry bounds; None if it does not know.
+        """
         if self._membership is None:
             return
         self._carry_out(self._membership.leave(self._clock.now_ms()))
         try:
-            await self._registration.leave()
+            await self._registration.leave(repeats)
         except StoreUnavailableError as error:
             self._telemetry.store_failed('instances', error)
 
--- a/savorychute/gateway/recovery/retry_allowance.py
+++ b/savorychute/gateway/recovery/retry_allowance.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from typing import NamedTuple
 
-# The shares of all instances are counted by each for itself, from a member view that
-# may be a few seconds old; a part is left unused for that.
-SAFE_SHARE = 0.8
+# A repeat reaches its endpoint a little after it was granted.
+REQUEST_SHARE = 0.95
+# Each instance divides the slack by those that it knows; an instance that is cut off may
+# not know those that were added since.
+SLACK_SHARE = 0.8
 
 
 class RetryBounds(NamedTuple):
@@ -26,8 +29,9 @@
     """Whether a further attempt may be sent, and out of what.
 
     ``spent`` and ``requests`` are those of this instance within the window, ``bound`` is
-    its part of what may be spent there, and ``instances`` how many share the slack (0
-    before that is known).
+    its part of what may be spent there, ``instances`` how many share the slack (0 before
+    that is known), and ``inherited`` what earlier runs may have spent (None if nobody
+    knows).
     """
 
     granted: bool
@@ -35,6 +39,7 @@
     requests: int
     bound: float
     instances: int
+    inherited: float | None
 
 
 class _Window:
@@ -58,18 +63,31 @@
     When most endpoints of a service are gone nearly every attempt fails.  If each were
     repeated, the rest would carry a multiple of its usual load and fail too.  The
     sum over all instances stays below the bound without any exchange between them,
-    as long as each counts at least as many instances as there are.  One that has just
-    started knows of no other; it has no part of the slack until it does, or all that
-    are started at once would take the whole of it.
+    as long as each counts at least as many instances as have spent within the window.
+
+    What a run spends is in its memory only, and counts for a window also when the run is
+    over.  The next run of the same instance therefore waits for a window before its first
+    repeat, unless the one before has left word of what it can have spent.
 
     :param bounds: what all instances together may do.
+    :param now_ms: the time, at the start of the run.
     """
 
-    def __init__(self, bounds: RetryBounds) -> None:
+    def __init__(self, bounds: RetryBounds, now_ms: int) -> None:
         self.bounds = bounds
         self._windows: dict[str, _Window] = {}
         # How many instances share the slack; None before that is known.
         self.instances: int | None = None
+        self._started_ms = now_ms
+        self._inherited: float | None = None
+        self._most = math.inf
+
+    def inherit(self, repeats: float | None) -> None:
+        """Take over what earlier runs may have sent to any service.
+
+        :param repeats: the most of it; None if nobody knows.
+        """
+        self._inherited = repeats
 
     def request(self, service: str, now_ms: int) -> None:
         """Count a first attempt.
@@ -86,9 +104,9 @@
         :param now_ms: the time.
         """
         window = self._window(service, now_ms)
-        slack = self.bounds.slack / self.instances if self.instances else 0.0
-        bound = SAFE_SHARE * (self.bounds.ratio * len(window.requests) + slack)
-        granted = len(window.repeats) + 1 <= bound
+        bound = min(self._most, self._part(len(window.requests)))
+        inherited = self._inherited_at(now_ms)
+        granted = inherited is not None and len(window.repeats) + inherited + 1 <= bound
         if granted:
             window.repeats.append(now_ms)
         return RepeatDecision(
@@ -97,8 +115,35 @@
             len(window.requests),
             bound,
             self.instances or 0,
+            inherited,
         )
 
+    def close(self, now_ms: int) -> float | None:
+        """Let the rest of the run spend one more at most; return the most it can have spent.
+
+        :param now_ms: the time.
+        :returns: None if nobody knows.
+        """
+        inherited = self._inherited_at(now_ms)
+        if inherited is None:
+            return None
+        windows = [self._window(service, now_ms) for service in self._windows]
+        spent = max((len(window.repeats) for window in windows), default=0)
+        self._most = spent + inherited + 1
+        return self._most
+
+    def _part(self, requests: int) -> float:
+        of_requests = REQUEST_SHARE * self.bounds.ratio * requests
+        if not self.instances:
+            return of_requests
+        return of_requests + SLACK_SHARE * self.bounds.slack / self.instances
+
+    def _inherited_at(self, now_ms: int) -> float | None:
+        """Return what counts of earlier runs; None if nobody knows."""
+        if now_ms - self._started_ms >= self.bounds.window_ms:
+            return 0.0
+        return self._inherited
+
     def _window(self, service: str, now_ms: int) -> _Window:
         window = self._windows.get(service)
         if window is None:
--- a/savorychute/gateway/store/instance_entry.py
+++ b/savorychute/gateway/store/instance_entry.py
@@ -19,10 +19,15 @@
 
 
 class InstanceEntry(NamedTuple):
-    """Where an instance is, or was; ``left`` says that it has ended in order."""
+    """Where an instance is, or was.
+
+    ``left`` says that it has ended in order.  ``repeats`` then is the most that it can have
+    sent to any service within the window of the retry bounds; None if nobody knows.
+    """
 
     address: MemberAddress
     left: bool = False
+    repeats: float | None = None
 
 
 class InstanceListing(NamedTuple):
--- a/savorychute/gateway/store/registration.py
+++ b/savorychute/gateway/store/registration.py
@@ -30,6 +30,8 @@
     from savorychute.member_address import MemberAddress
 
 SECRET_BYTES = 32
+# Of the last entry, when others write into the topic at the same moment.
+LEAVE_TRIES = 3
 
 
 class Registration:
@@ -79,6 +81,21 @@
         self.listing = decode_listing(snapshot.records)
         await self.enter()
 
+    def inherited_repeats(self) -> float | None:
+        """Return what earlier runs may have sent to a service within the last window.
+
+        Only a run that left in order says so.  An entry of an earlier era of the store may
+        have been followed by others that the store has lost.
+
+        :returns: None if nobody knows.
+        """
+        entry = self.listing.find(self.address.instance)
+        if entry is None or not entry.left:
+            return None
+        if entry.address.incarnation < number_in_era(self.era, 0):
+            return None
+        return entry.repeats
+
     async def _list_with_secret(self, secret: bytes | None = None) -> TopicSnapshot:
         """Return a listing that holds a secret; write one if there is none.
 
@@ -139,14 +156,31 @@
         self.era = snapshot.era
         return listing
 
-    async def leave(self) -> None:
+    async def leave(self, repeats: float | None) -> None:
         """Write that this run ends in order.
 
-        :raises StoreUnavailableError: if the store does not answer.
+        The condition keeps a write that the store executes late from replacing the entry of
+        the next run, which would then be taken for this one.
+
+        :param repeats: the most that it can have sent to a service within the window of
+            the retry bounds; None if it does not know.
+        :raises StoreUnavailableError: if the store does not answer, or others write at the
+            same moment again and again; the entry then stays that of a run that goes on.
         """
-        self._count_call(CallPurpose.LEAVE)
-        entry = InstanceEntry(self.address, left=True)
-        await self._topic.write(self.address.instance, encode_entry(entry))
+        entry = InstanceEntry(self.address, left=True, repeats=repeats)
+        for tries_left in reversed(range(LEAVE_TRIES)):
+            self._count_call(CallPurpose.LEAVE)
+            snapshot = await self._topic.list_newest()
+            self._count_call(CallPurpose.LEAVE)
+            try:
+                await self._topic.write(
+                    self.address.instance, encode_entry(entry), snapshot.next_offset
+                )
+            except WriteConflictError:
+                if not tries_left:
+                    raise
+            else:
+                return
 
     async def remove(self, instance: str) -> None:
         """Remove the entry of an instance that does not come back.
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -337,6 +337,7 @@
             requests=decision.requests,
             bound=round(decision.bound, 2),
             instances=decision.instances,
+            inherited=decision.inherited,
         )
 
     def request_finished(
--- a/savorychute/log_fields.py
+++ b/savorychute/log_fields.py
@@ -29,6 +29,7 @@
     'gap_target_ms': 'the longest pause between events that is on time',
     'generating': 'streams that an engine generates',
     'incarnation': 'the incarnation of an instance',
+    'inherited': 'what earlier runs of an instance may have spent, null if unknown',
     'instances': 'how many instances share something, 0 before that is known',
     'item': 'what a change concerns',
     'lease': 'the name of a lease',
--- a/tests/test_gateway/gateway_fakes.py
+++ b/tests/test_gateway/gateway_fakes.py
@@ -372,7 +372,7 @@
         shortages=shortages,
         engines=models,
         loads=LoadWatch(attempts, roster, clock),
-        allowance=RetryAllowance(RetryBounds(0.2, 10_000, slack)),
+        allowance=RetryAllowance(RetryBounds(0.2, 10_000, slack), START_MS - 10_000),
         crashes=crashes,
         usage=UsageLedger(None, TrueTime(clock, StillWall())),
         telemetry=make_telemetry(clock),
--- /dev/null
+++ b/tests/test_gateway/repeat_rig.py
@@ -0,0 +1,205 @@
+"""Instances that repeat all they may, on one clock, and a judge of what arrives."""
+
+from __future__ import annotations
+
+from bisect import bisect_left, bisect_right
+
+from savorychute.clock import MS_PER_S
+from savorychute.gateway.recovery.retry_allowance import RetryAllowance, RetryBounds
+from savorychute.gateway.recovery.slack_sharers import SlackSharers
+from savorychute.gateway.store.keyed_record import KeyedRecord
+from savorychute.gateway.store.registration import Registration
+from savorychute.gateway.store.store_errors import (
+    StoreUnavailableError,
+    WriteConflictError,
+)
+from savorychute.gateway.store.topic_snapshot import TopicSnapshot
+from savorychute.member_address import MemberAddress
+
+BOUNDS = RetryBounds(ratio=0.2, window_ms=10_000, slack=40)
+TICK_MS = 250
+SERVICE = 'pool'
+
+
+class SharedTopic:
+    """The topic of instances: may be down, lose answers and go back."""
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+        self._written_ms = []
+        self.records = []
+        self.era = 1
+        self.down = False
+        self.loses_answers = False
+        # Writes without an answer, which take effect later if their condition still holds.
+        self._late = []
+
+    def go_back(self, age_s):
+        """Come back from a copy that is some seconds old."""
+        kept = bisect_right(self._written_ms, self._fleet.now_ms - age_s * MS_PER_S)
+        del self.records[kept:]
+        del self._written_ms[kept:]
+        self.era += 1
+
+    def deliver_late(self):
+        late, self._late = self._late, []
+        for key, value, expected_end in late:
+            if expected_end in (None, len(self.records)):
+                self._append(key, value)
+
+    async def list_newest(self):
+        if self.down:
+            raise StoreUnavailableError('down')
+        newest = {record.key: record for record in self.records}
+        return TopicSnapshot(tuple(newest.values()), len(self.records), self.era)
+
+    async def write(self, key, value, expected_end=None):
+        if self.down:
+            raise StoreUnavailableError('down')
+        if expected_end not in (None, len(self.records)):
+            raise WriteConflictError('written by another')
+        if self.loses_answers:
+            self._late.append((key, value, expected_end))
+            raise StoreUnavailableError('no answer')
+        self._append(key, value)
+
+    def _append(self, key, value):
+        self._written_ms.append(self._fleet.now_ms)
+        self.records.append(KeyedRecord(len(self.records), key, value))
+
+
+class Run:
+    """One run of an instance; its clock stands still while it is frozen."""
+
+    def __init__(self, fleet, name):
+        self._fleet = fleet
+        self._asleep_ms = 0
+        self.frozen = False
+        self.leaving = False
+        address = MemberAddress(name, 0, 'kerala', 'kochi', '10.0.0.1', 80, 70)
+        self.registration = Registration(fleet.topic, address, count_nothing)
+        self.allowance = RetryAllowance(BOUNDS, self._now_ms())
+        self.sharers = SlackSharers()
+        self.registered = False
+        self.try_register()
+
+    def try_register(self):
+        if self.registered or not complete(self.registration.register()):
+            return
+        self.registered = True
+        self.allowance.inherit(self.registration.inherited_repeats())
+        self.sharers.list(self.registration.listing.names)
+        self.meet({self.registration.address.instance})
+
+    def meet(self, names):
+        if self.registered:
+            self.sharers.meet(names)
+            self.allowance.instances = self.sharers.count
+
+    def notice_era(self):
+        if self.registered and self.registration.era != self._fleet.topic.era:
+            complete(self.registration.enter_again())
+
+    def leave(self):
+        self.leaving = True
+        repeats = self.allowance.close(self._now_ms())
+        if self.registered:
+            complete(self.registration.leave(repeats))
+
+    def tick(self, requests):
+        if self.frozen:
+            self._asleep_ms += TICK_MS
+            return
+        self.try_register()
+        self.notice_era()
+        now_ms = self._now_ms()
+        for _ in range(requests):
+            self.allowance.request(SERVICE, now_ms)
+        while self._fleet.storm and self.allowance.try_spend(SERVICE, now_ms).granted:
+            self._fleet.repeats_ms.append(self._fleet.now_ms)
+
+    def _now_ms(self):
+        return self._fleet.now_ms - self._asleep_ms
+
+
+class RepeatFleet:
+    """Instances by name, those that run, and what endpoints get of them."""
+
+    def __init__(self, instances, requests):
+        self.now_ms = 0
+        self.topic = SharedTopic(self)
+        self.requests = requests
+        self.requests_ms = []
+        self.repeats_ms = []
+        self.cut = set()
+        # Whether endpoints turn every attempt away.
+        self.storm = False
+        self.runs = {}
+        for number in range(instances):
+            self.start(f'k{number}')
+        self.gossip()
+
+    def start(self, name):
+        if self.runs.get(name) is None:
+            self.runs[name] = Run(self, name)
+
+    def kill(self, name):
+        self.runs[name] = None
+
+    def running(self, name):
+        return self.runs.get(name)
+
+    def gossip(self):
+        """Let all hear of each other that are not cut off."""
+        linked = {
+            name
+            for name, run in self.runs.items()
+            if run is not None and run.registered and not run.frozen
+        } - self.cut
+        for name in linked:
+            self.runs[name].meet(linked)
+
+    def tick(self):
+        self.now_ms += TICK_MS
+        for run in list(self.runs.values()):
+            self.requests_ms += [self.now_ms] * self.requests
+            if run is not None:
+                run.tick(self.requests)
+
+    def find_excess(self):
+        """Return by how much the worst window passes the bound, and when it begins."""
+        return max(
+            (self._count_repeats(at_ms) - self._find_allowed(at_ms), at_ms)
+            for at_ms in self.repeats_ms
+        )
+
+    def _count_repeats(self, begin_ms):
+        return count_between(self.repeats_ms, begin_ms, begin_ms + BOUNDS.window_ms)
+
+    def _find_allowed(self, begin_ms):
+        window_ms = BOUNDS.window_ms
+        begins_ms = (begin_ms - window_ms, begin_ms - window_ms // 2, begin_ms)
+        requests = max(
+            count_between(self.requests_ms, each, each + window_ms)
+            for each in begins_ms
+        )
+        return BOUNDS.ratio * requests + BOUNDS.slack
+
+
+def count_between(times_ms, begin_ms, end_ms):
+    return bisect_left(times_ms, end_ms) - bisect_left(times_ms, begin_ms)
+
+
+def count_nothing(purpose):
+    """Take the purpose of a call, and do nothing."""
+
+
+def complete(work):
+    """Run work that waits for nothing; return whether the store did it."""
+    try:
+        work.send(None)
+    except StopIteration:
+        return True
+    except StoreUnavailableError:
+        return False
+    raise AssertionError('the work waits')
--- a/tests/test_gateway/test_registration.py
+++ b/tests/test_gateway/test_registration.py
@@ -90,7 +90,7 @@
         registration = register(topic)
         seen.append(registration.address.incarnation)
         if leaves:
-            asyncio.run(registration.leave())
+            asyncio.run(registration.leave(0))
 
     assert seen == sorted(set(seen))
 
@@ -162,16 +162,59 @@
     assert before.key_id != new.keys.signing.key_id
 
 
+def test_run_knows_what_the_one_before_said_when_it_left():
+    topic = MemoryTopic()
+    first = register(topic)
+    assert first.inherited_repeats() is None
+    asyncio.run(first.leave(3))
+    second = register(topic)
+
+    assert second.inherited_repeats() == 3
+    assert register(topic).inherited_repeats() is None
+
+
 def test_instance_that_left_is_no_address_and_still_a_name():
     """Guards against a bound that is divided by too few while instances restart."""
     topic = MemoryTopic()
-    asyncio.run(register(topic).leave())
+    asyncio.run(register(topic).leave(0))
     listing = register(topic, OWN._replace(instance='k1')).listing
 
     assert listing.live == ()
     assert listing.names == {'k0'}
 
 
+def test_word_of_an_earlier_era_of_the_store_does_not_count():
+    """Guards against the word of a run after which the store has lost another one."""
+    topic = MemoryTopic()
+    asyncio.run(register(topic).leave(0))
+    register(topic)
+    topic.go_back(3)
+
+    assert register(topic).inherited_repeats() is None
+
+
+def test_word_that_the_store_takes_in_late_does_not_replace_the_next_run():
+    """Guards against a run that is taken for one that has left."""
+    topic = MemoryTopic()
+    first = register(topic)
+    first_write = topic.write
+    late = []
+
+    async def hold(*write):
+        late.append(write)
+        raise StoreUnavailableError('no answer')
+
+    topic.write = hold
+    with pytest.raises(StoreUnavailableError):
+        asyncio.run(first.leave(0))
+    topic.write = first_write
+    register(topic)
+    with pytest.raises(WriteConflictError):
+        asyncio.run(topic.write(*late[0]))
+
+    assert register(topic).inherited_repeats() is None
+
+
 def test_entry_of_an_earlier_version_is_read():
     topic = MemoryTopic()
     value = msgspec.json.encode(OWN._replace(instance='k1'))
