Let the entry of an instance say how many repeats its run sends at most

What callers saw: after kills in a calm hour no second attempt for ten seconds, although the run before had hardly repeated anything.

Cause: only a run that left in order told what it could have spent, so after a kill the next one had to take the whole for spent.

Change: the entry of a running instance names the most that it sends to any service within a window: three at first, the whole part as soon as more is needed, three again after a calm window. A raised cap counts when the store has taken it in, and includes what the run has inherited. Writes of the entry carry a number of their own, so that one which the store executes late cannot replace a later one; the leaving word needs no listing any more.

Why it works: at any moment the entry in the store names at least what the run can have sent, so the next run need not wait; where entry and store cannot be trusted (no entry, an older era) it waits as before.

--- a/savorychute/gateway/daemon/peer_group.py
+++ b/savorychute/gateway/daemon/peer_group.py
@@ -52,6 +52,8 @@
 
 TICK_MS = 100
 REGISTER_RETRY_MS = 500
+# After a word on the repeats of this run that the store did not take in.
+CAP_RETRY_MS = 500
 # All instances write again after the store went back; together they would be refused.
 ENTER_AGAIN_MS = 1_000
 # Two probes a second: a peer that was killed is suspected within about a second, and
@@ -131,6 +133,8 @@
         self._codec: PeerCodec | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._sharers = SlackSharers()
+        self._writing_cap = False
+        self._next_cap_ms = 0
         self._counted: MemberView | None = None
         self._absent = AbsentInstances()
         self.ready_version = NOT_READY
@@ -151,7 +155,6 @@
             self._link = link
             self._membership = Membership(SETTINGS, address, self._rng)
             link.on_input = self._take
-            self._allowance.inherit(self._registration.inherited_repeats())
             self._take_listing(self._registration.listing)
             while True:
                 self._tick()
@@ -179,12 +182,13 @@
     async def _register(self) -> None:
         while True:
             try:
-                await self._registration.register()
+                await self._registration.register(self._allowance.inherit)
             except StoreUnavailableError as error:
                 self._telemetry.store_failed('instances', error)
                 await asyncio.sleep(REGISTER_RETRY_MS / MS_PER_S)
             else:
                 self._telemetry.store_answered('instances')
+                self._allowance.cap.entered()
                 return
 
     def _tick(self) -> None:
@@ -203,6 +207,7 @@
         self._carry_out(membership.tick(now_ms))
         view = membership.view()
         self._count_sharers(view)
+        self._allow_repeats(now_ms)
         self._plan.follow(view)
         self._demand.observe(self._count_streams(), len(view.alive), now_ms)
         self._shortages.instances = max(1, len(view.alive))
@@ -266,6 +271,27 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _allow_repeats(self, now_ms: int) -> None:
+        """Let the entry say what this run needs, when that changes."""
+        change = self._allowance.cap_change(now_ms)
+        if change is None or self._writing_cap or now_ms < self._next_cap_ms:
+            return
+        self._writing_cap = True
+        self._start(self._write_cap(change))
+
+    async def _write_cap(self, repeats: float) -> None:
+        self._allowance.cap.change_begins(repeats)
+        try:
+            await self._registration.allow_repeats(repeats)
+        except StoreUnavailableError as error:
+            self._next_cap_ms = self._clock.now_ms() + CAP_RETRY_MS
+            self._telemetry.store_failed('instances', error)
+            return
+        finally:
+            self._writing_cap = False
+        self._allowance.cap.change_is_known(repeats)
+        self._telemetry.repeats_allowed(repeats)
+
     async def _enter_again(self) -> None:
         """Write again what the store has lost, at another moment than the others do."""
         try:
--- a/savorychute/gateway/recovery/retry_allowance.py
+++ b/savorychute/gateway/recovery/retry_allowance.py
@@ -6,6 +6,8 @@
 from collections import deque
 from typing import NamedTuple
 
+from savorychute.gateway.recovery.repeat_cap import RepeatCap
+
 # A repeat reaches its endpoint a little after it was granted.
 REQUEST_SHARE = 0.95
 # Each instance divides the slack by those that it knows; an instance that is cut off may
@@ -30,8 +32,8 @@
 
     ``spent`` and ``requests`` are those of this instance within the window, ``bound`` is
     its part of what may be spent there, ``instances`` how many share the slack (0 before
-    that is known), and ``inherited`` what earlier runs may have spent (None if nobody
-    knows).
+    that is known), ``inherited`` what earlier runs may have spent (None if nobody knows),
+    and ``cap`` what the instance's entry says of all of it (None if it sets no cap).
     """
 
     granted: bool
@@ -40,6 +42,7 @@
     bound: float
     instances: int
     inherited: float | None
+    cap: float | None
 
 
 class _Window:
@@ -66,8 +69,9 @@
     as long as each counts at least as many instances as have spent within the window.
 
     What a run spends is in its memory only, and counts for a window also when the run is
-    over.  The next run of the same instance therefore waits for a window before its first
-    repeat, unless the one before has left word of what it can have spent.
+    over.  So the instance's entry in the platform's store says how much that can be, and the
+    next run of the instance counts it as spent for a window from its start; where there is
+    no word, it waits for a window.
 
     :param bounds: what all instances together may do.
     :param now_ms: the time, at the start of the run.
@@ -78,16 +82,18 @@
         self._windows: dict[str, _Window] = {}
         # How many instances share the slack; None before that is known.
         self.instances: int | None = None
+        self.cap = RepeatCap(now_ms)
         self._started_ms = now_ms
         self._inherited: float | None = None
-        self._most = math.inf
 
-    def inherit(self, repeats: float | None) -> None:
+    def inherit(self, repeats: float | None) -> float | None:
         """Take over what earlier runs may have sent to any service.
 
         :param repeats: the most of it; None if nobody knows.
+        :returns: what the entry says of this run; None if it sets no cap.
         """
         self._inherited = repeats
+        return self.cap.begin(repeats)
 
     def request(self, service: str, now_ms: int) -> None:
         """Count a first attempt.
@@ -104,20 +110,32 @@
         :param now_ms: the time.
         """
         window = self._window(service, now_ms)
-        bound = min(self._most, self._part(len(window.requests)))
+        part = self._part(len(window.requests))
         inherited = self._inherited_at(now_ms)
-        granted = inherited is not None and len(window.repeats) + inherited + 1 <= bound
+        granted = False
+        if inherited is not None:
+            repeats = len(window.repeats) + inherited + 1
+            self.cap.need(repeats, part, now_ms)
+            granted = repeats <= min(part, self.cap.value)
         if granted:
             window.repeats.append(now_ms)
         return RepeatDecision(
             granted,
             len(window.repeats),
             len(window.requests),
-            bound,
+            part,
             self.instances or 0,
             inherited,
+            None if math.isinf(self.cap.value) else self.cap.value,
         )
 
+    def cap_change(self, now_ms: int) -> float | None:
+        """Return what the entry should say of this run from now on, or None.
+
+        :param now_ms: the time.
+        """
+        return self.cap.find_change(self.bounds.window_ms, now_ms)
+
     def close(self, now_ms: int) -> float | None:
         """Let the rest of the run spend one more at most; return the most it can have spent.
 
@@ -129,8 +147,8 @@
             return None
         windows = [self._window(service, now_ms) for service in self._windows]
         spent = max((len(window.repeats) for window in windows), default=0)
-        self._most = spent + inherited + 1
-        return self._most
+        self.cap.close(spent + inherited + 1)
+        return self.cap.value
 
     def _part(self, requests: int) -> float:
         of_requests = REQUEST_SHARE * self.bounds.ratio * requests
--- a/savorychute/gateway/store/call_purpose.py
+++ b/savorychute/gateway/store/call_purpose.py
@@ -10,6 +10,7 @@
 
     REGISTER = 'register'
     MEMBERS = 'members'
+    ALLOW_REPEATS = 'allow-repeats'
     LEAVE = 'leave'
     LIST = 'list'
     READ_FOR_ALL = 'read-for-all'
--- a/savorychute/gateway/store/instance_entry.py
+++ b/savorychute/gateway/store/instance_entry.py
@@ -21,8 +21,8 @@
 class InstanceEntry(NamedTuple):
     """Where an instance is, or was.
 
-    ``left`` says that it has ended in order.  ``repeats`` then is the most that it can have
-    sent to any service within the window of the retry bounds; None if nobody knows.
+    ``left`` says that it has ended in order.  ``repeats`` is the most that it sends to any
+    service within the window of the retry bounds; None if nobody knows.
     """
 
     address: MemberAddress
--- a/savorychute/gateway/store/keyed_topic.py
+++ b/savorychute/gateway/store/keyed_topic.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     from savorychute.gateway.store.topic_delta import TopicDelta
     from savorychute.gateway.store.topic_snapshot import TopicSnapshot
+    from savorychute.gateway.store.write_fence import WriteFence
     from savorychute.gateway.store.write_receipt import WriteReceipt
 
 
@@ -31,13 +32,19 @@
         ...
 
     async def write(
-        self, key: str, value: bytes | None, expected_end: int | None = None
+        self,
+        key: str,
+        value: bytes | None,
+        expected_end: int | None = None,
+        fence: WriteFence | None = None,
     ) -> WriteReceipt:
         """Append a record, and return where it stands.
 
         :param key: the record's key.
         :param value: its value, or None to remove the key.
         :param expected_end: write only if the topic ends at this offset.
-        :raises WriteConflictError: if it does not.
+        :param fence: write only if the store has taken no later write of this writer.
+        :raises WriteConflictError: if the topic ends elsewhere.
+        :raises WriteFencedError: if the store has taken a later one.
         """
         ...
--- a/savorychute/gateway/store/registration.py
+++ b/savorychute/gateway/store/registration.py
@@ -18,6 +18,7 @@
 from savorychute.gateway.store.store_era import number_in_era
 from savorychute.gateway.store.store_errors import WriteConflictError
 from savorychute.gateway.store.unreadable_record import UnreadableRecord
+from savorychute.gateway.store.write_fence import WriteFence
 from savorychute.wire.peer_key import MAX_KEY_ID, PeerKey
 from savorychute.wire.peer_keys import PeerKeys
 
@@ -30,8 +31,8 @@
     from savorychute.member_address import MemberAddress
 
 SECRET_BYTES = 32
-# Of the last entry, when others write into the topic at the same moment.
-LEAVE_TRIES = 3
+# One run writes its entry less often than the number that these bits hold.
+WRITE_BITS = 16
 
 
 class Registration:
@@ -59,10 +60,15 @@
         self.keys: PeerKeys | None = None
         # Of the store when this instance entered last.
         self.era = 0
+        # What the entry says of the repeats of this run, and said of the one before.
+        self.repeats: float | None = None
+        self.inherited: float | None = None
+        self._has_listed = False
+        self._writes = 0
         # All instances, as they were when this one registered.
         self.listing = InstanceListing(())
 
-    async def register(self) -> None:
+    async def register(self, inherit: Callable[[float | None], float | None]) -> None:
         """Enter this instance with a larger incarnation than any run before it.
 
         The incarnation is the era of the store and the offset at which the topic ended in
@@ -71,6 +77,9 @@
         run's messages for repetitions and ignore them.  The offset alone goes back with a
         store that comes back from an older copy.
 
+        :param inherit: is told the most that earlier runs can have sent to a service within
+            the window of the retry bounds (None if nobody knows), and returns the same of
+            this run.
         :raises StoreUnavailableError: if the store does not answer.
         """
         snapshot = await self._list_with_secret()
@@ -79,22 +88,24 @@
         self.address = self.address._replace(incarnation=incarnation)
         self.era = snapshot.era
         self.listing = decode_listing(snapshot.records)
+        self._take_inheritance(snapshot)
+        self.repeats = inherit(self.inherited)
         await self.enter()
 
-    def inherited_repeats(self) -> float | None:
-        """Return what earlier runs may have sent to a service within the last window.
+    def _take_inheritance(self, snapshot: TopicSnapshot) -> None:
+        """Take in what earlier runs may have sent to a service within the last window.
 
-        Only a run that left in order says so.  An entry of an earlier era of the store may
-        have been followed by others that the store has lost.
-
-        :returns: None if nobody knows.
+        An entry of an earlier era of the store may have been followed by others that the
+        store has lost.  What this run finds when it tries again may be its own entry.
         """
+        if self._has_listed:
+            return
+        self._has_listed = True
         entry = self.listing.find(self.address.instance)
-        if entry is None or not entry.left:
-            return None
-        if entry.address.incarnation < number_in_era(self.era, 0):
-            return None
-        return entry.repeats
+        if entry is None:
+            return
+        if entry.address.incarnation >= number_in_era(snapshot.era, 0):
+            self.inherited = entry.repeats
 
     async def _list_with_secret(self, secret: bytes | None = None) -> TopicSnapshot:
         """Return a listing that holds a secret; write one if there is none.
@@ -125,9 +136,21 @@
 
     async def enter(self) -> None:
         """Write this instance's entry."""
-        self._count_call(CallPurpose.REGISTER)
-        entry = InstanceEntry(self.address)
-        await self._topic.write(self.address.instance, encode_entry(entry))
+        await self._write(
+            InstanceEntry(self.address, repeats=self.repeats), CallPurpose.REGISTER
+        )
+
+    async def allow_repeats(self, repeats: float) -> None:
+        """Write how many repeats this run sends at most from now on.
+
+        :param repeats: to any service within the window of the retry bounds.
+        :raises StoreUnavailableError: if the store does not answer; the entry may say
+            either number then.
+        """
+        self.repeats = repeats
+        await self._write(
+            InstanceEntry(self.address, repeats=repeats), CallPurpose.ALLOW_REPEATS
+        )
 
     async def list_instances(self) -> InstanceListing:
         """Return the entries of all instances."""
@@ -159,28 +182,24 @@
     async def leave(self, repeats: float | None) -> None:
         """Write that this run ends in order.
 
-        The condition keeps a write that the store executes late from replacing the entry of
-        the next run, which would then be taken for this one.
-
-        :param repeats: the most that it can have sent to a service within the window of
-            the retry bounds; None if it does not know.
-        :raises StoreUnavailableError: if the store does not answer, or others write at the
-            same moment again and again; the entry then stays that of a run that goes on.
+        :param repeats: the most that it sends to any service within the window of the
+            retry bounds; None if it does not know.
+        :raises StoreUnavailableError: if the store does not answer.
         """
         entry = InstanceEntry(self.address, left=True, repeats=repeats)
-        for tries_left in reversed(range(LEAVE_TRIES)):
-            self._count_call(CallPurpose.LEAVE)
-            snapshot = await self._topic.list_newest()
-            self._count_call(CallPurpose.LEAVE)
-            try:
-                await self._topic.write(
-                    self.address.instance, encode_entry(entry), snapshot.next_offset
-                )
-            except WriteConflictError:
-                if not tries_left:
-                    raise
-            else:
-                return
+        await self._write(entry, CallPurpose.LEAVE)
+
+    async def _write(self, entry: InstanceEntry, purpose: CallPurpose) -> None:
+        """Write an entry that no earlier one can replace.
+
+        The store may take a write late that was not answered.  The next run would be taken
+        for an earlier one then, with more repeats than it has told.
+        """
+        self._count_call(purpose)
+        self._writes += 1
+        number = (self.address.incarnation << WRITE_BITS) + self._writes
+        fence = WriteFence(self.address.instance, number)
+        await self._topic.write(self.address.instance, encode_entry(entry), fence=fence)
 
     async def remove(self, instance: str) -> None:
         """Remove the entry of an instance that does not come back.
--- a/savorychute/gateway/store/store_errors.py
+++ b/savorychute/gateway/store/store_errors.py
@@ -22,3 +22,7 @@
     """The topic did not end at the expected offset; nothing was written."""
 
     code = ResultCode.VERSION_CONFLICT
+
+
+class WriteFencedError(StoreUnavailableError):
+    """The store has taken a later write of this writer; nothing was written."""
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -338,8 +338,13 @@
             bound=round(decision.bound, 2),
             instances=decision.instances,
             inherited=decision.inherited,
+            cap=decision.cap,
         )
 
+    def repeats_allowed(self, repeats: float) -> None:
+        """Log that the store holds another cap of the repeats of this run."""
+        self.log.info('repeats-allowed', bound=repeats)
+
     def request_finished(
         self,
         request: InboundRequest,
--- a/savorychute/log_fields.py
+++ b/savorychute/log_fields.py
@@ -11,6 +11,7 @@
     'begun_rank': 'the least urgent rank that an engine has just begun, -1 for none',
     'bound': 'how much may be spent',
     'bytes': 'a size',
+    'cap': 'how much an entry in the store allows, null if it sets no cap',
     'class_name': 'a class of a contract',
     'code': 'the number of a result code',
     'count': 'how many',
--- a/tests/test_fleet/store_stand_in.py
+++ b/tests/test_fleet/store_stand_in.py
@@ -26,6 +26,8 @@
         self.first = 0
         self.newest = {}
         self.written = asyncio.Event()
+        # The newest epoch of each producer.
+        self.epochs = {}
         # Every content since the first one, for copies.
         self.history = []
 
@@ -122,6 +124,12 @@
         if 'at' in query and int(query['at']) != topic.end:
             self._respond(exchange, 412, {'end': topic.end})
             return
+        if 'producer' in query:
+            newest = topic.epochs.get(query['producer'], -1)
+            if int(query['epoch']) < newest:
+                self._respond(exchange, 409, {'reason': 'fenced'})
+                return
+            topic.epochs[query['producer']] = int(query['epoch'])
         body = exchange.request.body
         offset = topic.append(body[LENGTH.size :])
         if self.mode == 'lossy':
--- a/tests/test_gateway/gateway_fakes.py
+++ b/tests/test_gateway/gateway_fakes.py
@@ -326,6 +326,15 @@
     return GatewayTelemetry(InstanceLog('kochi-1'), metrics, clock)
 
 
+def make_allowance(slack):
+    """Return the allowance of a run that has been up for a window."""
+    bounds = RetryBounds(0.2, 10_000, slack)
+    allowance = RetryAllowance(bounds, START_MS - bounds.window_ms)
+    allowance.inherit(None)
+    allowance.cap.entered()
+    return allowance
+
+
 def make_scene(
     desks=3,
     engines=3,
@@ -372,7 +381,7 @@
         shortages=shortages,
         engines=models,
         loads=LoadWatch(attempts, roster, clock),
-        allowance=RetryAllowance(RetryBounds(0.2, 10_000, slack), START_MS - 10_000),
+        allowance=make_allowance(slack),
         crashes=crashes,
         usage=UsageLedger(None, TrueTime(clock, StillWall())),
         telemetry=make_telemetry(clock),
--- a/tests/test_gateway/repeat_rig.py
+++ b/tests/test_gateway/repeat_rig.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left, bisect_right
+from contextlib import suppress
 
 from savorychute.clock import MS_PER_S
 from savorychute.gateway.recovery.retry_allowance import RetryAllowance, RetryBounds
@@ -12,6 +13,7 @@
 from savorychute.gateway.store.store_errors import (
     StoreUnavailableError,
     WriteConflictError,
+    WriteFencedError,
 )
 from savorychute.gateway.store.topic_snapshot import TopicSnapshot
 from savorychute.member_address import MemberAddress
@@ -31,7 +33,8 @@
         self.era = 1
         self.down = False
         self.loses_answers = False
-        # Writes without an answer, which take effect later if their condition still holds.
+        self._fences = {}
+        # Writes without an answer, which take effect later if they still may.
         self._late = []
 
     def go_back(self, age_s):
@@ -43,9 +46,9 @@
 
     def deliver_late(self):
         late, self._late = self._late, []
-        for key, value, expected_end in late:
-            if expected_end in (None, len(self.records)):
-                self._append(key, value)
+        for write in late:
+            with suppress(WriteConflictError, WriteFencedError):
+                self._append(*write)
 
     async def list_newest(self):
         if self.down:
@@ -53,17 +56,21 @@
         newest = {record.key: record for record in self.records}
         return TopicSnapshot(tuple(newest.values()), len(self.records), self.era)
 
-    async def write(self, key, value, expected_end=None):
+    async def write(self, key, value, expected_end=None, fence=None):
         if self.down:
             raise StoreUnavailableError('down')
-        if expected_end not in (None, len(self.records)):
-            raise WriteConflictError('written by another')
         if self.loses_answers:
-            self._late.append((key, value, expected_end))
+            self._late.append((key, value, expected_end, fence))
             raise StoreUnavailableError('no answer')
-        self._append(key, value)
+        self._append(key, value, expected_end, fence)
 
-    def _append(self, key, value):
+    def _append(self, key, value, expected_end, fence):
+        if expected_end not in (None, len(self.records)):
+            raise WriteConflictError('written by another')
+        if fence is not None:
+            if fence.number <= self._fences.get(fence.writer, -1):
+                raise WriteFencedError('a later write was taken')
+            self._fences[fence.writer] = fence.number
         self._written_ms.append(self._fleet.now_ms)
         self.records.append(KeyedRecord(len(self.records), key, value))
 
@@ -84,10 +91,11 @@
         self.try_register()
 
     def try_register(self):
-        if self.registered or not complete(self.registration.register()):
+        inherit = self.allowance.inherit
+        if self.registered or not complete(self.registration.register(inherit)):
             return
         self.registered = True
-        self.allowance.inherit(self.registration.inherited_repeats())
+        self.allowance.cap.entered()
         self.sharers.list(self.registration.listing.names)
         self.meet({self.registration.address.instance})
 
@@ -113,11 +121,20 @@
         self.try_register()
         self.notice_era()
         now_ms = self._now_ms()
+        self._follow_cap(now_ms)
         for _ in range(requests):
             self.allowance.request(SERVICE, now_ms)
         while self._fleet.storm and self.allowance.try_spend(SERVICE, now_ms).granted:
             self._fleet.repeats_ms.append(self._fleet.now_ms)
 
+    def _follow_cap(self, now_ms):
+        change = self.allowance.cap_change(now_ms) if self.registered else None
+        if change is None:
+            return
+        self.allowance.cap.change_begins(change)
+        if complete(self.registration.allow_repeats(change)):
+            self.allowance.cap.change_is_known(change)
+
     def _now_ms(self):
         return self._fleet.now_ms - self._asleep_ms
 
--- a/tests/test_gateway/test_registration.py
+++ b/tests/test_gateway/test_registration.py
@@ -13,6 +13,7 @@
 from savorychute.gateway.store.store_errors import (
     StoreUnavailableError,
     WriteConflictError,
+    WriteFencedError,
 )
 from savorychute.gateway.store.topic_snapshot import TopicSnapshot
 from savorychute.member_address import MemberAddress
@@ -25,6 +26,7 @@
 
     def __init__(self, lose=0):
         self.records = []
+        self.fences = {}
         self.lose = lose
         self.era = 1
 
@@ -37,9 +39,13 @@
         newest = {record.key: record for record in self.records}
         return TopicSnapshot(tuple(newest.values()), len(self.records), self.era)
 
-    async def write(self, key, value, expected_end=None):
+    async def write(self, key, value, expected_end=None, fence=None):
         if expected_end not in (None, len(self.records)):
             raise WriteConflictError('written by another')
+        if fence is not None:
+            if fence.number <= self.fences.get(fence.writer, -1):
+                raise WriteFencedError('a later write was taken')
+            self.fences[fence.writer] = fence.number
         self.records.append(KeyedRecord(len(self.records), key, value))
         if self.lose:
             self.lose -= 1
@@ -53,9 +59,14 @@
     """Take the purpose of a call, and do nothing."""
 
 
+def keep(inherited):
+    """Say of this run what was said of the one before."""
+    return inherited
+
+
 def register(topic, address=OWN):
     registration = Registration(topic, address, count_nothing)
-    asyncio.run(registration.register())
+    asyncio.run(registration.register(keep))
     return registration
 
 
@@ -107,9 +118,9 @@
     topic.lose = 1
     registration = Registration(topic, OWN, count_nothing)
     with pytest.raises(StoreUnavailableError):
-        asyncio.run(registration.register())
+        asyncio.run(registration.register(keep))
 
-    asyncio.run(registration.register())
+    asyncio.run(registration.register(keep))
 
     assert registration.address.incarnation > 0
     assert [each.instance for each in registration.listing.live] == ['k1', 'k0']
@@ -162,15 +173,30 @@
     assert before.key_id != new.keys.signing.key_id
 
 
-def test_run_knows_what_the_one_before_said_when_it_left():
+def test_run_knows_what_the_one_before_said():
     topic = MemoryTopic()
     first = register(topic)
-    assert first.inherited_repeats() is None
-    asyncio.run(first.leave(3))
+    asyncio.run(first.allow_repeats(9))
     second = register(topic)
+    asyncio.run(second.leave(4))
 
-    assert second.inherited_repeats() == 3
-    assert register(topic).inherited_repeats() is None
+    assert first.inherited is None
+    assert second.inherited == 9
+    assert register(topic).inherited == 4
+
+
+def test_entry_of_a_first_try_is_not_taken_for_that_of_the_run_before():
+    """Guards against a run that believes its own word in place of an earlier one."""
+    topic = MemoryTopic()
+    asyncio.run(register(topic).allow_repeats(9))
+    topic.lose = 1
+    registration = Registration(topic, OWN, count_nothing)
+    with pytest.raises(StoreUnavailableError):
+        asyncio.run(registration.register(lambda inherited: inherited - 5))
+
+    asyncio.run(registration.register(keep))
+
+    assert registration.inherited == 9
 
 
 def test_instance_that_left_is_no_address_and_still_a_name():
@@ -190,29 +216,28 @@
     register(topic)
     topic.go_back(3)
 
-    assert register(topic).inherited_repeats() is None
+    assert register(topic).inherited is None
 
 
-def test_word_that_the_store_takes_in_late_does_not_replace_the_next_run():
-    """Guards against a run that is taken for one that has left."""
+def test_word_that_the_store_takes_in_late_does_not_replace_a_later_one():
+    """Guards against a run that is taken for an earlier one with fewer repeats."""
     topic = MemoryTopic()
     first = register(topic)
-    first_write = topic.write
-    late = []
+    write, late = topic.write, []
 
-    async def hold(*write):
-        late.append(write)
+    async def hold(key, value, expected_end=None, fence=None):
+        late.append((key, value, expected_end, fence))
         raise StoreUnavailableError('no answer')
 
     topic.write = hold
     with pytest.raises(StoreUnavailableError):
         asyncio.run(first.leave(0))
-    topic.write = first_write
-    register(topic)
-    with pytest.raises(WriteConflictError):
+    topic.write = write
+    asyncio.run(register(topic).allow_repeats(9))
+    with pytest.raises(WriteFencedError):
         asyncio.run(topic.write(*late[0]))
 
-    assert register(topic).inherited_repeats() is None
+    assert register(topic).inherited == 9
 
 
 def test_entry_of_an_earlier_version_is_read():
