Ask the others after a start which requests crash endpoints

What callers saw: a request that crashes whatever runs it would take down three endpoints more for each instance that starts, and with them whatever else ran there.

Change: for ten seconds after its start an instance asks three others, twice a second, and is told the sightings of the last minute with their age.

Left: after a loss of all instances at once nobody remembers, and the count begins anew.

Tests: an instance that starts later takes the request for a suspect (fails before: there was no question), ages are kept, questions end.

--- a/savorychute/gateway/daemon/peer_group.py
+++ b/savorychute/gateway/daemon/peer_group.py
@@ -12,7 +12,9 @@
 from savorychute.gateway.discovery.absent_instances import AbsentInstances
 from savorychute.gateway.discovery.advertised import NOT_READY, read_advertised
 from savorychute.gateway.duties.usage_told import UsageTold
+from savorychute.gateway.recovery.crash_inquiry import CrashInquiry
 from savorychute.gateway.recovery.crash_news import CrashNews
+from savorychute.gateway.recovery.crash_question import CrashQuestion
 from savorychute.gateway.recovery.crash_spread import CrashSpread
 from savorychute.gateway.recovery.slack_sharers import SlackSharers
 from savorychute.gateway.store.store_answer import StoreAnswer
@@ -125,6 +127,7 @@
         self._usage = usage
         self._time = time
         self._spread = CrashSpread(crashes)
+        self._inquiry = CrashInquiry(rng)
         self._clock = clock
         self._rng = rng
         self._telemetry = telemetry
@@ -212,6 +215,7 @@
         self._demand.observe(self._count_streams(), len(view.alive), now_ms)
         self._shortages.instances = max(1, len(view.alive))
         self._carry_out(self._spread.tick(view, now_ms))
+        self._carry_out(self._inquiry.tick(view, now_ms))
         self._carry_out(self._reading.tick(now_ms))
         self._candidates.follow(view)
         if self._usage is not None:
@@ -226,7 +230,11 @@
         sender, message = received
         now_ms = self._clock.now_ms()
         if isinstance(message, CrashNews):
-            self._crashes.take_in(message.sightings, now_ms)
+            self._crashes.take_in(message.sightings, now_ms - message.age_ms)
+        elif isinstance(message, CrashQuestion):
+            asker = membership.view().address_of(sender)
+            if asker is not None:
+                self._carry_out(self._spread.answer(asker, now_ms))
         elif isinstance(message, StoreAnswer):
             self._reading.take_answer(message, now_ms)
         elif isinstance(message, UsageTold):
--- a/savorychute/gateway/recovery/crash_book.py
+++ b/savorychute/gateway/recovery/crash_book.py
@@ -5,11 +5,12 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
+from savorychute.gateway.recovery.crash_sighting import CrashSighting
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from savorychute.gateway.endpoints.endpoint_run import EndpointRun
-    from savorychute.gateway.recovery.crash_sighting import CrashSighting
 
 # Two endpoints may break off by chance while they run the same request; a third is
 # taken for the request's doing.
@@ -20,6 +21,8 @@
 # time in which the platform notices: its entry lapses after three missed heartbeats.
 EVIDENCE_MS = 6_000
 WAITING_KEPT = 512
+# What is older is not told to instances that start.
+TOLD_MS = 60_000
 
 
 class CrashBook:
@@ -65,7 +68,7 @@
         """Take in what other instances saw.
 
         :param sightings: theirs.
-        :param now_ms: the time.
+        :param now_ms: the time at which they were made.
         """
         for sighting in sightings:
             self._add(sighting, now_ms)
@@ -76,6 +79,20 @@
         self._fresh.clear()
         return fresh
 
+    def latest(self, most: int, now_ms: int) -> list[tuple[CrashSighting, int]]:
+        """Return what an instance that has just started should know, with its age in ms.
+
+        :param most: how many sightings.
+        :param now_ms: the time.
+        """
+        known = [
+            (CrashSighting(fingerprint, run), now_ms - seen_ms)
+            for fingerprint, runs in self._runs.items()
+            for run, seen_ms in runs.items()
+            if now_ms - seen_ms < TOLD_MS
+        ]
+        return known[-most:]
+
     def is_suspect(self, fingerprint: str, now_ms: int) -> bool:
         """Return whether the request must not run.
 
--- a/savorychute/gateway/recovery/crash_news.py
+++ b/savorychute/gateway/recovery/crash_news.py
@@ -10,6 +10,7 @@
 
 @peer_message(90)
 class CrashNews(NamedTuple):
-    """Sightings of the sender's own."""
+    """Sightings, and how long ago the oldest of them was made."""
 
     sightings: tuple[CrashSighting, ...]
+    age_ms: int = 0
--- a/savorychute/gateway/recovery/crash_spread.py
+++ b/savorychute/gateway/recovery/crash_spread.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from savorychute.gateway.recovery.crash_book import CrashBook
     from savorychute.gateway.recovery.crash_sighting import CrashSighting
+    from savorychute.member_address import MemberAddress
     from savorychute.membership.member_view import MemberView
 
 # A datagram may be lost; three of them half a second apart reach an instance that
@@ -17,6 +18,8 @@
 SENDS = 3
 REPEAT_MS = 500
 SIGHTINGS_PER_MESSAGE = 8
+# Of those that an instance is told when it has started.
+MESSAGES_PER_ANSWER = 4
 
 
 class CrashSpread:
@@ -53,3 +56,25 @@
             for member in view.alive
             if member.instance != view.own.instance
         ]
+
+    def answer(self, asker: MemberAddress, now_ms: int) -> list[SendPeer]:
+        """Return what an instance that has started is told; mostly nothing.
+
+        :param asker: the instance.
+        :param now_ms: the time.
+        """
+        most = SIGHTINGS_PER_MESSAGE * MESSAGES_PER_ANSWER
+        known = self._crashes.latest(most, now_ms)
+        batches = [
+            known[begin : begin + SIGHTINGS_PER_MESSAGE]
+            for begin in range(0, len(known), SIGHTINGS_PER_MESSAGE)
+        ]
+        return [
+            SendPeer(asker.instance, asker.host, asker.peer_port, _make_news(batch))
+            for batch in batches
+        ]
+
+
+def _make_news(known: list[tuple[CrashSighting, int]]) -> CrashNews:
+    sightings = tuple(sighting for sighting, _ in known)
+    return CrashNews(sightings, max(age_ms for _, age_ms in known))
--- a/savorychute/wire/messages.capnp
+++ b/savorychute/wire/messages.capnp
@@ -303,6 +303,7 @@
 
 struct CrashNews {  # tag 90
   sightings @0 :List(CrashSighting);
+  ageMs @1 :Int64;
 }
 
 struct StoreQuestion {  # tag 91
@@ -353,3 +354,6 @@
   wholeUntilMs @1 :Int64;
   windows @2 :List(WindowCounts);
 }
+
+struct CrashQuestion {  # tag 94
+}
--- a/tests/test_gateway/test_crash_spread.py
+++ b/tests/test_gateway/test_crash_spread.py
@@ -2,9 +2,17 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
-from savorychute.gateway.recovery.crash_book import CRASHES, CrashBook
+from savorychute.gateway.recovery.crash_book import CRASHES, TOLD_MS, CrashBook
+from savorychute.gateway.recovery.crash_inquiry import (
+    ASK_MS,
+    ASKING_MS,
+    CrashInquiry,
+)
+from savorychute.gateway.recovery.crash_question import CrashQuestion
 from savorychute.gateway.recovery.crash_sighting import CrashSighting
 from savorychute.gateway.recovery.crash_spread import SENDS, CrashSpread
 from savorychute.member_address import MemberAddress
@@ -54,3 +62,26 @@
     ]
 
     assert sorted(sent) == sorted(NAMES[1:] * SENDS)
+
+
+def test_instance_that_starts_later_learns_which_requests_crash_endpoints(view):
+    """Guards against a request that crashes three endpoints more for each start."""
+    old, new = CrashBook(), CrashBook()
+    for number in range(CRASHES):
+        see_crash(old, f'd{number}', 1_000)
+    question = CrashInquiry(random.Random(1)).tick(view, 30_000)[0]
+    assert isinstance(question.message, CrashQuestion)
+    for answer in CrashSpread(old).answer(view.own, 30_000):
+        news = answer.message
+        new.take_in(news.sightings, 30_000 - news.age_ms)
+
+    assert new.is_suspect('poison', 30_000)
+    assert new.latest(8, 1_100 + TOLD_MS) == []
+
+
+def test_questions_end_when_all_others_have_started_too(view):
+    """Guards against questions that go on for the whole life of an instance."""
+    inquiry = CrashInquiry(random.Random(1))
+    asked = sum(len(inquiry.tick(view, now_ms)) for now_ms in range(0, 60_000, 100))
+
+    assert asked == 2 * ASKING_MS // ASK_MS
