Begin the retries of an organisation with two, not with a whole burst

What callers saw: an instance that starts again and again may retry five requests of each organisation at each start, whatever its contract says, also for organisations that were forgotten for others.

Cause: the same as that of repeats beyond the bound: a bucket that is full at the start takes it that nothing was spent before (found by looking for the cause elsewhere).

Change: a bucket begins with two retries, enough for one request that crashes endpoints to be found out.

--- a/savorychute/recovery/retry_budget.py
+++ b/savorychute/recovery/retry_budget.py
@@ -11,6 +11,11 @@
     from savorychute.recovery.retry_settings import RetrySettings
 
 
+# What an organisation has that is new here: enough for one request.  Nobody knows whether it
+# has spent its burst at an earlier run of this instance, or before it was forgotten.
+FIRST_RETRIES = 2.0
+
+
 class _Bucket:
     """Retries saved up; ``requests`` counts those since the last refill."""
 
@@ -59,7 +64,8 @@
     def _bucket_of(self, organisation: str, now_ms: int) -> _Bucket:
         bucket = self._buckets.get(organisation)
         if bucket is None:
-            bucket = _Bucket(self._settings.burst, now_ms)
+            retries = min(FIRST_RETRIES, self._settings.burst)
+            bucket = _Bucket(retries, now_ms)
             self._buckets[organisation] = bucket
             if len(self._buckets) > self._settings.organisations:
                 self._buckets.popitem(last=False)
--- a/tests/test_recovery/test_retry_budget.py
+++ b/tests/test_recovery/test_retry_budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from savorychute.recovery import RetryBudget, RetrySettings
+from savorychute.recovery.retry_budget import FIRST_RETRIES
 
 
 def test_outage_costs_a_tenth_of_the_requests():
@@ -46,3 +47,15 @@
     for number in range(100):
         budget.request(f'c{number}', 0)
     assert len(budget) == 10
+
+
+def test_instance_that_starts_again_and_again_has_no_burst_each_time():
+    """Guards against a whole burst of retries for each start of an instance."""
+    starts, retries = 20, 0
+    for number in range(starts):
+        budget = RetryBudget(RetrySettings(burst=5.0))
+        for now_ms in range(number * 500, (number + 1) * 500, 100):
+            budget.request('salt-lake-stores', now_ms)
+            retries += budget.try_spend('salt-lake-stores', 0.1, now_ms)
+
+    assert retries <= 0.1 * starts * 5 + FIRST_RETRIES * starts
