Keep the instance's entry in a part of its own

Cause: the group of peers had grown by the entry's cap, the count of sharers and the removal of replaced instances, which have nothing to do with probes and gossip; comments spoke of a run's word where an entry states a cap.

No decision changes.

--- a/savorychute/gateway/daemon/assembly.py
+++ b/savorychute/gateway/daemon/assembly.py
@@ -7,6 +7,7 @@
 from savorychute.gateway.configuration.configuration_state import ConfigurationState
 from savorychute.gateway.daemon.attempt_sender import AttemptSender
 from savorychute.gateway.daemon.duty_assembly import make_duty_side, make_duty_worker
+from savorychute.gateway.daemon.entry_keeper import EntryKeeper
 from savorychute.gateway.daemon.gateway_host import GatewayHost
 from savorychute.gateway.daemon.loop_timers import LoopTimers
 from savorychute.gateway.daemon.peer_group import PeerGroup
@@ -111,12 +112,18 @@
     )
     own = _find_address(settings)
     directory = InstanceDirectory(own)
-    peers = PeerGroup(
+    entry = EntryKeeper(
         Registration(topics.instances, own, calls.topic('instances')),
+        parts.allowance,
+        around.clock,
+        around.rng,
+        parts.telemetry,
+    )
+    peers = PeerGroup(
+        entry,
         eras,
         directory,
         parts.crashes,
-        parts.allowance,
         demand,
         parts.shortages,
         parts.roster.steady_streams,
--- a/savorychute/gateway/daemon/peer_group.py
+++ b/savorychute/gateway/daemon/peer_group.py
@@ -9,16 +9,13 @@
 from savorychute.actions.send_peer import SendPeer
 from savorychute.clock import MS_PER_S
 from savorychute.daemon.peer_link import open_peer_link
-from savorychute.gateway.discovery.absent_instances import AbsentInstances
 from savorychute.gateway.discovery.advertised import NOT_READY, read_advertised
 from savorychute.gateway.duties.usage_told import UsageTold
 from savorychute.gateway.recovery.crash_inquiry import CrashInquiry
 from savorychute.gateway.recovery.crash_news import CrashNews
 from savorychute.gateway.recovery.crash_question import CrashQuestion
 from savorychute.gateway.recovery.crash_spread import CrashSpread
-from savorychute.gateway.recovery.slack_sharers import SlackSharers
 from savorychute.gateway.store.store_answer import StoreAnswer
-from savorychute.gateway.store.store_errors import StoreUnavailableError
 from savorychute.gateway.store.store_question import StoreQuestion
 from savorychute.inputs.listing_fetched import ListingFetched
 from savorychute.inputs.peer_received import PeerReceived
@@ -35,6 +32,7 @@
     from savorychute.actions import Action
     from savorychute.clock import Clock
     from savorychute.daemon.peer_link import PeerLink
+    from savorychute.gateway.daemon.entry_keeper import EntryKeeper
     from savorychute.gateway.discovery.instance_directory import InstanceDirectory
     from savorychute.gateway.dispatch.lane_demand import LaneDemand
     from savorychute.gateway.dispatch.shortages import Shortages
@@ -42,10 +40,8 @@
     from savorychute.gateway.duties.true_time import TrueTime
     from savorychute.gateway.duties.usage_spread import UsageSpread
     from savorychute.gateway.recovery.crash_book import CrashBook
-    from savorychute.gateway.recovery.retry_allowance import RetryAllowance
     from savorychute.gateway.store.instance_entry import InstanceListing
     from savorychute.gateway.store.reading_plan import ReadingPlan
-    from savorychute.gateway.store.registration import Registration
     from savorychute.gateway.store.shared_reading import SharedReading
     from savorychute.gateway.store.store_era import StoreEra
     from savorychute.gateway.telemetry import GatewayTelemetry
@@ -53,11 +49,6 @@
     from savorychute.membership.member_view import MemberView
 
 TICK_MS = 100
-REGISTER_RETRY_MS = 500
-# After a word on the repeats of this run that the store did not take in.
-CAP_RETRY_MS = 500
-# All instances write again after the store went back; together they would be refused.
-ENTER_AGAIN_MS = 1_000
 # Two probes a second: a peer that was killed is suspected within about a second, and
 # callers are told other addresses.
 SETTINGS = MembershipSettings(
@@ -75,11 +66,10 @@
 class PeerGroup:
     """Registers in the store, probes the others, and hears who is ready.
 
-    :param registration: this instance's entry.
+    :param entry: of this instance in the store.
     :param eras: the newest era that is known of the store.
     :param directory: what callers are told.
     :param crashes: requests that crash endpoints, told to all.
-    :param allowance: of repeats, divided by all instances.
     :param demand: of engines, told to all.
     :param shortages: tiers that get too little, told to all.
     :param count_streams: how many steady streams of this instance run.
@@ -95,11 +85,10 @@
 
     def __init__(
         self,
-        registration: Registration,
+        entry: EntryKeeper,
         eras: StoreEra,
         directory: InstanceDirectory,
         crashes: CrashBook,
-        allowance: RetryAllowance,
         demand: LaneDemand,
         shortages: Shortages,
         count_streams: Callable[[], int],
@@ -112,13 +101,12 @@
         rng: random.Random,
         telemetry: GatewayTelemetry,
     ) -> None:
-        self._registration = registration
+        self._entry = entry
+        self._registration = entry.registration
         self._eras = eras
         self._entering = False
         self._directory = directory
         self._crashes = crashes
-        self._allowance = allowance
-        allowance.cap.on_needed = self._allow_repeats
         self._demand = demand
         self._shortages = shortages
         self._count_streams = count_streams
@@ -136,11 +124,6 @@
         self._link: PeerLink | None = None
         self._codec: PeerCodec | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        self._sharers = SlackSharers()
-        self._writing_cap = False
-        self._next_cap_ms = 0
-        self._counted: MemberView | None = None
-        self._absent = AbsentInstances()
         self.ready_version = NOT_READY
 
     def view(self) -> MemberView | None:
@@ -149,7 +132,7 @@
 
     async def run(self) -> None:
         """Take part until the task is cancelled."""
-        await self._register()
+        await self._entry.register()
         keys = self._registration.keys
         assert keys is not None
         address = self._registration.address
@@ -173,28 +156,13 @@
         if self._membership is None:
             return
         self._carry_out(self._membership.leave(self._clock.now_ms()))
-        try:
-            await self._registration.leave(repeats)
-        except StoreUnavailableError as error:
-            self._telemetry.store_failed('instances', error)
+        await self._entry.leave(repeats)
 
     def tell_usage(self) -> None:
         """Tell the last counts, before this instance ends."""
         if self._usage is not None:
             self._carry_out(self._usage.tell())
 
-    async def _register(self) -> None:
-        while True:
-            try:
-                await self._registration.register(self._allowance.inherit)
-            except StoreUnavailableError as error:
-                self._telemetry.store_failed('instances', error)
-                await asyncio.sleep(REGISTER_RETRY_MS / MS_PER_S)
-            else:
-                self._telemetry.store_answered('instances')
-                self._allowance.cap.entered()
-                return
-
     def _tick(self) -> None:
         membership = self._membership
         assert membership is not None
@@ -210,8 +178,8 @@
             self._start(self._enter_again())
         self._carry_out(membership.tick(now_ms))
         view = membership.view()
-        self._count_sharers(view)
-        self._allow_repeats()
+        self._entry.follow_members(view)
+        self._entry.follow_cap()
         self._plan.follow(view)
         self._demand.observe(self._count_streams(), len(view.alive), now_ms)
         self._shortages.instances = max(1, len(view.alive))
@@ -280,81 +248,25 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _allow_repeats(self) -> None:
-        """Let the entry say what this run needs, when that changes."""
-        now_ms = self._clock.now_ms()
-        if self._membership is None or self._writing_cap or now_ms < self._next_cap_ms:
-            return
-        change = self._allowance.cap_change(now_ms)
-        if change is None:
-            return
-        self._writing_cap = True
-        self._start(self._write_cap(change))
-
-    async def _write_cap(self, repeats: float) -> None:
-        self._allowance.cap.change_begins(repeats)
-        try:
-            await self._registration.allow_repeats(repeats)
-        except StoreUnavailableError as error:
-            self._next_cap_ms = self._clock.now_ms() + CAP_RETRY_MS
-            self._telemetry.store_failed('instances', error)
-            return
-        finally:
-            self._writing_cap = False
-        self._allowance.cap.change_is_known(repeats)
-        self._telemetry.repeats_allowed(repeats)
-
     async def _enter_again(self) -> None:
-        """Write again what the store has lost, at another moment than the others do."""
         try:
-            await asyncio.sleep(self._rng.uniform(0, ENTER_AGAIN_MS) / MS_PER_S)
-            listing = await self._registration.enter_again()
-        except StoreUnavailableError as error:
-            self._telemetry.store_failed('instances', error)
-            return
+            listing = await self._entry.enter_again()
         finally:
             self._entering = False
-        self._telemetry.store_went_back(self._registration.era)
+        if listing is None:
+            return
         if self._codec is not None and self._registration.keys is not None:
             self._codec.keys = self._registration.keys
         self._take_listing(listing)
 
     async def _fetch_listing(self) -> None:
         assert self._membership is not None
-        own = self._registration.address
-        try:
-            listing = await self._registration.list_instances()
-            leaving = self._membership.view().leaving
-            if own not in listing.live and own.instance not in leaving:
-                await self._registration.enter()
-            for instance in self._find_absent(listing):
-                await self._registration.remove(instance)
-        except StoreUnavailableError as error:
-            self._telemetry.store_failed('instances', error)
-            return
-        self._telemetry.store_answered('instances')
-        self._take_listing(listing)
-
-    def _find_absent(self, listing: InstanceListing) -> frozenset[str]:
-        """Return listed instances that have been gone for long."""
-        assert self._membership is not None
-        view = self._membership.view()
-        present = {member.instance for member in view.alive} | view.leaving
-        own = {self._registration.address.instance}
-        gone = listing.names - present - own
-        return self._absent.find_lasting(gone, self._clock.now_ms())
+        listing = await self._entry.fetch_listing(self._membership.view())
+        if listing is not None:
+            self._take_listing(listing)
 
     def _take_listing(self, listing: InstanceListing) -> None:
         assert self._membership is not None
-        self._sharers.list(listing.names)
-        self._counted = None
-        self._count_sharers(self._membership.view())
+        self._entry.take_listing(listing, self._membership.view())
         fetched = ListingFetched(live=listing.live, leaving=frozenset(), ok=True)
         self._carry_out(self._membership.apply_listing(fetched, self._clock.now_ms()))
-
-    def _count_sharers(self, view: MemberView) -> None:
-        if view is self._counted:
-            return
-        self._counted = view
-        self._sharers.meet(member.instance for member in view.alive)
-        self._allowance.instances = self._sharers.count
--- a/savorychute/gateway/recovery/crash_inquiry.py
+++ b/savorychute/gateway/recovery/crash_inquiry.py
@@ -30,7 +30,7 @@
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
-        self._begun_ms: int | None = None
+        self._ends_ms: int | None = None
         self._next_ms = 0
 
     def tick(self, view: MemberView, now_ms: int) -> list[SendPeer]:
@@ -39,15 +39,16 @@
         :param view: the instances.
         :param now_ms: the time.
         """
+        is_over = self._ends_ms is not None and now_ms >= self._ends_ms
+        if is_over or now_ms < self._next_ms:
+            return []
         others = [
             member for member in view.alive if member.instance != view.own.instance
         ]
-        if not others or now_ms < self._next_ms:
-            return []
-        if self._begun_ms is None:
-            self._begun_ms = now_ms
-        if now_ms - self._begun_ms >= ASKING_MS:
+        if not others:
             return []
+        if self._ends_ms is None:
+            self._ends_ms = now_ms + ASKING_MS
         self._next_ms = now_ms + ASK_MS
         asked = self._rng.sample(others, min(ASKED_AT_ONCE, len(others)))
         return [
--- a/savorychute/gateway/recovery/repeat_cap.py
+++ b/savorychute/gateway/recovery/repeat_cap.py
@@ -1,4 +1,4 @@
-"""How many repeats a run may send before it says more in the platform's store."""
+"""How many repeats a run may send by what its entry in the platform's store states."""
 
 from __future__ import annotations
 
@@ -8,8 +8,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-# So many are sent without a word.  The next run of an instance counts them as spent, so
-# they are few; failures of a calm hour need no more.
+# What an entry states while nothing fails.  The next run of the instance counts it as spent,
+# so it is low; the usual failures need no more.
 FIRST_REPEATS = 2
 # The part of a run grows with each of its requests; the cap is raised in steps of this
 # factor at least, so that the store is told seldom.
@@ -17,12 +17,12 @@
 
 
 class RepeatCap:
-    """What the instance's entry says of the repeats of this run.
+    """The most that a run sends to any service within the window, as its entry states it.
 
-    The next run counts all of it as spent, because it cannot know better when this one is
-    killed.  So the cap is low as long as nothing fails, is raised to the whole part of the
-    run when repeats are needed, and lowered after a calm window.  A raised cap counts only
-    when the store has taken it in.
+    The next run counts all of it as spent, because nothing else is known of a run that was
+    killed.  So the cap is low while nothing fails, is raised to the whole part of the
+    run when repeats are needed, and lowered after a window without need.  A raised cap
+    holds only when the store has taken it in.
 
     :param now_ms: the time, at the start of the run.
     """
@@ -38,7 +38,7 @@
         self.on_needed: Callable[[], None] | None = None
 
     def begin(self, inherited: float | None) -> float | None:
-        """Return what the entry says first; None if it sets no cap.
+        """Return what the entry states first; None for no cap.
 
         :param inherited: what earlier runs may have spent; None if nobody knows.
         """
@@ -67,7 +67,7 @@
                 self.on_needed()
 
     def find_change(self, window_ms: int, now_ms: int) -> float | None:
-        """Return what the entry should say from now on, or None if it says that.
+        """Return what the entry should state from now on; None if nothing changes.
 
         :param window_ms: the window of the bound.
         :param now_ms: the time.
--- a/savorychute/gateway/recovery/retry_allowance.py
+++ b/savorychute/gateway/recovery/retry_allowance.py
@@ -33,7 +33,7 @@
     ``spent`` and ``requests`` are those of this instance within the window, ``bound`` is
     its part of what may be spent there, ``instances`` how many share the slack (0 before
     that is known), ``inherited`` what earlier runs may have spent (None if nobody knows),
-    and ``cap`` what the instance's entry says of all of it (None if it sets no cap).
+    and ``cap`` what the instance's entry allows of all of it (None for no cap).
     """
 
     granted: bool
@@ -69,9 +69,9 @@
     as long as each counts at least as many instances as have spent within the window.
 
     What a run spends is in its memory only, and counts for a window also when the run is
-    over.  So the instance's entry in the platform's store says how much that can be, and the
-    next run of the instance counts it as spent for a window from its start; where there is
-    no word, it waits for a window.
+    over.  So the instance's entry in the platform's store states how much that can be, and the
+    next run of the instance counts it as spent for a window from its start.  Where the entry
+    states nothing, it waits for a window.
 
     :param bounds: what all instances together may do.
     :param now_ms: the time, at the start of the run.
@@ -90,7 +90,7 @@
         """Take over what earlier runs may have sent to any service.
 
         :param repeats: the most of it; None if nobody knows.
-        :returns: what the entry says of this run; None if it sets no cap.
+        :returns: what the entry states of this run; None for no cap.
         """
         self._inherited = repeats
         return self.cap.begin(repeats)
@@ -130,7 +130,7 @@
         )
 
     def cap_change(self, now_ms: int) -> float | None:
-        """Return what the entry should say of this run from now on, or None.
+        """Return what the entry should state from now on; None if nothing changes.
 
         :param now_ms: the time.
         """
--- a/tests/test_gateway/repeat_rig.py
+++ b/tests/test_gateway/repeat_rig.py
@@ -5,6 +5,8 @@
 from bisect import bisect_left, bisect_right
 from contextlib import suppress
 
+from memory_topic import count_nothing
+
 from savorychute.clock import MS_PER_S
 from savorychute.gateway.recovery.retry_allowance import RetryAllowance, RetryBounds
 from savorychute.gateway.recovery.slack_sharers import SlackSharers
@@ -213,10 +215,6 @@
     return bisect_left(times_ms, end_ms) - bisect_left(times_ms, begin_ms)
 
 
-def count_nothing(purpose):
-    """Take the purpose of a call, and do nothing."""
-
-
 def complete(work):
     """Run work that waits for nothing; return whether the store did it."""
     try:
