Read the limits that endpoints state, and log each call to an endpoint that has one

Callers see nothing of this commit: no decision changes.

Change: the adapter decodes the statement of each answer and of each load report into a type; a statement that cannot be read is logged once and changes nothing (in the tests: empty, words, negative, infinite, two values); limit-stated, limited-call, statement-unreadable, limited_calls_total. An answer that was under way before the statement does not end it.

Ruled out: reading it where requests are decided, since reports do not pass there.

--- a/savorychute/gateway/daemon/assembly.py
+++ b/savorychute/gateway/daemon/assembly.py
@@ -18,8 +18,10 @@
 from savorychute.gateway.dispatch.lane_demand import LaneDemand
 from savorychute.gateway.dispatch.overload_guard import OverloadGuard
 from savorychute.gateway.dispatch.shortages import Shortages
+from savorychute.gateway.endpoint_telemetry import EndpointTelemetry
 from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
 from savorychute.gateway.endpoints.load_watch import LoadWatch
+from savorychute.gateway.endpoints.statement_book import StatementBook
 from savorychute.gateway.metric_rows import GATEWAY_METRICS
 from savorychute.gateway.parts import GatewayParts
 from savorychute.gateway.recovery.crash_book import CrashBook
@@ -196,9 +198,14 @@
     load_choosers()
     settings, clock, rng = around.settings, around.clock, around.rng
     crashes = CrashBook()
-    attempts = AttemptSender(around.endpoints, around.adapter)
-    roster = EndpointRoster(crashes.endpoint_ended, clock)
     metrics = Metrics(settings.instance, GATEWAY_METRICS)
+    telemetry = GatewayTelemetry(around.log, metrics, clock)
+    of_endpoints = EndpointTelemetry(telemetry)
+    statements = StatementBook(of_endpoints.limit_stated)
+    attempts = AttemptSender(
+        around.endpoints, around.adapter, statements, of_endpoints, clock
+    )
+    roster = EndpointRoster(crashes.endpoint_ended, clock)
     models = EngineModels()
     shortages = Shortages()
     return GatewayParts(
@@ -220,7 +227,7 @@
         allowance=RetryAllowance(read_bounds(settings), clock.now_ms()),
         crashes=crashes,
         usage=usage,
-        telemetry=GatewayTelemetry(around.log, metrics, clock),
+        telemetry=telemetry,
     )
 
 
--- a/savorychute/gateway/daemon/attempt_sender.py
+++ b/savorychute/gateway/daemon/attempt_sender.py
@@ -4,34 +4,56 @@
 
 from typing import TYPE_CHECKING
 
+from savorychute.gateway.endpoint_telemetry import CallKind
+from savorychute.gateway.endpoints.endpoint_run import EndpointRun
+from savorychute.gateway.requests.endpoint_answer import AnswerKind
 from savorychute.http.timed_call import submit_timed
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from savorychute.clock import Clock
+    from savorychute.gateway.endpoint_telemetry import EndpointTelemetry
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
     from savorychute.gateway.endpoints.engine_load import EngineLoad
+    from savorychute.gateway.endpoints.statement_book import StatementBook
     from savorychute.gateway.platform_adapter import PlatformAdapter
     from savorychute.gateway.requests.attempt_port import AttemptListener
     from savorychute.gateway.requests.outbound_attempt import OutboundAttempt
     from savorychute.http.call_failure import CallFailure
     from savorychute.http.client_call import ClientCall
     from savorychute.http.client_pool import ClientPool
+    from savorychute.http.http_response import HttpResponse
 
 # A report needs no place in the batch; from a living engine it takes a few ms.
 PROBE_TIMEOUT_MS = 250
+# Answers that come from another run than the one that was meant.
+OTHERS_ANSWERS = frozenset({AnswerKind.OTHER_ENDPOINT, AnswerKind.FOREIGN})
 
 
 class AttemptSender:
-    """Turns attempts into calls of the pool.
+    """Turns attempts into calls of the pool, and hears what endpoints say of themselves.
 
     :param pool: the connections to endpoints.
     :param adapter: how endpoints speak.
+    :param statements: what endpoints say of themselves.
+    :param telemetry: is told of calls to endpoints that state limits.
+    :param clock: the time.
     """
 
-    def __init__(self, pool: ClientPool, adapter: PlatformAdapter) -> None:
+    def __init__(
+        self,
+        pool: ClientPool,
+        adapter: PlatformAdapter,
+        statements: StatementBook,
+        telemetry: EndpointTelemetry,
+        clock: Clock,
+    ) -> None:
         self._pool = pool
         self._adapter = adapter
+        self._statements = statements
+        self._telemetry = telemetry
+        self._clock = clock
 
     def send(self, attempt: OutboundAttempt, listener: AttemptListener) -> ClientCall:
         """Start an attempt.
@@ -40,7 +62,7 @@
         :param listener: who is told of the answer.
         """
         request = self._adapter.encode_attempt(attempt)
-        handler = _AnswerHandler(self._adapter, attempt, listener)
+        handler = _AnswerHandler(self, self._adapter, attempt, listener)
         return self._pool.submit(
             attempt.endpoint.address, request, handler, fresh=attempt.fresh
         )
@@ -55,36 +77,89 @@
         :param endpoint: the engine.
         :param on_result: called with its report, or None without one in time.
         """
+        sent_ms = self._clock.now_ms()
+
+        def may_send() -> bool:
+            nonlocal sent_ms
+            sent_ms = self.call_leaves(endpoint, CallKind.REPORT)
+            return True
+
+        def take(response: HttpResponse) -> None:
+            load = self._adapter.decode_report(response)
+            run = endpoint.run
+            if load is not None and load.born_ms and run.born_ms:
+                run = EndpointRun(run.endpoint, load.born_ms)
+            self.hear(run, response.headers, sent_ms)
+            on_result(load)
+
         submit_timed(
             self._pool,
             endpoint.address,
             self._adapter.encode_probe(),
             PROBE_TIMEOUT_MS,
-            lambda response: on_result(self._adapter.decode_report(response)),
+            take,
             lambda failure: on_result(None),  # noqa: ARG005
+            may_send,
         )
 
+    def call_leaves(
+        self, endpoint: EndpointEntry, kind: CallKind, request_id: str = ''
+    ) -> int:
+        """Note a call that is about to leave; return the time.
+
+        :param endpoint: where it goes.
+        :param kind: what it is for.
+        :param request_id: the request that it belongs to, or empty.
+        """
+        limit_per_s = self._statements.limit_per_s(endpoint.run)
+        if limit_per_s is not None:
+            self._telemetry.limited_call(endpoint, kind, limit_per_s, request_id)
+        return self._clock.now_ms()
+
+    def hear(self, run: EndpointRun, headers: dict[str, str], sent_ms: int) -> None:
+        """Take in what an endpoint says of itself.
+
+        :param run: the run that answered.
+        :param headers: of its answer.
+        :param sent_ms: when the call was sent.
+        """
+        statement = self._adapter.decode_statement(headers)
+        if statement.unreadable is not None:
+            self._telemetry.statement_unreadable(run, statement.unreadable)
+        self._statements.take(run, statement, sent_ms, self._clock.now_ms())
+
 
 class _AnswerHandler:
     """Decodes the head of an answer on its way to the listener."""
 
     def __init__(
         self,
+        sender: AttemptSender,
         adapter: PlatformAdapter,
         attempt: OutboundAttempt,
         listener: AttemptListener,
     ) -> None:
+        self._sender = sender
         self._adapter = adapter
         self._attempt = attempt
         self._listener = listener
+        self._sent_ms = 0
 
     def about_to_send(self) -> bool:
         """Ask whether the attempt is still wanted."""
-        return self._listener.may_send()
+        if not self._listener.may_send():
+            return False
+        attempt_id = self._attempt.request.attempt_id
+        self._sent_ms = self._sender.call_leaves(
+            self._attempt.endpoint, CallKind.ATTEMPT, attempt_id
+        )
+        return True
 
     def response_started(self, status: int, headers: dict[str, str]) -> None:
         """Pass on what the head says."""
         answer = self._adapter.decode_answer(status, headers, self._attempt)
+        if answer.kind not in OTHERS_ANSWERS:
+            self._sender.hear(self._attempt.endpoint.run, headers, self._sent_ms)
         self._listener.answer_began(answer)
 
     def response_data(self, data: bytes) -> None:
--- /dev/null
+++ b/savorychute/gateway/endpoint_telemetry.py
@@ -0,0 +1,85 @@
+"""What a gateway tells of endpoints that state limits, and of its calls to them."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from savorychute.gateway.log_word import make_word
+from savorychute.logs import LogLevel
+
+if TYPE_CHECKING:
+    from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
+    from savorychute.gateway.endpoints.endpoint_run import EndpointRun
+    from savorychute.gateway.endpoints.endpoint_statement import UnreadableStatement
+    from savorychute.gateway.telemetry import GatewayTelemetry
+
+# Unreadable statements that were logged, the newest; each answer may repeat one.
+UNREADABLE_KEPT = 256
+
+
+class CallKind(Enum):
+    """What an endpoint is called for."""
+
+    ATTEMPT = 'attempt'
+    REPORT = 'report'
+
+
+class EndpointTelemetry:
+    """Logs what endpoints say of themselves.
+
+    :param telemetry: where lines and figures go.
+    """
+
+    def __init__(self, telemetry: GatewayTelemetry) -> None:
+        self._telemetry = telemetry
+        self._unreadable: dict[tuple[EndpointRun, str], None] = {}
+
+    def limit_stated(self, run: EndpointRun, limit_per_s: float | None) -> None:
+        """Log that an endpoint states another limit, or none any more."""
+        self._telemetry.log.warning(
+            'limit-stated',
+            endpoint=run.endpoint,
+            state='ended' if limit_per_s is None else 'limited',
+            limit_per_s=limit_per_s,
+        )
+
+    def statement_unreadable(
+        self, run: EndpointRun, statement: UnreadableStatement
+    ) -> None:
+        """Log a statement that cannot be read, once for each run and kind."""
+        seen = (run, statement.kind)
+        if seen in self._unreadable:
+            return
+        self._unreadable[seen] = None
+        if len(self._unreadable) > UNREADABLE_KEPT:
+            self._unreadable.pop(next(iter(self._unreadable)))
+        self._telemetry.write(
+            LogLevel.WARNING,
+            'statement-unreadable',
+            '',
+            endpoint=run.endpoint,
+            item=statement.kind,
+            reason=make_word(statement.text),
+        )
+
+    def limited_call(
+        self,
+        endpoint: EndpointEntry,
+        kind: CallKind,
+        limit_per_s: float,
+        request_id: str = '',
+    ) -> None:
+        """Log a call that leaves for an endpoint with a limit."""
+        self._telemetry.metrics.count(
+            'limited_calls_total', service=endpoint.service, kind=kind.value
+        )
+        self._telemetry.write(
+            LogLevel.INFO,
+            'limited-call',
+            request_id,
+            endpoint=endpoint.endpoint,
+            service=endpoint.service,
+            item=kind.value,
+            limit_per_s=limit_per_s,
+        )
--- a/savorychute/gateway/metric_rows.py
+++ b/savorychute/gateway/metric_rows.py
@@ -47,6 +47,12 @@
         ('service',),
         "This instance's part of the bound on them, at the last decision.",
     ),
+    MetricRow(
+        'limited_calls_total',
+        'counter',
+        ('service', 'kind'),
+        'Calls to endpoints that stated a limit, by what they were made for.',
+    ),
     MetricRow(
         'records_unreadable_total',
         'counter',
--- a/savorychute/gateway/platform_adapter.py
+++ b/savorychute/gateway/platform_adapter.py
@@ -16,6 +16,7 @@
     from savorychute.gateway.duties.server_duty import ServerOrder
     from savorychute.gateway.duties.usage_report import UsageReport
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
+    from savorychute.gateway.endpoints.endpoint_statement import EndpointStatement
     from savorychute.gateway.endpoints.engine_load import EngineLoad
     from savorychute.gateway.requests.endpoint_answer import EndpointAnswer
     from savorychute.gateway.requests.inbound_request import InboundRequest
@@ -95,6 +96,10 @@
         """Return what the head of an endpoint's answer says."""
         ...
 
+    def decode_statement(self, headers: dict[str, str]) -> EndpointStatement:
+        """Return what an endpoint says of itself in the head of any answer."""
+        ...
+
     def encode_probe(self) -> HttpRequest:
         """Return the question for an engine's load report."""
         ...
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import re
 from typing import TYPE_CHECKING
 
 from savorychute.gateway.duties.duty_kind import DutyKind
 from savorychute.gateway.duties.duty_order import DutyOutcome
 from savorychute.gateway.endpoints.engine_load import EngineLoad
 from savorychute.gateway.log_budget import LogBudget
+from savorychute.gateway.log_word import WORD_CHARS, make_word
 from savorychute.gateway.store.call_meter import CallMeter
 from savorychute.logs import LogLevel
 
@@ -38,14 +38,12 @@
     from savorychute.metrics import Metrics
 
 OK_OUTCOMES = ('answered',)
-WORD_CHARS = 100
 # Unreadable records that were logged, the newest; listings show them again and again.
 UNREADABLE_KEPT = 256
 # In a log line, for an engine of which nothing is known,
 NO_LOAD = EngineLoad(0, 0, 0, 0)
 # and for one that has begun nothing lately.
 NO_RANK = -1
-FOREIGN = re.compile(r'[^A-Za-z0-9_.:/@+=,#-]+')
 
 
 class GatewayTelemetry:
@@ -72,7 +70,7 @@
         if topic in self._lost:
             return
         self._lost.add(topic)
-        self.log.warning('dependency-lost', item=topic, reason=_word(error.message))
+        self.log.warning('dependency-lost', item=topic, reason=make_word(error.message))
 
     def store_used(self) -> None:
         """Log how many calls to the store were made so far, and what for."""
@@ -98,14 +96,14 @@
         if len(self._unreadable) > UNREADABLE_KEPT:
             self._unreadable.pop(next(iter(self._unreadable)))
         self.metrics.count('records_unreadable_total', topic=topic)
-        self._write(
+        self.write(
             LogLevel.ERROR,
             'record-unreadable',
             '',
             item=topic,
             offset=record.offset,
-            record_id=_word(record.key or ''),
-            reason=_word(record.reason),
+            record_id=make_word(record.key or ''),
+            reason=make_word(record.reason),
         )
 
     def settings_reloaded(self, changed: Sequence[str]) -> None:
@@ -120,7 +118,7 @@
             'settings-rejected',
             code=error.code.number,
             count=len(error.faults),
-            reason=_word(error.faults[0]),
+            reason=make_word(error.faults[0]),
         )
 
     def work_failed(self, name: str, error: Exception) -> None:
@@ -129,7 +127,7 @@
             'work-failed',
             item=name,
             error=type(error).__name__,
-            reason=_word(str(error)),
+            reason=make_word(str(error)),
         )
 
     # -- beliefs
@@ -165,7 +163,7 @@
             incarnation=change.incarnation,
             from_state=change.from_state,
             to_state=change.to_state,
-            reason=_word(change.why),
+            reason=make_word(change.why),
         )
 
     def engines_learned(self, service: str, figures: EngineFigures) -> None:
@@ -185,7 +183,7 @@
             'duty-changed',
             state=change.change,
             fencing=change.fencing,
-            reason=_word(change.why),
+            reason=make_word(change.why),
         )
 
     def usage_step(self, step: UsageStep, outcome: DutyOutcome, fencing: int) -> None:
@@ -194,7 +192,7 @@
         self.metrics.count(
             'duty_steps_total', duty=DutyKind.USAGE.value, step=kind, outcome=result
         )
-        self._write(
+        self.write(
             LogLevel.INFO if outcome is DutyOutcome.ACCEPTED else LogLevel.WARNING,
             'usage-step',
             '',
@@ -213,7 +211,7 @@
                 'servers-decided',
                 service=fleet.service,
                 count=fleet.total,
-                reason=_word(fleet.reason),
+                reason=make_word(fleet.reason),
             )
 
     def servers_ordered(
@@ -227,7 +225,7 @@
             step='order',
             outcome=result,
         )
-        self._write(
+        self.write(
             LogLevel.INFO if outcome is DutyOutcome.ACCEPTED else LogLevel.WARNING,
             'servers-ordered',
             '',
@@ -237,7 +235,7 @@
             count=order.number,
             state=result,
             fencing=fencing,
-            reason=_word(order.reason),
+            reason=make_word(order.reason),
         )
 
     # -- requests
@@ -248,12 +246,12 @@
         """Log a refusal at the door."""
         number = str(refusal.code.number)
         self.metrics.count('refusals_total', code=number, reason=refusal.reason)
-        self._write(
+        self.write(
             LogLevel.WARNING,
             'request-refused',
             request.attempt_id,
             code=refusal.code.number,
-            reason=_word(refusal.reason),
+            reason=make_word(refusal.reason),
             ran=refusal.ran.value,
             retry_after_ms=refusal.retry_after_ms,
             version=version,
@@ -277,7 +275,7 @@
         load = record.load or NO_LOAD
         begun_rank = load.begun_rank
         self.metrics.count('sheds_total', rank=str(need.rank), limit=limit)
-        self._write(
+        self.write(
             LogLevel.WARNING,
             'request-shed',
             request.attempt_id,
@@ -307,14 +305,14 @@
         self.metrics.count('attempts_total', service=service, outcome=outcome)
         if outcome in OK_OUTCOMES:
             return
-        self._write(
+        self.write(
             LogLevel.WARNING,
             'attempt-ended',
             request.attempt_id,
             endpoint=record.entry.endpoint,
             service=record.entry.service,
             state=outcome,
-            reason=_word(reason),
+            reason=make_word(reason),
             duration_ms=now_ms - attempt.began_ms,
             count=record.outstanding,
         )
@@ -327,7 +325,7 @@
         self.metrics.count('repeats_total', service=service, outcome=outcome)
         self.metrics.set('repeats_recent', decision.spent, service=service)
         self.metrics.set('repeat_bound', decision.bound, service=service)
-        self._write(
+        self.write(
             LogLevel.WARNING,
             'repeat-decided',
             request.attempt_id,
@@ -362,11 +360,11 @@
                 'first_event_ms', summary.first_event_ms, admitted.rank
             )
             self.metrics.observe('event_gap_ms', summary.longest_gap_ms, admitted.rank)
-        self._write(
+        self.write(
             LogLevel.INFO if outcome in OK_OUTCOMES else LogLevel.WARNING,
             'request-finished',
             request.attempt_id,
-            state=_word(outcome),
+            state=make_word(outcome),
             status=status,
             item=admitted.route.name,
             service=admitted.service.name,
@@ -390,13 +388,15 @@
             self.metrics.count('log_lines_omitted_total', omitted)
             self.log.warning('log-lines-omitted', count=omitted)
 
-    def _write(
+    def write(
         self, level: LogLevel, event: str, request_id: str, **fields: Value
     ) -> None:
+        """Log one line if the budget of lines allows it.
+
+        :param level: how much it matters.
+        :param event: a constant name.
+        :param request_id: the request that it belongs to, or empty.
+        :param fields: those of the line.
+        """
         if self._budget.take(level >= LogLevel.WARNING):
             self.log.write(level, event, request_id, **fields)
-
-
-def _word(text: str) -> str:
-    """Return a text as one identifier; the log takes no free text."""
-    return FOREIGN.sub('-', text)[:WORD_CHARS]
--- a/savorychute/log_fields.py
+++ b/savorychute/log_fields.py
@@ -34,6 +34,7 @@
     'instances': 'how many instances share something, 0 before that is known',
     'item': 'what a change concerns',
     'lease': 'the name of a lease',
+    'limit_per_s': 'calls a second that an endpoint takes from all instances, null for no limit',
     'logger': 'the name of a library that logged',
     'member': 'another instance',
     'model': 'a model',
--- a/tests/test_fleet/rig.py
+++ b/tests/test_fleet/rig.py
@@ -47,6 +47,9 @@
         self.hold = None
         self.breaks = False
         self.sheds = False
+        # What each answer says beside the answer itself.
+        self.stated = ()
+        self.reports_s = []
         self.report = b'{"waiting":0,"running":0,"runs":[]}'
         self._tasks = set()
 
@@ -69,7 +72,8 @@
     async def _answer(self, exchange):
         headers = dict(exchange.request.headers)
         if exchange.request.target == '/-/report':
-            exchange.respond(200, (), self.report)
+            self.reports_s.append(asyncio.get_running_loop().time())
+            exchange.respond(200, self.stated, self.report)
             return
         self.got.append(headers)
         self.times.append(asyncio.get_running_loop().time())
@@ -80,9 +84,13 @@
             exchange.abort()
             return
         if self.sheds:
-            exchange.respond(503, (('not-executed', '1'),), b'')
+            exchange.respond(503, (('not-executed', '1'), *self.stated), b'')
             return
-        proof = [('attempt-id', headers['attempt-id']), ('server-signature', 's')]
+        proof = [
+            ('attempt-id', headers['attempt-id']),
+            ('server-signature', 's'),
+            *self.stated,
+        ]
         if not self.engine:
             await asyncio.sleep(self.event_s)
             if self.hold is not None:
--- a/tests/test_fleet/test_dialects.py
+++ b/tests/test_fleet/test_dialects.py
@@ -12,6 +12,10 @@
 
 from savorychute.gateway.configuration.request_kind import RequestKind
 from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
+from savorychute.gateway.endpoints.endpoint_statement import (
+    EndpointStatement,
+    UnreadableStatement,
+)
 from savorychute.gateway.requests.endpoint_answer import AnswerKind
 from savorychute.gateway.requests.outbound_attempt import OutboundAttempt
 from savorychute.gateway.requests.prompt import Prompt, PromptPart
@@ -166,6 +170,28 @@
     assert json.loads(response.body)['error']['ran'] == 'not-run'
 
 
+@pytest.mark.parametrize(
+    ('text', 'limit_per_s'), [('1', 1.0), ('0.25', 0.25), (' 12 ', 12.0), ('0', 0.0)]
+)
+def test_limit_of_an_endpoint_is_decoded(text, limit_per_s):
+    statement = endpoint_dialect.decode_statement({'server-limit': text})
+
+    assert statement == EndpointStatement(limit_per_s)
+
+
+@pytest.mark.parametrize('text', ['', 'two', '-1', 'nan', 'inf', '1e400', '1, 2'])
+def test_limit_that_cannot_be_read_states_nothing(text):
+    """Guards against an odd statement that costs a caller its answer."""
+    statement = endpoint_dialect.decode_statement({'server-limit': text})
+
+    assert statement.limit_per_s is None
+    assert statement.unreadable == UnreadableStatement('server-limit', text)
+
+
+def test_answer_without_a_limit_states_none():
+    assert endpoint_dialect.decode_statement({}) == EndpointStatement()
+
+
 def test_report_of_an_engine():
     body = msgspec.json.encode(
         {
