Let one instance count the calls to an endpoint that states a limit

What was seen: callers nothing; endpoints in need got 14 to 18 calls in four seconds where their limit of one a second allows 11 (users' record), 39 and 112 in the two tests that were red.

Cause: no decision looked at the statement, and a limit for all instances together cannot be kept by any one alone. Class of fault: a bound on the sum over instances that each of them would have to keep by itself.

Change: an endpoint's home, one instance chosen by rendezvous hash among the members that are alive, counts its calls in a token bucket that begins empty; the others ask it for a permit before each call, load reports included, and no call leaves without one (asked again before the first byte). What is left goes to the more urgent tiers first. An endpoint that denied a call is left to requests that no other takes; where there is none they are refused at once with a time to come back. Members tell each other of limits, and of their end, with probes.

Ruled out: the shares of organisations' limits (savorychute/limits), which lock what a lost member may hold for most of a minute, while calls to endpoints are over in seconds.

--- a/savorychute/gateway/daemon/assembly.py
+++ b/savorychute/gateway/daemon/assembly.py
@@ -24,6 +24,7 @@
 from savorychute.gateway.endpoints.statement_book import StatementBook
 from savorychute.gateway.metric_rows import GATEWAY_METRICS
 from savorychute.gateway.parts import GatewayParts
+from savorychute.gateway.permits.permit_desk import PermitDesk
 from savorychute.gateway.recovery.crash_book import CrashBook
 from savorychute.gateway.recovery.retry_allowance import RetryAllowance
 from savorychute.gateway.requests.intake import Intake
@@ -128,6 +129,8 @@
         parts.crashes,
         demand,
         parts.shortages,
+        parts.statements,
+        parts.permits,
         parts.roster.steady_streams,
         plan,
         reading,
@@ -202,15 +205,17 @@
     telemetry = GatewayTelemetry(around.log, metrics, clock)
     of_endpoints = EndpointTelemetry(telemetry)
     statements = StatementBook(of_endpoints.limit_stated)
+    timers = LoopTimers()
+    permits = PermitDesk(statements, clock, timers)
     attempts = AttemptSender(
-        around.endpoints, around.adapter, statements, of_endpoints, clock
+        around.endpoints, around.adapter, statements, permits, of_endpoints, clock
     )
     roster = EndpointRoster(crashes.endpoint_ended, clock)
     models = EngineModels()
     shortages = Shortages()
     return GatewayParts(
         clock=clock,
-        timers=LoopTimers(),
+        timers=timers,
         attempts=attempts,
         configuration=ConfigurationState(
             key_trust_ms(settings), int(settings.configuration_notice_ms)
@@ -223,11 +228,14 @@
         guard=OverloadGuard(rng, shortages),
         shortages=shortages,
         engines=models,
-        loads=LoadWatch(attempts, roster, clock),
+        loads=LoadWatch(attempts, roster, permits, clock),
+        statements=statements,
+        permits=permits,
         allowance=RetryAllowance(read_bounds(settings), clock.now_ms()),
         crashes=crashes,
         usage=usage,
         telemetry=telemetry,
+        endpoint_telemetry=of_endpoints,
     )
 
 
--- a/savorychute/gateway/daemon/attempt_sender.py
+++ b/savorychute/gateway/daemon/attempt_sender.py
@@ -17,6 +17,8 @@
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
     from savorychute.gateway.endpoints.engine_load import EngineLoad
     from savorychute.gateway.endpoints.statement_book import StatementBook
+    from savorychute.gateway.permits.permit import Permit
+    from savorychute.gateway.permits.permit_desk import PermitDesk
     from savorychute.gateway.platform_adapter import PlatformAdapter
     from savorychute.gateway.requests.attempt_port import AttemptListener
     from savorychute.gateway.requests.outbound_attempt import OutboundAttempt
@@ -37,6 +39,7 @@
     :param pool: the connections to endpoints.
     :param adapter: how endpoints speak.
     :param statements: what endpoints say of themselves.
+    :param permits: for endpoints that take only so many calls.
     :param telemetry: is told of calls to endpoints that state limits.
     :param clock: the time.
     """
@@ -46,12 +49,14 @@
         pool: ClientPool,
         adapter: PlatformAdapter,
         statements: StatementBook,
+        permits: PermitDesk,
         telemetry: EndpointTelemetry,
         clock: Clock,
     ) -> None:
         self._pool = pool
         self._adapter = adapter
         self._statements = statements
+        self._permits = permits
         self._telemetry = telemetry
         self._clock = clock
 
@@ -62,7 +67,7 @@
         :param listener: who is told of the answer.
         """
         request = self._adapter.encode_attempt(attempt)
-        handler = _AnswerHandler(self, self._adapter, attempt, listener)
+        handler = _AnswerHandler(self, self._adapter, self._clock, attempt, listener)
         return self._pool.submit(
             attempt.endpoint.address, request, handler, fresh=attempt.fresh
         )
@@ -71,18 +76,20 @@
         self,
         endpoint: EndpointEntry,
         on_result: Callable[[EngineLoad | None], None],
+        permit: Permit | None = None,
     ) -> None:
         """Ask an engine for its load.
 
         :param endpoint: the engine.
         :param on_result: called with its report, or None without one in time.
+        :param permit: leave to call an engine that states a limit.
         """
         sent_ms = self._clock.now_ms()
 
         def may_send() -> bool:
             nonlocal sent_ms
-            sent_ms = self.call_leaves(endpoint, CallKind.REPORT)
-            return True
+            sent_ms = self._clock.now_ms()
+            return self.may_leave(endpoint, permit, CallKind.REPORT)
 
         def take(response: HttpResponse) -> None:
             load = self._adapter.decode_report(response)
@@ -102,19 +109,27 @@
             may_send,
         )
 
-    def call_leaves(
-        self, endpoint: EndpointEntry, kind: CallKind, request_id: str = ''
-    ) -> int:
-        """Note a call that is about to leave; return the time.
+    def may_leave(
+        self,
+        endpoint: EndpointEntry,
+        permit: Permit | None,
+        kind: CallKind,
+        request_id: str = '',
+    ) -> bool:
+        """Return whether a call that is about to leave may do so.
 
         :param endpoint: where it goes.
+        :param permit: that it has.
         :param kind: what it is for.
         :param request_id: the request that it belongs to, or empty.
         """
-        limit_per_s = self._statements.limit_per_s(endpoint.run)
+        run = endpoint.run
+        if not self._permits.may_leave(run, permit, self._clock.now_ms()):
+            return False
+        limit_per_s = self._statements.limit_per_s(run)
         if limit_per_s is not None:
             self._telemetry.limited_call(endpoint, kind, limit_per_s, request_id)
-        return self._clock.now_ms()
+        return True
 
     def hear(self, run: EndpointRun, headers: dict[str, str], sent_ms: int) -> None:
         """Take in what an endpoint says of itself.
@@ -136,24 +151,31 @@
         self,
         sender: AttemptSender,
         adapter: PlatformAdapter,
+        clock: Clock,
         attempt: OutboundAttempt,
         listener: AttemptListener,
     ) -> None:
         self._sender = sender
         self._adapter = adapter
+        self._clock = clock
         self._attempt = attempt
         self._listener = listener
         self._sent_ms = 0
 
     def about_to_send(self) -> bool:
         """Ask whether the attempt is still wanted."""
-        if not self._listener.may_send():
-            return False
-        attempt_id = self._attempt.request.attempt_id
-        self._sent_ms = self._sender.call_leaves(
-            self._attempt.endpoint, CallKind.ATTEMPT, attempt_id
+        attempt = self._attempt
+        may_leave = self._sender.may_leave(
+            attempt.endpoint,
+            attempt.permit,
+            CallKind.ATTEMPT,
+            attempt.request.attempt_id,
         )
-        return True
+        if not may_leave:
+            self._listener.attempt_withheld()
+            return False
+        self._sent_ms = self._clock.now_ms()
+        return self._listener.may_send()
 
     def response_started(self, status: int, headers: dict[str, str]) -> None:
         """Pass on what the head says."""
--- a/savorychute/gateway/daemon/peer_group.py
+++ b/savorychute/gateway/daemon/peer_group.py
@@ -11,6 +11,8 @@
 from savorychute.daemon.peer_link import open_peer_link
 from savorychute.gateway.discovery.advertised import NOT_READY, read_advertised
 from savorychute.gateway.duties.usage_told import UsageTold
+from savorychute.gateway.permits.permit_answer import PermitAnswer
+from savorychute.gateway.permits.permit_question import PermitQuestion
 from savorychute.gateway.recovery.crash_inquiry import CrashInquiry
 from savorychute.gateway.recovery.crash_news import CrashNews
 from savorychute.gateway.recovery.crash_question import CrashQuestion
@@ -39,6 +41,8 @@
     from savorychute.gateway.duties.duty_candidates import DutyCandidates
     from savorychute.gateway.duties.true_time import TrueTime
     from savorychute.gateway.duties.usage_spread import UsageSpread
+    from savorychute.gateway.endpoints.statement_book import StatementBook
+    from savorychute.gateway.permits.permit_desk import PermitDesk
     from savorychute.gateway.recovery.crash_book import CrashBook
     from savorychute.gateway.store.instance_entry import InstanceListing
     from savorychute.gateway.store.reading_plan import ReadingPlan
@@ -72,6 +76,8 @@
     :param crashes: requests that crash endpoints, told to all.
     :param demand: of engines, told to all.
     :param shortages: tiers that get too little, told to all.
+    :param statements: what endpoints say of themselves, told to all.
+    :param permits: for endpoints that take only so many calls.
     :param count_streams: how many steady streams of this instance run.
     :param plan: who reads the store.
     :param reading: what others have read.
@@ -91,6 +97,8 @@
         crashes: CrashBook,
         demand: LaneDemand,
         shortages: Shortages,
+        statements: StatementBook,
+        permits: PermitDesk,
         count_streams: Callable[[], int],
         plan: ReadingPlan,
         reading: SharedReading,
@@ -109,6 +117,8 @@
         self._crashes = crashes
         self._demand = demand
         self._shortages = shortages
+        self._statements = statements
+        self._permits = permits
         self._count_streams = count_streams
         self._plan = plan
         self._reading = reading
@@ -140,6 +150,7 @@
         self._codec = codec
         async with open_peer_link(codec, address.host, address.peer_port) as link:
             self._link = link
+            self._permits.send = link.send
             self._membership = Membership(SETTINGS, address, self._rng)
             link.on_input = self._take
             self._take_listing(self._registration.listing)
@@ -172,6 +183,7 @@
             self._demand.advertised(now_ms),
             self._shortages.advertised(now_ms),
             self._time.own_offset_ms() if self._usage is not None else None,
+            self._statements.told(now_ms),
         )
         if self._eras.current != self._registration.era and not self._entering:
             self._entering = True
@@ -181,6 +193,7 @@
         self._entry.follow_members(view)
         self._entry.follow_cap()
         self._plan.follow(view)
+        self._permits.follow(view)
         self._demand.observe(self._count_streams(), len(view.alive), now_ms)
         self._shortages.instances = max(1, len(view.alive))
         self._carry_out(self._spread.tick(view, now_ms))
@@ -210,12 +223,18 @@
             if self._usage is not None:
                 self._usage.take(sender, message)
         elif isinstance(message, StoreQuestion):
-            self._answer(membership, sender, message, now_ms)
+            answer = self._reading.answer(message, now_ms)
+            self._answer(membership, sender, answer)
+        elif isinstance(message, PermitQuestion):
+            self._answer(membership, sender, self._permits.answer(message))
+        elif isinstance(message, PermitAnswer):
+            self._permits.take_answer(message)
         else:
             self._carry_out(membership.receive(sender, message, now_ms))
             if isinstance(message, Ack | Ping):
                 self._demand.hear(message.load, now_ms)
                 self._shortages.hear(message.shortages, now_ms)
+                self._statements.hear(message.limits, now_ms)
                 self._time.hear(sender, message.wall_ms, now_ms)
             said = read_advertised(message)
             if said is not None:
@@ -223,16 +242,11 @@
                 self._directory.hear(said.address, ready, now_ms)
 
     def _answer(
-        self,
-        membership: Membership,
-        sender: str,
-        question: StoreQuestion,
-        now_ms: int,
+        self, membership: Membership, asker: str, answer: tuple[object, ...]
     ) -> None:
-        member = membership.view().address_of(sender)
+        member = membership.view().address_of(asker)
         if member is None:
             return  # It has not been heard of yet; it will ask another one.
-        answer = self._reading.answer(question, now_ms)
         action = SendPeer(member.instance, member.host, member.peer_port, answer)
         self._carry_out([action])
 
--- a/savorychute/gateway/dispatch/chooser.py
+++ b/savorychute/gateway/dispatch/chooser.py
@@ -15,6 +15,7 @@
     from savorychute.gateway.dispatch.need import Need
     from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
     from savorychute.gateway.endpoints.endpoint_run import EndpointRun
+    from savorychute.gateway.permits.permit import Permit
 
 
 class Choice(NamedTuple):
@@ -27,6 +28,7 @@
     prompts; one that is ``apart`` runs away from them.
     ``rank`` is the request's; an engine serves what is more urgent first.
     For a request that leaves its home, ``compared`` are the engines that were asked.
+    ``permit`` is the leave to call an endpoint that states a limit.
     """
 
     record: EndpointRecord
@@ -39,6 +41,7 @@
     apart: bool = False
     rank: int = 0
     compared: tuple[Choice, ...] = ()
+    permit: Permit | None = None
 
 
 class Chooser(Protocol):
--- a/savorychute/gateway/endpoint_telemetry.py
+++ b/savorychute/gateway/endpoint_telemetry.py
@@ -6,12 +6,14 @@
 from typing import TYPE_CHECKING
 
 from savorychute.gateway.log_word import make_word
+from savorychute.gateway.permits.permit import Denial
 from savorychute.logs import LogLevel
 
 if TYPE_CHECKING:
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
     from savorychute.gateway.endpoints.endpoint_run import EndpointRun
     from savorychute.gateway.endpoints.endpoint_statement import UnreadableStatement
+    from savorychute.gateway.permits.permit import Outcome
     from savorychute.gateway.telemetry import GatewayTelemetry
 
 # Unreadable statements that were logged, the newest; each answer may repeat one.
@@ -83,3 +85,20 @@
             item=kind.value,
             limit_per_s=limit_per_s,
         )
+
+    def permit_decided(
+        self, request_id: str, run: EndpointRun, rank: int, outcome: Outcome
+    ) -> None:
+        """Log whether a call to an endpoint with a limit may be made."""
+        wait_ms = outcome.wait_ms if isinstance(outcome, Denial) else 0
+        state = 'denied' if wait_ms else 'granted'
+        self._telemetry.metrics.count('permits_total', outcome=state)
+        self._telemetry.write(
+            LogLevel.INFO,
+            'permit-decided',
+            request_id,
+            endpoint=run.endpoint,
+            rank=rank,
+            state=state,
+            retry_after_ms=wait_ms,
+        )
--- a/savorychute/gateway/endpoints/load_watch.py
+++ b/savorychute/gateway/endpoints/load_watch.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 from savorychute.gateway.endpoints.endpoint_run import EndpointRun
+from savorychute.gateway.permits.permit import Permit
+from savorychute.gateway.requests.rank import LEAST_URGENT
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -13,6 +15,8 @@
     from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
     from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
     from savorychute.gateway.endpoints.engine_load import EngineLoad
+    from savorychute.gateway.permits.permit import Outcome
+    from savorychute.gateway.permits.permit_desk import PermitDesk
     from savorychute.gateway.requests.attempt_port import AttemptPort
 
 
@@ -25,14 +29,20 @@
 
     :param attempts: how engines are asked.
     :param roster: is told of an engine that will end.
+    :param permits: for engines that take only so many calls.
     :param clock: the time.
     """
 
     def __init__(
-        self, attempts: AttemptPort, roster: EndpointRoster, clock: Clock
+        self,
+        attempts: AttemptPort,
+        roster: EndpointRoster,
+        permits: PermitDesk,
+        clock: Clock,
     ) -> None:
         self._attempts = attempts
         self._roster = roster
+        self._permits = permits
         self._clock = clock
         self._waiting: dict[EndpointRun, list[Callable[[bool], None]]] = {}
 
@@ -55,11 +65,19 @@
         for record in records:
             self.ask(record, count)
 
-    def ask(self, record: EndpointRecord, on_result: Callable[[bool], None]) -> None:
+    def ask(
+        self,
+        record: EndpointRecord,
+        on_result: Callable[[bool], None],
+        rank: int = LEAST_URGENT,
+    ) -> None:
         """Ask one engine; tell whether it answered in time.
 
+        One that may not be called now, because it states a limit, is taken for alive.
+
         :param record: the engine.
         :param on_result: called once.
+        :param rank: of the request that wants to know.
         """
         run = record.entry.run
         waiting = self._waiting.get(run)
@@ -73,7 +91,16 @@
             for callback in self._waiting.pop(run, ()):
                 callback(lives)
 
-        self._attempts.probe(record.entry, take)
+        def go_on(outcome: Outcome) -> None:
+            if isinstance(outcome, Permit):
+                self._attempts.probe(record.entry, take, outcome)
+                return
+            for callback in self._waiting.pop(run, ()):
+                callback(True)
+
+        outcome = self._permits.request(run, rank, go_on)
+        if outcome is not None:
+            go_on(outcome)
 
     def _take(self, record: EndpointRecord, load: EngineLoad) -> bool:
         """Take a report in; return whether the run that was asked made it."""
--- a/savorychute/gateway/metric_rows.py
+++ b/savorychute/gateway/metric_rows.py
@@ -53,6 +53,12 @@
         ('service', 'kind'),
         'Calls to endpoints that stated a limit, by what they were made for.',
     ),
+    MetricRow(
+        'permits_total',
+        'counter',
+        ('outcome',),
+        'Permits that requests asked for, for endpoints that stated a limit.',
+    ),
     MetricRow(
         'records_unreadable_total',
         'counter',
--- a/savorychute/gateway/parts.py
+++ b/savorychute/gateway/parts.py
@@ -15,8 +15,11 @@
     from savorychute.gateway.dispatch.overload_guard import OverloadGuard
     from savorychute.gateway.dispatch.shortages import Shortages
     from savorychute.gateway.duties.usage_ledger import UsageLedger
+    from savorychute.gateway.endpoint_telemetry import EndpointTelemetry
     from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
     from savorychute.gateway.endpoints.load_watch import LoadWatch
+    from savorychute.gateway.endpoints.statement_book import StatementBook
+    from savorychute.gateway.permits.permit_desk import PermitDesk
     from savorychute.gateway.recovery.crash_book import CrashBook
     from savorychute.gateway.recovery.retry_allowance import RetryAllowance
     from savorychute.gateway.requests.attempt_port import AttemptPort, TimerPort
@@ -37,10 +40,13 @@
     shortages: Shortages
     engines: EngineModels
     loads: LoadWatch
+    statements: StatementBook
+    permits: PermitDesk
     allowance: RetryAllowance
     crashes: CrashBook
     usage: UsageLedger
     telemetry: GatewayTelemetry
+    endpoint_telemetry: EndpointTelemetry
 
     def chooser(self, service: Service) -> Chooser:
         """Return how endpoints of a service are chosen.
--- /dev/null
+++ b/savorychute/gateway/permits/__init__.py
@@ -0,0 +1,1 @@
+"""Permits for calls to endpoints that take only so many a second."""
--- /dev/null
+++ b/savorychute/gateway/permits/permit_room.py
@@ -0,0 +1,66 @@
+"""What denials have shown of the room at endpoints that state limits."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from savorychute.gateway.requests.rank import LAST_LEVEL
+
+if TYPE_CHECKING:
+    from savorychute.gateway.endpoints.endpoint_run import EndpointRun
+
+# An endpoint that denied a call lately is left to requests that no other one takes.
+SCARCE_MS = 5_000
+# Runs of which something is remembered, the newest.
+RUNS_KEPT = 4_096
+
+
+class _Denied(NamedTuple):
+    closed_until_ms: tuple[int, ...]
+    denied_ms: int
+
+
+NEVER = _Denied((0,) * (LAST_LEVEL + 1), -SCARCE_MS)
+
+
+class PermitRoom:
+    """Remembers which calls would be denied again, so that nobody asks for them."""
+
+    def __init__(self) -> None:
+        self._denied: dict[EndpointRun, _Denied] = {}
+
+    def deny(self, run: EndpointRun, tier: int, wait_ms: int, now_ms: int) -> None:
+        """Note that a call was denied; one that is less urgent would be as well.
+
+        :param run: of the endpoint.
+        :param tier: of the call.
+        :param wait_ms: until when it need not be asked for again.
+        :param now_ms: the time.
+        """
+        before = self._denied.pop(run, NEVER)
+        closed_until_ms = tuple(
+            max(until_ms, now_ms + wait_ms) if level >= tier else until_ms
+            for level, until_ms in enumerate(before.closed_until_ms)
+        )
+        self._denied[run] = _Denied(closed_until_ms, now_ms)
+        if len(self._denied) > RUNS_KEPT:
+            self._denied.pop(next(iter(self._denied)))
+
+    def is_scarce(self, run: EndpointRun, now_ms: int) -> bool:
+        """Return whether any call was denied lately.
+
+        :param run: of the endpoint.
+        :param now_ms: the time.
+        """
+        denied = self._denied.get(run)
+        return denied is not None and now_ms - denied.denied_ms < SCARCE_MS
+
+    def wait_ms(self, run: EndpointRun, tier: int, now_ms: int) -> int:
+        """Return until when a call need not be asked for; 0 if it may be.
+
+        :param run: of the endpoint.
+        :param tier: of the call.
+        :param now_ms: the time.
+        """
+        denied = self._denied.get(run, NEVER)
+        return max(0, denied.closed_until_ms[tier] - now_ms)
--- a/savorychute/gateway/requests/attempt.py
+++ b/savorychute/gateway/requests/attempt.py
@@ -44,6 +44,10 @@
         """Go on after an attempt of which no byte has left."""
         ...
 
+    def attempt_withheld(self, attempt: Attempt) -> None:
+        """Go on after an attempt that had no permit when it was about to leave."""
+        ...
+
     def attempt_broke(self, attempt: Attempt, reason: str) -> None:
         """Go on after an attempt that may have run and has no whole answer."""
         ...
@@ -107,6 +111,13 @@
         self.sent_ms = self.owner.now_ms()
         return True
 
+    def attempt_withheld(self) -> None:
+        """Take in that no byte leaves, for want of a permit."""
+        if self.ended:
+            return
+        self.close()
+        self.owner.attempt_withheld(self)
+
     def answer_began(self, answer: EndpointAnswer) -> None:
         """Take the head."""
         self.answer = answer
--- a/savorychute/gateway/requests/attempt_port.py
+++ b/savorychute/gateway/requests/attempt_port.py
@@ -9,6 +9,7 @@
 
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
     from savorychute.gateway.endpoints.engine_load import EngineLoad
+    from savorychute.gateway.permits.permit import Permit
     from savorychute.gateway.requests.endpoint_answer import EndpointAnswer
     from savorychute.gateway.requests.outbound_attempt import OutboundAttempt
     from savorychute.http.call_failure import CallFailure
@@ -21,6 +22,10 @@
         """Return whether the attempt is still wanted; no byte has left yet."""
         ...
 
+    def attempt_withheld(self) -> None:
+        """Take in that no byte leaves, for want of a permit; nothing follows."""
+        ...
+
     def answer_began(self, answer: EndpointAnswer) -> None:
         """Take the head of the answer."""
         ...
@@ -59,6 +64,7 @@
         self,
         endpoint: EndpointEntry,
         on_result: Callable[[EngineLoad | None], None],
+        permit: Permit | None = None,
     ) -> None:
         """Ask an engine for its load; tell None if it does not answer in time."""
         ...
--- a/savorychute/gateway/requests/request_course.py
+++ b/savorychute/gateway/requests/request_course.py
@@ -136,6 +136,15 @@
             return
         self._give_up('unreachable')
 
+    def attempt_withheld(self, attempt: Attempt) -> None:
+        """Go on after an attempt whose endpoint has stated a limit meanwhile."""
+        self._search.take_back(attempt.choice.record.entry.run)
+        self._log_attempt(attempt, 'withheld', '')
+        self._sends -= 1
+        if self._may_go_on() and self._send():
+            return
+        self._give_up('withheld')
+
     def attempt_broke(self, attempt: Attempt, reason: str) -> None:
         """Go on after an attempt that may have run and has no whole answer."""
         now_ms = self.now_ms()
@@ -240,22 +249,29 @@
     def _send(self) -> bool:
         """Start an attempt; return false if there is no endpoint for it."""
         now_ms = self.now_ms()
-        found = self._search.find(now_ms, bool(self.possible_runs), self._reports_came)
+        found = self._search.find(now_ms, bool(self.possible_runs), self._answers_came)
         if found is NotFound.ASKING:
             self._arm()
             return True
         if found is NotFound.NONE_LEFT:
             return False
-        if found is NotFound.OVERLOADED:
-            self._refused_after_ms = self._parts.guard.retry_after_ms()
-            self._overloaded = True
-            self._observer.refused(now_ms)
+        if found in (NotFound.OVERLOADED, NotFound.LIMITED):
+            self._note_refusal(found, now_ms)
             return False
         self._send_to(found, now_ms)
         return True
 
-    def _reports_came(self) -> None:
-        """Go on with the choice that waited for reports."""
+    def _note_refusal(self, found: NotFound, now_ms: int) -> None:
+        """Note when the caller should come back."""
+        self._overloaded = True
+        self._refused_after_ms = self._parts.guard.retry_after_ms()
+        if found is NotFound.LIMITED:
+            self._refused_after_ms += self._search.wait_ms(now_ms)
+        if self._admitted.service.runs_models:
+            self._observer.refused(now_ms)
+
+    def _answers_came(self) -> None:
+        """Go on with the choice that waited for reports or a permit."""
         if not self.finished and not self._send():
             self._give_up('no-endpoint')
 
@@ -275,6 +291,7 @@
                 urgency=self._admitted.rank if service.runs_models else None,
                 last_event=self._answer.relay.last_event,
                 fresh=not self._route.repeatable,
+                permit=choice.permit,
             ),
             attempt,
         )
@@ -331,7 +348,9 @@
             self._leave_silent(attempt)
             return
         record = attempt.choice.record
-        self._parts.loads.ask(record, lambda lives: self._probed(attempt, lives))
+        self._parts.loads.ask(
+            record, lambda lives: self._probed(attempt, lives), self._admitted.rank
+        )
 
     def _probed(self, attempt: Attempt, lives: bool) -> None:
         if not lives and not self.finished and attempt is self._leavable_attempt():
--- a/savorychute/membership/membership.py
+++ b/savorychute/membership/membership.py
@@ -34,6 +34,7 @@
     from savorychute.membership.member_view import MemberView
     from savorychute.membership.settings import MembershipSettings
     from savorychute.membership.tier_shortage import TierShortage
+    from savorychute.membership.told_limit import ToldLimit
 
 
 class Membership:
@@ -58,6 +59,7 @@
         self._load = 0
         self._shortages: tuple[TierShortage, ...] = ()
         self._wall_offset_ms: int | None = None
+        self._limits: tuple[ToldLimit, ...] = ()
         self._news = PeerNews()
         self._table = MemberTable(settings)
         self._queue = UpdateQueue(settings)
@@ -90,6 +92,7 @@
         load: int = 0,
         shortages: tuple[TierShortage, ...] = (),
         wall_offset_ms: int | None = None,
+        limits: tuple[ToldLimit, ...] = (),
     ) -> None:
         """Tell the others, on each probe, how far and how busy this instance is.
 
@@ -97,11 +100,13 @@
         :param load: requests in progress, or any other unit that all use.
         :param shortages: tiers whose requests get nothing here.
         :param wall_offset_ms: the time of day less the clock's; None is not told.
+        :param limits: what endpoints stated lately.
         """
         self._configuration_offset = configuration_offset
         self._load = load
         self._shortages = shortages
         self._wall_offset_ms = wall_offset_ms
+        self._limits = limits
 
     def peer_offsets(self) -> dict[str, int]:
         """Return the offsets that members advertised last."""
@@ -274,6 +279,7 @@
             self._load,
             self._shortages,
             self._wall_ms(now_ms),
+            self._limits,
         )
         return [send_to(ping.origin.address, ack)]
 
@@ -302,6 +308,7 @@
             self._load,
             self._shortages,
             self._wall_ms(now_ms),
+            self._limits,
         )
 
     def _wall_ms(self, now_ms: int) -> int:
--- a/savorychute/wire/messages.capnp
+++ b/savorychute/wire/messages.capnp
@@ -31,6 +31,13 @@
   unserved @2 :Float64;
 }
 
+struct ToldLimit {
+  endpoint @0 :Text;
+  bornMs @1 :Int64;
+  limitPerS @2 :Float64;
+  ageMs @3 :Int64;
+}
+
 struct Ping {  # tag 10
   sequence @0 :Int64;
   origin @1 :MemberUpdate;
@@ -39,6 +46,7 @@
   load @4 :Int64;
   shortages @5 :List(TierShortage);
   wallMs @6 :Int64;
+  limits @7 :List(ToldLimit);
 }
 
 struct Ack {  # tag 11
@@ -49,6 +57,7 @@
   load @4 :Int64;
   shortages @5 :List(TierShortage);
   wallMs @6 :Int64;
+  limits @7 :List(ToldLimit);
 }
 
 struct PingRequest {  # tag 12
@@ -357,3 +366,16 @@
 
 struct CrashQuestion {  # tag 94
 }
+
+struct PermitQuestion {  # tag 95
+  sequence @0 :Int64;
+  run @1 :EndpointRun;
+  limitPerS @2 :Float64;
+  ageMs @3 :Int64;
+  tier @4 :Int64;
+}
+
+struct PermitAnswer {  # tag 96
+  sequence @0 :Int64;
+  waitMs @1 :Int64;
+}
--- a/tests/test_fleet/test_stated_limits.py
+++ b/tests/test_fleet/test_stated_limits.py
@@ -31,6 +31,7 @@
 
     def __init__(self):
         self.statuses = []
+        self.served_by = set()
         # Which instance got a request, and when it first passed a limit on.
         self.instance_of = {}
         self.told_s = {}
@@ -41,11 +42,15 @@
         self.instance_of[rig.last_id] = gateway
         answer = await work
         self.statuses.append(answer.status)
+        if answer.status == 200:
+            self.served_by.add(gateway)
         if 'server-limit' in answer.headers:
             self.told_s.setdefault(gateway, rig.now_s())
 
     async def make_many(self, rig, gateway, **call):
         ends_s = rig.now_s() + LASTS_S
+        # Instances do not get their requests at the same moments.
+        await asyncio.sleep(SPACE_S * gateway / GATEWAYS)
         async with asyncio.TaskGroup() as calls:
             while rig.now_s() < ends_s:
                 calls.create_task(self.make(rig, gateway, **call))
@@ -120,7 +125,26 @@
 
 def test_most_of_a_limit_is_used_where_nothing_else_is_there():
     """Guards against a limit that is kept by hardly sending anything."""
-    endpoint, _ = run_limited('e1', 4, path='/s/1', method='POST', extra=PROMPT)
+    endpoint, calls = run_limited('e1', 4, path='/s/1', method='POST', extra=PROMPT)
 
     served = [at_s for at_s in endpoint.times if at_s >= endpoint.stated_s]
     assert len(served) > LASTS_S * 4 / 2
+    assert calls.served_by == set(range(GATEWAYS))
+
+
+def test_instance_that_got_no_requests_knows_the_limit():
+    """Guards against a first call of each instance to an endpoint in need."""
+
+    async def main():
+        async with asyncio.timeout(TEST_S), run_rig(2) as rig:
+            await asyncio.sleep(5)
+            endpoint = rig.endpoints['d1']
+            endpoint.stated = (('server-limit', '0.25'),)
+            await rig.call(gateway=0)
+            await asyncio.sleep(NOTICE_S)
+            before = len(endpoint.times)
+            # The bucket of its home is still empty.
+            answer = await rig.call(gateway=1)
+            return answer.status, len(endpoint.times) - before
+
+    assert run_virtual(main()) == (503, 0)
--- a/tests/test_gateway/fleet_rig.py
+++ b/tests/test_gateway/fleet_rig.py
@@ -95,7 +95,8 @@
     def send(self, attempt, listener):
         return Carried(self._timeline, self._engines, attempt, listener)
 
-    def probe(self, endpoint, on_result):
+    def probe(self, endpoint, on_result, permit=None):
+        del permit
         engine = self._engines[endpoint.endpoint]
         self._timeline.call_later(2 * NETWORK_MS, lambda: on_result(engine.report()))
 
--- a/tests/test_gateway/gateway_fakes.py
+++ b/tests/test_gateway/gateway_fakes.py
@@ -21,12 +21,15 @@
 from savorychute.gateway.dispatch.shortages import Shortages
 from savorychute.gateway.duties.true_time import TrueTime
 from savorychute.gateway.duties.usage_ledger import UsageLedger
+from savorychute.gateway.endpoint_telemetry import EndpointTelemetry
 from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
 from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
 from savorychute.gateway.endpoints.engine_load import EngineLoad
 from savorychute.gateway.endpoints.load_watch import LoadWatch
+from savorychute.gateway.endpoints.statement_book import StatementBook
 from savorychute.gateway.metric_rows import GATEWAY_METRICS
 from savorychute.gateway.parts import GatewayParts
+from savorychute.gateway.permits.permit_desk import PermitDesk
 from savorychute.gateway.recovery.crash_book import CrashBook
 from savorychute.gateway.recovery.retry_allowance import RetryAllowance, RetryBounds
 from savorychute.gateway.requests.endpoint_answer import AnswerKind, EndpointAnswer
@@ -146,7 +149,8 @@
         self.sent.append(FakeAttempt(attempt, listener))
         return self.sent[-1]
 
-    def probe(self, endpoint, on_result):
+    def probe(self, endpoint, on_result, permit=None):
+        del permit
         self.probes.append(endpoint.endpoint)
         if self.holds_probes:
             self._held.append(on_result)
@@ -335,6 +339,11 @@
     return allowance
 
 
+def ignore_limit(run, limit_per_s):
+    """Take a change of a limit for nothing."""
+    del run, limit_per_s
+
+
 def make_scene(
     desks=3,
     engines=3,
@@ -369,6 +378,10 @@
         roster.apply(make_entry(f'd{number}'))
     for number, places in enumerate(slots):
         roster.apply(make_entry(f'e{number}', 'pool', slots=places))
+    telemetry = make_telemetry(clock)
+    of_endpoints = EndpointTelemetry(telemetry)
+    statements = StatementBook(of_endpoints.limit_stated)
+    permits = PermitDesk(statements, clock, timers)
     parts = GatewayParts(
         clock=clock,
         timers=timers,
@@ -380,11 +393,14 @@
         guard=OverloadGuard(rng, shortages),
         shortages=shortages,
         engines=models,
-        loads=LoadWatch(attempts, roster, clock),
+        loads=LoadWatch(attempts, roster, permits, clock),
+        statements=statements,
+        permits=permits,
         allowance=make_allowance(slack),
         crashes=crashes,
         usage=UsageLedger(None, TrueTime(clock, StillWall())),
-        telemetry=make_telemetry(clock),
+        telemetry=telemetry,
+        endpoint_telemetry=of_endpoints,
     )
     parts.allowance.instances = 1
     intake = Intake(configuration, parts.crashes, rng)
