Leave engines with a small limit to requests that others would let wait

Change: an engine that denied a call for a quarter of a second or more goes last for a minute; it is asked first by a request that would wait 150 ms at the best other engine, and by one request when nobody has heard for five seconds that its limit stands. Plain endpoints have no lanes, so all that they take is used. A request asks four homes at most, and none twice. What deals with limited endpoints is a part of its own (LimitedEndpoints).

--- a/savorychute/gateway/dispatch/endpoint_search.py
+++ b/savorychute/gateway/dispatch/endpoint_search.py
@@ -6,9 +6,9 @@
 from typing import TYPE_CHECKING
 
 from savorychute.gateway.dispatch.chooser import open_records
+from savorychute.gateway.dispatch.limited_endpoints import LimitedEndpoints
 from savorychute.gateway.dispatch.need import Need
 from savorychute.gateway.dispatch.rank_limits import is_last_tier
-from savorychute.gateway.permits.permit import Permit
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -17,14 +17,13 @@
     from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
     from savorychute.gateway.endpoints.endpoint_run import EndpointRun
     from savorychute.gateway.parts import GatewayParts
-    from savorychute.gateway.permits.permit import Outcome
     from savorychute.gateway.requests.admitted import Admitted
     from savorychute.gateway.requests.inbound_request import InboundRequest
 
 # Rounds of load reports before a choice: of the likeliest engine, then of others.
 MOST_ASKED = 2
-# Permits of limited endpoints that a request asks for, one after the other.
-MOST_PERMITS = 4
+# With a longer wait at the best other engine a limited one is asked first.
+BUSY_MS = 150.0
 
 
 class NotFound(Enum):
@@ -39,9 +38,6 @@
 class EndpointSearch:
     """Chooses among the endpoints that the request has not been sent to yet.
 
-    Endpoints that denied a call lately, because they state a limit, are the last choice:
-    they are in need, and a question for a permit takes time.
-
     :param parts: what all requests share.
     :param request: the request.
     :param admitted: what it is owed.
@@ -59,12 +55,12 @@
             admitted.route.target_ms,
             admitted.rank,
         )
+        self._limited = LimitedEndpoints(parts, request, admitted)
         self._tried: set[EndpointRun] = set()
         self._asked = 0
-        self._permits_asked = 0
-        self._granted: Choice | None = None
         self._anywhere = False
-        self._on_answers: Callable[[], None] | None = None
+        # A limited endpoint that has given its permit.
+        self._granted: Choice | None = None
 
     def find(
         self, now_ms: int, can_have_run: bool, on_answers: Callable[[], None]
@@ -76,31 +72,49 @@
             for want of room: nobody could be told that it had not run.
         :param on_answers: called once after ``ASKING``, when the search should go on.
         """
-        self._on_answers = on_answers
         granted, self._granted = self._granted, None
         if granted is not None and granted.record in self._usable():
             return self._settle(granted)
+        found = self._find(now_ms, can_have_run, on_answers)
+        if isinstance(found, NotFound):
+            return found
+        if not self._limited.is_limited(found.record):
+            return self._settle(found)
+        return self._ask_leave(found, now_ms, can_have_run, on_answers)
+
+    def _find(
+        self, now_ms: int, can_have_run: bool, on_answers: Callable[[], None]
+    ) -> Choice | NotFound:
+        """Return an endpoint, whether it needs a permit or not."""
         candidates = self._candidates(now_ms)
         if not candidates:
-            return self._find_limited(now_ms, can_have_run, NotFound.NONE_LEFT)
+            return self._find_limited(now_ms, can_have_run)
         chooser = self._parts.chooser(self._service)
         need = self._need._replace(
             tries_again=bool(self._tried), anywhere=self._anywhere
         )
-        wanted = self._unlimited(chooser.wants_reports(candidates, need, now_ms))
+        wanted = [
+            record
+            for record in chooser.wants_reports(candidates, need, now_ms)
+            if not self._limited.is_limited(record)
+        ]
         if wanted and self._asked < MOST_ASKED:
             self._asked += 1
             self._parts.loads.refresh(wanted, on_answers)
             return NotFound.ASKING
         choice = chooser.choose(candidates, need, now_ms)
-        if not can_have_run and not self._parts.guard.admits(choice, need, now_ms):
-            if self._may_go_anywhere(need):
-                return self.find(now_ms, can_have_run, on_answers)
-            limited = self._find_limited(now_ms, can_have_run, NotFound.OVERLOADED)
-            if limited is NotFound.OVERLOADED:
-                self._tell_shed(choice, need, now_ms)
+        if can_have_run or self._parts.guard.admits(choice, need, now_ms):
+            return self._prefer_limited(choice, now_ms)
+        if self._may_go_anywhere(need):
+            return self._find(now_ms, can_have_run, on_answers)
+        limited = self._choose_limited(now_ms)
+        if limited is not None and self._admits(limited, now_ms):
             return limited
-        return self._get_leave(choice, now_ms, can_have_run)
+        self._tell_shed(choice, need, now_ms)
+        return NotFound.OVERLOADED
+
+    def _admits(self, choice: Choice, now_ms: int) -> bool:
+        return self._parts.guard.admits(choice, self._need, now_ms)
 
     def _tell_shed(self, choice: Choice, need: Need, now_ms: int) -> None:
         limit = self._parts.guard.binding_limit(choice, need, now_ms)
@@ -134,90 +148,76 @@
 
         :param now_ms: the time.
         """
-        waits_ms = (
-            self._parts.permits.wait_ms(record.entry.run, self._need.rank, now_ms)
-            for record in self._limited(now_ms)
-        )
-        return min(waits_ms, default=0)
+        return self._limited.wait_ms(self._usable(), now_ms)
 
     # -- limited endpoints
 
-    def _get_leave(
-        self, choice: Choice, now_ms: int, can_have_run: bool
-    ) -> Choice | NotFound:
-        """Return a choice that may be called, once there is a permit if it needs one."""
-        run = choice.record.entry.run
-        if not self._parts.permits.is_limited(run):
-            return self._settle(choice)
-        if self._permits_asked >= MOST_PERMITS:
-            return NotFound.LIMITED
-        self._permits_asked += 1
-        outcome = self._parts.permits.request(
-            run, self._need.rank, lambda outcome: self._permit_came(choice, outcome)
-        )
-        if outcome is None:
-            return NotFound.ASKING
-        self._take_outcome(choice, outcome)
-        assert self._on_answers is not None
-        return self.find(now_ms, can_have_run, self._on_answers)
-
-    def _permit_came(self, choice: Choice, outcome: Outcome) -> None:
-        self._take_outcome(choice, outcome)
-        assert self._on_answers is not None
-        self._on_answers()
-
-    def _take_outcome(self, choice: Choice, outcome: Outcome) -> None:
-        run = choice.record.entry.run
-        self._parts.endpoint_telemetry.permit_decided(
-            self._request.attempt_id, run, self._need.rank, outcome
-        )
-        if isinstance(outcome, Permit):
-            self._granted = choice._replace(permit=outcome)
-
-    def _find_limited(
-        self, now_ms: int, can_have_run: bool, otherwise: NotFound
-    ) -> Choice | NotFound:
-        """Return a limited endpoint for a request that no other one takes.
-
-        :param otherwise: why there is none where no endpoint is limited.
-        """
-        limited = self._limited(now_ms)
-        if not limited:
-            return otherwise
-        now_open = [
-            record
-            for record in limited
-            if not self._parts.permits.wait_ms(
-                record.entry.run, self._need.rank, now_ms
-            )
-        ]
-        if not now_open:
-            return NotFound.LIMITED if otherwise is NotFound.NONE_LEFT else otherwise
+    def _find_limited(self, now_ms: int, can_have_run: bool) -> Choice | NotFound:
+        """Return a limited endpoint for a request that has no other one."""
+        choice = self._choose_limited(now_ms)
+        if choice is None:
+            has_limited = any(map(self._limited.is_limited, self._usable()))
+            return NotFound.LIMITED if has_limited else NotFound.NONE_LEFT
+        if can_have_run or self._admits(choice, now_ms):
+            return choice
+        return NotFound.OVERLOADED
+
+    def _prefer_limited(self, choice: Choice, now_ms: int) -> Choice:
+        """Return a limited endpoint in place of a choice, if there is a reason."""
+        usable = self._usable()
+        if choice.load_known and choice.wait_ms > BUSY_MS:
+            records = self._limited.find_open(usable, now_ms)
+        else:
+            records = self._limited.find_due(usable, now_ms)
+        return self._choose_among(records, now_ms) or choice
+
+    def _choose_limited(self, now_ms: int) -> Choice | None:
+        records = self._limited.find_open(self._usable(), now_ms)
+        return self._choose_among(records, now_ms)
+
+    def _choose_among(
+        self, records: Sequence[EndpointRecord], now_ms: int
+    ) -> Choice | None:
+        untried = self._open(records, now_ms)
+        if not untried:
+            return None
         need = self._need._replace(tries_again=True, anywhere=True)
-        choice = self._parts.chooser(self._service).choose(now_open, need, now_ms)
-        if not can_have_run and not self._parts.guard.admits(choice, need, now_ms):
-            return NotFound.OVERLOADED
-        return self._get_leave(choice, now_ms, can_have_run)
+        return self._parts.chooser(self._service).choose(untried, need, now_ms)
+
+    def _ask_leave(
+        self,
+        choice: Choice,
+        now_ms: int,
+        can_have_run: bool,
+        on_answers: Callable[[], None],
+    ) -> Choice | NotFound:
+        """Return a choice that has got its permit, or another one if it has not."""
+        answered = False
+        waits = False
+
+        def take(granted: Choice | None) -> None:
+            nonlocal answered
+            answered = True
+            self._granted = granted
+            if waits:
+                on_answers()
+
+        self._limited.ask(choice, take)
+        if answered:
+            return self.find(now_ms, can_have_run, on_answers)
+        waits = True
+        return NotFound.ASKING
 
     # -- candidates
 
     def _candidates(self, now_ms: int) -> list[EndpointRecord]:
-        permits = self._parts.permits
-        return self._open(
-            [
-                record
-                for record in self._usable()
-                if not permits.is_scarce(record.entry.run, now_ms)
-            ],
-            now_ms,
-        )
-
-    def _limited(self, now_ms: int) -> list[EndpointRecord]:
-        permits = self._parts.permits
-        return self._open(
-            [each for each in self._usable() if permits.is_limited(each.entry.run)],
-            now_ms,
-        )
+        """Return the endpoints that are chosen from first."""
+        usable = [
+            record
+            for record in self._usable()
+            if not self._limited.goes_last(record, now_ms)
+        ]
+        return self._open(usable, now_ms)
 
     def _usable(self) -> list[EndpointRecord]:
         return self._parts.roster.usable(self._service.name)
@@ -225,15 +225,11 @@
     def _open(
         self, records: Sequence[EndpointRecord], now_ms: int
     ) -> list[EndpointRecord]:
-        return open_records(records, frozenset(self._tried), now_ms)
-
-    def _unlimited(self, records: Sequence[EndpointRecord]) -> list[EndpointRecord]:
-        """Return the engines whose load may be asked for without a permit."""
-        permits = self._parts.permits
-        return [each for each in records if not permits.is_limited(each.entry.run)]
+        passed_over = frozenset(self._tried | self._limited.denied)
+        return open_records(records, passed_over, now_ms)
 
     def _settle(self, choice: Choice) -> Choice:
         self._tried.add(choice.record.entry.run)
+        self._limited.begin_anew()
         self._asked = 0
-        self._permits_asked = 0
         return choice
--- a/savorychute/gateway/permits/permit_desk.py
+++ b/savorychute/gateway/permits/permit_desk.py
@@ -31,6 +31,8 @@
 PERMIT_MS = 500
 # After a home that did not answer, or that takes another instance for the home.
 NO_HOME_MS = 300
+# Only an answer tells that a limit has ended, so an endpoint is called once in a while.
+CONFIRM_MS = 5_000
 
 
 class _Asked(NamedTuple):
@@ -88,6 +90,15 @@
         """
         return self.is_limited(run) and self._room.is_scarce(run, now_ms)
 
+    def is_due(self, run: EndpointRun, now_ms: int) -> bool:
+        """Return whether nobody has heard for a while that an endpoint's limit stands.
+
+        :param run: of the endpoint.
+        :param now_ms: the time.
+        """
+        limit = self._statements.limit(run)
+        return limit is not None and now_ms - limit.stated_ms >= CONFIRM_MS
+
     def wait_ms(self, run: EndpointRun, rank: int, now_ms: int) -> int:
         """Return how long a request need not ask for a permit; 0 if it may.
 
--- a/savorychute/gateway/permits/permit_room.py
+++ b/savorychute/gateway/permits/permit_room.py
@@ -9,18 +9,20 @@
 if TYPE_CHECKING:
     from savorychute.gateway.endpoints.endpoint_run import EndpointRun
 
-# An endpoint that denied a call lately is left to requests that no other one takes.
-SCARCE_MS = 5_000
+# An endpoint that denied a call for so long has too little room for the usual requests.  It
+# is the last choice for a while: with one that comes and goes, homes of prompts move each time.
+SCARCE_WAIT_MS = 250
+SCARCE_MS = 60_000
 # Runs of which something is remembered, the newest.
 RUNS_KEPT = 4_096
 
 
 class _Denied(NamedTuple):
     closed_until_ms: tuple[int, ...]
-    denied_ms: int
+    scarce_until_ms: int
 
 
-NEVER = _Denied((0,) * (LAST_LEVEL + 1), -SCARCE_MS)
+NEVER = _Denied((0,) * (LAST_LEVEL + 1), 0)
 
 
 class PermitRoom:
@@ -42,18 +44,20 @@
             max(until_ms, now_ms + wait_ms) if level >= tier else until_ms
             for level, until_ms in enumerate(before.closed_until_ms)
         )
-        self._denied[run] = _Denied(closed_until_ms, now_ms)
+        scarce_until_ms = before.scarce_until_ms
+        if wait_ms >= SCARCE_WAIT_MS:
+            scarce_until_ms = now_ms + SCARCE_MS
+        self._denied[run] = _Denied(closed_until_ms, scarce_until_ms)
         if len(self._denied) > RUNS_KEPT:
             self._denied.pop(next(iter(self._denied)))
 
     def is_scarce(self, run: EndpointRun, now_ms: int) -> bool:
-        """Return whether any call was denied lately.
+        """Return whether a call was denied lately, and not for a moment only.
 
         :param run: of the endpoint.
         :param now_ms: the time.
         """
-        denied = self._denied.get(run)
-        return denied is not None and now_ms - denied.denied_ms < SCARCE_MS
+        return now_ms < self._denied.get(run, NEVER).scarce_until_ms
 
     def wait_ms(self, run: EndpointRun, tier: int, now_ms: int) -> int:
         """Return until when a call need not be asked for; 0 if it may be.
--- a/tests/test_fleet/test_stated_limits.py
+++ b/tests/test_fleet/test_stated_limits.py
@@ -74,11 +74,12 @@
 
 def find_most(times_s, begin_s):
     """Return the most calls within a span that ends after a time."""
-    return max(
+    counts = (
         index + 1 - bisect_left(times_s, at_s - SPAN_S)
         for index, at_s in enumerate(times_s)
         if at_s >= begin_s
     )
+    return max(counts, default=0)
 
 
 def find_allowed(limit_per_s):
--- a/tests/test_gateway/test_limited_endpoints.py
+++ b/tests/test_gateway/test_limited_endpoints.py
@@ -5,9 +5,15 @@
 import pytest
 from gateway_fakes import SUCCESS, make_prompt, make_scene
 
+from savorychute.gateway.dispatch.limited_endpoints import MOST_PERMITS
 from savorychute.gateway.endpoints.endpoint_statement import EndpointStatement
+from savorychute.gateway.endpoints.engine_load import EngineLoad
 from savorychute.gateway.permits.permit import Permit
+from savorychute.gateway.permits.permit_answer import PermitAnswer
 from savorychute.gateway.permits.permit_desk import PERMIT_MS
+from savorychute.member_address import MemberAddress
+from savorychute.membership.member_view import MemberView
+from savorychute.membership.rendezvous import score_member
 from savorychute.ran import Ran
 from savorychute.result_code import ResultCode
 
@@ -72,7 +78,7 @@
 def test_limited_engine_is_not_asked_for_its_load():
     """Guards against load reports that use up what an engine takes."""
     scene = make_scene(engines=1)
-    limit(scene, 'e0')
+    limit(scene, 'e0', per_s=20.0)
     fill(scene, 'e0')
     scene.start('/draft/1', prompt=make_prompt())
 
@@ -136,3 +142,117 @@
 
     assert len(scene.attempts.sent) == sent + 1
     assert scene.last.endpoint == 'e0'
+
+
+def make_scarce(scene, endpoint):
+    """Let an engine with a limit have denied a call, and saved up some since."""
+    limit(scene, endpoint)
+    fill(scene, endpoint)
+
+
+@pytest.mark.parametrize('path', ['/draft/1', '/diagnosis/1'])
+@pytest.mark.parametrize('endpoint', ['e0', 'e1', 'e2'])
+def test_engine_that_denied_a_call_is_the_last_choice(endpoint, path):
+    """Guards against lanes and homes that move with each permit."""
+    for number in range(5):
+        scene = make_scene(engines=3)
+        make_scarce(scene, endpoint)
+        limit(scene, endpoint)
+        scene.start(path, prompt=make_prompt(f'p{number}'))
+
+        assert scene.last.endpoint != endpoint
+
+
+def test_engine_that_is_denied_for_a_moment_is_asked_once():
+    """Guards against a caller that waits for one home again and again."""
+    scene = make_scene(engines=2)
+    limit(scene, 'e0', 'e1', per_s=40.0)
+    _, caller = scene.start('/draft/1', prompt=make_prompt())
+
+    assert caller.state == 'refused'
+    assert permits_asked(scene) == 2
+
+
+def test_endpoint_that_leaves_while_its_permit_is_asked_for_gets_nothing():
+    """Guards against a call to a leaving endpoint, chosen before it was known."""
+    scene = make_scene(desks=2)
+    questions = ask_others(scene, 'd0')
+    limit(scene, 'd0')
+    while not questions:
+        scene.start()
+    entry = scene.parts.roster.get('d0').entry
+    scene.parts.roster.apply(entry._replace(draining=True, sequence=2))
+    scene.parts.permits.take_answer(PermitAnswer(questions[-1].message.sequence, 0))
+
+    assert scene.last.endpoint == 'd1'
+
+
+def ask_others(scene, endpoint):
+    """Let another instance be an endpoint's home; return the list of questions to it."""
+    questions = []
+    scene.parts.permits.send = questions.append
+    own, other = make_address('kochi-1'), make_address('kochi-2')
+    key = f'{endpoint}/0'
+    number = 2
+    while score_member(key, other) < score_member(key, own):
+        number += 1
+        other = make_address(f'kochi-{number}')
+    scene.parts.permits.follow(MemberView(own, (own, other)))
+    return questions
+
+
+def make_address(name):
+    return MemberAddress(name, 0, 'kerala', 'kochi', '10.0.0.1', 80, 70)
+
+
+def test_limited_engine_takes_a_request_that_would_wait_elsewhere():
+    """Guards against calls that an engine takes and nobody sends, while others wait."""
+    scene = make_scene(engines=2)
+    make_scarce(scene, 'e0')
+    limit(scene, 'e0')
+    scene.attempts.loads['e1'] = EngineLoad(
+        waiting=3, reading=1, generating=4, next_tokens=17_000
+    )
+    scene.start('/diagnosis/1', prompt=make_prompt())
+
+    assert scene.last.endpoint == 'e0'
+
+
+def test_limited_engine_is_called_in_a_while_to_see_whether_its_limit_stands():
+    """Guards against a limit that lasts because nobody calls the engine any more."""
+    scene = make_scene(engines=2)
+    make_scarce(scene, 'e0')
+    scene.start('/draft/1', prompt=make_prompt())
+
+    assert scene.last.endpoint == 'e0'
+
+
+def test_plain_endpoint_is_called_for_all_that_it_takes():
+    """Guards against a limit that is hardly used, where no lanes are at stake."""
+    scene = make_scene(desks=2)
+    limit(scene, 'd0')
+    fill(scene, 'd0')
+    limit(scene, 'd0')
+    for _ in range(30):
+        scene.start()
+
+    sent = [each.endpoint for each in scene.attempts.sent]
+    assert sent.count('d0') >= 2
+    assert sent.count('d1') >= 20
+
+
+def test_request_asks_only_so_many_limited_endpoints():
+    """Guards against a caller that waits for the homes of all endpoints in turn."""
+    scene = make_scene(desks=2 * MOST_PERMITS)
+    limit(scene, *(f'd{number}' for number in range(2 * MOST_PERMITS)))
+    _, caller = scene.start()
+
+    assert caller.state == 'refused'
+    assert permits_asked(scene) == MOST_PERMITS
+
+
+def permits_asked(scene):
+    """Return how many permits were granted or denied."""
+    text = scene.parts.telemetry.metrics.render()[0].decode()
+    lines = [each for each in text.splitlines() if 'permits_total{' in each]
+    return sum(int(float(line.split()[-1])) for line in lines)
