Read that endpoints leave or ask for rest, and log it

No decision changes. What each run of an endpoint says of itself is kept in one place, with a part each for limits, leaving and rest; the answers of attempts and of load reports feed it. A statement that cannot be read changes nothing and is logged once (in the tests: empty, words, several values, negative, infinite; a rest is bounded by an hour). leaving-stated, rest-stated, rests_total.

Cause of it: logs showed neither when an endpoint had said that it leaves nor for how long it had asked for rest, so hypotheses could be told apart by the users' record alone.

--- a/savorychute/gateway/daemon/assembly.py
+++ b/savorychute/gateway/daemon/assembly.py
@@ -129,7 +129,7 @@
         parts.crashes,
         demand,
         parts.shortages,
-        parts.statements,
+        parts.statements.limits,
         parts.permits,
         parts.roster.steady_streams,
         plan,
@@ -204,9 +204,9 @@
     metrics = Metrics(settings.instance, GATEWAY_METRICS)
     telemetry = GatewayTelemetry(around.log, metrics, clock)
     of_endpoints = EndpointTelemetry(telemetry)
-    statements = StatementBook(of_endpoints.limit_stated)
+    statements = StatementBook(of_endpoints)
     timers = LoopTimers()
-    permits = PermitDesk(statements, clock, timers)
+    permits = PermitDesk(statements.limits, clock, timers)
     attempts = AttemptSender(
         around.endpoints, around.adapter, statements, permits, of_endpoints, clock
     )
--- a/savorychute/gateway/daemon/attempt_sender.py
+++ b/savorychute/gateway/daemon/attempt_sender.py
@@ -96,7 +96,7 @@
             run = endpoint.run
             if load is not None and load.born_ms and run.born_ms:
                 run = EndpointRun(run.endpoint, load.born_ms)
-            self.hear(run, response.headers, sent_ms)
+            self.hear(run, response.status, response.headers, sent_ms)
             on_result(load)
 
         submit_timed(
@@ -126,21 +126,24 @@
         run = endpoint.run
         if not self._permits.may_leave(run, permit, self._clock.now_ms()):
             return False
-        limit_per_s = self._statements.limit_per_s(run)
+        limit_per_s = self._statements.limits.limit_per_s(run)
         if limit_per_s is not None:
             self._telemetry.limited_call(endpoint, kind, limit_per_s, request_id)
         return True
 
-    def hear(self, run: EndpointRun, headers: dict[str, str], sent_ms: int) -> None:
+    def hear(
+        self, run: EndpointRun, status: int, headers: dict[str, str], sent_ms: int
+    ) -> None:
         """Take in what an endpoint says of itself.
 
         :param run: the run that answered.
+        :param status: of its answer.
         :param headers: of its answer.
         :param sent_ms: when the call was sent.
         """
-        statement = self._adapter.decode_statement(headers)
-        if statement.unreadable is not None:
-            self._telemetry.statement_unreadable(run, statement.unreadable)
+        statement = self._adapter.decode_statement(status, headers)
+        for unreadable in statement.unreadable:
+            self._telemetry.statement_unreadable(run, unreadable)
         self._statements.take(run, statement, sent_ms, self._clock.now_ms())
 
 
@@ -181,7 +184,8 @@
         """Pass on what the head says."""
         answer = self._adapter.decode_answer(status, headers, self._attempt)
         if answer.kind not in OTHERS_ANSWERS:
-            self._sender.hear(self._attempt.endpoint.run, headers, self._sent_ms)
+            run = self._attempt.endpoint.run
+            self._sender.hear(run, status, headers, self._sent_ms)
         self._listener.answer_began(answer)
 
     def response_data(self, data: bytes) -> None:
--- a/savorychute/gateway/endpoint_telemetry.py
+++ b/savorychute/gateway/endpoint_telemetry.py
@@ -12,7 +12,10 @@
 if TYPE_CHECKING:
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
     from savorychute.gateway.endpoints.endpoint_run import EndpointRun
-    from savorychute.gateway.endpoints.endpoint_statement import UnreadableStatement
+    from savorychute.gateway.endpoints.endpoint_statement import (
+        StatementKind,
+        UnreadableStatement,
+    )
     from savorychute.gateway.permits.permit import Outcome
     from savorychute.gateway.telemetry import GatewayTelemetry
 
@@ -35,7 +38,7 @@
 
     def __init__(self, telemetry: GatewayTelemetry) -> None:
         self._telemetry = telemetry
-        self._unreadable: dict[tuple[EndpointRun, str], None] = {}
+        self._unreadable: dict[tuple[EndpointRun, StatementKind], None] = {}
 
     def limit_stated(self, run: EndpointRun, limit_per_s: float | None) -> None:
         """Log that an endpoint states another limit, or none any more."""
@@ -46,6 +49,21 @@
             limit_per_s=limit_per_s,
         )
 
+    def leaving_stated(self, run: EndpointRun) -> None:
+        """Log that an endpoint says that it leaves."""
+        self._telemetry.log.info('leaving-stated', endpoint=run.endpoint)
+
+    def rest_stated(self, run: EndpointRun, rest_ms: int) -> None:
+        """Log that an endpoint wants nothing of this instance for a while."""
+        self._telemetry.metrics.count('rests_total')
+        self._telemetry.write(
+            LogLevel.WARNING,
+            'rest-stated',
+            '',
+            endpoint=run.endpoint,
+            retry_after_ms=rest_ms,
+        )
+
     def statement_unreadable(
         self, run: EndpointRun, statement: UnreadableStatement
     ) -> None:
@@ -61,7 +79,7 @@
             'statement-unreadable',
             '',
             endpoint=run.endpoint,
-            item=statement.kind,
+            item=statement.kind.value,
             reason=make_word(statement.text),
         )
 
--- a/savorychute/gateway/metric_rows.py
+++ b/savorychute/gateway/metric_rows.py
@@ -53,6 +53,7 @@
         ('service', 'kind'),
         'Calls to endpoints that stated a limit, by what they were made for.',
     ),
+    MetricRow('rests_total', 'counter', (), 'Times that an endpoint asked for rest.'),
     MetricRow(
         'permits_total',
         'counter',
--- a/savorychute/gateway/permits/permit_desk.py
+++ b/savorychute/gateway/permits/permit_desk.py
@@ -18,7 +18,7 @@
 
     from savorychute.clock import Clock
     from savorychute.gateway.endpoints.endpoint_run import EndpointRun
-    from savorychute.gateway.endpoints.statement_book import StatedLimit, StatementBook
+    from savorychute.gateway.endpoints.limit_book import LimitBook, StatedLimit
     from savorychute.gateway.requests.attempt_port import TimerHandle, TimerPort
     from savorychute.member_address import MemberAddress
     from savorychute.membership.member_view import MemberView
@@ -53,15 +53,13 @@
     home, which all choose alike among the members that are alive.  An instance that does
     not reach it calls the endpoint not at all.
 
-    :param statements: the limits.
+    :param limits: that endpoints state.
     :param clock: the time.
     :param timers: end the wait for a home.
     """
 
-    def __init__(
-        self, statements: StatementBook, clock: Clock, timers: TimerPort
-    ) -> None:
-        self._statements = statements
+    def __init__(self, limits: LimitBook, clock: Clock, timers: TimerPort) -> None:
+        self._limits = limits
         self._clock = clock
         self._timers = timers
         self._home = PermitHome()
@@ -80,7 +78,7 @@
 
         :param run: of the endpoint.
         """
-        return self._statements.limit(run) is not None
+        return self._limits.limit(run) is not None
 
     def is_scarce(self, run: EndpointRun, now_ms: int) -> bool:
         """Return whether a limited endpoint denied a call lately.
@@ -96,7 +94,7 @@
         :param run: of the endpoint.
         :param now_ms: the time.
         """
-        limit = self._statements.limit(run)
+        limit = self._limits.limit(run)
         return limit is not None and now_ms - limit.stated_ms >= CONFIRM_MS
 
     def wait_ms(self, run: EndpointRun, rank: int, now_ms: int) -> int:
@@ -134,7 +132,7 @@
         """
         now_ms = self._clock.now_ms()
         tier = tier_of(rank)
-        limit = self._statements.limit(run)
+        limit = self._limits.limit(run)
         if limit is None:
             return Permit(run, now_ms + PERMIT_MS)
         closed_ms = self._room.wait_ms(run, tier, now_ms)
@@ -156,7 +154,7 @@
         on_outcome: Callable[[Outcome], None],
     ) -> None:
         now_ms = self._clock.now_ms()
-        limit = self._statements.limit(run)
+        limit = self._limits.limit(run)
         if limit is None or limit.per_s is None:
             on_outcome(Permit(run, now_ms + PERMIT_MS))
             return
@@ -220,8 +218,8 @@
         """
         now_ms = self._clock.now_ms()
         run = question.run
-        self._statements.hear_limit(run, question.limit_per_s, question.age_ms, now_ms)
-        limit = self._statements.limit(run)
+        self._limits.hear_limit(run, question.limit_per_s, question.age_ms, now_ms)
+        limit = self._limits.limit(run)
         if limit is None:
             return PermitAnswer(question.sequence, 0)
         if self._find_home(run) is not None:
--- a/savorychute/gateway/platform_adapter.py
+++ b/savorychute/gateway/platform_adapter.py
@@ -96,7 +96,9 @@
         """Return what the head of an endpoint's answer says."""
         ...
 
-    def decode_statement(self, headers: dict[str, str]) -> EndpointStatement:
+    def decode_statement(
+        self, status: int, headers: dict[str, str]
+    ) -> EndpointStatement:
         """Return what an endpoint says of itself in the head of any answer."""
         ...
 
--- a/tests/test_fleet/test_attempt_sender.py
+++ b/tests/test_fleet/test_attempt_sender.py
@@ -61,8 +61,8 @@
         metrics = Metrics('k1', GATEWAY_METRICS)
         telemetry = GatewayTelemetry(InstanceLog('k1'), metrics, clock)
         of_endpoints = EndpointTelemetry(telemetry)
-        self.statements = StatementBook(of_endpoints.limit_stated)
-        permits = PermitDesk(self.statements, clock, None)
+        self.statements = StatementBook(of_endpoints)
+        permits = PermitDesk(self.statements.limits, clock, None)
         self.pool = Pool()
         self.listener = Listener()
         self.sender = AttemptSender(
@@ -117,7 +117,7 @@
     handler.about_to_send()
     handler.response_started(status, OURS)
 
-    assert desk.statements.limit_per_s(ENTRY.run) == 1.0
+    assert desk.statements.limits.limit_per_s(ENTRY.run) == 1.0
 
 
 @pytest.mark.parametrize(
@@ -132,7 +132,7 @@
     handler.about_to_send()
     handler.response_started(status, headers)
 
-    assert desk.statements.limit_per_s(ENTRY.run) is None
+    assert desk.statements.limits.limit_per_s(ENTRY.run) is None
 
 
 def test_odd_statement_leaves_the_answer_as_it_is(desk):
@@ -142,4 +142,4 @@
     handler.response_started(200, OURS | {'server-limit': '1e400'})
 
     assert desk.listener.told == ['sends', 200]
-    assert desk.statements.limit_per_s(ENTRY.run) is None
+    assert desk.statements.limits.limit_per_s(ENTRY.run) is None
--- a/tests/test_fleet/test_dialects.py
+++ b/tests/test_fleet/test_dialects.py
@@ -6,7 +6,12 @@
 
 import msgspec
 import pytest
-from fleet import caller_dialect, endpoint_dialect, engine_report
+from fleet import (
+    caller_dialect,
+    endpoint_dialect,
+    engine_report,
+    statement_dialect,
+)
 from fleet.configuration_document import decode_configuration, decode_endpoint
 from fleet.log_records import decode_page, encode_record
 
@@ -14,6 +19,7 @@
 from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
 from savorychute.gateway.endpoints.endpoint_statement import (
     EndpointStatement,
+    StatementKind,
     UnreadableStatement,
 )
 from savorychute.gateway.requests.endpoint_answer import AnswerKind
@@ -174,7 +180,7 @@
     ('text', 'limit_per_s'), [('1', 1.0), ('0.25', 0.25), (' 12 ', 12.0), ('0', 0.0)]
 )
 def test_limit_of_an_endpoint_is_decoded(text, limit_per_s):
-    statement = endpoint_dialect.decode_statement({'server-limit': text})
+    statement = statement_dialect.decode_statement(200, {'server-limit': text})
 
     assert statement == EndpointStatement(limit_per_s)
 
@@ -182,14 +188,55 @@
 @pytest.mark.parametrize('text', ['', 'two', '-1', 'nan', 'inf', '1e400', '1, 2'])
 def test_limit_that_cannot_be_read_states_nothing(text):
     """Guards against an odd statement that costs a caller its answer."""
-    statement = endpoint_dialect.decode_statement({'server-limit': text})
+    statement = statement_dialect.decode_statement(200, {'server-limit': text})
 
     assert statement.limit_per_s is None
-    assert statement.unreadable == UnreadableStatement('server-limit', text)
+    unreadable = UnreadableStatement(StatementKind.LIMIT, text)
+    assert statement.unreadable == (unreadable,)
+
+
+def test_answer_without_a_statement_states_nothing():
+    assert statement_dialect.decode_statement(503, {}) == EndpointStatement()
+
+
+@pytest.mark.parametrize('status', [200, 429, 500, 503])
+def test_any_answer_says_that_its_endpoint_leaves(status):
+    statement = statement_dialect.decode_statement(status, {'server-leaving': '1'})
+
+    assert statement == EndpointStatement(leaving=True)
+
+
+@pytest.mark.parametrize('text', ['', 'yes', '1, 1', '2'])
+def test_leaving_that_cannot_be_read_states_nothing(text):
+    statement = statement_dialect.decode_statement(200, {'server-leaving': text})
+
+    assert not statement.leaving
+    unreadable = UnreadableStatement(StatementKind.LEAVING, text)
+    assert statement.unreadable == (unreadable,)
+
+
+@pytest.mark.parametrize(
+    ('text', 'rest_ms'),
+    [('3', 3_000), ('0.25', 250), ('0', 0), ('1e300', 3_600_000)],
+)
+def test_rest_that_an_endpoint_asks_for_is_decoded(text, rest_ms):
+    statement = statement_dialect.decode_statement(503, {'retry-after': text})
+
+    assert statement == EndpointStatement(rest_ms=rest_ms)
+
+
+def test_only_an_endpoint_that_turns_a_request_away_asks_for_rest():
+    statement = statement_dialect.decode_statement(429, {'retry-after': '3'})
+
+    assert statement == EndpointStatement()
+
 
+@pytest.mark.parametrize('text', ['', '-5', 'inf', '1e400', 'Thu, 03 Dec 2026'])
+def test_rest_that_cannot_be_read_states_nothing(text):
+    statement = statement_dialect.decode_statement(503, {'retry-after': text})
 
-def test_answer_without_a_limit_states_none():
-    assert endpoint_dialect.decode_statement({}) == EndpointStatement()
+    unreadable = UnreadableStatement(StatementKind.REST, text)
+    assert statement == EndpointStatement(unreadable=(unreadable,))
 
 
 def test_report_of_an_engine():
--- a/tests/test_fleet/test_words.py
+++ b/tests/test_fleet/test_words.py
@@ -9,7 +9,7 @@
 NAMES = re.compile(
     r'op/config|keyed\.|(?<!x-)attempt-id|not-executed|server-signature|target-instance'
     r'|prefix-hash|log-append|log-read|log-newest|routeType|pathPrefix|apiKeys'
-    r'|trafficSplit|/-/|server-limit',
+    r'|trafficSplit|/-/|server-limit|server-leaving',
     re.IGNORECASE,
 )
 
--- a/tests/test_gateway/gateway_fakes.py
+++ b/tests/test_gateway/gateway_fakes.py
@@ -380,8 +380,8 @@
         roster.apply(make_entry(f'e{number}', 'pool', slots=places))
     telemetry = make_telemetry(clock)
     of_endpoints = EndpointTelemetry(telemetry)
-    statements = StatementBook(of_endpoints.limit_stated)
-    permits = PermitDesk(statements, clock, timers)
+    statements = StatementBook(of_endpoints)
+    permits = PermitDesk(statements.limits, clock, timers)
     parts = GatewayParts(
         clock=clock,
         timers=timers,
--- a/tests/test_gateway/permit_rig.py
+++ b/tests/test_gateway/permit_rig.py
@@ -10,8 +10,7 @@
 
 from savorychute.clock import MS_PER_S, ManualClock
 from savorychute.gateway.endpoints.endpoint_run import EndpointRun
-from savorychute.gateway.endpoints.endpoint_statement import EndpointStatement
-from savorychute.gateway.endpoints.statement_book import StatementBook
+from savorychute.gateway.endpoints.limit_book import LimitBook
 from savorychute.gateway.permits.permit import Permit
 from savorychute.gateway.permits.permit_answer import PermitAnswer
 from savorychute.gateway.permits.permit_desk import PermitDesk
@@ -44,8 +43,8 @@
         self.alive = True
         self.frozen = False
         self.held = []
-        self.statements = StatementBook(ignore_limit)
-        self.desk = PermitDesk(self.statements, fleet.clock, fleet.timers)
+        self.limits = LimitBook(ignore_limit)
+        self.desk = PermitDesk(self.limits, fleet.clock, fleet.timers)
         self.desk.send = self._send
 
     def _send(self, action):
@@ -61,7 +60,7 @@
         elif isinstance(message, tuple) and hasattr(message, 'tier'):
             self._send_to(sender, self.desk.answer(message))
         else:
-            self.statements.hear(message, self.fleet.now_ms)
+            self.limits.hear(message, self.fleet.now_ms)
 
     def _send_to(self, name, message):
         self.fleet.deliver(self, name, message)
@@ -90,9 +89,13 @@
         if may_leave and self.desk.may_leave(RUN, permit, self.fleet.now_ms):
             self.fleet.call(self, rank)
 
-    def take_answer(self, statement, sent_ms):
-        if self.alive and not self.frozen:
-            self.statements.take(RUN, statement, sent_ms, self.fleet.now_ms)
+    def take_answer(self, limit_per_s, sent_ms):
+        if not self.alive or self.frozen:
+            return
+        if limit_per_s is None:
+            self.limits.end(RUN, sent_ms)
+        else:
+            self.limits.state(RUN, limit_per_s, self.fleet.now_ms)
 
 
 class PermitFleet:
@@ -216,7 +219,7 @@
         self.timers.call_later(GOSSIP_MS, self._gossip)
 
     def _tell(self, teller, hearer):
-        told = teller.statements.told(self.now_ms)
+        told = teller.limits.told(self.now_ms)
         if told and teller.alive and not teller.frozen:
             self.deliver(teller, hearer.name, told)
 
@@ -254,10 +257,9 @@
         return out_of_touch or self.now_ms < self.excused.get(name, 0)
 
     def _answer(self, instance, sent_ms):
-        statement = EndpointStatement(self.limit_per_s)
         if self.limit_per_s is not None:
             self.told_ms.setdefault(instance.name, self.now_ms)
-        instance.take_answer(statement, sent_ms)
+        instance.take_answer(self.limit_per_s, sent_ms)
 
     # -- the judge
 
--- a/tests/test_gateway/test_permit_desk.py
+++ b/tests/test_gateway/test_permit_desk.py
@@ -7,8 +7,7 @@
 
 from savorychute.clock import ManualClock
 from savorychute.gateway.endpoints.endpoint_run import EndpointRun
-from savorychute.gateway.endpoints.endpoint_statement import EndpointStatement
-from savorychute.gateway.endpoints.statement_book import StatementBook
+from savorychute.gateway.endpoints.limit_book import LimitBook
 from savorychute.gateway.permits.permit import Denial, Permit
 from savorychute.gateway.permits.permit_answer import PermitAnswer
 from savorychute.gateway.permits.permit_desk import (
@@ -25,7 +24,6 @@
 
 RUN = EndpointRun('e1', 7)
 FIRST, LAST = 0, 8
-LIMIT = EndpointStatement(1.0)
 
 
 def make_address(name):
@@ -43,8 +41,8 @@
     def __init__(self):
         self.clock = ManualClock(START_MS)
         self.timers = FakeTimers(self.clock)
-        self.statements = StatementBook(ignore_limit)
-        self.desk = PermitDesk(self.statements, self.clock, self.timers)
+        self.limits = LimitBook(ignore_limit)
+        self.desk = PermitDesk(self.limits, self.clock, self.timers)
         self.desk.send = self._send
         self.sent = []
         self.outcomes = []
@@ -52,9 +50,8 @@
     def _send(self, action):
         self.sent.append(action)
 
-    def state(self, limit=LIMIT):
-        now_ms = self.clock.now_ms()
-        self.statements.take(RUN, limit, now_ms, now_ms)
+    def state(self):
+        self.limits.state(RUN, 1.0, self.clock.now_ms())
 
     def ask(self, rank=FIRST):
         return self.desk.request(RUN, rank, self.outcomes.append)
@@ -173,12 +170,11 @@
     desk.desk.follow(make_view('k0'))
     desk.desk.answer(PermitQuestion(3, RUN, 2.5, 400, 0))
 
-    assert desk.statements.limit_per_s(RUN) == 2.5
+    assert desk.limits.limit_per_s(RUN) == 2.5
 
 
 def test_home_that_saw_the_end_of_a_limit_lets_others_call(alone):
-    now_ms = alone.clock.now_ms()
-    alone.statements.take(RUN, EndpointStatement(), now_ms, now_ms)
+    alone.limits.end(RUN, alone.clock.now_ms())
 
     assert alone.desk.answer(PermitQuestion(3, RUN, 1.0, 900, 0)).wait_ms == 0
 
--- a/tests/test_gateway/test_statement_book.py
+++ b/tests/test_gateway/test_statement_book.py
@@ -7,62 +7,77 @@
 from savorychute.gateway.endpoints.endpoint_run import EndpointRun
 from savorychute.gateway.endpoints.endpoint_statement import (
     EndpointStatement,
+    StatementKind,
     UnreadableStatement,
 )
 from savorychute.gateway.endpoints.statement_book import StatementBook
 
 RUN = EndpointRun('e1', 5)
-LIMITED = EndpointStatement(2.0)
-NOTHING = EndpointStatement()
+NEXT_RUN = EndpointRun('e1', 6)
 
 
-@pytest.fixture
-def changes():
-    """Changes of limits, in their order."""
-    return []
+class Listener:
+    """Keeps what it is told."""
 
+    def __init__(self):
+        self.told = []
 
-@pytest.fixture
-def book(changes):
-    return StatementBook(lambda run, limit_per_s: changes.append((run, limit_per_s)))
+    def limit_stated(self, run, limit_per_s):
+        self.told.append((run, limit_per_s))
+
+    def leaving_stated(self, run):
+        self.told.append((run, 'leaves'))
 
+    def rest_stated(self, run, rest_ms):
+        self.told.append((run, rest_ms))
 
-def test_limit_holds_until_an_answer_to_a_later_call_states_none(book, changes):
-    book.take(RUN, LIMITED, sent_ms=10, now_ms=20)
-    assert book.limit_per_s(RUN) == 2.0
 
-    book.take(RUN, NOTHING, sent_ms=30, now_ms=40)
+@pytest.fixture
+def listener():
+    """Who is told of changes."""
+    return Listener()
+
 
-    assert book.limit_per_s(RUN) is None
-    assert changes == [(RUN, 2.0), (RUN, None)]
+@pytest.fixture
+def book(listener):
+    """A book that nothing was said to."""
+    return StatementBook(listener)
 
 
-def test_answer_that_was_under_way_before_the_statement_ends_no_limit(book):
-    """Guards against a late answer that takes back a limit it knows nothing of."""
-    book.take(RUN, LIMITED, sent_ms=10, now_ms=20)
+def test_unreadable_limit_does_not_end_the_one_before(book):
+    unreadable = (UnreadableStatement(StatementKind.LIMIT, 'two'),)
+    book.take(RUN, EndpointStatement(2.0), sent_ms=10, now_ms=20)
 
-    book.take(RUN, NOTHING, sent_ms=15, now_ms=40)
+    book.take(RUN, EndpointStatement(unreadable=unreadable), sent_ms=30, now_ms=40)
 
-    assert book.limit_per_s(RUN) == 2.0
+    assert book.limits.limit_per_s(RUN) == 2.0
 
 
-def test_unreadable_statement_changes_nothing(book):
-    unreadable = EndpointStatement(unreadable=UnreadableStatement('limit', 'two'))
-    book.take(RUN, LIMITED, sent_ms=10, now_ms=20)
+def test_other_unreadable_statement_leaves_the_limit_to_end(book):
+    unreadable = (UnreadableStatement(StatementKind.REST, 'soon'),)
+    book.take(RUN, EndpointStatement(2.0), sent_ms=10, now_ms=20)
 
-    book.take(RUN, unreadable, sent_ms=30, now_ms=40)
+    book.take(RUN, EndpointStatement(unreadable=unreadable), sent_ms=30, now_ms=40)
 
-    assert book.limit_per_s(RUN) == 2.0
+    assert book.limits.limit_per_s(RUN) is None
 
 
-def test_limit_belongs_to_one_run(book):
-    book.take(RUN, LIMITED, sent_ms=10, now_ms=20)
+def test_run_that_leaves_goes_on_leaving(book, listener):
+    """Guards against an endpoint that comes back into use before it ends."""
+    book.take(RUN, EndpointStatement(leaving=True), sent_ms=10, now_ms=20)
+    book.take(RUN, EndpointStatement(leaving=True), sent_ms=20, now_ms=30)
+    book.take(RUN, EndpointStatement(), sent_ms=30, now_ms=40)
 
-    assert book.limit_per_s(EndpointRun('e1', 6)) is None
+    assert RUN in book.leaving
+    assert NEXT_RUN not in book.leaving
+    assert listener.told == [(RUN, 'leaves')]
 
 
-def test_same_limit_is_told_once(book, changes):
-    book.take(RUN, LIMITED, sent_ms=10, now_ms=20)
-    book.take(RUN, LIMITED, sent_ms=30, now_ms=40)
+def test_rest_lasts_until_the_latest_end_that_was_asked_for(book):
+    """Guards against a short rest that ends a long one."""
+    book.take(RUN, EndpointStatement(rest_ms=3_000), sent_ms=10, now_ms=1_000)
+    book.take(RUN, EndpointStatement(rest_ms=500), sent_ms=10, now_ms=1_100)
 
-    assert changes == [(RUN, 2.0)]
+    assert book.rests.left_ms(RUN, 1_100) == 2_900
+    assert book.rests.left_ms(RUN, 4_000) == 0
+    assert book.rests.left_ms(NEXT_RUN, 1_100) == 0
