Pass an answer on whose Retry-After is no finite number

What callers saw: an endpoint that turned a request away with 'Retry-After: inf' or '1e400' cost the caller its answer, since the decoder raised OverflowError inside the connection; with '-5' a caller was refused with a time to come back of -5 s.

Cause: the decoder took every text that float() takes.

--- a/tests/test_fleet/test_dialects.py
+++ b/tests/test_fleet/test_dialects.py
@@ -232,9 +232,13 @@
 
 
 @pytest.mark.parametrize('text', ['', '-5', 'inf', '1e400', 'Thu, 03 Dec 2026'])
-def test_rest_that_cannot_be_read_states_nothing(text):
-    statement = statement_dialect.decode_statement(503, {'retry-after': text})
+def test_retry_after_that_cannot_be_read_reaches_nobody(text):
+    """Guards against an odd header that costs a caller its answer."""
+    headers = {'retry-after': text, 'not-executed': '1'}
+    answer = endpoint_dialect.decode_answer(503, headers, make_attempt())
+    statement = statement_dialect.decode_statement(503, headers)
 
+    assert answer.retry_after_ms == 0
     unreadable = UnreadableStatement(StatementKind.REST, text)
     assert statement == EndpointStatement(unreadable=(unreadable,))
 
