Let no entry of the store take back that an endpoint leaves

Cause: only entries of the store, and the state in load reports of engines, said that an endpoint leaves; the store was away. What a load report said was written into the entry's copy, under the same sequence, so the next listing or heartbeat that still said ready turned it back. Class of fault: an endpoint's own word, which is newer, overwritten by what the store lists of it.

Change: the runs that have said so are kept by run, fed by any answer, any load report and what other members tell with probes; a run that leaves does not return. The roster and each attempt right before its first byte ask there. An engine whose report names another state than ready or draining is taken for one without a report, since leaving is for good now.

Looked for elsewhere: orders of endpoints counted a leaving engine as standing until its entry said so.

--- a/savorychute/gateway/daemon/assembly.py
+++ b/savorychute/gateway/daemon/assembly.py
@@ -129,7 +129,7 @@
         parts.crashes,
         demand,
         parts.shortages,
-        parts.statements.limits,
+        parts.statements,
         parts.permits,
         parts.roster.steady_streams,
         plan,
@@ -210,7 +210,7 @@
     attempts = AttemptSender(
         around.endpoints, around.adapter, statements, permits, of_endpoints, clock
     )
-    roster = EndpointRoster(crashes.endpoint_ended, clock)
+    roster = EndpointRoster(crashes.endpoint_ended, clock, statements.leaving)
     models = EngineModels()
     shortages = Shortages()
     return GatewayParts(
@@ -228,7 +228,7 @@
         guard=OverloadGuard(rng, shortages),
         shortages=shortages,
         engines=models,
-        loads=LoadWatch(attempts, roster, permits, clock),
+        loads=LoadWatch(attempts, roster, statements.leaving, permits, clock),
         statements=statements,
         permits=permits,
         allowance=RetryAllowance(read_bounds(settings), clock.now_ms()),
--- a/savorychute/gateway/daemon/attempt_sender.py
+++ b/savorychute/gateway/daemon/attempt_sender.py
@@ -124,6 +124,8 @@
         :param request_id: the request that it belongs to, or empty.
         """
         run = endpoint.run
+        if kind is CallKind.ATTEMPT and run in self._statements.leaving:
+            return False
         if not self._permits.may_leave(run, permit, self._clock.now_ms()):
             return False
         limit_per_s = self._statements.limits.limit_per_s(run)
--- a/savorychute/gateway/daemon/gateway_host.py
+++ b/savorychute/gateway/daemon/gateway_host.py
@@ -209,7 +209,8 @@
         if self.caller_server is not None:
             metrics.set('open_connections', self.caller_server.open_connections)
         metrics.set('members', len(view.alive) - 1 if view is not None else 0)
-        draining = sum(record.entry.draining for record in self._parts.roster)
+        roster = self._parts.roster
+        draining = sum(roster.is_leaving(record.entry) for record in roster)
         metrics.set('endpoints', draining, state='draining')
         metrics.set('endpoints', len(self._parts.roster) - draining, state='ready')
         metrics.set('configuration_version', configuration.version)
--- a/savorychute/gateway/daemon/peer_group.py
+++ b/savorychute/gateway/daemon/peer_group.py
@@ -41,7 +41,7 @@
     from savorychute.gateway.duties.duty_candidates import DutyCandidates
     from savorychute.gateway.duties.true_time import TrueTime
     from savorychute.gateway.duties.usage_spread import UsageSpread
-    from savorychute.gateway.endpoints.limit_book import LimitBook
+    from savorychute.gateway.endpoints.statement_book import StatementBook
     from savorychute.gateway.permits.permit_desk import PermitDesk
     from savorychute.gateway.recovery.crash_book import CrashBook
     from savorychute.gateway.store.instance_entry import InstanceListing
@@ -76,7 +76,7 @@
     :param crashes: requests that crash endpoints, told to all.
     :param demand: of engines, told to all.
     :param shortages: tiers that get too little, told to all.
-    :param limits: that endpoints state, told to all.
+    :param statements: what endpoints say of themselves, told to all.
     :param permits: for endpoints that take only so many calls.
     :param count_streams: how many steady streams of this instance run.
     :param plan: who reads the store.
@@ -97,7 +97,7 @@
         crashes: CrashBook,
         demand: LaneDemand,
         shortages: Shortages,
-        limits: LimitBook,
+        statements: StatementBook,
         permits: PermitDesk,
         count_streams: Callable[[], int],
         plan: ReadingPlan,
@@ -117,7 +117,7 @@
         self._crashes = crashes
         self._demand = demand
         self._shortages = shortages
-        self._limits = limits
+        self._statements = statements
         self._permits = permits
         self._count_streams = count_streams
         self._plan = plan
@@ -183,7 +183,8 @@
             self._demand.advertised(now_ms),
             self._shortages.advertised(now_ms),
             self._time.own_offset_ms() if self._usage is not None else None,
-            self._limits.told(now_ms),
+            self._statements.limits.told(now_ms),
+            self._statements.leaving.told(now_ms),
         )
         if self._eras.current != self._registration.era and not self._entering:
             self._entering = True
@@ -234,7 +235,8 @@
             if isinstance(message, Ack | Ping):
                 self._demand.hear(message.load, now_ms)
                 self._shortages.hear(message.shortages, now_ms)
-                self._limits.hear(message.limits, now_ms)
+                self._statements.limits.hear(message.limits, now_ms)
+                self._statements.leaving.hear(message.leaving, now_ms)
                 self._time.hear(sender, message.wall_ms, now_ms)
             said = read_advertised(message)
             if said is not None:
--- a/savorychute/gateway/daemon/server_work.py
+++ b/savorychute/gateway/daemon/server_work.py
@@ -30,7 +30,11 @@
         """Take in what stands; return what is newly decided."""
         if self._is_partial(now_ms):
             return []
-        entries = [record.entry for record in self.roster]
+        entries = [
+            record.entry
+            for record in self.roster
+            if not self.roster.is_leaving(record.entry)
+        ]
         self.duty.observe(self._services, entries, now_ms)
         return self.duty.undecided(self._services, now_ms)
 
--- a/savorychute/gateway/endpoints/endpoint_roster.py
+++ b/savorychute/gateway/endpoints/endpoint_roster.py
@@ -8,7 +8,7 @@
 from savorychute.gateway.endpoints.run_order import EntryVerdict, RunOrder
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Iterator
+    from collections.abc import Callable, Container, Iterable, Iterator
 
     from savorychute.clock import Clock
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
@@ -26,21 +26,28 @@
 class EndpointRoster:
     """Follows the platform's entries, and knows better where it can.
 
-    An endpoint gets nothing new once its entry says that it drains, once the entry is
-    gone or cannot be read, or once another endpoint has answered at its address.  A run
+    An endpoint gets nothing new once its entry or one of its answers says that it leaves,
+    once the entry is gone or cannot be read, or once another endpoint has answered at its
+    address.  A run
     that starts under a known name has a record of its own.  Only entries that
     vanish around an outage of the store stay in use for a while: nobody could renew
     them, so their absence says little.
 
     :param on_ended: called with each run that ended and the time.
     :param clock: the time.
+    :param leaving: runs that have said themselves that they leave, whatever their entries
+        say.
     """
 
     def __init__(
-        self, on_ended: Callable[[EndpointRun, int], None], clock: Clock
+        self,
+        on_ended: Callable[[EndpointRun, int], None],
+        clock: Clock,
+        leaving: Container[EndpointRun] = frozenset(),
     ) -> None:
         self._on_ended = on_ended
         self._clock = clock
+        self._leaving = leaving
         self._records: dict[str, EndpointRecord] = {}
         self._by_service: dict[str, dict[str, EndpointRecord]] = {}
         self._ended: dict[EndpointRun, None] = {}
@@ -69,7 +76,14 @@
         :param service: the service's name.
         """
         records = self._by_service.get(service, {}).values()
-        return [record for record in records if not record.entry.draining]
+        return [record for record in records if not self.is_leaving(record.entry)]
+
+    def is_leaving(self, entry: EndpointEntry) -> bool:
+        """Return whether an endpoint will end.
+
+        :param entry: its entry.
+        """
+        return entry.draining or entry.run in self._leaving
 
     def store_failed(self, now_ms: int) -> None:
         """Note that the store did not answer; entries may lapse meanwhile.
@@ -139,7 +153,7 @@
         record = self._records.get(endpoint)
         if record is None or record.missing_until_ms is not None:
             return
-        if now_ms >= self._doubt_until_ms or record.entry.draining:
+        if now_ms >= self._doubt_until_ms or self.is_leaving(record.entry):
             self._drop(record)
             return
         record.missing_until_ms = self._doubt_until_ms
@@ -198,7 +212,7 @@
         self._gone[record.entry.run] = record.entry.sequence
         if len(self._gone) > ENDED_KEPT:
             self._gone.pop(next(iter(self._gone)))
-        if not record.entry.draining:
+        if not self.is_leaving(record.entry):
             self._on_ended(record.entry.run, self._clock.now_ms())
 
     def _forget(self, record: EndpointRecord) -> None:
--- a/savorychute/gateway/endpoints/load_watch.py
+++ b/savorychute/gateway/endpoints/load_watch.py
@@ -15,6 +15,7 @@
     from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
     from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
     from savorychute.gateway.endpoints.engine_load import EngineLoad
+    from savorychute.gateway.endpoints.leaving_runs import LeavingRuns
     from savorychute.gateway.permits.permit import Outcome
     from savorychute.gateway.permits.permit_desk import PermitDesk
     from savorychute.gateway.requests.attempt_port import AttemptPort
@@ -28,7 +29,8 @@
     report can be.  Polling all engines all the time costs more and is staler.
 
     :param attempts: how engines are asked.
-    :param roster: is told of an engine that will end.
+    :param roster: is told of an engine that has begun again.
+    :param leaving: is told of an engine that will end.
     :param permits: for engines that take only so many calls.
     :param clock: the time.
     """
@@ -37,11 +39,13 @@
         self,
         attempts: AttemptPort,
         roster: EndpointRoster,
+        leaving: LeavingRuns,
         permits: PermitDesk,
         clock: Clock,
     ) -> None:
         self._attempts = attempts
         self._roster = roster
+        self._leaving = leaving
         self._permits = permits
         self._clock = clock
         self._waiting: dict[EndpointRun, list[Callable[[bool], None]]] = {}
@@ -110,5 +114,5 @@
             return False
         record.report(load, self._clock.now_ms())
         if load.leaving:
-            self._roster.apply(entry._replace(draining=True))
+            self._leaving.state(entry.run, self._clock.now_ms())
         return True
--- a/savorychute/gateway/requests/request_course.py
+++ b/savorychute/gateway/requests/request_course.py
@@ -137,7 +137,7 @@
         self._give_up('unreachable')
 
     def attempt_withheld(self, attempt: Attempt) -> None:
-        """Go on after an attempt whose endpoint has stated a limit meanwhile."""
+        """Go on after an attempt whose endpoint no longer takes it."""
         self._search.take_back(attempt.choice.record.entry.run)
         self._log_attempt(attempt, 'withheld', '')
         self._sends -= 1
--- a/savorychute/membership/membership.py
+++ b/savorychute/membership/membership.py
@@ -34,6 +34,7 @@
     from savorychute.membership.member_view import MemberView
     from savorychute.membership.settings import MembershipSettings
     from savorychute.membership.tier_shortage import TierShortage
+    from savorychute.membership.told_leaving import ToldLeaving
     from savorychute.membership.told_limit import ToldLimit
 
 
@@ -60,6 +61,7 @@
         self._shortages: tuple[TierShortage, ...] = ()
         self._wall_offset_ms: int | None = None
         self._limits: tuple[ToldLimit, ...] = ()
+        self._leaving: tuple[ToldLeaving, ...] = ()
         self._news = PeerNews()
         self._table = MemberTable(settings)
         self._queue = UpdateQueue(settings)
@@ -93,6 +95,7 @@
         shortages: tuple[TierShortage, ...] = (),
         wall_offset_ms: int | None = None,
         limits: tuple[ToldLimit, ...] = (),
+        leaving: tuple[ToldLeaving, ...] = (),
     ) -> None:
         """Tell the others, on each probe, how far and how busy this instance is.
 
@@ -100,13 +103,15 @@
         :param load: requests in progress, or any other unit that all use.
         :param shortages: tiers whose requests get nothing here.
         :param wall_offset_ms: the time of day less the clock's; None is not told.
-        :param limits: what endpoints stated lately.
+        :param limits: that endpoints stated lately.
+        :param leaving: endpoints that said lately that they leave.
         """
         self._configuration_offset = configuration_offset
         self._load = load
         self._shortages = shortages
         self._wall_offset_ms = wall_offset_ms
         self._limits = limits
+        self._leaving = leaving
 
     def peer_offsets(self) -> dict[str, int]:
         """Return the offsets that members advertised last."""
@@ -280,6 +285,7 @@
             self._shortages,
             self._wall_ms(now_ms),
             self._limits,
+            self._leaving,
         )
         return [send_to(ping.origin.address, ack)]
 
@@ -309,6 +315,7 @@
             self._shortages,
             self._wall_ms(now_ms),
             self._limits,
+            self._leaving,
         )
 
     def _wall_ms(self, now_ms: int) -> int:
--- /dev/null
+++ b/savorychute/membership/told_leaving.py
@@ -0,0 +1,12 @@
+"""What a member says of an endpoint that leaves."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class ToldLeaving(NamedTuple):
+    """A run of an endpoint that has said that it leaves."""
+
+    endpoint: str
+    born_ms: int
--- a/savorychute/wire/messages.capnp
+++ b/savorychute/wire/messages.capnp
@@ -38,6 +38,11 @@
   ageMs @3 :Int64;
 }
 
+struct ToldLeaving {
+  endpoint @0 :Text;
+  bornMs @1 :Int64;
+}
+
 struct Ping {  # tag 10
   sequence @0 :Int64;
   origin @1 :MemberUpdate;
@@ -47,6 +52,7 @@
   shortages @5 :List(TierShortage);
   wallMs @6 :Int64;
   limits @7 :List(ToldLimit);
+  leaving @8 :List(ToldLeaving);
 }
 
 struct Ack {  # tag 11
@@ -58,6 +64,7 @@
   shortages @5 :List(TierShortage);
   wallMs @6 :Int64;
   limits @7 :List(ToldLimit);
+  leaving @8 :List(ToldLeaving);
 }
 
 struct PingRequest {  # tag 12
--- a/tests/test_fleet/test_attempt_sender.py
+++ b/tests/test_fleet/test_attempt_sender.py
@@ -99,6 +99,15 @@
     assert desk.listener.told == ['sends']
 
 
+def test_attempt_does_not_leave_for_an_endpoint_that_has_said_that_it_leaves(desk):
+    """Guards against a call that was under way when its endpoint said so."""
+    handler = desk.begin()
+    desk.statements.leaving.state(ENTRY.run, NOW_MS)
+
+    assert not handler.about_to_send()
+    assert desk.listener.told == ['withheld']
+
+
 def test_report_is_not_asked_of_a_limited_engine_without_a_permit(desk):
     """Guards against load reports that no limit counts."""
 
--- a/tests/test_fleet/test_dialects.py
+++ b/tests/test_fleet/test_dialects.py
@@ -314,6 +314,17 @@
 }
 
 
+@pytest.mark.parametrize(
+    ('state', 'leaving'), [('ready', False), ('draining', True), ('moving', None)]
+)
+def test_only_a_state_that_is_known_says_whether_an_engine_leaves(state, leaving):
+    """Guards against an engine that is left out for ever for a state nobody knows."""
+    body = json.dumps({'waiting': 0, 'running': 0, 'runs': [], 'state': state}).encode()
+    load = engine_report.decode_report(HttpResponse(200, {}, body))
+
+    assert (load.leaving if load is not None else None) is leaving
+
+
 def test_configuration_is_decoded_into_our_names():
     value = msgspec.json.encode(CONFIGURATION)
     deployment = decode_configuration('config', value)
--- a/tests/test_gateway/gateway_fakes.py
+++ b/tests/test_gateway/gateway_fakes.py
@@ -373,15 +373,15 @@
     crashes = CrashBook()
     models = EngineModels()
     shortages = Shortages()
-    roster = EndpointRoster(crashes.endpoint_ended, clock)
-    for number in range(desks):
-        roster.apply(make_entry(f'd{number}'))
-    for number, places in enumerate(slots):
-        roster.apply(make_entry(f'e{number}', 'pool', slots=places))
     telemetry = make_telemetry(clock)
     of_endpoints = EndpointTelemetry(telemetry)
     statements = StatementBook(of_endpoints)
     permits = PermitDesk(statements.limits, clock, timers)
+    roster = EndpointRoster(crashes.endpoint_ended, clock, statements.leaving)
+    for number in range(desks):
+        roster.apply(make_entry(f'd{number}'))
+    for number, places in enumerate(slots):
+        roster.apply(make_entry(f'e{number}', 'pool', slots=places))
     parts = GatewayParts(
         clock=clock,
         timers=timers,
@@ -393,7 +393,7 @@
         guard=OverloadGuard(rng, shortages),
         shortages=shortages,
         engines=models,
-        loads=LoadWatch(attempts, roster, permits, clock),
+        loads=LoadWatch(attempts, roster, statements.leaving, permits, clock),
         statements=statements,
         permits=permits,
         allowance=make_allowance(slack),
