Give an endpoint the rest that it asks this instance for

What callers saw: nothing, their requests went on elsewhere; an engine that had turned an instance away and asked for 3 s of rest got three more requests of it in that time (two allowed), one of them run.

Cause: the time was read and only given to callers that were refused; no choice looked at it. What keeps requests from an endpoint was a block, which is a guess and is dropped where no other endpoint is left.

A resting endpoint is no candidate, not even as the last one; an attempt asks again right before its first byte; it is not asked for its load. Where all that are left rest, or have taken all the calls that they state to take, the caller is refused at once with the least time left; no repeat is spent then, nor after a rejection that leaves no other endpoint.

Ruled out: telling other instances, since an endpoint asks each one by itself.

--- a/savorychute/gateway/daemon/assembly.py
+++ b/savorychute/gateway/daemon/assembly.py
@@ -228,7 +228,7 @@
         guard=OverloadGuard(rng, shortages),
         shortages=shortages,
         engines=models,
-        loads=LoadWatch(attempts, roster, statements.leaving, permits, clock),
+        loads=LoadWatch(attempts, roster, statements, permits, clock),
         statements=statements,
         permits=permits,
         allowance=RetryAllowance(read_bounds(settings), clock.now_ms()),
--- a/savorychute/gateway/daemon/attempt_sender.py
+++ b/savorychute/gateway/daemon/attempt_sender.py
@@ -123,10 +123,12 @@
         :param kind: what it is for.
         :param request_id: the request that it belongs to, or empty.
         """
-        run = endpoint.run
+        run, now_ms = endpoint.run, self._clock.now_ms()
         if kind is CallKind.ATTEMPT and run in self._statements.leaving:
             return False
-        if not self._permits.may_leave(run, permit, self._clock.now_ms()):
+        if self._statements.rests.left_ms(run, now_ms):
+            return False
+        if not self._permits.may_leave(run, permit, now_ms):
             return False
         limit_per_s = self._statements.limits.limit_per_s(run)
         if limit_per_s is not None:
--- a/savorychute/gateway/dispatch/endpoint_search.py
+++ b/savorychute/gateway/dispatch/endpoint_search.py
@@ -27,12 +27,16 @@
 
 
 class NotFound(Enum):
-    """Why there is no endpoint now; ``ASKING`` calls back when answers have come."""
+    """Why there is no endpoint now.
+
+    ``ASKING`` calls back when answers have come.  ``CLOSED``: those that are left rest, or
+    have taken all the calls that they state to take.
+    """
 
     ASKING = auto()
     NONE_LEFT = auto()
     OVERLOADED = auto()
-    LIMITED = auto()
+    CLOSED = auto()
 
 
 class EndpointSearch:
@@ -73,7 +77,7 @@
         :param on_answers: called once after ``ASKING``, when the search should go on.
         """
         granted, self._granted = self._granted, None
-        if granted is not None and granted.record in self._usable():
+        if granted is not None and granted.record in self._usable(now_ms):
             return self._settle(granted)
         found = self._find(now_ms, can_have_run, on_answers)
         if isinstance(found, NotFound):
@@ -134,7 +138,7 @@
 
     def has_other(self, now_ms: int) -> bool:
         """Return whether there is an endpoint that has not had the request."""
-        return bool(self._candidates(now_ms))
+        return bool(self._open(self._usable(now_ms), now_ms))
 
     def take_back(self, run: EndpointRun) -> None:
         """Take in that a request did not leave for an endpoint after all.
@@ -144,11 +148,18 @@
         self._tried.discard(run)
 
     def wait_ms(self, now_ms: int) -> int:
-        """Return how long it takes until a limited endpoint may take the request.
+        """Return how long it takes until an endpoint may take the request.
 
         :param now_ms: the time.
         """
-        return self._limited.wait_ms(self._usable(), now_ms)
+        waits_ms = (
+            max(self._rest_ms(record, now_ms), self._limited.wait_ms(record, now_ms))
+            for record in self._listed()
+        )
+        return min(waits_ms, default=0)
+
+    def _rest_ms(self, record: EndpointRecord, now_ms: int) -> int:
+        return self._parts.statements.rests.left_ms(record.entry.run, now_ms)
 
     # -- limited endpoints
 
@@ -156,15 +167,19 @@
         """Return a limited endpoint for a request that has no other one."""
         choice = self._choose_limited(now_ms)
         if choice is None:
-            has_limited = any(map(self._limited.is_limited, self._usable()))
-            return NotFound.LIMITED if has_limited else NotFound.NONE_LEFT
+            is_closed = any(self._is_closed(each, now_ms) for each in self._listed())
+            return NotFound.CLOSED if is_closed else NotFound.NONE_LEFT
         if can_have_run or self._admits(choice, now_ms):
             return choice
         return NotFound.OVERLOADED
 
+    def _is_closed(self, record: EndpointRecord, now_ms: int) -> bool:
+        is_resting = self._rest_ms(record, now_ms) > 0
+        return is_resting or self._limited.is_limited(record)
+
     def _prefer_limited(self, choice: Choice, now_ms: int) -> Choice:
         """Return a limited endpoint in place of a choice, if there is a reason."""
-        usable = self._usable()
+        usable = self._usable(now_ms)
         if choice.load_known and choice.wait_ms > BUSY_MS:
             records = self._limited.find_open(usable, now_ms)
         else:
@@ -172,7 +187,7 @@
         return self._choose_among(records, now_ms) or choice
 
     def _choose_limited(self, now_ms: int) -> Choice | None:
-        records = self._limited.find_open(self._usable(), now_ms)
+        records = self._limited.find_open(self._usable(now_ms), now_ms)
         return self._choose_among(records, now_ms)
 
     def _choose_among(
@@ -214,12 +229,15 @@
         """Return the endpoints that are chosen from first."""
         usable = [
             record
-            for record in self._usable()
+            for record in self._usable(now_ms)
             if not self._limited.goes_last(record, now_ms)
         ]
         return self._open(usable, now_ms)
 
-    def _usable(self) -> list[EndpointRecord]:
+    def _usable(self, now_ms: int) -> list[EndpointRecord]:
+        return [each for each in self._listed() if not self._rest_ms(each, now_ms)]
+
+    def _listed(self) -> list[EndpointRecord]:
         return self._parts.roster.usable(self._service.name)
 
     def _open(
--- a/savorychute/gateway/dispatch/limited_endpoints.py
+++ b/savorychute/gateway/dispatch/limited_endpoints.py
@@ -90,20 +90,15 @@
         return [each for each in found if self._permits.is_due(each.entry.run, now_ms)]
 
     def _is_open(self, record: EndpointRecord, now_ms: int) -> bool:
-        return not self._permits.wait_ms(record.entry.run, self._rank, now_ms)
+        return not self.wait_ms(record, now_ms)
 
-    def wait_ms(self, records: Sequence[EndpointRecord], now_ms: int) -> int:
-        """Return how long it takes until a limited endpoint may take the request.
+    def wait_ms(self, record: EndpointRecord, now_ms: int) -> int:
+        """Return how long it takes until an endpoint may take the request.
 
-        :param records: endpoints of the service.
+        :param record: the endpoint.
         :param now_ms: the time.
         """
-        waits_ms = (
-            self._permits.wait_ms(each.entry.run, self._rank, now_ms)
-            for each in records
-            if self.is_limited(each)
-        )
-        return min(waits_ms, default=0)
+        return self._permits.wait_ms(record.entry.run, self._rank, now_ms)
 
     def ask(self, choice: Choice, on_answer: Callable[[Choice | None], None]) -> None:
         """Ask for a permit.
--- a/savorychute/gateway/dispatch/overload_guard.py
+++ b/savorychute/gateway/dispatch/overload_guard.py
@@ -24,6 +24,8 @@
 # too long for one objective is gone after about as long.
 FIRST_RETRY_MS = 800
 LAST_RETRY_MS = 2_000
+# The same where the time is known.
+SPREAD_MS = 400
 # Part of the recent share that is refused whatever the last report says.  It bounds the least
 # urgent tier alone: a higher one is refused only where all of the lower one is.
 RECENT_WEIGHT = 0.7
@@ -129,8 +131,14 @@
             return RECENT_LIMIT
         return shares._fields[shares.index(max(shares))]
 
-    def retry_after_ms(self) -> int:
-        """Return when a refused caller should come back."""
+    def retry_after_ms(self, wait_ms: int = 0) -> int:
+        """Return when a refused caller should come back.
+
+        :param wait_ms: how long it takes until an endpoint takes requests again; 0 if
+            that is not known.
+        """
+        if wait_ms:
+            return wait_ms + self._rng.randint(0, SPREAD_MS)
         return self._rng.randint(FIRST_RETRY_MS, LAST_RETRY_MS)
 
 
--- a/savorychute/gateway/endpoints/load_watch.py
+++ b/savorychute/gateway/endpoints/load_watch.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from savorychute.gateway.endpoints.endpoint_run import EndpointRun
-from savorychute.gateway.permits.permit import Permit
+from savorychute.gateway.permits.permit import Denial, Permit
 from savorychute.gateway.requests.rank import LEAST_URGENT
 
 if TYPE_CHECKING:
@@ -15,7 +15,7 @@
     from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
     from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
     from savorychute.gateway.endpoints.engine_load import EngineLoad
-    from savorychute.gateway.endpoints.leaving_runs import LeavingRuns
+    from savorychute.gateway.endpoints.statement_book import StatementBook
     from savorychute.gateway.permits.permit import Outcome
     from savorychute.gateway.permits.permit_desk import PermitDesk
     from savorychute.gateway.requests.attempt_port import AttemptPort
@@ -30,7 +30,7 @@
 
     :param attempts: how engines are asked.
     :param roster: is told of an engine that has begun again.
-    :param leaving: is told of an engine that will end.
+    :param statements: what engines say of themselves.
     :param permits: for engines that take only so many calls.
     :param clock: the time.
     """
@@ -39,13 +39,13 @@
         self,
         attempts: AttemptPort,
         roster: EndpointRoster,
-        leaving: LeavingRuns,
+        statements: StatementBook,
         permits: PermitDesk,
         clock: Clock,
     ) -> None:
         self._attempts = attempts
         self._roster = roster
-        self._leaving = leaving
+        self._statements = statements
         self._permits = permits
         self._clock = clock
         self._waiting: dict[EndpointRun, list[Callable[[bool], None]]] = {}
@@ -77,7 +77,8 @@
     ) -> None:
         """Ask one engine; tell whether it answered in time.
 
-        One that may not be called now, because it states a limit, is taken for alive.
+        One that may not be called now, because it rests or states a limit, is taken for
+        alive.
 
         :param record: the engine.
         :param on_result: called once.
@@ -102,6 +103,10 @@
             for callback in self._waiting.pop(run, ()):
                 callback(True)
 
+        rest_ms = self._statements.rests.left_ms(run, self._clock.now_ms())
+        if rest_ms:
+            go_on(Denial(rest_ms))
+            return
         outcome = self._permits.request(run, rank, go_on)
         if outcome is not None:
             go_on(outcome)
@@ -114,5 +119,5 @@
             return False
         record.report(load, self._clock.now_ms())
         if load.leaving:
-            self._leaving.state(entry.run, self._clock.now_ms())
+            self._statements.leaving.state(entry.run, self._clock.now_ms())
         return True
--- a/savorychute/gateway/requests/request_course.py
+++ b/savorychute/gateway/requests/request_course.py
@@ -190,7 +190,7 @@
             attempt.choice.record.health.failed(self.now_ms())
             self._refused_after_ms = max(self._refused_after_ms, answer.retry_after_ms)
         self._log_attempt(attempt, 'rejected', answer.kind.name.lower())
-        if self._may_go_on() and self._spend() and self._send():
+        if self._may_go_on() and self._send_again():
             return
         self._give_up('rejected')
 
@@ -215,7 +215,12 @@
         if self._parts.crashes.is_suspect(self._admitted.fingerprint, self.now_ms()):
             return False
         self._answer.relay.restart()
-        return self._spend() and self._send()
+        return self._send_again()
+
+    def _send_again(self) -> bool:
+        """Send a further attempt out of the shared bound, if there is an endpoint."""
+        has_other = self._search.has_other(self.now_ms())
+        return has_other and self._spend() and self._send()
 
     def _may_go_on(self) -> bool:
         remaining_ms = self._admitted.end_ms - self.now_ms()
@@ -255,7 +260,7 @@
             return True
         if found is NotFound.NONE_LEFT:
             return False
-        if found in (NotFound.OVERLOADED, NotFound.LIMITED):
+        if found in (NotFound.OVERLOADED, NotFound.CLOSED):
             self._note_refusal(found, now_ms)
             return False
         self._send_to(found, now_ms)
@@ -264,9 +269,8 @@
     def _note_refusal(self, found: NotFound, now_ms: int) -> None:
         """Note when the caller should come back."""
         self._overloaded = True
-        self._refused_after_ms = self._parts.guard.retry_after_ms()
-        if found is NotFound.LIMITED:
-            self._refused_after_ms += self._search.wait_ms(now_ms)
+        wait_ms = self._search.wait_ms(now_ms) if found is NotFound.CLOSED else 0
+        self._refused_after_ms = self._parts.guard.retry_after_ms(wait_ms)
         if self._admitted.service.runs_models:
             self._observer.refused(now_ms)
 
--- a/tests/test_fleet/test_attempt_sender.py
+++ b/tests/test_fleet/test_attempt_sender.py
@@ -108,6 +108,15 @@
     assert desk.listener.told == ['withheld']
 
 
+def test_attempt_does_not_leave_for_an_endpoint_that_rests(desk):
+    """Guards against a call that was under way when its endpoint asked for rest."""
+    handler = desk.begin()
+    desk.statements.rests.state(ENTRY.run, 500, NOW_MS)
+
+    assert not handler.about_to_send()
+    assert desk.listener.told == ['withheld']
+
+
 def test_report_is_not_asked_of_a_limited_engine_without_a_permit(desk):
     """Guards against load reports that no limit counts."""
 
