--- a/benches/gateway_soak/__main__.py
+++ b/benches/gateway_soak/__main__.py
@@ -27,6 +27,11 @@
         action='store_true',
         help='let the store go back now and then, and report usage',
     )
+    parser.add_argument(
+        '--statements',
+        action='store_true',
+        help='let endpoints state limits, leave and ask for rest',
+    )
     parser.add_argument('--keep', type=Path, help='a folder for the logs')
     arguments = parser.parse_args()
     failed = 0
@@ -42,6 +47,7 @@
                     arguments.gateways,
                     arguments.callers,
                     older_copies=arguments.older_copies,
+                    statements=arguments.statements,
                 )
             )
         print(f'seed {seed}: {result.counts}, faults {result.faults}', flush=True)
--- a/benches/gateway_soak/endpoint.py
+++ b/benches/gateway_soak/endpoint.py
@@ -41,6 +41,11 @@
         self.full = False
         self.crashed = False
         self.drained_s: float | None = None
+        # What each answer says beside the answer itself.
+        self.stated: tuple[tuple[str, str], ...] = ()
+        # When it was called, and when it began to run a request.
+        self.calls_s: list[float] = []
+        self.runs_s: list[float] = []
         self._ledger = ledger
         self._rng = rng
         self._sequence = 0
@@ -71,20 +76,22 @@
         if self.crashed:
             exchange.abort()
             return
+        self.calls_s.append(asyncio.get_running_loop().time())
         if exchange.request.target == '/-/report':
-            exchange.respond(200, (), b'{"waiting":0,"running":0,"runs":[]}')
+            exchange.respond(200, self.stated, b'{"waiting":0,"running":0,"runs":[]}')
             return
         if headers.get('target-instance') != self.name:
             exchange.respond(421, (), b'')
             return
         if self.full:
-            exchange.respond(503, (('not-executed', '1'),), b'')
+            exchange.respond(503, (('not-executed', '1'), *self.stated), b'')
             return
         attempt = headers['attempt-id']
         self._note_run(attempt, headers)
         await self._run(exchange, attempt, headers)
 
     def _note_run(self, attempt: str, headers: dict[str, str]) -> None:
+        self.runs_s.append(asyncio.get_running_loop().time())
         self._ledger.ran(attempt, self.name, 'authorization' in headers)
         calm_s = self._ledger.in_touch_since_s()
         if self.drained_s is None or calm_s is None:
@@ -96,7 +103,7 @@
     async def _run(
         self, exchange: ServerExchange, attempt: str, headers: dict[str, str]
     ) -> None:
-        proof = (('attempt-id', attempt), (PROOF, self.name))
+        proof = (('attempt-id', attempt), (PROOF, self.name), *self.stated)
         breaks = self._rng.random() < self.grey
         if self.service == 'desk':
             await asyncio.sleep(WORK_S)
--- a/benches/gateway_soak/faults.py
+++ b/benches/gateway_soak/faults.py
@@ -34,12 +34,12 @@
 
 async def _harm(site: Site, proxies: list[Proxy], harm: Harm) -> None:
     for proxy in proxies:
-        proxy.harm = harm
+        proxy.change(harm)
         if harm is Harm.REFUSE:
             proxy.reset_all()
     await _rest(site)
     for proxy in proxies:
-        proxy.harm = Harm.NONE
+        proxy.change(Harm.NONE)
         if harm is Harm.SILENT:
             proxy.reset_all()
 
--- a/benches/gateway_soak/play.py
+++ b/benches/gateway_soak/play.py
@@ -13,8 +13,10 @@
 from benches.gateway_soak.ledger import Ledger
 from benches.gateway_soak.platform import go_back_now_and_then
 from benches.gateway_soak.site import Site
+from benches.gateway_soak.statements import StatementDrill
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     from pathlib import Path
 
 START_S = 60.0
@@ -22,6 +24,9 @@
 CALM_S = 2.0
 GAP_S = 1.2
 SETTLE_S = 6.0
+# Faults that leave gateways longer undisturbed, so that what endpoints get can be judged.
+OF_GATEWAYS = ('kill', 'kill-all', 'stop', 'pause')
+CALMER = [name for name in FAULTS if name not in OF_GATEWAYS] * 4 + list(OF_GATEWAYS)
 # Of the answers in the calm seconds at the end.
 LEAST_SERVED = 0.9
 
@@ -42,6 +47,7 @@
     callers: int,
     settle: bool = True,
     older_copies: bool = False,
+    statements: bool = False,
 ) -> Result:
     """Run gateways under load, disturb them, let them settle, and check.
 
@@ -52,6 +58,7 @@
     :param callers: how many connections send.
     :param settle: wait for calm, and check that nearly all is served again.
     :param older_copies: let the store go back now and then, and report usage.
+    :param statements: let endpoints state limits, leave and ask for rest.
     """
     ledger = Ledger()
     site = Site(folder, ledger, rng)
@@ -66,10 +73,13 @@
         own_rng = random.Random(rng.random())
         drill = asyncio.create_task(go_back_now_and_then(site, own_rng))
         drills.append(drill)
+    stating = StatementDrill(site, random.Random(rng.random())) if statements else None
     try:
         await _until_served(ledger)
         await asyncio.sleep(CALM_S)
-        await _disturb(site, seconds, counts)
+        if stating is not None:
+            drills.append(asyncio.create_task(stating.run()))
+        await _disturb(site, seconds, counts, CALMER if statements else list(FAULTS))
         for drill in drills:
             drill.cancel()
             await asyncio.gather(drill, return_exceptions=True)
@@ -87,6 +97,9 @@
     if any(code is not None and code > 0 for code in codes):
         broken.append(f'a gateway ended with codes {codes}')
     broken.extend(_find_defects(folder))
+    if stating is not None:
+        ledger.counts['statements'] = stating.judged
+        broken.extend(stating.check())
     if site.platform is not None:
         ledger.counts['windows'] = site.platform.windows
         broken.extend(site.platform.check())
@@ -100,13 +113,15 @@
             await asyncio.sleep(LOOK_S)
 
 
-async def _disturb(site: Site, seconds: float, counts: Counter[str]) -> None:
+async def _disturb(
+    site: Site, seconds: float, counts: Counter[str], names: Sequence[str]
+) -> None:
     """Begin faults one after the other; they overlap."""
     loop = asyncio.get_running_loop()
     end_s = loop.time() + seconds
     running = []
     while loop.time() < end_s:
-        name = site.rng.choice(list(FAULTS))
+        name = site.rng.choice(names)
         counts[name] += 1
         running.append(loop.create_task(FAULTS.get(name)(site)))
         await asyncio.sleep(site.rng.random() * GAP_S)
--- a/benches/gateway_soak/proxy.py
+++ b/benches/gateway_soak/proxy.py
@@ -31,6 +31,8 @@
         self.target_port = target_port
         self.harm = Harm.NONE
         self.port = 0
+        # When the harm changed, or connections were cut.
+        self.events_s: list[float] = []
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
@@ -39,8 +41,17 @@
         self._server = await asyncio.start_server(self._accept, LOOPBACK, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def change(self, harm: Harm) -> None:
+        """Do something else to the bytes from now on.
+
+        :param harm: what.
+        """
+        self.harm = harm
+        self.events_s.append(asyncio.get_running_loop().time())
+
     def reset_all(self) -> None:
         """Cut every connection without a farewell."""
+        self.events_s.append(asyncio.get_running_loop().time())
         for writer in tuple(self._writers):
             writer.transport.abort()
 
--- a/benches/gateway_soak/site.py
+++ b/benches/gateway_soak/site.py
@@ -50,6 +50,8 @@
         self.ports = free_ports(5)
         self.process: asyncio.subprocess.Process | None = None
         self._starting = asyncio.Lock()
+        # When it was started, or sent a signal.
+        self.events_s: list[float] = []
         self.settings.write_text(json.dumps(self._document()))
 
     @property
@@ -64,6 +66,7 @@
                 return
             # With the fault that a reload left in it, no process starts.
             self.settings.write_text(json.dumps(self._document()))
+            self._note_event()
             with self.log.open('ab') as log:
                 self.process = await asyncio.create_subprocess_exec(
                     sys.executable,
@@ -78,9 +81,13 @@
     def send(self, number: signal.Signals) -> None:
         """Send the process a signal, if it is there."""
         if self.process is not None and self.process.returncode is None:
+            self._note_event()
             with suppress(ProcessLookupError):
                 self.process.send_signal(number)
 
+    def _note_event(self) -> None:
+        self.events_s.append(asyncio.get_running_loop().time())
+
     async def end(self) -> None:
         """Wait for the process, and end it by force if it stays."""
         if self.process is None:
--- a/savorychute/explain/sentences.py
+++ b/savorychute/explain/sentences.py
@@ -79,6 +79,14 @@
     )
 
 
+@SENTENCES.register('permit-decided')
+def _tell_permit(fields: dict[str, Any]) -> str:
+    text = f'leave to call {fields.get("endpoint")} was {fields.get("state")}'
+    if fields.get('retry_after_ms'):
+        text += f', for {fields["retry_after_ms"]} ms'
+    return text
+
+
 @SENTENCES.register('request-finished')
 def _tell_finished(fields: dict[str, Any]) -> str:
     text = (
@@ -118,6 +126,14 @@
     return f'learned that {fields.get("endpoint")} is {fields.get("state")}'
 
 
+@SENTENCES.register('limit-stated')
+def _tell_limit(fields: dict[str, Any]) -> str:
+    limit_per_s = fields.get('limit_per_s')
+    if limit_per_s is None:
+        return f'learned that {fields.get("endpoint")} takes any number of calls'
+    return f'learned that {fields.get("endpoint")} takes {limit_per_s} calls a second'
+
+
 @SENTENCES.register('instance-started')
 def _tell_started(fields: dict[str, Any]) -> str:
     return f'started, for callers at {fields.get("address")}'
--- a/savorychute/explain/story.py
+++ b/savorychute/explain/story.py
@@ -26,6 +26,9 @@
     }
 )
 
+# What endpoints say of themselves; it may be why a request was sent to none.
+STATEMENTS = frozenset({'limit-stated'})
+
 
 def tell_story(request_id: str, lines: Sequence[LogLine]) -> list[str]:
     """Return a sentence for each line that explains a request.
@@ -41,6 +44,7 @@
         return []
     instances = {line.instance for line in own}
     endpoints = {line.fields.get('endpoint') for line in own} - {None, ''}
+    told = BELIEFS if endpoints else BELIEFS | STATEMENTS
     begin_s = own[0].timestamp_s - BEFORE_S
     end_s = own[-1].timestamp_s + AFTER_S
     chosen = [
@@ -50,7 +54,7 @@
         or (
             begin_s <= line.timestamp_s <= end_s
             and line.instance in instances
-            and (line.event in BELIEFS or line.fields.get('endpoint') in endpoints)
+            and (line.event in told or line.fields.get('endpoint') in endpoints)
             and not line.request_id
         )
     ]
--- a/tests/test_fleet/test_explaining.py
+++ b/tests/test_fleet/test_explaining.py
@@ -102,3 +102,16 @@
     assert answer.status == 503
     assert 'could not read configuration' in story
     assert 'key-unconfirmed' in story
+
+
+def test_refusal_where_the_only_endpoint_takes_no_more_calls(tmp_path):
+    async def scenario(rig):
+        rig.endpoints['d1'].stated = (('server-limit', '0.5'),)
+        await rig.call()
+        return await rig.call()
+
+    answer, story = explain(scenario, tmp_path)
+
+    assert answer.status == 503
+    assert 'learned that d1 takes 0.5 calls a second' in story
+    assert 'leave to call d1 was denied, for 2000 ms' in story
--- a/tests/test_gateway/permit_rig.py
+++ b/tests/test_gateway/permit_rig.py
@@ -14,6 +14,7 @@
 from savorychute.gateway.permits.permit import Permit
 from savorychute.gateway.permits.permit_answer import PermitAnswer
 from savorychute.gateway.permits.permit_desk import PermitDesk
+from savorychute.gateway.permits.permit_question import PermitQuestion
 from savorychute.member_address import MemberAddress
 from savorychute.membership.member_view import MemberView
 
@@ -57,7 +58,7 @@
             self.held.append((sender, message))
         elif isinstance(message, PermitAnswer):
             self.desk.take_answer(message)
-        elif isinstance(message, tuple) and hasattr(message, 'tier'):
+        elif isinstance(message, PermitQuestion):
             self._send_to(sender, self.desk.answer(message))
         else:
             self.limits.hear(message, self.fleet.now_ms)
@@ -114,7 +115,8 @@
         self.told_ms = {}
         # When a call came, from whom, how urgent.
         self.calls = []
-        self.messages = 0
+        # That were asked of homes.
+        self.questions = 0
         self.instances = {}
         for number in range(instances):
             self._add(f'k{number}')
@@ -200,7 +202,7 @@
     # -- messages
 
     def deliver(self, sender, name, message):
-        self.messages += 1
+        self.questions += isinstance(message, PermitQuestion)
         lost = self._rng.random() < self._loss_share
         if lost or {sender.name, name} & self.cut:
             return
