Let endpoints of the soak leave by their own word and ask for rest, and explain both

The soak's endpoints said that they leave in their entries alone, and never asked for rest.

Also: savorychute explain tells of leaving and resting endpoints, the more where a request was sent to none.

--- a/benches/gateway_soak/statements.py
+++ b/benches/gateway_soak/statements.py
@@ -1,4 +1,4 @@
-"""Endpoints that state limits, and a judge of the calls they get."""
+"""Endpoints that state limits, leave or ask for rest, and a judge of the calls they get."""
 
 from __future__ import annotations
 
@@ -19,9 +19,15 @@
 NOTICE_S = 3.0
 LIMITS_PER_S = (1, 3, 10, 30)
 LIMIT_S = 9.0
+# From the first answer that says so to the time from which on nothing new may come.
+DRAIN_S = 2.0
+LEAVE_S = 4.0
+REST_S = 2.0
 TOLD_S = 0.5
 # Faults last up to about so long; one that began before a span may reach into it.
 FAULT_S = 4.0
+# The call that is turned away, and those that the users' rule allows an instance besides.
+MOST_CALLS = 3
 
 
 class Stated(NamedTuple):
@@ -58,13 +64,29 @@
                 endpoint = self._rng.choice(self._site.endpoints)
                 if endpoint.stated or endpoint.drained_s is not None:
                     continue
-                tasks.create_task(self._limit(endpoint))
+                kind = self._rng.choice([self._limit, self._leave, self._rest])
+                tasks.create_task(kind(endpoint))
 
     async def _limit(self, endpoint: SoakEndpoint) -> None:
         limit_per_s = self._rng.choice(LIMITS_PER_S)
         endpoint.stated = (('server-limit', str(limit_per_s)),)
         await self._keep('limit', endpoint, LIMIT_S, limit_per_s)
 
+    async def _leave(self, endpoint: SoakEndpoint) -> None:
+        """Say so in answers alone: the entry goes on being ready."""
+        await self._site.add_endpoint(endpoint.service)
+        endpoint.stated = (('server-leaving', '1'),)
+        await self._keep('leaving', endpoint, LEAVE_S)
+        self._site.remove_entry(endpoint)
+
+    async def _rest(self, endpoint: SoakEndpoint) -> None:
+        endpoint.stated = (('retry-after', str(REST_S)),)
+        endpoint.full = True
+        try:
+            await self._keep('rest', endpoint, REST_S)
+        finally:
+            endpoint.full = False
+
     async def _keep(
         self, kind: str, endpoint: SoakEndpoint, lasts_s: float, limit_per_s: float = 0
     ) -> None:
@@ -91,7 +113,11 @@
         if stated.endpoint.name != stated.name:
             # Another run has the address, and has stated nothing before.
             return ''
-        return self._judge_limit(stated)
+        if stated.kind == 'limit':
+            return self._judge_limit(stated)
+        if stated.kind == 'leaving':
+            return self._judge_leaving(stated)
+        return self._judge_rest(stated)
 
     def _judge_limit(self, stated: Stated) -> str:
         # Calls of before, and those that crossed the statement, are no breach.
@@ -108,6 +134,24 @@
                 )
         return ''
 
+    def _judge_leaving(self, stated: Stated) -> str:
+        runs_s = stated.endpoint.runs_s
+        told = _between(runs_s, stated.from_s, stated.until_s)
+        if not told:
+            return ''
+        for at_s in _between(runs_s, told[0] + NOTICE_S + DRAIN_S, float('inf')):
+            if self._is_calm(stated, told[0], at_s):
+                late_s = at_s - told[0]
+                return f'{stated.endpoint.name}: run {late_s:.2f} s after it said it leaves'
+        return ''
+
+    def _judge_rest(self, stated: Stated) -> str:
+        calls_s = _between(stated.endpoint.calls_s, stated.from_s, stated.until_s)
+        most = MOST_CALLS * len(self._site.gateways)
+        if len(calls_s) > most and self._is_calm(stated, stated.from_s, stated.until_s):
+            return f'{stated.endpoint.name}: {len(calls_s)} calls in a rest, {most} allowed'
+        return ''
+
     def _is_calm(self, stated: Stated, from_s: float, until_s: float) -> bool:
         """Return whether all gateways ran and reached the endpoint."""
         proxy = stated.endpoint.proxy
--- a/savorychute/explain/sentences.py
+++ b/savorychute/explain/sentences.py
@@ -134,6 +134,19 @@
     return f'learned that {fields.get("endpoint")} takes {limit_per_s} calls a second'
 
 
+@SENTENCES.register('leaving-stated')
+def _tell_leaving_endpoint(fields: dict[str, Any]) -> str:
+    return f'learned that {fields.get("endpoint")} leaves'
+
+
+@SENTENCES.register('rest-stated')
+def _tell_rest(fields: dict[str, Any]) -> str:
+    return (
+        f'was asked by {fields.get("endpoint")} for a rest of '
+        f'{fields.get("retry_after_ms")} ms'
+    )
+
+
 @SENTENCES.register('instance-started')
 def _tell_started(fields: dict[str, Any]) -> str:
     return f'started, for callers at {fields.get("address")}'
--- a/savorychute/explain/story.py
+++ b/savorychute/explain/story.py
@@ -27,7 +27,7 @@
 )
 
 # What endpoints say of themselves; it may be why a request was sent to none.
-STATEMENTS = frozenset({'limit-stated'})
+STATEMENTS = frozenset({'leaving-stated', 'limit-stated', 'rest-stated'})
 
 
 def tell_story(request_id: str, lines: Sequence[LogLine]) -> list[str]:
--- a/tests/test_fleet/test_explaining.py
+++ b/tests/test_fleet/test_explaining.py
@@ -115,3 +115,27 @@
     assert answer.status == 503
     assert 'learned that d1 takes 0.5 calls a second' in story
     assert 'leave to call d1 was denied, for 2000 ms' in story
+
+
+def test_refusal_where_the_only_endpoint_rests(tmp_path):
+    async def scenario(rig):
+        endpoint = rig.endpoints['d1']
+        endpoint.sheds, endpoint.stated = True, (('retry-after', '3'),)
+        return await rig.call()
+
+    answer, story = explain(scenario, tmp_path)
+
+    assert answer.status == 503
+    assert 'was asked by d1 for a rest of 3000 ms' in story
+
+
+def test_refusal_where_the_only_endpoint_has_said_that_it_leaves(tmp_path):
+    async def scenario(rig):
+        rig.endpoints['d1'].stated = (('server-leaving', '1'),)
+        await rig.call()
+        return await rig.call()
+
+    answer, story = explain(scenario, tmp_path)
+
+    assert answer.status == 503
+    assert 'learned that d1 leaves' in story
--- a/tests/test_soak/test_short_soak.py
+++ b/tests/test_soak/test_short_soak.py
@@ -62,3 +62,28 @@
 
     assert result.broken == []
     assert result.counts['200'] > 0
+
+
+# A statement has to last for a while before it can be judged.
+STATED_SECONDS = 12.0
+
+
+def test_endpoints_get_what_they_state_while_faults_overlap(tmp_path):
+    """Endpoints state limits, leave by their own word alone and ask for rest."""
+
+    async def main():
+        async with asyncio.timeout(TEST_S):
+            return await play(
+                random.Random(1),
+                tmp_path,
+                STATED_SECONDS,
+                GATEWAYS,
+                CALLERS,
+                settle=False,
+                statements=True,
+            )
+
+    result = asyncio.run(main())
+
+    assert result.broken == []
+    assert result.counts['statements'] > 0
