--- a/savorychute/gateway/daemon/duty_assembly.py
+++ b/savorychute/gateway/daemon/duty_assembly.py
@@ -19,6 +19,7 @@
 from savorychute.gateway.duties.usage_ledger import UsageLedger
 from savorychute.gateway.duties.usage_spread import UsageSpread
 from savorychute.gateway.duties.usage_windows import UsageWindows
+from savorychute.gateway.duty_telemetry import DutyTelemetry
 from savorychute.http.client_pool import ServerAddress
 
 if TYPE_CHECKING:
@@ -102,6 +103,6 @@
         side.candidates,
         side.time,
         around.clock,
-        parts.telemetry,
+        DutyTelemetry(parts.telemetry),
         parts.telemetry.calls.topic('duties'),
     )
--- a/savorychute/gateway/daemon/duty_worker.py
+++ b/savorychute/gateway/daemon/duty_worker.py
@@ -28,10 +28,10 @@
     from savorychute.gateway.duties.server_duty import ServerOrder
     from savorychute.gateway.duties.true_time import TrueTime
     from savorychute.gateway.duties.usage_duty import UsageDuty, UsageStep
+    from savorychute.gateway.duty_telemetry import DutyTelemetry
     from savorychute.gateway.platform_adapter import PlatformAdapter
     from savorychute.gateway.store.keyed_topic import KeyedTopic
     from savorychute.gateway.store.write_receipt import WriteReceipt
-    from savorychute.gateway.telemetry import GatewayTelemetry
     from savorychute.http.client_pool import ClientPool, ServerAddress
     from savorychute.http.http_request import HttpRequest
 
@@ -113,7 +113,7 @@
         candidates: DutyCandidates,
         time: TrueTime,
         clock: Clock,
-        telemetry: GatewayTelemetry,
+        telemetry: DutyTelemetry,
         count_call: Callable[[CallPurpose], None],
     ) -> None:
         self._instance = instance
--- a/savorychute/gateway/requests/request_course.py
+++ b/savorychute/gateway/requests/request_course.py
@@ -13,10 +13,9 @@
 from savorychute.gateway.requests.engine_observer import EngineObserver
 from savorychute.gateway.requests.event_times import EventTimes
 from savorychute.gateway.requests.outbound_attempt import OutboundAttempt
-from savorychute.gateway.requests.refusal import Refusal
+from savorychute.gateway.requests.refusal_notes import RefusalNotes, make_late_refusal
 from savorychute.gateway.requests.silence import silence_ends_ms
 from savorychute.gateway.requests.usage_observer import UsageObserver
-from savorychute.ran import Ran
 from savorychute.result_code import ResultCode
 
 if TYPE_CHECKING:
@@ -28,13 +27,12 @@
     from savorychute.gateway.requests.attempt_port import TimerHandle
     from savorychute.gateway.requests.caller_port import CallerPort
     from savorychute.gateway.requests.inbound_request import InboundRequest
+    from savorychute.gateway.requests.refusal import Refusal
 
 # Sends of one request, those that endpoints refused included.
 MAX_SENDS = 4
 # Less time than this is of no use to another endpoint.
 LEAST_REMAINING_MS = 30
-# Refused for want of endpoints: their entries change within about a second.
-NO_ENDPOINT_RETRY_MS = 300
 # Between two looks at a silent endpoint that may not be left.
 RECHECK_MS = 50
 
@@ -70,8 +68,7 @@
         self._attempt: Attempt | None = None
         self._timer: TimerHandle | None = None
         self._sends = 0
-        self._refused_after_ms = 0
-        self._overloaded = False
+        self._refusals = RefusalNotes()
         self.possible_runs = 0
         self.began_ms = parts.clock.now_ms()
         self._times = EventTimes(self.began_ms)
@@ -188,7 +185,7 @@
             self._parts.roster.end(attempt.choice.record.entry.run)
         else:
             attempt.choice.record.health.failed(self.now_ms())
-            self._refused_after_ms = max(self._refused_after_ms, answer.retry_after_ms)
+            self._refusals.rejected(answer.retry_after_ms)
         self._log_attempt(attempt, 'rejected', answer.kind.name.lower())
         if self._may_go_on() and self._send_again():
             return
@@ -234,15 +231,7 @@
 
     def _give_up(self, reason: str) -> None:
         """End without an answer of an endpoint."""
-        retry_after_ms = self._refused_after_ms or NO_ENDPOINT_RETRY_MS
-        if self._overloaded:
-            not_run = Refusal(
-                ResultCode.OVERLOADED, Ran.NOT_RUN, 'overload', retry_after_ms
-            )
-        else:
-            not_run = Refusal(
-                ResultCode.NO_ENDPOINT, Ran.NOT_RUN, reason, retry_after_ms
-            )
+        not_run = self._refusals.make_refusal(reason)
         self._end_unanswered(not_run, ResultCode.OUTCOME_UNKNOWN)
 
     def _end_unanswered(self, not_run: Refusal, unknown: ResultCode) -> None:
@@ -268,9 +257,8 @@
 
     def _note_refusal(self, found: NotFound, now_ms: int) -> None:
         """Note when the caller should come back."""
-        self._overloaded = True
         wait_ms = self._search.wait_ms(now_ms) if found is NotFound.CLOSED else 0
-        self._refused_after_ms = self._parts.guard.retry_after_ms(wait_ms)
+        self._refusals.overloaded(self._parts.guard.retry_after_ms(wait_ms))
         if self._admitted.service.runs_models:
             self._observer.refused(now_ms)
 
@@ -381,10 +369,7 @@
             attempt.stop()
             self.possible_runs += attempt.sent
             self._log_attempt(attempt, 'timeout', '')
-        not_run = Refusal(
-            ResultCode.NO_ENDPOINT, Ran.NOT_RUN, 'timeout', NO_ENDPOINT_RETRY_MS
-        )
-        self._end_unanswered(not_run, ResultCode.ANSWER_TIMEOUT)
+        self._end_unanswered(make_late_refusal(), ResultCode.ANSWER_TIMEOUT)
 
     def _finish(self, outcome: str, status: int = 0) -> None:
         self.finished = True
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from savorychute.gateway.duties.duty_kind import DutyKind
-from savorychute.gateway.duties.duty_order import DutyOutcome
 from savorychute.gateway.endpoints.engine_load import EngineLoad
 from savorychute.gateway.log_budget import LogBudget
 from savorychute.gateway.log_word import WORD_CHARS, make_word
@@ -21,9 +19,6 @@
     from savorychute.gateway.dispatch.chooser import Choice
     from savorychute.gateway.dispatch.engine_model import EngineFigures
     from savorychute.gateway.dispatch.need import Need
-    from savorychute.gateway.duties.server_duty import ServerOrder
-    from savorychute.gateway.duties.server_fleet import ServerFleet
-    from savorychute.gateway.duties.usage_duty import UsageStep
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
     from savorychute.gateway.recovery.retry_allowance import RepeatDecision
     from savorychute.gateway.requests.admitted import Admitted
@@ -32,7 +27,6 @@
     from savorychute.gateway.requests.inbound_request import InboundRequest
     from savorychute.gateway.requests.refusal import Refusal
     from savorychute.gateway.store.unreadable_record import UnreadableRecord
-    from savorychute.leases.lease_change import LeaseChange
     from savorychute.logs import InstanceLog, Value
     from savorychute.membership.member_change import MemberChange
     from savorychute.metrics import Metrics
@@ -174,70 +168,6 @@
             **{name: round(value, 2) for name, value in figures._asdict().items()},
         )
 
-    # -- duties
-
-    def duty_changed(self, change: LeaseChange) -> None:
-        """Log that this instance began or ceased to hold the duties."""
-        self.metrics.count('duty_changes_total', change=change.change)
-        self.log.info(
-            'duty-changed',
-            state=change.change,
-            fencing=change.fencing,
-            reason=make_word(change.why),
-        )
-
-    def usage_step(self, step: UsageStep, outcome: DutyOutcome, fencing: int) -> None:
-        """Log what was done about a window's usage, and how it ended."""
-        kind, result = step.kind.name.lower(), outcome.name.lower()
-        self.metrics.count(
-            'duty_steps_total', duty=DutyKind.USAGE.value, step=kind, outcome=result
-        )
-        self.write(
-            LogLevel.INFO if outcome is DutyOutcome.ACCEPTED else LogLevel.WARNING,
-            'usage-step',
-            '',
-            item=kind,
-            state=result,
-            window=step.report.window,
-            fencing=fencing,
-            age_ms=step.age_ms,
-            count=sum(count for _, count in step.report.counts),
-        )
-
-    def servers_decided(self, fleets: Sequence[ServerFleet]) -> None:
-        """Log what endpoints are wanted from now on, and why."""
-        for fleet in fleets:
-            self.log.info(
-                'servers-decided',
-                service=fleet.service,
-                count=fleet.total,
-                reason=make_word(fleet.reason),
-            )
-
-    def servers_ordered(
-        self, order: ServerOrder, outcome: DutyOutcome, fencing: int
-    ) -> None:
-        """Log an order of endpoints, and how the platform took it."""
-        result = outcome.name.lower()
-        self.metrics.count(
-            'duty_steps_total',
-            duty=DutyKind.SERVERS.value,
-            step='order',
-            outcome=result,
-        )
-        self.write(
-            LogLevel.INFO if outcome is DutyOutcome.ACCEPTED else LogLevel.WARNING,
-            'servers-ordered',
-            '',
-            service=order.service,
-            failure_domain=order.failure_domain,
-            item='reclaimable' if order.reclaimable else 'lasting',
-            count=order.number,
-            state=result,
-            fencing=fencing,
-            reason=make_word(order.reason),
-        )
-
     # -- requests
 
     def request_refused(
