--- a/savorychute/gateway/daemon/assembly.py
+++ b/savorychute/gateway/daemon/assembly.py
@@ -11,6 +11,7 @@
 from savorychute.gateway.daemon.gateway_host import GatewayHost
 from savorychute.gateway.daemon.loop_timers import LoopTimers
 from savorychute.gateway.daemon.peer_group import PeerGroup
+from savorychute.gateway.daemon.peer_messages import PeerParts
 from savorychute.gateway.discovery.instance_directory import InstanceDirectory
 from savorychute.gateway.dispatch import load_choosers
 from savorychute.gateway.dispatch.chooser import CHOOSERS
@@ -122,9 +123,7 @@
         around.rng,
         parts.telemetry,
     )
-    peers = PeerGroup(
-        entry,
-        eras,
+    peer_parts = PeerParts(
         directory,
         parts.crashes,
         demand,
@@ -137,9 +136,9 @@
         side.candidates,
         side.spread,
         side.time,
-        around.clock,
-        around.rng,
-        parts.telemetry,
+    )
+    peers = PeerGroup(
+        entry, eras, peer_parts, around.clock, around.rng, parts.telemetry
     )
     intake = Intake(parts.configuration, parts.crashes, around.rng)
     duties = make_duty_worker(around, side, topics.duties, eras, parts, plan)
--- a/savorychute/membership/membership.py
+++ b/savorychute/membership/membership.py
@@ -9,6 +9,7 @@
 from savorychute.membership.ack import Ack
 from savorychute.membership.digest import Digest
 from savorychute.membership.gossip import Gossip
+from savorychute.membership.member_news import MemberNews
 from savorychute.membership.member_state import MemberState
 from savorychute.membership.member_table import MemberTable
 from savorychute.membership.member_update import MemberUpdate
@@ -33,9 +34,8 @@
     from savorychute.membership.member_change import MemberChange
     from savorychute.membership.member_view import MemberView
     from savorychute.membership.settings import MembershipSettings
-    from savorychute.membership.tier_shortage import TierShortage
-    from savorychute.membership.told_leaving import ToldLeaving
-    from savorychute.membership.told_limit import ToldLimit
+
+NO_NEWS = MemberNews()
 
 
 class Membership:
@@ -57,11 +57,7 @@
         self._rng = rng
         self._own = MemberUpdate(address)
         self._configuration_offset = -1
-        self._load = 0
-        self._shortages: tuple[TierShortage, ...] = ()
-        self._wall_offset_ms: int | None = None
-        self._limits: tuple[ToldLimit, ...] = ()
-        self._leaving: tuple[ToldLeaving, ...] = ()
+        self._told = NO_NEWS
         self._news = PeerNews()
         self._table = MemberTable(settings)
         self._queue = UpdateQueue(settings)
@@ -88,30 +84,14 @@
             self._view_key = key
         return self._view
 
-    def advertise(
-        self,
-        configuration_offset: int,
-        load: int = 0,
-        shortages: tuple[TierShortage, ...] = (),
-        wall_offset_ms: int | None = None,
-        limits: tuple[ToldLimit, ...] = (),
-        leaving: tuple[ToldLeaving, ...] = (),
-    ) -> None:
-        """Tell the others, on each probe, how far and how busy this instance is.
+    def advertise(self, configuration_offset: int, news: MemberNews = NO_NEWS) -> None:
+        """Tell the others, on each probe, how far this instance is and what it knows.
 
         :param configuration_offset: the log offset that was read last.
-        :param load: requests in progress, or any other unit that all use.
-        :param shortages: tiers whose requests get nothing here.
-        :param wall_offset_ms: the time of day less the clock's; None is not told.
-        :param limits: that endpoints stated lately.
-        :param leaving: endpoints that said lately that they leave.
+        :param news: what else is told.
         """
         self._configuration_offset = configuration_offset
-        self._load = load
-        self._shortages = shortages
-        self._wall_offset_ms = wall_offset_ms
-        self._limits = limits
-        self._leaving = leaving
+        self._told = news
 
     def peer_offsets(self) -> dict[str, int]:
         """Return the offsets that members advertised last."""
@@ -123,7 +103,7 @@
         They are as old as the last probe between the two: in the mean half as
         many seconds as the region has members.
         """
-        return {**self._news.loads, self._own.address.instance: self._load}
+        return {**self._news.loads, self._own.address.instance: self._told.load}
 
     def take_changes(self) -> list[MemberChange]:
         """Return the changes since the last call, for the audit trail."""
@@ -281,11 +261,11 @@
             self._own,
             self._configuration_offset,
             updates,
-            self._load,
-            self._shortages,
+            self._told.load,
+            self._told.shortages,
             self._wall_ms(now_ms),
-            self._limits,
-            self._leaving,
+            self._told.limits,
+            self._told.leaving,
         )
         return [send_to(ping.origin.address, ack)]
 
@@ -311,15 +291,15 @@
             self._own,
             self._configuration_offset,
             updates,
-            self._load,
-            self._shortages,
+            self._told.load,
+            self._told.shortages,
             self._wall_ms(now_ms),
-            self._limits,
-            self._leaving,
+            self._told.limits,
+            self._told.leaving,
         )
 
     def _wall_ms(self, now_ms: int) -> int:
-        offset_ms = self._wall_offset_ms
+        offset_ms = self._told.wall_offset_ms
         return now_ms + offset_ms if offset_ms is not None else 0
 
     def _announce(self, now_ms: int) -> list[Action]:
--- a/tests/test_membership/test_membership_faults.py
+++ b/tests/test_membership/test_membership_faults.py
@@ -13,6 +13,7 @@
 )
 from savorychute.membership.ack import Ack
 from savorychute.membership.gossip import Gossip
+from savorychute.membership.member_news import MemberNews
 from savorychute.membership.ping import Ping
 
 
@@ -181,7 +182,7 @@
 
 def test_loads_travel_on_probes(start_mesh):
     mesh = start_mesh(4)
-    mesh.members['entry-0002'].advertise(1, load=17)
+    mesh.members['entry-0002'].advertise(1, MemberNews(load=17))
     mesh.run(10_000)
     assert mesh.members['entry-0001'].peer_loads()['entry-0002'] == 17
 
