Let a denial under a limit say nothing of a higher one, nor a silent home of the room

What callers would have seen: an engine whose limit rose from 1 to 50 a second was asked for nothing for up to the time that the old limit had denied (9 s in the test), and was the last choice for a minute; one whose home was killed was the last choice for a minute as well.

Both tests failed before. 'Leave' and 'may leave' for a permission stood beside endpoints that leave, so these are permits and may_send now.

--- a/savorychute/explain/sentences.py
+++ b/savorychute/explain/sentences.py
@@ -81,7 +81,7 @@
 
 @SENTENCES.register('permit-decided')
 def _tell_permit(fields: dict[str, Any]) -> str:
-    text = f'leave to call {fields.get("endpoint")} was {fields.get("state")}'
+    text = f'a permit to call {fields.get("endpoint")} was {fields.get("state")}'
     if fields.get('retry_after_ms'):
         text += f', for {fields["retry_after_ms"]} ms'
     return text
--- a/savorychute/gateway/daemon/attempt_sender.py
+++ b/savorychute/gateway/daemon/attempt_sender.py
@@ -82,14 +82,14 @@
 
         :param endpoint: the engine.
         :param on_result: called with its report, or None without one in time.
-        :param permit: leave to call an engine that states a limit.
+        :param permit: for an engine that states a limit.
         """
         sent_ms = self._clock.now_ms()
 
         def may_send() -> bool:
             nonlocal sent_ms
             sent_ms = self._clock.now_ms()
-            return self.may_leave(endpoint, permit, CallKind.REPORT)
+            return self.may_send(endpoint, permit, CallKind.REPORT)
 
         def take(response: HttpResponse) -> None:
             load = self._adapter.decode_report(response)
@@ -109,14 +109,14 @@
             may_send,
         )
 
-    def may_leave(
+    def may_send(
         self,
         endpoint: EndpointEntry,
         permit: Permit | None,
         kind: CallKind,
         request_id: str = '',
     ) -> bool:
-        """Return whether a call that is about to leave may do so.
+        """Return whether an endpoint still takes a call, right before its first byte.
 
         :param endpoint: where it goes.
         :param permit: that it has.
@@ -128,7 +128,7 @@
             return False
         if self._statements.rests.left_ms(run, now_ms):
             return False
-        if not self._permits.may_leave(run, permit, now_ms):
+        if not self._permits.may_send(run, permit, now_ms):
             return False
         limit_per_s = self._statements.limits.limit_per_s(run)
         if limit_per_s is not None:
@@ -172,13 +172,13 @@
     def about_to_send(self) -> bool:
         """Ask whether the attempt is still wanted."""
         attempt = self._attempt
-        may_leave = self._sender.may_leave(
+        may_send = self._sender.may_send(
             attempt.endpoint,
             attempt.permit,
             CallKind.ATTEMPT,
             attempt.request.attempt_id,
         )
-        if not may_leave:
+        if not may_send:
             self._listener.attempt_withheld()
             return False
         self._sent_ms = self._clock.now_ms()
--- a/savorychute/gateway/dispatch/chooser.py
+++ b/savorychute/gateway/dispatch/chooser.py
@@ -28,7 +28,7 @@
     prompts; one that is ``apart`` runs away from them.
     ``rank`` is the request's; an engine serves what is more urgent first.
     For a request that leaves its home, ``compared`` are the engines that were asked.
-    ``permit`` is the leave to call an endpoint that states a limit.
+    ``permit`` is for an endpoint that states a limit.
     """
 
     record: EndpointRecord
--- a/savorychute/gateway/dispatch/endpoint_search.py
+++ b/savorychute/gateway/dispatch/endpoint_search.py
@@ -84,7 +84,7 @@
             return found
         if not self._limited.is_limited(found.record):
             return self._settle(found)
-        return self._ask_leave(found, now_ms, can_have_run, on_answers)
+        return self._ask_permit(found, now_ms, can_have_run, on_answers)
 
     def _find(
         self, now_ms: int, can_have_run: bool, on_answers: Callable[[], None]
@@ -199,7 +199,7 @@
         need = self._need._replace(tries_again=True, anywhere=True)
         return self._parts.chooser(self._service).choose(untried, need, now_ms)
 
-    def _ask_leave(
+    def _ask_permit(
         self,
         choice: Choice,
         now_ms: int,
--- a/savorychute/gateway/permits/permit.py
+++ b/savorychute/gateway/permits/permit.py
@@ -1,4 +1,4 @@
-"""Leave to call an endpoint that states a limit."""
+"""Permission to call an endpoint that states a limit."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 class Permit(NamedTuple):
-    """One call to a run of an endpoint, which must leave before ``ends_ms``."""
+    """One call to a run of an endpoint, to be sent until ``ends_ms``."""
 
     run: EndpointRun
     ends_ms: int
--- a/savorychute/gateway/permits/permit_desk.py
+++ b/savorychute/gateway/permits/permit_desk.py
@@ -9,7 +9,7 @@
 from savorychute.gateway.permits.permit_answer import PermitAnswer
 from savorychute.gateway.permits.permit_home import PermitHome
 from savorychute.gateway.permits.permit_question import PermitQuestion
-from savorychute.gateway.permits.permit_room import PermitRoom
+from savorychute.gateway.permits.permit_room import SCARCE_WAIT_MS, PermitRoom
 from savorychute.gateway.requests.rank import tier_of
 from savorychute.membership.rendezvous import choose_homes
 
@@ -27,10 +27,11 @@
 # asked once more.
 ANSWER_MS = 40
 MOST_TRIES = 2
-# A call that has not left by then, for want of a connection, needs another permit.
+# A call that has not been sent by then, for want of a connection, needs another permit.
 PERMIT_MS = 500
-# After a home that did not answer, or that takes another instance for the home.
-NO_HOME_MS = 300
+# After a home that did not answer, or that takes another instance for the home.  It says
+# nothing of the room at the endpoint, so it is shorter than what does.
+NO_HOME_MS = SCARCE_WAIT_MS - 50
 # Only an answer tells that a limit has ended, so an endpoint is called once in a while.
 CONFIRM_MS = 5_000
 
@@ -86,7 +87,8 @@
         :param run: of the endpoint.
         :param now_ms: the time.
         """
-        return self.is_limited(run) and self._room.is_scarce(run, now_ms)
+        per_s = self._limits.limit_per_s(run)
+        return per_s is not None and self._room.is_scarce(run, per_s, now_ms)
 
     def is_due(self, run: EndpointRun, now_ms: int) -> bool:
         """Return whether nobody has heard for a while that an endpoint's limit stands.
@@ -104,12 +106,13 @@
         :param rank: the request's urgency.
         :param now_ms: the time.
         """
-        if not self.is_limited(run):
+        per_s = self._limits.limit_per_s(run)
+        if per_s is None:
             return 0
-        return self._room.wait_ms(run, tier_of(rank), now_ms)
+        return self._room.wait_ms(run, tier_of(rank), per_s, now_ms)
 
-    def may_leave(self, run: EndpointRun, permit: Permit | None, now_ms: int) -> bool:
-        """Return whether a call may leave now; asked for each before its first byte.
+    def may_send(self, run: EndpointRun, permit: Permit | None, now_ms: int) -> bool:
+        """Return whether a call may be sent now.
 
         :param run: of the endpoint.
         :param permit: that was got for it.
@@ -124,7 +127,7 @@
     def request(
         self, run: EndpointRun, rank: int, on_outcome: Callable[[Outcome], None]
     ) -> Outcome | None:
-        """Return leave to call an endpoint, or the denial; None if the home is asked.
+        """Return a permit or a denial; None if the home has to be asked.
 
         :param run: of the endpoint.
         :param rank: the request's urgency.
@@ -135,7 +138,7 @@
         limit = self._limits.limit(run)
         if limit is None:
             return Permit(run, now_ms + PERMIT_MS)
-        closed_ms = self._room.wait_ms(run, tier, now_ms)
+        closed_ms = self.wait_ms(run, rank, now_ms)
         if closed_ms:
             return Denial(closed_ms)
         home = self._find_home(run)
@@ -195,7 +198,8 @@
     ) -> Outcome:
         if wait_ms == 0:
             return Permit(run, asked_ms + PERMIT_MS)
-        self._room.deny(run, tier, wait_ms, self._clock.now_ms())
+        per_s = self._limits.limit_per_s(run) or 0.0
+        self._room.deny(run, tier, wait_ms, per_s, self._clock.now_ms())
         return Denial(wait_ms)
 
     # -- as a home
--- a/savorychute/gateway/permits/permit_question.py
+++ b/savorychute/gateway/permits/permit_question.py
@@ -1,4 +1,4 @@
-"""A question for leave to call an endpoint."""
+"""A question for a permit."""
 
 from __future__ import annotations
 
--- a/tests/test_fleet/test_explaining.py
+++ b/tests/test_fleet/test_explaining.py
@@ -114,7 +114,7 @@
 
     assert answer.status == 503
     assert 'learned that d1 takes 0.5 calls a second' in story
-    assert 'leave to call d1 was denied, for 2000 ms' in story
+    assert 'a permit to call d1 was denied, for 2000 ms' in story
 
 
 def test_refusal_where_the_only_endpoint_rests(tmp_path):
--- a/tests/test_gateway/permit_rig.py
+++ b/tests/test_gateway/permit_rig.py
@@ -86,8 +86,8 @@
 
     def _go(self, outcome, rank):
         permit = outcome if isinstance(outcome, Permit) else None
-        may_leave = self.alive and not self.frozen
-        if may_leave and self.desk.may_leave(RUN, permit, self.fleet.now_ms):
+        is_up = self.alive and not self.frozen
+        if is_up and self.desk.may_send(RUN, permit, self.fleet.now_ms):
             self.fleet.call(self, rank)
 
     def take_answer(self, limit_per_s, sent_ms):
--- a/tests/test_gateway/test_permit_desk.py
+++ b/tests/test_gateway/test_permit_desk.py
@@ -86,14 +86,14 @@
     desk = Desk()
 
     assert isinstance(desk.ask(), Permit)
-    assert desk.desk.may_leave(RUN, None, START_MS)
+    assert desk.desk.may_send(RUN, None, START_MS)
 
 
 def test_call_without_a_permit_may_not_leave(alone):
     now_ms = alone.clock.now_ms()
 
-    assert not alone.desk.may_leave(RUN, None, now_ms)
-    assert not alone.desk.may_leave(RUN, Permit(EndpointRun('e1', 8), now_ms), now_ms)
+    assert not alone.desk.may_send(RUN, None, now_ms)
+    assert not alone.desk.may_send(RUN, Permit(EndpointRun('e1', 8), now_ms), now_ms)
 
 
 def test_permit_ends_soon(alone):
@@ -101,8 +101,8 @@
     permit = alone.ask()
     now_ms = alone.clock.now_ms()
 
-    assert alone.desk.may_leave(RUN, permit, now_ms + PERMIT_MS)
-    assert not alone.desk.may_leave(RUN, permit, now_ms + PERMIT_MS + 1)
+    assert alone.desk.may_send(RUN, permit, now_ms + PERMIT_MS)
+    assert not alone.desk.may_send(RUN, permit, now_ms + PERMIT_MS + 1)
 
 
 def test_permit_counts_from_the_question_and_not_from_its_answer(guest):
@@ -192,3 +192,23 @@
     home.take(RUN, 0.0, 0, 0)
 
     assert home.take(RUN, 0.0, 0, 10_000) == 0
+
+
+def test_denial_under_a_limit_says_nothing_of_a_higher_one(guest):
+    """Guards against an endpoint that is left out after its limit has risen."""
+    guest.desk.take_answer(PermitAnswer(guest.sent[-1].message.sequence, 9_000))
+    assert guest.ask() == Denial(9_000)
+    assert guest.desk.is_scarce(RUN, guest.clock.now_ms())
+
+    guest.limits.state(RUN, 50.0, guest.clock.now_ms())
+
+    assert guest.ask() is None
+    assert not guest.desk.is_scarce(RUN, guest.clock.now_ms())
+
+
+def test_home_that_is_silent_makes_no_endpoint_scarce(guest):
+    """Guards against engines that are left out when an instance is killed."""
+    guest.timers.advance(MOST_TRIES * ANSWER_MS)
+
+    assert guest.outcomes == [Denial(NO_HOME_MS)]
+    assert not guest.desk.is_scarce(RUN, guest.clock.now_ms())
