Say what withheld attempts and leaving runs are in plainer words

No behaviour changes: docstrings, and is_unreadable in place of is_silent_on, from the read of the whole change.

--- a/savorychute/gateway/endpoints/endpoint_roster.py
+++ b/savorychute/gateway/endpoints/endpoint_roster.py
@@ -28,9 +28,8 @@
 
     An endpoint gets nothing new once its entry or one of its answers says that it leaves,
     once the entry is gone or cannot be read, or once another endpoint has answered at its
-    address.  A run
-    that starts under a known name has a record of its own.  Only entries that
-    vanish around an outage of the store stay in use for a while: nobody could renew
+    address.  A run that starts under a known name has a record of its own.  Only entries
+    that vanish around an outage of the store stay in use for a while: nobody could renew
     them, so their absence says little.
 
     :param on_ended: called with each run that ended and the time.
--- a/savorychute/gateway/endpoints/endpoint_statement.py
+++ b/savorychute/gateway/endpoints/endpoint_statement.py
@@ -35,8 +35,8 @@
     rest_ms: int = 0
     unreadable: tuple[UnreadableStatement, ...] = ()
 
-    def is_silent_on(self, kind: StatementKind) -> bool:
-        """Return whether nothing was said that could be read.
+    def is_unreadable(self, kind: StatementKind) -> bool:
+        """Return whether something was stated that cannot be read.
 
         :param kind: of the statement.
         """
--- a/savorychute/gateway/endpoints/leaving_runs.py
+++ b/savorychute/gateway/endpoints/leaving_runs.py
@@ -19,7 +19,7 @@
 
 
 class LeavingRuns:
-    """Remembers what no entry of the store can take back: a run that leaves does not return.
+    """Remembers them for good: no entry of the store takes back what a run has said.
 
     :param on_leaving: called with each run, once.
     """
--- a/savorychute/gateway/endpoints/statement_book.py
+++ b/savorychute/gateway/endpoints/statement_book.py
@@ -53,7 +53,7 @@
         """
         if statement.limit_per_s is not None:
             self.limits.state(run, statement.limit_per_s, now_ms)
-        elif not statement.is_silent_on(StatementKind.LIMIT):
+        elif not statement.is_unreadable(StatementKind.LIMIT):
             self.limits.end(run, sent_ms)
         if statement.leaving:
             self.leaving.state(run, now_ms)
--- a/savorychute/gateway/requests/attempt.py
+++ b/savorychute/gateway/requests/attempt.py
@@ -45,7 +45,7 @@
         ...
 
     def attempt_withheld(self, attempt: Attempt) -> None:
-        """Go on after an attempt that its endpoint no longer took when it was to leave."""
+        """Go on after an attempt that was not sent: its endpoint takes it no longer."""
         ...
 
     def attempt_broke(self, attempt: Attempt, reason: str) -> None:
@@ -112,7 +112,7 @@
         return True
 
     def attempt_withheld(self) -> None:
-        """Take in that no byte leaves."""
+        """Take in that nothing is sent."""
         if self.ended:
             return
         self.close()
--- a/savorychute/gateway/requests/attempt_port.py
+++ b/savorychute/gateway/requests/attempt_port.py
@@ -23,7 +23,7 @@
         ...
 
     def attempt_withheld(self) -> None:
-        """Take in that no byte leaves, since the endpoint takes it no longer."""
+        """Take in that nothing is sent, since the endpoint takes it no longer."""
         ...
 
     def answer_began(self, answer: EndpointAnswer) -> None:
