Write the lines on limits and leaving endpoints within the budget of lines

An endpoint may state another limit with each answer, and the two lines were written past the bound on lines (100 routine ones and 200 warnings a second).

--- a/savorychute/gateway/endpoint_telemetry.py
+++ b/savorychute/gateway/endpoint_telemetry.py
@@ -42,8 +42,10 @@
 
     def limit_stated(self, run: EndpointRun, limit_per_s: float | None) -> None:
         """Log that an endpoint states another limit, or none any more."""
-        self._telemetry.log.warning(
+        self._telemetry.write(
+            LogLevel.WARNING,
             'limit-stated',
+            '',
             endpoint=run.endpoint,
             state='ended' if limit_per_s is None else 'limited',
             limit_per_s=limit_per_s,
@@ -51,7 +53,9 @@
 
     def leaving_stated(self, run: EndpointRun) -> None:
         """Log that an endpoint says that it leaves."""
-        self._telemetry.log.info('leaving-stated', endpoint=run.endpoint)
+        self._telemetry.write(
+            LogLevel.WARNING, 'leaving-stated', '', endpoint=run.endpoint
+        )
 
     def rest_stated(self, run: EndpointRun, rest_ms: int) -> None:
         """Log that an endpoint wants nothing of this instance for a while."""
@@ -90,7 +94,7 @@
         limit_per_s: float,
         request_id: str = '',
     ) -> None:
-        """Log a call that leaves for an endpoint with a limit."""
+        """Log a call to an endpoint with a limit."""
         self._telemetry.metrics.count(
             'limited_calls_total', service=endpoint.service, kind=kind.value
         )
