Read the settings again when the gateway runs

Callers saw a gateway that went on with old settings after an operator had changed them and sent SIGHUP, if that happened while it started.

Cause: the settings are read before the servers listen; the monitor is made after that and took the file's time at that moment as known, and SIGHUP is ignored until then. Both ways of telling the change were lost until the next.

Change: the first poll, which runs once SIGHUP has its handler, reads the file whatever its time. A change before it is found by the poll, one after it by the signal or the next poll, so no moment is left uncovered.

Each start logs one line settings-reloaded more.

--- a/savorychute/gateway/daemon/settings_monitor.py
+++ b/savorychute/gateway/daemon/settings_monitor.py
@@ -30,6 +30,9 @@
     the faults.  Without a handler the signal would end the process, and with it every
     request in progress.
 
+    The first poll always reads the file: it may have changed, and the signal for it may
+    have been ignored, after the settings were read and before the gateway ran.
+
     :param path: path of the settings file.
     :param settings: the settings that were read at the start.
     :param telemetry: logs each reload.
@@ -47,14 +50,14 @@
         self._settings = settings
         self._telemetry = telemetry
         self._on_change = on_change
-        self._modified_ns = self._read_modified_ns()
+        self._modified_ns: int | None = None
 
     async def run(self) -> None:
         """Poll the file's modification time until the task is cancelled."""
         while True:
-            await asyncio.sleep(POLL_INTERVAL_MS / MS_PER_S)
             if self._read_modified_ns() != self._modified_ns:
                 self.reload()
+            await asyncio.sleep(POLL_INTERVAL_MS / MS_PER_S)
 
     def reload(self) -> None:
         """Read the file, and apply what has changed."""
@@ -74,9 +77,9 @@
             self._settings = settings
             self._on_change(settings)
 
-    def _read_modified_ns(self) -> int:
+    def _read_modified_ns(self) -> int | None:
         try:
             return os.stat(self._path).st_mtime_ns
         except OSError:
             # The file is being replaced; the next poll finds the new one.
-            return self._modified_ns if hasattr(self, '_modified_ns') else 0
+            return self._modified_ns
