Keep an instance that gets SIGHUP while it starts, with its newest keys

Callers of an instance that was starting while its certificate was renewed and all instances were signalled found it gone; where it lived, it served the old certificate until the next periodic reload (60 s by default).

`serve` had no handler for SIGHUP until its certificate was loaded, so the default action ended the process; a renewal between the load and the handler was not seen.

Change: `serve` ignores SIGHUP from its first line on, as `gateway` does, and the periodic reload begins with a reload, after the handler is set.

--- a/savorychute/cmd/serve.py
+++ b/savorychute/cmd/serve.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -24,6 +25,9 @@
 
     def run(self, arguments: Namespace) -> int:
         """Read the settings and run the daemon."""
+        # By default SIGHUP, the request to reload the certificate, would end the process
+        # while it is loading.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         # Imported here so that commands without a daemon start faster.
         from savorychute.daemon.main import run_daemon
 
--- a/savorychute/daemon/tls.py
+++ b/savorychute/daemon/tls.py
@@ -60,7 +60,10 @@
 async def reload_periodically(
     keys: TlsKeys | None, interval_ms: int, log: InstanceLog
 ) -> AsyncIterator[Callable[[], None]]:
-    """Reload keys periodically until the block ends.
+    """Reload keys at once and then periodically, until the block ends.
+
+    The first reload finds keys that were replaced after they were loaded and before the
+    signal for it was handled.
 
     :param keys: the keys, or None without TLS.
     :param interval_ms: the time between two reloads.
@@ -78,8 +81,8 @@
 
     async def reload_forever() -> None:
         while True:
-            await asyncio.sleep(interval_ms / MS_PER_S)
             reload()
+            await asyncio.sleep(interval_ms / MS_PER_S)
 
     task = asyncio.get_running_loop().create_task(reload_forever())
     try:
--- a/tests/test_daemon/test_tls.py
+++ b/tests/test_daemon/test_tls.py
@@ -18,6 +18,7 @@
 from savorychute.http.http_limits import HttpLimits
 
 CERTIFICATES = Path(__file__).parent / 'certificates'
+MINUTE_MS = 60_000
 
 
 class FakeLog:
@@ -105,6 +106,23 @@
     assert log.events[0] == ('tls-reload-failed', {'error': 'SSLError'})
 
 
+def test_keys_replaced_before_the_reloads_start_are_used(tmp_path):
+    """Guards against an old certificate in use until the next periodic reload.
+
+    It is renewed after the instance loaded it, and the signal comes before its handler.
+    """
+    install(tmp_path, 'first')
+    keys = TlsKeys(str(tmp_path / 'chain.pem'), str(tmp_path / 'key.pem'))
+    before = keys.current_context
+    install(tmp_path, 'second')
+
+    async def main():
+        async with reload_periodically(keys, MINUTE_MS, FakeLog()):
+            await wait_until(lambda: keys.current_context is not before)
+
+    asyncio.run(main())
+
+
 def test_plain_request_to_a_tls_port_is_aborted(tmp_path):
     install(tmp_path, 'first')
 
