Limit the events of a stream, and search each of their bytes once

Callers of an instance saw all their streams stand still while one endpoint sent an event without an end, and would have lost the instance when its memory was used up. From an endpoint that ends lines with CRLF they got nothing until the stream ended, and then a cut.

Cause: MAX_EVENT_BYTES was compared nowhere in the gateway's splitter; each piece was joined to all that was buffered, and all of it was searched again; only LF LF ended an event. SseReader compared the unfinished rest alone, so an event that arrived whole passed its limit.

Evidence: test_event_without_an_end_is_not_buffered_without_limit (2 MiB buffered whole, each time).

Change: one buffer for gateway, instance and client searches each byte once, ends events by LF, CRLF or CR and gives up at 1 MiB. The gateway then ends the attempt like a lost connection: another endpoint goes on after the last whole event where the route allows it, else the caller sees an abort.

--- a/savorychute/gateway/requests/event_splitter.py
+++ b/savorychute/gateway/requests/event_splitter.py
@@ -4,9 +4,11 @@
 
 from typing import NamedTuple
 
-EVENT_END = b'\n\n'
+from savorychute.http.event_buffer import MAX_EVENT_BYTES, EventBuffer
+
+__all__ = ['MAX_EVENT_BYTES', 'EventSplitter', 'RawEvent']
+
 ID_FIELD = b'id:'
-MAX_EVENT_BYTES = 1024 * 1024
 
 
 class RawEvent(NamedTuple):
@@ -24,38 +26,31 @@
     forwarded.
     """
 
-    __slots__ = ('_partial',)
+    __slots__ = ('_buffer',)
 
     def __init__(self) -> None:
-        self._partial = b''
+        self._buffer = EventBuffer(MAX_EVENT_BYTES)
 
     @property
     def partial_bytes(self) -> int:
         """The number of buffered bytes of an incomplete event."""
-        return len(self._partial)
+        return self._buffer.partial_bytes
+
+    @property
+    def is_too_large(self) -> bool:
+        """Whether an event exceeds the limit; no further events are returned."""
+        return self._buffer.is_too_large
 
     def feed(self, data: bytes) -> list[RawEvent]:
         """Return the events that are complete with these bytes.
 
         :param data: the next bytes of the body.
         """
-        buffer = self._partial + data
-        events = []
-        start = 0
-        while True:
-            end = buffer.find(EVENT_END, start)
-            if end < 0:
-                break
-            end += len(EVENT_END)
-            block = buffer[start:end]
-            events.append(RawEvent(_find_id(block), block))
-            start = end
-        self._partial = buffer[start:]
-        return events
+        return [RawEvent(_find_id(block), block) for block in self._buffer.feed(data)]
 
 
 def _find_id(block: bytes) -> str:
-    for line in block.split(b'\n'):
+    for line in block.splitlines():
         if line.startswith(ID_FIELD):
             return line[len(ID_FIELD) :].strip().decode('latin-1')
     return ''
--- a/savorychute/gateway/requests/request_execution.py
+++ b/savorychute/gateway/requests/request_execution.py
@@ -105,8 +105,14 @@
         """Forward complete events at once; the caller waits for each of them."""
         response = attempt.response
         assert response is not None
-        if not self._response.relay.forward(data, response.status, response.headers):
-            return
+        relay = self._response.relay
+        if relay.forward(data, response.status, response.headers):
+            self._record_event(attempt)
+        if relay.is_event_too_large:
+            attempt.stop()
+            self.attempt_interrupted(attempt, 'event-too-large')
+
+    def _record_event(self, attempt: Attempt) -> None:
         now_ms = self.now_ms()
         if attempt.waiting:
             self._usage.record_stream_start(now_ms)
--- a/savorychute/gateway/requests/stream_relay.py
+++ b/savorychute/gateway/requests/stream_relay.py
@@ -31,6 +31,11 @@
         """Whether no incomplete event is buffered."""
         return self._splitter.partial_bytes == 0
 
+    @property
+    def is_event_too_large(self) -> bool:
+        """Whether the endpoint has sent an event above the limit."""
+        return self._splitter.is_too_large
+
     def restart(self) -> None:
         """Discard the incomplete event of the previous endpoint."""
         self._splitter = EventSplitter()
--- a/savorychute/http/sse_reader.py
+++ b/savorychute/http/sse_reader.py
@@ -9,10 +9,10 @@
 from typing import NamedTuple
 
 from savorychute.errors import SavorychuteError
+from savorychute.http.event_buffer import MAX_EVENT_BYTES, EventBuffer
 from savorychute.result_code import ResultCode
 
-MAX_EVENT_BYTES = 1024 * 1024
-EVENT_END = b'\n\n'
+LINE_END_BYTES = b'\r\n'
 
 
 class SseEvent(NamedTuple):
@@ -39,7 +39,7 @@
 
     def __init__(self, max_bytes: int = MAX_EVENT_BYTES) -> None:
         self._max_bytes = max_bytes
-        self._buffer = b''
+        self._buffer = EventBuffer(max_bytes)
 
     def feed(self, data: bytes) -> list[SseEvent]:
         """Return the events that *data* completes.
@@ -47,25 +47,17 @@
         :param data: the next bytes of the stream.
         :raises EventTooLargeError: if an event exceeds the limit.
         """
-        buffer = self._buffer + data
-        if b'\r' in buffer:
-            buffer = _normalise_line_ends(buffer)
-        *blocks, self._buffer = buffer.split(EVENT_END)
-        if len(self._buffer) > self._max_bytes:
+        blocks = self._buffer.feed(data)
+        if self._buffer.is_too_large:
             raise EventTooLargeError(f'event larger than {self._max_bytes} bytes')
-        return [_parse(block) for block in blocks if block]
-
-
-def _normalise_line_ends(data: bytes) -> bytes:
-    """Replace CRLF by LF; a final CR stays, because its LF may still follow."""
-    return data.replace(b'\r\n', b'\n')
+        return [_parse(block) for block in blocks if block.strip(LINE_END_BYTES)]
 
 
 def _parse(block: bytes) -> SseEvent:
     event_id = ''
     event = ''
     data: list[bytes] = []
-    for line in block.split(b'\n'):
+    for line in block.splitlines():
         field, _, value = line.partition(b':')
         value = value.removeprefix(b' ')
         if field == b'data':
--- a/tests/test_gateway/test_request_execution.py
+++ b/tests/test_gateway/test_request_execution.py
@@ -15,6 +15,7 @@
 )
 
 from savorychute.gateway.endpoints.endpoint_run import EndpointRun
+from savorychute.http.event_buffer import MAX_EVENT_BYTES
 from savorychute.ran import Ran
 from savorychute.result_code import ResultCode
 
@@ -280,6 +281,32 @@
     assert caller.state == 'cut'
 
 
+def test_stream_with_an_event_above_the_limit_resumes_at_another_engine(gateway):
+    """Guards against an endpoint that exhausts the memory of an instance.
+
+    It sends an event that has no end.  The caller must receive the events before it once,
+    and the rest from another engine, as after a crash.
+    """
+    _, caller = gateway.start('/diagnosis/1', prompt=make_prompt())
+    endless = b'id: 2\ndata: ' + b'x' * MAX_EVENT_BYTES
+    gateway.last_attempt.start_response(STREAM, event(1) + endless)
+
+    assert gateway.attempts.sent[0].cancelled
+    assert gateway.last_attempt.attempt.last_event == '1'
+    gateway.last_attempt.respond(STREAM, event(2) + event(3))
+
+    assert caller.body == event(1) + event(2) + event(3)
+    assert caller.state == 'whole'
+
+
+def test_stream_with_an_event_above_the_limit_is_aborted_if_not_resumable(gateway):
+    _, caller = gateway.start('/draft/1', prompt=make_prompt())
+    gateway.last_attempt.start_response(STREAM, event(1) + b'x' * 2 * MAX_EVENT_BYTES)
+
+    assert gateway.attempts.sent[0].cancelled
+    assert (caller.body, caller.state) == (event(1), 'cut')
+
+
 def test_response_to_another_request_is_not_forwarded(gateway):
     """Guards against forwarding a response to the wrong caller.
 
--- a/tests/test_http/test_sse_reader.py
+++ b/tests/test_http/test_sse_reader.py
@@ -53,3 +53,9 @@
             reader.feed(part)
     except EventTooLargeError:
         return
+
+
+def test_whole_event_above_the_limit_is_rejected():
+    """Guards against a limit that holds only for events which arrive in parts."""
+    with pytest.raises(EventTooLargeError):
+        SseReader(max_bytes=100).feed(b'data: ' + b'a' * 200 + b'\n\n')
