Limit what is buffered of a failed response

Callers would lose an instance whose endpoint fails a request with a body that has no end: the same fault as in streams without an end.

Cause: the limit of 256 KiB on buffered responses, from which on they are forwarded as they arrive, was compared for successful ones alone.

Change: a larger failure counts as interrupted, so another endpoint is tried where the route allows it; a larger refusal is taken by its head, which says that the request did not run.

--- a/savorychute/gateway/requests/attempt.py
+++ b/savorychute/gateway/requests/attempt.py
@@ -13,7 +13,7 @@
     from savorychute.http.call_failure import CallFailure
 
 # A response up to this size is buffered until it is complete, so that another endpoint
-# can be tried if it breaks off; a larger one is forwarded as it arrives.
+# can be tried if it breaks off; a larger success is forwarded as it arrives.
 MAX_BUFFERED_BYTES = 256 * 1024
 
 
@@ -142,12 +142,21 @@
             return
         self.buffered.append(data)
         self.buffered_bytes += len(data)
-        if (
-            self.buffered_bytes > MAX_BUFFERED_BYTES
-            and self.response.kind is ResponseKind.SUCCESS
-        ):
+        if self.buffered_bytes > MAX_BUFFERED_BYTES:
+            self._stop_buffering(self.response.kind)
+
+    def _stop_buffering(self, kind: ResponseKind) -> None:
+        """Forward a large success; of a failure another endpoint may do better."""
+        if kind is ResponseKind.SUCCESS:
             self.forwarding = True
             self.owner.forward_head(self)
+            return
+        self.stop()
+        if kind is ResponseKind.FAILURE:
+            self.owner.attempt_interrupted(self, 'body-too-large')
+        else:
+            # The head states that the request did not run; the body is not used.
+            self.owner.attempt_completed(self)
 
     def response_ended(self) -> None:
         """Handle the end of a complete response."""
--- a/tests/test_gateway/test_request_execution.py
+++ b/tests/test_gateway/test_request_execution.py
@@ -15,6 +15,7 @@
 )
 
 from savorychute.gateway.endpoints.endpoint_run import EndpointRun
+from savorychute.gateway.requests.attempt import MAX_BUFFERED_BYTES
 from savorychute.http.event_buffer import MAX_EVENT_BYTES
 from savorychute.ran import Ran
 from savorychute.result_code import ResultCode
@@ -307,6 +308,28 @@
     assert (caller.body, caller.state) == (event(1), 'cut')
 
 
+def test_failed_response_is_not_buffered_without_limit(gateway):
+    """Guards against an endpoint that exhausts the memory of an instance.
+
+    It fails a request with a body that has no end.
+    """
+    _, caller = gateway.start('/visit/1')
+    gateway.last_attempt.start_response(FAILURE, b'x' * (MAX_BUFFERED_BYTES + 1))
+
+    assert gateway.attempts.sent[0].cancelled
+    gateway.last_attempt.respond(SUCCESS, b'own')
+    assert (caller.body, caller.state) == (b'own', 'whole')
+
+
+def test_refusal_with_a_large_body_is_still_one(gateway):
+    _, caller = gateway.start('/parts/1', method='POST', body=b'impeller')
+    gateway.last_attempt.start_response(REJECTION, b'x' * (MAX_BUFFERED_BYTES + 1))
+
+    assert gateway.attempts.sent[0].cancelled
+    gateway.last_attempt.respond(SUCCESS, b'booked')
+    assert (caller.body, caller.state) == (b'booked', 'whole')
+
+
 def test_response_to_another_request_is_not_forwarded(gateway):
     """Guards against forwarding a response to the wrong caller.
 
