Shed the last tier before higher tiers use all slots

Callers of notes waited two seconds and left, or were refused twice, as a crowd of chats gathered, while summaries that had been sent just before still began.

Cause: chats, which go first, fill 290 and more of 320 slots within four to five seconds of their rise; notes find none for a second. What makes it a breach are the last summaries, 1 to 18 a span: refused by the load of the one engine they get, they went on to engines that had room by reports of half a second before, and a queued summary begins up to two seconds later.

Change: the last tier is shed from the share of all slots that higher tiers hold or wait for, over all engines with a recent report that tells ranks: some from a quarter on, all from two fifths.

--- a/savorychute/gateway/dispatch/chooser.py
+++ b/savorychute/gateway/dispatch/chooser.py
@@ -28,8 +28,9 @@
     target beside long prompts; an ``isolated`` one was placed away from long prompts.
     ``rank`` is the rank of the request; engines serve more urgent requests first.
     ``compared`` holds the engines with a recent report that were considered for a
-    request that leaves its home.  ``permit`` is set for an endpoint that states a
-    limit.
+    request that leaves its home.  ``urgent_usage`` is the share of the service's slots
+    that higher tiers use; it is set for requests of the last tier.  ``permit`` is set for
+    an endpoint that states a limit.
     """
 
     record: EndpointRecord
@@ -42,6 +43,7 @@
     isolated: bool = False
     rank: int = 0
     compared: tuple[Choice, ...] = ()
+    urgent_usage: float = 0.0
     permit: Permit | None = None
 
 
--- a/savorychute/gateway/dispatch/overload_guard.py
+++ b/savorychute/gateway/dispatch/overload_guard.py
@@ -8,6 +8,8 @@
 from savorychute.gateway.dispatch.rank_limits import (
     LAST_TIER_RANKS,
     LIMITS,
+    MIN_SLOTS,
+    URGENT_USAGE,
     is_last_tier,
 )
 from savorychute.gateway.dispatch.recent_shares import RecentShares
@@ -20,11 +22,6 @@
     from savorychute.gateway.dispatch.request_requirements import RequestRequirements
 
 
-# Engines with fewer slots are evaluated as if they had this many.  Answers are slowed
-# by the number of streams beside prefills, not by the share of slots in use; with their
-# own number of slots, small engines were considered full and refused requests at normal
-# load.
-MIN_SLOTS = 24
 # Range of the delay after which refused callers retry, randomised so that they do not
 # retry together.  A queue that is too long for an objective drains in about this time.
 MIN_RETRY_DELAY_MS = 800
@@ -97,7 +94,8 @@
         self, choice: Choice, requirements: RequestRequirements, now_ms: int
     ) -> float:
         service = choice.record.entry.service
-        return self._shortages.shed_share(service, requirements.rank, now_ms)
+        shortage_share = self._shortages.shed_share(service, requirements.rank, now_ms)
+        return max(shortage_share, URGENT_USAGE.refused_share(choice.urgent_usage))
 
     def _load_share(
         self, choice: Choice, requirements: RequestRequirements, now_ms: int
--- a/savorychute/gateway/dispatch/prompt_cache.py
+++ b/savorychute/gateway/dispatch/prompt_cache.py
@@ -18,7 +18,9 @@
 )
 from savorychute.gateway.dispatch.home_ranking import HomeRanking
 from savorychute.gateway.dispatch.partition_demand import PartitionDemand
+from savorychute.gateway.dispatch.rank_limits import is_last_tier
 from savorychute.gateway.dispatch.report_selection import ReportSelection
+from savorychute.gateway.dispatch.urgent_usage import urgent_usage
 from savorychute.gateway.dispatch.wait_forecast import WaitForecast
 
 if TYPE_CHECKING:
@@ -124,7 +126,12 @@
             return self._choose_for_sensitive_stream(
                 records, partition, requirements, now_ms
             )
-        return self._choose_best(partition, requirements, now_ms)
+        choice = self._choose_best(partition, requirements, now_ms)
+        if not is_last_tier(requirements.rank):
+            return choice
+        return choice._replace(
+            urgent_usage=urgent_usage(records, requirements.rank, now_ms)
+        )
 
     def _choose_for_sensitive_stream(
         self,
--- a/savorychute/gateway/dispatch/rank_limits.py
+++ b/savorychute/gateway/dispatch/rank_limits.py
@@ -38,6 +38,11 @@
     wait_share: Ramp
 
 
+# Engines with fewer slots are evaluated as if they had this many.  Answers are slowed
+# by the number of streams beside prefills, not by the share of slots in use; with their
+# own number of slots, small engines were considered full and refused requests at normal
+# load.
+MIN_SLOTS = 24
 # Three ranks per tier of the route, ordered by the tier of the organisation.  An engine
 # that always prefills beside its streams delays each token by a chunk, about 90 ms, and
 # answers of 120 tokens miss their deadlines.  With half of its slots in use it
@@ -55,6 +60,10 @@
     RankLimits(Ramp(0.5, 0.85), Ramp(2, 8), Ramp(0.5, 1.2)),
     RankLimits(Ramp(0.5, 0.8), Ramp(1, 7), Ramp(0.4, 1.1)),
 )
+# Share of all slots used by higher tiers from which the last tier is shed.  Reports are
+# old and requests that were sent start up to seconds later: if it were shed only once
+# the tiers above are short of slots, its requests would still start during the shortage.
+URGENT_USAGE = Ramp(0.25, 0.4)
 # The ranks of the least urgent tier.
 LAST_TIER_RANKS = range(LAST_ROUTE_LEVEL * ORGANISATION_LEVELS, len(LIMITS))
 
--- /dev/null
+++ b/tests/test_gateway/test_urgent_usage.py
@@ -0,0 +1,82 @@
+"""Tests of the share of slots that higher tiers use."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from gateway_fakes import START_MS, make_entry, make_prompt
+
+from savorychute.gateway.dispatch.chooser import Choice
+from savorychute.gateway.dispatch.engine_state import USABLE_REPORT_MS
+from savorychute.gateway.dispatch.overload_guard import OverloadGuard
+from savorychute.gateway.dispatch.request_requirements import RequestRequirements
+from savorychute.gateway.dispatch.urgent_usage import urgent_usage
+from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
+from savorychute.gateway.endpoints.engine_load import EngineLoad, RunningStream
+
+CHAT, NOTE, SUMMARY = 1, 4, 7
+SLOTS = 64
+
+
+def make_engine(name, streams=(), waiting=0, generating=None, slots=SLOTS):
+    record = EndpointRecord(make_entry(name, 'pool', slots=slots))
+    generating = len(streams) if generating is None else generating
+    load = EngineLoad(waiting, 0, generating, 1_000, streams=tuple(streams))
+    record.apply_report(load, START_MS)
+    return record
+
+
+def make_streams(rank, number):
+    return [RunningStream(rank, 20)] * number
+
+
+def test_only_higher_tiers_count():
+    streams = make_streams(CHAT, 16) + make_streams(NOTE, 8) + make_streams(SUMMARY, 30)
+    engines = [make_engine('e0', streams), make_engine('e1')]
+
+    assert urgent_usage(engines, SUMMARY, START_MS) == 24 / (2 * SLOTS)
+    assert urgent_usage(engines, NOTE, START_MS) == 16 / (2 * SLOTS)
+    assert urgent_usage(engines, CHAT, START_MS) == 0
+
+
+def test_waiting_requests_count_unless_they_are_less_urgent():
+    chats = make_streams(CHAT, 20)
+    just_started = [RunningStream(SUMMARY, 1)]
+    urgent_queue = make_engine('e0', chats, waiting=12)
+    summary_queue = make_engine('e1', chats + just_started, waiting=12)
+
+    assert urgent_usage([urgent_queue], SUMMARY, START_MS) == 32 / SLOTS
+    assert urgent_usage([summary_queue], SUMMARY, START_MS) == 20 / SLOTS
+
+
+def test_engine_whose_report_tells_no_ranks_does_not_count():
+    """Guards against summaries that are shed for the sake of other summaries."""
+    unranked = make_engine('e0', generating=60)
+    ranked = make_engine('e1', make_streams(CHAT, 16))
+
+    assert urgent_usage([unranked], SUMMARY, START_MS) == 0
+    assert urgent_usage([unranked, ranked], SUMMARY, START_MS) == 16 / SLOTS
+
+
+def test_outdated_reports_do_not_count():
+    engines = [make_engine('e0', make_streams(CHAT, 60))]
+
+    assert urgent_usage(engines, SUMMARY, START_MS + USABLE_REPORT_MS + 1) == 0
+
+
+def count_admitted(rank, usage):
+    choice = Choice(make_engine('e0'), 2_000, 0.0, load_known=True, urgent_usage=usage)
+    requirements = RequestRequirements(make_prompt(), 600, target_ms=1_200, rank=rank)
+    guard = OverloadGuard(random.Random(1))
+    return sum(guard.admits(choice, requirements, START_MS) for _ in range(100))
+
+
+@pytest.mark.parametrize('usage', [0.0, 0.1, 0.25])
+def test_usual_urgent_load_sheds_nothing(usage):
+    assert count_admitted(SUMMARY, usage) == 100
+
+
+def test_last_tier_is_shed_before_higher_tiers_use_all_slots():
+    """Guards against summaries that start while chats take the last slots of notes."""
+    assert count_admitted(SUMMARY, 0.5) == 0
