Place small prompts at any engine when their partition is nearly full

Callers of notes waited at engines whose last slots chats took, and left, although the engines of the chats had more room.

Cause: chats that exceed their partition use the slots of the other one too. A note left that partition only when it was refused there, from nine tenths of the slots on by a report of half a second before; by then chats had the rest, and the engine never preempts a chat for a note.

Change: if all engines of its partition use over 70 % of their slots for what a request cannot pass, one above the last tier whose prompt has a small shared part is drawn among all engines with a report, by free slots.

The new test fails without the change; all tests of the gateway pass.

--- a/savorychute/gateway/dispatch/engine_state.py
+++ b/savorychute/gateway/dispatch/engine_state.py
@@ -27,6 +27,9 @@
 # streams that all instances send before the next report would use the last ones.
 MIN_CONGESTED_STREAMS = 12
 MAX_CONGESTED_SHARE = 2 / 3
+# Share of slots in use from which an engine may be full before its next report, while
+# more urgent streams increase.
+NEARLY_FULL_SHARE = 0.7
 
 
 def has_recent_report(record: EndpointRecord, now_ms: int, max_age_ms: int) -> bool:
@@ -157,6 +160,19 @@
     return max(0.0, record.entry.slots - occupied)
 
 
+def is_nearly_full_for(record: EndpointRecord, rank: int, now_ms: int) -> bool:
+    """Return whether an engine is known to have few free slots for a rank.
+
+    :param record: the engine.
+    :param rank: rank of the request.
+    :param now_ms: the current time.
+    """
+    load = usable_load(record, now_ms)
+    if load is None:
+        return False
+    return load.requests_ahead(rank) > NEARLY_FULL_SHARE * record.entry.slots
+
+
 def is_full_for(record: EndpointRecord, rank: int, now_ms: int) -> bool:
     """Return whether an engine is known to have no free slot, or a queue, for a rank.
 
--- a/savorychute/gateway/dispatch/prompt_cache.py
+++ b/savorychute/gateway/dispatch/prompt_cache.py
@@ -13,6 +13,7 @@
     has_recent_report,
     has_usable_report,
     is_idle,
+    is_nearly_full_for,
     sensitive_stream_headroom,
     suits_sensitive_stream,
 )
@@ -103,7 +104,7 @@
             return self._reports.for_sensitive_stream(
                 records, partition, requirements, now_ms
             )
-        if requirements.any_engine:
+        if requirements.any_engine or _is_crowded(partition, requirements, now_ms):
             return self._reports.for_any_engine(records, now_ms)
         if prompt.tokens < LARGE_PROMPT_TOKENS:
             return []
@@ -126,6 +127,8 @@
             return self._choose_for_sensitive_stream(
                 records, partition, requirements, now_ms
             )
+        if _is_crowded(partition, requirements, now_ms):
+            return self._choose_from_all(records, requirements, now_ms)
         choice = self._choose_best(partition, requirements, now_ms)
         if not is_last_tier(requirements.rank):
             return choice
@@ -228,6 +231,22 @@
             compared=self._evaluate_queried(partition, requirements.rank, now_ms)
         )
 
+    def _choose_from_all(
+        self,
+        records: Sequence[EndpointRecord],
+        requirements: RequestRequirements,
+        now_ms: int,
+    ) -> Choice:
+        """Return an engine of any partition for a prompt of which little is shared."""
+        prompt = requirements.prompt
+        tokens = 0 if prompt is None else prompt.tokens
+        choices = [
+            self._evaluate(_Candidate(each, tokens, 0.0), requirements.rank, now_ms)
+            for each in records
+            if has_usable_report(each, now_ms)
+        ]
+        return self._draw_weighted(choices, now_ms)
+
     def _free_slots(self, record: EndpointRecord, rank: int, now_ms: int) -> float:
         return free_slots(record, rank, now_ms, self._demand.instances)
 
@@ -347,6 +366,27 @@
         return self._homes.order(partition, prompt.affinity)
 
 
+def _is_crowded(
+    partition: Sequence[EndpointRecord],
+    requirements: RequestRequirements,
+    now_ms: int,
+) -> bool:
+    """Return whether a request above the last tier should leave its partition.
+
+    Latency-sensitive streams that exceed their own partition use the slots of the other
+    one, and requests that waited there for a slot were abandoned while the dedicated
+    engines had free ones.
+    """
+    prompt = requirements.prompt
+    if prompt is None or prompt.shared_tokens >= LARGE_PROMPT_TOKENS:
+        return False
+    if is_last_tier(requirements.rank):
+        return False
+    return all(
+        is_nearly_full_for(each, requirements.rank, now_ms) for each in partition
+    )
+
+
 def _make_home(record: EndpointRecord, prompt: Prompt) -> _Candidate:
     """Return a candidate that has the shared part of the prompt in its cache."""
     return _Candidate(record, prompt.tokens - prompt.shared_tokens, 0.0)
--- a/tests/test_gateway/test_choosers.py
+++ b/tests/test_gateway/test_choosers.py
@@ -12,10 +12,11 @@
 from savorychute.gateway.dispatch.chooser import CHOOSERS, available_records
 from savorychute.gateway.dispatch.request_requirements import RequestRequirements
 from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
-from savorychute.gateway.endpoints.engine_load import EngineLoad
+from savorychute.gateway.endpoints.engine_load import EngineLoad, RunningStream
 
 LONG_GAP_MS = 1_000
 SENSITIVE_GAP_MS = 250
+CHAT_RANK, NOTE_RANK, SUMMARY_RANK = 1, 4, 7
 
 
 @pytest.fixture
@@ -234,6 +235,61 @@
     assert max(names.values()) <= 40 / partition * 2.5
 
 
+def split_partitions(engines):
+    """Return the engines for latency-sensitive streams, and the others."""
+    chooser = make_chooser()
+    prompts = RequestRequirements(make_prompt('', 0), LONG_GAP_MS)
+    others = set(choose_names(chooser, engines, prompts, 60))
+    dedicated = [each for each in engines if each.entry.endpoint not in others]
+    return dedicated, [each for each in engines if each not in dedicated]
+
+
+def fill(engines, rank, streams):
+    for engine in engines:
+        load = EngineLoad(
+            0, 0, streams, 0, streams=(RunningStream(rank, 20),) * streams
+        )
+        engine.apply_report(load, 1_000)
+
+
+@pytest.mark.parametrize(('streams', 'leaves'), [(30, False), (50, True)])
+def test_small_prompt_above_the_last_tier_leaves_a_nearly_full_partition(
+    engines, streams, leaves
+):
+    """Guards against notes abandoned at engines whose last slots chats take.
+
+    Chats that exceed their own engines use the others too.  Notes were sent there by
+    reports of some free slots, although the engines of chats had more.
+    """
+    dedicated, others = split_partitions(engines)
+    fill(dedicated, CHAT_RANK, 20)
+    fill(others, CHAT_RANK, streams)
+    note = RequestRequirements(make_prompt('note', 500), LONG_GAP_MS, rank=NOTE_RANK)
+
+    names = set(choose_names(make_chooser(), engines, note, 40))
+
+    assert bool(names & {each.entry.endpoint for each in dedicated}) is leaves
+
+
+@pytest.mark.parametrize(
+    'requirements',
+    [
+        RequestRequirements(make_prompt('note', 500), LONG_GAP_MS, rank=SUMMARY_RANK),
+        RequestRequirements(make_prompt('note', 5_000), LONG_GAP_MS, rank=NOTE_RANK),
+    ],
+)
+def test_last_tier_and_large_shared_prompts_stay_in_their_partition(
+    engines, requirements
+):
+    dedicated, others = split_partitions(engines)
+    fill(dedicated, CHAT_RANK, 20)
+    fill(others, CHAT_RANK, 50)
+
+    names = set(choose_names(make_chooser(), engines, requirements, 40))
+
+    assert not names & {each.entry.endpoint for each in dedicated}
+
+
 def test_full_engine_gets_no_sensitive_stream_while_another_has_headroom(engines):
     requirements = RequestRequirements(
         make_prompt('pump-7', shared=350, own=1_100), SENSITIVE_GAP_MS
