--- a/tests/test_gateway/test_tiers_under_load.py
+++ b/tests/test_gateway/test_tiers_under_load.py
@@ -93,6 +93,21 @@
     assert not run_long_overload(seed).find_violations(24_000)
 
 
+@pytest.mark.parametrize('seed', [1, 10, 14, 15])
+def test_no_note_is_abandoned_as_chats_rise_steeply(seed):
+    """Guards against notes without slots as chats rise to thirteen times their load.
+
+    They do so at once and for five seconds, beside four times the usual load, so the
+    summaries that count have started before the rise.
+    """
+    loads = usual_load(end_ms=20_000) + burst(3.0, 4_000, 16_000)
+    loads.append(Load(CHAT, 50.0, 6_000, 11_000))
+    fleet = Fleet(INSTANCES, make_engines(5, tokens_per_ms=60.0), loads, seed)
+    fleet.run(20_000 + DRAIN_MS)
+
+    assert not fleet.find_violations(20_000)
+
+
 # A run takes a second, so failing examples are not shrunk.
 @settings(
     max_examples=20,
