Log which share of slots sheds the last tier

An operator who asks why a summary was turned away saw `tier-above`, which says that a tier above gets nothing, also where it was turned away before that by the slots that tiers above use.

Cause: the two reasons, one of them new, shared a limit and a log line without the input of the new one. Change: the limit `slots-above` and the field `used_above_percent` of request-shed; decisions are the same.

--- a/savorychute/gateway/dispatch/overload_guard.py
+++ b/savorychute/gateway/dispatch/overload_guard.py
@@ -36,6 +36,8 @@
 RECENT_LIMIT = 'recent'
 # Reported for a request that is shed in favour of a higher tier.
 TIER_ABOVE_LIMIT = 'tier-above'
+# Reported for a request that is shed before higher tiers use all slots.
+SLOTS_ABOVE_LIMIT = 'slots-above'
 
 
 class RefusedShares(NamedTuple):
@@ -84,18 +86,19 @@
         """
         if requirements.prompt is None:
             return True
-        shed_share = self._shed_share(choice, requirements, now_ms)
-        load_share = (
-            self._load_share(choice, requirements, now_ms) if choice.load_known else 0.0
-        )
-        return self._rng.random() >= max(shed_share, load_share)
+        refused_shares = [
+            self._shortage_share(choice, requirements, now_ms),
+            URGENT_USAGE.refused_share(choice.urgent_usage),
+        ]
+        if choice.load_known:
+            refused_shares.append(self._load_share(choice, requirements, now_ms))
+        return self._rng.random() >= max(refused_shares)
 
-    def _shed_share(
+    def _shortage_share(
         self, choice: Choice, requirements: RequestRequirements, now_ms: int
     ) -> float:
         service = choice.record.entry.service
-        shortage_share = self._shortages.shed_share(service, requirements.rank, now_ms)
-        return max(shortage_share, URGENT_USAGE.refused_share(choice.urgent_usage))
+        return self._shortages.shed_share(service, requirements.rank, now_ms)
 
     def _load_share(
         self, choice: Choice, requirements: RequestRequirements, now_ms: int
@@ -144,8 +147,10 @@
         """
         rank = min(requirements.rank, len(LIMITS) - 1)
         shares = _refused_shares(choice, rank, self._target_ms(requirements, rank))
-        if self._shed_share(choice, requirements, now_ms) > max(shares):
-            return TIER_ABOVE_LIMIT
+        tier_share = self._shortage_share(choice, requirements, now_ms)
+        slots_share = URGENT_USAGE.refused_share(choice.urgent_usage)
+        if max(tier_share, slots_share) > max(shares):
+            return TIER_ABOVE_LIMIT if tier_share >= slots_share else SLOTS_ABOVE_LIMIT
         if not any(shares):
             return RECENT_LIMIT
         return shares._fields[shares.index(max(shares))]
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -38,6 +38,7 @@
 UNKNOWN_LOAD = EngineLoad(0, 0, 0, 0)
 # Logged for an engine that has started no request recently.
 NO_RANK = -1
+PERCENT = 100
 
 
 class GatewayTelemetry:
@@ -221,6 +222,7 @@
             generating=load.generating,
             ahead=load.generating_ahead(requirements.rank),
             begun_rank=NO_RANK if begun_rank is None else begun_rank,
+            used_above_percent=round(PERCENT * choice.urgent_usage),
             waited_ms=int(choice.wait_ms),
             age_ms=record.load_age_ms(now_ms),
         )
--- a/savorychute/log_fields.py
+++ b/savorychute/log_fields.py
@@ -64,6 +64,9 @@
     'to_state': 'the state after',
     'tokens': 'a number of generated tokens',
     'tokens_per_ms': 'prompt tokens that an engine reads per ms',
+    'used_above_percent': (
+        "how much of a service's slots requests of higher tiers use"
+    ),
     'version': 'the version of a contract or an endpoint',
     'waiting': 'requests that wait at an engine for their prompts to be read',
     'waited_ms': 'the time spent waiting',
--- a/tests/test_gateway/test_urgent_usage.py
+++ b/tests/test_gateway/test_urgent_usage.py
@@ -9,8 +9,13 @@
 
 from savorychute.gateway.dispatch.chooser import Choice
 from savorychute.gateway.dispatch.engine_state import USABLE_REPORT_MS
-from savorychute.gateway.dispatch.overload_guard import OverloadGuard
+from savorychute.gateway.dispatch.overload_guard import (
+    SLOTS_ABOVE_LIMIT,
+    TIER_ABOVE_LIMIT,
+    OverloadGuard,
+)
 from savorychute.gateway.dispatch.request_requirements import RequestRequirements
+from savorychute.gateway.dispatch.shortages import Shortages
 from savorychute.gateway.dispatch.urgent_usage import urgent_usage
 from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
 from savorychute.gateway.endpoints.engine_load import EngineLoad, RunningStream
@@ -65,18 +70,35 @@
     assert urgent_usage(engines, SUMMARY, START_MS + USABLE_REPORT_MS + 1) == 0
 
 
-def count_admitted(rank, usage):
+def make_case(rank, usage):
     choice = Choice(make_engine('e0'), 2_000, 0.0, load_known=True, urgent_usage=usage)
     requirements = RequestRequirements(make_prompt(), 600, target_ms=1_200, rank=rank)
+    return choice, requirements
+
+
+def count_admitted(usage):
+    case = make_case(SUMMARY, usage)
     guard = OverloadGuard(random.Random(1))
-    return sum(guard.admits(choice, requirements, START_MS) for _ in range(100))
+    return sum(guard.admits(*case, START_MS) for _ in range(100))
 
 
 @pytest.mark.parametrize('usage', [0.0, 0.1, 0.25])
 def test_usual_urgent_load_sheds_nothing(usage):
-    assert count_admitted(SUMMARY, usage) == 100
+    assert count_admitted(usage) == 100
 
 
 def test_last_tier_is_shed_before_higher_tiers_use_all_slots():
     """Guards against summaries that start while chats take the last slots of notes."""
-    assert count_admitted(SUMMARY, 0.5) == 0
+    assert count_admitted(0.5) == 0
+
+
+def test_log_distinguishes_used_slots_from_a_shortage():
+    case = make_case(SUMMARY, 0.5)
+    shortages = Shortages()
+    guard = OverloadGuard(random.Random(1), shortages)
+    before = guard.binding_limit(*case, START_MS)
+    for _ in range(40):
+        shortages.record_unserved('pool', NOTE, START_MS)
+
+    assert before == SLOTS_ABOVE_LIMIT
+    assert guard.binding_limit(*case, START_MS) == TIER_ABOVE_LIMIT
