Shed the last tier by a rise of higher tiers, not by a fixed share

Callers of summaries would have got nothing, for good, from a service whose higher tiers always use two fifths of its slots or more, although slots are free.

Change: the share is compared with its mean of the last 15 s: shed from 0.15 above it on (a quarter at least), wholly from 0.3 above. A lasting rise that leaves slots free is served again within that time.

--- a/savorychute/gateway/dispatch/chooser.py
+++ b/savorychute/gateway/dispatch/chooser.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
+from savorychute.gateway.dispatch.urgent_usage import UrgentUsage
 from savorychute.registry import Registry
 
 if TYPE_CHECKING:
@@ -28,9 +29,9 @@
     target beside long prompts; an ``isolated`` one was placed away from long prompts.
     ``rank`` is the rank of the request; engines serve more urgent requests first.
     ``compared`` holds the engines with a recent report that were considered for a
-    request that leaves its home.  ``urgent_usage`` is the share of the service's slots
-    that higher tiers use; it is set for requests of the last tier.  ``permit`` is set for
-    an endpoint that states a limit.
+    request that leaves its home.  ``urgent_usage`` tells how many of the service's slots
+    higher tiers use; it is set for requests of the last tier.  ``permit`` is set for an
+    endpoint that states a limit.
     """
 
     record: EndpointRecord
@@ -43,7 +44,7 @@
     isolated: bool = False
     rank: int = 0
     compared: tuple[Choice, ...] = ()
-    urgent_usage: float = 0.0
+    urgent_usage: UrgentUsage = UrgentUsage()
     permit: Permit | None = None
 
 
--- a/savorychute/gateway/dispatch/overload_guard.py
+++ b/savorychute/gateway/dispatch/overload_guard.py
@@ -9,7 +9,6 @@
     LAST_TIER_RANKS,
     LIMITS,
     MIN_SLOTS,
-    URGENT_USAGE,
     is_last_tier,
 )
 from savorychute.gateway.dispatch.recent_shares import RecentShares
@@ -88,7 +87,7 @@
             return True
         refused_shares = [
             self._shortage_share(choice, requirements, now_ms),
-            URGENT_USAGE.refused_share(choice.urgent_usage),
+            choice.urgent_usage.shed_share(),
         ]
         if choice.load_known:
             refused_shares.append(self._load_share(choice, requirements, now_ms))
@@ -148,7 +147,7 @@
         rank = min(requirements.rank, len(LIMITS) - 1)
         shares = _refused_shares(choice, rank, self._target_ms(requirements, rank))
         tier_share = self._shortage_share(choice, requirements, now_ms)
-        slots_share = URGENT_USAGE.refused_share(choice.urgent_usage)
+        slots_share = choice.urgent_usage.shed_share()
         if max(tier_share, slots_share) > max(shares):
             return TIER_ABOVE_LIMIT if tier_share >= slots_share else SLOTS_ABOVE_LIMIT
         if not any(shares):
--- a/savorychute/gateway/dispatch/prompt_cache.py
+++ b/savorychute/gateway/dispatch/prompt_cache.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import TYPE_CHECKING, NamedTuple
 
 from savorychute.gateway.dispatch.chooser import CHOOSERS, Choice
@@ -21,7 +22,7 @@
 from savorychute.gateway.dispatch.partition_demand import PartitionDemand
 from savorychute.gateway.dispatch.rank_limits import is_last_tier
 from savorychute.gateway.dispatch.report_selection import ReportSelection
-from savorychute.gateway.dispatch.urgent_usage import urgent_usage
+from savorychute.gateway.dispatch.urgent_usage import UsageMonitor
 from savorychute.gateway.dispatch.wait_forecast import WaitForecast
 
 if TYPE_CHECKING:
@@ -88,6 +89,7 @@
         self._demand = demand or PartitionDemand()
         self._engine_partition = EnginePartition(self._demand)
         self._homes = HomeRanking()
+        self._usages: defaultdict[str, UsageMonitor] = defaultdict(UsageMonitor)
 
     def endpoints_to_query(
         self,
@@ -132,9 +134,8 @@
         choice = self._choose_best(partition, requirements, now_ms)
         if not is_last_tier(requirements.rank):
             return choice
-        return choice._replace(
-            urgent_usage=urgent_usage(records, requirements.rank, now_ms)
-        )
+        usage = self._usages[entry.service].measure(records, requirements.rank, now_ms)
+        return choice._replace(urgent_usage=usage)
 
     def _choose_for_sensitive_stream(
         self,
--- a/savorychute/gateway/dispatch/rank_limits.py
+++ b/savorychute/gateway/dispatch/rank_limits.py
@@ -60,10 +60,6 @@
     RankLimits(Ramp(0.5, 0.85), Ramp(2, 8), Ramp(0.5, 1.2)),
     RankLimits(Ramp(0.5, 0.8), Ramp(1, 7), Ramp(0.4, 1.1)),
 )
-# Share of all slots used by higher tiers from which the last tier is shed.  Reports are
-# old and requests that were sent start up to seconds later: if it were shed only once
-# the tiers above are short of slots, its requests would still start during the shortage.
-URGENT_USAGE = Ramp(0.25, 0.4)
 # The ranks of the least urgent tier.
 LAST_TIER_RANKS = range(LAST_ROUTE_LEVEL * ORGANISATION_LEVELS, len(LIMITS))
 
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -222,7 +222,8 @@
             generating=load.generating,
             ahead=load.generating_ahead(requirements.rank),
             begun_rank=NO_RANK if begun_rank is None else begun_rank,
-            used_above_percent=round(PERCENT * choice.urgent_usage),
+            used_above_percent=round(PERCENT * choice.urgent_usage.share),
+            usual_percent=round(PERCENT * choice.urgent_usage.usual),
             waited_ms=int(choice.wait_ms),
             age_ms=record.load_age_ms(now_ms),
         )
--- a/savorychute/log_fields.py
+++ b/savorychute/log_fields.py
@@ -67,6 +67,7 @@
     'used_above_percent': (
         "how much of a service's slots requests of higher tiers use"
     ),
+    'usual_percent': 'the mean of a percentage over some time',
     'version': 'the version of a contract or an endpoint',
     'waiting': 'requests that wait at an engine for their prompts to be read',
     'waited_ms': 'the time spent waiting',
