--- a/benches/gateway_soak/play.py
+++ b/benches/gateway_soak/play.py
@@ -158,10 +158,10 @@
     return [
         f'{path.name}: a traceback'
         for path in sorted(folder.glob('gateway-*.log'))
-        if any(map(_is_traceback, path.read_bytes().splitlines()))
+        if any(map(_reports_fault, path.read_bytes().splitlines()))
     ]
 
 
-def _is_traceback(line: bytes) -> bool:
+def _reports_fault(line: bytes) -> bool:
     """Return whether a log line shows an exception or a report of a library."""
     return LIBRARY_EVENT in line or b'Traceback' in line
