Keep the LF of a CRLF that arrives in two pieces

A caller whose parser ends lines by LF or CRLF would have taken two events for one, where a piece of the stream ended between the CR and the LF of the blank line: the event was forwarded at once and its LF dropped.

Change: the event gets its LF at once, and the one that follows is skipped.

--- a/savorychute/http/event_buffer.py
+++ b/savorychute/http/event_buffer.py
@@ -78,6 +78,9 @@
             events.append(bytes(self._buffer[start:end]))
             start = end
         self._ends_with_cr = start == len(self._buffer) and self._buffer.endswith(b'\r')
+        if self._ends_with_cr and events[-1].endswith(b'\n\r'):
+            # Not all parsers end a line by CR alone, so the LF is not left out.
+            events[-1] += b'\n'
         del self._buffer[:start]
         self._searched = max(0, len(self._buffer) - MAX_PARTIAL_END_BYTES)
         return events
--- a/tests/test_http/test_event_buffer.py
+++ b/tests/test_http/test_event_buffer.py
@@ -53,6 +53,17 @@
     assert buffer.partial_bytes == 0
 
 
+@pytest.mark.parametrize('piece_bytes', [1, 2, 3, 5, 17, 100])
+def test_crlf_that_is_split_reaches_the_caller_whole(piece_bytes):
+    """Guards against a caller that takes two events for one.
+
+    Its parser ends lines by LF or CRLF, and the LF was lost where a piece ended by CR.
+    """
+    data = b'id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n'
+
+    assert b''.join(feed_in_pieces(EventBuffer(), data, piece_bytes)) == data
+
+
 @settings(derandomize=True, deadline=None, max_examples=200)
 @given(
     st.lists(st.sampled_from([b'data: x', b'id: 1', b'']), max_size=12),
