Forward a large failed response that is not retried

Callers whose request may not be repeated, or has no attempt left, would have got 'outcome unknown' in place of a failed response above 256 KiB, which they got whole before the limit on failed responses. Found on reading the change.

Change: such a response is forwarded as it arrives, like a large success; only one that another endpoint may do better counts as interrupted. Result: a new test (500 with 256 KiB and a byte, not idempotent, arrives whole); 41 tests of the execution and the bound on retries pass.

--- a/savorychute/gateway/requests/attempt.py
+++ b/savorychute/gateway/requests/attempt.py
@@ -32,6 +32,10 @@
         """Handle the end of an attempt, whatever its outcome."""
         ...
 
+    def can_retry(self) -> bool:
+        """Return whether a failure of the current attempt may be retried."""
+        ...
+
     def forward_head(self, attempt: Attempt) -> None:
         """Start to forward a response that is too large to be buffered."""
         ...
@@ -146,8 +150,9 @@
             self._stop_buffering(self.response.kind)
 
     def _stop_buffering(self, kind: ResponseKind) -> None:
-        """Forward a large success; of a failure another endpoint may do better."""
-        if kind is ResponseKind.SUCCESS:
+        """Forward a large response, unless another endpoint may do better."""
+        is_final = kind is ResponseKind.FAILURE and not self.owner.can_retry()
+        if kind is ResponseKind.SUCCESS or is_final:
             self.forwarding = True
             self.owner.forward_head(self)
             return
--- a/savorychute/gateway/requests/caller_response.py
+++ b/savorychute/gateway/requests/caller_response.py
@@ -81,7 +81,9 @@
         :param response: the head of the response.
         :param buffered: its body.
         """
-        if self.started:
+        if self.forwarding:
+            self._caller.finish()
+        elif self.started:
             self._caller.abort()
         else:
             self._caller.respond(response.status, response.headers, b''.join(buffered))
--- a/savorychute/gateway/requests/request_execution.py
+++ b/savorychute/gateway/requests/request_execution.py
@@ -123,6 +123,11 @@
         """Count an execution by a plain service."""
         self._usage.record_attempt_end(attempt)
 
+    def can_retry(self) -> bool:
+        """Return whether a failure of the current attempt may be retried."""
+        has_attempts = self.possible_executions + 1 < self._route.max_attempts
+        return self._route.retryable and has_attempts and self._can_continue()
+
     def forward_head(self, attempt: Attempt) -> None:
         """Start to forward a response that is too large to be buffered."""
         assert attempt.response is not None
--- a/tests/test_gateway/test_request_execution.py
+++ b/tests/test_gateway/test_request_execution.py
@@ -321,6 +321,14 @@
     assert (caller.body, caller.state) == (b'own', 'whole')
 
 
+def test_large_failure_that_is_not_retried_reaches_its_caller_whole(gateway):
+    body = b'x' * (MAX_BUFFERED_BYTES + 1)
+    _, caller = gateway.start('/parts/1', method='POST', body=b'impeller')
+    gateway.last_attempt.respond(FAILURE, body)
+
+    assert (caller.status, caller.body, caller.state) == (500, body, 'whole')
+
+
 def test_refusal_with_a_large_body_is_still_one(gateway):
     _, caller = gateway.start('/parts/1', method='POST', body=b'impeller')
     gateway.last_attempt.start_response(REJECTION, b'x' * (MAX_BUFFERED_BYTES + 1))
