Tell an unknown share of slots from an unused one

Callers of summaries could have been held back at a service whose higher tiers always use many slots: a choice without a recent report counted as no use at all, so the usual share fell and the next report looked like a rise.

Change: without a report nothing is shed for it and the mean stays.

--- a/savorychute/gateway/dispatch/urgent_usage.py
+++ b/savorychute/gateway/dispatch/urgent_usage.py
@@ -60,6 +60,8 @@
         :param now_ms: the current time.
         """
         share = used_share(records, rank, now_ms)
+        if share is None:
+            return UrgentUsage(0.0, self._usual)
         if self._measured_ms is None:
             self._usual = share
         else:
@@ -69,11 +71,13 @@
         return UrgentUsage(share, self._usual)
 
 
-def used_share(records: Sequence[EndpointRecord], rank: int, now_ms: int) -> float:
+def used_share(
+    records: Sequence[EndpointRecord], rank: int, now_ms: int
+) -> float | None:
     """Return the share of slots used by tiers above a rank's, or needed by them.
 
     Only engines with a recent report that tells the ranks of their streams count; the
-    result is 0 without any.
+    result is None without any.
 
     :param records: the engines of a service.
     :param rank: rank of a request.
@@ -89,7 +93,7 @@
         used += load.generating_ahead(least_urgent_above)
         used += load.waiting_ahead(least_urgent_above)
         slots += max(record.entry.slots, MIN_SLOTS)
-    return used / slots if slots else 0.0
+    return used / slots if slots else None
 
 
 def _tells_ranks(load: EngineLoad) -> bool:
