Log when an attempt was sent, if it was

A line of an ended attempt did not say whether the request had left, nor on what connection, so an instance that reaches no endpoint looked like one whose kept connections hang. No decision changes; the tests of logs and of the whole path pass (4 workers).

--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -251,6 +251,9 @@
             state=outcome,
             reason=make_identifier(reason),
             duration_ms=now_ms - attempt.started_ms,
+            sent_after_ms=(
+                attempt.sent_ms - attempt.started_ms if attempt.sent else None
+            ),
             count=record.outstanding,
         )
 
--- a/savorychute/log_fields.py
+++ b/savorychute/log_fields.py
@@ -54,6 +54,7 @@
     'requests': 'requests within a window',
     'rest_gap_ms': 'the usual pause between events while no prompt is read',
     'retry_after_ms': 'the delay after which the caller may retry',
+    'sent_after_ms': 'from the start of an attempt until it was sent, null if never',
     'service': 'a plain service',
     'state': 'a state of a request, instance or endpoint',
     'status': 'an HTTP status',
