Show that callers of an instance without a path are refused, listed as red

Whole gateways on loopback and virtual time; a cut is silent, refuses new connections or resets all.

--- a/tests/test_fleet/fleet_fixture.py
+++ b/tests/test_fleet/fleet_fixture.py
@@ -8,6 +8,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 
+from endpoint_cut import RUNNING_GATEWAY, EndpointCut
 from store_stand_in import run_store
 
 from savorychute.gateway.daemon.run_gateway import run_host
@@ -124,6 +125,13 @@
                 'service': 'desk',
             },
             route
+            | {
+                'name': 'p',
+                'pathPrefix': '/p/',
+                'routeType': 'non_idempotent',
+                'service': 'desk',
+            },
+            route
             | {
                 'name': 's',
                 'pathPrefix': '/s/',
@@ -151,9 +159,10 @@
 class Gateway:
     """One instance, which can be started and stopped, and its addresses."""
 
-    def __init__(self, settings, clock, rng):
+    def __init__(self, number, settings, clock, rng):
         self.settings = settings
         self.host = None
+        self._number = number
         self._clock = clock
         self._rng = rng
         self._stack = AsyncExitStack()
@@ -161,7 +170,11 @@
     async def start(self):
         log = InstanceLog(self.settings.instance)
         host = run_host(self.settings, log, self._clock, self._rng)
-        self.host = await self._stack.enter_async_context(host)
+        running = RUNNING_GATEWAY.set(self._number)
+        try:
+            self.host = await self._stack.enter_async_context(host)
+        finally:
+            RUNNING_GATEWAY.reset(running)
 
     async def stop(self):
         """Stop gracefully, as after SIGTERM."""
@@ -178,6 +191,8 @@
     """A running store, endpoints and gateways, with a caller."""
 
     def __init__(self, store, endpoints, gateways, pool):
+        ports = {endpoint.port for endpoint in endpoints.values()}
+        self.cut = EndpointCut(asyncio.get_running_loop(), ports)
         self.store = store
         self.endpoints = endpoints
         self.gateways = gateways
@@ -282,7 +297,7 @@
         fleet.write_entries()
         for number in range(gateways):
             gateway_settings = make_settings(number, store.port, **settings)
-            gateway = Gateway(gateway_settings, clock, random.Random(number))
+            gateway = Gateway(number, gateway_settings, clock, random.Random(number))
             stack.push_async_callback(gateway.kill)
             await gateway.start()
             fleet.gateways.append(gateway)
