Let a pool open its connections by a connector

A pool always connected directly, so nothing could offer another way to a server. A connector now opens the connections, and a connection may have a path that says whether it is usable; without one nothing changes.

--- a/savorychute/client/client.py
+++ b/savorychute/client/client.py
@@ -17,6 +17,7 @@
 from savorychute.client.whole_answer import WholeAnswer
 from savorychute.clock import SystemClock
 from savorychute.http.client_pool import open_pool
+from savorychute.http.connector import DirectConnector
 from savorychute.http.http_request import HttpRequest
 from savorychute.ran import Ran
 from savorychute.result_code import ResultCode
@@ -164,7 +165,7 @@
     :param rng: the source of random backoffs.
     """
     clock = clock or SystemClock()
-    with open_pool(settings.pool, clock, tls) as pool:
+    with open_pool(settings.pool, clock, DirectConnector(tls)) as pool:
         yield Client(settings, pool, clock, rng or random.Random())
 
 
--- a/savorychute/cmd/operator_client.py
+++ b/savorychute/cmd/operator_client.py
@@ -16,6 +16,7 @@
 from savorychute.cmd.operator_verbs import OPERATOR_PATH, RESULT_CODE_HEADER
 from savorychute.http.call_failure import CallFailure
 from savorychute.http.client_pool import PoolSettings, ServerAddress, open_pool
+from savorychute.http.connector import DirectConnector
 from savorychute.http.http_request import HttpRequest
 from savorychute.http.timed_call import fetch
 from savorychute.result_code import ResultCode
@@ -82,7 +83,8 @@
     async def _call_first_reachable(self, request: HttpRequest) -> OperatorResponse:
         pool_settings = PoolSettings(connect_timeout_ms=self.timeout_ms)
         reasons: list[str] = []
-        with open_pool(pool_settings, SystemClock(), self.tls) as pool:
+        connector = DirectConnector(self.tls)
+        with open_pool(pool_settings, SystemClock(), connector) as pool:
             for address in self.addresses:
                 server = ServerAddress(*address)
                 result = await fetch(pool, server, request, self.timeout_ms)
--- a/savorychute/http/client_call.py
+++ b/savorychute/http/client_call.py
@@ -78,6 +78,17 @@
         if connection is not None:
             connection.drop_call()
 
+    @property
+    def path_lost(self) -> bool:
+        """Whether the path to the server was lost after the request was sent."""
+        connection = self._active_connection()
+        return connection is not None and connection.path_lost
+
+    @property
+    def via(self) -> str:
+        """The instance through which the request was sent; empty for none."""
+        return self._connection.via if self._connection is not None else ''
+
     def pause_reading(self) -> None:
         """Stop reading the response, which applies back-pressure to the server."""
         self._paused = True
--- a/savorychute/http/client_connection.py
+++ b/savorychute/http/client_connection.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from savorychute.http.connector import ConnectionPath
     from savorychute.http.http_request import HttpRequest
     from savorychute.http.response_handler import ResponseHandler
 
@@ -46,6 +47,8 @@
         self._handler: ResponseHandler | None = None
         self.idle_since_ms = 0
         self.keep_alive_ms: int | None = None
+        # Set by connectors that have more than one way to a server.
+        self.path: ConnectionPath | None = None
 
     @property
     def usable(self) -> bool:
@@ -55,8 +58,19 @@
             and not self._transport.is_closing()
             and self._handler is None
             and self._http.our_state is h11.IDLE
+            and (self.path is None or self.path.usable)
         )
 
+    @property
+    def via(self) -> str:
+        """The instance through which the connection passes; empty for none."""
+        return self.path.via if self.path is not None else ''
+
+    @property
+    def path_lost(self) -> bool:
+        """Whether the call in progress can expect no more bytes."""
+        return self.path is not None and self.path.lost
+
     # -- the transport's callbacks
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/savorychute/http/client_pool.py
+++ b/savorychute/http/client_pool.py
@@ -8,13 +8,14 @@
 
 from savorychute.http.client_call import ClientCall
 from savorychute.http.client_connection import ClientConnection
+from savorychute.http.connector import DirectConnector
 from savorychute.http.file_limit import connection_limit_by_files
 
 if TYPE_CHECKING:
-    import ssl
     from collections.abc import Iterator
 
     from savorychute.clock import Clock
+    from savorychute.http.connector import Connector
     from savorychute.http.http_request import HttpRequest
     from savorychute.http.response_handler import ResponseHandler
 
@@ -45,20 +46,21 @@
 
     :param settings: the limits.
     :param clock: measures how long connections are idle.
-    :param tls: the context of encrypted connections, or None for plain ones.
+    :param connector: opens the connections; direct and plain ones by default.
     """
 
     def __init__(
-        self, settings: PoolSettings, clock: Clock, tls: ssl.SSLContext | None = None
+        self, settings: PoolSettings, clock: Clock, connector: Connector | None = None
     ) -> None:
         self._settings = settings
         self._max_connections = min(settings.connections, connection_limit_by_files())
         self._clock = clock
-        self._tls = tls
+        self._connector = connector or DirectConnector()
         self._idle: dict[ServerAddress, list[ClientConnection]] = {}
         self._next_sweep_ms = 0
         self._open: set[ClientConnection] = set()
         self._connecting = 0
+        self._preparing: dict[ServerAddress, asyncio.Task[None]] = {}
 
     @property
     def open_connections(self) -> int:
@@ -95,10 +97,41 @@
 
     def close(self) -> None:
         """Abort all connections."""
+        for task in tuple(self._preparing.values()):
+            task.cancel()
         for connection in tuple(self._open):
             connection.abort()
         self._idle.clear()
 
+    def prepare(self, address: ServerAddress) -> None:
+        """Open a connection for later calls, unless one is being opened already.
+
+        :param address: the server.
+        """
+        if address in self._preparing or not self._ensure_capacity():
+            return
+        task = asyncio.get_running_loop().create_task(self._prepare(address))
+        self._preparing[address] = task
+        task.add_done_callback(lambda _: self._preparing.pop(address, None))
+
+    async def _prepare(self, address: ServerAddress) -> None:
+        self._connecting += 1
+        try:
+            connection = await self._open_connection(address)
+        except (OSError, TimeoutError):
+            return  # The next call reports the failure.
+        finally:
+            self._connecting -= 1
+        self._store_idle(address, connection)
+
+    def close_unusable(self) -> None:
+        """Close idle connections whose path should not be used any more."""
+        for address in tuple(self._idle):
+            unusable = [each for each in self._idle[address] if not each.usable]
+            for connection in unusable:
+                self._remove(address, connection)
+                connection.abort()
+
     def _start_on_idle(
         self, call: ClientCall, address: ServerAddress, reused: ClientConnection
     ) -> None:
@@ -129,16 +162,15 @@
             self._store_idle(address, connection)
 
     async def _open_connection(self, address: ServerAddress) -> ClientConnection:
-        loop = asyncio.get_running_loop()
-        connection = ClientConnection(
-            f'{address.host}:{address.port}',
-            on_idle=lambda idle: self._store_idle(address, idle),
-            on_lost=lambda lost: self._remove(address, lost),
-        )
-        async with asyncio.timeout(self._settings.connect_timeout_ms / MS_PER_S):
-            await loop.create_connection(
-                lambda: connection, address.host, address.port, ssl=self._tls
+        def make_connection() -> ClientConnection:
+            return ClientConnection(
+                f'{address.host}:{address.port}',
+                on_idle=lambda idle: self._store_idle(address, idle),
+                on_lost=lambda lost: self._remove(address, lost),
             )
+
+        async with asyncio.timeout(self._settings.connect_timeout_ms / MS_PER_S):
+            connection = await self._connector.open(address, make_connection)
         self._open.add(connection)
         return connection
 
@@ -208,15 +240,15 @@
 
 @contextmanager
 def open_pool(
-    settings: PoolSettings, clock: Clock, tls: ssl.SSLContext | None = None
+    settings: PoolSettings, clock: Clock, connector: Connector | None = None
 ) -> Iterator[ClientPool]:
     """Yield a pool and abort its connections when the block ends.
 
     :param settings: the limits.
     :param clock: measures how long connections are idle.
-    :param tls: the context of encrypted connections, or None for plain ones.
+    :param connector: opens the connections; direct and plain ones by default.
     """
-    pool = ClientPool(settings, clock, tls)
+    pool = ClientPool(settings, clock, connector)
     try:
         yield pool
     finally:
