Reach endpoints through other instances when the own path is lost

A path that only a tunnel could replace is lost: tunnels go first, one attempt now and then tries the direct way. Instances tell with probes whether they offer tunnels. Requests for tunnels are signed, lead to endpoints of the roster only, and never pass two instances.

--- a/savorychute/gateway/daemon/assembly.py
+++ b/savorychute/gateway/daemon/assembly.py
@@ -12,6 +12,7 @@
 from savorychute.gateway.daemon.loop_timers import LoopTimers
 from savorychute.gateway.daemon.peer_group import PeerGroup
 from savorychute.gateway.daemon.peer_message_router import PeerParts
+from savorychute.gateway.daemon.tunnel_server import TunnelServer
 from savorychute.gateway.discovery.instance_directory import InstanceDirectory
 from savorychute.gateway.dispatch import load_choosers
 from savorychute.gateway.dispatch.chooser import CHOOSERS
@@ -25,6 +26,7 @@
 from savorychute.gateway.endpoints.statement_table import StatementTable
 from savorychute.gateway.metric_rows import GATEWAY_METRICS
 from savorychute.gateway.parts import GatewayParts
+from savorychute.gateway.path_telemetry import PathTelemetry
 from savorychute.gateway.permits.permit_handler import PermitHandler
 from savorychute.gateway.recovery.crash_table import CrashTable
 from savorychute.gateway.recovery.retry_allowance import RetryAllowance
@@ -125,6 +127,7 @@
         environment.rng,
         parts.telemetry,
     )
+    tunnels = TunnelServer(parts.roster, environment.paths.table, environment.clock)
     peer_parts = PeerParts(
         directory,
         parts.crashes,
@@ -138,11 +141,15 @@
         duty_parts.candidates,
         duty_parts.broadcaster,
         duty_parts.time,
+        environment.paths.relays,
+        tunnels,
     )
     peers = PeerGroup(
         entry_manager,
         eras,
         peer_parts,
+        environment.paths.connector,
+        int(settings.tunnel_port),
         environment.clock,
         environment.rng,
         parts.telemetry,
@@ -150,7 +157,15 @@
     intake = Intake(parts.configuration, parts.crashes, environment.rng)
     duties = make_duty_worker(environment, duty_parts, topics.duties, eras, parts, plan)
     host = GatewayHost(
-        settings, parts, intake, environment.adapter, peers, directory, duties
+        settings,
+        parts,
+        intake,
+        environment.adapter,
+        peers,
+        directory,
+        tunnels,
+        environment.endpoints,
+        duties,
     )
     configuration = ConfigurationListener(
         parts.configuration,
@@ -209,6 +224,9 @@
     crashes = CrashTable()
     metrics = Metrics(settings.instance, GATEWAY_METRICS)
     telemetry = GatewayTelemetry(environment.log, metrics, clock)
+    path_telemetry = PathTelemetry(telemetry)
+    environment.paths.table.on_change = path_telemetry.paths_changed
+    environment.paths.connector.observer = path_telemetry
     endpoint_telemetry = EndpointTelemetry(telemetry)
     statements = StatementTable(endpoint_telemetry)
     timers = LoopTimers()
@@ -244,6 +262,7 @@
         permits=permits,
         allowance=RetryAllowance(read_retry_bounds(settings), clock.now_ms()),
         crashes=crashes,
+        paths=environment.paths.table,
         usage=usage,
         telemetry=telemetry,
         endpoint_telemetry=endpoint_telemetry,
--- a/savorychute/gateway/daemon/attempt_sender.py
+++ b/savorychute/gateway/daemon/attempt_sender.py
@@ -99,16 +99,30 @@
             self.record_statement(run, response.status, response.headers, sent_ms)
             on_result(load)
 
+        def handle_failure(failure: CallFailure) -> None:
+            if failure.sent:
+                self.check_path(endpoint)
+            on_result(None)
+
         submit_timed(
             self._pool,
             endpoint.address,
             self._adapter.encode_probe(),
             PROBE_TIMEOUT_MS,
             handle_response,
-            lambda failure: on_result(None),  # noqa: ARG005
+            handle_failure,
             can_send,
         )
 
+    def check_path(self, endpoint: EndpointEntry) -> None:
+        """Check whether new connections to an unresponsive endpoint can be opened.
+
+        A kept connection that hangs looks like an endpoint that hangs.
+
+        :param endpoint: the endpoint.
+        """
+        self._pool.prepare(endpoint.address)
+
     def can_send(
         self,
         endpoint: EndpointEntry,
--- a/savorychute/gateway/daemon/gateway_host.py
+++ b/savorychute/gateway/daemon/gateway_host.py
@@ -22,12 +22,14 @@
     from savorychute.gateway.configuration.deployment import Deployment
     from savorychute.gateway.daemon.duty_worker import DutyWorker
     from savorychute.gateway.daemon.peer_group import PeerGroup
+    from savorychute.gateway.daemon.tunnel_server import TunnelServer
     from savorychute.gateway.discovery.instance_directory import InstanceDirectory
     from savorychute.gateway.parts import GatewayParts
     from savorychute.gateway.platform_adapter import PlatformAdapter
     from savorychute.gateway.requests.intake import Intake
     from savorychute.gateway.settings.gateway_settings import GatewaySettings
     from savorychute.gateway.telemetry import GatewayTelemetry
+    from savorychute.http.client_pool import ClientPool
     from savorychute.http.http_server import HttpServer
     from savorychute.http.server_exchange import ServerExchange
 
@@ -55,6 +57,8 @@
     :param adapter: translates the protocols of the platform, callers and endpoints.
     :param peers: the other instances.
     :param directory: chooses the addresses that callers receive.
+    :param tunnels: opens connections to endpoints for other instances.
+    :param endpoints: the connections to endpoints.
     :param duties: carries out duties for all instances; None if there are none.
     """
 
@@ -66,6 +70,8 @@
         adapter: PlatformAdapter,
         peers: PeerGroup,
         directory: InstanceDirectory,
+        tunnels: TunnelServer,
+        endpoints: ClientPool,
         duties: DutyWorker | None = None,
     ) -> None:
         self._settings = settings
@@ -74,6 +80,8 @@
         self._adapter = adapter
         self._peers = peers
         self._directory = directory
+        self._tunnels = tunnels
+        self._endpoints = endpoints
         self._duties = duties
         self._leaving_since_ms: int | None = None
         self._last_request_ms = 0
@@ -113,6 +121,7 @@
                 version if self.ready else NOT_READY_VERSION
             )
             self._parts.roster.expire(self._parts.clock.now_ms())
+            self._endpoints.close_unusable()
             self._parts.telemetry.log_omitted()
             self._log_summaries(self._parts.clock.now_ms())
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_MS / MS_PER_S)
@@ -210,6 +219,7 @@
         configuration = self._parts.configuration
         view = self._peers.view()
         metrics.set('in_progress', self.in_progress)
+        metrics.set('tunnels_open', self._tunnels.open_tunnels)
         if self.caller_server is not None:
             metrics.set('open_connections', self.caller_server.open_connections)
         metrics.set('members', len(view.alive) - 1 if view is not None else 0)
@@ -267,6 +277,7 @@
         self._leaving_since_ms = started_ms
         if self.caller_server is not None:
             self.caller_server.closing = True
+        self._tunnels.leaving = True
         if self._duties is not None:
             self._duties.leave()
         max_retries = self._parts.allowance.close(started_ms)
@@ -281,7 +292,9 @@
     def _can_end(self, leaving_ms: int) -> bool:
         if leaving_ms >= self._shutdown_plan.max_ms:
             return True
-        if self.in_progress or leaving_ms < self._shutdown_plan.min_ms:
+        if self.in_progress or self._tunnels.open_tunnels:
+            return False
+        if leaving_ms < self._shutdown_plan.min_ms:
             return False
         idle_ms = self._parts.clock.now_ms() - self._last_request_ms
         return idle_ms >= self._shutdown_plan.idle_ms
--- /dev/null
+++ b/savorychute/gateway/daemon/path_connector.py
@@ -0,0 +1,260 @@
+"""Connects to endpoints directly, or through other instances."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol
+
+from savorychute.clock import MS_PER_S
+from savorychute.gateway.daemon.tunnel_client import open_tunnel
+from savorychute.gateway.paths.tunnel_error import EndpointUnreachableError, RelayError
+from savorychute.gateway.paths.tunnel_request import TunnelRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from savorychute.clock import Clock
+    from savorychute.gateway.paths.path_table import PathTable
+    from savorychute.gateway.paths.relay_table import Relay, RelayTable
+    from savorychute.http.client_connection import ClientConnection
+    from savorychute.http.client_pool import ServerAddress
+
+# How long a relay may take to open a tunnel.
+TUNNEL_TIMEOUT_MS = 200
+# The whole of a direct attempt that goes on beside a tunnel.
+DIRECT_TIMEOUT_MS = 400
+
+
+class PathObserver(Protocol):
+    """Is notified of the outcomes of connecting."""
+
+    def connected(self, via: str) -> None:
+        """Handle an open connection; *via* is empty for a direct one."""
+        ...
+
+    def tunnel_failed(self, relay: str, address: ServerAddress, reason: str) -> None:
+        """Handle that a relay opened no tunnel."""
+        ...
+
+
+class MessageEncoder(Protocol):
+    """Signs a message for another instance."""
+
+    def __call__(self, receiver: str, message: TunnelRequest) -> bytes:
+        """Return the signed frame."""
+        ...
+
+
+class DirectPath:
+    """The path of a connection from this instance to the endpoint.
+
+    :param paths: the paths of this instance.
+    :param address: the endpoint.
+    """
+
+    via = ''
+
+    def __init__(self, paths: PathTable, address: ServerAddress) -> None:
+        self._paths = paths
+        self._address = address
+
+    @property
+    def usable(self) -> bool:
+        """Whether the endpoint may still be reached on open connections."""
+        return not self.lost
+
+    @property
+    def lost(self) -> bool:
+        """Whether direct connections to the endpoint hang."""
+        return self._paths.is_silent(self._address)
+
+
+class TunnelPath:
+    """The path of a connection through another instance.
+
+    :param paths: the paths of this instance.
+    :param relays: the instances that offer tunnels.
+    :param address: the endpoint.
+    :param via: the instance through which the connection passes.
+    """
+
+    def __init__(
+        self, paths: PathTable, relays: RelayTable, address: ServerAddress, via: str
+    ) -> None:
+        self._paths = paths
+        self._relays = relays
+        self._address = address
+        self.via = via
+
+    @property
+    def usable(self) -> bool:
+        """Whether the tunnel is still needed, and its relay goes on offering it."""
+        return self._paths.is_lost(self._address) and self._relays.offers(self.via)
+
+    @property
+    def lost(self) -> bool:
+        """Whether the relay has failed."""
+        return not self._relays.is_alive(self.via)
+
+
+class PathConnector:
+    """Opens connections by the path that works.
+
+    While nothing has failed, connections are direct.  If one fails, or is not open after
+    a short delay, a tunnel is tried as well, and the first connection is used.  This is
+    safe for every request, because none is sent before its connection is open.
+
+    :param paths: the paths of this instance.
+    :param relays: the instances that offer tunnels.
+    :param clock: monotonic clock.
+    """
+
+    def __init__(self, paths: PathTable, relays: RelayTable, clock: Clock) -> None:
+        self._paths = paths
+        self._relays = relays
+        self._clock = clock
+        self._late: set[asyncio.Task[ClientConnection]] = set()
+        # Signs requests for tunnels; set when this instance has joined the group.
+        self.encode: MessageEncoder | None = None
+        self.observer: PathObserver | None = None
+
+    async def open(
+        self, address: ServerAddress, make_connection: Callable[[], ClientConnection]
+    ) -> ClientConnection:
+        """Return an open connection.
+
+        :param address: the endpoint.
+        :param make_connection: makes the protocol of each connection that is tried.
+        :raises OSError: if the endpoint cannot be reached.
+        """
+        plan = self._paths.plan(address, self._clock.now_ms())
+        tasks: list[asyncio.Task[ClientConnection]] = []
+        try:
+            if plan.direct_delay_ms is not None:
+                direct = self._start(self._open_direct(address, make_connection))
+                tasks.append(direct)
+                await asyncio.wait(tasks, timeout=plan.tunnel_delay_ms / MS_PER_S)
+                if _has_succeeded(direct):
+                    return self._report(direct.result())
+            tasks.append(self._start(self._open_tunnel(address, make_connection)))
+            winner = await _first_success(tasks)
+        except BaseException:
+            for task in tasks:
+                self._discard(task)
+            raise
+        self._settle(address, winner, tasks)
+        return self._report(winner.result())
+
+    def _report(self, connection: ClientConnection) -> ClientConnection:
+        if self.observer is not None:
+            self.observer.connected(connection.via)
+        return connection
+
+    def _start(
+        self, coroutine: asyncio._CoroutineLike[ClientConnection]
+    ) -> asyncio.Task[ClientConnection]:
+        return asyncio.get_running_loop().create_task(coroutine)
+
+    def _settle(
+        self,
+        address: ServerAddress,
+        winner: asyncio.Task[ClientConnection],
+        tasks: list[asyncio.Task[ClientConnection]],
+    ) -> None:
+        """Record which path worked, and end the other attempt."""
+        losers = [task for task in tasks if task is not winner]
+        if not winner.result().via:
+            for loser in losers:
+                self._discard(loser)
+            return
+        for direct in losers:
+            is_silent = not direct.done()
+            self._paths.record_bypassed(address, self._clock.now_ms(), silent=is_silent)
+            # A direct connection that is only slow shows that the path is not lost.
+            direct.add_done_callback(_abort_connection)
+            self._late.add(direct)
+            direct.add_done_callback(self._late.discard)
+
+    def _discard(self, task: asyncio.Task[ClientConnection]) -> None:
+        task.add_done_callback(_abort_connection)
+        task.cancel()
+
+    async def _open_direct(
+        self, address: ServerAddress, make_connection: Callable[[], ClientConnection]
+    ) -> ClientConnection:
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(DIRECT_TIMEOUT_MS / MS_PER_S):
+            _, connection = await loop.create_connection(
+                make_connection, address.host, address.port
+            )
+        connection.path = DirectPath(self._paths, address)
+        self._paths.record_connected(address, self._clock.now_ms())
+        return connection
+
+    async def _open_tunnel(
+        self, address: ServerAddress, make_connection: Callable[[], ClientConnection]
+    ) -> ClientConnection:
+        """Ask one relay after another until one reaches the endpoint."""
+        asked: set[str] = set()
+        while True:
+            relay = self._relays.choose(asked, self._clock.now_ms())
+            if relay is None:
+                raise RelayError('no other instance offers a tunnel')
+            asked.add(relay.address.instance)
+            try:
+                return await self._open_through(relay, address, make_connection)
+            except OSError as error:
+                self._record_failure(relay, address, error)
+                if isinstance(error, EndpointUnreachableError):
+                    raise
+
+    def _record_failure(
+        self, relay: Relay, address: ServerAddress, error: OSError
+    ) -> None:
+        name = relay.address.instance
+        if not isinstance(error, EndpointUnreachableError):
+            self._relays.record_failure(name, self._clock.now_ms())
+        if self.observer is not None:
+            reason = str(error) or type(error).__name__
+            self.observer.tunnel_failed(name, address, reason)
+
+    async def _open_through(
+        self,
+        relay: Relay,
+        address: ServerAddress,
+        make_connection: Callable[[], ClientConnection],
+    ) -> ClientConnection:
+        if self.encode is None:
+            raise RelayError('this instance has not joined the group yet')
+        request = TunnelRequest(address.host, address.port)
+        name = relay.address.instance
+        frame = self.encode(name, request)
+        async with asyncio.timeout(TUNNEL_TIMEOUT_MS / MS_PER_S):
+            connection = await open_tunnel(relay, address, frame, make_connection)
+        self._relays.record_success(name)
+        connection.path = TunnelPath(self._paths, self._relays, address, name)
+        return connection
+
+
+async def _first_success(
+    tasks: list[asyncio.Task[ClientConnection]],
+) -> asyncio.Task[ClientConnection]:
+    """Return the first task that succeeds, or raise the error of the last one."""
+    pending = set(tasks)
+    while True:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            if _has_succeeded(task):
+                return task
+        if not pending:
+            tasks[-1].result()
+
+
+def _has_succeeded(task: asyncio.Task[ClientConnection]) -> bool:
+    return task.done() and not task.cancelled() and task.exception() is None
+
+
+def _abort_connection(task: asyncio.Task[ClientConnection]) -> None:
+    """Abort the connection of an attempt that is not needed any more."""
+    if _has_succeeded(task):
+        task.result().abort()
--- a/savorychute/gateway/daemon/peer_group.py
+++ b/savorychute/gateway/daemon/peer_group.py
@@ -10,6 +10,7 @@
 from savorychute.clock import MS_PER_S
 from savorychute.daemon.peer_link import open_peer_link
 from savorychute.gateway.daemon.peer_message_router import PeerMessageRouter
+from savorychute.gateway.daemon.tunnel_server import open_tunnel_server
 from savorychute.gateway.discovery.advertisement import NOT_READY_VERSION
 from savorychute.inputs.listing_fetched import ListingFetched
 from savorychute.inputs.peer_received import PeerReceived
@@ -25,6 +26,7 @@
     from savorychute.clock import Clock
     from savorychute.daemon.peer_link import PeerLink
     from savorychute.gateway.daemon.entry_manager import EntryManager
+    from savorychute.gateway.daemon.path_connector import PathConnector
     from savorychute.gateway.daemon.peer_message_router import PeerParts
     from savorychute.gateway.store.instance_entry import InstanceListing
     from savorychute.gateway.store.store_era import StoreEra
@@ -53,6 +55,8 @@
     :param entry: manages the entry of this instance in the store.
     :param eras: the newest known era of the store.
     :param parts: the parts that exchange messages with other instances.
+    :param connector: requests tunnels from other instances.
+    :param tunnel_port: where other instances request tunnels; 0 for any free port.
     :param clock: monotonic clock.
     :param rng: random number generator.
     :param telemetry: logs changes of members.
@@ -63,6 +67,8 @@
         entry: EntryManager,
         eras: StoreEra,
         parts: PeerParts,
+        connector: PathConnector,
+        tunnel_port: int,
         clock: Clock,
         rng: random.Random,
         telemetry: GatewayTelemetry,
@@ -72,6 +78,8 @@
         self._eras = eras
         self._reregistering = False
         self._parts = parts
+        self._connector = connector
+        self._tunnel_port = tunnel_port
         self._message_router = PeerMessageRouter(parts, rng)
         self._clock = clock
         self._rng = rng
@@ -94,7 +102,13 @@
         address = self._registration.address
         codec = PeerCodec(address.instance, address.incarnation, keys)
         self._codec = codec
-        async with open_peer_link(codec, address.host, address.peer_port) as link:
+        tunnels = self._parts.tunnels
+        self._connector.encode = codec.encode
+        tunnels.decode = codec.decode
+        async with (
+            open_peer_link(codec, address.host, address.peer_port) as link,
+            open_tunnel_server(tunnels, address.host, self._tunnel_port),
+        ):
             self._link = link
             self._parts.permits.send = link.send
             self._membership = Membership(MEMBERSHIP_SETTINGS, address, self._rng)
--- a/savorychute/gateway/daemon/peer_message_router.py
+++ b/savorychute/gateway/daemon/peer_message_router.py
@@ -7,6 +7,7 @@
 from savorychute.actions.send_peer import SendPeer
 from savorychute.gateway.discovery.advertisement import read_advertisement
 from savorychute.gateway.duties.usage_told import UsageTold
+from savorychute.gateway.paths.tunnel_offer import decode_offer, encode_offer
 from savorychute.gateway.permits.permit_answer import PermitAnswer
 from savorychute.gateway.permits.permit_question import PermitQuestion
 from savorychute.gateway.recovery.crash_broadcaster import CrashBroadcaster
@@ -23,6 +24,7 @@
     import random
     from collections.abc import Callable
 
+    from savorychute.gateway.daemon.tunnel_server import TunnelServer
     from savorychute.gateway.discovery.instance_directory import InstanceDirectory
     from savorychute.gateway.dispatch.partition_demand import PartitionDemand
     from savorychute.gateway.dispatch.shortages import Shortages
@@ -30,6 +32,7 @@
     from savorychute.gateway.duties.true_time import TrueTime
     from savorychute.gateway.duties.usage_broadcaster import UsageBroadcaster
     from savorychute.gateway.endpoints.statement_table import StatementTable
+    from savorychute.gateway.paths.relay_table import RelayTable
     from savorychute.gateway.permits.permit_handler import PermitHandler
     from savorychute.gateway.recovery.crash_table import CrashTable
     from savorychute.gateway.store.read_plan import ReadPlan
@@ -56,6 +59,8 @@
     candidates: DutyCandidates
     usage: UsageBroadcaster | None
     time: TrueTime
+    relays: RelayTable
+    tunnels: TunnelServer
 
 
 class PeerMessageRouter:
@@ -82,6 +87,7 @@
             parts.time.own_offset_ms() if parts.usage is not None else None,
             parts.statements.limits.announcements(now_ms),
             parts.statements.leaving.announcements(now_ms),
+            encode_offer(parts.tunnels.offer()),
         )
 
     def tick(self, view: MemberView, now_ms: int) -> list[SendPeer]:
@@ -96,6 +102,8 @@
         parts.demand.observe(parts.count_streams(), len(view.alive), now_ms)
         parts.shortages.instances = max(1, len(view.alive))
         parts.candidates.set_view(view)
+        parts.relays.set_view(view)
+        parts.tunnels.set_view(view)
         messages = self._crash_broadcaster.tick(view, now_ms)
         messages += self._crash_history_fetcher.tick(view, now_ms)
         messages += parts.shared_reader.tick(now_ms)
@@ -151,6 +159,8 @@
         parts.statements.limits.record_reported(probe.limits, now_ms)
         parts.statements.leaving.record_reported(probe.leaving, now_ms)
         parts.time.record_wall_time(sender, probe.wall_ms, now_ms)
+        offer = decode_offer(probe.tunnels)
+        parts.relays.record_offer(probe.origin.address, offer, now_ms)
 
     def record_readiness(
         self, sender: str, message: tuple[Any, ...], view: MemberView, now_ms: int
--- a/savorychute/gateway/daemon/run_gateway.py
+++ b/savorychute/gateway/daemon/run_gateway.py
@@ -11,10 +11,13 @@
 
 from savorychute.clock import SystemClock, SystemWallClock
 from savorychute.gateway.daemon.assembly import assemble
-from savorychute.gateway.daemon.environment import GatewayEnvironment
+from savorychute.gateway.daemon.environment import EndpointPaths, GatewayEnvironment
+from savorychute.gateway.daemon.path_connector import PathConnector
 from savorychute.gateway.daemon.servers import open_servers
 from savorychute.gateway.daemon.settings_monitor import SettingsMonitor
 from savorychute.gateway.daemon.supervisor import keep_running
+from savorychute.gateway.paths.path_table import PathTable
+from savorychute.gateway.paths.relay_table import RelayTable
 from savorychute.gateway.platform_adapter import PLATFORMS
 from savorychute.gateway.settings.table import GATEWAY_SCHEMA
 from savorychute.http.client_pool import PoolSettings, open_pool
@@ -103,11 +106,16 @@
     store_pool_settings = PoolSettings(
         connections=STORE_CONNECTIONS, connect_timeout_ms=int(settings.store_timeout_ms)
     )
+    paths = _make_paths(settings, clock, rng)
     async with AsyncExitStack() as stack:
+        endpoints = stack.enter_context(
+            open_pool(endpoint_pool_settings, clock, paths.connector)
+        )
         environment = GatewayEnvironment(
             settings=settings,
             adapter=PLATFORMS.get(settings.platform)(),
-            endpoints=stack.enter_context(open_pool(endpoint_pool_settings, clock)),
+            endpoints=endpoints,
+            paths=paths,
             store=stack.enter_context(open_pool(store_pool_settings, clock)),
             log=log,
             clock=clock,
@@ -123,3 +131,11 @@
         )
         log.info('instance-started', address=str(settings.caller_address))
         yield host
+
+
+def _make_paths(
+    settings: GatewaySettings, clock: Clock, rng: random.Random
+) -> EndpointPaths:
+    table = PathTable()
+    relays = RelayTable(settings.failure_domain, rng)
+    return EndpointPaths(table, relays, PathConnector(table, relays, clock))
--- /dev/null
+++ b/savorychute/gateway/daemon/tunnel_client.py
@@ -0,0 +1,108 @@
+"""Opens a connection to an endpoint through another instance."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from typing import TYPE_CHECKING, cast
+
+import h11
+
+from savorychute.gateway.paths.tunnel_error import EndpointUnreachableError, RelayError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from savorychute.gateway.paths.relay_table import Relay
+    from savorychute.http.client_connection import ClientConnection
+    from savorychute.http.client_pool import ServerAddress
+
+# Scheme of the credentials: a signed message between instances, in base64.
+AUTHENTICATION_SCHEME = 'Savorychute'
+STATUS_OK = 200
+# The relay cannot reach the endpoint, though it reaches others.
+STATUS_UNREACHABLE = 502
+
+
+class _Handshake(asyncio.Protocol):
+    """Sends the request for a tunnel and waits for the response."""
+
+    def __init__(self, target: bytes, credentials: bytes) -> None:
+        self._http = h11.Connection(h11.CLIENT)
+        self._target = target
+        self._credentials = credentials
+        self.done: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Send the request."""
+        request = h11.Request(
+            method='CONNECT',
+            target=self._target,
+            headers=[
+                (b'host', self._target),
+                (b'proxy-authorization', self._credentials),
+            ],
+        )
+        data = self._http.send(request) or b''
+        data += self._http.send(h11.EndOfMessage()) or b''
+        cast('asyncio.Transport', transport).write(data)
+
+    def data_received(self, data: bytes) -> None:
+        """Process the response."""
+        try:
+            self._http.receive_data(data)
+            event = self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            self._fail(f'malformed response to a request for a tunnel: {error}')
+            return
+        if isinstance(event, h11.Response) and not self.done.done():
+            self.done.set_result(event.status_code)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the handshake if it is not complete."""
+        self._fail(f'relay closed the connection: {exc or "end of stream"}')
+
+    def _fail(self, message: str) -> None:
+        if not self.done.done():
+            self.done.set_exception(RelayError(message))
+
+
+async def open_tunnel(
+    relay: Relay,
+    address: ServerAddress,
+    frame: bytes,
+    make_connection: Callable[[], ClientConnection],
+) -> ClientConnection:
+    """Return a connection to an endpoint through another instance.
+
+    :param relay: the instance.
+    :param address: the endpoint.
+    :param frame: the signed request for the tunnel.
+    :param make_connection: makes the protocol of the connection.
+    :raises EndpointUnreachableError: if the relay cannot reach the endpoint.
+    :raises OSError: if the relay cannot be reached, or offers no tunnel.
+    """
+    target = f'{address.host}:{address.port}'.encode()
+    credentials = f'{AUTHENTICATION_SCHEME} {base64.b64encode(frame).decode()}'
+    transport, handshake = await asyncio.get_running_loop().create_connection(
+        lambda: _Handshake(target, credentials.encode()),
+        relay.address.host,
+        relay.tunnel_port,
+    )
+    try:
+        _check_status(await handshake.done)
+    except BaseException:
+        transport.abort()
+        raise
+    connection = make_connection()
+    transport.set_protocol(connection)
+    connection.connection_made(transport)
+    return connection
+
+
+def _check_status(status: int) -> None:
+    if status == STATUS_OK:
+        return
+    if status == STATUS_UNREACHABLE:
+        raise EndpointUnreachableError('relay cannot reach the endpoint')
+    raise RelayError(f'relay refused a tunnel with status {status}')
--- /dev/null
+++ b/savorychute/gateway/daemon/tunnel_server.py
@@ -0,0 +1,183 @@
+"""Opens connections to endpoints on behalf of other instances."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Protocol
+
+from savorychute.clock import MS_PER_S
+from savorychute.gateway.daemon.tunnel_connection import TunnelConnection
+from savorychute.gateway.paths.tunnel_offer import TunnelOffer, TunnelState
+from savorychute.gateway.paths.tunnel_request import TunnelRequest
+from savorychute.http.client_pool import ServerAddress
+from savorychute.http.file_limit import connection_limit_by_files
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+    from savorychute.clock import Clock
+    from savorychute.gateway.paths.path_table import PathTable
+    from savorychute.membership.member_view import MemberView
+    from savorychute.wire.decoded_message import DecodedMessage
+
+SWEEP_INTERVAL_MS = 500
+# A connection that has not completed its request by then is closed.
+HANDSHAKE_TIMEOUT_MS = 1_000
+# Share of the descriptors that tunnels may use; callers of this instance go first.
+DESCRIPTOR_SHARE = 0.25
+MAX_TUNNELS = 512
+
+
+class EndpointLookup(Protocol):
+    """Knows which addresses belong to endpoints."""
+
+    def accepts_requests_at(self, address: ServerAddress) -> bool:
+        """Return whether an endpoint that may get new requests has this address."""
+        ...
+
+
+class TunnelServer:
+    """Passes bytes between other instances and endpoints.
+
+    Only members are served, and only endpoints that may get new requests are connected
+    to, so that it is no open proxy.  A tunnel never passes through two instances.
+
+    :param endpoints: the endpoints that may get new requests.
+    :param paths: the paths of this instance.
+    :param clock: monotonic clock.
+    """
+
+    def __init__(
+        self, endpoints: EndpointLookup, paths: PathTable, clock: Clock
+    ) -> None:
+        self._endpoints = endpoints
+        self._paths = paths
+        self._clock = clock
+        self._max_tunnels = min(
+            MAX_TUNNELS, int(DESCRIPTOR_SHARE * connection_limit_by_files())
+        )
+        self._connections: set[TunnelConnection] = set()
+        # Verifies a signed message; set when this instance has joined the group.
+        self.decode: Callable[[bytes], DecodedMessage] | None = None
+        self.port = 0
+        self.leaving = False
+
+    @property
+    def open_tunnels(self) -> int:
+        """Number of tunnels that are open."""
+        return sum(connection.is_tunnel for connection in self._connections)
+
+    def offer(self) -> TunnelOffer:
+        """Return what this instance tells others about its tunnels."""
+        if self._paths.is_isolated:
+            return TunnelOffer(TunnelState.NO_PATH)
+        if self.leaving or not self.port:
+            return TunnelOffer()
+        return TunnelOffer(TunnelState.OFFERED, self.port)
+
+    def accepts(self) -> bool:
+        """Return whether a further tunnel may be opened."""
+        is_offered = self.offer().state is TunnelState.OFFERED
+        return is_offered and len(self._connections) <= self._max_tunnels
+
+    def is_endpoint(self, address: ServerAddress) -> bool:
+        """Return whether a tunnel may lead to an address.
+
+        :param address: the address.
+        """
+        return self._endpoints.accepts_requests_at(address)
+
+    def authenticate(self, frame: bytes, address: ServerAddress) -> str | None:
+        """Return the instance that requested a tunnel, or None for others.
+
+        :param frame: the signed request.
+        :param address: the address that the tunnel should lead to.
+        :raises MessageError: if the frame holds no message.
+        :raises SignatureError: if the frame is not authentic.
+        """
+        if self.decode is None:
+            return None
+        decoded = self.decode(frame)
+        message = decoded.message
+        if not isinstance(message, TunnelRequest):
+            return None
+        is_same = ServerAddress(message.host, message.port) == address
+        return decoded.sender if is_same else None
+
+    def record_connected(self, address: ServerAddress) -> None:
+        """Record that this instance reached an endpoint by itself.
+
+        :param address: the endpoint.
+        """
+        self._paths.record_connected(address, self._clock.now_ms())
+
+    def is_connected(self) -> bool:
+        """Return whether this instance reached any endpoint a short time ago."""
+        return self._paths.is_connected(self._clock.now_ms())
+
+    def now_ms(self) -> int:
+        """Return the current time."""
+        return self._clock.now_ms()
+
+    def add(self, connection: TunnelConnection) -> None:
+        """Add an accepted connection."""
+        self._connections.add(connection)
+
+    def remove(self, connection: TunnelConnection) -> None:
+        """Remove a closed connection."""
+        self._connections.discard(connection)
+
+    def set_view(self, view: MemberView) -> None:
+        """Close the tunnels of instances that are gone.
+
+        An instance that lost power closes no connection, and endpoints would go on
+        working for its callers.
+
+        :param view: the current members.
+        """
+        for connection in tuple(self._connections):
+            name = connection.requester
+            if name and not view.is_alive(name) and name not in view.leaving:
+                connection.abort()
+
+    def sweep(self) -> None:
+        """Close connections that have not completed their request in time."""
+        before_ms = self._clock.now_ms() - HANDSHAKE_TIMEOUT_MS
+        for connection in tuple(self._connections):
+            if not connection.is_tunnel and connection.accepted_ms < before_ms:
+                connection.abort()
+
+    def abort_all(self) -> None:
+        """Abort all connections."""
+        for connection in tuple(self._connections):
+            connection.abort()
+
+
+@asynccontextmanager
+async def open_tunnel_server(
+    server: TunnelServer, host: str, port: int
+) -> AsyncIterator[None]:
+    """Accept requests for tunnels until the block ends.
+
+    :param server: handles the connections.
+    :param host: the IP address to listen on.
+    :param port: the port, or 0 to let the system choose one.
+    """
+    loop = asyncio.get_running_loop()
+    listener = await loop.create_server(lambda: TunnelConnection(server), host, port)
+    server.port = listener.sockets[0].getsockname()[1]
+    sweeper = loop.create_task(_sweep_forever(server))
+    try:
+        yield
+    finally:
+        server.port = 0
+        sweeper.cancel()
+        listener.close()
+        server.abort_all()
+
+
+async def _sweep_forever(server: TunnelServer) -> None:
+    while True:
+        await asyncio.sleep(SWEEP_INTERVAL_MS / MS_PER_S)
+        server.sweep()
--- a/savorychute/gateway/endpoints/endpoint_roster.py
+++ b/savorychute/gateway/endpoints/endpoint_roster.py
@@ -13,6 +13,7 @@
     from savorychute.clock import Clock
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
     from savorychute.gateway.endpoints.endpoint_run import EndpointRun
+    from savorychute.http.client_pool import ServerAddress
 
 # Entries that expired during an outage of the store are written again within about two
 # seconds of its recovery; the rest is the time until they are read.
@@ -76,6 +77,16 @@
         records = self._by_service.get(service, {}).values()
         return [record for record in records if not self.is_leaving(record.entry)]
 
+    def accepts_requests_at(self, address: ServerAddress) -> bool:
+        """Return whether an endpoint that may get new requests has an address.
+
+        :param address: the address.
+        """
+        return any(
+            record.entry.address == address and not self.is_leaving(record.entry)
+            for record in self
+        )
+
     def is_leaving(self, entry: EndpointEntry) -> bool:
         """Return whether an endpoint is draining or leaving.
 
--- a/savorychute/gateway/metric_rows.py
+++ b/savorychute/gateway/metric_rows.py
@@ -84,6 +84,27 @@
         ('tier',),
         'The longest pause between two events of an answer.',
     ),
+    MetricRow(
+        'connections_total',
+        'counter',
+        ('way',),
+        'Connections to endpoints, direct or through a tunnel of another instance.',
+    ),
+    MetricRow(
+        'tunnel_failures_total',
+        'counter',
+        (),
+        'Tunnels that another instance did not open.',
+    ),
+    MetricRow(
+        'isolated',
+        'gauge',
+        (),
+        'Whether this instance has lost the paths to all endpoints.',
+    ),
+    MetricRow(
+        'tunnels_open', 'gauge', (), 'Tunnels that are open for other instances.'
+    ),
     MetricRow('in_progress', 'gauge', (), 'Requests that have no final answer yet.'),
     MetricRow('open_connections', 'gauge', (), "Callers' connections."),
     MetricRow('members', 'gauge', (), 'Other instances that are taken for alive.'),
--- a/savorychute/gateway/parts.py
+++ b/savorychute/gateway/parts.py
@@ -19,6 +19,7 @@
     from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
     from savorychute.gateway.endpoints.load_monitor import LoadMonitor
     from savorychute.gateway.endpoints.statement_table import StatementTable
+    from savorychute.gateway.paths.path_table import PathTable
     from savorychute.gateway.permits.permit_handler import PermitHandler
     from savorychute.gateway.recovery.crash_table import CrashTable
     from savorychute.gateway.recovery.retry_allowance import RetryAllowance
@@ -44,6 +45,7 @@
     permits: PermitHandler
     allowance: RetryAllowance
     crashes: CrashTable
+    paths: PathTable
     usage: UsageCounter
     telemetry: GatewayTelemetry
     endpoint_telemetry: EndpointTelemetry
--- /dev/null
+++ b/savorychute/gateway/paths/__init__.py
@@ -0,0 +1,1 @@
+"""Paths to endpoints: direct connections, and tunnels through other instances."""
--- a/savorychute/gateway/requests/attempt.py
+++ b/savorychute/gateway/requests/attempt.py
@@ -190,6 +190,16 @@
 
     # -- calls from the request
 
+    @property
+    def path_lost(self) -> bool:
+        """Whether the path to the endpoint was lost after the attempt was sent."""
+        return self.running is not None and self.running.path_lost
+
+    @property
+    def via(self) -> str:
+        """The instance through which the attempt was sent; empty for none."""
+        return self.running.via if self.running is not None else ''
+
     def mark_responding(self) -> None:
         """Record the first event of the response, or the end of the attempt."""
         if self.waiting:
--- a/savorychute/gateway/requests/attempt_port.py
+++ b/savorychute/gateway/requests/attempt_port.py
@@ -46,6 +46,16 @@
 class RunningAttempt(Protocol):
     """An attempt in progress."""
 
+    @property
+    def path_lost(self) -> bool:
+        """Whether the path to the endpoint was lost after the attempt was sent."""
+        ...
+
+    @property
+    def via(self) -> str:
+        """The instance through which it was sent; empty for none."""
+        ...
+
     def cancel(self) -> None:
         """Close its connection, so that the endpoint stops working on it."""
         ...
@@ -69,6 +79,10 @@
         """Request an engine's load; report None if it does not respond in time."""
         ...
 
+    def check_path(self, endpoint: EndpointEntry) -> None:
+        """Check whether new connections to an unresponsive endpoint can be opened."""
+        ...
+
 
 class TimerHandle(Protocol):
     """A timer that has been set."""
--- a/savorychute/gateway/requests/execution_summary.py
+++ b/savorychute/gateway/requests/execution_summary.py
@@ -9,7 +9,8 @@
     """Durations since the arrival of the request, and counts.
 
     ``first_event_ms`` is 0 for a response without events.  ``endpoint`` is the endpoint
-    of the last attempt, ``longest_gap_ms`` the longest gap between two events.
+    of the last attempt, ``via`` the instance through which it was sent (empty for none),
+    ``longest_gap_ms`` the longest gap between two events.
     """
 
     duration_ms: int
@@ -19,3 +20,4 @@
     events: int
     longest_gap_ms: int
     endpoint: str
+    via: str
--- a/savorychute/gateway/requests/progress_deadline.py
+++ b/savorychute/gateway/requests/progress_deadline.py
@@ -26,12 +26,13 @@
     A response of an engine to another request of this instance, or to a probe, counts as
     progress.  A request that waits in the queue of a responsive engine is served later;
     sent to another engine it would wait again, and its prompt would be prefilled twice.
+    Responses that take another path say nothing about an attempt whose path was lost.
 
     :param attempt: the attempt in progress.
     :param route: the route of the request.
     """
     last_received_ms = max(attempt.started_ms, attempt.last_received_ms)
-    if route.kind is RequestKind.STREAM:
+    if route.kind is RequestKind.STREAM and not attempt.path_lost:
         last_received_ms = max(last_received_ms, attempt.choice.record.last_contact_ms)
     return last_received_ms + _progress_timeout_ms(attempt, route)
 
--- a/savorychute/gateway/requests/request_execution.py
+++ b/savorychute/gateway/requests/request_execution.py
@@ -141,8 +141,9 @@
     def attempt_unsent(self, attempt: Attempt, reason: str) -> None:
         """Continue after an attempt that failed before any byte was sent."""
         record = attempt.choice.record
-        record.health.record_unresponsive(self.now_ms())
-        self._parts.crashes.endpoint_ended(record.entry.run, self.now_ms())
+        if not self._parts.paths.is_isolated:
+            record.health.record_unresponsive(self.now_ms())
+            self._parts.crashes.endpoint_ended(record.entry.run, self.now_ms())
         self._log_attempt(attempt, 'unsent', reason)
         self._sends -= 1
         if self._can_continue() and self._send():
@@ -358,9 +359,9 @@
 
         A model engine that prefills long prompts sends nothing for a while, and
         abandoning it would cause the prompt to be prefilled twice; it responds to probes
-        meanwhile.
+        meanwhile.  Probes that take another path say nothing about a lost one.
         """
-        if not self._admitted.service.runs_models:
+        if not self._admitted.service.runs_models or attempt.path_lost:
             self._abandon_attempt(attempt)
             return
         record = attempt.choice.record
@@ -383,8 +384,11 @@
         can_retry = self._can_continue() and self._search.has_alternative(self.now_ms())
         if not can_retry or not self._spend_retry():
             return
+        is_path_lost = attempt.path_lost
         attempt.stop()
-        attempt.choice.record.health.record_unresponsive(self.now_ms())
+        if not is_path_lost:
+            attempt.choice.record.health.record_unresponsive(self.now_ms())
+            self._parts.attempts.check_path(attempt.choice.record.entry)
         self.possible_executions += attempt.sent
         self._log_attempt(attempt, 'silent', '')
         self._response.relay.restart()
@@ -428,6 +432,7 @@
             self._response.relay.events,
             self._times.longest_gap_ms,
             self._attempt.choice.record.entry.endpoint if self._attempt else '',
+            self._attempt.via if self._attempt else '',
         )
 
     def _log_attempt(self, attempt: Attempt, outcome: str, reason: str) -> None:
--- a/savorychute/gateway/settings/gateway_settings.py
+++ b/savorychute/gateway/settings/gateway_settings.py
@@ -18,6 +18,7 @@
     discovery_address: NetworkAddress
     metrics_port: int
     peer_port: int
+    tunnel_port: int
     store_address: NetworkAddress
     extension_paths: tuple[str, ...]
     extensions: tuple[str, ...]
--- a/savorychute/gateway/settings/table.py
+++ b/savorychute/gateway/settings/table.py
@@ -78,6 +78,11 @@
     ),
     port_row('metrics_port', REQUIRED, 'Where metrics are served.', minimum=1),
     port_row('peer_port', REQUIRED, 'Where other instances connect.', minimum=1),
+    port_row(
+        'tunnel_port',
+        0,
+        'Where other instances ask for tunnels to endpoints; 0 for any free port.',
+    ),
     address_row('store_address', Scope.INSTANCE, "Address of the platform's store."),
     Setting(
         'extension_paths',
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -255,6 +255,7 @@
                 attempt.sent_ms - attempt.started_ms if attempt.sent else None
             ),
             count=record.outstanding,
+            via=attempt.via,
         )
 
     def retry_decided(
@@ -309,6 +310,7 @@
             item=admitted.route.name,
             service=admitted.service.name,
             endpoint=summary.endpoint,
+            via=summary.via,
             organisation=admitted.organisation,
             rank=admitted.rank,
             version=admitted.version,
--- a/savorychute/log_fields.py
+++ b/savorychute/log_fields.py
@@ -69,6 +69,7 @@
         "how much of a service's slots requests of higher tiers use"
     ),
     'usual_percent': 'the mean of a percentage over some time',
+    'via': 'the instance through which an endpoint was reached, empty for none',
     'version': 'the version of a contract or an endpoint',
     'waiting': 'requests that wait at an engine for their prompts to be read',
     'waited_ms': 'the time spent waiting',
--- a/savorychute/membership/ack.py
+++ b/savorychute/membership/ack.py
@@ -18,7 +18,8 @@
     ``load`` is the sender's load, in a unit that the host application chooses;
     ``shortages`` lists the tiers whose requests the sender cannot serve; ``wall_ms``
     is the sender's wall-clock time, or 0 if it is not reported; ``limits`` and
-    ``leaving`` hold recent statements of endpoints.
+    ``leaving`` hold recent statements of endpoints; ``tunnels`` states whether the
+    sender offers tunnels to endpoints: a port, or a value that the host defines.
     """
 
     sequence: int
@@ -30,3 +31,4 @@
     wall_ms: int = 0
     limits: tuple[ToldLimit, ...] = ()
     leaving: tuple[ToldLeaving, ...] = ()
+    tunnels: int = 0
--- a/savorychute/membership/member_status.py
+++ b/savorychute/membership/member_status.py
@@ -15,7 +15,8 @@
     ``load`` is in a unit that all members share.  ``shortages`` lists the tiers
     whose requests the member cannot serve.  ``wall_offset_ms`` is the wall-clock time
     minus the monotonic time; None means that it is not reported.  ``limits`` and
-    ``leaving`` hold recent statements of endpoints.
+    ``leaving`` hold recent statements of endpoints.  ``tunnels`` states whether the
+    member offers tunnels to endpoints: a port, or a value that the host defines.
     """
 
     load: int = 0
@@ -23,3 +24,4 @@
     wall_offset_ms: int | None = None
     limits: tuple[ToldLimit, ...] = ()
     leaving: tuple[ToldLeaving, ...] = ()
+    tunnels: int = 0
--- a/savorychute/membership/membership.py
+++ b/savorychute/membership/membership.py
@@ -271,6 +271,7 @@
             self._wall_ms(now_ms),
             self._own_status.limits,
             self._own_status.leaving,
+            self._own_status.tunnels,
         )
         return [send_to(ping.origin.address, ack)]
 
@@ -304,6 +305,7 @@
             self._wall_ms(now_ms),
             self._own_status.limits,
             self._own_status.leaving,
+            self._own_status.tunnels,
         )
 
     def _wall_ms(self, now_ms: int) -> int:
--- a/savorychute/wire/messages.capnp
+++ b/savorychute/wire/messages.capnp
@@ -53,6 +53,7 @@
   wallMs @6 :Int64;
   limits @7 :List(ToldLimit);
   leaving @8 :List(ToldLeaving);
+  tunnels @9 :Int64;
 }
 
 struct Ack {  # tag 11
@@ -65,6 +66,7 @@
   wallMs @6 :Int64;
   limits @7 :List(ToldLimit);
   leaving @8 :List(ToldLeaving);
+  tunnels @9 :Int64;
 }
 
 struct PingRequest {  # tag 12
@@ -386,3 +388,8 @@
   sequence @0 :Int64;
   waitMs @1 :Int64;
 }
+
+struct TunnelRequest {  # tag 97
+  host @0 :Text;
+  port @1 :Int64;
+}
--- a/tests/test_gateway/fleet_simulation.py
+++ b/tests/test_gateway/fleet_simulation.py
@@ -96,6 +96,9 @@
     def send(self, attempt, listener):
         return SimulatedAttempt(self._timeline, self._engines, attempt, listener)
 
+    def check_path(self, endpoint):
+        del endpoint
+
     def probe(self, endpoint, on_result, permit=None):
         del permit
         engine = self._engines[endpoint.endpoint]
@@ -105,6 +108,9 @@
 class SimulatedAttempt:
     """An attempt in transit, or at its engine."""
 
+    path_lost = False
+    via = ''
+
     def __init__(self, timeline, engines, outbound, listener):
         self._engine = engines[outbound.endpoint.endpoint]
         self._job = None
--- a/tests/test_gateway/gateway_fakes.py
+++ b/tests/test_gateway/gateway_fakes.py
@@ -29,6 +29,7 @@
 from savorychute.gateway.endpoints.statement_table import StatementTable
 from savorychute.gateway.metric_rows import GATEWAY_METRICS
 from savorychute.gateway.parts import GatewayParts
+from savorychute.gateway.paths.path_table import PathTable
 from savorychute.gateway.permits.permit_handler import PermitHandler
 from savorychute.gateway.recovery.crash_table import CrashTable
 from savorychute.gateway.recovery.retry_allowance import RetryAllowance, RetryBounds
@@ -101,6 +102,9 @@
 class FakeAttempt:
     """An attempt whose response the test supplies."""
 
+    path_lost = False
+    via = ''
+
     def __init__(self, attempt, listener):
         self.attempt = attempt
         self.listener = listener
@@ -143,6 +147,7 @@
     def __init__(self):
         self.sent = []
         self.probes = []
+        self.checked_paths = []
         self.engines_alive = True
         self.loads = {}
         self.defers_probes = False
@@ -161,6 +166,9 @@
             load = self.loads.get(endpoint.endpoint, IDLE)
             on_result(load if self.engines_alive else None)
 
+    def check_path(self, endpoint):
+        self.checked_paths.append(endpoint.endpoint)
+
     def complete_probes(self):
         """Respond to the deferred probes."""
         deferred, self._deferred = self._deferred, []
@@ -402,6 +410,7 @@
         permits=permits,
         allowance=make_allowance(slack),
         crashes=crashes,
+        paths=PathTable(),
         usage=UsageCounter(None, TrueTime(clock, FixedWallClock())),
         telemetry=telemetry,
         endpoint_telemetry=endpoint_telemetry,
