Try lost paths again, and give up attempts on connections that hang

Two things were left of a lost path. Requests that reuse tunnels never found that the direct path was back, so one lost path is now tried again each quarter of a second at most. And a stream on a connection that hangs was kept by the responses that its engine sent over tunnels: probes and contact by another path no longer count for it, and it is given up 300 ms after its last byte. One hung connection may be a lost packet, so it takes two, or isolation.

--- a/savorychute/gateway/daemon/gateway_host.py
+++ b/savorychute/gateway/daemon/gateway_host.py
@@ -121,11 +121,17 @@
                 version if self.ready else NOT_READY_VERSION
             )
             self._parts.roster.expire(self._parts.clock.now_ms())
-            self._endpoints.close_unusable()
+            self._maintain_connections(self._parts.clock.now_ms())
             self._parts.telemetry.log_omitted()
             self._log_summaries(self._parts.clock.now_ms())
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_MS / MS_PER_S)
 
+    def _maintain_connections(self, now_ms: int) -> None:
+        address = self._parts.paths.find_due_retry(now_ms)
+        if address is not None:
+            self._endpoints.prepare(address)
+        self._endpoints.close_unusable()
+
     def _log_summaries(self, now_ms: int) -> None:
         if now_ms - self._last_summary_ms < SUMMARY_INTERVAL_MS:
             return
--- a/savorychute/gateway/daemon/path_connector.py
+++ b/savorychute/gateway/daemon/path_connector.py
@@ -21,8 +21,6 @@
 
 # How long a relay may take to open a tunnel.
 TUNNEL_TIMEOUT_MS = 200
-# The whole of a direct attempt that goes on beside a tunnel.
-DIRECT_TIMEOUT_MS = 400
 
 
 class PathObserver(Protocol):
@@ -107,12 +105,20 @@
     :param paths: the paths of this instance.
     :param relays: the instances that offer tunnels.
     :param clock: monotonic clock.
+    :param connect_timeout_ms: timeout of a direct connection, also beside a tunnel.
     """
 
-    def __init__(self, paths: PathTable, relays: RelayTable, clock: Clock) -> None:
+    def __init__(
+        self,
+        paths: PathTable,
+        relays: RelayTable,
+        clock: Clock,
+        connect_timeout_ms: int,
+    ) -> None:
         self._paths = paths
         self._relays = relays
         self._clock = clock
+        self._connect_timeout_ms = connect_timeout_ms
         self._late: set[asyncio.Task[ClientConnection]] = set()
         # Signs requests for tunnels; set when this instance has joined the group.
         self.encode: MessageEncoder | None = None
@@ -128,62 +134,69 @@
         :raises OSError: if the endpoint cannot be reached.
         """
         plan = self._paths.plan(address, self._clock.now_ms())
-        tasks: list[asyncio.Task[ClientConnection]] = []
-        try:
-            if plan.direct_delay_ms is not None:
-                direct = self._start(self._open_direct(address, make_connection))
-                tasks.append(direct)
-                await asyncio.wait(tasks, timeout=plan.tunnel_delay_ms / MS_PER_S)
-                if _has_succeeded(direct):
-                    return self._report(direct.result())
-            tasks.append(self._start(self._open_tunnel(address, make_connection)))
-            winner = await _first_success(tasks)
-        except BaseException:
-            for task in tasks:
-                self._discard(task)
-            raise
-        self._settle(address, winner, tasks)
-        return self._report(winner.result())
-
-    def _report(self, connection: ClientConnection) -> ClientConnection:
+        if plan.tries_direct:
+            connection = await self._race(
+                address, make_connection, plan.tunnel_delay_ms
+            )
+        else:
+            connection = await self._open_by_tunnel_first(address, make_connection)
         if self.observer is not None:
             self.observer.connected(connection.via)
         return connection
 
-    def _start(
-        self, coroutine: asyncio._CoroutineLike[ClientConnection]
-    ) -> asyncio.Task[ClientConnection]:
-        return asyncio.get_running_loop().create_task(coroutine)
+    async def _open_by_tunnel_first(
+        self, address: ServerAddress, make_connection: Callable[[], ClientConnection]
+    ) -> ClientConnection:
+        try:
+            return await self._open_tunnel(address, make_connection)
+        except OSError:
+            return await self._open_direct(address, make_connection)
 
-    def _settle(
+    async def _race(
         self,
         address: ServerAddress,
-        winner: asyncio.Task[ClientConnection],
-        tasks: list[asyncio.Task[ClientConnection]],
+        make_connection: Callable[[], ClientConnection],
+        tunnel_delay_ms: int,
+    ) -> ClientConnection:
+        """Return the first connection; a direct one gets a head start."""
+        loop = asyncio.get_running_loop()
+        direct = loop.create_task(self._open_direct(address, make_connection))
+        tunnel: asyncio.Task[ClientConnection] | None = None
+        try:
+            await asyncio.wait([direct], timeout=tunnel_delay_ms / MS_PER_S)
+            if _has_succeeded(direct):
+                return direct.result()
+            tunnel = loop.create_task(self._open_tunnel(address, make_connection))
+            winner = await _first_success(direct, tunnel)
+        except BaseException:
+            _discard(direct)
+            if tunnel is not None:
+                _discard(tunnel)
+            raise
+        if winner is direct:
+            _discard(tunnel)
+        else:
+            self._record_bypassed(address, direct)
+        return winner.result()
+
+    def _record_bypassed(
+        self, address: ServerAddress, direct: asyncio.Task[ClientConnection]
     ) -> None:
-        """Record which path worked, and end the other attempt."""
-        losers = [task for task in tasks if task is not winner]
-        if not winner.result().via:
-            for loser in losers:
-                self._discard(loser)
-            return
-        for direct in losers:
-            is_silent = not direct.done()
-            self._paths.record_bypassed(address, self._clock.now_ms(), silent=is_silent)
-            # A direct connection that is only slow shows that the path is not lost.
-            direct.add_done_callback(_abort_connection)
-            self._late.add(direct)
-            direct.add_done_callback(self._late.discard)
-
-    def _discard(self, task: asyncio.Task[ClientConnection]) -> None:
-        task.add_done_callback(_abort_connection)
-        task.cancel()
+        """Record that a tunnel was faster; a direct connection may still follow.
+
+        One that is only slow shows that the path is not lost.
+        """
+        now_ms = self._clock.now_ms()
+        self._paths.record_bypassed(address, now_ms, hung=not direct.done())
+        self._late.add(direct)
+        direct.add_done_callback(self._late.discard)
+        direct.add_done_callback(_abort_connection)
 
     async def _open_direct(
         self, address: ServerAddress, make_connection: Callable[[], ClientConnection]
     ) -> ClientConnection:
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(DIRECT_TIMEOUT_MS / MS_PER_S):
+        async with asyncio.timeout(self._connect_timeout_ms / MS_PER_S):
             _, connection = await loop.create_connection(
                 make_connection, address.host, address.port
             )
@@ -237,23 +250,29 @@
 
 
 async def _first_success(
-    tasks: list[asyncio.Task[ClientConnection]],
+    direct: asyncio.Task[ClientConnection], tunnel: asyncio.Task[ClientConnection]
 ) -> asyncio.Task[ClientConnection]:
-    """Return the first task that succeeds, or raise the error of the last one."""
-    pending = set(tasks)
+    """Return the first task that succeeds, or raise the error of the direct one."""
+    pending = {direct, tunnel}
     while True:
         done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
         for task in done:
             if _has_succeeded(task):
                 return task
         if not pending:
-            tasks[-1].result()
+            direct.result()
 
 
 def _has_succeeded(task: asyncio.Task[ClientConnection]) -> bool:
     return task.done() and not task.cancelled() and task.exception() is None
 
 
+def _discard(task: asyncio.Task[ClientConnection]) -> None:
+    """Cancel an attempt, and close its connection if it has one already."""
+    task.add_done_callback(_abort_connection)
+    task.cancel()
+
+
 def _abort_connection(task: asyncio.Task[ClientConnection]) -> None:
     """Abort the connection of an attempt that is not needed any more."""
     if _has_succeeded(task):
--- a/savorychute/gateway/daemon/run_gateway.py
+++ b/savorychute/gateway/daemon/run_gateway.py
@@ -138,4 +138,5 @@
 ) -> EndpointPaths:
     table = PathTable()
     relays = RelayTable(settings.failure_domain, rng)
-    return EndpointPaths(table, relays, PathConnector(table, relays, clock))
+    connector = PathConnector(table, relays, clock, int(settings.connect_timeout_ms))
+    return EndpointPaths(table, relays, connector)
--- a/savorychute/gateway/endpoints/endpoint_record.py
+++ b/savorychute/gateway/endpoints/endpoint_record.py
@@ -32,6 +32,10 @@
         """Handle the end of the endpoint's run."""
         ...
 
+    def endpoint_path_lost(self) -> None:
+        """Handle that direct connections to the endpoint hang."""
+        ...
+
 
 class EndpointRecord:
     """An endpoint's entry, health and last report, and this instance's requests there.
@@ -127,6 +131,11 @@
         for attempt in tuple(self._attempts):
             attempt.endpoint_run_ended()
 
+    def path_lost(self) -> None:
+        """Notify the attempts in progress that direct connections hang."""
+        for attempt in tuple(self._attempts):
+            attempt.endpoint_path_lost()
+
     def apply_report(self, load: EngineLoad, now_ms: int) -> None:
         """Store a load report.
 
--- a/savorychute/gateway/paths/path_table.py
+++ b/savorychute/gateway/paths/path_table.py
@@ -17,6 +17,8 @@
 # One lost path may be the fault of an endpoint's network; several, without any
 # connection since, mean that this instance has lost its own.
 MIN_LOST_PATHS = 2
+# Connections to an endpoint that must hang until all of its connections are given up.
+MIN_HUNG = 2
 # A connection that was opened within this time shows that there is a path.
 RECENT_MS = 2_000
 # A path that was lost for this long is forgotten; its endpoint may be gone.
@@ -24,20 +26,24 @@
 
 
 class PathPlan(NamedTuple):
-    """When each way to an endpoint is tried, in ms from now; None for not at all."""
+    """How to open a connection.
 
-    direct_delay_ms: int | None
+    ``tries_direct`` is false while a direct connection is not worth trying.
+    ``tunnel_delay_ms`` is the head start that a direct connection gets.
+    """
+
+    tries_direct: bool
     tunnel_delay_ms: int
 
 
 class _LostPath:
-    """A path that was lost; ``silent`` if connections hang instead of failing."""
+    """A path that was lost; ``hung`` counts the connections that hung."""
 
-    __slots__ = ('retry_at_ms', 'retry_delay_ms', 'silent', 'since_ms')
+    __slots__ = ('hung', 'retry_at_ms', 'retry_delay_ms', 'since_ms')
 
-    def __init__(self, silent: bool, now_ms: int) -> None:
+    def __init__(self, now_ms: int) -> None:
         self.since_ms = now_ms
-        self.silent = silent
+        self.hung = 0
         self.retry_delay_ms = MIN_RETRY_MS
         self.retry_at_ms = now_ms + MIN_RETRY_MS
 
@@ -54,6 +60,8 @@
         self._connected_ms: int | None = None
         # Called with whether all paths are lost, when that changes.
         self.on_change: Callable[[bool], None] | None = None
+        # Called with an endpoint to which direct connections start to hang.
+        self.on_silent: Callable[[ServerAddress], None] | None = None
         self._was_isolated = False
 
     @property
@@ -84,10 +92,14 @@
     def is_silent(self, address: ServerAddress) -> bool:
         """Return whether direct connections to an endpoint hang.
 
+        One that hangs may be due to a lost packet; open connections still work then.
+
         :param address: the endpoint.
         """
         path = self._lost.get(address)
-        return path is not None and path.silent
+        if path is None or not path.hung:
+            return False
+        return path.hung >= MIN_HUNG or self.is_isolated
 
     def plan(self, address: ServerAddress, now_ms: int) -> PathPlan:
         """Return when to try which way for a new connection.
@@ -99,12 +111,26 @@
         """
         path = self._lost.get(address)
         if path is None:
-            return PathPlan(0, 0 if self.is_isolated else RACE_DELAY_MS)
+            return PathPlan(True, 0 if self.is_isolated else RACE_DELAY_MS)
         if now_ms < path.retry_at_ms:
-            return PathPlan(None, 0)
+            return PathPlan(False, 0)
         path.retry_at_ms = now_ms + path.retry_delay_ms
         path.retry_delay_ms = min(2 * path.retry_delay_ms, MAX_RETRY_MS)
-        return PathPlan(0, 0)
+        return PathPlan(True, 0)
+
+    def find_due_retry(self, now_ms: int) -> ServerAddress | None:
+        """Return a lost path that should be tried again, also without a request.
+
+        Requests that reuse tunnels would otherwise never find that the path is back.
+
+        :param now_ms: the current time.
+        """
+        due = (
+            address
+            for address, path in self._lost.items()
+            if now_ms >= path.retry_at_ms
+        )
+        return next(due, None)
 
     def record_connected(self, address: ServerAddress, now_ms: int) -> None:
         """Record that a direct connection was opened.
@@ -122,21 +148,30 @@
         self._report_change()
 
     def record_bypassed(
-        self, address: ServerAddress, now_ms: int, *, silent: bool
+        self, address: ServerAddress, now_ms: int, *, hung: bool
     ) -> None:
         """Record that a tunnel reached an endpoint and a direct connection did not.
 
         :param address: the endpoint.
         :param now_ms: the current time.
-        :param silent: whether the direct connection hangs instead of failing.
+        :param hung: whether the direct connection hangs instead of failing.
         """
+        silent_before = self._silent()
         path = self._lost.get(address)
-        if path is not None:
-            path.silent = path.silent or silent
-            return
-        self._forget(now_ms - FORGET_MS)
-        self._lost[address] = _LostPath(silent, now_ms)
+        if path is None:
+            self._forget(now_ms - FORGET_MS)
+            path = self._lost[address] = _LostPath(now_ms)
+        path.hung += hung
         self._report_change()
+        self._report_silent(self._silent() - silent_before)
+
+    def _silent(self) -> set[ServerAddress]:
+        return {address for address in self._lost if self.is_silent(address)}
+
+    def _report_silent(self, addresses: set[ServerAddress]) -> None:
+        if self.on_silent is not None:
+            for address in addresses:
+                self.on_silent(address)
 
     def _forget(self, before_ms: int) -> None:
         old = [
--- a/savorychute/gateway/requests/attempt.py
+++ b/savorychute/gateway/requests/attempt.py
@@ -56,6 +56,10 @@
         """Continue after an attempt that may have run and has no complete response."""
         ...
 
+    def attempt_stalled(self) -> None:
+        """Handle that the current attempt waits on a connection that hangs."""
+        ...
+
     def attempt_completed(self, attempt: Attempt) -> None:
         """Handle a complete response."""
         ...
@@ -188,6 +192,11 @@
         self.stop()
         self.owner.attempt_interrupted(self, 'connection-lost')
 
+    def endpoint_path_lost(self) -> None:
+        """Let the request reconsider how long it waits for this attempt."""
+        if not self.ended and self.path_lost:
+            self.owner.attempt_stalled()
+
     # -- calls from the request
 
     @property
--- a/savorychute/gateway/requests/progress_deadline.py
+++ b/savorychute/gateway/requests/progress_deadline.py
@@ -18,6 +18,8 @@
 # preemption, after which the engine continues the stream.
 GAP_TARGET_FACTOR = 2.5
 MIN_GAP_TIMEOUT_MS = 600
+# Nothing is expected on a connection that hangs, but its path may only be slow.
+LOST_PATH_TIMEOUT_MS = 300
 
 
 def progress_deadline_ms(attempt: Attempt, route: Route) -> int:
@@ -34,7 +36,10 @@
     last_received_ms = max(attempt.started_ms, attempt.last_received_ms)
     if route.kind is RequestKind.STREAM and not attempt.path_lost:
         last_received_ms = max(last_received_ms, attempt.choice.record.last_contact_ms)
-    return last_received_ms + _progress_timeout_ms(attempt, route)
+    timeout_ms = _progress_timeout_ms(attempt, route)
+    if attempt.path_lost:
+        timeout_ms = min(timeout_ms, LOST_PATH_TIMEOUT_MS)
+    return last_received_ms + timeout_ms
 
 
 def _progress_timeout_ms(attempt: Attempt, route: Route) -> int:
--- a/savorychute/gateway/requests/request_execution.py
+++ b/savorychute/gateway/requests/request_execution.py
@@ -172,6 +172,11 @@
         if not self._retry():
             self._abandon(reason)
 
+    def attempt_stalled(self) -> None:
+        """Set the timer anew, as an attempt whose path was lost gets less time."""
+        if not self.finished:
+            self._set_timer()
+
     def attempt_completed(self, attempt: Attempt) -> None:
         """Handle a complete response."""
         response = attempt.response
--- a/tests/test_fleet/fleet_fixture.py
+++ b/tests/test_fleet/fleet_fixture.py
@@ -274,14 +274,17 @@
 
 
 @asynccontextmanager
-async def run_fleet(gateways=1, spare=False, plain_endpoints=1, **settings):
+async def run_fleet(gateways=1, spare=False, plain_endpoints=1, engines=1, **settings):
     """Run a store, endpoints and some gateways until the block ends.
 
     All plain endpoints are equivalent; ``spare`` adds another one.
     """
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(run_store())
-        endpoints = {'e1': FakeEndpoint('e1', 'pool', is_engine=True)}
+        endpoints = {}
+        for number in range(1, engines + 1):
+            name = f'e{number}'
+            endpoints[name] = FakeEndpoint(name, 'pool', is_engine=True)
         for number in range(1, plain_endpoints + spare + 1):
             name = f'd{number}'
             endpoints[name] = FakeEndpoint(name, 'desk', is_engine=False)
