Ask up to three relays for a tunnel, and remember refusals by endpoint

With most instances cut, a relay that reached one service said for another that the endpoint is not reachable, and the request gave up, though a further relay reached it (204 and 212 such refusals at two instances). A refusal now only puts the relay behind the others for that endpoint; an instance whose own path to it is lost refuses at once.

--- a/savorychute/gateway/daemon/path_connector.py
+++ b/savorychute/gateway/daemon/path_connector.py
@@ -7,7 +7,7 @@
 
 from savorychute.clock import MS_PER_S
 from savorychute.gateway.daemon.tunnel_client import open_tunnel
-from savorychute.gateway.paths.tunnel_error import EndpointUnreachableError, RelayError
+from savorychute.gateway.paths.tunnel_error import TunnelError, TunnelRefusedError
 from savorychute.gateway.paths.tunnel_request import TunnelRequest
 
 if TYPE_CHECKING:
@@ -19,6 +19,8 @@
     from savorychute.http.client_connection import ClientConnection
     from savorychute.http.client_pool import ServerAddress
 
+# How many relays are asked for one connection.
+MAX_RELAYS = 3
 # How long a relay may take to open a tunnel.
 TUNNEL_TIMEOUT_MS = 200
 
@@ -209,24 +211,25 @@
     ) -> ClientConnection:
         """Ask one relay after another until one reaches the endpoint."""
         asked: set[str] = set()
-        while True:
-            relay = self._relays.choose(asked, self._clock.now_ms())
+        while len(asked) < MAX_RELAYS:
+            relay = self._relays.choose(address, asked, self._clock.now_ms())
             if relay is None:
-                raise RelayError('no other instance offers a tunnel')
+                break
             asked.add(relay.address.instance)
             try:
                 return await self._open_through(relay, address, make_connection)
             except OSError as error:
                 self._record_failure(relay, address, error)
-                if isinstance(error, EndpointUnreachableError):
-                    raise
+        raise TunnelError(f'none of {len(asked)} other instances opened a tunnel')
 
     def _record_failure(
         self, relay: Relay, address: ServerAddress, error: OSError
     ) -> None:
-        name = relay.address.instance
-        if not isinstance(error, EndpointUnreachableError):
-            self._relays.record_failure(name, self._clock.now_ms())
+        name, now_ms = relay.address.instance, self._clock.now_ms()
+        if isinstance(error, TunnelRefusedError):
+            self._relays.record_refusal(name, address, now_ms)
+        else:
+            self._relays.record_failure(name, now_ms)
         if self.observer is not None:
             reason = str(error) or type(error).__name__
             self.observer.tunnel_failed(name, address, reason)
@@ -238,13 +241,13 @@
         make_connection: Callable[[], ClientConnection],
     ) -> ClientConnection:
         if self.encode is None:
-            raise RelayError('this instance has not joined the group yet')
+            raise TunnelError('this instance has not joined the group yet')
         request = TunnelRequest(address.host, address.port)
         name = relay.address.instance
         frame = self.encode(name, request)
         async with asyncio.timeout(TUNNEL_TIMEOUT_MS / MS_PER_S):
             connection = await open_tunnel(relay, address, frame, make_connection)
-        self._relays.record_success(name)
+        self._relays.record_success(name, address)
         connection.path = TunnelPath(self._paths, self._relays, address, name)
         return connection
 
--- a/savorychute/gateway/daemon/tunnel_client.py
+++ b/savorychute/gateway/daemon/tunnel_client.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from savorychute.gateway.paths.tunnel_error import EndpointUnreachableError, RelayError
+from savorychute.gateway.paths.tunnel_error import TunnelError, TunnelRefusedError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -20,8 +20,6 @@
 # Scheme of the credentials: a signed message between instances, in base64.
 AUTHENTICATION_SCHEME = 'Savorychute'
 STATUS_OK = 200
-# The relay cannot reach the endpoint, though it reaches others.
-STATUS_UNREACHABLE = 502
 
 
 class _Handshake(asyncio.Protocol):
@@ -64,7 +62,7 @@
 
     def _fail(self, message: str) -> None:
         if not self.done.done():
-            self.done.set_exception(RelayError(message))
+            self.done.set_exception(TunnelError(message))
 
 
 async def open_tunnel(
@@ -79,8 +77,8 @@
     :param address: the endpoint.
     :param frame: the signed request for the tunnel.
     :param make_connection: makes the protocol of the connection.
-    :raises EndpointUnreachableError: if the relay cannot reach the endpoint.
-    :raises OSError: if the relay cannot be reached, or offers no tunnel.
+    :raises TunnelRefusedError: if the relay opens no tunnel to the endpoint.
+    :raises OSError: if the relay cannot be reached.
     """
     target = f'{address.host}:{address.port}'.encode()
     credentials = f'{AUTHENTICATION_SCHEME} {base64.b64encode(frame).decode()}'
@@ -101,8 +99,5 @@
 
 
 def _check_status(status: int) -> None:
-    if status == STATUS_OK:
-        return
-    if status == STATUS_UNREACHABLE:
-        raise EndpointUnreachableError('relay cannot reach the endpoint')
-    raise RelayError(f'relay refused a tunnel with status {status}')
+    if status != STATUS_OK:
+        raise TunnelRefusedError(f'relay refused a tunnel with status {status}')
--- a/savorychute/gateway/daemon/tunnel_connection.py
+++ b/savorychute/gateway/daemon/tunnel_connection.py
@@ -16,7 +16,6 @@
 from savorychute.gateway.daemon.tunnel_client import (
     AUTHENTICATION_SCHEME,
     STATUS_OK,
-    STATUS_UNREACHABLE,
 )
 from savorychute.http.client_pool import ServerAddress
 
@@ -25,6 +24,7 @@
 
 STATUS_BAD_REQUEST = 400
 STATUS_FORBIDDEN = 403
+STATUS_UNREACHABLE = 502
 STATUS_UNAVAILABLE = 503
 MAX_HEAD_BYTES = 8 * 1024
 # Bytes that are buffered for a side that does not read; then the other is paused.
@@ -154,7 +154,7 @@
         if requester is None or not self._server.is_endpoint(address):
             self._refuse(STATUS_FORBIDDEN)
             return
-        if not self._server.accepts():
+        if not self._server.accepts(address):
             self._refuse(STATUS_UNAVAILABLE)
             return
         self.requester = requester
@@ -180,9 +180,7 @@
                     lambda: _EndpointSide(self), address.host, address.port
                 )
         except (OSError, TimeoutError):
-            # Without any recent connection, the fault may be on this side.
-            is_certain = self._server.is_connected()
-            self._refuse(STATUS_UNREACHABLE if is_certain else STATUS_UNAVAILABLE)
+            self._refuse(STATUS_UNREACHABLE)
             return
         self._server.record_connected(address)
         if self._transport is None or self._transport.is_closing():
--- a/savorychute/gateway/daemon/tunnel_server.py
+++ b/savorychute/gateway/daemon/tunnel_server.py
@@ -76,10 +76,16 @@
             return TunnelOffer()
         return TunnelOffer(TunnelState.OFFERED, self.port)
 
-    def accepts(self) -> bool:
-        """Return whether a further tunnel may be opened."""
-        is_offered = self.offer().state is TunnelState.OFFERED
-        return is_offered and len(self._connections) <= self._max_tunnels
+    def accepts(self, address: ServerAddress) -> bool:
+        """Return whether a further tunnel may be opened.
+
+        :param address: the endpoint that the tunnel should lead to.
+        """
+        if self.offer().state is not TunnelState.OFFERED or self._paths.is_lost(
+            address
+        ):
+            return False
+        return len(self._connections) <= self._max_tunnels
 
     def is_endpoint(self, address: ServerAddress) -> bool:
         """Return whether a tunnel may lead to an address.
@@ -112,10 +118,6 @@
         """
         self._paths.record_connected(address, self._clock.now_ms())
 
-    def is_connected(self) -> bool:
-        """Return whether this instance reached any endpoint a short time ago."""
-        return self._paths.is_connected(self._clock.now_ms())
-
     def now_ms(self) -> int:
         """Return the current time."""
         return self._clock.now_ms()
--- a/savorychute/gateway/paths/path_table.py
+++ b/savorychute/gateway/paths/path_table.py
@@ -19,8 +19,6 @@
 MIN_LOST_PATHS = 2
 # Connections to an endpoint that must hang until all of its connections are given up.
 MIN_HUNG = 2
-# A connection that was opened within this time shows that there is a path.
-RECENT_MS = 2_000
 # A path that was lost for this long is forgotten; its endpoint may be gone.
 FORGET_MS = 60_000
 
@@ -74,14 +72,6 @@
         )
         return lost >= MIN_LOST_PATHS
 
-    def is_connected(self, now_ms: int) -> bool:
-        """Return whether any endpoint was reached directly a short time ago.
-
-        :param now_ms: the current time.
-        """
-        connected_ms = self._connected_ms
-        return connected_ms is not None and now_ms - connected_ms <= RECENT_MS
-
     def is_lost(self, address: ServerAddress) -> bool:
         """Return whether an endpoint is reached only through other instances.
 
--- a/savorychute/gateway/paths/relay_table.py
+++ b/savorychute/gateway/paths/relay_table.py
@@ -10,15 +10,21 @@
     import random
     from collections.abc import Container
 
+    from savorychute.http.client_pool import ServerAddress
     from savorychute.member_address import MemberAddress
     from savorychute.membership.member_view import MemberView
 
 # Members probe each other at least once in 2 s while they are few.
 MAX_OFFER_AGE_MS = 4_000
-# How long an instance that refused or did not answer is not asked again; the time
-# doubles up to the maximum until it opens a tunnel.
+# How long an instance that did not answer is not asked again; the time doubles up to
+# the maximum until it opens a tunnel.
 MIN_BLOCK_MS = 1_000
 MAX_BLOCK_MS = 4_000
+# How long others are preferred to an instance that refused a tunnel to an endpoint; the
+# endpoint may be down.
+REFUSED_MS = 2_000
+# Refusals that are remembered before those that have expired are removed.
+MAX_REFUSALS = 1_024
 
 
 class Relay(NamedTuple):
@@ -51,6 +57,7 @@
         self._rng = rng
         self._offers: dict[str, _ReportedOffer] = {}
         self._blocks: dict[str, _Block] = {}
+        self._refused_until_ms: dict[tuple[str, ServerAddress], int] = {}
         self._view: MemberView | None = None
 
     def set_view(self, view: MemberView) -> None:
@@ -78,7 +85,7 @@
         self._offers[address.instance] = _ReportedOffer(relay, offer, now_ms)
 
     def record_failure(self, instance: str, now_ms: int) -> None:
-        """Record that an instance refused a tunnel or did not answer.
+        """Record that an instance did not answer.
 
         :param instance: its name.
         :param now_ms: the current time.
@@ -89,16 +96,39 @@
             duration_ms = min(2 * block.duration_ms, MAX_BLOCK_MS)
         self._blocks[instance] = _Block(now_ms + duration_ms, duration_ms)
 
-    def record_success(self, instance: str) -> None:
+    def record_refusal(
+        self, instance: str, endpoint: ServerAddress, now_ms: int
+    ) -> None:
+        """Record that an instance refused a tunnel; it may reach other endpoints.
+
+        :param instance: its name.
+        :param endpoint: the endpoint.
+        :param now_ms: the current time.
+        """
+        self._blocks.pop(instance, None)
+        if len(self._refused_until_ms) >= MAX_REFUSALS:
+            self._refused_until_ms = {
+                key: until_ms
+                for key, until_ms in self._refused_until_ms.items()
+                if now_ms < until_ms
+            }
+        self._refused_until_ms[instance, endpoint] = now_ms + REFUSED_MS
+
+    def record_success(self, instance: str, endpoint: ServerAddress) -> None:
         """Record that an instance opened a tunnel.
 
         :param instance: its name.
+        :param endpoint: the endpoint.
         """
         self._blocks.pop(instance, None)
+        self._refused_until_ms.pop((instance, endpoint), None)
 
-    def choose(self, excluded: Container[str], now_ms: int) -> Relay | None:
+    def choose(
+        self, endpoint: ServerAddress, excluded: Container[str], now_ms: int
+    ) -> Relay | None:
         """Return an instance to ask for a tunnel, or None if there is none.
 
+        :param endpoint: the endpoint.
         :param excluded: names of instances that were asked already.
         :param now_ms: the current time.
         """
@@ -107,13 +137,22 @@
             for name, reported in self._offers.items()
             if name not in excluded and self._is_usable(name, reported, now_ms)
         ]
-        near = [
-            relay
-            for relay in relays
-            if relay.address.failure_domain == self._failure_domain
-        ]
-        candidates = near or relays
-        return self._rng.choice(candidates) if candidates else None
+        if not relays:
+            return None
+        keys = [self._preference(relay, endpoint, now_ms) for relay in relays]
+        best = min(keys)
+        return self._rng.choice(
+            [relay for relay, key in zip(relays, keys, strict=True) if key == best]
+        )
+
+    def _preference(
+        self, relay: Relay, endpoint: ServerAddress, now_ms: int
+    ) -> tuple[bool, bool]:
+        """Return a key that is smaller for better relays."""
+        key = (relay.address.instance, endpoint)
+        has_refused = now_ms < self._refused_until_ms.get(key, 0)
+        is_far = relay.address.failure_domain != self._failure_domain
+        return has_refused, is_far
 
     def offers(self, instance: str) -> bool:
         """Return whether an instance goes on offering tunnels.
--- a/savorychute/gateway/paths/tunnel_error.py
+++ b/savorychute/gateway/paths/tunnel_error.py
@@ -12,9 +12,5 @@
     code = ResultCode.NO_ENDPOINT
 
 
-class RelayError(TunnelError):
-    """The relay does not offer a tunnel now; another one may."""
-
-
-class EndpointUnreachableError(TunnelError):
-    """The relay reaches other endpoints, but not this one."""
+class TunnelRefusedError(TunnelError):
+    """The relay answered that it opens no tunnel to the endpoint."""
--- a/tests/test_gateway/test_relay_table.py
+++ b/tests/test_gateway/test_relay_table.py
@@ -14,10 +14,13 @@
     decode_offer,
     encode_offer,
 )
+from savorychute.http.client_pool import ServerAddress
 from savorychute.member_address import MemberAddress
 from savorychute.membership.member_view import MemberView
 
 NOW_MS = 1_000_000
+ENDPOINT = ServerAddress('10.1.0.1', 8_486)
+OTHER_ENDPOINT = ServerAddress('10.1.0.2', 8_486)
 OFFER = TunnelOffer(TunnelState.OFFERED, 7_355)
 
 
@@ -39,7 +42,7 @@
 
 
 def choose_names(table, times=60, now_ms=NOW_MS):
-    relays = [table.choose((), now_ms) for _ in range(times)]
+    relays = [table.choose(ENDPOINT, (), now_ms) for _ in range(times)]
     return Counter(relay.address.instance for relay in relays if relay is not None)
 
 
@@ -70,19 +73,32 @@
     """Guards against a failed relay that is asked by each request, or never again."""
     table = make_table(NEAR[:1])
     table.record_failure(NEAR[0].instance, NOW_MS)
-    assert table.choose((), NOW_MS + 900) is None
-    assert table.choose((), NOW_MS + 1_100) is not None
+    assert table.choose(ENDPOINT, (), NOW_MS + 900) is None
+    assert table.choose(ENDPOINT, (), NOW_MS + 1_100) is not None
+
+
+def test_relay_that_refused_is_asked_after_the_others():
+    """Guards against asking a relay again that does not reach an endpoint either."""
+    table = make_table()
+    for address in NEAR:
+        table.record_refusal(address.instance, ENDPOINT, NOW_MS)
+    assert set(choose_names(table)) == {address.instance for address in FAR}
+    for address in FAR:
+        table.record_refusal(address.instance, ENDPOINT, NOW_MS)
+    assert set(choose_names(table)) == {address.instance for address in NEAR}
+    table.record_refusal(NEAR[0].instance, OTHER_ENDPOINT, NOW_MS)
+    assert NEAR[0].instance in choose_names(table)
 
 
 def test_relays_that_are_suspected_leaving_or_silent_are_not_asked():
     """Guards against tunnels through instances that may not answer."""
     suspect = make_table(NEAR[:1], suspects=frozenset({NEAR[0].instance}))
-    assert suspect.choose((), NOW_MS) is None
+    assert suspect.choose(ENDPOINT, (), NOW_MS) is None
     silent = make_table(NEAR[:1])
-    assert silent.choose((), NOW_MS + MAX_OFFER_AGE_MS + 1) is None
+    assert silent.choose(ENDPOINT, (), NOW_MS + MAX_OFFER_AGE_MS + 1) is None
     leaving = make_table(NEAR[:1])
     leaving.set_view(MemberView(OWN, (OWN,), leaving=frozenset({NEAR[0].instance})))
-    assert leaving.choose((), NOW_MS) is None
+    assert leaving.choose(ENDPOINT, (), NOW_MS) is None
 
 
 def test_tunnels_through_a_leaving_relay_still_carry_responses():
