Forget paths to endpoints that are gone, and count lost paths once

Reading the change: a lost path to an endpoint that is gone would have been retried for ever, and with thousands of endpoints each decision went over all lost paths. A path is forgotten 10 s after a tunnel last reached its endpoint, and the lost paths since the last connection are counted. Kept connections are only looked through while a path is lost.

--- a/savorychute/gateway/daemon/gateway_host.py
+++ b/savorychute/gateway/daemon/gateway_host.py
@@ -86,6 +86,7 @@
         self._leaving_since_ms: int | None = None
         self._last_request_ms = 0
         self._last_summary_ms = 0
+        self._had_lost_paths = False
         self._shutdown_plan = plan_shutdown(settings.grace_s)
         self.in_progress = 0
         self.caller_server: HttpServer | None = None
@@ -127,7 +128,12 @@
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_MS / MS_PER_S)
 
     def _maintain_connections(self, now_ms: int) -> None:
-        address = self._parts.paths.find_due_retry(now_ms)
+        """Retry a lost path, and close connections on paths that are not used any more."""
+        paths = self._parts.paths
+        had_lost, self._had_lost_paths = self._had_lost_paths, paths.has_lost
+        if not had_lost and not paths.has_lost:
+            return
+        address = paths.find_due_retry(now_ms)
         if address is not None:
             self._endpoints.prepare(address)
         self._endpoints.close_unusable()
--- a/savorychute/gateway/paths/path_table.py
+++ b/savorychute/gateway/paths/path_table.py
@@ -19,8 +19,8 @@
 MIN_LOST_PATHS = 2
 # Connections to an endpoint that must hang until all of its connections are given up.
 MIN_HUNG = 2
-# A path that was lost for this long is forgotten; its endpoint may be gone.
-FORGET_MS = 60_000
+# A lost path is forgotten when no tunnel has reached the endpoint for this long.
+FORGET_MS = 10_000
 
 
 class PathPlan(NamedTuple):
@@ -37,10 +37,11 @@
 class _LostPath:
     """A path that was lost; ``hung`` counts the connections that hung."""
 
-    __slots__ = ('hung', 'retry_at_ms', 'retry_delay_ms', 'since_ms')
+    __slots__ = ('bypassed_ms', 'hung', 'retry_at_ms', 'retry_delay_ms', 'since_ms')
 
     def __init__(self, now_ms: int) -> None:
         self.since_ms = now_ms
+        self.bypassed_ms = now_ms
         self.hung = 0
         self.retry_delay_ms = MIN_RETRY_MS
         self.retry_at_ms = now_ms + MIN_RETRY_MS
@@ -55,22 +56,22 @@
 
     def __init__(self) -> None:
         self._lost: dict[ServerAddress, _LostPath] = {}
-        self._connected_ms: int | None = None
+        # Number of paths that were lost since the last direct connection.
+        self._lost_in_a_row = 0
         # Called with whether all paths are lost, when that changes.
         self.on_change: Callable[[bool], None] | None = None
         # Called with an endpoint to which direct connections start to hang.
         self.on_silent: Callable[[ServerAddress], None] | None = None
-        self._was_isolated = False
+
+    @property
+    def has_lost(self) -> bool:
+        """Whether any path is lost."""
+        return bool(self._lost)
 
     @property
     def is_isolated(self) -> bool:
         """Whether this instance seems to have lost the paths to all endpoints."""
-        connected_ms = self._connected_ms
-        lost = sum(
-            connected_ms is None or path.since_ms >= connected_ms
-            for path in self._lost.values()
-        )
-        return lost >= MIN_LOST_PATHS
+        return self._lost_in_a_row >= MIN_LOST_PATHS
 
     def is_lost(self, address: ServerAddress) -> bool:
         """Return whether an endpoint is reached only through other instances.
@@ -87,12 +88,10 @@
         :param address: the endpoint.
         """
         path = self._lost.get(address)
-        if path is None or not path.hung:
-            return False
-        return path.hung >= MIN_HUNG or self.is_isolated
+        return path is not None and self._hangs(path)
 
     def plan(self, address: ServerAddress, now_ms: int) -> PathPlan:
-        """Return when to try which way for a new connection.
+        """Return how to open a connection to an endpoint.
 
         A lost path is retried beside a tunnel, so that no request waits for it.
 
@@ -115,6 +114,7 @@
 
         :param now_ms: the current time.
         """
+        self._forget(now_ms - FORGET_MS)
         due = (
             address
             for address, path in self._lost.items()
@@ -129,13 +129,15 @@
         :param now_ms: the current time.
         """
         was_isolated = self.is_isolated
-        self._connected_ms = now_ms
         self._lost.pop(address, None)
-        if was_isolated:
-            for path in self._lost.values():
-                path.retry_at_ms = now_ms
-                path.retry_delay_ms = MIN_RETRY_MS
-        self._report_change()
+        self._lost_in_a_row = 0
+        if not was_isolated:
+            return
+        for path in self._lost.values():
+            path.retry_at_ms = now_ms
+            path.retry_delay_ms = MIN_RETRY_MS
+        if self.on_change is not None:
+            self.on_change(False)
 
     def record_bypassed(
         self, address: ServerAddress, now_ms: int, *, hung: bool
@@ -146,34 +148,31 @@
         :param now_ms: the current time.
         :param hung: whether the direct connection hangs instead of failing.
         """
-        silent_before = self._silent()
+        was_isolated = self.is_isolated
+        silent_before = self._find_silent()
         path = self._lost.get(address)
         if path is None:
-            self._forget(now_ms - FORGET_MS)
             path = self._lost[address] = _LostPath(now_ms)
+            self._lost_in_a_row += 1
+        path.bypassed_ms = now_ms
         path.hung += hung
-        self._report_change()
-        self._report_silent(self._silent() - silent_before)
+        if self.is_isolated and not was_isolated and self.on_change is not None:
+            self.on_change(True)
+        if self.on_silent is not None:
+            for silent in self._find_silent() - silent_before:
+                self.on_silent(silent)
 
-    def _silent(self) -> set[ServerAddress]:
-        return {address for address in self._lost if self.is_silent(address)}
+    def _hangs(self, path: _LostPath) -> bool:
+        return path.hung >= (1 if self.is_isolated else MIN_HUNG)
 
-    def _report_silent(self, addresses: set[ServerAddress]) -> None:
-        if self.on_silent is not None:
-            for address in addresses:
-                self.on_silent(address)
+    def _find_silent(self) -> set[ServerAddress]:
+        return {address for address, path in self._lost.items() if self._hangs(path)}
 
     def _forget(self, before_ms: int) -> None:
         old = [
-            address for address, path in self._lost.items() if path.since_ms < before_ms
+            address
+            for address, path in self._lost.items()
+            if path.bypassed_ms < before_ms
         ]
         for address in old:
             del self._lost[address]
-
-    def _report_change(self) -> None:
-        is_isolated = self.is_isolated
-        if is_isolated == self._was_isolated:
-            return
-        self._was_isolated = is_isolated
-        if self.on_change is not None:
-            self.on_change(is_isolated)
--- a/tests/test_gateway/test_path_table.py
+++ b/tests/test_gateway/test_path_table.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from savorychute.gateway.paths.path_table import RACE_DELAY_MS, PathTable
+from savorychute.gateway.paths.path_table import FORGET_MS, RACE_DELAY_MS, PathTable
 from savorychute.http.client_pool import ServerAddress
 
 FIRST, SECOND, THIRD = (ServerAddress('10.0.0.1', port) for port in (1, 2, 3))
@@ -48,6 +48,15 @@
     assert paths.plan(FIRST, NOW_MS + 1).tunnel_delay_ms == RACE_DELAY_MS
 
 
+def test_path_to_an_endpoint_that_is_gone_is_forgotten():
+    """Guards against retries for ever of an endpoint that no tunnel reaches either."""
+    paths = PathTable()
+    paths.record_bypassed(FIRST, NOW_MS, hung=True)
+    assert paths.find_due_retry(NOW_MS + FORGET_MS) == FIRST
+    assert paths.find_due_retry(NOW_MS + FORGET_MS + 1) is None
+    assert not paths.has_lost
+
+
 def test_one_lost_path_is_not_isolation():
     """Guards against an instance that counts as cut off for one lost endpoint."""
     paths = PathTable()
