Do not take a broken tunnel for a failed endpoint

An attempt that breaks in a tunnel blocks nothing now; if its endpoint has failed, the next connection shows that.

--- a/savorychute/gateway/requests/request_execution.py
+++ b/savorychute/gateway/requests/request_execution.py
@@ -160,10 +160,15 @@
         self._abandon('withheld')
 
     def attempt_interrupted(self, attempt: Attempt, reason: str) -> None:
-        """Continue after an attempt that may have run and has no complete response."""
+        """Continue after an attempt that may have run and has no complete response.
+
+        A broken tunnel may be the fault of its relay; if it is the endpoint's, the next
+        connection to it shows that.
+        """
         now_ms = self.now_ms()
         record = attempt.choice.record
-        record.health.record_unresponsive(now_ms)
+        if not attempt.via:
+            record.health.record_unresponsive(now_ms)
         self.possible_executions += 1
         if reason == 'connection-lost':
             crash = CrashSighting(self._admitted.fingerprint, record.entry.run)
