Log which requests for tunnels an instance refuses

An instance that refused a tunnel wrote nothing, so only the logs of the one that asked could tell why. The line tunnel-refused says who asked, for what address, and with which status it ended; requests that are not authentic have no name there. Tests of the fleet pass (5 workers).

--- a/savorychute/gateway/daemon/assembly.py
+++ b/savorychute/gateway/daemon/assembly.py
@@ -128,6 +128,7 @@
         parts.telemetry,
     )
     tunnels = TunnelServer(parts.roster, environment.paths.table, environment.clock)
+    tunnels.on_refused = PathTelemetry(parts.telemetry).tunnel_refused
     peer_parts = PeerParts(
         directory,
         parts.crashes,
--- a/savorychute/gateway/daemon/tunnel_connection.py
+++ b/savorychute/gateway/daemon/tunnel_connection.py
@@ -13,10 +13,7 @@
 
 from savorychute.clock import MS_PER_S
 from savorychute.errors import MessageError, SignatureError
-from savorychute.gateway.daemon.tunnel_client import (
-    AUTHENTICATION_SCHEME,
-    STATUS_OK,
-)
+from savorychute.gateway.daemon.tunnel_client import AUTHENTICATION_SCHEME, STATUS_OK
 from savorychute.http.client_pool import ServerAddress
 
 if TYPE_CHECKING:
@@ -150,17 +147,21 @@
         if request.method != b'CONNECT' or address is None:
             self._refuse(STATUS_BAD_REQUEST)
             return
-        requester = self._authenticate(request, address)
-        if requester is None or not self._server.is_endpoint(address):
-            self._refuse(STATUS_FORBIDDEN)
+        self.requester = self._authenticate(request, address) or ''
+        status = self._check(address)
+        if status != STATUS_OK:
+            self._server.record_refused(self.requester, address, status)
+            self._refuse(status)
             return
-        if not self._server.accepts(address):
-            self._refuse(STATUS_UNAVAILABLE)
-            return
-        self.requester = requester
         loop = asyncio.get_running_loop()
         self._connecting = loop.create_task(self._connect(address))
 
+    def _check(self, address: ServerAddress) -> int:
+        """Return the status that the request gets if the endpoint can be reached."""
+        if not self.requester or not self._server.is_endpoint(address):
+            return STATUS_FORBIDDEN
+        return STATUS_OK if self._server.accepts(address) else STATUS_UNAVAILABLE
+
     def _authenticate(self, request: h11.Request, address: ServerAddress) -> str | None:
         headers = dict(request.headers)
         scheme, _, encoded = headers.get(b'proxy-authorization', b'').partition(b' ')
@@ -180,6 +181,7 @@
                     lambda: _EndpointSide(self), address.host, address.port
                 )
         except (OSError, TimeoutError):
+            self._server.record_refused(self.requester, address, STATUS_UNREACHABLE)
             self._refuse(STATUS_UNREACHABLE)
             return
         self._server.record_connected(address)
--- a/savorychute/gateway/daemon/tunnel_server.py
+++ b/savorychute/gateway/daemon/tunnel_server.py
@@ -60,6 +60,8 @@
         self._connections: set[TunnelConnection] = set()
         # Verifies a signed message; set when this instance has joined the group.
         self.decode: Callable[[bytes], DecodedMessage] | None = None
+        # Called with the requester (empty if unknown), the address and the status.
+        self.on_refused: Callable[[str, ServerAddress, int], None] | None = None
         self.port = 0
         self.leaving = False
 
@@ -81,9 +83,9 @@
 
         :param address: the endpoint that the tunnel should lead to.
         """
-        if self.offer().state is not TunnelState.OFFERED or self._paths.is_lost(
-            address
-        ):
+        if self.offer().state is not TunnelState.OFFERED:
+            return False
+        if self._paths.is_lost(address):
             return False
         return len(self._connections) <= self._max_tunnels
 
@@ -118,6 +120,18 @@
         """
         self._paths.record_connected(address, self._clock.now_ms())
 
+    def record_refused(
+        self, requester: str, address: ServerAddress, status: int
+    ) -> None:
+        """Record that a request for a tunnel was refused.
+
+        :param requester: the instance that sent it; empty if it is not authentic.
+        :param address: the address that the tunnel should have led to.
+        :param status: the status of the response.
+        """
+        if self.on_refused is not None:
+            self.on_refused(requester, address, status)
+
     def now_ms(self) -> int:
         """Return the current time."""
         return self._clock.now_ms()
--- a/savorychute/gateway/path_telemetry.py
+++ b/savorychute/gateway/path_telemetry.py
@@ -32,6 +32,19 @@
         way = 'tunnel' if via else 'direct'
         self._telemetry.metrics.count('connections_total', way=way)
 
+    def tunnel_refused(
+        self, requester: str, address: ServerAddress, status: int
+    ) -> None:
+        """Log that this instance opened no tunnel for another one."""
+        self._telemetry.write(
+            LogLevel.WARNING,
+            'tunnel-refused',
+            '',
+            member=requester,
+            address=f'{address.host}:{address.port}',
+            status=status,
+        )
+
     def tunnel_failed(self, relay: str, address: ServerAddress, reason: str) -> None:
         """Log that another instance opened no tunnel."""
         self._telemetry.metrics.count('tunnel_failures_total')
