--- a/savorychute/gateway/daemon/path_connector.py
+++ b/savorychute/gateway/daemon/path_connector.py
@@ -9,6 +9,7 @@
 from savorychute.gateway.daemon.tunnel_client import open_tunnel
 from savorychute.gateway.paths.tunnel_error import TunnelError, TunnelRefusedError
 from savorychute.gateway.paths.tunnel_request import TunnelRequest
+from savorychute.http.connector import DirectConnector
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -121,6 +122,7 @@
         self._relays = relays
         self._clock = clock
         self._connect_timeout_ms = connect_timeout_ms
+        self._direct = DirectConnector()
         self._late: set[asyncio.Task[ClientConnection]] = set()
         # Signs requests for tunnels; set when this instance has joined the group.
         self.encode: MessageEncoder | None = None
@@ -197,11 +199,8 @@
     async def _open_direct(
         self, address: ServerAddress, make_connection: Callable[[], ClientConnection]
     ) -> ClientConnection:
-        loop = asyncio.get_running_loop()
         async with asyncio.timeout(self._connect_timeout_ms / MS_PER_S):
-            _, connection = await loop.create_connection(
-                make_connection, address.host, address.port
-            )
+            connection = await self._direct.open(address, make_connection)
         connection.path = DirectPath(self._paths, address)
         self._paths.record_connected(address, self._clock.now_ms())
         return connection
