Name the notifications of a lost path as such

path_lost was a state of an attempt and a notification at the roster and its records. The latter are notify_path_lost now. Behaviour is unchanged; the tests of the fleet and of lost paths pass (4 workers).

--- a/savorychute/gateway/daemon/assembly.py
+++ b/savorychute/gateway/daemon/assembly.py
@@ -241,7 +241,7 @@
         clock,
     )
     roster = EndpointRoster(crashes.endpoint_ended, clock, statements.leaving)
-    environment.paths.table.on_silent = roster.path_lost
+    environment.paths.table.on_silent = roster.notify_path_lost
     models = EngineModels()
     shortages = Shortages()
     return GatewayParts(
--- a/savorychute/gateway/endpoints/endpoint_record.py
+++ b/savorychute/gateway/endpoints/endpoint_record.py
@@ -131,7 +131,7 @@
         for attempt in tuple(self._attempts):
             attempt.endpoint_run_ended()
 
-    def path_lost(self) -> None:
+    def notify_path_lost(self) -> None:
         """Notify the attempts in progress that direct connections hang."""
         for attempt in tuple(self._attempts):
             attempt.endpoint_path_lost()
--- a/savorychute/gateway/endpoints/endpoint_roster.py
+++ b/savorychute/gateway/endpoints/endpoint_roster.py
@@ -87,14 +87,14 @@
             for record in self
         )
 
-    def path_lost(self, address: ServerAddress) -> None:
+    def notify_path_lost(self, address: ServerAddress) -> None:
         """Notify the attempts at an endpoint that its direct connections hang.
 
         :param address: the address of the endpoint.
         """
         for record in self:
             if record.entry.address == address:
-                record.path_lost()
+                record.notify_path_lost()
 
     def is_leaving(self, entry: EndpointEntry) -> bool:
         """Return whether an endpoint is draining or leaving.
