--- a/savorychute/gateway/paths/path_table.py
+++ b/savorychute/gateway/paths/path_table.py
@@ -130,14 +130,12 @@
         """
         was_isolated = self.is_isolated
         self._lost.pop(address, None)
-        self._lost_in_a_row = 0
+        self._end_isolation()
         if not was_isolated:
             return
         for path in self._lost.values():
             path.retry_at_ms = now_ms
             path.retry_delay_ms = MIN_RETRY_MS
-        if self.on_change is not None:
-            self.on_change(False)
 
     def record_bypassed(
         self, address: ServerAddress, now_ms: int, *, hung: bool
@@ -176,3 +174,12 @@
         ]
         for address in old:
             del self._lost[address]
+        if old and not self._lost:
+            # Nothing shows any more that others reach what this instance does not.
+            self._end_isolation()
+
+    def _end_isolation(self) -> None:
+        was_isolated = self.is_isolated
+        self._lost_in_a_row = 0
+        if was_isolated and self.on_change is not None:
+            self.on_change(False)
--- a/tests/test_gateway/test_path_table.py
+++ b/tests/test_gateway/test_path_table.py
@@ -57,6 +57,16 @@
     assert not paths.has_lost
 
 
+def test_isolation_ends_when_no_tunnel_reaches_an_endpoint_either():
+    """Guards against failures of endpoints that are put down to a lost path for ever."""
+    paths = make_isolated()
+    changes = []
+    paths.on_change = changes.append
+    paths.find_due_retry(NOW_MS + FORGET_MS + 1)
+    assert not paths.is_isolated
+    assert changes == [False]
+
+
 def test_one_lost_path_is_not_isolation():
     """Guards against an instance that counts as cut off for one lost endpoint."""
     paths = PathTable()
