Use no tunnel that carries bytes of no request

On a direct connection such bytes close it, because the next response could be matched to the wrong request. The new test fails without the change (the tunnel is used); it and the tests of the fleet pass (6 workers).

--- a/savorychute/gateway/daemon/tunnel_client.py
+++ b/savorychute/gateway/daemon/tunnel_client.py
@@ -29,6 +29,7 @@
         self._http = h11.Connection(h11.CLIENT)
         self._target = target
         self._credentials = credentials
+        self._transport: asyncio.Transport | None = None
         self.done: asyncio.Future[int] = asyncio.get_running_loop().create_future()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -43,23 +44,35 @@
         )
         data = self._http.send(request) or b''
         data += self._http.send(h11.EndOfMessage()) or b''
-        cast('asyncio.Transport', transport).write(data)
+        self._transport = cast('asyncio.Transport', transport)
+        self._transport.write(data)
 
     def data_received(self, data: bytes) -> None:
-        """Process the response."""
+        """Process the response; bytes after it belong to no request."""
+        if self.done.done():
+            self._abort()
+            return
         try:
             self._http.receive_data(data)
             event = self._http.next_event()
         except h11.RemoteProtocolError as error:
             self._fail(f'malformed response to a request for a tunnel: {error}')
             return
-        if isinstance(event, h11.Response) and not self.done.done():
-            self.done.set_result(event.status_code)
+        if not isinstance(event, h11.Response):
+            return
+        if event.status_code == STATUS_OK and self._http.trailing_data[0]:
+            self._fail('bytes of no request follow the response')
+            return
+        self.done.set_result(event.status_code)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the handshake if it is not complete."""
         self._fail(f'relay closed the connection: {exc or "end of stream"}')
 
+    def _abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
     def _fail(self, message: str) -> None:
         if not self.done.done():
             self.done.set_exception(TunnelError(message))
--- a/tests/test_fleet/test_tunnels.py
+++ b/tests/test_fleet/test_tunnels.py
@@ -10,8 +10,12 @@
 from endpoint_cut import CutKind
 from fleet_fixture import run_fleet, wait_until
 
+from savorychute.gateway.daemon.tunnel_client import open_tunnel
+from savorychute.gateway.paths.relay_table import Relay
+from savorychute.gateway.paths.tunnel_error import TunnelError
 from savorychute.gateway.paths.tunnel_request import TunnelRequest
 from savorychute.http.client_pool import ServerAddress
+from savorychute.member_address import MemberAddress
 from savorychute.testing.stand_in_http import LOOPBACK
 from savorychute.testing.virtual_loop import run_virtual
 
@@ -264,6 +268,32 @@
     run_with_fleet(scenario)
 
 
+def test_tunnel_with_bytes_of_no_request_is_not_used():
+    """Guards against responses that are matched to the wrong request in a tunnel."""
+
+    async def answer(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\n\r\nHTTP/1.1 200 OK\r\n\r\n')
+        await reader.read()
+        writer.close()
+
+    async def main():
+        server = await asyncio.start_server(answer, LOOPBACK, 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        address = MemberAddress('kochi-1', 1, 'kerala', 'kochi', host, 1, 2)
+        endpoint = ServerAddress(LOOPBACK, 1)
+        with pytest.raises(TunnelError):
+            await open_tunnel(Relay(address, port), endpoint, b'frame', unused)
+        server.close()
+
+    run_virtual(main())
+
+
+def unused():
+    """Fail if a connection is made from the tunnel."""
+    raise AssertionError('the tunnel is used')
+
+
 async def break_off(reader, writer):
     """Send a part of a response, then reset the connection."""
     await reader.read(1)
