Fail a request for a tunnel that cannot be encoded at once

Second reading: the pool handles errors of the network, and an error of the codec passed it, so the call was never failed and its caller waited until the deadline (the new test: 503 after more than 0.5 s without the change, at once with it). The tests of the fleet pass (6 workers).

--- a/savorychute/gateway/daemon/path_connector.py
+++ b/savorychute/gateway/daemon/path_connector.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from savorychute.clock import MS_PER_S
+from savorychute.errors import MessageError
 from savorychute.gateway.daemon.tunnel_client import open_tunnel
 from savorychute.gateway.paths.tunnel_error import TunnelError, TunnelRefusedError
 from savorychute.gateway.paths.tunnel_request import TunnelRequest
@@ -243,7 +244,10 @@
             raise TunnelError('this instance has not joined the group yet')
         request = TunnelRequest(address.host, address.port)
         name = relay.address.instance
-        frame = self.encode(name, request)
+        try:
+            frame = self.encode(name, request)
+        except MessageError as error:
+            raise TunnelError(error.message) from error
         async with asyncio.timeout(TUNNEL_TIMEOUT_MS / MS_PER_S):
             connection = await open_tunnel(relay, address, frame, make_connection)
         self._relays.record_success(name, address)
--- a/tests/test_fleet/test_tunnels.py
+++ b/tests/test_fleet/test_tunnels.py
@@ -10,6 +10,7 @@
 from endpoint_cut import CutKind
 from fleet_fixture import run_fleet, wait_until
 
+from savorychute.errors import MessageError
 from savorychute.gateway.daemon.tunnel_client import open_tunnel
 from savorychute.gateway.paths.relay_table import Relay
 from savorychute.gateway.paths.tunnel_error import TunnelError
@@ -268,6 +269,21 @@
     run_with_fleet(scenario)
 
 
+def test_request_for_a_tunnel_that_cannot_be_encoded_fails_at_once():
+    """Guards against callers that wait until their deadline for a failed tunnel."""
+
+    def encode(receiver, message):
+        raise MessageError(f'{message} to {receiver} has no schema')
+
+    async def scenario(fleet):
+        fleet.gateways[0].host._endpoints._connector.encode = encode
+        started_s = fleet.now_s()
+        response = await fleet.call(**POST)
+        return response.status, fleet.now_s() - started_s < GONE_S
+
+    assert run_with_fleet(scenario, kind=CutKind.REFUSED) == (503, True)
+
+
 def test_tunnel_with_bytes_of_no_request_is_not_used():
     """Guards against responses that are matched to the wrong request in a tunnel."""
 
