Resume an interrupted stream where it is kept, also without a credit

What callers saw: each token once, but late: after a crash of its instance a stream of 60 tokens was prefilled again at another engine, which generated up to 66 tokens with what the first had made after the caller's offset.

Cause: an instance asks its home for a number of credits and not for a place at an engine. Ruled out: that the crashed instance's credit, which counts for six seconds, is what lacks. A crash of the home itself and pools larger than a subset have the same effect.

Change: the stream goes on at its engine at once, beside the instance's credits, and the home is told in a new field of the report. The engine refuses a stream that was paused to make room (only_if_interrupted, x-paused), which then waits for a credit as before.

Why it works: the place is free, and it is counted for the lost instance until its loss is detected; from then on the home counts it for the new one.

--- a/savorychute/actions/start_attempt.py
+++ b/savorychute/actions/start_attempt.py
@@ -15,7 +15,8 @@
     the offset is -1.  To continue a response on another engine the body
     contains ``continue_from``, an object with ``offset`` and ``text``: the
     engine prefills that text after the prompt and its first chunk has that
-    offset.  Chunks of a model's stream contain plain UTF-8 text, no framing.
+    offset.  With ``only_if_interrupted`` the engine refuses to resume a stream that
+    was paused.  Chunks of a model's stream contain plain UTF-8 text, no framing.
     """
 
     attempt_id: str
@@ -33,3 +34,4 @@
     stream_id: str
     resume_offset: int
     timeout_ms: int
+    only_if_interrupted: bool = False
--- a/savorychute/credits/group_allocator.py
+++ b/savorychute/credits/group_allocator.py
@@ -83,7 +83,10 @@
             if instance != own_name:
                 self._unreported_until_ms[instance] = now_ms + settings.grant_ms
         self._known_levels = {
-            key: max(holding.level(key, now_ms) or 0, holding.in_use.get(key, 0))
+            key: max(
+                (holding.level(key, now_ms) or 0) + holding.count_without_credit(key),
+                holding.in_use.get(key, 0),
+            )
             for key in self._capacities
         }
 
@@ -143,7 +146,7 @@
             headroom = min(
                 headroom, self._targets.get(self.own_name, {}).get(endpoint, 0)
             )
-        return max(0, headroom)
+        return max(0, headroom - self.holding.count_without_credit(endpoint))
 
     def divide_if_due(self, now_ms: int, *, urgent: bool) -> bool:
         """Divide the capacity again, unless the last division was too recent.
--- a/savorychute/credits/group_holding.py
+++ b/savorychute/credits/group_holding.py
@@ -19,12 +19,17 @@
 
 
 class AttemptUse(NamedTuple):
-    """One attempt's use of an endpoint."""
+    """One attempt's use of an endpoint.
+
+    An attempt without a credit resumes a stream of a lost instance, under the credit
+    that is reserved for that instance.
+    """
 
     group: str
     endpoint: int
     tier: int
     tokens: int
+    has_credit: bool = True
 
 
 class GroupHolding:
@@ -48,6 +53,7 @@
         self.in_use: dict[int, int] = {}
         self.running: dict[int, int] = {}
         self.tokens: dict[int, int] = {}
+        self._without_credit: dict[int, int] = {}
         self._reported_in_use: dict[int, int] = {}
         self._levels: dict[int, int] = {}
         self._expires_ms = 0
@@ -80,6 +86,20 @@
             return None
         return self._levels.get(endpoint, 0)
 
+    def count_without_credit(self, endpoint: int) -> int:
+        """Return how many attempts run at an endpoint without a credit.
+
+        :param endpoint: hash of the endpoint name.
+        """
+        return self._without_credit.get(endpoint, 0)
+
+    def used_credits(self, endpoint: int) -> int:
+        """Return how many credits of an endpoint are in use.
+
+        :param endpoint: hash of the endpoint name.
+        """
+        return self.in_use.get(endpoint, 0) - self.count_without_credit(endpoint)
+
     def has_freed_credit(self, now_ms: int) -> bool:
         """Return whether enough reclaimed credit has become free since the report.
 
@@ -126,7 +146,7 @@
     def release_unused(self) -> None:
         """Give up all credits but those in use."""
         self._levels = {
-            endpoint: min(level, self.in_use.get(endpoint, 0))
+            endpoint: min(level, self.used_credits(endpoint))
             for endpoint, level in self._levels.items()
         }
 
@@ -167,7 +187,8 @@
             held = self.level(endpoint, now_ms) or 0
             in_use = self.in_use.get(endpoint, 0)
             if held or in_use:
-                uses.append(EndpointUse(endpoint, held, in_use))
+                without_credit = self.count_without_credit(endpoint)
+                uses.append(EndpointUse(endpoint, held, in_use, without_credit))
         return GroupReport(
             group=self.group.number,
             home_epoch=self.home_epoch,
@@ -182,7 +203,11 @@
         endpoint, tier = use.endpoint, use.tier
         self.in_use[endpoint] = self.in_use.get(endpoint, 0) + step
         self.running[tier] = self.running.get(tier, 0) + step
-        self.tokens[endpoint] = self.tokens.get(endpoint, 0) + step * use.tokens
+        if use.has_credit:
+            self.tokens[endpoint] = self.tokens.get(endpoint, 0) + step * use.tokens
+        else:
+            count = self.count_without_credit(endpoint) + step
+            self._without_credit[endpoint] = count
 
 
 def to_tier_counts(by_tier: dict[int, int]) -> tuple[int, ...]:
--- a/savorychute/credits/holder_record.py
+++ b/savorychute/credits/holder_record.py
@@ -32,6 +32,7 @@
         self.waiting: tuple[int, ...] = ()
         self._held: dict[int, int] = {}
         self._in_use: dict[int, int] = {}
+        self._without_credit: dict[int, int] = {}
         self._held_until_ms = 0
         self._sent_grants: list[SentGrant] = []
 
@@ -51,6 +52,7 @@
         self.waiting = report.waiting
         self._held = {use.endpoint: use.held for use in report.uses}
         self._in_use = {use.endpoint: use.in_use for use in report.uses}
+        self._without_credit = {use.endpoint: use.without_credit for use in report.uses}
         self._held_until_ms = held_until_ms
         self._sent_grants = [
             grant for grant in self._sent_grants if grant.sequence > own_sequence
@@ -67,16 +69,21 @@
         """Return the most that the instance may run, by endpoint.
 
         Any grant that was sent and is not yet acknowledged may be in force, or the one
-        before it; running requests continue whatever is granted.
+        before it; running requests continue whatever is granted, and those without a
+        credit are beside every grant.
 
         :param now_ms: the current time.
         """
-        most = dict(self._in_use)
+        levels: dict[int, int] = {}
         if now_ms < self._held_until_ms:
-            _raise_to(most, self._held)
+            _raise_to(levels, self._held)
         for grant in self._sent_grants:
             if now_ms < grant.expires_ms:
-                _raise_to(most, grant.levels)
+                _raise_to(levels, grant.levels)
+        for endpoint, count in self._without_credit.items():
+            levels[endpoint] = levels.get(endpoint, 0) + count
+        most = dict(self._in_use)
+        _raise_to(most, levels)
         return most
 
     def last_levels(self) -> dict[int, int]:
--- a/savorychute/credits/ledger.py
+++ b/savorychute/credits/ledger.py
@@ -90,8 +90,8 @@
         if group is None:
             return 0
         number = hash_name(endpoint)
-        in_use = self._groups.holdings[group.key].in_use.get(number, 0)
-        return max(0, self._level(group, number) - in_use)
+        used = self._groups.holdings[group.key].used_credits(number)
+        return max(0, self._level(group, number) - used)
 
     def acquire(
         self,
@@ -119,6 +119,39 @@
         self._groups.start(endpoint, attempt_id, use, now_ms)
         return True
 
+    def can_resume(self, endpoint: str, pool: str) -> bool:
+        """Return whether streams of a pool can be resumed at an endpoint.
+
+        It need not be one that this instance chooses for new requests.
+
+        :param endpoint: name of the endpoint.
+        :param pool: a model name, or ``service:`` followed by a service name.
+        """
+        group = self._groups.group_of(endpoint)
+        return group is not None and pool in group.pools
+
+    def record_resume(
+        self, endpoint: str, attempt_id: str, tier: int, now_ms: int
+    ) -> None:
+        """Count an attempt that resumes a stream of a lost instance without a credit.
+
+        The credit of that instance is still reserved, and this instance keeps its own
+        credits for other requests.  The home is told at once, so that it counts the
+        attempt when it discards the credits of the lost instance.
+
+        :param endpoint: name of the endpoint; ignored if it is not active.
+        :param attempt_id: identifier of the attempt.
+        :param tier: tier of the request.
+        :param now_ms: the current time.
+        """
+        self._now_ms = max(self._now_ms, now_ms)
+        group = self._groups.group_of(endpoint)
+        if group is None:
+            return
+        use = make_attempt_use(group, endpoint, tier, tokens=0)
+        self._groups.start(endpoint, attempt_id, use._replace(has_credit=False), now_ms)
+        self._groups.holdings[group.key].must_report = True
+
     def release(self, attempt_id: str, now_ms: int) -> None:
         """Release the credit of an attempt that has ended.
 
@@ -260,7 +293,7 @@
         limit = self._groups.endpoints[endpoint].get('outstanding_tokens', 0)
         number = hash_name(endpoint)
         holding = self._groups.holdings[group.key]
-        if not limit or not holding.in_use.get(number, 0):
+        if not limit or not holding.used_credits(number):
             return True
         share = self._level(group, number) / group.capacities[number]
         return holding.tokens.get(number, 0) + expected_tokens <= limit * share
--- a/savorychute/endpoints/openai_engine.py
+++ b/savorychute/endpoints/openai_engine.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, TypedDict
+from typing import TYPE_CHECKING, NotRequired, TypedDict
 from urllib.parse import quote
 
 import msgspec
@@ -32,9 +32,10 @@
 
 
 class ResumeBody(TypedDict):
-    """The position from which a stream is resumed."""
+    """The position from which a stream is resumed, and whether only if interrupted."""
 
     offset: int
+    only_if_interrupted: NotRequired[bool]
 
 
 class CancelBody(TypedDict):
@@ -78,7 +79,7 @@
                 'POST',
                 _stream_path(start.stream_id, 'resume'),
                 tuple(headers),
-                msgspec.json.encode(ResumeBody(offset=start.resume_offset)),
+                msgspec.json.encode(_make_resume_body(start)),
             )
         return HttpRequest(
             'POST', '/v1/chat/completions', tuple(headers), _write_body(start)
@@ -185,6 +186,13 @@
     return f'/v1/streams/{quote(stream_id, safe="")}/{verb}'
 
 
+def _make_resume_body(start: StartAttempt) -> ResumeBody:
+    body = ResumeBody(offset=start.resume_offset)
+    if start.only_if_interrupted:
+        body['only_if_interrupted'] = True
+    return body
+
+
 def _write_body(start: StartAttempt) -> bytes:
     """Return the caller's document with the fields that the instance sets."""
     fields = _body_decoder.decode(start.body)
--- a/savorychute/endpoints/refusals.py
+++ b/savorychute/endpoints/refusals.py
@@ -12,6 +12,7 @@
 REFUSAL_STATUSES = (429, 503)
 NOT_STARTED_HEADER = 'x-not-started'
 LEAVING_HEADER = 'x-leaving'
+PAUSED_HEADER = 'x-paused'
 SERVER_ERROR_STATUS = 500
 
 
@@ -35,6 +36,7 @@
         leaving=headers.get(LEAVING_HEADER) == '1',
         crashed=False,
         reason=f'refused with status {status}',
+        paused=headers.get(PAUSED_HEADER) == '1',
     )
 
 
--- a/savorychute/instance/attempt.py
+++ b/savorychute/instance/attempt.py
@@ -12,12 +12,14 @@
     :param offset: the offset of the first expected token.
     :param resumed: whether it resumes an existing stream.
     :param now_ms: the time at which it was granted.
+    :param has_credit: whether a credit was acquired for it.
     """
 
     __slots__ = (
         'attempt_id',
         'content_type',
         'endpoint',
+        'has_credit',
         'is_unresponsive',
         'last_progress_ms',
         'next_offset',
@@ -37,12 +39,14 @@
         offset: int,
         resumed: bool,
         now_ms: int,
+        has_credit: bool = True,
     ) -> None:
         self.attempt_id = attempt_id
         self.endpoint = endpoint
         self.stream_id = stream_id
         self.next_offset = offset
         self.resumed = resumed
+        self.has_credit = has_credit
         self.last_progress_ms = now_ms
         self.sent = False
         self.is_unresponsive = False
--- a/savorychute/instance/attempt_handler.py
+++ b/savorychute/instance/attempt_handler.py
@@ -219,7 +219,8 @@
         parts = self._parts
         tracked.failure_count += 1
         tracked.last_failure_ms = now_ms
-        tracked.failed_endpoints.add(attempt.endpoint)
+        if not failed.paused:
+            tracked.failed_endpoints.add(attempt.endpoint)
         if failed.leaving:
             parts.ejector.mark_leaving(attempt.endpoint, now_ms)
             parts.leaving.record(attempt.endpoint, now_ms)
@@ -278,13 +279,14 @@
     ) -> bool:
         """Return whether the retry budget and the deadline allow another attempt.
 
-        An endpoint that reports that it is leaving is not a failure of the
-        pool, so moving its work elsewhere does not use the retry budget.
+        An endpoint that reports that it is leaving, or that it has paused the
+        stream, is not a failure of the pool, so the next attempt does not use the
+        retry budget.
         """
         parts = self._parts
         if now_ms >= tracked.deadline_ms:
             return False
-        if failed.leaving:
+        if failed.leaving or failed.paused:
             return True
         settings = parts.settings
         is_unstarted = failed.refused or not failed.sent
@@ -314,8 +316,15 @@
 
         After a crash the engine has lost the stream, and after a failed resume
         the engine does not know it.  In both cases the response continues at
-        another engine from the delivered text.
+        another engine from the delivered text.  A stream that was paused to make
+        room needs a credit like a new request.
         """
+        if failed.paused:
+            tracked.is_interrupted = False
+            tracked.resume_handle = ContinuationHandle(
+                attempt.endpoint, attempt.stream_id, tracked.delivered_tokens
+            )
+            return
         if not tracked.resumable or failed.crashed or attempt.resumed:
             return
         if not attempt.started or failed.refused or tracked.resume_count > 0:
--- a/savorychute/instance/dispatcher.py
+++ b/savorychute/instance/dispatcher.py
@@ -108,6 +108,7 @@
                 stream_id=attempt.stream_id,
                 resume_offset=resume_offset,
                 timeout_ms=max(1, tracked.deadline_ms - now_ms),
+                only_if_interrupted=attempt.resumed and not attempt.has_credit,
             )
         ]
 
@@ -133,6 +134,8 @@
             return False
         if not self._is_permitted(queued, now_ms):
             return False
+        if self._find_interrupted_at(tracked, now_ms) is not None:
+            return True
         tier = queued.tier
         eligible = self._list_eligible(tracked, usable_endpoints, now_ms)
         free_endpoints = [
@@ -197,21 +200,13 @@
     ) -> list[Action]:
         """Reserve an endpoint and a part of the organisation's limit."""
         parts = self._parts
-        free_endpoints = [
-            endpoint
-            for endpoint in self._list_eligible(tracked, usable_endpoints, now_ms)
-            if parts.credits.available(endpoint, queued.tier) > 0
-        ]
-        endpoint = self._choose(tracked, queued, free_endpoints, now_ms)
-        tracked.attempt_count += 1
-        attempt_id = f'{tracked.request_id}-{tracked.attempt_count}'
-        if endpoint is None or not parts.credits.acquire(
-            endpoint, attempt_id, queued.tier, queued.expected_tokens, now_ms
-        ):
-            tracked.attempt_count -= 1
+        attempt = self._reserve(tracked, queued, usable_endpoints, now_ms)
+        if attempt is None:
             parts.admission.restore(queued, now_ms)
             return []
-        attempt = self._make_attempt(tracked, attempt_id, endpoint, now_ms)
+        attempt_id = attempt.attempt_id
+        endpoint = attempt.endpoint
+        tracked.attempt_count += 1
         tracked.attempt = attempt
         parts.request_table.attach_attempt(tracked)
         parts.limiter.start(
@@ -227,12 +222,68 @@
         )
         parts.quarantine.record_start(tracked.fingerprint, attempt_id, endpoint, now_ms)
         tracked.lifecycle.transition(
-            RequestState.GRANTED, now_ms, f'granted {endpoint}'
+            RequestState.GRANTED, now_ms, _describe_grant(attempt)
         )
         if tracked.limits.idempotent:
             return self.send(tracked, now_ms)
         return self._key_handler.notify_witness(tracked, now_ms)
 
+    def _reserve(
+        self,
+        tracked: TrackedRequest,
+        queued: QueuedRequest,
+        usable_endpoints: list[str],
+        now_ms: int,
+    ) -> Attempt | None:
+        """Return an attempt at an endpoint with a credit, or None if there is none.
+
+        Only an interrupted stream goes on without a credit.
+        """
+        parts = self._parts
+        attempt_id = f'{tracked.request_id}-{tracked.attempt_count + 1}'
+        interrupted_at = self._find_interrupted_at(tracked, now_ms)
+        endpoint = interrupted_at
+        if endpoint is None:
+            free_endpoints = [
+                name
+                for name in self._list_eligible(tracked, usable_endpoints, now_ms)
+                if parts.credits.available(name, queued.tier) > 0
+            ]
+            endpoint = self._choose(tracked, queued, free_endpoints, now_ms)
+        if endpoint is None:
+            return None
+        has_credit = parts.credits.acquire(
+            endpoint, attempt_id, queued.tier, queued.expected_tokens, now_ms
+        )
+        if not has_credit:
+            if interrupted_at is None:
+                return None
+            parts.credits.record_resume(endpoint, attempt_id, queued.tier, now_ms)
+        return self._make_attempt(tracked, attempt_id, endpoint, has_credit, now_ms)
+
+    def _find_interrupted_at(self, tracked: TrackedRequest, now_ms: int) -> str | None:
+        """Return the engine that has kept a request's interrupted stream, if usable.
+
+        Its slot is free, and its credit is reserved until the previous instance is
+        known to be lost.  Without a credit of its own this instance would let another
+        engine go on, which prefills the prompt and generates the tokens after the
+        caller's offset again.
+        """
+        handle = tracked.resume_handle
+        if handle is None or not tracked.is_interrupted:
+            return None
+        parts = self._parts
+        endpoint = handle.endpoint
+        verdict = parts.quarantine.verdict(tracked.fingerprint, now_ms)
+        if (
+            verdict is PoisonVerdict.CLEAR
+            and parts.directory.is_usable(endpoint)
+            and parts.ejector.is_allowed(endpoint, now_ms)
+            and parts.credits.can_resume(endpoint, tracked.pool)
+        ):
+            return endpoint
+        return None
+
     def _choose(
         self,
         tracked: TrackedRequest,
@@ -269,7 +320,12 @@
         return None if choice is None else choice.endpoint
 
     def _make_attempt(
-        self, tracked: TrackedRequest, attempt_id: str, endpoint: str, now_ms: int
+        self,
+        tracked: TrackedRequest,
+        attempt_id: str,
+        endpoint: str,
+        has_credit: bool,
+        now_ms: int,
     ) -> Attempt:
         resume_handle = tracked.resume_handle
         tracked.resume_handle = None
@@ -280,7 +336,13 @@
             organisation_digest = digest_organisation(tracked.limits.organisation)
             stream_id = f'{organisation_digest}.{attempt_id}'
         return Attempt(
-            attempt_id, endpoint, stream_id, tracked.delivered_tokens, resumed, now_ms
+            attempt_id,
+            endpoint,
+            stream_id,
+            tracked.delivered_tokens,
+            resumed,
+            now_ms,
+            has_credit,
         )
 
     def _make_body(self, tracked: TrackedRequest, attempt: Attempt) -> bytes:
@@ -334,3 +396,9 @@
         parts.request_table.detach_attempt(tracked)
         cancel = CancelAttempt(attempt.attempt_id, keep_stream=True)
         return [cancel, *self._queue_handler.requeue(tracked, now_ms)]
+
+
+def _describe_grant(attempt: Attempt) -> str:
+    if attempt.has_credit:
+        return f'granted {attempt.endpoint}'
+    return f'resumes at {attempt.endpoint} without credit'
--- a/savorychute/instance/intake.py
+++ b/savorychute/instance/intake.py
@@ -162,6 +162,7 @@
             code = ResultCode.HANDLE_MALFORMED
             raise RequestError(code, 'the handle names no stream of this organisation')
         tracked.resume_handle = handle
+        tracked.is_interrupted = True
         tracked.delivered_tokens = handle.offset
         self._apply_known_text(tracked, handle.offset)
 
--- a/savorychute/instance/tracked_request.py
+++ b/savorychute/instance/tracked_request.py
@@ -38,6 +38,7 @@
         'gap_sum_ms',
         'has_whole_text',
         'holds_key',
+        'is_interrupted',
         'last_failure_ms',
         'last_token_ms',
         'lifecycle',
@@ -73,6 +74,8 @@
         self.resume_count = 0
         self.failed_endpoints: set[str] = set()
         self.resume_handle: ContinuationHandle | None = None
+        # Whether the stream of the handle lost its instance, so that its slot is free.
+        self.is_interrupted = False
         self.response_started = False
         self.caller_left = False
         self.holds_key = False
@@ -97,8 +100,10 @@
 
     @property
     def is_pausable(self) -> bool:
-        """Whether it runs and can be paused without generating a token twice."""
-        return self.resumable and self.response_started and self.attempt is not None
+        """Whether it can be paused to free a credit, without generating a token twice."""
+        if self.attempt is None or not self.attempt.has_credit:
+            return False
+        return self.resumable and self.response_started
 
     @property
     def expects_tokens(self) -> bool:
--- a/savorychute/testing/engine.py
+++ b/savorychute/testing/engine.py
@@ -88,10 +88,17 @@
         return events
 
     def resume(
-        self, stream_id: str, attempt_id: str, offset: int, now_ms: float
+        self,
+        stream_id: str,
+        attempt_id: str,
+        offset: int,
+        now_ms: float,
+        only_if_interrupted: bool = False,
     ) -> list[EngineEvent]:
         """Continue a stream from *offset*; its previous reader is disconnected.
 
+        With *only_if_interrupted* a stream that was paused is refused.
+
         :raises EndpointDownError: if the engine is down.
         """
         self._require_up()
@@ -106,6 +113,10 @@
                 attempt_id, STATUS_NOT_FOUND, False, 'no such stream'
             )
             return [*events, refusal]
+        if only_if_interrupted and stream.is_paused:
+            refusal = StreamRefused(attempt_id, STATUS_BUSY, False, 'paused', True)
+            return [*events, refusal]
+        stream.is_paused = False
         events += self._take_over(stream, attempt_id)
         events.append(StreamAccepted(attempt_id, stream_id))
         stream.emitted_tokens = offset
@@ -126,6 +137,7 @@
         if stream.attempt_id:
             events.append(StreamBroken(stream.attempt_id, stream_id, 'cancelled'))
         self._stop(stream, keep, now_ms)
+        stream.is_paused = keep and stream.phase is StreamPhase.KEPT
         return events
 
     def close(self, attempt_id: str, now_ms: float) -> list[EngineEvent]:
--- a/savorychute/testing/engine_answer.py
+++ b/savorychute/testing/engine_answer.py
@@ -95,5 +95,7 @@
         headers = [('content-type', 'application/json'), ('x-not-started', '1')]
         if event.leaving:
             headers.append(('x-leaving', '1'))
+        if event.paused:
+            headers.append(('x-paused', '1'))
         body = msgspec.json.encode({'error': event.reason})
         self._exchange.respond(event.status, headers, body)
--- a/savorychute/testing/engine_events.py
+++ b/savorychute/testing/engine_events.py
@@ -19,6 +19,7 @@
     status: int
     leaving: bool
     reason: str
+    paused: bool = False
 
 
 class StreamTokens(NamedTuple):
--- a/savorychute/testing/engine_host.py
+++ b/savorychute/testing/engine_host.py
@@ -61,7 +61,11 @@
         if start.resume_offset >= 0:
             self._handle_events(
                 self.engine.resume(
-                    start.stream_id, start.attempt_id, start.resume_offset, now_ms
+                    start.stream_id,
+                    start.attempt_id,
+                    start.resume_offset,
+                    now_ms,
+                    start.only_if_interrupted,
                 )
             )
             return
@@ -180,15 +184,25 @@
         refused = event.status != STATUS_NOT_FOUND
         if event.leaving:
             self.record_leaving()
-        self._fail(event.attempt_id, refused, event.leaving, False, event.reason)
+        self._fail(
+            event.attempt_id, refused, event.leaving, False, event.reason, event.paused
+        )
 
     def _handle_break(self, event: StreamBroken) -> None:
         self._texts.pop(event.attempt_id, None)
         self._fail(event.attempt_id, False, False, True, event.reason)
 
     def _fail(
-        self, attempt_id: str, refused: bool, leaving: bool, crashed: bool, reason: str
+        self,
+        attempt_id: str,
+        refused: bool,
+        leaving: bool,
+        crashed: bool,
+        reason: str,
+        paused: bool = False,
     ) -> None:
-        failed = AttemptFailed(attempt_id, True, refused, leaving, crashed, reason)
+        failed = AttemptFailed(
+            attempt_id, True, refused, leaving, crashed, reason, paused
+        )
         self.notify(attempt_id, failed)
         self.discard_attempt(attempt_id)
--- a/savorychute/testing/engine_server.py
+++ b/savorychute/testing/engine_server.py
@@ -59,6 +59,7 @@
     """The body of a resume request."""
 
     offset: int
+    only_if_interrupted: bool = False
 
 
 class CancelBody(msgspec.Struct):
@@ -168,7 +169,9 @@
         self._last_number += 1
         attempt_id = exchange.request.header('x-attempt-id') or f'n{self._last_number}'
         self._attach(exchange, attempt_id, True)
-        events = self.engine.resume(stream_id, attempt_id, body.offset, loop_ms())
+        events = self.engine.resume(
+            stream_id, attempt_id, body.offset, loop_ms(), body.only_if_interrupted
+        )
         self.apply(events)
 
     def _load(self, exchange: ServerExchange, query: str) -> None:
--- a/savorychute/testing/engine_stream.py
+++ b/savorychute/testing/engine_stream.py
@@ -52,6 +52,7 @@
         self.base_step = 0
         self.emitted_tokens = request.continue_offset
         self.kept_until_ms = 0.0
+        self.is_paused = False
         self.version = 0
 
     @property
--- a/savorychute/wire/messages.capnp
+++ b/savorychute/wire/messages.capnp
@@ -155,6 +155,7 @@
   endpoint @0 :Int64;
   held @1 :Int64;
   inUse @2 :Int64;
+  withoutCredit @3 :Int64;
 }
 
 struct GroupReport {
--- a/tests/test_credits/test_ledger.py
+++ b/tests/test_credits/test_ledger.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from savorychute.credits.credit_report import CreditReport
 from savorychute.inputs import LoadReported
 
 CAPACITY = 72
@@ -335,3 +337,107 @@
     cluster.run(1_500, lambda: assert_never_overcommitted(cluster))
 
     assert cluster.entitlement(users[0]) >= 45
+
+
+def test_resumed_attempts_without_credit_leave_the_credits_of_their_instance(
+    make_cluster,
+):
+    """Requests wait although their instance holds credits for them.
+
+    The instance resumes streams of one that crashed.  If they counted under its own
+    credits, a request of a higher tier would wait until they end.
+    """
+    cluster = make_cluster('abc', endpoints=1)
+    cluster.run(200)
+    home = cluster.home()
+    holder = next(name for name in cluster.ledgers if name != home)
+    cluster.demand[holder] = {0: 2}
+    cluster.run(1_500)
+    before = cluster.available(holder)
+    assert before
+
+    resume_streams(cluster, holder, 5)
+
+    assert cluster.available(holder) == before
+
+
+def test_leaving_instance_keeps_no_credit_for_attempts_without_one(make_cluster):
+    cluster = make_cluster('abc', endpoints=1)
+    cluster.run(200)
+    leaving = next(name for name in cluster.ledgers if name != cluster.home())
+    cluster.demand[leaving] = {1: 2}
+    cluster.run(1_500)
+    assert cluster.available(leaving)
+    resume_streams(cluster, leaving, 4)
+
+    cluster.ledgers[leaving].leave(cluster.views[leaving], cluster.now_ms)
+
+    assert cluster.available(leaving) == 0
+
+
+def resume_streams(cluster, name, count):
+    attempts = [f'{name}-resumed-{number}' for number in range(count)]
+    for attempt in attempts:
+        cluster.ledgers[name].record_resume('engine-0', attempt, 1, cluster.now_ms)
+    return attempts
+
+
+def list_reports(cluster, name):
+    return [
+        message
+        for _, sender, _, message in cluster.sent
+        if sender == name and isinstance(message, CreditReport)
+    ]
+
+
+def test_home_is_told_at_once_of_attempts_without_credit(make_cluster):
+    cluster = make_cluster('abc', endpoints=1)
+    cluster.run(200)
+    holder = next(name for name in cluster.ledgers if name != cluster.home())
+    cluster.demand[holder] = {1: 2}
+    cluster.run(3_000)
+    reports = len(list_reports(cluster, holder))
+    while len(list_reports(cluster, holder)) == reports:
+        cluster.run(1)
+
+    resume_streams(cluster, holder, 2)
+    cluster.run(100)
+
+    newest = list_reports(cluster, holder)[-1]
+    assert [use.without_credit for use in newest.groups[0].uses] == [2]
+
+
+@pytest.mark.parametrize('survivor', [0, 1, 2])
+@pytest.mark.parametrize('lost', ['holder', 'home'])
+@pytest.mark.parametrize('detection_ms', [100, 2_000])
+def test_capacity_is_not_exceeded_when_streams_of_a_lost_instance_resume(
+    make_cluster, detection_ms, lost, survivor
+):
+    """Endpoints would queue work regardless of tiers.
+
+    An instance crashes; its streams are resumed by others without credit.  When its
+    loss is detected its credits are free, but the slots of these streams are not.
+    """
+    cluster = make_cluster('abcd', endpoints=1)
+    cluster.run(200)
+    cluster.demand = {name: {1: 8} for name in cluster.ledgers}
+    cluster.run(1_500)
+    home = cluster.home()
+    victim = (
+        home
+        if lost == 'home'
+        else next(name for name in cluster.ledgers if name != home)
+    )
+    streams = len(cluster.start_requests(victim, 1))
+    assert streams
+    cluster.stop(victim)
+    resuming = sorted(cluster.ledgers)[survivor]
+    resumed = resume_streams(cluster, resuming, streams)
+    cluster.run(detection_ms, lambda: assert_never_overcommitted(cluster))
+    cluster.set_all_alive()
+
+    cluster.run(8_000, lambda: assert_never_overcommitted(cluster))
+    cluster.release_all(resuming, resumed)
+    cluster.run(8_000, lambda: assert_never_overcommitted(cluster))
+
+    assert sum(cluster.entitlement(name) for name in cluster.ledgers) >= 7
--- a/tests/test_endpoints/test_openai_engine.py
+++ b/tests/test_endpoints/test_openai_engine.py
@@ -98,6 +98,14 @@
     assert ENGINE.build_cancel(START._replace(stream=False), keep=False) is None
 
 
+def test_resume_without_credit_asks_for_an_interrupted_stream():
+    start = START._replace(resume_offset=3, only_if_interrupted=True)
+
+    body = json.loads(ENGINE.build_attempt(start, ()).body)
+
+    assert body == {'offset': 3, 'only_if_interrupted': True}
+
+
 def test_stream_is_read_as_plain_text_with_offsets():
     inputs = read([event(0, 'air'), event(1, ' löck', 2), b'data: [DONE]\n\n'])
 
@@ -150,6 +158,11 @@
             {'x-not-started': '1', 'x-leaving': '1'},
             fault('refused with status 429', refused=True, leaving=True),
         ),
+        (
+            429,
+            {'x-not-started': '1', 'x-paused': '1'},
+            fault('refused with status 429', refused=True, paused=True),
+        ),
         (503, {}, fault('status 503')),
         (500, {'x-not-started': '1'}, fault('status 500')),
     ],
--- a/tests/test_testing/test_engine.py
+++ b/tests/test_testing/test_engine.py
@@ -10,6 +10,7 @@
 from savorychute.testing.endpoint_down import EndpointDownError
 from savorychute.testing.engine import ModelEngine
 from savorychute.testing.engine_events import (
+    StreamAccepted,
     StreamBroken,
     StreamEnded,
     StreamRefused,
@@ -94,6 +95,24 @@
     assert engine.generated_tokens == 40
 
 
+def test_only_an_interrupted_stream_resumes_if_that_is_requested(engine):
+    engine.submit(make_request('a', '#tokens=40 tap', keep_on_close=True), 0)
+    engine.advance(100)
+    engine.close('a', 100)
+    interrupted = engine.resume('s-a', 'b', 0, 200, only_if_interrupted=True)
+    engine.close('b', 200)
+    engine.cancel('s-a', True, 210)
+    paused = engine.resume('s-a', 'c', 0, 300, only_if_interrupted=True)
+    with_credit = engine.resume('s-a', 'd', 0, 400)
+    engine.close('d', 500)
+    interrupted_again = engine.resume('s-a', 'e', 0, 600, only_if_interrupted=True)
+
+    assert StreamAccepted('b', 's-a') in interrupted
+    assert paused == [StreamRefused('c', 429, False, 'paused', paused=True)]
+    assert StreamAccepted('d', 's-a') in with_credit
+    assert StreamAccepted('e', 's-a') in interrupted_again
+
+
 def test_resume_takes_over_a_running_stream(engine):
     events = engine.submit(make_request('a', '#tokens=40 tap'), 0)
     events += engine.advance(60)
