Keep streams that exceed their partition apart from prompts

What callers saw: as chats rise steeply, notes wait two seconds and their callers leave, while summaries that began before still count.

Cause: chats beyond their partition were drawn to the engines with the fewest streams, which are those that prefill. A step takes 36 to 45 ms there and 7 to 10 beside streams alone, so a chat held its slot for 3.5 to 4.5 s, where 2.1 are enough, while the engines of chats kept a third of their slots unused. Chats preempted notes although other slots were unused; preempted notes and summaries were prefilled again (up to 40 of 150 thousand tokens of half a second). And notes were refused by the slots that chats held, though they would have got one in time: the largest part.

Change: a stream beyond its partition prefers engines with little to prefill, then unused slots, and preempts others last; a prompt above the last tier leaves its partition when more urgent streams use half of it, for an engine with a short wait and few such streams; the middle tier is limited by slots from 1.1 on, the first above it as before.

--- a/savorychute/gateway/dispatch/engine_state.py
+++ b/savorychute/gateway/dispatch/engine_state.py
@@ -160,6 +160,29 @@
     return max(0.0, record.entry.slots - occupied)
 
 
+def unused_slots(
+    record: EndpointRecord, rank: int, now_ms: int, instances: int, share: float = 1.0
+) -> float:
+    """Return the number of slots of an engine that no request holds.
+
+    A request that gets one of them preempts no stream.
+
+    :param record: the engine.
+    :param rank: rank of the request, which passes less urgent ones that wait.
+    :param now_ms: the current time.
+    :param instances: number of instances.
+    :param share: share of the slots to consider.
+    """
+    if _fails_often(record, now_ms):
+        return 0.0
+    load = usable_load(record, now_ms)
+    occupied = OTHER_INSTANCES_FACTOR * record.outstanding
+    if load is not None:
+        occupied = _competing_streams(load, rank)
+        occupied += instances * record.unreported_requests()
+    return max(0.0, share * record.entry.slots - occupied)
+
+
 def is_nearly_full_for(record: EndpointRecord, rank: int, now_ms: int) -> bool:
     """Return whether an engine is known to have few free slots for a rank.
 
--- a/savorychute/gateway/dispatch/prompt_cache.py
+++ b/savorychute/gateway/dispatch/prompt_cache.py
@@ -19,15 +19,16 @@
     suits_sensitive_stream,
 )
 from savorychute.gateway.dispatch.home_ranking import HomeRanking
+from savorychute.gateway.dispatch.overflow_weights import OverflowWeights
 from savorychute.gateway.dispatch.partition_demand import PartitionDemand
 from savorychute.gateway.dispatch.rank_limits import is_last_tier
 from savorychute.gateway.dispatch.report_selection import ReportSelection
-from savorychute.gateway.dispatch.urgent_usage import UsageMonitor
+from savorychute.gateway.dispatch.urgent_usage import UsageMonitor, used_share
 from savorychute.gateway.dispatch.wait_forecast import WaitForecast
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Sequence
+    from collections.abc import Sequence
 
     from savorychute.gateway.dispatch.request_requirements import RequestRequirements
     from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
@@ -51,6 +52,9 @@
 # report that shows this wait.
 SUBSTITUTE_WAIT_MS = 120.0
 SUBSTITUTE_REPORT_MS = 400
+# Share of a partition's slots that streams of higher tiers use before requests above the
+# last tier leave it.
+MIN_URGENT_SHARE = 0.5
 
 
 class _Candidate(NamedTuple):
@@ -88,6 +92,7 @@
         self._rng = rng
         self._demand = demand or PartitionDemand()
         self._engine_partition = EnginePartition(self._demand)
+        self._overflow = OverflowWeights(self._forecast, self._demand)
         self._homes = HomeRanking()
         self._usages: defaultdict[str, UsageMonitor] = defaultdict(UsageMonitor)
 
@@ -150,48 +155,44 @@
         prompt is short and passes the queue: late events are better than none, and than
         the preemption of other streams.
         """
-        choice = self._choose_weighted(
-            partition, sensitive_stream_headroom, requirements, now_ms
-        )
+        rank = requirements.rank
+        headrooms = [
+            sensitive_stream_headroom(each, rank, now_ms) for each in partition
+        ]
+        choice = self._draw_for_stream(partition, headrooms, requirements, now_ms)
         choice = choice or self._choose_best(partition, requirements, now_ms)
-        if suits_sensitive_stream(choice.record, requirements.rank, now_ms):
+        if suits_sensitive_stream(choice.record, rank, now_ms):
             return choice._replace(latency_sensitive=True, isolated=True)
         reported = [each for each in records if has_usable_report(each, now_ms)]
-        fallback = self._choose_weighted(
-            reported, sensitive_stream_headroom, requirements, now_ms
-        )
-        fallback = fallback or self._choose_weighted(
-            reported, self._free_slots, requirements, now_ms
-        )
+        weights = self._overflow.for_stream(reported, rank, now_ms)
+        if not any(weights):
+            weights = [self._free_slots(each, rank, now_ms) for each in reported]
+        fallback = self._draw_for_stream(reported, weights, requirements, now_ms)
         if fallback is None:
             suitable = [
-                each
-                for each in records
-                if suits_sensitive_stream(each, requirements.rank, now_ms)
+                each for each in records if suits_sensitive_stream(each, rank, now_ms)
             ]
             fallback = self._choose_best(suitable or records, requirements, now_ms)
         return fallback._replace(latency_sensitive=True)
 
-    def _choose_weighted(
+    def _draw_for_stream(
         self,
         engines: Sequence[EndpointRecord],
-        headroom_of: Callable[[EndpointRecord, int, int], float],
+        weights: Sequence[float],
         requirements: RequestRequirements,
         now_ms: int,
     ) -> Choice | None:
-        """Return a random engine for a latency-sensitive stream, weighted by headroom.
+        """Return a random engine for a latency-sensitive stream.
 
         Such streams have short prompts, so a home saves little; with homes, one engine
         of a partition ran 32 streams while another ran two.  All instances would choose
         the engine with the most headroom at once: 42 streams per second went to an
         engine that had reported free slots, and waited there for 1.8 s.  Returns None
-        for a stream that an engine refused, for a long prompt, and if no engine has
-        headroom.
+        for a stream that an engine refused, for a long prompt, and if all weights are 0.
         """
         prompt = requirements.prompt
         if prompt is None or prompt.tokens > MAX_SPREAD_TOKENS or requirements.is_retry:
             return None
-        weights = [headroom_of(each, requirements.rank, now_ms) for each in engines]
         if not any(weights):
             return None
         record = self._rng.choices(engines, weights)[0]
@@ -246,7 +247,7 @@
             for each in records
             if has_usable_report(each, now_ms)
         ]
-        return self._draw_weighted(choices, now_ms)
+        return self._draw(choices, self._overflow.for_prompt(choices, now_ms))
 
     def _free_slots(self, record: EndpointRecord, rank: int, now_ms: int) -> float:
         return free_slots(record, rank, now_ms, self._demand.instances)
@@ -263,6 +264,10 @@
             self._free_slots(each.record, each.rank, now_ms) / (1.0 + each.cost_ms)
             for each in choices
         ]
+        return self._draw(choices, weights)
+
+    def _draw(self, choices: Sequence[Choice], weights: Sequence[float]) -> Choice:
+        """Return a random choice, or the cheapest one if all weights are 0."""
         if not any(weights):
             return min(choices, key=lambda choice: choice.cost_ms)
         return self._rng.choices(choices, weights)[0]
@@ -381,11 +386,13 @@
     prompt = requirements.prompt
     if prompt is None or prompt.shared_tokens >= LARGE_PROMPT_TOKENS:
         return False
-    if is_last_tier(requirements.rank):
+    rank = requirements.rank
+    if is_last_tier(rank):
         return False
-    return all(
-        is_nearly_full_for(each, requirements.rank, now_ms) for each in partition
-    )
+    urgent_share = used_share(partition, rank, now_ms)
+    if urgent_share is not None and urgent_share >= MIN_URGENT_SHARE:
+        return True
+    return all(is_nearly_full_for(each, rank, now_ms) for each in partition)
 
 
 def _make_home(record: EndpointRecord, prompt: Prompt) -> _Candidate:
--- a/savorychute/gateway/dispatch/rank_limits.py
+++ b/savorychute/gateway/dispatch/rank_limits.py
@@ -50,12 +50,12 @@
 # holds for a long queue of prompts.  The ramps of a tier end where those of the tier
 # above start, so that all requests of a tier are refused before any of the tier above.
 LIMITS = (
-    RankLimits(Ramp(1.3, 1.7), Ramp(24, 64), Ramp(2.0, 4.0)),
-    RankLimits(Ramp(1.15, 1.5), Ramp(18, 40), Ramp(1.6, 2.5)),
-    RankLimits(Ramp(1.1, 1.35), Ramp(16, 30), Ramp(1.5, 2.0)),
-    RankLimits(Ramp(0.9, 1.0), Ramp(10, 16), Ramp(1.3, 1.5)),
-    RankLimits(Ramp(0.9, 1.0), Ramp(9, 15), Ramp(1.3, 1.45)),
-    RankLimits(Ramp(0.9, 1.0), Ramp(9, 14), Ramp(1.3, 1.4)),
+    RankLimits(Ramp(1.5, 1.9), Ramp(24, 64), Ramp(2.0, 4.0)),
+    RankLimits(Ramp(1.35, 1.7), Ramp(18, 40), Ramp(1.6, 2.5)),
+    RankLimits(Ramp(1.3, 1.55), Ramp(16, 30), Ramp(1.5, 2.0)),
+    RankLimits(Ramp(1.1, 1.3), Ramp(10, 16), Ramp(1.3, 1.5)),
+    RankLimits(Ramp(1.1, 1.3), Ramp(9, 15), Ramp(1.3, 1.45)),
+    RankLimits(Ramp(1.1, 1.3), Ramp(9, 14), Ramp(1.3, 1.4)),
     RankLimits(Ramp(0.5, 0.9), Ramp(2, 9), Ramp(0.6, 1.3)),
     RankLimits(Ramp(0.5, 0.85), Ramp(2, 8), Ramp(0.5, 1.2)),
     RankLimits(Ramp(0.5, 0.8), Ramp(1, 7), Ramp(0.4, 1.1)),
--- a/savorychute/gateway/dispatch/wait_forecast.py
+++ b/savorychute/gateway/dispatch/wait_forecast.py
@@ -61,6 +61,22 @@
             wait_ms += DOMAIN_DISTANCE_MS
         return wait_ms + self._rng.random()
 
+    def prefill_ms(self, record: EndpointRecord, now_ms: int) -> float:
+        """Return how long an engine prefills what waits there, whatever its rank.
+
+        :param record: the engine.
+        :param now_ms: the current time.
+        """
+        model = self._models.for_service(record.entry.service)
+        load = usable_load(record, now_ms)
+        if load is None:
+            pending_ms = model.prefill_ms(record.pending_prefill_tokens())
+            return OTHER_INSTANCES_FACTOR * pending_ms
+        next_tokens = load.next_tokens or model.mean_fresh_tokens
+        tokens_per_prompt = min(next_tokens, model.mean_fresh_tokens)
+        tokens = (load.waiting + load.prefilling) * tokens_per_prompt
+        return model.prefill_ms(tokens + record.unreported_prefill_tokens())
+
 
 def _reported_wait(
     record: EndpointRecord, load: EngineLoad, rank: int, model: EngineModel
