Log the software version of endpoints and which streams are taken up

No log told whether a stream went on at another version within one answer or over its caller's tries. Entries are decoded with the version of the endpoint's software, in what instances tell each other too (appended fields; an instance of an earlier release sends none); attempt-ended, request-finished and endpoint-changed have it, and what a caller takes up again. No logic is changed.

--- a/savorychute/explain/sentences.py
+++ b/savorychute/explain/sentences.py
@@ -68,6 +68,7 @@
     return (
         f'the attempt at {fields.get("endpoint")} of {fields.get("service")} '
         f'{fields.get("state")}{cause} after {fields.get("duration_ms")} ms'
+        + _describe_progress(fields)
     )
 
 
@@ -102,6 +103,22 @@
             f'; first event after {fields.get("first_event_ms")} ms, '
             f'{fields["events"]} events, longest pause {fields.get("gap_ms")} ms'
         )
+    if fields.get('software'):
+        text += f'; software {fields["software"]}'
+    if fields.get('resumes') or fields.get('last_event'):
+        text += (
+            f'; resumed {fields.get("resumes") or "an unnamed attempt"} '
+            f'after event {fields.get("last_event") or "none"}'
+        )
+    return text
+
+
+def _describe_progress(fields: dict[str, Any]) -> str:
+    """Return the software and the progress of a stream at a failed attempt."""
+    software = fields.get('software')
+    text = f', software {software}' if software else ''
+    if fields.get('events'):
+        text += f', the caller had {fields["events"]} events'
     return text
 
 
--- a/savorychute/gateway/endpoints/endpoint_entry.py
+++ b/savorychute/gateway/endpoints/endpoint_entry.py
@@ -16,7 +16,8 @@
     ``endpoint`` and ``born_ms`` identify the run, while ``address`` may be reused by an
     endpoint of another service.  ``slots`` is the number of concurrent requests.
     ``sequence`` increases with each report of the run.  A ``reclaimable`` endpoint may
-    be withdrawn at short notice.
+    be withdrawn at short notice.  ``software_version`` is any text, without an order;
+    it is empty if the entry states none, and None if this instance does not know it.
     """
 
     endpoint: str
@@ -28,6 +29,7 @@
     sequence: int
     born_ms: int = 0
     reclaimable: bool = False
+    software_version: str | None = ''
 
     @property
     def run(self) -> EndpointRun:
--- a/savorychute/gateway/requests/execution_summary.py
+++ b/savorychute/gateway/requests/execution_summary.py
@@ -10,7 +10,8 @@
 
     ``first_event_ms`` is 0 for a response without events.  ``endpoint`` is the endpoint
     of the last attempt, ``via`` the instance through which it was sent (empty for none),
-    ``longest_gap_ms`` the longest gap between two events.
+    ``longest_gap_ms`` the longest gap between two events, ``software_version`` the
+    version of that endpoint.
     """
 
     duration_ms: int
@@ -21,3 +22,4 @@
     longest_gap_ms: int
     endpoint: str
     via: str
+    software_version: str | None
--- a/savorychute/gateway/requests/inbound_request.py
+++ b/savorychute/gateway/requests/inbound_request.py
@@ -14,7 +14,8 @@
 
     ``deadline_ms`` is how long the caller waits, counted from the arrival.  ``key`` is
     the caller's secret, empty for none.  ``last_event`` is the id of the last event that
-    the caller of a resumed stream has received.
+    the caller of a resumed stream has received, and ``resumed_attempt`` the id of the
+    caller's attempt that brought the first event of that stream.
     """
 
     attempt_id: str
@@ -23,5 +24,6 @@
     key: str
     deadline_ms: int | None
     last_event: str
+    resumed_attempt: str
     prompt: Prompt | None
     raw: HttpRequest
--- a/savorychute/gateway/requests/request_execution.py
+++ b/savorychute/gateway/requests/request_execution.py
@@ -443,9 +443,17 @@
             self._times.longest_gap_ms,
             self._attempt.choice.record.entry.endpoint if self._attempt else '',
             self._attempt.via if self._attempt else '',
+            self._attempt.choice.record.entry.software_version
+            if self._attempt
+            else None,
         )
 
     def _log_attempt(self, attempt: Attempt, outcome: str, reason: str) -> None:
         self._parts.telemetry.attempt_ended(
-            self._request, attempt, outcome, reason, self.now_ms()
+            self._request,
+            attempt,
+            outcome,
+            reason,
+            self._response.relay.events,
+            self.now_ms(),
         )
--- a/savorychute/gateway/store/endpoint_news.py
+++ b/savorychute/gateway/store/endpoint_news.py
@@ -13,7 +13,8 @@
 
     ``unreadable`` is set together with ``gone`` if the newest entry cannot be decoded.
     ``convinced`` is set if the run seemed older than the previous one but continued to
-    report.
+    report.  An instance of an earlier release sends no software version; its news lacks
+    ``has_software_version``.
     """
 
     offset: int
@@ -30,6 +31,8 @@
     unreadable: bool = False
     convinced: bool = False
     reclaimable: bool = False
+    software_version: str = ''
+    has_software_version: bool = False
 
     def to_entry(self) -> EndpointEntry:
         """Return the entry."""
@@ -43,6 +46,7 @@
             self.sequence,
             self.born_ms,
             self.reclaimable,
+            self.software_version if self.has_software_version else None,
         )
 
 
@@ -65,4 +69,6 @@
         sequence=entry.sequence,
         born_ms=entry.born_ms,
         reclaimable=entry.reclaimable,
+        software_version=entry.software_version or '',
+        has_software_version=entry.software_version is not None,
     )
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -148,6 +148,7 @@
             service=entry.service,
             address=f'{entry.address.host}:{entry.address.port}',
             state='draining' if entry.draining else 'ready',
+            software=_make_version_identifier(entry.software_version),
         )
 
     def endpoint_gone(self, endpoint: str) -> None:
@@ -234,9 +235,13 @@
         attempt: Attempt,
         outcome: str,
         reason: str,
+        events: int,
         now_ms: int,
     ) -> None:
-        """Log a failed attempt; successful ones appear in the line of the request."""
+        """Log a failed attempt; successful ones appear in the line of the request.
+
+        ``events`` is how many events of the request its caller has received so far.
+        """
         record = attempt.choice.record
         service = record.entry.service
         self.metrics.count('attempts_total', service=service, outcome=outcome)
@@ -256,6 +261,8 @@
             ),
             count=record.outstanding,
             via=attempt.via,
+            software=_make_version_identifier(record.entry.software_version),
+            events=events,
         )
 
     def retry_decided(
@@ -311,6 +318,9 @@
             service=admitted.service.name,
             endpoint=summary.endpoint,
             via=summary.via,
+            software=_make_version_identifier(summary.software_version),
+            resumes=make_identifier(request.resumed_attempt),
+            last_event=make_identifier(request.last_event),
             organisation=admitted.organisation,
             rank=admitted.rank,
             version=admitted.version,
@@ -342,3 +352,8 @@
         """
         if self._budget.acquire(level >= LogLevel.WARNING):
             self.log.write(level, event, request_id, **fields)
+
+
+def _make_version_identifier(software_version: str | None) -> str | None:
+    """Return a software version for a log line; None for an unknown one."""
+    return None if software_version is None else make_identifier(software_version)
--- a/savorychute/wire/messages.capnp
+++ b/savorychute/wire/messages.capnp
@@ -346,6 +346,8 @@
   unreadable @11 :Bool;
   convinced @12 :Bool;
   reclaimable @13 :Bool;
+  softwareVersion @14 :Text;
+  hasSoftwareVersion @15 :Bool;
 }
 
 struct StoreAnswer {  # tag 92
--- a/tests/test_fleet/test_dialects.py
+++ b/tests/test_fleet/test_dialects.py
@@ -373,6 +373,23 @@
     )
 
 
+@pytest.mark.parametrize(
+    'stated, software_version',
+    [
+        ({}, ''),
+        ({'version': None}, ''),
+        ({'version': 'v1.1'}, 'v1.1'),
+        ({'version': 2}, 'json:2'),
+        ({'version': 'x' * 65}, 'blake2b:c085721fdfc5c936'),
+    ],
+)
+def test_software_version_of_an_endpoint_is_decoded(stated, software_version):
+    """Guards against versions that are taken for each other, and against long ones."""
+    entry = {'service': 'x', 'address': '10.0.0.9:80', 'zone': 'hall', 'slots': 6}
+    value = msgspec.json.encode(entry | {'state': 'ready', 'sequence': 1} | stated)
+    assert decode_endpoint('i-1', value).software_version == software_version
+
+
 def test_records_round_trip():
     first, second = encode_record('a', b'1'), encode_record('b', None)
     head = (12).to_bytes(8, 'big') + (3).to_bytes(8, 'big')
--- a/tests/test_gateway/gateway_fakes.py
+++ b/tests/test_gateway/gateway_fakes.py
@@ -318,6 +318,7 @@
         'key': key,
         'deadline_ms': None,
         'last_event': '',
+        'resumed_attempt': '',
         'prompt': None,
         'raw': HttpRequest(method, path, (), body),
     }
