--- a/tests/test_fleet/fleet_fixture.py
+++ b/tests/test_fleet/fleet_fixture.py
@@ -56,6 +56,10 @@
         self.report_body = b'{"waiting":0,"running":0,"runs":[]}'
         self._tasks = set()
 
+    @classmethod
+    def engine(cls, name):
+        return cls(name, 'pool', is_engine=True)
+
     def entry(self, **fields):
         document = {
             'service': self.service,
@@ -280,17 +284,25 @@
 
 
 @asynccontextmanager
-async def run_fleet(gateways=1, spare=False, plain_endpoints=1, engines=1, **settings):
+async def run_fleet(
+    gateways=1,
+    spare=False,
+    plain_endpoints=1,
+    engines=1,
+    make_engine=FakeEndpoint.engine,
+    **settings,
+):
     """Run a store, endpoints and some gateways until the block ends.
 
-    All plain endpoints are equivalent; ``spare`` adds another one.
+    All plain endpoints are equivalent; ``spare`` adds another one.  ``make_engine``
+    returns the engine with a name.
     """
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(run_store())
         endpoints = {}
         for number in range(1, engines + 1):
             name = f'e{number}'
-            endpoints[name] = FakeEndpoint(name, 'pool', is_engine=True)
+            endpoints[name] = make_engine(name)
         for number in range(1, plain_endpoints + spare + 1):
             name = f'd{number}'
             endpoints[name] = FakeEndpoint(name, 'desk', is_engine=False)
