--- a/savorychute/log_fields.py
+++ b/savorychute/log_fields.py
@@ -33,6 +33,7 @@
     'inherited': 'what earlier runs of an instance may have spent, null if unknown',
     'instances': 'the number of instances that share something, 0 if not yet known',
     'item': 'what a change concerns',
+    'last_event': 'the last event that the caller of a resumed stream has received',
     'lease': 'the name of a lease',
     'limit_per_s': (
         'calls per second that an endpoint accepts from all instances, '
@@ -52,10 +53,13 @@
     'record_id': 'the id of a record',
     'region': 'a region',
     'requests': 'requests within a window',
+    'resumes': 'the first attempt of a stream that its caller takes up again',
     'rest_gap_ms': 'the usual pause between events while no prompt is read',
     'retry_after_ms': 'the delay after which the caller may retry',
     'sent_after_ms': 'from the start of an attempt until it was sent, null if never',
     'service': 'a plain service',
+    'software': "the version of an endpoint's software, null if unknown",
+    'source': 'where a fact is known from',
     'state': 'a state of a request, instance or endpoint',
     'status': 'an HTTP status',
     'stream': "a stream of the platform's log",
--- a/tests/test_plumbing/test_logs.py
+++ b/tests/test_plumbing/test_logs.py
@@ -132,14 +132,19 @@
     unknown = []
     for path in Path(savorychute.__file__).parent.rglob('*.py'):
         for node in ast.walk(ast.parse(path.read_text('utf-8'))):
-            if isinstance(node, ast.Call) and is_log_call(node.func):
+            if isinstance(node, ast.Call) and is_log_call(node):
                 names = {keyword.arg for keyword in node.keywords if keyword.arg}
                 unknown += [f'{path.name}: {name}' for name in names - set(FIELDS)]
     assert unknown == []
 
 
-def is_log_call(called: ast.expr) -> bool:
-    if not isinstance(called, ast.Attribute) or called.attr not in LEVELS:
+def is_log_call(call: ast.Call) -> bool:
+    called = call.func
+    if not isinstance(called, ast.Attribute):
+        return False
+    if called.attr == 'write' and call.args and 'LogLevel' in ast.dump(call.args[0]):
+        return True
+    if called.attr not in LEVELS:
         return False
     owner = called.value
     name = owner.attr if isinstance(owner, ast.Attribute) else getattr(owner, 'id', '')
