Let a stream go on only at the version that began it

Cause: nothing knew at which version a stream began. A retry after the first event took any endpoint that was not tried, and a caller's resumption was sent to any endpoint by any instance. Class: knowledge that a decision needs is kept with one instance, or nowhere, and its absence is taken for permission.

Now one place, StreamOrigins, is asked by the search for every attempt. What begins a stream is told to four other instances before its first event leaves; an instance that has no record asks all others, then the store. There each version is marked before streams begin at it, so that one mark is proof for a service of one version and costs nothing for each stream; while there are several, a few instances also write the records to the store, for a loss of all instances at once. Unknown or gone is refused with 503, not run (2016, 2017). An endpoint whose version changes under its name is another run. Found beside it: a stream of an idempotent route, or with events without ids, was continued although nothing can follow its events.

--- a/savorychute/gateway/daemon/assembly.py
+++ b/savorychute/gateway/daemon/assembly.py
@@ -10,8 +10,11 @@
 from savorychute.gateway.daemon.entry_manager import EntryManager
 from savorychute.gateway.daemon.gateway_host import GatewayHost
 from savorychute.gateway.daemon.loop_timers import LoopTimers
+from savorychute.gateway.daemon.mark_keeper import MarkKeeper
+from savorychute.gateway.daemon.origin_collector import OriginCollector
 from savorychute.gateway.daemon.peer_group import PeerGroup
 from savorychute.gateway.daemon.peer_message_router import PeerParts
+from savorychute.gateway.daemon.stream_store import StreamStore
 from savorychute.gateway.daemon.tunnel_server import TunnelServer
 from savorychute.gateway.discovery.instance_directory import InstanceDirectory
 from savorychute.gateway.dispatch import load_choosers
@@ -44,6 +47,8 @@
 from savorychute.gateway.store.store_access import StoreAccess
 from savorychute.gateway.store.store_era import StoreEra
 from savorychute.gateway.store.topic_follower import TopicFollower
+from savorychute.gateway.stream_telemetry import StreamTelemetry
+from savorychute.gateway.streams.stream_origins import StreamOrigins
 from savorychute.gateway.telemetry import GatewayTelemetry
 from savorychute.http.client_pool import ServerAddress
 from savorychute.member_address import MemberAddress
@@ -56,6 +61,7 @@
     from savorychute.gateway.duties.usage_counter import UsageCounter
     from savorychute.gateway.settings.gateway_settings import GatewaySettings
     from savorychute.gateway.store.keyed_topic import KeyedTopic
+    from savorychute.gateway.store.record_log import RecordLog
 
 # Shares of the time within which a configuration must be in force.  A poll without a
 # change confirms the state at its start, so a reader's state becomes at most two polls
@@ -76,6 +82,8 @@
     endpoints: KeyedTopic
     instances: KeyedTopic
     duties: KeyedTopic
+    versions: KeyedTopic
+    streams: RecordLog
 
 
 class Assembly(NamedTuple):
@@ -95,7 +103,7 @@
     topics = _open_topics(environment, eras)
     demand = PartitionDemand()
     duty_parts = make_duty_parts(environment)
-    parts = _make_parts(environment, demand, duty_parts.ledger)
+    parts, stream_store = _make_parts(environment, demand, duty_parts.ledger, topics)
     calls = parts.telemetry.calls
     plan = ReadPlan(
         parts.configuration, int(settings.drain_notice_ms), environment.clock
@@ -144,6 +152,7 @@
         duty_parts.time,
         environment.paths.relays,
         tunnels,
+        parts.origins,
     )
     peers = PeerGroup(
         entry_manager,
@@ -197,6 +206,19 @@
         'peers': peers.run,
         'housekeeping': host.run,
     }
+    collector = OriginCollector(stream_store, environment.clock)
+    parts.origins.teller.on_collected = collector.collect
+    background_work['streams'] = collector.run
+    background_work['versions'] = MarkKeeper(
+        stream_store,
+        parts.origins,
+        parts.roster,
+        parts.configuration,
+        eras,
+        environment.clock,
+        environment.rng,
+        parts.stream_telemetry,
+    ).run
     if duties is not None:
         background_work['duties'] = duties.run
     return Assembly(host, background_work)
@@ -214,12 +236,17 @@
         environment.adapter.endpoint_topic(access),
         environment.adapter.instance_topic(access),
         environment.adapter.duty_topic(access),
+        environment.adapter.version_topic(access),
+        environment.adapter.stream_log(access, environment.settings.region),
     )
 
 
 def _make_parts(
-    environment: GatewayEnvironment, demand: PartitionDemand, usage: UsageCounter
-) -> GatewayParts:
+    environment: GatewayEnvironment,
+    demand: PartitionDemand,
+    usage: UsageCounter,
+    topics: Topics,
+) -> tuple[GatewayParts, StreamStore]:
     load_choosers()
     settings, clock, rng = environment.settings, environment.clock, environment.rng
     crashes = CrashTable()
@@ -244,7 +271,10 @@
     environment.paths.table.on_silent = roster.notify_path_lost
     models = EngineModels()
     shortages = Shortages()
-    return GatewayParts(
+    stream_store = StreamStore(topics.versions, topics.streams, clock, telemetry)
+    origins = StreamOrigins(stream_store, clock, timers)
+    stream_store.table = origins.table
+    parts = GatewayParts(
         clock=clock,
         timers=timers,
         attempts=attempts,
@@ -265,10 +295,13 @@
         allowance=RetryAllowance(read_retry_bounds(settings), clock.now_ms()),
         crashes=crashes,
         paths=environment.paths.table,
+        origins=origins,
         usage=usage,
         telemetry=telemetry,
         endpoint_telemetry=endpoint_telemetry,
+        stream_telemetry=StreamTelemetry(telemetry),
     )
+    return parts, stream_store
 
 
 def _make_own_address(settings: GatewaySettings) -> MemberAddress:
--- a/savorychute/gateway/daemon/gateway_host.py
+++ b/savorychute/gateway/daemon/gateway_host.py
@@ -11,6 +11,10 @@
 from savorychute.gateway.discovery.advertisement import NOT_READY_VERSION
 from savorychute.gateway.requests.refusal import Refusal
 from savorychute.gateway.requests.request_execution import RequestExecution
+from savorychute.gateway.requests.stream_resumption import (
+    StreamResumption,
+    is_resumption,
+)
 from savorychute.gateway.settings.key_trust import read_key_trust_ms
 from savorychute.gateway.settings.retry_bounds import read_retry_bounds
 from savorychute.gateway.translation_error import TranslationError
@@ -26,8 +30,11 @@
     from savorychute.gateway.discovery.instance_directory import InstanceDirectory
     from savorychute.gateway.parts import GatewayParts
     from savorychute.gateway.platform_adapter import PlatformAdapter
+    from savorychute.gateway.requests.admitted_request import AdmittedRequest
+    from savorychute.gateway.requests.inbound_request import InboundRequest
     from savorychute.gateway.requests.intake import Intake
     from savorychute.gateway.settings.gateway_settings import GatewaySettings
+    from savorychute.gateway.streams.stream_origin import StreamOrigin
     from savorychute.gateway.telemetry import GatewayTelemetry
     from savorychute.http.client_pool import ClientPool
     from savorychute.http.http_server import HttpServer
@@ -165,13 +172,57 @@
             request, now_ms
         )
         if isinstance(verdict, Refusal):
-            configuration = self._parts.configuration
-            self._parts.telemetry.request_refused(
-                request, verdict, configuration.version, configuration.age_ms(now_ms)
-            )
-            caller.refuse(verdict)
-            return
-        execution = RequestExecution(self._parts, request, verdict, caller)
+            self._refuse(request, verdict, caller)
+        elif is_resumption(request, verdict):
+            self._resume(exchange, request, verdict, caller)
+        else:
+            self._execute(exchange, request, verdict, caller)
+
+    def _refuse(
+        self, request: InboundRequest, refusal: Refusal, caller: CallerExchange
+    ) -> None:
+        configuration = self._parts.configuration
+        age_ms = configuration.age_ms(self._parts.clock.now_ms())
+        self._parts.telemetry.request_refused(
+            request, refusal, configuration.version, age_ms
+        )
+        caller.refuse(refusal)
+
+    def _resume(
+        self,
+        exchange: ServerExchange,
+        request: InboundRequest,
+        admitted: AdmittedRequest,
+        caller: CallerExchange,
+    ) -> None:
+        """Execute the request of a caller that takes a stream up, if it can go on."""
+
+        def execute(admitted: AdmittedRequest, origin: StreamOrigin) -> None:
+            self._record_finished()
+            self._execute(exchange, request, admitted, caller, origin)
+
+        def refuse(refusal: Refusal) -> None:
+            self._record_finished()
+            self._refuse(request, refusal, caller)
+
+        def leave() -> None:
+            self._record_finished()
+            resumption.caller_left()
+
+        resumption = StreamResumption(self._parts, request, admitted, execute, refuse)
+        exchange.on_left = leave
+        self.in_progress += 1
+        resumption.start()
+
+    def _execute(
+        self,
+        exchange: ServerExchange,
+        request: InboundRequest,
+        admitted: AdmittedRequest,
+        caller: CallerExchange,
+        origin: StreamOrigin | None = None,
+    ) -> None:
+        execution = RequestExecution(self._parts, request, admitted, caller, origin)
         exchange.on_left = execution.caller_left
         self.in_progress += 1
         execution.on_finished = self._record_finished
@@ -235,6 +286,10 @@
         if self.caller_server is not None:
             metrics.set('open_connections', self.caller_server.open_connections)
         metrics.set('members', len(view.alive) - 1 if view is not None else 0)
+        origins = self._parts.origins
+        self._parts.stream_telemetry.records_counted(
+            len(origins.table), origins.table.dropped + origins.teller.dropped
+        )
         roster = self._parts.roster
         draining = sum(roster.is_leaving(record.entry) for record in roster)
         metrics.set('endpoints', draining, state='draining')
--- a/savorychute/gateway/daemon/peer_message_router.py
+++ b/savorychute/gateway/daemon/peer_message_router.py
@@ -16,6 +16,8 @@
 from savorychute.gateway.recovery.crash_question import CrashQuestion
 from savorychute.gateway.store.store_answer import StoreAnswer
 from savorychute.gateway.store.store_question import StoreQuestion
+from savorychute.gateway.streams.stream_news import StreamNews
+from savorychute.gateway.streams.stream_question import StreamQuestion
 from savorychute.membership.ack import Ack
 from savorychute.membership.member_status import MemberStatus
 from savorychute.membership.ping import Ping
@@ -37,6 +39,7 @@
     from savorychute.gateway.recovery.crash_table import CrashTable
     from savorychute.gateway.store.read_plan import ReadPlan
     from savorychute.gateway.store.shared_reader import SharedReader
+    from savorychute.gateway.streams.stream_origins import StreamOrigins
     from savorychute.membership.member_view import MemberView
 
 
@@ -61,6 +64,7 @@
     time: TrueTime
     relays: RelayTable
     tunnels: TunnelServer
+    origins: StreamOrigins
 
 
 class PeerMessageRouter:
@@ -104,6 +108,7 @@
         parts.candidates.set_view(view)
         parts.relays.set_view(view)
         parts.tunnels.set_view(view)
+        parts.origins.set_view(view)
         messages = self._crash_broadcaster.tick(view, now_ms)
         messages += self._crash_history_fetcher.tick(view, now_ms)
         messages += parts.shared_reader.tick(now_ms)
@@ -143,6 +148,10 @@
                 parts.permits.handle_response(message)
             case PermitQuestion():
                 return _reply(view, sender, parts.permits.respond(message))
+            case StreamNews():
+                parts.origins.handle_news(sender, message)
+            case StreamQuestion():
+                return _reply(view, sender, parts.origins.respond(message))
             case UsageTold():
                 if parts.usage is not None:
                     parts.usage.handle(sender, message)
--- a/savorychute/gateway/dispatch/endpoint_search.py
+++ b/savorychute/gateway/dispatch/endpoint_search.py
@@ -19,6 +19,7 @@
     from savorychute.gateway.parts import GatewayParts
     from savorychute.gateway.requests.admitted_request import AdmittedRequest
     from savorychute.gateway.requests.inbound_request import InboundRequest
+    from savorychute.gateway.requests.stream_continuity import StreamContinuity
 
 # Rounds of load reports before a choice: of the most promising engine, then of others.
 MAX_REPORT_ROUNDS = 2
@@ -46,14 +47,20 @@
     :param parts: state and ports shared by all requests.
     :param request: the request.
     :param admitted: its route, service and rank.
+    :param continuity: which endpoints may generate its stream.
     """
 
     def __init__(
-        self, parts: GatewayParts, request: InboundRequest, admitted: AdmittedRequest
+        self,
+        parts: GatewayParts,
+        request: InboundRequest,
+        admitted: AdmittedRequest,
+        continuity: StreamContinuity,
     ) -> None:
         self._parts = parts
         self._request = request
         self._service = admitted.service
+        self._continuity = continuity
         self._requirements = RequestRequirements(
             request.prompt,
             admitted.route.gap_target_ms,
@@ -251,8 +258,9 @@
     def _usable(self, now_ms: int) -> list[EndpointRecord]:
         return [each for each in self._listed() if not self._backoff_ms(each, now_ms)]
 
-    def _listed(self) -> list[EndpointRecord]:
-        return self._parts.roster.usable(self._service.name)
+    def _listed(self) -> Sequence[EndpointRecord]:
+        records = self._parts.roster.usable(self._service.name)
+        return self._continuity.select(records)
 
     def _available(
         self, records: Sequence[EndpointRecord], now_ms: int
--- a/savorychute/gateway/endpoints/endpoint_roster.py
+++ b/savorychute/gateway/endpoints/endpoint_roster.py
@@ -6,6 +6,7 @@
 
 from savorychute.gateway.endpoints.endpoint_record import EndpointRecord
 from savorychute.gateway.endpoints.run_order import EntryVerdict, RunOrder
+from savorychute.gateway.endpoints.version_counts import VersionCounts
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Container, Iterable, Iterator
@@ -49,6 +50,7 @@
         self._leaving = leaving
         self._records: dict[str, EndpointRecord] = {}
         self._by_service: dict[str, dict[str, EndpointRecord]] = {}
+        self._versions = VersionCounts()
         self._ended: dict[EndpointRun, None] = {}
         # The last sequence number of each run whose entry was removed, the newest runs.
         self._removed: dict[EndpointRun, int] = {}
@@ -77,6 +79,13 @@
         records = self._by_service.get(service, {}).values()
         return [record for record in records if not self.is_leaving(record.entry)]
 
+    def versions(self, service: str) -> tuple[str | None, ...]:
+        """Return the software versions of a service's endpoints, also of leaving ones.
+
+        :param service: name of the service.
+        """
+        return self._versions.versions(service)
+
     def accepts_requests_at(self, address: ServerAddress) -> bool:
         """Return whether an endpoint that may get new requests has an address.
 
@@ -128,7 +137,7 @@
         record = self._records.get(entry.endpoint)
         if record is None:
             self._add(entry)
-        elif record.entry.born_ms != entry.born_ms:
+        elif _is_other_run(record.entry, entry):
             self._drop(record)
             record.end_run()
             self._add(entry)
@@ -140,14 +149,21 @@
         record = EndpointRecord(entry)
         self._records[entry.endpoint] = record
         self._by_service.setdefault(entry.service, {})[entry.endpoint] = record
+        self._versions.add(entry)
 
     def _update(self, record: EndpointRecord, entry: EndpointEntry) -> None:
         record.missing_until_ms = None
         if entry.sequence < record.entry.sequence:
             return
+        if entry.software_version is None:
+            # An instance of an earlier release told the entry.
+            known_version = record.entry.software_version
+            entry = entry._replace(software_version=known_version)
         if entry.service != record.entry.service:
             self._by_service[record.entry.service].pop(entry.endpoint, None)
             self._by_service.setdefault(entry.service, {})[entry.endpoint] = record
+        self._versions.remove(record.entry)
+        self._versions.add(entry)
         record.entry = entry
 
     def apply_all(self, entries: Iterable[EndpointEntry], now_ms: int) -> None:
@@ -209,8 +225,13 @@
         record = self._records.get(run.endpoint)
         if record is None or run.born_ms <= record.entry.born_ms:
             return
-        # A new run restarts its sequence, so its first entry must not seem old.
-        self.apply(record.entry._replace(born_ms=run.born_ms, sequence=0))
+        # A new run restarts its sequence, so its first entry must not seem old.  Its
+        # software may be another one.
+        self.apply(
+            record.entry._replace(
+                born_ms=run.born_ms, sequence=0, software_version=None
+            )
+        )
 
     def expire(self, now_ms: int) -> None:
         """Drop the endpoints that have not returned after an outage.
@@ -238,3 +259,13 @@
         entry = record.entry
         self._records.pop(entry.endpoint, None)
         self._by_service[entry.service].pop(entry.endpoint, None)
+        self._versions.remove(entry)
+
+
+def _is_other_run(known: EndpointEntry, entry: EndpointEntry) -> bool:
+    """Return whether an entry belongs to another run than the known one."""
+    if known.born_ms != entry.born_ms:
+        return True
+    versions = {known.software_version, entry.software_version}
+    is_newer = entry.sequence >= known.sequence
+    return is_newer and None not in versions and len(versions) > 1
--- a/savorychute/gateway/metric_rows.py
+++ b/savorychute/gateway/metric_rows.py
@@ -105,6 +105,24 @@
     MetricRow(
         'tunnels_open', 'gauge', (), 'Tunnels that are open for other instances.'
     ),
+    MetricRow(
+        'streams_resumed_total',
+        'counter',
+        ('outcome',),
+        'Streams that callers took up again, by whether they were admitted or why not.',
+    ),
+    MetricRow(
+        'stream_records',
+        'gauge',
+        (),
+        'Records kept of which version began a stream, of all instances.',
+    ),
+    MetricRow(
+        'stream_records_dropped',
+        'gauge',
+        (),
+        'Such records that were dropped before their time, since the start.',
+    ),
     MetricRow('in_progress', 'gauge', (), 'Requests that have no final answer yet.'),
     MetricRow('open_connections', 'gauge', (), "Callers' connections."),
     MetricRow('members', 'gauge', (), 'Other instances that are taken for alive.'),
--- a/savorychute/gateway/parts.py
+++ b/savorychute/gateway/parts.py
@@ -24,6 +24,8 @@
     from savorychute.gateway.recovery.crash_table import CrashTable
     from savorychute.gateway.recovery.retry_allowance import RetryAllowance
     from savorychute.gateway.requests.attempt_port import AttemptPort, TimerPort
+    from savorychute.gateway.stream_telemetry import StreamTelemetry
+    from savorychute.gateway.streams.stream_origins import StreamOrigins
     from savorychute.gateway.telemetry import GatewayTelemetry
 
 
@@ -46,9 +48,11 @@
     allowance: RetryAllowance
     crashes: CrashTable
     paths: PathTable
+    origins: StreamOrigins
     usage: UsageCounter
     telemetry: GatewayTelemetry
     endpoint_telemetry: EndpointTelemetry
+    stream_telemetry: StreamTelemetry
 
     def chooser(self, service: Service) -> Chooser:
         """Return the chooser of endpoints of a service.
--- a/savorychute/gateway/platform_adapter.py
+++ b/savorychute/gateway/platform_adapter.py
@@ -23,6 +23,7 @@
     from savorychute.gateway.requests.outbound_attempt import OutboundAttempt
     from savorychute.gateway.requests.refusal import Refusal
     from savorychute.gateway.store.keyed_topic import KeyedTopic
+    from savorychute.gateway.store.record_log import RecordLog
     from savorychute.gateway.store.store_access import StoreAccess
     from savorychute.http.http_request import HttpRequest
     from savorychute.http.http_response import HttpResponse
@@ -52,6 +53,14 @@
         """Return the topic in which instances claim duties and settle reports."""
         ...
 
+    def version_topic(self, access: StoreAccess) -> KeyedTopic:
+        """Return the topic in which instances mark versions that begin streams."""
+        ...
+
+    def stream_log(self, access: StoreAccess, region: str) -> RecordLog:
+        """Return the log in which the instances of a region record streams."""
+        ...
+
     def decode_duties(self, names: Sequence[str]) -> frozenset[DutyKind]:
         """Return the known duties among names that the platform uses."""
         ...
--- a/savorychute/gateway/requests/caller_response.py
+++ b/savorychute/gateway/requests/caller_response.py
@@ -9,7 +9,7 @@
 from savorychute.ran import Ran
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from savorychute.gateway.requests.caller_port import CallerPort
     from savorychute.gateway.requests.endpoint_response import EndpointResponse
@@ -32,11 +32,14 @@
 
     :param caller: the caller's connection.
     :param last_event: the id of the last event that the caller has already received.
+    :param on_begin: called before the first event of a stream is forwarded.
     """
 
-    def __init__(self, caller: CallerPort, last_event: str) -> None:
+    def __init__(
+        self, caller: CallerPort, last_event: str, on_begin: Callable[[], None]
+    ) -> None:
         self._caller = caller
-        self.relay = StreamRelay(caller, last_event)
+        self.relay = StreamRelay(caller, last_event, on_begin)
         self.forwarding = False
 
     @property
--- a/savorychute/gateway/requests/request_execution.py
+++ b/savorychute/gateway/requests/request_execution.py
@@ -18,6 +18,7 @@
     RefusalTracker,
     make_timeout_refusal,
 )
+from savorychute.gateway.requests.stream_continuity import StreamContinuity
 from savorychute.gateway.requests.usage_observer import UsageObserver
 from savorychute.result_code import ResultCode
 
@@ -31,6 +32,7 @@
     from savorychute.gateway.requests.caller_port import CallerPort
     from savorychute.gateway.requests.inbound_request import InboundRequest
     from savorychute.gateway.requests.refusal import Refusal
+    from savorychute.gateway.streams.stream_origin import StreamOrigin
 
 # Includes the attempts that endpoints rejected.
 MAX_SENDS = 4
@@ -51,6 +53,7 @@
     :param request: the request.
     :param admitted: its route, service and rank.
     :param caller: receives the response.
+    :param origin: what began the stream that the caller takes up; None for a new request.
     """
 
     def __init__(
@@ -59,15 +62,19 @@
         request: InboundRequest,
         admitted: AdmittedRequest,
         caller: CallerPort,
+        origin: StreamOrigin | None = None,
     ) -> None:
         self._parts = parts
         self._request = request
         self._admitted = admitted
         self._route = admitted.route
-        self._search = EndpointSearch(parts, request, admitted)
+        self._continuity = StreamContinuity(
+            parts.origins, parts.roster, request, admitted, origin
+        )
+        self._search = EndpointSearch(parts, request, admitted, self._continuity)
         self._observer = EngineObserver(parts.engines, parts.shortages, admitted)
         self._usage = UsageObserver(parts.usage, admitted)
-        self._response = CallerResponse(caller, request.last_event)
+        self._response = CallerResponse(caller, request.last_event, self._stream_begins)
         self._attempt: Attempt | None = None
         self._timer: TimerHandle | None = None
         self._sends = 0
@@ -112,6 +119,10 @@
             attempt.stop()
             self.attempt_interrupted(attempt, 'event-too-large')
 
+    def _stream_begins(self) -> None:
+        assert self._attempt is not None
+        self._continuity.begin(self._attempt.choice.record.entry)
+
     def _record_event(self, attempt: Attempt) -> None:
         now_ms = self.now_ms()
         if attempt.waiting:
@@ -197,6 +208,7 @@
             return
         attempt.choice.record.health.record_success(self.now_ms())
         if response.is_stream:
+            self._continuity.complete()
             self._observer.record_stream_end(attempt, self._response.relay.events)
         self._log_attempt(attempt, 'answered', '')
         self._response.complete(response, attempt.buffered)
@@ -232,7 +244,7 @@
 
     def _retry(self) -> bool:
         """Retry a request that may have run, if that is harmless and permitted."""
-        if not self._route.retryable or self._response.forwarding:
+        if not self._route.retryable or not self._can_be_continued():
             return False
         if (
             self.possible_executions >= self._route.max_attempts
@@ -244,6 +256,12 @@
         self._response.relay.restart()
         return self._send_retry()
 
+    def _can_be_continued(self) -> bool:
+        """Return whether another endpoint may generate what the caller still lacks."""
+        if self._response.forwarding:
+            return False
+        return self._continuity.may_go_on and self._response.relay.can_resume
+
     def _send_retry(self) -> bool:
         """Send a retry within the shared bound, if there is an endpoint."""
         has_other = self._search.has_alternative(self.now_ms())
@@ -342,7 +360,7 @@
     def _replaceable_attempt(self) -> Attempt | None:
         """Return the current attempt if another endpoint may be tried instead."""
         attempt = self._attempt
-        if attempt is None or attempt.ended or self._response.forwarding:
+        if attempt is None or attempt.ended or not self._can_be_continued():
             return None
         if not self._route.retryable:
             return None
--- a/savorychute/gateway/requests/stream_relay.py
+++ b/savorychute/gateway/requests/stream_relay.py
@@ -7,7 +7,7 @@
 from savorychute.gateway.requests.event_splitter import EventSplitter
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from savorychute.gateway.requests.caller_port import CallerPort
 
@@ -17,20 +17,31 @@
 
     :param caller: the caller that receives the events.
     :param last_event: the id of the last event that the caller has already received.
+    :param on_begin: called before the first event is forwarded.
     """
 
-    def __init__(self, caller: CallerPort, last_event: str) -> None:
+    def __init__(
+        self, caller: CallerPort, last_event: str, on_begin: Callable[[], None]
+    ) -> None:
         self._caller = caller
+        self._on_begin = on_begin
         self._splitter = EventSplitter()
         self.last_event = last_event
         self.started = False
         self.events = 0
+        # Whether an event without an id was forwarded; nothing can follow it elsewhere.
+        self._has_unnumbered = False
 
     @property
     def is_between_events(self) -> bool:
         """Whether no incomplete event is buffered."""
         return self._splitter.partial_bytes == 0
 
+    @property
+    def can_resume(self) -> bool:
+        """Whether another endpoint can tell what the caller has received."""
+        return not self._has_unnumbered
+
     @property
     def is_event_too_large(self) -> bool:
         """Whether the endpoint has sent an event above the limit."""
@@ -59,10 +70,13 @@
             forwarded.append(event.data)
             if event.event_id:
                 self.last_event = event.event_id
+            else:
+                self._has_unnumbered = True
         if not forwarded:
             return False
         if not self.started:
             self.started = True
+            self._on_begin()
             self._caller.start(status, headers)
         self._caller.send(b''.join(forwarded))
         self.events += len(forwarded)
--- a/savorychute/gateway/store/call_purpose.py
+++ b/savorychute/gateway/store/call_purpose.py
@@ -17,3 +17,5 @@
     READ_FOR_ITSELF = 'read-for-itself'
     READ_DUTIES = 'read-duties'
     WRITE_DUTIES = 'write-duties'
+    MARK_VERSIONS = 'mark-versions'
+    RECORD_STREAMS = 'record-streams'
--- a/savorychute/gateway/store/endpoint_listener.py
+++ b/savorychute/gateway/store/endpoint_listener.py
@@ -53,9 +53,9 @@
         self._decode = decode
         self._telemetry = telemetry
         self._clock = clock
-        # The last state of each endpoint in the topic: its run, and whether it is
-        # draining.
-        self._last_states: dict[str, tuple[EndpointRun, bool]] = {}
+        # The last state of each endpoint in the topic: its run, whether it is draining,
+        # and the version of its software.
+        self._last_states: dict[str, tuple[EndpointRun, bool, str | None]] = {}
 
     def on_snapshot(self, snapshot: TopicSnapshot, started_ms: int) -> None:
         """Apply all entries."""
@@ -72,9 +72,7 @@
             if isinstance(update, EndpointNews) and update.unreadable:
                 self._roster.exclude(update.endpoint)
         self._roster.apply_all(entries, now_ms)
-        self._last_states = {
-            each.endpoint: (each.run, each.draining) for each in entries
-        }
+        self._last_states = {each.endpoint: _state_of(each) for each in entries}
         self._roster.expire(now_ms)
         self._journal.reset(snapshot.next_offset, snapshot.era)
         self._plan.must_list_endpoints = False
@@ -130,7 +128,10 @@
         verdict = self._roster.apply(entry, convinced=update.convinced)
         if verdict is EntryVerdict.OLD_RUN:
             return
-        state = (entry.run, entry.draining)
+        if entry.software_version is None:
+            # An instance of an earlier release told it; the store has the version.
+            self._plan.must_list_endpoints = True
+        state = _state_of(entry)
         if self._last_states.get(entry.endpoint) == state:
             return
         self._last_states[entry.endpoint] = state
@@ -171,5 +172,9 @@
             return _make_removal(record.offset, record.key, unreadable=True)
 
 
+def _state_of(entry: EndpointEntry) -> tuple[EndpointRun, bool, str | None]:
+    return (entry.run, entry.draining, entry.software_version)
+
+
 def _make_removal(offset: int, endpoint: str, *, unreadable: bool) -> EndpointNews:
     return EndpointNews(offset, endpoint, gone=True, unreadable=unreadable)
--- a/savorychute/gateway/store/store_errors.py
+++ b/savorychute/gateway/store/store_errors.py
@@ -13,10 +13,18 @@
 
 
 class HistoryLostError(SavorychuteError):
-    """The records from the offset on are no longer kept; list the topic again."""
+    """The records from the offset on are no longer kept; list the topic again.
+
+    :param message: what was read.
+    :param first: the first offset that is kept, if the store states it.
+    """
 
     code = ResultCode.LOG_UNAVAILABLE
 
+    def __init__(self, message: str, first: int = 0) -> None:
+        super().__init__(message)
+        self.first = first
+
 
 class WriteConflictError(SavorychuteError):
     """The topic did not end at the expected offset; nothing was written."""
--- a/savorychute/result_code.py
+++ b/savorychute/result_code.py
@@ -125,6 +125,16 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
         'endpoints broke off while they ran this request',
     )
+    STREAM_ORIGIN_UNKNOWN = (
+        2016,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'no instance knows at which version this stream began',
+    )
+    STREAM_VERSION_GONE = (
+        2017,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'no endpoint of the version that began this stream is left',
+    )
 
     ENDPOINT_FAILED = (3001, HTTPStatus.BAD_GATEWAY, 'the endpoint failed the request')
     OUTCOME_UNKNOWN = (
--- a/savorychute/wire/messages.capnp
+++ b/savorychute/wire/messages.capnp
@@ -396,3 +396,27 @@
   host @0 :Text;
   port @1 :Int64;
 }
+
+struct OriginGroup {
+  service @0 :Text;
+  version @1 :Text;
+  lifetimeMs @2 :Int64;
+  keys @3 :Data;
+  stored @4 :Bool;
+}
+
+struct VersionMark {
+  service @0 :Text;
+  version @1 :Text;
+  stamp @2 :Int64;
+}
+
+struct StreamNews {  # tag 98
+  groups @0 :List(OriginGroup);
+  answered @1 :Data;
+  marks @2 :List(VersionMark);
+}
+
+struct StreamQuestion {  # tag 99
+  keys @0 :Data;
+}
--- a/savorychute/wire/peer_packages.py
+++ b/savorychute/wire/peer_packages.py
@@ -21,6 +21,7 @@
     'savorychute.gateway.permits',
     'savorychute.gateway.recovery',
     'savorychute.gateway.store',
+    'savorychute.gateway.streams',
 )
 
 
--- a/tests/test_gateway/gateway_fakes.py
+++ b/tests/test_gateway/gateway_fakes.py
@@ -41,6 +41,8 @@
 from savorychute.gateway.requests.intake import Intake
 from savorychute.gateway.requests.prompt import Prompt, PromptPart
 from savorychute.gateway.requests.request_execution import RequestExecution
+from savorychute.gateway.stream_telemetry import StreamTelemetry
+from savorychute.gateway.streams.stream_origins import StreamOrigins
 from savorychute.gateway.telemetry import GatewayTelemetry
 from savorychute.http.call_failure import CallFailure
 from savorychute.http.client_pool import ServerAddress
@@ -208,6 +210,19 @@
         self.status, self.state = refusal.code.status, 'refused'
 
 
+class FakeOriginStore:
+    """Responds at once with marks that a test sets; None for a failing store."""
+
+    def __init__(self, marks=None):
+        self.marks = marks
+
+    def list_marks(self, on_done):
+        on_done(self.marks)
+
+    def read_records(self, on_done):
+        on_done(self.marks is not None)
+
+
 class GatewayFixture(NamedTuple):
     """A gateway with its fake ports."""
 
@@ -412,9 +427,11 @@
         allowance=make_allowance(slack),
         crashes=crashes,
         paths=PathTable(),
+        origins=StreamOrigins(FakeOriginStore(), clock, timers),
         usage=UsageCounter(None, TrueTime(clock, FixedWallClock())),
         telemetry=telemetry,
         endpoint_telemetry=endpoint_telemetry,
+        stream_telemetry=StreamTelemetry(telemetry),
     )
     parts.allowance.instances = 1
     intake = Intake(configuration, parts.crashes, rng)
