Begin streams only at versions whose marks are known

An instance now begins streams only at versions that it knows to be marked, is not ready before it has read the marks, and a version that was not listed for 20 s is marked anew. A service whose versions cannot be marked waits for 5 s at most.

--- a/savorychute/gateway/daemon/mark_keeper.py
+++ b/savorychute/gateway/daemon/mark_keeper.py
@@ -39,6 +39,8 @@
 RETRY_MS = 1_000
 # After the store went back to an older copy, endpoints are listed again within this time.
 RELIST_MS = 3_000
+# As many instances may write that the marks are complete in an era of the store.
+ERA_WRITERS = 3
 MAX_STAMP = 1 << 31
 
 
@@ -208,11 +210,13 @@
         """Write again what an older copy of the store lacks, then that it is complete."""
         era = self._eras.current
         if era != self._era:
-            await self._restore_marks()
-            self._origins.teller.store_went_back()
+            if self._era:
+                await self._restore_marks()
+                self._origins.teller.store_went_back()
             self._era, self._era_seen_ms = era, now_ms
-        is_settled = now_ms - self._era_seen_ms >= RELIST_MS + self._turn_ms('')
-        if not era or not is_settled or self._complete_era >= era:
+        if not era or self._complete_era >= era or self._rank('') >= ERA_WRITERS:
+            return
+        if now_ms - self._era_seen_ms < RELIST_MS + self._turn_ms(''):
             return
         listing = await self._store.list_all()
         if listing.complete_era < era == listing.era:
--- a/savorychute/gateway/requests/stream_resumption.py
+++ b/savorychute/gateway/requests/stream_resumption.py
@@ -13,7 +13,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from savorychute.gateway.configuration.route_table import RouteTable
     from savorychute.gateway.parts import GatewayParts
     from savorychute.gateway.requests.admitted_request import AdmittedRequest
     from savorychute.gateway.requests.inbound_request import InboundRequest
@@ -111,25 +110,24 @@
                 finding.source,
                 UNKNOWN_RETRY_MS,
             )
-        if self._is_gone(origin, self._parts.configuration.table):
-            return Refusal(
-                ResultCode.STREAM_VERSION_GONE,
-                Ran.NOT_RUN,
-                'version-gone',
-                GONE_RETRY_MS,
-            )
+        if not self._serves(origin.service):
+            return _refuse_as_gone('service-gone')
+        records = self._parts.roster.usable(origin.service)
+        if records and not any(
+            record.entry.software_version == origin.version for record in records
+        ):
+            return _refuse_as_gone('version-gone')
         return None
 
-    def _is_gone(self, origin: StreamOrigin, table: RouteTable | None) -> bool:
-        """Return whether no endpoint can go on with the streams of an origin."""
+    def _serves(self, service: str) -> bool:
+        """Return whether the route still allows the service that began the stream."""
+        table = self._parts.configuration.table
+        if table is None or service not in table.services:
+            return False
         shares = self._admitted.route.shares
-        if table is None or origin.service not in table.services:
-            return True
-        if not any(
-            each.service == origin.service and each.weight > 0 for each in shares
-        ):
-            return True
-        return not any(
-            record.entry.software_version == origin.version
-            for record in self._parts.roster.usable(origin.service)
-        )
+        return any(each.service == service and each.weight > 0 for each in shares)
+
+
+def _refuse_as_gone(reason: str) -> Refusal:
+    code = ResultCode.STREAM_VERSION_GONE
+    return Refusal(code, Ran.NOT_RUN, reason, GONE_RETRY_MS)
--- a/savorychute/gateway/streams/origin_finder.py
+++ b/savorychute/gateway/streams/origin_finder.py
@@ -28,6 +28,9 @@
 
 # A response between failure domains takes a few ms; a datagram may be lost.
 RESEND_MS = 40
+# The store is asked if no instance has responded with a record by then; each call to it
+# has a price.
+STORE_DELAY_MS = 20
 # Later responses are not worth the wait: the caller has time to try another instance.
 MAX_LOOKUP_MS = 400
 # The instances of the own region are asked first; callers rarely change the region.
@@ -60,6 +63,7 @@
         self.service = service
         self.asked: set[str] = set()
         self.responded: set[str] = set()
+        self.store_asked = False
         self.store_done = False
         self.ended = False
         self.callbacks: list[Callable[[Finding], None]] = []
@@ -138,10 +142,12 @@
         self._lookups[key, service] = lookup
         self._ask_others(lookup)
         lookup.timers = [
+            self._timers.call_later(STORE_DELAY_MS, lambda: self._ask_store(lookup)),
             self._timers.call_later(RESEND_MS, lambda: self._ask_again(lookup)),
             self._timers.call_later(MAX_LOOKUP_MS, lambda: self._give_up(lookup)),
         ]
-        self._store.list_marks(lambda marks: self._handle_marks(lookup, marks))
+        if self._have_all_responded(lookup):
+            self._ask_store(lookup)
 
     def _ask_others(self, lookup: _Lookup) -> None:
         """Ask the instances that have not been asked yet."""
@@ -179,6 +185,12 @@
 
     # -- the store
 
+    def _ask_store(self, lookup: _Lookup) -> None:
+        if lookup.ended or lookup.store_asked:
+            return
+        lookup.store_asked = True
+        self._store.list_marks(lambda marks: self._handle_marks(lookup, marks))
+
     def _handle_marks(self, lookup: _Lookup, marks: MarkedVersions | None) -> None:
         if lookup.ended:
             return
@@ -240,8 +252,10 @@
         known = self._table.find(lookup.key, now_ms)
         if known is not None:
             self._end(lookup, _make_finding(known, now_ms))
-        elif lookup.store_done and self._have_all_responded(lookup):
-            self._give_up(lookup)
+        elif self._have_all_responded(lookup):
+            self._ask_store(lookup)
+            if lookup.store_done:
+                self._give_up(lookup)
 
     def _have_all_responded(self, lookup: _Lookup) -> bool:
         if not lookup.key:
--- a/savorychute/gateway/streams/stream_origins.py
+++ b/savorychute/gateway/streams/stream_origins.py
@@ -9,7 +9,11 @@
 from savorychute.gateway.streams.origin_table import OWN, OriginTable
 from savorychute.gateway.streams.origin_teller import OriginTeller
 from savorychute.gateway.streams.stream_origin import StreamOrigin
-from savorychute.gateway.streams.version_marks import Mark, VersionMarks
+from savorychute.gateway.streams.version_marks import (
+    MAX_WAIT_MS,
+    Mark,
+    VersionMarks,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -34,6 +38,7 @@
 
     def __init__(self, store: OriginStore, clock: Clock, timers: TimerPort) -> None:
         self._clock = clock
+        self._started_ms = clock.now_ms()
         self._view: MemberView | None = None
         self._send: Callable[[SendPeer], None] | None = None
         self.table = OriginTable()
@@ -50,6 +55,13 @@
         self.teller.send = send
         self.finder.send = send
 
+    def is_ready(self, now_ms: int) -> bool:
+        """Return whether streams can begin here.
+
+        :param now_ms: the current time.
+        """
+        return self.marks.has_read or now_ms - self._started_ms >= MAX_WAIT_MS
+
     # -- called for requests
 
     def begin(self, key: bytes, origin: StreamOrigin, lifetime_ms: int) -> None:
@@ -88,26 +100,29 @@
     ) -> Sequence[EndpointRecord]:
         """Return the endpoints that may begin a stream.
 
-        Those of a version that is not marked yet are left out, unless there are no
-        others: then no stream of this service goes on at another version either.
+        Those of a version that is not known to be marked are left out.  If there are no
+        others, the stream has to wait for the mark, usually some ms.
 
         :param records: endpoints of a service.
         :param service: name of the service.
         :param versions: the versions of its endpoints.
         """
-        now_ms = self._clock.now_ms()
         marked = [
             version
             for version in versions
             if version is not None
-            and self.marks.may_begin(StreamOrigin(service, version), now_ms)
+            and self.marks.may_begin(StreamOrigin(service, version))
         ]
         if len(marked) == len(versions):
             return records
         selected = [each for each in records if each.entry.software_version in marked]
-        if not selected:
-            self.marks.hasten(service)
-        return selected or records
+        if (
+            not selected
+            and records
+            and self.marks.hasten(service, self._clock.now_ms())
+        ):
+            return records
+        return selected
 
     # -- called for other instances
 
--- a/savorychute/gateway/streams/version_marks.py
+++ b/savorychute/gateway/streams/version_marks.py
@@ -14,6 +14,8 @@
 # A mark is removed if it is this old and its version has not been listed meanwhile: much
 # later than every instance has forgotten it, and than the last stream of it has ended.
 REMOVE_MS = 60_000
+# A service whose versions cannot be marked is served without that proof after this time.
+MAX_WAIT_MS = 5_000
 # A missed removal is noticed by listing the marks again.
 RELIST_MS = 2 * REMOVE_MS
 
@@ -41,9 +43,13 @@
     def __init__(self) -> None:
         self._known: dict[StreamOrigin, _Known] = {}
         self._listed_ms: dict[StreamOrigin, int] = {}
+        # Marked versions that were not listed for a while; another instance may have
+        # removed their marks.
+        self._stale: set[StreamOrigin] = set()
         # Listed versions that are not marked since they have appeared, since when.
         self._unmarked_ms: dict[StreamOrigin, int] = {}
-        self._urgent_services: set[str] = set()
+        # The services for which streams wait, since when.
+        self._urgent_ms: dict[str, int] = {}
         self.has_read = False
         self.read_ms = 0
 
@@ -56,8 +62,12 @@
         :param now_ms: the current time.
         """
         current = frozenset(listed)
+        for origin, known in self._known.items():
+            seen_ms = max(known.since_ms, self._listed_ms.get(origin, 0))
+            if now_ms - seen_ms >= FORGET_MS:
+                self._stale.add(origin)
         for origin in current:
-            if not self._is_marked_since(origin, now_ms):
+            if not self.may_begin(origin):
                 self._unmarked_ms.setdefault(origin, now_ms)
             self._listed_ms[origin] = now_ms
         for origin in [each for each in self._unmarked_ms if each not in current]:
@@ -66,29 +76,23 @@
             if now_ms - last_ms > RELIST_MS and origin not in self._known:
                 del self._listed_ms[origin]
 
-    def _is_marked_since(self, origin: StreamOrigin, now_ms: int) -> bool:
-        """Return whether a version that is listed now is marked since it has appeared."""
-        known = self._known.get(origin)
-        if known is None:
-            return False
-        seen_ms = max(known.since_ms, self._listed_ms.get(origin, known.since_ms))
-        return now_ms - seen_ms < FORGET_MS
-
-    def may_begin(self, origin: StreamOrigin, now_ms: int) -> bool:
+    def may_begin(self, origin: StreamOrigin) -> bool:
         """Return whether a listed version is marked since it has appeared.
 
         :param origin: a service and a version.
-        :param now_ms: the current time.
         """
-        is_unmarked = origin in self._unmarked_ms
-        return not is_unmarked and self._is_marked_since(origin, now_ms)
+        return origin in self._known and origin not in self._stale
 
-    def hasten(self, service: str) -> None:
+    def hasten(self, service: str, now_ms: int) -> bool:
         """Mark the versions of a service without leaving that to others.
 
-        :param service: name of the service.
+        :param service: a service with no endpoint of a marked version.
+        :param now_ms: the current time.
+        :returns: whether the mark has been missing for so long that streams begin
+            without it.
         """
-        self._urgent_services.add(service)
+        since_ms = self._urgent_ms.setdefault(service, now_ms)
+        return now_ms - since_ms >= MAX_WAIT_MS
 
     def mixed_services(self, now_ms: int) -> frozenset[str]:
         """Return the services that have, or recently had, several versions.
@@ -119,7 +123,7 @@
         return frozenset(
             origin.service
             for origin, since_ms in self._unmarked_ms.items()
-            if origin.service in self._urgent_services
+            if origin.service in self._urgent_ms
             or now_ms - since_ms >= delay_ms(origin.service)
         )
 
@@ -183,9 +187,10 @@
         if known is not None and known.stamp == mark.stamp:
             return
         self._known[mark.origin] = _Known(mark.stamp, now_ms)
+        self._stale.discard(mark.origin)
         self._unmarked_ms.pop(mark.origin, None)
         if not self.unmarked_versions(mark.origin.service):
-            self._urgent_services.discard(mark.origin.service)
+            self._urgent_ms.pop(mark.origin.service, None)
 
     def stamps(self) -> dict[StreamOrigin, int]:
         """Return the stamp of each version that is known to be marked."""
@@ -197,3 +202,4 @@
         :param origin: the version.
         """
         self._known.pop(origin, None)
+        self._stale.discard(origin)
--- a/savorychute/testing/virtual_loop.py
+++ b/savorychute/testing/virtual_loop.py
@@ -23,10 +23,13 @@
 
     A program and its peers run on one loop and communicate over loopback, so while no
     socket is ready, all of them wait for a timer.
+
+    :param delivery_s: the maximum real time for a delivery; 0 without sockets.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, delivery_s: float = DELIVERY_S) -> None:
         super().__init__()
+        self._delivery_s = delivery_s
         self.time_s = 0.0
 
     def select(
@@ -41,17 +44,20 @@
             return ready
         if timeout is None:
             return super().select(None)
-        ready = super().select(DELIVERY_S)
+        ready = super().select(self._delivery_s) if self._delivery_s else []
         if not ready:
             self.time_s += timeout
         return ready
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
-    """An event loop with virtual time, starting at 0."""
+    """An event loop with virtual time, starting at 0.
+
+    :param delivery_s: the maximum real time for a delivery; 0 without sockets.
+    """
 
-    def __init__(self) -> None:
-        self._virtual = VirtualSelector()
+    def __init__(self, delivery_s: float = DELIVERY_S) -> None:
+        self._virtual = VirtualSelector(delivery_s)
         super().__init__(self._virtual)
 
     def time(self) -> float:
@@ -67,10 +73,14 @@
         return round(asyncio.get_running_loop().time() * MS_PER_S)
 
 
-def run_virtual(main: Coroutine[object, object, Result]) -> Result:
+def run_virtual(
+    main: Coroutine[object, object, Result], *, sockets: bool = True
+) -> Result:
     """Run a coroutine on a new loop with virtual time.
 
     :param main: the coroutine.
+    :param sockets: whether it uses sockets, for which the loop has to wait.
     """
-    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+    delivery_s = DELIVERY_S if sockets else 0.0
+    with asyncio.Runner(loop_factory=lambda: VirtualLoop(delivery_s)) as runner:
         return runner.run(main)
--- a/tests/test_fleet/fleet_fixture.py
+++ b/tests/test_fleet/fleet_fixture.py
@@ -13,6 +13,7 @@
 
 from savorychute.gateway.daemon.run_gateway import run_host
 from savorychute.gateway.settings.table import GATEWAY_SCHEMA
+from savorychute.gateway.streams.stored_origins import encode_marks, make_service_key
 from savorychute.http.client_pool import PoolSettings, ServerAddress, open_pool
 from savorychute.http.http_request import HttpRequest
 from savorychute.http.timed_call import fetch
@@ -216,6 +217,11 @@
     def write_configuration(self, version=1, **fields):
         self.store.put('keyed.op', 'config', make_configuration(version, **fields))
 
+    def write_marks(self, versions):
+        """Write marks of engines' versions, as an earlier run of the system has."""
+        marks = encode_marks('pool', dict.fromkeys(versions, 1))
+        self.store.put('keyed.versions', make_service_key('pool'), marks)
+
     def write_entries(self, **fields):
         for name in self.endpoints:
             self.write_entry(name, **fields)
@@ -290,12 +296,13 @@
     plain_endpoints=1,
     engines=1,
     make_engine=FakeEndpoint.engine,
+    has_marks=True,
     **settings,
 ):
     """Run a store, endpoints and some gateways until the block ends.
 
     All plain endpoints are equivalent; ``spare`` adds another one.  ``make_engine``
-    returns the engine with a name.
+    returns the engine with a name; ``has_marks`` is false for the first start ever.
     """
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(run_store())
@@ -316,6 +323,8 @@
         fleet = FleetFixture(store, endpoints, [], pool)
         fleet.write_configuration()
         fleet.write_entries()
+        if has_marks:
+            fleet.write_marks([''])
         for number in range(gateways):
             gateway_settings = make_settings(number, store.port, **settings)
             gateway = Gateway(number, gateway_settings, clock, random.Random(number))
--- a/tests/test_fleet/test_stream_versions.py
+++ b/tests/test_fleet/test_stream_versions.py
@@ -82,7 +82,12 @@
         return VersionedEngine(name, versions[int(name[1:]) - 1])
 
     async def main():
-        running = run_fleet(gateways, engines=len(versions), make_engine=make_engine)
+        running = run_fleet(
+            gateways,
+            engines=len(versions),
+            make_engine=make_engine,
+            has_marks=False,
+        )
         async with asyncio.timeout(TEST_S), running as fleet:
             await asyncio.sleep(3)
             disturbing = asyncio.create_task(disturb(fleet))
--- a/tests/test_gateway/gateway_fakes.py
+++ b/tests/test_gateway/gateway_fakes.py
@@ -42,7 +42,9 @@
 from savorychute.gateway.requests.prompt import Prompt, PromptPart
 from savorychute.gateway.requests.request_execution import RequestExecution
 from savorychute.gateway.stream_telemetry import StreamTelemetry
+from savorychute.gateway.streams.stream_origin import StreamOrigin
 from savorychute.gateway.streams.stream_origins import StreamOrigins
+from savorychute.gateway.streams.version_marks import Mark
 from savorychute.gateway.telemetry import GatewayTelemetry
 from savorychute.http.call_failure import CallFailure
 from savorychute.http.client_pool import ServerAddress
@@ -434,5 +436,8 @@
         stream_telemetry=StreamTelemetry(telemetry),
     )
     parts.allowance.instances = 1
+    # The store holds a mark of an earlier run for the version of the engines.
+    mark = Mark(StreamOrigin('pool', ''), 1)
+    parts.origins.marks.add(mark, clock.now_ms())
     intake = Intake(configuration, parts.crashes, rng)
     return GatewayFixture(parts, clock, timers, attempts, intake)
