--- a/tests/test_fleet/store_stand_in.py
+++ b/tests/test_fleet/store_stand_in.py
@@ -19,9 +19,13 @@
 
 
 class Topic:
-    """One partition: its records, and the newest record of each key."""
+    """One partition: its records, and the newest record of each key.
 
-    def __init__(self):
+    The records of a topic that is not ``keyed`` have no keys.
+    """
+
+    def __init__(self, keyed=True):
+        self.keyed = keyed
         self.records = []
         self.first = 0
         self.newest = {}
@@ -36,24 +40,35 @@
         return self.first + len(self.records)
 
     def append(self, content):
-        key_end = 1 + content[0]
-        key, value = content[1:key_end].decode(), content[key_end:]
         offset = self.end
         self.records.append(content)
         self.history.append((asyncio.get_running_loop().time(), content))
+        if self.keyed:
+            self._keep_newest(content, offset)
+        self.written.set()
+        self.written = asyncio.Event()
+        return offset
+
+    def _keep_newest(self, content, offset):
+        key_end = 1 + content[0]
+        key, value = content[1:key_end].decode(), content[key_end:]
         if value:
             self.newest[key] = (offset, value)
         else:
             self.newest.pop(key, None)
-        self.written.set()
-        self.written = asyncio.Event()
-        return offset
+
+    def trim(self, before):
+        """Drop the records before an offset."""
+        before = min(before, self.end)
+        if before > self.first:
+            del self.records[: before - self.first]
+            self.first = before
 
     def go_back(self, until_s):
         """Restore what was written up to a time of the event loop."""
         retained = [each for each in self.history if each[0] <= until_s]
         written = self.written
-        self.__init__()
+        self.__init__(self.keyed)
         for _, content in retained:
             self.append(content)
         self.history = retained
@@ -83,7 +98,7 @@
         self._tasks = set()
 
     def topic(self, name):
-        return self.topics.setdefault(name, Topic())
+        return self.topics.setdefault(name, Topic(name.startswith('keyed.')))
 
     def go_back(self, age_s):
         """Go back to the state of some time ago, as from an older copy."""
@@ -117,6 +132,9 @@
         topic = self.topic(query['topic'])
         if url.path == '/-/log-append':
             self._append(exchange, topic, query)
+        elif url.path == '/-/log-trim':
+            topic.trim(int(query['before']))
+            self._respond(exchange, 200, {})
         elif url.path == '/-/log-newest':
             self._list(exchange, topic, query.get('after', ''))
         else:
