--- a/tests/test_gateway/stream_simulation.py
+++ b/tests/test_gateway/stream_simulation.py
@@ -39,6 +39,7 @@
 DELAY_S = 0.002
 STORE_DELAY_S = 0.004
 STORE_TIMEOUT_S = 0.3
+ERA_NOTICED_S = 0.5
 # Until others notice that an instance is gone, or has started.
 GONE_NOTICED_S = 1.5
 START_NOTICED_S = 0.3
@@ -108,6 +109,13 @@
             await asyncio.Event().wait()
         self._eras.record(self._store.era)
 
+    async def follow_era(self):
+        """Notice a new era, as by the reads of other topics."""
+        while True:
+            await asyncio.sleep(ERA_NOTICED_S)
+            if not self._store.is_down and not self._instance.is_cut_from_store:
+                self._eras.record(self._store.era)
+
     async def list_newest(self):
         await self._call('list')
         newest = {record.key: record for record in self._store.marks}
@@ -193,6 +201,7 @@
         self.tasks = [
             asyncio.create_task(collector.run()),
             asyncio.create_task(keeper.run()),
+            asyncio.create_task(client.follow_era()),
         ]
 
     def kill(self):
