--- a/tests/test_gateway/test_origin_records.py
+++ b/tests/test_gateway/test_origin_records.py
@@ -19,6 +19,7 @@
 from savorychute.gateway.streams.stream_news import StreamNews
 from savorychute.gateway.streams.stream_origin import (
     KEY_BYTES,
+    OWNER_BYTES,
     StreamOrigin,
     make_stream_key,
 )
@@ -64,6 +65,18 @@
     assert make_stream_key('kochi', 'a1') != make_stream_key('thrissur', 'a1')
 
 
+def test_key_differs_although_two_organisations_share_a_table():
+    """Guards against a digest of the organisation that is too short to tell them apart."""
+    owners = {}
+    for number in range(2_000):
+        owner = make_stream_key(str(number), 'a1')[:OWNER_BYTES]
+        if owner in owners:
+            break
+        owners[owner] = number
+    keys = {make_stream_key(str(each), 'a1') for each in (number, owners[owner])}
+    assert len(keys) == 2
+
+
 @pytest.mark.parametrize('attempt_id', ['', 'x' * 100_000, '\0', 'ä€'])
 def test_key_has_a_fixed_size_for_any_id(attempt_id):
     assert len(make_stream_key('kochi', attempt_id)) == KEY_BYTES
