--- a/tests/test_gateway/test_endpoint_roster.py
+++ b/tests/test_gateway/test_endpoint_roster.py
@@ -85,3 +85,50 @@
     roster.apply(make_entry('d0', sequence=9))
 
     assert usable_names(roster) == ['d1']
+
+
+def test_endpoint_whose_version_changes_is_another_run(roster):
+    """Guards against a stream that goes on at a name whose software has changed."""
+    roster.apply(make_entry('e1', 'pool', software_version='v1'))
+    record = roster.get('e1')
+    roster.apply(make_entry('e1', 'pool', software_version='v2', sequence=2))
+    assert record.run_ended
+    assert roster.get('e1').entry.software_version == 'v2'
+    assert roster.versions('pool') == ('v2',)
+
+
+def test_old_entry_of_another_version_does_not_end_the_run(roster):
+    roster.apply(make_entry('e1', 'pool', software_version='v2', sequence=5))
+    record = roster.get('e1')
+    roster.apply(make_entry('e1', 'pool', software_version='v1', sequence=4))
+    assert roster.get('e1') is record
+    assert not record.run_ended
+
+
+def test_known_version_is_kept_if_another_instance_does_not_state_it(roster):
+    """Guards against news of an instance of an earlier release."""
+    roster.apply(make_entry('e1', 'pool', software_version='v1'))
+    roster.apply(make_entry('e1', 'pool', software_version=None, sequence=2))
+    assert roster.get('e1').entry.software_version == 'v1'
+    assert roster.get('e1').entry.sequence == 2
+
+
+def test_version_of_a_restarted_endpoint_is_unknown_until_it_is_listed(roster):
+    """Guards against the version of the run before."""
+    roster.apply(make_entry('e1', 'pool', software_version='v1', born_ms=5))
+    roster.apply_restart(EndpointRun('e1', 6))
+    assert roster.get('e1').entry.software_version is None
+    roster.apply(make_entry('e1', 'pool', software_version='v2', born_ms=6))
+    assert roster.get('e1').entry.software_version == 'v2'
+
+
+def test_versions_of_a_service_follow_its_endpoints(roster):
+    roster.apply(make_entry('e1', 'pool', software_version='v1'))
+    roster.apply(make_entry('e2', 'pool', software_version='v2'))
+    roster.apply(make_entry('e3', 'pool', software_version=None))
+    assert set(roster.versions('pool')) == {'v1', 'v2', None}
+    roster.apply(make_entry('e1', 'other', software_version='v1', sequence=2))
+    roster.remove('e2', 0)
+    roster.record_end(EndpointRun('e3'))
+    assert roster.versions('pool') == ()
+    assert roster.versions('other') == ('v1',)
--- a/tests/test_gateway/test_shared_reader.py
+++ b/tests/test_gateway/test_shared_reader.py
@@ -234,6 +234,30 @@
     assert other.journal.offset == 13
 
 
+@pytest.mark.parametrize('version', ['v1', ''])
+def test_response_contains_the_versions_of_endpoints(nodes, clock, version):
+    """Guards against an instance that knows endpoints but not their versions."""
+    reader, other = pick_reader_and_other(nodes)
+    for node in (reader, other):
+        node.read_store(1, [], 7, clock.now_ms())
+    entry = make_entry('d1', software_version=version)
+    reader.listener.apply_changes([make_endpoint_news(7, entry)], 8)
+    exchange(other, reader, clock.now_ms())
+    assert other.roster.get('d1').entry.software_version == version
+    assert not other.plan.must_list_endpoints
+
+
+def test_entry_without_its_version_is_read_from_the_store(nodes, clock):
+    """Guards against versions that an instance of an earlier release cannot tell."""
+    other = pick_reader_and_other(nodes)[1]
+    other.read_store(1, [], 7, clock.now_ms())
+    news = make_endpoint_news(7, make_entry('d1'))
+    news = news._replace(has_software_version=False)
+    other.listener.apply_changes([news], 8)
+    assert other.roster.get('d1').entry.software_version is None
+    assert other.plan.must_list_endpoints
+
+
 def test_change_already_known_to_the_reader_is_passed_on(nodes, clock):
     """Guards against the use of a leaving endpoint by one instance.
 
--- a/tests/test_gateway/test_stream_continuity.py
+++ b/tests/test_gateway/test_stream_continuity.py
@@ -340,6 +340,23 @@
     assert caller.body == event(5)
 
 
+def test_unknown_stream_of_a_route_with_several_services_is_refused():
+    """Guards against a proof for the one service that the request happened to get."""
+    shares = (ServiceShare('desk', 1.0), ServiceShare('pool', 1.0))
+    route = make_route('feed', RequestKind.STREAM, shares=shares, resumable=True)
+    gateway = make_gateway(deployment=make_deployment(routes=(route,)))
+    origins = frozenset({StreamOrigin('desk', ''), StreamOrigin('pool', '')})
+    gateway.parts.origins.finder._store.marks = MarkedVersions(origins, True)
+    request = make_request('/feed/1', last_event='4', resumed_attempt='a1', key=KEY)
+    admitted = gateway.intake.admit(request, gateway.clock.now_ms())
+    refusals = []
+    StreamResumption(
+        gateway.parts, request, admitted, lambda *_: None, refusals.append
+    ).start()
+    gateway.advance(MAX_LOOKUP_MS)
+    assert refusals[0].code is ResultCode.STREAM_ORIGIN_UNKNOWN
+
+
 def test_stream_goes_on_at_its_service_if_a_route_has_several():
     """Guards against equal versions of two services that are taken for one."""
     shares = (ServiceShare('desk', 9.0), ServiceShare('pool', 1.0))
--- a/tests/test_gateway/test_version_marks.py
+++ b/tests/test_gateway/test_version_marks.py
@@ -229,6 +229,48 @@
     assert marked(run_fleet(scenario)) == {'v2'}
 
 
+def test_mark_that_was_written_again_unnoticed_is_not_removed():
+    """Guards against the removal of a mark by an instance that knows an older one."""
+
+    async def scenario(fleet):
+        fleet.add_endpoint('e9', 'v2')
+        await asyncio.sleep(2)
+        fleet.remove_endpoint('e0')
+        await asyncio.sleep(REMOVE_MS / 1_000 - 2)
+        value = encode_marks('pool', {'v1': 99, 'v2': 98})
+        fleet.store.marks.append(KeyedRecord(9, make_service_key('pool'), value))
+        await asyncio.sleep(6)
+
+    assert marked(run_fleet(scenario)) == {'v1', 'v2'}
+
+
+def test_lost_mark_of_a_version_that_has_just_left_is_written_again():
+    """Guards against a proof by marks that lack what nobody lists any more."""
+
+    async def scenario(fleet):
+        fleet.add_endpoint('e9', 'v2')
+        await asyncio.sleep(2)
+        fleet.remove_endpoint('e9')
+        await asyncio.sleep(2)
+        fleet.store.go_back(1)
+        assert marked(fleet) == {'v1'}
+        await asyncio.sleep(6)
+
+    assert marked(run_fleet(scenario)) == {'v1', 'v2'}
+
+
+def test_marks_are_complete_only_some_seconds_after_the_store_went_back():
+    """Guards against a proof before endpoints have written their entries again."""
+
+    async def scenario(fleet):
+        fleet.store.go_back(0)
+        await asyncio.sleep(2.5)
+        assert decode_era(newest_records(fleet)) == 1
+        await asyncio.sleep(4)
+
+    assert decode_era(newest_records(run_fleet(scenario))) == 2
+
+
 def test_marks_that_the_store_has_lost_are_written_again():
     """Guards against a proof by marks of an older copy of the store."""
     results = SimpleNamespace(before=None, after=None)
