--- a/benches/gateway_soak/__init__.py
+++ b/benches/gateway_soak/__init__.py
@@ -4,3 +4,11 @@
 It records what callers sent and what endpoints ran, and checks the guarantees of the
 gateways against these records.
 """
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+# The stand-ins of the platform's store and of callers are those of the tests.
+sys.path.append(str(Path(__file__).parents[2] / 'tests' / 'test_fleet'))
--- a/benches/gateway_soak/play.py
+++ b/benches/gateway_soak/play.py
@@ -6,9 +6,10 @@
 import random
 import signal
 from collections import Counter
+from math import ceil
 from typing import TYPE_CHECKING, NamedTuple
 
-from benches.gateway_soak.callers import Caller
+from benches.gateway_soak.callers import Caller, StreamCaller
 from benches.gateway_soak.faults import FAULTS
 from benches.gateway_soak.ledger import Ledger
 from benches.gateway_soak.platform import restore_older_copies
@@ -22,6 +23,8 @@
 START_TIMEOUT_S = 60.0
 POLL_INTERVAL_S = 0.05
 QUIET_S = 2.0
+# Callers that take streams up, for each of the others.
+STREAM_CALLER_SHARE = 0.25
 MAX_FAULT_GAP_S = 1.2
 SETTLE_S = 6.0
 # Fewer faults of gateways, so that calls to endpoints can be checked for longer.
@@ -71,6 +74,10 @@
         asyncio.create_task(Caller(number, site, ledger, rng).run())
         for number in range(callers)
     ]
+    caller_tasks += [
+        asyncio.create_task(StreamCaller(number, site, ledger, rng).run())
+        for number in range(ceil(callers * STREAM_CALLER_SHARE))
+    ]
     background_tasks = []
     if older_copies:
         restore_rng = random.Random(rng.random())
