--- a/savorychute/gateway/daemon/mark_keeper.py
+++ b/savorychute/gateway/daemon/mark_keeper.py
@@ -30,6 +30,7 @@
     from savorychute.gateway.store.store_era import StoreEra
     from savorychute.gateway.stream_telemetry import StreamTelemetry
     from savorychute.gateway.streams.stream_origins import StreamOrigins
+    from savorychute.membership.member_view import MemberView
 
 TICK_INTERVAL_MS = 100
 # Instances write a missing mark one after the other, until one has succeeded.
@@ -86,6 +87,8 @@
         self._era = 0
         self._era_seen_ms = 0
         self._complete_era = 0
+        self._ranked_view: MemberView | None = None
+        self._ranks: dict[str, int] = {}
         store.on_listing = self._apply_listing
 
     async def run(self) -> None:
@@ -156,12 +159,19 @@
         return turn_ms + TURN_MS * self._rank(service)
 
     def _rank(self, service: str) -> int:
+        """Return how many instances come before this one with marks of a service."""
         view = self._origins.view
         if view is None:
             return 0
-        key = f'versions/{service}'
-        own_score = score_member(key, view.own)
-        return sum(score_member(key, each) > own_score for each in view.alive)
+        if view is not self._ranked_view:
+            self._ranked_view = view
+            self._ranks.clear()
+        if service not in self._ranks:
+            key = f'versions/{service}'
+            own_score = score_member(key, view.own)
+            scores = (score_member(key, each) for each in view.alive)
+            self._ranks[service] = sum(score > own_score for score in scores)
+        return self._ranks[service]
 
     # -- changes
 
--- a/tests/test_gateway/stream_simulation.py
+++ b/tests/test_gateway/stream_simulation.py
@@ -49,6 +49,7 @@
 LISTING_LAG_S = (0.0, 0.8)
 STREAM_S = (0.2, 3.0)
 LIFETIME_MS = 16_000
+NEVER_MS = 1 << 40
 RETRY_S = 0.3
 MAX_TRIES = 4
 DOMAINS = 3
@@ -226,13 +227,23 @@
             self.run_or_queue(callback)
 
     def _send(self, action):
-        self.fleet.count_message(self, action, self._codec)
+        if not self.fleet.is_told and not self._is_for_store(action.message):
+            return
+        self.fleet.count_message(action, self._codec)
         self.fleet.deliver(self, action.instance, action.message)
 
+    def _is_for_store(self, message):
+        """Return whether a message is a record to store, or a mark."""
+        if not isinstance(message, StreamNews):
+            return False
+        return bool(message.marks) or any(group.stored for group in message.groups)
+
     def receive(self, sender, message):
         def handle():
             if isinstance(message, StreamNews):
                 self.origins.handle_news(sender.name, message)
+                if not self.fleet.is_told:
+                    self.origins.table.expire(NEVER_MS)
             elif isinstance(message, StreamQuestion):
                 answer = self.origins.respond(message)
                 self.fleet.deliver(self, sender.name, answer)
@@ -260,12 +271,16 @@
     :param instances: the number of instances.
     :param seed: seed of all random numbers.
     :param is_store_used: whether records are written to the store.
+    :param is_told: whether records are told to other instances, and these asked.
     :param count_bytes: whether messages are encoded, to count their bytes.
     """
 
-    def __init__(self, instances, seed, is_store_used=True, count_bytes=False):
+    def __init__(
+        self, instances, seed, is_store_used=True, is_told=True, count_bytes=False
+    ):
         self.rng = random.Random(seed)
         self.is_store_used = is_store_used
+        self.is_told = is_told
         self._count_bytes = count_bytes
         self.store = SimulatedStore()
         # The endpoints, and their versions.
@@ -337,13 +352,12 @@
 
     # -- messages
 
-    def count_message(self, sender, action, codec):
+    def count_message(self, action, codec):
         kind = type(action.message).__name__
         self.messages[kind] += 1
         if self._count_bytes:
             frame = codec.encode(action.instance, action.message)
             self.message_bytes += len(frame) + DATAGRAM_HEADER_BYTES
-        del sender
 
     def deliver(self, sender, name, message):
         def arrive():
