--- a/savorychute/gateway/daemon/tunnel_client.py
+++ b/savorychute/gateway/daemon/tunnel_client.py
@@ -76,6 +76,8 @@
     def _fail(self, message: str) -> None:
         if not self.done.done():
             self.done.set_exception(TunnelError(message))
+            # Nobody waits for it if the request was cancelled meanwhile.
+            self.done.exception()
 
 
 async def open_tunnel(
--- a/tests/test_fleet/test_tunnels.py
+++ b/tests/test_fleet/test_tunnels.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import gc
 from contextlib import asynccontextmanager
 
 import pytest
@@ -11,7 +12,7 @@
 from fleet_fixture import run_fleet, wait_until
 
 from savorychute.errors import MessageError
-from savorychute.gateway.daemon.tunnel_client import open_tunnel
+from savorychute.gateway.daemon.tunnel_client import _Handshake, open_tunnel
 from savorychute.gateway.paths.relay_table import Relay
 from savorychute.gateway.paths.tunnel_error import TunnelError
 from savorychute.gateway.paths.tunnel_request import TunnelRequest
@@ -318,3 +319,17 @@
     raw_socket.setsockopt(1, 13, b'\x01\x00\x00\x00\x00\x00\x00\x00')
     await asyncio.sleep(0.05)
     writer.transport.abort()
+
+
+def test_failure_of_a_cancelled_request_for_a_tunnel_is_not_reported():
+    """Guards against error lines when a relay is lost after the request was given up."""
+    reported = []
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: reported.append(context))
+        _Handshake(b'10.0.0.9:80', b'x').connection_lost(ConnectionResetError())
+        gc.collect()
+
+    asyncio.run(main())
+    assert reported == []
