--- a/savorychute/explain/sentences.py
+++ b/savorychute/explain/sentences.py
@@ -122,6 +122,30 @@
     return text
 
 
+@SENTENCES.register('stream-resumed')
+def _describe_resumed(fields: dict[str, Any]) -> str:
+    text = (
+        f'took up the stream of {fields.get("resumes") or "an unnamed attempt"} after '
+        f'event {fields.get("last_event")}: {fields.get("state")} after '
+        f'{fields.get("waited_ms")} ms'
+    )
+    if fields.get('software') is not None:
+        text += (
+            f'; it began at software {fields["software"] or "without a version"} of '
+            f'{fields.get("service")}, known from {fields.get("source")} for '
+            f'{fields.get("age_ms")} ms'
+        )
+    return text
+
+
+@SENTENCES.register('version-marked')
+def _describe_mark(fields: dict[str, Any]) -> str:
+    return (
+        f'{fields.get("state")} software {fields.get("software") or "without a version"} '
+        f'of {fields.get("service")} in the store'
+    )
+
+
 @SENTENCES.register('configuration-applied')
 def _describe_configuration(fields: dict[str, Any]) -> str:
     return (
--- a/tests/test_fleet/test_explaining.py
+++ b/tests/test_fleet/test_explaining.py
@@ -129,6 +129,36 @@
     assert 'was asked by d1 for a rest of 3000 ms' in story
 
 
+def test_refusal_of_a_stream_of_unknown_origin_is_explained(tmp_path):
+    async def scenario(fleet):
+        fleet.write_entry('e1', version='v2', sequence=2)
+        fleet.write_marks(['', 'v2'])
+        await asyncio.sleep(2)
+        extra = (('last-event-id', '4'), ('resumes', 'try-0'))
+        return await fleet.call('/s/1', method='POST', extra=extra)
+
+    response, story = explain(scenario, tmp_path)
+
+    assert response.status == 503
+    assert 'took up the stream of try-0 after event 4: unknown-origin' in story
+    assert 'code 2016 (unknown-origin), told not-run' in story
+
+
+def test_source_of_the_version_of_a_resumed_stream_is_explained(tmp_path):
+    async def scenario(fleet):
+        await fleet.call('/s/1', method='POST')
+        extra = (('last-event-id', '2'), ('resumes', fleet.last_attempt_id))
+        return await fleet.call('/s/1', method='POST', extra=extra)
+
+    response, story = explain(scenario, tmp_path)
+
+    assert response.status == 200
+    assert (
+        'admitted after 0 ms; it began at software without a version of pool' in story
+    )
+    assert 'known from own for' in story
+
+
 def test_refusal_because_the_only_endpoint_is_leaving_is_explained(tmp_path):
     async def scenario(fleet):
         fleet.endpoints['d1'].statement_headers = (('server-leaving', '1'),)
