Store records again with a new collector, and begin each wait for a mark anew

From reading the change: an instance that becomes the collector of another, but kept its records already, was not asked to store them; a wait for a mark that had ended was continued by the next one, which could then begin a stream unmarked; and a lookup waited 400 ms for instances that are gone, which is longer than some callers' whole target (200 ms now).

--- a/savorychute/gateway/streams/origin_finder.py
+++ b/savorychute/gateway/streams/origin_finder.py
@@ -32,7 +32,7 @@
 # has a price.
 STORE_DELAY_MS = 20
 # Later responses are not worth the wait: the caller has time to try another instance.
-MAX_LOOKUP_MS = 400
+MAX_LOOKUP_MS = 200
 # The instances of the own region are asked first; callers rarely change the region.
 MAX_ASKED = 80
 ONLY_VERSION = 'only-version'
--- a/savorychute/gateway/streams/origin_teller.py
+++ b/savorychute/gateway/streams/origin_teller.py
@@ -90,13 +90,12 @@
         collector = self._choose_collector(view)
         keepers = self._choose_keepers(view, collector)
         new = [each for each in keepers if each not in self._keepers]
-        is_new_collector = collector != self._collector
+        is_new_collector = collector is not None and collector != self._collector
         self._keepers, self._collector = keepers, collector
         self._drop_expired()
-        for keeper in new:
-            self._retell([keeper], self._own_records())
-        if is_new_collector and collector == view.own:
-            self._collect(group_records(self._own_records(), self._stored_services))
+        self._retell(new, self._own_records())
+        if is_new_collector and collector not in new:
+            self._store_again(self._own_records())
 
     def _choose_collector(self, view: MemberView) -> MemberAddress | None:
         alive = [each for each in view.alive if each.instance not in view.suspects]
@@ -137,20 +136,21 @@
     def store_went_back(self) -> None:
         """Store the records again, as the store may have lost them."""
         self._drop_expired()
-        self._store_again(
-            record
-            for record in self._own_records()
-            if record.origin.service in self._stored_services
-        )
+        self._store_again(self._own_records())
 
     def _store_again(self, records: Iterable[StreamRecord]) -> None:
+        """Store some records, as far as they belong into the store."""
         view, collector = self._view, self._collector
         if view is None or collector is None:
             return
+        stored = [each for each in records if self._is_stored(each)]
         if collector == view.own:
-            self._collect(group_records(records, self._stored_services))
+            self._collect(group_records(stored, self._stored_services))
         else:
-            self._retell([collector], records)
+            self._retell([collector], stored)
+
+    def _is_stored(self, record: StreamRecord) -> bool:
+        return record.origin.service in self._stored_services
 
     def tell(self, key: bytes, origin: StreamOrigin, lifetime_ms: int) -> None:
         """Tell the origin of a stream of this instance, now or within half a second.
--- a/savorychute/gateway/streams/stream_origins.py
+++ b/savorychute/gateway/streams/stream_origins.py
@@ -113,16 +113,16 @@
             if version is not None
             and self.marks.may_begin(StreamOrigin(service, version))
         ]
-        if len(marked) == len(versions):
-            return records
-        selected = [each for each in records if each.entry.software_version in marked]
-        if (
-            not selected
-            and records
-            and self.marks.hasten(service, self._clock.now_ms())
-        ):
-            return records
-        return selected
+        selected = records
+        if len(marked) != len(versions):
+            selected = [
+                each for each in records if each.entry.software_version in marked
+            ]
+        if selected or not records:
+            self.marks.end_wait(service)
+            return selected
+        is_overdue = self.marks.hasten(service, self._clock.now_ms())
+        return records if is_overdue else selected
 
     # -- called for other instances
 
--- a/savorychute/gateway/streams/version_marks.py
+++ b/savorychute/gateway/streams/version_marks.py
@@ -94,6 +94,13 @@
         since_ms = self._urgent_ms.setdefault(service, now_ms)
         return now_ms - since_ms >= MAX_WAIT_MS
 
+    def end_wait(self, service: str) -> None:
+        """Record that streams of a service can begin.
+
+        :param service: name of the service.
+        """
+        self._urgent_ms.pop(service, None)
+
     def mixed_services(self, now_ms: int) -> frozenset[str]:
         """Return the services that have, or recently had, several versions.
 
@@ -190,7 +197,7 @@
         self._stale.discard(mark.origin)
         self._unmarked_ms.pop(mark.origin, None)
         if not self.unmarked_versions(mark.origin.service):
-            self._urgent_ms.pop(mark.origin.service, None)
+            self.end_wait(mark.origin.service)
 
     def stamps(self) -> dict[StreamOrigin, int]:
         """Return the stamp of each version that is known to be marked."""
--- a/tests/test_gateway/test_origin_records.py
+++ b/tests/test_gateway/test_origin_records.py
@@ -227,6 +227,24 @@
     assert len(stored) + len(collected) == 1
 
 
+def test_records_are_stored_again_by_a_new_collector(teller, sent):
+    """Guards against records that the last collector has not written."""
+    collected = []
+    teller.on_collected = collected.extend
+    teller.set_stored_services(frozenset({'pool'}))
+    teller.tell(KEY, V1, LIFETIME_MS)
+    for number in range(1, 8):
+        collector = teller._collector
+        sent.clear()
+        collected.clear()
+        teller.set_view(make_view(incarnations={number: 2}))
+        stored = [
+            group for each in sent for group in each.message.groups if group.stored
+        ]
+        expected = int(teller._collector != collector)
+        assert len(stored) + len(collected) == expected
+
+
 # -- lookups
 
 
--- a/tests/test_gateway/test_version_marks.py
+++ b/tests/test_gateway/test_version_marks.py
@@ -100,6 +100,14 @@
     assert marks.hasten('pool', 1_000 + MAX_WAIT_MS)
 
 
+def test_wait_for_a_mark_begins_anew_with_each_missing_one(marks):
+    """Guards against a version that begins streams unmarked for an earlier wait."""
+    marks.observe([V2], 1_000)
+    marks.hasten('pool', 1_000)
+    marks.end_wait('pool')
+    assert not marks.hasten('pool', 9_000)
+
+
 def test_mark_is_removed_long_after_its_version_has_left(marks):
     now_ms = observe(marks, [V2], 100, REMOVE_MS - 200)
     assert marks.removable_marks(now_ms) == []
