Test streams during a release of a third version and without the store

Over sockets: three versions while engines cut streams, are replaced and instances are killed; two instances lost while the store is silent, with one and with two versions.

--- a/tests/test_fleet/test_stream_versions.py
+++ b/tests/test_fleet/test_stream_versions.py
@@ -21,6 +21,11 @@
 # Of the share of new streams that begin, the share of resumptions that must go on.
 MIN_RELATIVE_SHARE = 0.5
 DOWN_S = 0.2
+RELEASE_INTERVAL_S = 2.0
+# Keys are refused some seconds after the store has fallen silent.
+KILL_WITHOUT_STORE_S = 1.5
+# Streams that began by then were broken off before keys are refused.
+LAST_BEGIN_S = 3 + 2 * KILL_WITHOUT_STORE_S + 0.1
 HEADERS = (
     ('host', 'desk.example'),
     ('authorization', f'Bearer {KEY}'),
@@ -71,11 +76,44 @@
         endpoint.cut_share = 0.35
 
 
-def play(disturb, versions, gateways=GATEWAYS):
+async def release_and_kill(fleet):
+    """Replace engines by those of a third version while instances are killed."""
+    for endpoint in fleet.endpoints.values():
+        endpoint.cut_share = 0.2
+    killing = asyncio.create_task(kill_in_turn(fleet))
+    for old, new in (('e1', 'e7'), ('e2', 'e8'), ('e4', 'e9')):
+        await asyncio.sleep(RELEASE_INTERVAL_S)
+        fleet.write_entry(new)
+        await asyncio.sleep(RELEASE_INTERVAL_S / 2)
+        fleet.write_entry(old, state='draining')
+    await killing
+
+
+async def prepare_release(fleet):
+    """Take the engines of the next version off the list."""
+    for name in ('e7', 'e8', 'e9'):
+        fleet.store.put('keyed.servers', name, None)
+
+
+async def prepare_nothing(fleet):
+    del fleet
+
+
+async def lose_instances_without_store(fleet):
+    """Kill two instances, one after the other, while the store is silent."""
+    fleet.store.mode = 'silent'
+    for gateway in fleet.gateways[:2]:
+        await asyncio.sleep(KILL_WITHOUT_STORE_S)
+        await gateway.kill()
+        fleet.gateways.remove(gateway)
+
+
+def play(disturb, versions, gateways=GATEWAYS, prepare=prepare_nothing):
     """Return the streams that callers receive while a disturbance goes on.
 
     :param disturb: the disturbance.
     :param versions: the software version of each engine.
+    :param prepare: awaited before the instances have settled.
     """
 
     def make_engine(name):
@@ -89,6 +127,7 @@
             has_marks=False,
         )
         async with asyncio.timeout(TEST_S), running as fleet:
+            await prepare(fleet)
             await asyncio.sleep(3)
             disturbing = asyncio.create_task(disturb(fleet))
             streams = []
@@ -161,3 +200,26 @@
     first_tries = [stream.tries[0] for stream in streams]
     assert len(resumptions) >= MIN_RESUMPTIONS
     assert share_begun(resumptions) >= MIN_RELATIVE_SHARE * share_begun(first_tries)
+
+
+def test_events_come_from_one_of_three_versions_during_a_release():
+    """Guards against a stream that follows a release to the next version."""
+    versions = ['v1', 'v1', 'v1', 'v2', 'v2', 'v2', 'v3', 'v3', 'v3']
+    streams = play(release_and_kill, versions, prepare=prepare_release)
+    resumptions = find_resumptions(streams)
+    first_tries = [stream.tries[0] for stream in streams]
+    assert len(resumptions) >= MIN_RESUMPTIONS
+    assert find_torn(streams) == []
+    assert len(find_mixed(streams)) == 0
+    assert share_begun(resumptions) >= MIN_RELATIVE_SHARE * share_begun(first_tries)
+
+
+@pytest.mark.parametrize('versions', [MIXED, SINGLE], ids=['mixed', 'single'])
+def test_streams_go_on_while_the_store_is_silent(versions):
+    """Guards against a lookup that needs the store."""
+    streams = play(lose_instances_without_store, versions)
+    lost = [stream for stream in streams if stream.tries[0].began_s < LAST_BEGIN_S]
+    resumptions = find_resumptions(lost)
+    assert len(resumptions) >= MIN_RESUMPTIONS / 2
+    assert len(find_mixed(streams)) == 0
+    assert share_begun(resumptions) >= MIN_RELATIVE_SHARE
