Log which requests an end of an endpoint counts against

The lines of the incident could not tell its first two hypotheses apart: nothing said that an engine's end became a crash, of which request and how often, or which parts the prompt of a lost attempt had. No decision is changed.

--- a/savorychute/gateway/daemon/assembly.py
+++ b/savorychute/gateway/daemon/assembly.py
@@ -252,6 +252,7 @@
     crashes = CrashTable()
     metrics = Metrics(settings.instance, GATEWAY_METRICS)
     telemetry = GatewayTelemetry(environment.log, metrics, clock)
+    crashes.on_counted = telemetry.crash_counted
     path_telemetry = PathTelemetry(telemetry)
     environment.paths.table.on_change = path_telemetry.paths_changed
     environment.paths.connector.observer = path_telemetry
--- a/savorychute/gateway/metric_rows.py
+++ b/savorychute/gateway/metric_rows.py
@@ -23,6 +23,12 @@
         ('service', 'outcome'),
         'Attempts at endpoints, by how they ended.',
     ),
+    MetricRow(
+        'crashes_total',
+        'counter',
+        (),
+        'Lost attempts whose endpoints were found gone.',
+    ),
     MetricRow(
         'sheds_total',
         'counter',
--- a/savorychute/gateway/path_telemetry.py
+++ b/savorychute/gateway/path_telemetry.py
@@ -11,6 +11,36 @@
     from savorychute.gateway.telemetry import GatewayTelemetry
     from savorychute.http.client_pool import ServerAddress
 
+# An endpoint that is gone is asked for by every request; one line a second tells that.
+LINE_INTERVAL_MS = 1_000
+MAX_ADDRESSES = 256
+
+
+class _RepeatedEvents:
+    """Limits the lines about each address, and counts the events between them."""
+
+    def __init__(self) -> None:
+        self._next_ms: dict[ServerAddress, int] = {}
+        self._counts: dict[ServerAddress, int] = {}
+
+    def count(self, address: ServerAddress, now_ms: int) -> int:
+        """Count an event; return the events since the last line if one is due, else 0.
+
+        :param address: the address that the event concerns.
+        :param now_ms: the current time.
+        """
+        count = self._counts.pop(address, 0) + 1
+        if now_ms < self._next_ms.get(address, now_ms):
+            self._counts[address] = count
+            return 0
+        self._next_ms.pop(address, None)
+        self._next_ms[address] = now_ms + LINE_INTERVAL_MS
+        if len(self._next_ms) > MAX_ADDRESSES:
+            oldest = next(iter(self._next_ms))
+            del self._next_ms[oldest]
+            self._counts.pop(oldest, None)
+        return count
+
 
 class PathTelemetry:
     """Logs lost paths and failed tunnels, and counts connections.
@@ -20,6 +50,8 @@
 
     def __init__(self, telemetry: GatewayTelemetry) -> None:
         self._telemetry = telemetry
+        self._failed = _RepeatedEvents()
+        self._refused = _RepeatedEvents()
 
     def paths_changed(self, is_isolated: bool) -> None:
         """Log that this instance has lost the paths to all endpoints, or has them again."""
@@ -36,23 +68,29 @@
         self, requester: str, address: ServerAddress, status: int
     ) -> None:
         """Log that this instance opened no tunnel for another one."""
-        self._telemetry.write(
-            LogLevel.WARNING,
-            'tunnel-refused',
-            '',
-            member=requester,
-            address=f'{address.host}:{address.port}',
-            status=status,
-        )
+        count = self._refused.count(address, self._telemetry.clock.now_ms())
+        if count:
+            self._telemetry.write(
+                LogLevel.WARNING,
+                'tunnel-refused',
+                '',
+                member=requester,
+                address=f'{address.host}:{address.port}',
+                status=status,
+                count=count,
+            )
 
     def tunnel_failed(self, relay: str, address: ServerAddress, reason: str) -> None:
         """Log that another instance opened no tunnel."""
         self._telemetry.metrics.count('tunnel_failures_total')
-        self._telemetry.write(
-            LogLevel.WARNING,
-            'tunnel-failed',
-            '',
-            member=relay,
-            address=f'{address.host}:{address.port}',
-            reason=make_identifier(reason),
-        )
+        count = self._failed.count(address, self._telemetry.clock.now_ms())
+        if count:
+            self._telemetry.write(
+                LogLevel.WARNING,
+                'tunnel-failed',
+                '',
+                member=relay,
+                address=f'{address.host}:{address.port}',
+                reason=make_identifier(reason),
+                count=count,
+            )
--- a/savorychute/gateway/recovery/crash_table.py
+++ b/savorychute/gateway/recovery/crash_table.py
@@ -8,7 +8,7 @@
 from savorychute.gateway.recovery.crash_sighting import CrashSighting
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from savorychute.gateway.endpoints.endpoint_run import EndpointRun
 
@@ -40,6 +40,8 @@
         self._crashed_runs: OrderedDict[str, dict[EndpointRun, int]] = OrderedDict()
         self._unconfirmed: OrderedDict[CrashSighting, int] = OrderedDict()
         self._unreported: list[CrashSighting] = []
+        # Called with each crash that this instance observed, and the request's crashes.
+        self.on_counted: Callable[[CrashSighting, int], None] | None = None
 
     def record_interruption(self, crash: CrashSighting, now_ms: int) -> None:
         """Record that the connection to an endpoint was lost while it ran a request.
@@ -63,6 +65,8 @@
             del self._unconfirmed[crash]
             if now_ms - seen_ms <= CONFIRMATION_WINDOW_MS and self._add(crash, now_ms):
                 self._unreported.append(crash)
+                if self.on_counted is not None:
+                    self.on_counted(crash, len(self._crashed_runs[crash.fingerprint]))
 
     def record_reported(self, crashes: Iterable[CrashSighting], now_ms: int) -> None:
         """Record the crashes that another instance observed.
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -20,6 +20,7 @@
     from savorychute.gateway.dispatch.engine_model import EngineEstimates
     from savorychute.gateway.dispatch.request_requirements import RequestRequirements
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
+    from savorychute.gateway.recovery.crash_sighting import CrashSighting
     from savorychute.gateway.recovery.retry_allowance import RetryDecision
     from savorychute.gateway.requests.admitted_request import AdmittedRequest
     from savorychute.gateway.requests.attempt import Attempt
@@ -53,6 +54,7 @@
         self.log = log
         self.metrics = metrics
         self.calls = StoreCallCounter(metrics)
+        self.clock = clock
         self._budget = LogLineBudget(clock)
         self._failing_topics: set[str] = set()
         self._logged_unreadable: dict[tuple[str, int, str | None], None] = {}
@@ -263,6 +265,23 @@
             via=attempt.via,
             software=_make_version_identifier(record.entry.software_version),
             events=events,
+            parts=_list_parts(request),
+        )
+
+    def crash_counted(self, crash: CrashSighting, count: int) -> None:
+        """Log that a lost attempt counts as a crash, as its endpoint is gone.
+
+        :param crash: the request and the endpoint.
+        :param count: the crashes of the request so far, at all instances.
+        """
+        self.metrics.count('crashes_total')
+        self.write(
+            LogLevel.WARNING,
+            'crash-counted',
+            '',
+            fingerprint=crash.fingerprint,
+            endpoint=crash.run.endpoint,
+            count=count,
         )
 
     def retry_decided(
@@ -357,3 +376,9 @@
 def _make_version_identifier(software_version: str | None) -> str | None:
     """Return a software version for a log line; None for an unknown one."""
     return None if software_version is None else make_identifier(software_version)
+
+
+def _list_parts(request: InboundRequest) -> str:
+    """Return the parts of a prompt for a log line, without the request's own one."""
+    parts = request.prompt.parts[:-1] if request.prompt is not None else ()
+    return make_identifier(','.join(each.part for each in parts))
