--- a/tests/test_fleet/fleet_fixture.py
+++ b/tests/test_fleet/fleet_fixture.py
@@ -8,6 +8,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 
+from crashing_engine import CrashingEngine
 from endpoint_cut import RUNNING_GATEWAY, EndpointCut
 from store_stand_in import run_store
 
@@ -289,6 +290,17 @@
     return parse_schema(json.dumps(document | fields), 'fleet-fixture', GATEWAY_SCHEMA)
 
 
+async def _start_endpoint(endpoint, store, stack):
+    """Let an endpoint listen until the stack is closed."""
+    if isinstance(endpoint, CrashingEngine):
+        endpoint.put = lambda name, entry: store.put('keyed.servers', name, entry)
+        stack.push_async_callback(endpoint.stop)
+        await endpoint.start()
+        return
+    server = await stack.enter_async_context(serve(endpoint.handle, LOOPBACK, 0))
+    endpoint.port = server.port
+
+
 @asynccontextmanager
 async def run_fleet(
     gateways=1,
@@ -314,10 +326,7 @@
             name = f'd{number}'
             endpoints[name] = FakeEndpoint(name, 'desk', is_engine=False)
         for endpoint in endpoints.values():
-            server = await stack.enter_async_context(
-                serve(endpoint.handle, LOOPBACK, 0)
-            )
-            endpoint.port = server.port
+            await _start_endpoint(endpoint, store, stack)
         clock = LoopClock()
         pool = stack.enter_context(open_pool(PoolSettings(), clock))
         fleet = FleetFixture(store, endpoints, [], pool)
--- a/tests/test_fleet/resuming_caller.py
+++ b/tests/test_fleet/resuming_caller.py
@@ -65,14 +65,16 @@
     :param addresses: returns the addresses of instances as (host, port).
     :param now_s: returns the time.
     :param on_try: called with the id of each attempt before it is sent.
+    :param on_sent: called with the id of each attempt and the address it is sent to.
     """
 
-    def __init__(self, rng, addresses, now_s, max_tries=6, on_try=None):
+    def __init__(self, rng, addresses, now_s, max_tries=6, on_try=None, on_sent=None):
         self._rng = rng
         self._addresses = addresses
         self._now_s = now_s
         self._max_tries = max_tries
         self._on_try = on_try
+        self._on_sent = on_sent
 
     async def call(self, name, headers, path='/s/1', body=b'', deadline_s=8.0):
         """Return the stream as received until its end, or until the deadline.
@@ -118,6 +120,8 @@
 
     async def _try(self, path, headers, body, reply):
         address = self._rng.choice(self._addresses())
+        if self._on_sent is not None:
+            self._on_sent(reply.attempt, address)
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(*address)
         try:
