Convict the parts of prompts that crash endpoints, by crashes and successes

One object of each instance, the judge, accuses, clears and convicts now; the first try, the retry, the resume of a stream and the last moment before a byte is sent, also into a tunnel, ask it. A crash accuses all parts of all requests lost with the endpoint, also where the connection ended inside an event or, without length and chunks, in order. A request that the endpoint survives clears its parts. The traits that explain most crashes are convicted together, from the third crash of a part that nobody has seen succeed lately, from the fifth of any other; crashes within 100 ms are one. A part that all prompts begin with is explained away by those of fewer requests. Requests with a suspected part run at one engine at a time, which separates suspects. Instances tell each other losses, successes and verdicts at once; verdicts are also in the store, one write each, and outlast a loss of all instances. A verdict is tried with one request after an hour, later more rarely; one that is not certain after ten seconds.

The message of crashes (tag 90) is gone with its limit of 60 s: evidence is kept for an hour, so a part that comes rarely is found too. The package gateway has two ranges of tags, and the check that ranges are apart covers both.

--- a/savorychute/gateway/daemon/assembly.py
+++ b/savorychute/gateway/daemon/assembly.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from savorychute.gateway.configuration.configuration_state import ConfigurationState
+from savorychute.gateway.crash_telemetry import CrashTelemetry
 from savorychute.gateway.daemon.attempt_sender import AttemptSender
 from savorychute.gateway.daemon.duty_assembly import make_duty_parts, make_duty_worker
 from savorychute.gateway.daemon.entry_manager import EntryManager
@@ -16,6 +17,7 @@
 from savorychute.gateway.daemon.peer_message_router import PeerParts
 from savorychute.gateway.daemon.stream_store import StreamStore
 from savorychute.gateway.daemon.tunnel_server import TunnelServer
+from savorychute.gateway.daemon.verdict_keeper import VerdictKeeper
 from savorychute.gateway.discovery.instance_directory import InstanceDirectory
 from savorychute.gateway.dispatch import load_choosers
 from savorychute.gateway.dispatch.chooser import CHOOSERS
@@ -31,7 +33,8 @@
 from savorychute.gateway.parts import GatewayParts
 from savorychute.gateway.path_telemetry import PathTelemetry
 from savorychute.gateway.permits.permit_handler import PermitHandler
-from savorychute.gateway.recovery.crash_table import CrashTable
+from savorychute.gateway.recovery.crash_exchange import CrashExchange
+from savorychute.gateway.recovery.crash_guard import CrashGuard
 from savorychute.gateway.recovery.retry_allowance import RetryAllowance
 from savorychute.gateway.requests.intake import Intake
 from savorychute.gateway.settings.key_trust import read_key_trust_ms
@@ -83,6 +86,7 @@
     instances: KeyedTopic
     duties: KeyedTopic
     versions: KeyedTopic
+    verdicts: KeyedTopic
     streams: RecordLog
 
 
@@ -137,9 +141,12 @@
     )
     tunnels = TunnelServer(parts.roster, environment.paths.table, environment.clock)
     tunnels.on_refused = PathTelemetry(parts.telemetry).tunnel_refused
+    crash_exchange = CrashExchange(
+        parts.crashes, environment.rng, environment.clock, parts.timers
+    )
     peer_parts = PeerParts(
         directory,
-        parts.crashes,
+        crash_exchange,
         demand,
         parts.shortages,
         parts.statements,
@@ -219,6 +226,16 @@
         environment.rng,
         parts.stream_telemetry,
     ).run
+    background_work['verdicts'] = VerdictKeeper(
+        topics.verdicts,
+        parts.crashes,
+        crash_exchange,
+        eras,
+        environment.clock,
+        environment.wall,
+        environment.rng,
+        parts.telemetry,
+    ).run
     if duties is not None:
         background_work['duties'] = duties.run
     return Assembly(host, background_work)
@@ -237,6 +254,7 @@
         environment.adapter.instance_topic(access),
         environment.adapter.duty_topic(access),
         environment.adapter.version_topic(access),
+        environment.adapter.verdict_topic(access),
         environment.adapter.stream_log(access, environment.settings.region),
     )
 
@@ -249,10 +267,10 @@
 ) -> tuple[GatewayParts, StreamStore]:
     load_choosers()
     settings, clock, rng = environment.settings, environment.clock, environment.rng
-    crashes = CrashTable()
+    crashes = CrashGuard(clock.now_ms())
     metrics = Metrics(settings.instance, GATEWAY_METRICS)
     telemetry = GatewayTelemetry(environment.log, metrics, clock)
-    crashes.on_counted = telemetry.crash_counted
+    crashes.observer = CrashTelemetry(telemetry)
     path_telemetry = PathTelemetry(telemetry)
     environment.paths.table.on_change = path_telemetry.paths_changed
     environment.paths.connector.observer = path_telemetry
@@ -270,6 +288,7 @@
     )
     roster = EndpointRoster(crashes.endpoint_ended, clock, statements.leaving)
     environment.paths.table.on_silent = roster.notify_path_lost
+    crashes.on_conviction = roster.notify_verdict
     models = EngineModels()
     shortages = Shortages()
     stream_store = StreamStore(topics.versions, topics.streams, clock, telemetry)
--- a/savorychute/gateway/daemon/attempt_sender.py
+++ b/savorychute/gateway/daemon/attempt_sender.py
@@ -114,14 +114,19 @@
             can_send,
         )
 
-    def check_path(self, endpoint: EndpointEntry) -> None:
+    def check_path(
+        self,
+        endpoint: EndpointEntry,
+        on_unreachable: Callable[[], None] | None = None,
+    ) -> None:
         """Check whether new connections to an unresponsive endpoint can be opened.
 
         A kept connection that hangs looks like an endpoint that hangs.
 
         :param endpoint: the endpoint.
+        :param on_unreachable: called if no connection can be opened by any path.
         """
-        self._pool.prepare(endpoint.address)
+        self._pool.prepare(endpoint.address, on_unreachable)
 
     def can_send(
         self,
--- a/savorychute/gateway/daemon/peer_group.py
+++ b/savorychute/gateway/daemon/peer_group.py
@@ -112,6 +112,7 @@
             self._link = link
             self._parts.permits.send = link.send
             self._parts.origins.connect(link.send)
+            self._parts.crashes.connect(link.send)
             self._membership = Membership(MEMBERSHIP_SETTINGS, address, self._rng)
             link.on_input = self._receive
             self._apply_listing(self._registration.listing)
--- a/savorychute/gateway/daemon/peer_message_router.py
+++ b/savorychute/gateway/daemon/peer_message_router.py
@@ -10,10 +10,10 @@
 from savorychute.gateway.paths.tunnel_offer import decode_offer, encode_offer
 from savorychute.gateway.permits.permit_answer import PermitAnswer
 from savorychute.gateway.permits.permit_question import PermitQuestion
-from savorychute.gateway.recovery.crash_broadcaster import CrashBroadcaster
 from savorychute.gateway.recovery.crash_history_fetcher import CrashHistoryFetcher
-from savorychute.gateway.recovery.crash_news import CrashNews
 from savorychute.gateway.recovery.crash_question import CrashQuestion
+from savorychute.gateway.recovery.crash_report import CrashReport
+from savorychute.gateway.recovery.verdict_news import VerdictNews
 from savorychute.gateway.store.store_answer import StoreAnswer
 from savorychute.gateway.store.store_question import StoreQuestion
 from savorychute.gateway.streams.stream_news import StreamNews
@@ -36,7 +36,7 @@
     from savorychute.gateway.endpoints.statement_table import StatementTable
     from savorychute.gateway.paths.relay_table import RelayTable
     from savorychute.gateway.permits.permit_handler import PermitHandler
-    from savorychute.gateway.recovery.crash_table import CrashTable
+    from savorychute.gateway.recovery.crash_exchange import CrashExchange
     from savorychute.gateway.store.read_plan import ReadPlan
     from savorychute.gateway.store.shared_reader import SharedReader
     from savorychute.gateway.streams.stream_origins import StreamOrigins
@@ -51,7 +51,7 @@
     """
 
     directory: InstanceDirectory
-    crashes: CrashTable
+    crashes: CrashExchange
     demand: PartitionDemand
     shortages: Shortages
     statements: StatementTable
@@ -76,7 +76,6 @@
 
     def __init__(self, parts: PeerParts, rng: random.Random) -> None:
         self.parts = parts
-        self._crash_broadcaster = CrashBroadcaster(parts.crashes)
         self._crash_history_fetcher = CrashHistoryFetcher(rng)
 
     def make_update(self, now_ms: int) -> MemberStatus:
@@ -109,8 +108,8 @@
         parts.relays.set_view(view)
         parts.tunnels.set_view(view)
         parts.origins.set_view(view)
-        messages = self._crash_broadcaster.tick(view, now_ms)
-        messages += self._crash_history_fetcher.tick(view, now_ms)
+        parts.crashes.set_view(view)
+        messages = self._crash_history_fetcher.tick(view, now_ms)
         messages += parts.shared_reader.tick(now_ms)
         if parts.usage is not None:
             messages += parts.usage.tick(now_ms)
@@ -128,17 +127,13 @@
         """
         parts = self.parts
         match message:
-            case CrashNews():
-                parts.crashes.record_reported(
-                    message.sightings, now_ms - message.age_ms
-                )
+            case CrashReport():
+                parts.crashes.handle_report(message)
+            case VerdictNews():
+                parts.crashes.handle_verdicts(message)
             case CrashQuestion():
                 requester = view.address_of(sender)
-                return (
-                    []
-                    if requester is None
-                    else self._crash_broadcaster.respond(requester, now_ms)
-                )
+                return [] if requester is None else [*parts.crashes.respond(requester)]
             case StoreAnswer():
                 parts.shared_reader.handle_response(message, now_ms)
             case StoreQuestion():
--- a/savorychute/gateway/dispatch/endpoint_search.py
+++ b/savorychute/gateway/dispatch/endpoint_search.py
@@ -18,6 +18,7 @@
     from savorychute.gateway.endpoints.endpoint_run import EndpointRun
     from savorychute.gateway.parts import GatewayParts
     from savorychute.gateway.requests.admitted_request import AdmittedRequest
+    from savorychute.gateway.requests.crash_check import CrashCheck
     from savorychute.gateway.requests.inbound_request import InboundRequest
     from savorychute.gateway.requests.stream_continuity import StreamContinuity
 
@@ -48,6 +49,7 @@
     :param request: the request.
     :param admitted: its route, service and rank.
     :param continuity: which endpoints may generate its stream.
+    :param crash_check: confines the request to one endpoint if it may crash it.
     """
 
     def __init__(
@@ -56,11 +58,13 @@
         request: InboundRequest,
         admitted: AdmittedRequest,
         continuity: StreamContinuity,
+        crash_check: CrashCheck,
     ) -> None:
         self._parts = parts
         self._request = request
         self._service = admitted.service
         self._continuity = continuity
+        self._crash_check = crash_check
         self._requirements = RequestRequirements(
             request.prompt,
             admitted.route.gap_target_ms,
@@ -266,7 +270,8 @@
         self, records: Sequence[EndpointRecord], now_ms: int
     ) -> list[EndpointRecord]:
         excluded = frozenset(self._attempted | self._limited.denied)
-        return available_records(records, excluded, now_ms)
+        available = available_records(records, excluded, now_ms)
+        return list(self._crash_check.confine(available, now_ms))
 
     def _select(self, choice: Choice) -> Choice:
         self._attempted.add(choice.record.entry.run)
--- a/savorychute/gateway/endpoints/endpoint_record.py
+++ b/savorychute/gateway/endpoints/endpoint_record.py
@@ -36,6 +36,10 @@
         """Handle that direct connections to the endpoint hang."""
         ...
 
+    def crash_verdict_changed(self) -> None:
+        """Handle that requests which crash endpoints are known better."""
+        ...
+
 
 class EndpointRecord:
     """An endpoint's entry, health and last report, and this instance's requests there.
@@ -136,6 +140,11 @@
         for attempt in tuple(self._attempts):
             attempt.endpoint_path_lost()
 
+    def notify_verdict(self) -> None:
+        """Notify the attempts in progress that a verdict on requests has changed."""
+        for attempt in tuple(self._attempts):
+            attempt.crash_verdict_changed()
+
     def apply_report(self, load: EngineLoad, now_ms: int) -> None:
         """Store a load report.
 
--- a/savorychute/gateway/endpoints/endpoint_roster.py
+++ b/savorychute/gateway/endpoints/endpoint_roster.py
@@ -105,6 +105,11 @@
             if record.entry.address == address:
                 record.notify_path_lost()
 
+    def notify_verdict(self) -> None:
+        """Notify the attempts at all endpoints that a verdict on requests has changed."""
+        for record in tuple(self):
+            record.notify_verdict()
+
     def is_leaving(self, entry: EndpointEntry) -> bool:
         """Return whether an endpoint is draining or leaving.
 
--- a/savorychute/gateway/metric_rows.py
+++ b/savorychute/gateway/metric_rows.py
@@ -26,9 +26,21 @@
     MetricRow(
         'crashes_total',
         'counter',
-        (),
+        ('service',),
         'Lost attempts whose endpoints were found gone.',
     ),
+    MetricRow(
+        'verdict_changes_total',
+        'counter',
+        ('reason',),
+        'Changes of verdicts on requests that crash endpoints, by reason.',
+    ),
+    MetricRow(
+        'verdicts',
+        'gauge',
+        (),
+        'Verdicts in force on requests that crash endpoints.',
+    ),
     MetricRow(
         'sheds_total',
         'counter',
--- a/savorychute/gateway/parts.py
+++ b/savorychute/gateway/parts.py
@@ -21,7 +21,7 @@
     from savorychute.gateway.endpoints.statement_table import StatementTable
     from savorychute.gateway.paths.path_table import PathTable
     from savorychute.gateway.permits.permit_handler import PermitHandler
-    from savorychute.gateway.recovery.crash_table import CrashTable
+    from savorychute.gateway.recovery.crash_guard import CrashGuard
     from savorychute.gateway.recovery.retry_allowance import RetryAllowance
     from savorychute.gateway.requests.attempt_port import AttemptPort, TimerPort
     from savorychute.gateway.stream_telemetry import StreamTelemetry
@@ -46,7 +46,7 @@
     statements: StatementTable
     permits: PermitHandler
     allowance: RetryAllowance
-    crashes: CrashTable
+    crashes: CrashGuard
     paths: PathTable
     origins: StreamOrigins
     usage: UsageCounter
--- a/savorychute/gateway/platform_adapter.py
+++ b/savorychute/gateway/platform_adapter.py
@@ -57,6 +57,10 @@
         """Return the topic in which instances mark versions that begin streams."""
         ...
 
+    def verdict_topic(self, access: StoreAccess) -> KeyedTopic:
+        """Return the topic of verdicts on requests that crash endpoints."""
+        ...
+
     def stream_log(self, access: StoreAccess, region: str) -> RecordLog:
         """Return the log in which the instances of a region record streams."""
         ...
--- a/savorychute/gateway/requests/attempt.py
+++ b/savorychute/gateway/requests/attempt.py
@@ -15,6 +15,8 @@
 # A response up to this size is buffered until it is complete, so that another endpoint
 # can be tried if it breaks off; a larger success is forwarded as it arrives.
 MAX_BUFFERED_BYTES = 256 * 1024
+# An endpoint that still sends events this long after the first one did not crash on it.
+SURVIVAL_MS = 500
 
 
 class AttemptOwner(Protocol):
@@ -56,6 +58,14 @@
         """Continue after an attempt that may have run and has no complete response."""
         ...
 
+    def may_send(self) -> bool:
+        """Return whether the request may still be sent to an endpoint."""
+        ...
+
+    def verdict_changed(self, attempt: Attempt) -> None:
+        """Reconsider whether an attempt may go on, as a verdict has changed."""
+        ...
+
     def attempt_stalled(self) -> None:
         """Handle that the current attempt waits on a connection that hangs."""
         ...
@@ -78,6 +88,7 @@
         'buffered_bytes',
         'choice',
         'ended',
+        'first_event_ms',
         'forwarding',
         'last_received_ms',
         'owner',
@@ -86,6 +97,7 @@
         'sent',
         'sent_ms',
         'started_ms',
+        'survived',
         'waiting',
     )
 
@@ -103,6 +115,8 @@
         self.sent_ms = started_ms
         self.ended = False
         self.waiting = True
+        self.first_event_ms: int | None = None
+        self.survived = False
         choice.record.start_attempt(
             self,
             choice.fresh_tokens,
@@ -114,7 +128,10 @@
     # -- events from the endpoint
 
     def can_send(self) -> bool:
-        """Record the time of the send, and return that the attempt is still wanted."""
+        """Record the time of the send, and return whether the attempt is still wanted."""
+        if not self.owner.may_send():
+            self.attempt_withheld()
+            return False
         self.sent = True
         self.sent_ms = self.owner.now_ms()
         return True
@@ -192,6 +209,11 @@
         self.stop()
         self.owner.attempt_interrupted(self, 'connection-lost')
 
+    def crash_verdict_changed(self) -> None:
+        """Let the request reconsider an attempt that has not begun to respond."""
+        if not self.ended and self.waiting:
+            self.owner.verdict_changed(self)
+
     def endpoint_path_lost(self) -> None:
         """Let the request reconsider how long it waits for this attempt."""
         if not self.ended and self.path_lost:
@@ -209,6 +231,20 @@
         """The instance through which the attempt was sent; empty for none."""
         return self.running.via if self.running is not None else ''
 
+    def record_event(self, now_ms: int) -> bool:
+        """Record an event; return true once, when the endpoint has survived the attempt.
+
+        An endpoint that crashes on a request does so as it begins to respond.
+
+        :param now_ms: the current time.
+        """
+        if self.first_event_ms is None:
+            self.first_event_ms = now_ms
+        if self.survived or now_ms - self.first_event_ms < SURVIVAL_MS:
+            return False
+        self.survived = True
+        return True
+
     def mark_responding(self) -> None:
         """Record the first event of the response, or the end of the attempt."""
         if self.waiting:
--- a/savorychute/gateway/requests/attempt_port.py
+++ b/savorychute/gateway/requests/attempt_port.py
@@ -79,7 +79,11 @@
         """Request an engine's load; report None if it does not respond in time."""
         ...
 
-    def check_path(self, endpoint: EndpointEntry) -> None:
+    def check_path(
+        self,
+        endpoint: EndpointEntry,
+        on_unreachable: Callable[[], None] | None = None,
+    ) -> None:
         """Check whether new connections to an unresponsive endpoint can be opened."""
         ...
 
--- a/savorychute/gateway/requests/endpoint_response.py
+++ b/savorychute/gateway/requests/endpoint_response.py
@@ -25,7 +25,9 @@
     ``NOT_RUN``: the endpoint states that it did not run the request.
     ``OTHER_ENDPOINT``: another endpoint now has the address; the request did not run.
     ``FOREIGN``: the response belongs to another request, or lacks the proof that an
-    endpoint made it.  ``is_stream`` is true for a stream of events.
+    endpoint made it.  ``is_stream`` is true for a stream of events.  ``is_delimited`` is
+    false if the response has neither a length nor chunks, so that only the end of its
+    connection ends it.
     """
 
     kind: ResponseKind
@@ -33,3 +35,4 @@
     headers: Sequence[tuple[str, str]]
     is_stream: bool
     retry_after_ms: int = 0
+    is_delimited: bool = True
--- a/savorychute/gateway/requests/intake.py
+++ b/savorychute/gateway/requests/intake.py
@@ -6,6 +6,8 @@
 
 import xxhash
 
+from savorychute.crashes.crash_decision import CrashDecisionKind
+from savorychute.crashes.request_traits import make_traits
 from savorychute.gateway.requests.admitted_request import AdmittedRequest
 from savorychute.gateway.requests.rank import rank_request
 from savorychute.gateway.requests.refusal import Refusal
@@ -15,6 +17,8 @@
 if TYPE_CHECKING:
     import random
 
+    from savorychute.crashes.crash_decision import CrashDecision
+    from savorychute.crashes.request_traits import RequestTraits
     from savorychute.gateway.configuration.configuration_state import (
         ConfigurationState,
     )
@@ -22,7 +26,7 @@
     from savorychute.gateway.configuration.route import Route
     from savorychute.gateway.configuration.route_table import RouteTable
     from savorychute.gateway.configuration.service import Service
-    from savorychute.gateway.recovery.crash_table import CrashTable
+    from savorychute.gateway.recovery.crash_guard import CrashGuard
     from savorychute.gateway.requests.inbound_request import InboundRequest
 
 # A caller refused by an instance with a stale configuration can try another instance
@@ -30,20 +34,21 @@
 OTHER_INSTANCE_RETRY_MS = 100
 # A request that crashes endpoints will not succeed soon.
 SUSPECT_RETRY_MS = 5_000
+CRASHED_ENDPOINTS = 'crashed-endpoints'
 
 
 class Intake:
     """Finds the route, owner and service of a request, or the reason to refuse it.
 
     :param configuration: the configuration in force.
-    :param crashes: the observed crashes, by request.
+    :param crashes: which requests crash endpoints.
     :param rng: selects one of a route's services by weight.
     """
 
     def __init__(
         self,
         configuration: ConfigurationState,
-        crashes: CrashTable,
+        crashes: CrashGuard,
         rng: random.Random,
     ) -> None:
         self._configuration = configuration
@@ -71,25 +76,25 @@
             if not self._configuration.trusts_keys(now_ms):
                 # The key may have been revoked while the store was unreachable.
                 return _refuse(ResultCode.NOT_READY, 'key-unconfirmed')
-        fingerprint = compute_fingerprint(request, owner.name if owner else '')
-        if self._crashes.is_suspect(fingerprint, now_ms):
-            return Refusal(
-                ResultCode.CRASH_SUSPECT,
-                Ran.NOT_RUN,
-                'crashed-endpoints',
-                SUSPECT_RETRY_MS,
-            )
         service = self._select_service(table, route)
         if service is None:
             return _refuse(ResultCode.NO_ENDPOINT, 'no-service')
+        if not self._crashes.is_informed(now_ms):
+            return _refuse(ResultCode.NOT_READY, 'verdicts-unread')
+        organisation = owner.name if owner else ''
+        traits = find_traits(request, organisation)
+        decision = self._crashes.decide(service.name, traits, now_ms, may_try=True)
+        if decision.kind is CrashDecisionKind.REFUSED:
+            return refuse_for_crashes(decision, now_ms)
         return AdmittedRequest(
             route,
             service,
-            owner.name if owner else '',
+            organisation,
             rank_request(owner.tier if owner is not None else None, route.tier),
-            fingerprint,
+            traits,
             now_ms + min(route.timeout_ms, request.deadline_ms or route.timeout_ms),
             table.version,
+            is_trial=decision.kind is CrashDecisionKind.TRIAL,
         )
 
     def _refuse_unknown(self, code: ResultCode, reason: str, now_ms: int) -> Refusal:
@@ -106,6 +111,33 @@
         return table.services.get(self._rng.choices(names, weights)[0])
 
 
+def find_traits(request: InboundRequest, organisation: str) -> RequestTraits:
+    """Return what a request may have in common with others that crash endpoints.
+
+    The last part of a prompt belongs to the request or its session.
+
+    :param request: the request.
+    :param organisation: the organisation of the caller.
+    """
+    parts = request.prompt.parts[:-1] if request.prompt is not None else ()
+    fingerprint = compute_fingerprint(request, organisation)
+    return make_traits(fingerprint, (each.part for each in parts))
+
+
+def refuse_for_crashes(decision: CrashDecision, now_ms: int) -> Refusal:
+    """Return the refusal of a request that crashes endpoints.
+
+    :param decision: the decision to refuse it.
+    :param now_ms: the current time.
+    """
+    retry_after_ms = SUSPECT_RETRY_MS
+    if decision.verdict is not None:
+        retry_after_ms = max(retry_after_ms, decision.verdict.due_ms - now_ms)
+    return Refusal(
+        ResultCode.CRASH_SUSPECT, Ran.NOT_RUN, CRASHED_ENDPOINTS, retry_after_ms
+    )
+
+
 def compute_fingerprint(request: InboundRequest, organisation: str) -> str:
     """Return a hash that is the same for all retries of a request.
 
--- a/savorychute/gateway/requests/request_execution.py
+++ b/savorychute/gateway/requests/request_execution.py
@@ -5,13 +5,14 @@
 from typing import TYPE_CHECKING
 
 from savorychute.gateway.dispatch.endpoint_search import EndpointSearch, NotFound
-from savorychute.gateway.recovery.crash_sighting import CrashSighting
 from savorychute.gateway.requests.attempt import Attempt
 from savorychute.gateway.requests.caller_response import CallerResponse
+from savorychute.gateway.requests.crash_check import CrashCheck
 from savorychute.gateway.requests.endpoint_response import ResponseKind
 from savorychute.gateway.requests.engine_observer import EngineObserver
 from savorychute.gateway.requests.event_times import EventTimes
 from savorychute.gateway.requests.execution_summary import ExecutionSummary
+from savorychute.gateway.requests.intake import CRASHED_ENDPOINTS, refuse_for_crashes
 from savorychute.gateway.requests.outbound_attempt import OutboundAttempt
 from savorychute.gateway.requests.progress_deadline import progress_deadline_ms
 from savorychute.gateway.requests.refusal_tracker import (
@@ -26,10 +27,12 @@
     from collections.abc import Callable
 
     from savorychute.gateway.dispatch.chooser import Choice
+    from savorychute.gateway.endpoints.endpoint_run import EndpointRun
     from savorychute.gateway.parts import GatewayParts
     from savorychute.gateway.requests.admitted_request import AdmittedRequest
     from savorychute.gateway.requests.attempt_port import TimerHandle
     from savorychute.gateway.requests.caller_port import CallerPort
+    from savorychute.gateway.requests.endpoint_response import EndpointResponse
     from savorychute.gateway.requests.inbound_request import InboundRequest
     from savorychute.gateway.requests.refusal import Refusal
     from savorychute.gateway.streams.stream_origin import StreamOrigin
@@ -38,6 +41,8 @@
 MAX_SENDS = 4
 # Less time than this is too short for another endpoint to respond.
 MIN_REMAINING_MS = 30
+# Ends of an attempt that an endpoint's crash may have caused.
+LOSS_REASONS = ('connection-lost', 'event-cut')
 # Between two checks of an unresponsive endpoint that cannot be abandoned.
 RECHECK_INTERVAL_MS = 50
 
@@ -71,7 +76,10 @@
         self._continuity = StreamContinuity(
             parts.origins, parts.roster, request, admitted, origin
         )
-        self._search = EndpointSearch(parts, request, admitted, self._continuity)
+        self._crash_check = CrashCheck(parts.crashes, admitted)
+        self._search = EndpointSearch(
+            parts, request, admitted, self._continuity, self._crash_check
+        )
         self._observer = EngineObserver(parts.engines, parts.shortages, admitted)
         self._usage = UsageObserver(parts.usage, admitted)
         self._response = CallerResponse(caller, request.last_event, self._stream_begins)
@@ -125,6 +133,8 @@
 
     def _record_event(self, attempt: Attempt) -> None:
         now_ms = self.now_ms()
+        if attempt.record_event(now_ms):
+            self._crash_check.record_success(attempt.choice.record.entry.run, now_ms)
         if attempt.waiting:
             self._usage.record_stream_start(now_ms)
         attempt.mark_responding()
@@ -132,6 +142,8 @@
 
     def attempt_ended(self, attempt: Attempt) -> None:
         """Count an execution by a plain service."""
+        if attempt.sent:
+            self._crash_check.attempt_ended()
         self._usage.record_attempt_end(attempt)
 
     def can_retry(self) -> bool:
@@ -181,13 +193,25 @@
         if not attempt.via:
             record.health.record_unresponsive(now_ms)
         self.possible_executions += 1
-        if reason == 'connection-lost':
-            crash = CrashSighting(self._admitted.fingerprint, record.entry.run)
-            self._parts.crashes.record_interruption(crash, now_ms)
+        if reason in LOSS_REASONS:
+            self._record_loss(attempt)
         self._log_attempt(attempt, 'broke', reason)
         if not self._retry():
             self._abandon(reason)
 
+    def may_send(self) -> bool:
+        """Return whether the request may still be sent, by the crashes it may cause."""
+        return self._crash_check.find_refusal(self.now_ms()) is None
+
+    def verdict_changed(self, attempt: Attempt) -> None:
+        """Stop an attempt that would crash its endpoint."""
+        if self.finished or self.may_send():
+            return
+        attempt.stop()
+        self.possible_executions += attempt.sent
+        self._log_attempt(attempt, 'stopped', CRASHED_ENDPOINTS)
+        self._abandon(CRASHED_ENDPOINTS)
+
     def attempt_stalled(self) -> None:
         """Set the timer anew, as an attempt whose path was lost gets less time."""
         if not self.finished:
@@ -206,6 +230,7 @@
         if response.is_stream and not self._response.relay.is_between_events:
             self.attempt_interrupted(attempt, 'event-cut')
             return
+        self._record_survival(attempt, response)
         attempt.choice.record.health.record_success(self.now_ms())
         if response.is_stream:
             self._continuity.complete()
@@ -214,6 +239,41 @@
         self._response.complete(response, attempt.buffered)
         self._finish('answered', response.status)
 
+    def _record_survival(self, attempt: Attempt, response: EndpointResponse) -> None:
+        """Record that the endpoint survived the request, if its response shows that.
+
+        The connection of a response without a length or chunks ends also when the
+        endpoint crashes.
+        """
+        if attempt.survived:
+            return
+        run, now_ms = attempt.choice.record.entry.run, self.now_ms()
+        if response.is_delimited:
+            self._crash_check.record_success(run, now_ms)
+            return
+        if not response.is_stream:
+            return
+
+        def count_loss() -> None:
+            self._crash_check.record_loss(run, now_ms)
+            self._endpoint_unreachable(run)
+
+        self._parts.attempts.check_path(attempt.choice.record.entry, count_loss)
+
+    def _record_loss(self, attempt: Attempt) -> None:
+        """Record a lost attempt, and find out whether its endpoint has crashed."""
+        if attempt.survived:
+            return
+        entry = attempt.choice.record.entry
+        self._crash_check.record_loss(entry.run, self.now_ms())
+        self._parts.attempts.check_path(
+            entry, lambda: self._endpoint_unreachable(entry.run)
+        )
+
+    def _endpoint_unreachable(self, run: EndpointRun) -> None:
+        if not self._parts.paths.is_isolated:
+            self._parts.crashes.endpoint_ended(run, self.now_ms())
+
     # -- after an attempt
 
     def _handle_rejection(self, attempt: Attempt) -> None:
@@ -251,7 +311,7 @@
             or not self._can_continue()
         ):
             return False
-        if self._parts.crashes.is_suspect(self._admitted.fingerprint, self.now_ms()):
+        if not self.may_send():
             return False
         self._response.relay.restart()
         return self._send_retry()
@@ -280,6 +340,9 @@
     def _abandon(self, reason: str) -> None:
         """End without a response of an endpoint."""
         not_run = self._refusals.make_refusal(reason)
+        decision = self._crash_check.find_refusal(self.now_ms())
+        if decision is not None:
+            not_run = refuse_for_crashes(decision, self.now_ms())
         self._end_without_response(not_run, ResultCode.OUTCOME_UNKNOWN)
 
     def _end_without_response(self, not_run: Refusal, unknown: ResultCode) -> None:
@@ -293,6 +356,8 @@
     def _send(self) -> bool:
         """Start an attempt; return false if there is no endpoint for it."""
         now_ms = self.now_ms()
+        if not self.may_send():
+            return False
         choice = self._search.find(
             now_ms, bool(self.possible_executions), self._resume_search
         )
@@ -418,6 +483,10 @@
             attempt.choice.record.health.record_unresponsive(self.now_ms())
             self._parts.attempts.check_path(attempt.choice.record.entry)
         self.possible_executions += attempt.sent
+        if attempt.sent and not is_path_lost:
+            self._crash_check.record_loss(
+                attempt.choice.record.entry.run, self.now_ms()
+            )
         self._log_attempt(attempt, 'silent', '')
         self._response.relay.restart()
         if not self._send():
--- a/savorychute/gateway/store/call_purpose.py
+++ b/savorychute/gateway/store/call_purpose.py
@@ -19,3 +19,4 @@
     WRITE_DUTIES = 'write-duties'
     MARK_VERSIONS = 'mark-versions'
     RECORD_STREAMS = 'record-streams'
+    WRITE_VERDICTS = 'write-verdicts'
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -20,7 +20,6 @@
     from savorychute.gateway.dispatch.engine_model import EngineEstimates
     from savorychute.gateway.dispatch.request_requirements import RequestRequirements
     from savorychute.gateway.endpoints.endpoint_entry import EndpointEntry
-    from savorychute.gateway.recovery.crash_sighting import CrashSighting
     from savorychute.gateway.recovery.retry_allowance import RetryDecision
     from savorychute.gateway.requests.admitted_request import AdmittedRequest
     from savorychute.gateway.requests.attempt import Attempt
@@ -268,22 +267,6 @@
             parts=_list_parts(request),
         )
 
-    def crash_counted(self, crash: CrashSighting, count: int) -> None:
-        """Log that a lost attempt counts as a crash, as its endpoint is gone.
-
-        :param crash: the request and the endpoint.
-        :param count: the crashes of the request so far, at all instances.
-        """
-        self.metrics.count('crashes_total')
-        self.write(
-            LogLevel.WARNING,
-            'crash-counted',
-            '',
-            fingerprint=crash.fingerprint,
-            endpoint=crash.run.endpoint,
-            count=count,
-        )
-
     def retry_decided(
         self, request: InboundRequest, service: str, decision: RetryDecision
     ) -> None:
--- a/savorychute/http/client_pool.py
+++ b/savorychute/http/client_pool.py
@@ -12,7 +12,7 @@
 from savorychute.http.file_limit import connection_limit_by_files
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from savorychute.clock import Clock
     from savorychute.http.connector import Connector
@@ -60,7 +60,7 @@
         self._next_sweep_ms = 0
         self._open: set[ClientConnection] = set()
         self._connecting = 0
-        self._preparing: dict[ServerAddress, asyncio.Task[None]] = {}
+        self._preparing: dict[ServerAddress, asyncio.Task[bool]] = {}
 
     @property
     def open_connections(self) -> int:
@@ -103,26 +103,35 @@
             connection.abort()
         self._idle.clear()
 
-    def prepare(self, address: ServerAddress) -> None:
+    def prepare(
+        self, address: ServerAddress, on_failure: Callable[[], None] | None = None
+    ) -> None:
         """Open a connection for later calls, unless one is being opened already.
 
         :param address: the server.
+        :param on_failure: called if the connection cannot be opened.
         """
-        if address in self._preparing or not self._ensure_capacity():
-            return
-        task = asyncio.get_running_loop().create_task(self._prepare(address))
-        self._preparing[address] = task
-        task.add_done_callback(lambda _: self._preparing.pop(address, None))
-
-    async def _prepare(self, address: ServerAddress) -> None:
+        preparing = self._preparing.get(address)
+        if preparing is None:
+            if not self._ensure_capacity():
+                return
+            preparing = asyncio.get_running_loop().create_task(self._prepare(address))
+            self._preparing[address] = preparing
+            preparing.add_done_callback(lambda _: self._preparing.pop(address, None))
+        if on_failure is not None:
+            preparing.add_done_callback(lambda task: _is_prepared(task) or on_failure())
+
+    async def _prepare(self, address: ServerAddress) -> bool:
+        """Open a connection; return whether that succeeded."""
         self._connecting += 1
         try:
             connection = await self._open_connection(address)
         except (OSError, TimeoutError):
-            return  # The next call reports the failure.
+            return False  # The next call reports the failure.
         finally:
             self._connecting -= 1
         self._store_idle(address, connection)
+        return True
 
     def close_unusable(self) -> None:
         """Close idle connections whose path should not be used any more."""
@@ -238,6 +247,11 @@
         return self._clock.now_ms() - connection.idle_since_ms <= max_idle_ms
 
 
+def _is_prepared(task: asyncio.Task[bool]) -> bool:
+    """Return whether a connection was opened, or nobody waits for it any more."""
+    return task.cancelled() or (task.exception() is None and task.result())
+
+
 @contextmanager
 def open_pool(
     settings: PoolSettings, clock: Clock, connector: Connector | None = None
--- a/savorychute/log_fields.py
+++ b/savorychute/log_fields.py
@@ -12,6 +12,7 @@
     'bound': 'the maximum that may be spent',
     'bytes': 'a size',
     'cap': 'the maximum that an entry in the store allows, null if it sets no cap',
+    'certain': 'whether a finding can have no other cause',
     'class_name': 'a class of a contract',
     'code': 'the number of a result code',
     'count': 'a number of items',
@@ -70,6 +71,8 @@
     'tier': 'a tier',
     'to_state': 'the state after',
     'tokens': 'a number of generated tokens',
+    'traits': 'digests of what a request has in common with others',
+    'trials': 'requests let through to find out whether a verdict still holds',
     'tokens_per_ms': 'prompt tokens that an engine reads per ms',
     'used_above_percent': (
         "how much of a service's slots requests of higher tiers use"
--- a/savorychute/wire/messages.capnp
+++ b/savorychute/wire/messages.capnp
@@ -310,21 +310,6 @@
   endpoints @0 :List(Text);
 }
 
-struct EndpointRun {
-  endpoint @0 :Text;
-  bornMs @1 :Int64;
-}
-
-struct CrashSighting {
-  fingerprint @0 :Text;
-  run @1 :EndpointRun;
-}
-
-struct CrashNews {  # tag 90
-  sightings @0 :List(CrashSighting);
-  ageMs @1 :Int64;
-}
-
 struct StoreQuestion {  # tag 91
   sequence @0 :Int64;
   endpointOffset @1 :Int64;
@@ -379,6 +364,11 @@
 struct CrashQuestion {  # tag 94
 }
 
+struct EndpointRun {
+  endpoint @0 :Text;
+  bornMs @1 :Int64;
+}
+
 struct PermitQuestion {  # tag 95
   sequence @0 :Int64;
   run @1 :EndpointRun;
@@ -420,3 +410,38 @@
 struct StreamQuestion {  # tag 99
   keys @0 :Data;
 }
+
+struct LostRequest {
+  run @0 :Text;
+  request @1 :Int64;
+  parts @2 :List(Int64);
+}
+
+struct TraitSuccess {
+  trait @0 :Int64;
+  ageMs @1 :Int64;
+}
+
+struct CrashReport {  # tag 100
+  service @0 :Text;
+  losses @1 :List(LostRequest);
+  ageMs @2 :Int64;
+  successes @3 :List(TraitSuccess);
+}
+
+struct VerdictState {
+  service @0 :Text;
+  traits @1 :List(Int64);
+  crashes @2 :Int64;
+  certain @3 :Bool;
+  dueInMs @4 :Int64;
+  sequence @5 :Int64;
+  trials @6 :Int64;
+  lifted @7 :Bool;
+  isStored @8 :Bool;
+}
+
+struct VerdictNews {  # tag 101
+  verdicts @0 :List(VerdictState);
+  isComplete @1 :Bool;
+}
--- a/tests/test_fleet/crashing_fleet.py
+++ b/tests/test_fleet/crashing_fleet.py
@@ -15,7 +15,8 @@
 TEST_S = 600
 GATEWAYS = 6
 ENGINES = 12
-SETTLE_S = 3.0
+# Longer than a started instance doubts what it knows.
+SETTLE_S = 7.0
 # Sound requests are sent alone for this long first.
 CALM_S = 4.0
 DURATION_S = 18.0
--- a/tests/test_gateway/gateway_fakes.py
+++ b/tests/test_gateway/gateway_fakes.py
@@ -31,7 +31,7 @@
 from savorychute.gateway.parts import GatewayParts
 from savorychute.gateway.paths.path_table import PathTable
 from savorychute.gateway.permits.permit_handler import PermitHandler
-from savorychute.gateway.recovery.crash_table import CrashTable
+from savorychute.gateway.recovery.crash_guard import CrashGuard
 from savorychute.gateway.recovery.retry_allowance import RetryAllowance, RetryBounds
 from savorychute.gateway.requests.endpoint_response import (
     EndpointResponse,
@@ -152,6 +152,8 @@
         self.sent = []
         self.probes = []
         self.checked_paths = []
+        # What to call when a checked endpoint turns out to be unreachable.
+        self.unreachable = {}
         self.engines_alive = True
         self.loads = {}
         self.defers_probes = False
@@ -170,8 +172,10 @@
             load = self.loads.get(endpoint.endpoint, IDLE)
             on_result(load if self.engines_alive else None)
 
-    def check_path(self, endpoint):
+    def check_path(self, endpoint, on_unreachable=None):
         self.checked_paths.append(endpoint.endpoint)
+        if on_unreachable is not None:
+            self.unreachable[endpoint.endpoint] = on_unreachable
 
     def complete_probes(self):
         """Respond to the deferred probes."""
@@ -400,7 +404,8 @@
     configuration = ConfigurationState(key_trust_ms=4_500, fresh_ms=3_000)
     configuration.apply(deployment or make_deployment())
     configuration.confirm(clock.now_ms())
-    crashes = CrashTable()
+    crashes = CrashGuard(clock.now_ms())
+    crashes.inform()
     models = EngineModels()
     shortages = Shortages()
     telemetry = make_telemetry(clock)
--- a/tests/test_gateway/test_endpoint_runs.py
+++ b/tests/test_gateway/test_endpoint_runs.py
@@ -8,10 +8,11 @@
 from hypothesis import strategies as st
 
 from savorychute.clock import ManualClock
+from savorychute.crashes.crash_decision import CrashDecisionKind
+from savorychute.crashes.request_traits import make_traits
 from savorychute.gateway.endpoints.endpoint_roster import EndpointRoster
 from savorychute.gateway.endpoints.endpoint_run import EndpointRun
 from savorychute.gateway.endpoints.engine_load import EngineLoad
-from savorychute.gateway.recovery.crash_sighting import CrashSighting
 
 FIRST_MS = 1_000_000
 SECOND_MS = 1_040_000
@@ -232,7 +233,8 @@
     crashes = gateway.parts.crashes
     for born_ms in (1, 2, 3):
         run = EndpointRun('e0', born_ms)
-        crashes.record_interruption(CrashSighting('f', run), 1_000)
+        crashes.record_interruption('pool', make_traits('f'), run, 1_000)
         crashes.endpoint_ended(run, 1_100)
 
-    assert crashes.is_suspect('f', 1_200)
+    decision = crashes.decide('pool', make_traits('f'), 1_200)
+    assert decision.kind is CrashDecisionKind.REFUSED
--- a/tests/test_wire/test_schema_writer.py
+++ b/tests/test_wire/test_schema_writer.py
@@ -11,14 +11,14 @@
 from savorychute.wire.schema_writer import SCHEMA_PATH, write_schema
 
 TAG_RANGES = {
-    'membership': 1,
-    'configuration': 2,
-    'credits': 3,
-    'limits': 4,
-    'requests': 5,
-    'recovery': 6,
-    'leases': 7,
-    'gateway': 9,
+    'membership': (1,),
+    'configuration': (2,),
+    'credits': (3,),
+    'limits': (4,),
+    'requests': (5,),
+    'recovery': (6,),
+    'leases': (7,),
+    'gateway': (9, 10),
 }
 
 
@@ -41,9 +41,11 @@
     misplaced = [
         f'{message.__module__} {tag}'
         for tag, message in load_peer_messages().items()
-        if tag // 10 != TAG_RANGES[message.__module__.split('.')[1]]
+        if tag // 10 not in TAG_RANGES[message.__module__.split('.')[1]]
     ]
     assert misplaced == []
+    ranges = [each for owned in TAG_RANGES.values() for each in owned]
+    assert len(ranges) == len(set(ranges))
 
 
 def test_field_without_a_wire_representation_is_refused():
