Take an answer without length or chunks for whole only if it has a byte

Callers got a stream of no event as whole where its engine had crashed after the head: without length and chunks the end of the connection ends the answer, and an engine that ends closes its connections in order. Nothing distinguishes that head from the head of a crash, so such an answer counts as broken off, also of a plain service and when a stream is resumed; it is retried where that is harmless.

--- a/savorychute/gateway/requests/attempt.py
+++ b/savorychute/gateway/requests/attempt.py
@@ -84,6 +84,7 @@
     """
 
     __slots__ = (
+        '_has_data',
         'buffered',
         'buffered_bytes',
         'choice',
@@ -117,6 +118,7 @@
         self.waiting = True
         self.first_event_ms: int | None = None
         self.survived = False
+        self._has_data = False
         choice.record.start_attempt(
             self,
             choice.fresh_tokens,
@@ -157,6 +159,7 @@
         """Handle a part of the response body."""
         if self.response is None or self.ended:
             return
+        self._has_data = True
         self.last_received_ms = self.owner.now_ms()
         self.choice.record.last_contact_ms = self.last_received_ms
         if self.response.is_stream:
@@ -221,6 +224,11 @@
 
     # -- calls from the request
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether the endpoint has sent no byte of a body."""
+        return not self._has_data
+
     @property
     def path_lost(self) -> bool:
         """Whether the path to the endpoint was lost after the attempt was sent."""
--- a/savorychute/gateway/requests/request_execution.py
+++ b/savorychute/gateway/requests/request_execution.py
@@ -42,7 +42,7 @@
 # Less time than this is too short for another endpoint to respond.
 MIN_REMAINING_MS = 30
 # Ends of an attempt that an endpoint's crash may have caused.
-LOSS_REASONS = ('connection-lost', 'event-cut')
+LOSS_REASONS = ('connection-lost', 'event-cut', 'empty-answer')
 # Between two checks of an unresponsive endpoint that cannot be abandoned.
 RECHECK_INTERVAL_MS = 50
 
@@ -230,6 +230,10 @@
         if response.is_stream and not self._response.relay.is_between_events:
             self.attempt_interrupted(attempt, 'event-cut')
             return
+        if not response.is_delimited and attempt.is_empty:
+            # The head alone shows no difference to an endpoint that crashed after it.
+            self.attempt_interrupted(attempt, 'empty-answer')
+            return
         self._record_survival(attempt, response)
         attempt.choice.record.health.record_success(self.now_ms())
         if response.is_stream:
