Judge parts by laws over many instances, and blame no popular part

A started instance takes over for how long the others have observed successes, or has seen 20 of its own; crashes blamed on a verdict do not count against single requests; verdicts are waited for up to ten seconds. Parts that explain the same crashes wait for two more, which decide between them (lanes part suspects); a part is explained away by narrower ones from their second crash on. Memory is bounded by traits, not requests.

--- a/savorychute/crashes/cause.py
+++ b/savorychute/crashes/cause.py
@@ -7,7 +7,7 @@
 from savorychute.crashes.crash_evidence import count_episodes
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Callable, Iterable, Mapping, Set
 
     from savorychute.crashes.crash_evidence import CrashEvidence
 
@@ -15,8 +15,10 @@
 MIN_EPISODES = 3
 # Popular traits are in many crashes that they did not cause.
 MIN_EPISODES_UNCERTAIN = 5
-# Until then an instance that has just started may not know which traits are popular.
-HISTORY_MS = 10_000
+# A trait with so many crashes may explain those of a trait of more requests.
+MIN_EPISODES_RIVAL = 2
+# In addition, for traits that explain the same crashes as others do.
+EXTRA_EPISODES = 2
 # A service without a success since this long before the first crash is in trouble.
 RECENT_MS = 5_000
 
@@ -44,8 +46,17 @@
     runs: frozenset[str]
     requests: frozenset[int]
 
+    @property
+    def needed_episodes(self) -> int:
+        """The episodes from which it may be convicted."""
+        return MIN_EPISODES if self.novel else MIN_EPISODES_UNCERTAIN
 
-def find_causes(evidence: CrashEvidence, now_ms: int) -> list[Cause]:
+
+def find_causes(
+    evidence: CrashEvidence,
+    now_ms: int,
+    is_convicted: Callable[[frozenset[int]], bool] = lambda _: False,
+) -> list[Cause]:
     """Return the causes that explain most crashes, until too few are left.
 
     A trait that shares all its crashes with traits of fewer requests is not a cause: a
@@ -53,34 +64,43 @@
 
     :param evidence: the evidence.
     :param now_ms: the current time.
+    :param is_convicted: returns whether a request with some traits is refused already.
     """
     causes: list[Cause] = []
     explained: set[str] = set()
+    blamed = evidence.find_runs(is_convicted)
     while True:
-        candidates = _list_candidates(evidence, explained, now_ms)
-        best = _select_best(candidates)
+        candidates = _list_candidates(evidence, explained, blamed, now_ms)
+        best = _select_best(candidates, evidence)
         if not best:
             return causes
-        commons = {each: _find_common(evidence, each) for each in best}
-        size = max(len(common) for common in commons.values())
-        for candidate, common in commons.items():
-            if len(common) == size:
-                explained |= candidate.runs
-                cause = _make_cause(evidence, candidate, common)
-                if all(cause.traits != known.traits for known in causes):
-                    causes.append(cause)
+        for candidate, common in best:
+            explained |= candidate.runs
+            cause = _make_cause(evidence, candidate, common)
+            if all(cause.traits != known.traits for known in causes):
+                causes.append(cause)
 
 
 def _list_candidates(
-    evidence: CrashEvidence, explained: set[str], now_ms: int
+    evidence: CrashEvidence,
+    explained: Set[str],
+    blamed: Set[str],
+    now_ms: int,
 ) -> list[_Candidate]:
-    has_history = now_ms - evidence.started_ms >= HISTORY_MS
+    """Return the traits with more than one crash.
+
+    A crash that is blamed on other requests does not count against a single request.
+    """
+    has_history = evidence.has_history(now_ms)
     candidates = []
     for trait in evidence.accused_traits():
         times_ms = evidence.crash_times(trait)
-        if len(times_ms) < MIN_EPISODES:
+        if len(times_ms) < MIN_EPISODES_RIVAL:
             continue
-        left_ms = {run: at for run, at in times_ms.items() if run not in explained}
+        excluded = explained
+        if any(trait in evidence.lost_requests(run) for run in times_ms):
+            excluded = explained | blamed
+        left_ms = {run: at for run, at in times_ms.items() if run not in excluded}
         requests = frozenset(
             request
             for run in left_ms
@@ -89,7 +109,7 @@
         )
         is_request = trait in requests
         episodes = len(left_ms) if is_request else count_episodes(left_ms.values())
-        if episodes < MIN_EPISODES:
+        if episodes < MIN_EPISODES_RIVAL:
             continue
         novel = is_request or (has_history and evidence.is_novel(trait, now_ms))
         runs = frozenset(left_ms)
@@ -97,27 +117,60 @@
     return candidates
 
 
-def _select_best(candidates: list[_Candidate]) -> list[_Candidate]:
-    """Return the candidates that explain most crashes, all of them if they are equal."""
-    eligible = [
-        each
-        for each in candidates
-        if each.novel or each.episodes >= MIN_EPISODES_UNCERTAIN
-    ]
-    eligible = [each for each in eligible if not _is_dominated(each, eligible)]
+def _select_best(
+    candidates: list[_Candidate], evidence: CrashEvidence
+) -> list[tuple[_Candidate, frozenset[int]]]:
+    """Return the candidates that explain most crashes, and what else they always have.
+
+    Those that explain the same crashes as others need more of them, because one more
+    crash usually decides between them.
+    """
+    eligible = [each for each in candidates if each.episodes >= each.needed_episodes]
+    eligible = [each for each in eligible if not _is_dominated(each, candidates)]
     if not eligible:
         return []
-    best = max(_make_preference(each) for each in eligible)
-    return [each for each in eligible if _make_preference(each) == best]
+    most = max(_make_preference(each) for each in eligible)
+    best = [each for each in eligible if _make_preference(each) == most]
+    commons = {each: _find_common(evidence, each) for each in best}
+    largest = [each for each in best if not _is_implied(each, best, commons)]
+    return [
+        (each, commons[each])
+        for each in largest
+        if each.episodes >= each.needed_episodes + EXTRA_EPISODES
+        or not _has_rival(each, largest, commons)
+    ]
+
+
+def _is_implied(
+    candidate: _Candidate,
+    others: Iterable[_Candidate],
+    commons: Mapping[_Candidate, frozenset[int]],
+) -> bool:
+    """Return whether another candidate explains the same crashes by more traits."""
+    return any(
+        other.runs == candidate.runs and commons[candidate] < commons[other]
+        for other in others
+    )
+
+
+def _has_rival(
+    candidate: _Candidate,
+    others: Iterable[_Candidate],
+    commons: Mapping[_Candidate, frozenset[int]],
+) -> bool:
+    return any(
+        other.runs & candidate.runs and commons[other] != commons[candidate]
+        for other in others
+    )
 
 
-def _make_preference(candidate: _Candidate) -> tuple[bool, int, bool]:
+def _make_preference(candidate: _Candidate) -> tuple[bool, bool, int]:
     """Return a key that is larger for better explanations.
 
     A part is preferred to the request itself, whose retries may all have met crashes.
     """
     is_shared = len(candidate.requests) > 1
-    return candidate.novel, candidate.episodes, is_shared
+    return is_shared, candidate.novel, candidate.episodes
 
 
 def _is_dominated(candidate: _Candidate, others: Iterable[_Candidate]) -> bool:
--- a/savorychute/crashes/crash_evidence.py
+++ b/savorychute/crashes/crash_evidence.py
@@ -8,16 +8,19 @@
 from savorychute.crashes.lost_request import LostRequest
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator, Mapping
+    from collections.abc import Callable, Iterable, Iterator, Mapping
 
 # Crashes this close together count as one: several endpoints may lose power at once.
 EPISODE_MS = 100
 # A trait without a success for this long counts as new.
 NOVELTY_MS = 30_000
+# Until then an instance that has just started may not know which traits are popular.
+HISTORY_MS = 10_000
+HISTORY_SUCCESSES = 20
 CRASH_LIFETIME_MS = 3_600_000
 MAX_CRASHES = 256
 MAX_LOST_PER_CRASH = 64
-MAX_LOST = 4_096
+MAX_LOST_TRAITS = 8_192
 MAX_SUCCESSES = 4_096
 
 
@@ -32,10 +35,11 @@
     """
 
     def __init__(self, now_ms: int) -> None:
-        self.started_ms = now_ms
+        self.observe_since(now_ms)
         self.last_success_ms: int | None = None
+        self._success_count = 0
         self._lost: OrderedDict[str, dict[int, frozenset[int]]] = OrderedDict()
-        self._lost_count = 0
+        self._trait_count = 0
         # By trait, the runs whose crashes accuse it, and the times of the crashes.
         self._accusations: dict[int, dict[str, int]] = {}
         self._successes: OrderedDict[int, int] = OrderedDict()
@@ -45,6 +49,13 @@
         """Whether no crash is known."""
         return not self._lost
 
+    def observe_since(self, since_ms: int) -> None:
+        """Set since when successes have been observed.
+
+        :param since_ms: the time.
+        """
+        self._history_from_ms = since_ms + HISTORY_MS
+
     # -- recording
 
     def record_loss(self, lost: LostRequest, at_ms: int) -> bool:
@@ -57,12 +68,12 @@
         if lost.request in requests or len(requests) >= MAX_LOST_PER_CRASH:
             return False
         requests[lost.request] = frozenset(lost.traits)
-        self._lost_count += 1
+        self._trait_count += len(requests[lost.request])
         for trait in lost.traits:
             if self._successes.get(trait, at_ms - 1) < at_ms:
                 runs = self._accusations.setdefault(trait, {})
                 runs.setdefault(lost.run, at_ms)
-        while len(self._lost) > MAX_CRASHES or self._lost_count > MAX_LOST:
+        while len(self._lost) > MAX_CRASHES or self._trait_count > MAX_LOST_TRAITS:
             self._forget_run(next(iter(self._lost)))
         return True
 
@@ -73,6 +84,7 @@
         :param at_ms: the time of the success.
         """
         self.last_success_ms = max(at_ms, self.last_success_ms or at_ms)
+        self._success_count += 1
         cleared = []
         for trait in traits:
             if self._successes.get(trait, at_ms) <= at_ms:
@@ -133,7 +145,7 @@
 
     def _forget_run(self, run: str) -> None:
         requests = self._lost.pop(run)
-        self._lost_count -= len(requests)
+        self._trait_count -= sum(map(len, requests.values()))
         for traits in requests.values():
             for trait in traits:
                 runs = self._accusations.get(trait)
@@ -174,6 +186,14 @@
         """
         return self._successes.get(trait)
 
+    def has_history(self, now_ms: int) -> bool:
+        """Return whether traits without a known success are known to have none.
+
+        :param now_ms: the current time.
+        """
+        is_old = now_ms >= self._history_from_ms
+        return is_old or self._success_count >= HISTORY_SUCCESSES
+
     def is_novel(self, trait: int, now_ms: int) -> bool:
         """Return whether no request with a trait has succeeded recently.
 
@@ -202,6 +222,17 @@
                 ]
                 yield losses, min(times_ms)
 
+    def find_runs(self, matches: Callable[[frozenset[int]], bool]) -> frozenset[str]:
+        """Return the runs with which a request with certain traits was lost.
+
+        :param matches: returns whether some traits are meant.
+        """
+        return frozenset(
+            run
+            for run, requests in self._lost.items()
+            if any(map(matches, requests.values()))
+        )
+
     def lost_requests(self, run: str) -> Mapping[int, frozenset[int]]:
         """Return the requests lost with a run, and their traits.
 
--- a/savorychute/crashes/crash_judge.py
+++ b/savorychute/crashes/crash_judge.py
@@ -38,7 +38,8 @@
     """
 
     def __init__(self, now_ms: int) -> None:
-        self._started_ms = now_ms
+        # Since when this instance, or one that has told it, observes successes.
+        self._observed_since_ms = now_ms
         self._evidence: dict[str, CrashEvidence] = {}
         self.verdicts = VerdictTable()
         self._next_expiry_ms = now_ms + EXPIRY_INTERVAL_MS
@@ -56,13 +57,32 @@
         if known is None:
             if len(self._evidence) >= MAX_SERVICES:
                 self._evidence.pop(next(iter(self._evidence)))
-            known = self._evidence[service] = CrashEvidence(self._started_ms)
+            known = self._evidence[service] = CrashEvidence(self._observed_since_ms)
         return known
 
     def all_evidence(self) -> Sequence[tuple[str, CrashEvidence]]:
         """Return the services with evidence, and their evidence."""
         return tuple(self._evidence.items())
 
+    def observation_ms(self, now_ms: int) -> int:
+        """Return for how long successes have been observed.
+
+        :param now_ms: the current time.
+        """
+        return now_ms - self._observed_since_ms
+
+    def inherit_observations(self, duration_ms: int, now_ms: int) -> None:
+        """Record that another instance has told what it observed of accused traits.
+
+        :param duration_ms: for how long that one has observed successes.
+        :param now_ms: the current time.
+        """
+        since_ms = now_ms - duration_ms
+        if since_ms < self._observed_since_ms:
+            self._observed_since_ms = since_ms
+            for evidence in self._evidence.values():
+                evidence.observe_since(since_ms)
+
     # -- deciding
 
     def decide(
@@ -185,7 +205,10 @@
     # -- convicting
 
     def _convict(self, service: str, evidence: CrashEvidence, now_ms: int) -> None:
-        for cause in find_causes(evidence, now_ms):
+        def is_convicted(traits: frozenset[int]) -> bool:
+            return self.verdicts.find(service, traits) is not None
+
+        for cause in find_causes(evidence, now_ms, is_convicted):
             if self.verdicts.find(service, cause.traits) is None:
                 self._convict_cause(service, cause, now_ms)
 
--- a/savorychute/gateway/recovery/crash_exchange.py
+++ b/savorychute/gateway/recovery/crash_exchange.py
@@ -139,7 +139,6 @@
         for start in range(0, len(verdicts), VERDICTS_PER_MESSAGE):
             batch = verdicts[start : start + VERDICTS_PER_MESSAGE]
             yield VerdictNews(tuple(map(self._make_state, batch)))
-        yield VerdictNews((), is_complete=self._guard.is_known)
         now_ms = self._clock.now_ms()
         for service, evidence in self._guard.judge.all_evidence():
             for losses, at_ms in evidence.newest_crashes(MAX_REPORTED_CRASHES):
@@ -147,6 +146,8 @@
                     traits = {trait for lost in group for trait in lost.traits}
                     successes = self._list_successes(service, traits)
                     yield CrashReport(service, tuple(group), now_ms - at_ms, successes)
+        observed_ms = self._guard.judge.observation_ms(now_ms)
+        yield VerdictNews((), self._guard.is_known, observed_ms)
 
     def _make_state(self, verdict: Verdict) -> VerdictState:
         is_stored = self.stored.get(verdict.key, 0) >= verdict.sequence
@@ -218,6 +219,8 @@
             self._guard.merge_verdict(verdict, now_ms)
         if news.is_complete:
             self._guard.inform()
+        if news.observed_ms:
+            self._guard.judge.inherit_observations(news.observed_ms, now_ms)
 
     def record_stored(self, verdict: Verdict) -> None:
         """Record that the store holds a verdict.
--- a/savorychute/gateway/recovery/crash_guard.py
+++ b/savorychute/gateway/recovery/crash_guard.py
@@ -17,7 +17,7 @@
     from savorychute.gateway.endpoints.endpoint_run import EndpointRun
 
 # The verdicts are read together with the configuration, without which nothing is served.
-MAX_UNINFORMED_MS = 3_000
+MAX_UNINFORMED_MS = 10_000
 
 
 class CrashObserver(Protocol):
--- a/savorychute/gateway/recovery/verdict_news.py
+++ b/savorychute/gateway/recovery/verdict_news.py
@@ -66,8 +66,10 @@
 class VerdictNews(NamedTuple):
     """Verdicts that are new, have changed, or were asked for.
 
-    ``is_complete`` ends a response that has named all verdicts.
+    ``is_complete`` ends a response that has named all verdicts; ``observed_ms`` is then
+    for how long the sender has observed which requests succeed.
     """
 
     verdicts: tuple[VerdictState, ...]
     is_complete: bool = False
+    observed_ms: int = 0
--- a/savorychute/wire/messages.capnp
+++ b/savorychute/wire/messages.capnp
@@ -444,4 +444,5 @@
 struct VerdictNews {  # tag 101
   verdicts @0 :List(VerdictState);
   isComplete @1 :Bool;
+  observedMs @2 :Int64;
 }
