--- a/savorychute/crashes/cause.py
+++ b/savorychute/crashes/cause.py
@@ -4,21 +4,21 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from savorychute.crashes.crash_evidence import count_episodes
+from savorychute.crashes.crash_evidence import count_episodes, weigh_crashes
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping, Set
+    from collections.abc import Callable, Collection, Iterable, Mapping, Set
 
     from savorychute.crashes.crash_evidence import CrashEvidence
 
 # Two crashes may coincide with a trait by chance.
-MIN_EPISODES = 3
+MIN_CRASHES = 3
 # Popular traits are in many crashes that they did not cause.
-MIN_EPISODES_UNCERTAIN = 5
+MIN_CRASHES_UNCERTAIN = 5
 # A trait with so many crashes may explain those of a trait of more requests.
-MIN_EPISODES_RIVAL = 2
+MIN_CRASHES_RIVAL = 2
 # In addition, for traits that explain the same crashes as others do.
-EXTRA_EPISODES = 2
+EXTRA_CRASHES = 2
 # A service without a success since this long before the first crash is in trouble.
 RECENT_MS = 5_000
 
@@ -36,20 +36,18 @@
 
 
 class _Candidate(NamedTuple):
-    """A trait with its crashes; the tries of one request follow each other anyway, so
-    each run counts as an episode for it.
-    """
+    """A trait with its crashes, and the requests that were lost in them."""
 
     trait: int
     novel: bool
-    episodes: int
+    crashes: int
     runs: frozenset[str]
     requests: frozenset[int]
 
     @property
-    def needed_episodes(self) -> int:
-        """The episodes from which it may be convicted."""
-        return MIN_EPISODES if self.novel else MIN_EPISODES_UNCERTAIN
+    def needed_crashes(self) -> int:
+        """The crashes from which it may be convicted."""
+        return MIN_CRASHES if self.novel else MIN_CRASHES_UNCERTAIN
 
 
 def find_causes(
@@ -95,7 +93,7 @@
     candidates = []
     for trait in evidence.accused_traits():
         times_ms = evidence.crash_times(trait)
-        if len(times_ms) < MIN_EPISODES_RIVAL:
+        if len(times_ms) < MIN_CRASHES_RIVAL:
             continue
         excluded = explained
         if any(trait in evidence.lost_requests(run) for run in times_ms):
@@ -108,15 +106,21 @@
             if trait in traits
         )
         is_request = trait in requests
-        episodes = len(left_ms) if is_request else count_episodes(left_ms.values())
-        if episodes < MIN_EPISODES_RIVAL:
-            continue
         novel = is_request or (has_history and evidence.is_novel(trait, now_ms))
+        crashes = _count_crashes(left_ms.values(), is_request, novel)
+        if crashes < MIN_CRASHES_RIVAL:
+            continue
         runs = frozenset(left_ms)
-        candidates.append(_Candidate(trait, novel, episodes, runs, requests))
+        candidates.append(_Candidate(trait, novel, crashes, runs, requests))
     return candidates
 
 
+def _count_crashes(times_ms: Collection[int], is_request: bool, novel: bool) -> int:
+    if is_request:
+        return len(times_ms)
+    return weigh_crashes(times_ms) if novel else count_episodes(times_ms)
+
+
 def _select_best(
     candidates: list[_Candidate], evidence: CrashEvidence
 ) -> list[tuple[_Candidate, frozenset[int]]]:
@@ -125,7 +129,7 @@
     Those that explain the same crashes as others need more of them, because one more
     crash usually decides between them.
     """
-    eligible = [each for each in candidates if each.episodes >= each.needed_episodes]
+    eligible = [each for each in candidates if each.crashes >= each.needed_crashes]
     eligible = [each for each in eligible if not _is_dominated(each, candidates)]
     if not eligible:
         return []
@@ -136,7 +140,7 @@
     return [
         (each, commons[each])
         for each in largest
-        if each.episodes >= each.needed_episodes + EXTRA_EPISODES
+        if each.crashes >= each.needed_crashes + EXTRA_CRASHES
         or not _has_rival(each, largest, commons)
     ]
 
@@ -170,7 +174,7 @@
     A part is preferred to the request itself, whose retries may all have met crashes.
     """
     is_shared = len(candidate.requests) > 1
-    return is_shared, candidate.novel, candidate.episodes
+    return is_shared, candidate.novel, candidate.crashes
 
 
 def _is_dominated(candidate: _Candidate, others: Iterable[_Candidate]) -> bool:
@@ -210,4 +214,4 @@
     others_succeed = (
         last_success_ms is not None and last_success_ms > first_ms - RECENT_MS
     )
-    return Cause(common, candidate.episodes, candidate.novel and others_succeed)
+    return Cause(common, candidate.crashes, candidate.novel and others_succeed)
--- a/savorychute/crashes/crash_evidence.py
+++ b/savorychute/crashes/crash_evidence.py
@@ -8,9 +8,9 @@
 from savorychute.crashes.lost_request import LostRequest
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Iterator, Mapping
+    from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 
-# Crashes this close together count as one: several endpoints may lose power at once.
+# Crashes this close together are one episode: several endpoints may lose power at once.
 EPISODE_MS = 100
 # A trait without a success for this long counts as new.
 NOVELTY_MS = 30_000
@@ -172,12 +172,12 @@
         """
         return self._accusations.get(trait, {})
 
-    def count_episodes(self, trait: int) -> int:
-        """Return in how many episodes a trait was accused since its last success.
+    def weigh_crashes(self, trait: int) -> int:
+        """Return how many crashes count against a trait since its last success.
 
         :param trait: the trait.
         """
-        return count_episodes(self.crash_times(trait).values())
+        return weigh_crashes(self.crash_times(trait).values())
 
     def success_ms(self, trait: int) -> int | None:
         """Return when a request with a trait last succeeded; None if unknown.
@@ -242,14 +242,25 @@
 
 
 def count_episodes(times_ms: Iterable[int]) -> int:
-    """Return the number of groups of times that are apart from each other.
+    """Return the number of groups of crashes that are apart from each other.
 
-    :param times_ms: the times.
+    :param times_ms: the times of the crashes.
     """
-    count = 0
+    episodes = 0
     last_ms: int | None = None
     for at_ms in sorted(times_ms):
         if last_ms is None or at_ms - last_ms > EPISODE_MS:
-            count += 1
+            episodes += 1
             last_ms = at_ms
-    return count
+    return episodes
+
+
+def weigh_crashes(times_ms: Collection[int]) -> int:
+    """Return how many crashes count against a trait that has not succeeded lately.
+
+    Several endpoints that lose power at once count as one; if they crash again one after
+    the other, they did not lose power.
+
+    :param times_ms: the times of the crashes.
+    """
+    return max(0, min(len(times_ms), 2 * count_episodes(times_ms) - 1))
--- a/savorychute/crashes/crash_judge.py
+++ b/savorychute/crashes/crash_judge.py
@@ -267,16 +267,16 @@
     evidence: CrashEvidence, traits: RequestTraits, now_ms: int
 ) -> list[int]:
     """Return the suspected traits of a request, only those of the most crashes."""
-    episodes = {
-        part: evidence.count_episodes(part)
+    crashes = {
+        part: evidence.weigh_crashes(part)
         for part in traits.parts
         if evidence.is_accused(part) and evidence.is_novel(part, now_ms)
     }
     own_crashes = len(evidence.crash_times(traits.request))
     if own_crashes >= MIN_SUSPECT_CRASHES:
-        episodes[traits.request] = own_crashes
-    most = max(episodes.values(), default=0)
-    return [trait for trait, count in episodes.items() if count == most]
+        crashes[traits.request] = own_crashes
+    most = max(crashes.values(), default=0)
+    return [trait for trait, count in crashes.items() if count == most]
 
 
 def _make_lane(traits: Iterable[int]) -> int:
--- a/savorychute/gateway/recovery/crash_guard.py
+++ b/savorychute/gateway/recovery/crash_guard.py
@@ -149,7 +149,7 @@
             return
         evidence = self.judge.evidence(service)
         for lost in losses:
-            crashes = max(map(evidence.count_episodes, lost.traits))
+            crashes = max(map(evidence.weigh_crashes, lost.traits))
             self.observer.crash_counted(service, lost, crashes)
 
     # -- news of other instances
--- a/tests/test_gateway/crash_simulation.py
+++ b/tests/test_gateway/crash_simulation.py
@@ -202,6 +202,8 @@
             rng,
             telemetry,
         )
+        if not fleet.is_store_used:
+            self.guard.inform()
         self.view = None
         self.tasks = [asyncio.create_task(self._tick())]
         if fleet.is_store_used:
