--- a/savorychute/cmd/gateway.py
+++ b/savorychute/cmd/gateway.py
@@ -24,12 +24,7 @@
 
     def add_arguments(self, parser: ArgumentParser) -> None:
         """Add the settings file."""
-        parser.add_argument(
-            'settings',
-            type=Path,
-            nargs='?',
-            help=f'the settings file (default ${SETTINGS_VARIABLE})',
-        )
+        add_settings_argument(parser)
 
     def run(self, arguments: Namespace) -> int:
         """Read the settings and run the gateway."""
@@ -40,11 +35,7 @@
         # Imported here so that commands without a daemon start faster.
         from savorychute.gateway.daemon.early_listeners import open_early_listeners
 
-        path = arguments.settings or os.environ.get(SETTINGS_VARIABLE)
-        if not path:
-            raise SettingsError(
-                [f'no settings file: specify one, or set {SETTINGS_VARIABLE}']
-            )
+        path = find_settings(arguments)
         with open_early_listeners(path) as listeners:
             # Imported after the sockets listen because it loads all other modules.
             from savorychute.gateway.daemon.run_gateway import run_gateway
@@ -55,3 +46,30 @@
                 number = error.code.number
                 first_line = f'error {number}: the settings have faults'
                 raise SettingsError([first_line, *error.faults]) from error
+
+
+def add_settings_argument(parser: ArgumentParser) -> None:
+    """Add the settings file of a gateway.
+
+    :param parser: the parser of a command.
+    """
+    parser.add_argument(
+        'settings',
+        type=Path,
+        nargs='?',
+        help=f'the settings file (default ${SETTINGS_VARIABLE})',
+    )
+
+
+def find_settings(arguments: Namespace) -> Path | str:
+    """Return the path of the settings file.
+
+    :param arguments: the arguments of a command.
+    :raises SettingsError: if there is none.
+    """
+    path = arguments.settings or os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise SettingsError(
+            [f'no settings file: specify one, or set {SETTINGS_VARIABLE}']
+        )
+    return path
--- a/savorychute/explain/request_history.py
+++ b/savorychute/explain/request_history.py
@@ -30,12 +30,19 @@
 # no endpoint.
 ENDPOINT_STATEMENTS = frozenset({'leaving-stated', 'limit-stated', 'rest-stated'})
 
+# What accuses, clears and convicts requests that crash endpoints.
+VERDICT_EVENTS = frozenset({'crash-counted', 'traits-cleared', 'verdict-changed'})
+# The reason of a change that another instance has made.
+TOLD = 'told'
+MAX_VERDICT_LINES = 20
+
 
 def describe_request(request_id: str, lines: Sequence[LogLine]) -> list[str]:
     """Return a sentence for each line that explains a request.
 
     These are the request's own lines, the state changes of its instances around that
-    time, and the changes of the endpoints to which it was sent.
+    time, the changes of the endpoints to which it was sent, and the crashes behind a
+    verdict on it.
 
     :param request_id: the id of the request.
     :param lines: the log lines of all instances, sorted by time.
@@ -59,8 +66,32 @@
             and not line.request_id
         )
     ]
+    shown_lines = [*_find_verdict_lines(request_lines, lines), *shown_lines]
     first_s = request_lines[0].timestamp_s
     return [
         f'{line.timestamp_s - first_s:+9.3f} s  {line.instance}  {describe_line(line)}'
         for line in shown_lines
     ]
+
+
+def _find_verdict_lines(
+    request_lines: Sequence[LogLine], lines: Sequence[LogLine]
+) -> list[LogLine]:
+    """Return the last lines, of any instance, behind the verdict on a request."""
+    traits = set().union(*map(_read_traits, request_lines))
+    if not traits:
+        return []
+    last_s = request_lines[-1].timestamp_s
+    found = [
+        line
+        for line in lines
+        if line.event in VERDICT_EVENTS
+        and line.timestamp_s <= last_s
+        and traits & _read_traits(line)
+        and line.fields.get('reason') != TOLD
+    ]
+    return found[-MAX_VERDICT_LINES:]
+
+
+def _read_traits(line: LogLine) -> set[str]:
+    return set(str(line.fields.get('traits') or '').split(',')) - {''}
--- a/savorychute/explain/sentences.py
+++ b/savorychute/explain/sentences.py
@@ -45,7 +45,7 @@
     return (
         f'refused at once with code {fields.get("code")} ({fields.get("reason")}), '
         f'told {fields.get("ran")}; by version {fields.get("version")}, '
-        f'confirmed {fields.get("age_ms")} ms before'
+        f'confirmed {fields.get("age_ms")} ms before' + _describe_verdict(fields)
     )
 
 
@@ -110,7 +110,13 @@
             f'; resumed {fields.get("resumes") or "an unnamed attempt"} '
             f'after event {fields.get("last_event") or "none"}'
         )
-    return text
+    return text + _describe_verdict(fields)
+
+
+def _describe_verdict(fields: dict[str, Any]) -> str:
+    """Return what the verdict on a request concerns, if it was refused for one."""
+    traits = fields.get('traits')
+    return f'; a verdict on {traits} concerns it' if traits else ''
 
 
 def _describe_progress(fields: dict[str, Any]) -> str:
@@ -138,6 +144,30 @@
     return text
 
 
+@SENTENCES.register('crash-counted')
+def _describe_crash(fields: dict[str, Any]) -> str:
+    return (
+        f'counted a request with {fields.get("traits") or "no parts"} as lost when '
+        f'{fields.get("endpoint")} crashed; its most suspected trait was in '
+        f'{fields.get("count")} crashes'
+    )
+
+
+@SENTENCES.register('traits-cleared')
+def _describe_clearing(fields: dict[str, Any]) -> str:
+    return f'cleared {fields.get("traits")}, as a request with them succeeded'
+
+
+@SENTENCES.register('verdict-changed')
+def _describe_verdict_change(fields: dict[str, Any]) -> str:
+    certainty = 'certain' if fields.get('certain') else 'not certain'
+    return (
+        f'the verdict on {fields.get("traits")} is {fields.get("state")} '
+        f'({fields.get("reason")}): {fields.get("count")} crashes, {certainty}, '
+        f'{fields.get("trials")} trials, the next in {fields.get("retry_after_ms")} ms'
+    )
+
+
 @SENTENCES.register('version-marked')
 def _describe_mark(fields: dict[str, Any]) -> str:
     return (
--- a/savorychute/gateway/crash_telemetry.py
+++ b/savorychute/gateway/crash_telemetry.py
@@ -4,17 +4,16 @@
 
 from typing import TYPE_CHECKING
 
+from savorychute.gateway.log_identifier import list_traits
 from savorychute.logs import LogLevel
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Sequence
 
     from savorychute.crashes.lost_request import LostRequest
     from savorychute.crashes.verdict import Verdict
     from savorychute.gateway.telemetry import GatewayTelemetry
 
-MAX_LOGGED_TRAITS = 8
-
 
 class CrashTelemetry:
     """Logs what accuses and clears requests, and each change of a verdict.
@@ -79,12 +78,3 @@
             trials=verdict.trials,
             retry_after_ms=max(0, verdict.due_ms - self._telemetry.clock.now_ms()),
         )
-
-
-def list_traits(traits: Iterable[int]) -> str:
-    """Return traits as one identifier, as logs and commands show them.
-
-    :param traits: the traits.
-    """
-    shown = [f'{trait:x}' for trait in traits][:MAX_LOGGED_TRAITS]
-    return ','.join(shown)
--- a/savorychute/gateway/daemon/gateway_host.py
+++ b/savorychute/gateway/daemon/gateway_host.py
@@ -289,6 +289,7 @@
         if self.caller_server is not None:
             metrics.set('open_connections', self.caller_server.open_connections)
         metrics.set('members', len(view.alive) - 1 if view is not None else 0)
+        metrics.set('verdicts', len(self._parts.crashes.judge.verdicts))
         origins = self._parts.origins
         self._parts.stream_telemetry.records_counted(
             len(origins.table), origins.table.dropped + origins.teller.dropped
--- a/savorychute/gateway/daemon/verdict_keeper.py
+++ b/savorychute/gateway/daemon/verdict_keeper.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from savorychute.clock import MS_PER_S
+from savorychute.crashes.verdict import VerdictKey
 from savorychute.gateway.recovery.stored_verdicts import (
     decode_verdicts,
     encode_verdict,
@@ -22,7 +23,7 @@
     import random
 
     from savorychute.clock import Clock, WallClock
-    from savorychute.crashes.verdict import Verdict, VerdictKey
+    from savorychute.crashes.verdict import Verdict
     from savorychute.gateway.recovery.crash_exchange import CrashExchange
     from savorychute.gateway.recovery.crash_guard import CrashGuard
     from savorychute.gateway.store.keyed_topic import KeyedTopic
@@ -36,6 +37,8 @@
 # Instances write a verdict one after the other, until one has succeeded.
 TURN_MS = 300
 MAX_WRITERS = 4
+LISTING_INTERVAL_MS = 30_000
+ALL_VERDICTS = VerdictKey('', ())
 
 
 class VerdictKeeper:
@@ -74,6 +77,7 @@
         self._telemetry = telemetry
         self._count_calls = telemetry.calls.counter_for(TOPIC)
         self._era = 0
+        self._next_listing_ms = 0
         # Since when each state of a verdict is not stored.
         self._unstored_ms: dict[tuple[VerdictKey, int], int] = {}
         guard.judge.is_examiner = lambda key: self._rank(key) == 0
@@ -85,6 +89,8 @@
             await asyncio.sleep(delay_ms / MS_PER_S)
         while True:
             self._follow_era()
+            if self._is_listing_due():
+                await self._list()
             delay_ms = TICK_INTERVAL_MS
             if not await self._write_due():
                 delay_ms = RETRY_MS
@@ -101,12 +107,30 @@
         self._telemetry.store_responded(TOPIC)
         self._era = snapshot.era
         now_ms = self._clock.now_ms()
+        self._next_listing_ms = now_ms + LISTING_INTERVAL_MS
         for verdict in decode_verdicts(snapshot.records, self._wall_offset_ms()):
-            self._exchange.record_stored(verdict)
-            self._guard.merge_verdict(verdict, now_ms)
+            is_new = self._guard.merge_verdict(verdict, now_ms)
+            if not verdict.lifted:
+                self._exchange.record_stored(verdict)
+            elif is_new:
+                # An operator has lifted it; the record is removed later.
+                self._exchange.record_stored(
+                    verdict._replace(sequence=verdict.sequence - 1)
+                )
+                self._exchange.report_verdict(verdict)
         self._guard.inform()
         return True
 
+    def _is_listing_due(self) -> bool:
+        """Return whether an operator may have lifted a verdict in the store.
+
+        One instance looks for all, and only while there are verdicts.
+        """
+        now_ms = self._clock.now_ms()
+        if now_ms < self._next_listing_ms or not len(self._guard.judge.verdicts):
+            return False
+        return self._rank(ALL_VERDICTS) == 0
+
     def _follow_era(self) -> None:
         """Write all verdicts again after the store went back to an older copy."""
         era = self._eras.current
--- a/savorychute/gateway/recovery/crash_exchange.py
+++ b/savorychute/gateway/recovery/crash_exchange.py
@@ -90,6 +90,7 @@
         """
         self.view = view
         now_ms = self._clock.now_ms()
+        self._guard.judge.expire(now_ms)
         due = [
             each
             for each in self._resends
--- a/savorychute/gateway/recovery/stored_verdicts.py
+++ b/savorychute/gateway/recovery/stored_verdicts.py
@@ -28,6 +28,7 @@
     due_wall_ms: int
     sequence: int
     trials: int
+    lifted: bool = False
 
 
 def make_record_key(key: VerdictKey) -> str:
@@ -54,6 +55,7 @@
             verdict.due_ms + wall_offset_ms,
             verdict.sequence,
             verdict.trials,
+            verdict.lifted,
         )
     )
 
@@ -82,4 +84,5 @@
             stored.due_wall_ms - wall_offset_ms,
             stored.sequence,
             stored.trials,
+            stored.lifted,
         )
--- a/savorychute/gateway/requests/execution_summary.py
+++ b/savorychute/gateway/requests/execution_summary.py
@@ -11,7 +11,7 @@
     ``first_event_ms`` is 0 for a response without events.  ``endpoint`` is the endpoint
     of the last attempt, ``via`` the instance through which it was sent (empty for none),
     ``longest_gap_ms`` the longest gap between two events, ``software_version`` the
-    version of that endpoint.
+    version of that endpoint, ``verdict_traits`` what a verdict on the request concerns.
     """
 
     duration_ms: int
@@ -23,3 +23,4 @@
     endpoint: str
     via: str
     software_version: str | None
+    verdict_traits: tuple[int, ...] = ()
--- a/savorychute/gateway/requests/intake.py
+++ b/savorychute/gateway/requests/intake.py
@@ -130,11 +130,14 @@
     :param decision: the decision to refuse it.
     :param now_ms: the current time.
     """
-    retry_after_ms = SUSPECT_RETRY_MS
-    if decision.verdict is not None:
-        retry_after_ms = max(retry_after_ms, decision.verdict.due_ms - now_ms)
+    verdict = decision.verdict
+    assert verdict is not None
     return Refusal(
-        ResultCode.CRASH_SUSPECT, Ran.NOT_RUN, CRASHED_ENDPOINTS, retry_after_ms
+        ResultCode.CRASH_SUSPECT,
+        Ran.NOT_RUN,
+        CRASHED_ENDPOINTS,
+        max(SUSPECT_RETRY_MS, verdict.due_ms - now_ms),
+        verdict.key.traits,
     )
 
 
--- a/savorychute/gateway/requests/refusal.py
+++ b/savorychute/gateway/requests/refusal.py
@@ -10,9 +10,13 @@
 
 
 class Refusal(NamedTuple):
-    """Why a request gets no response of an endpoint, and whether it ran."""
+    """Why a request gets no response of an endpoint, and whether it ran.
+
+    ``traits`` are those of the verdict on a request that crashes endpoints.
+    """
 
     code: ResultCode
     ran: Ran
     reason: str
     retry_after_ms: int = 0
+    traits: tuple[int, ...] = ()
--- a/savorychute/gateway/requests/request_execution.py
+++ b/savorychute/gateway/requests/request_execution.py
@@ -90,6 +90,7 @@
         self.possible_executions = 0
         self.started_ms = parts.clock.now_ms()
         self._times = EventTimes(self.started_ms)
+        self._verdict_traits: tuple[int, ...] = ()
         self.finished = False
         self.on_finished: Callable[[], None] | None = None
 
@@ -347,6 +348,7 @@
         decision = self._crash_check.find_refusal(self.now_ms())
         if decision is not None:
             not_run = refuse_for_crashes(decision, self.now_ms())
+            self._verdict_traits = not_run.traits
         self._end_without_response(not_run, ResultCode.OUTCOME_UNKNOWN)
 
     def _end_without_response(self, not_run: Refusal, unknown: ResultCode) -> None:
@@ -537,6 +539,7 @@
             self._attempt.choice.record.entry.software_version
             if self._attempt
             else None,
+            self._verdict_traits,
         )
 
     def _log_attempt(self, attempt: Attempt, outcome: str, reason: str) -> None:
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -5,7 +5,11 @@
 from typing import TYPE_CHECKING
 
 from savorychute.gateway.endpoints.engine_load import EngineLoad
-from savorychute.gateway.log_identifier import MAX_IDENTIFIER_CHARS, make_identifier
+from savorychute.gateway.log_identifier import (
+    MAX_IDENTIFIER_CHARS,
+    list_traits,
+    make_identifier,
+)
 from savorychute.gateway.log_line_budget import LogLineBudget
 from savorychute.gateway.store.store_call_counter import StoreCallCounter
 from savorychute.logs import LogLevel
@@ -193,6 +197,7 @@
             retry_after_ms=refusal.retry_after_ms,
             version=version,
             age_ms=age_ms,
+            traits=list_traits(refusal.traits),
         )
 
     def request_shed(
@@ -333,6 +338,7 @@
             gap_ms=summary.longest_gap_ms,
             target_ms=route.target_ms,
             gap_target_ms=route.gap_target_ms,
+            traits=list_traits(summary.verdict_traits),
         )
 
     def log_omitted(self) -> None:
--- a/tests/test_gateway/crash_simulation.py
+++ b/tests/test_gateway/crash_simulation.py
@@ -237,7 +237,6 @@
             await asyncio.sleep(TICK_S)
             await self.resumed.wait()
             now_ms = LoopClock().now_ms()
-            self.guard.judge.expire(now_ms)
             if self.view is not None:
                 self.exchange.set_view(self.view)
                 for action in self._fetcher.tick(self.view, now_ms):
