Let the soak send prompts with a part that crashes endpoints, and answers without chunks

--parts: an endpoint ends when it begins to answer the part and is back, under a new name, 1 to 2.5 s later; half of the engines send streams that end with their connections.

--- a/benches/gateway_soak/__main__.py
+++ b/benches/gateway_soak/__main__.py
@@ -37,6 +37,11 @@
         action='store_true',
         help='let endpoints state limits, leave and send Retry-After',
     )
+    parser.add_argument(
+        '--parts',
+        action='store_true',
+        help='let endpoints crash on a part of prompts, and send streams without chunks',
+    )
     parser.add_argument('--keep', type=Path, help='a folder in which logs are kept')
     arguments = parser.parse_args()
     failed = 0
@@ -53,6 +58,7 @@
                     arguments.callers,
                     older_copies=arguments.older_copies,
                     statements=arguments.statements,
+                    parts=arguments.parts,
                 )
             )
         print(f'seed {seed}: {result.counts}, faults {result.faults}', flush=True)
--- a/benches/gateway_soak/callers.py
+++ b/benches/gateway_soak/callers.py
@@ -10,6 +10,7 @@
 from resuming_caller import ResumingCaller
 
 from benches.gateway_soak.ledger import SentAttempt
+from benches.gateway_soak.prompts import make_sound_prompt
 from benches.gateway_soak.proxy import LOOPBACK
 
 if TYPE_CHECKING:
@@ -68,7 +69,10 @@
         for _ in range(self._rng.randint(1, 30)):
             sent = self._create_attempt()
             self._ledger.sent[sent.attempt] = sent
-            writer.write(_encode(http, sent))
+            prompt = []
+            if self._site.on_bad_request is not None:
+                prompt.append(make_sound_prompt(self._rng))
+            writer.write(_encode(http, sent, prompt))
             if self._rng.random() < EARLY_CLOSE_SHARE:
                 await asyncio.sleep(self._rng.random() * 0.1)
                 return
@@ -158,11 +162,15 @@
             ('authorization', 'Bearer soak-key'),
             ('token-count', f'100,{events}'),
         ]
+        if self._site.on_bad_request is not None:
+            headers.append(make_sound_prompt(self._rng))
         stream = await caller.call(name, headers, '/stream/x', deadline_s=5.0)
         self._ledger.record_stream(stream, events)
 
 
-def _encode(http: h11.Connection, sent: SentAttempt) -> bytes:
+def _encode(
+    http: h11.Connection, sent: SentAttempt, prompt: list[tuple[str, str]]
+) -> bytes:
     headers = [
         ('host', 'soak'),
         ('attempt-id', sent.attempt),
@@ -170,6 +178,7 @@
         ('authorization', 'Bearer soak-key'),
         ('token-count', f'100,{sent.events}'),
         ('content-length', str(len(sent.body))),
+        *prompt,
     ]
     head = h11.Request(method='POST', target=f'/{sent.kind}/x', headers=headers)
     return (
--- a/benches/gateway_soak/endpoint.py
+++ b/benches/gateway_soak/endpoint.py
@@ -7,14 +7,17 @@
 from typing import TYPE_CHECKING, Any
 
 from benches.gateway_soak.ledger import DRAIN_SLACK_S, make_event
-from benches.gateway_soak.proxy import LOOPBACK, Proxy
+from benches.gateway_soak.prompts import BAD_PART
+from benches.gateway_soak.proxy import LOOPBACK, Proxy, reset
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable, Iterable
 
     from benches.gateway_soak.ledger import Ledger
     from savorychute.http.server_exchange import ServerExchange
 
+PROMPT = 'prefix-hash'
 SIGNATURE_HEADER = 'server-signature'
 SERVICE_TIME_S = 0.03
 EVENT_INTERVAL_S = 0.02
@@ -43,6 +46,10 @@
         self.is_full = False
         self.crashed = False
         self.drain_started_s: float | None = None
+        # Called with a request with a bad part, on which this endpoint crashes.
+        self.on_bad_request: Callable[[SoakEndpoint, str], None] | None = None
+        # Whether its streams have chunks, or end with their connections.
+        self.has_chunks = True
         # Headers that it adds to every response.
         self.stated_headers: tuple[tuple[str, str], ...] = ()
         # Times of received calls and of started requests.
@@ -93,6 +100,11 @@
             return
         attempt = headers['attempt-id']
         self._record_execution(attempt, headers)
+        if self.on_bad_request is not None and f',{BAD_PART}:' in headers.get(
+            PROMPT, ''
+        ):
+            self.on_bad_request(self, attempt)
+            return
         await self._execute(exchange, attempt, headers)
 
     def _record_execution(self, attempt: str, headers: dict[str, str]) -> None:
@@ -127,7 +139,10 @@
         last_event = int(headers.get('last-event-id', 0))
         events = int(headers['token-count'].partition(',')[2])
         abort_at = self._rng.randint(last_event, events) if aborts else None
-        exchange.start(200, (*response_headers, ('content-type', 'text/event-stream')))
+        response_headers = (*response_headers, ('content-type', 'text/event-stream'))
+        if not self.has_chunks:
+            exchange = UndelimitedExchange(exchange)
+        exchange.start(200, response_headers)
         for number in range(last_event + 1, events + 1):
             if number == abort_at or self.crashed:
                 # Cut within an event, as when a process dies while it writes.
@@ -137,3 +152,34 @@
             exchange.send(make_event(attempt, number, version))
             await asyncio.sleep(EVENT_INTERVAL_S)
         exchange.finish()
+
+
+class UndelimitedExchange:
+    """Sends a response without a length or chunks, which ends with its connection.
+
+    :param exchange: the request.
+    """
+
+    def __init__(self, exchange: ServerExchange) -> None:
+        self._transport = exchange._connection._transport
+
+    def start(self, status: int, headers: Iterable[tuple[str, str]]) -> None:
+        """Send the head."""
+        lines = [
+            f'HTTP/1.1 {status} X',
+            *(f'{name}: {value}' for name, value in headers),
+        ]
+        self.send('\r\n'.join([*lines, '', '']).encode())
+
+    def send(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if not self._transport.is_closing():
+            self._transport.write(data)
+
+    def finish(self) -> None:
+        """Close the connection in order."""
+        self._transport.close()
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        reset(self._transport)
--- a/benches/gateway_soak/faults.py
+++ b/benches/gateway_soak/faults.py
@@ -115,9 +115,9 @@
 async def make_store_unavailable(site: Site) -> None:
     """Make the store unavailable to all gateways."""
     with site.ledger.store_unreachable():
-        site.store.mode = site.rng.choice(['busy', 'silent', 'lossy'])
+        site.set_store_mode(site.rng.choice(['busy', 'silent', 'lossy']))
         await _wait_random(site)
-        site.store.mode = 'up'
+        site.set_store_mode('up')
 
 
 @FAULTS.register('store-forgets')
--- a/benches/gateway_soak/platform.py
+++ b/benches/gateway_soak/platform.py
@@ -90,10 +90,10 @@
     while True:
         await asyncio.sleep(rng.uniform(*RESTORE_INTERVAL_S))
         with site.ledger.store_unreachable():
-            site.store.mode = 'busy'
+            site.set_store_mode('busy')
             await asyncio.sleep(rng.uniform(*OUTAGE_S))
             site.store.go_back(rng.uniform(*COPY_AGE_S))
-            site.store.mode = 'up'
+            site.set_store_mode('up')
             await asyncio.sleep(rng.uniform(0, REWRITE_S))
             site.rewrite_lost()
             await asyncio.sleep(REWRITE_S)
--- a/benches/gateway_soak/play.py
+++ b/benches/gateway_soak/play.py
@@ -12,6 +12,7 @@
 from benches.gateway_soak.callers import Caller, StreamCaller
 from benches.gateway_soak.faults import FAULTS
 from benches.gateway_soak.ledger import Ledger
+from benches.gateway_soak.parts import PartChecker
 from benches.gateway_soak.platform import restore_older_copies
 from benches.gateway_soak.site import Site
 from benches.gateway_soak.statements import StatementChecker
@@ -54,6 +55,7 @@
     settle: bool = True,
     older_copies: bool = False,
     statements: bool = False,
+    parts: bool = False,
 ) -> SoakResult:
     """Run gateways under load, inject faults, let them settle, and check.
 
@@ -65,9 +67,12 @@
     :param settle: wait until faults have ended, and check that most requests succeed.
     :param older_copies: restore older copies of the store at times, and report usage.
     :param statements: let endpoints state limits, leave and send ``Retry-After``.
+    :param parts: let endpoints crash on a part of prompts, and some send streams without
+        a length or chunks.
     """
     ledger = Ledger()
     site = Site(folder, ledger, rng)
+    part_checker = PartChecker(site, random.Random(rng.random())) if parts else None
     counts: Counter[str] = Counter()
     await site.start(gateways, duties=older_copies)
     caller_tasks = [
@@ -91,13 +96,15 @@
         await asyncio.sleep(QUIET_S)
         if statement_checker is not None:
             background_tasks.append(asyncio.create_task(statement_checker.run()))
+        if part_checker is not None:
+            background_tasks.append(asyncio.create_task(part_checker.run()))
         await _inject_faults(
             site, seconds, counts, WEIGHTED_FAULTS if statements else list(FAULTS)
         )
         for background_task in background_tasks:
             background_task.cancel()
             await asyncio.gather(background_task, return_exceptions=True)
-        site.store.mode = 'up'
+        site.set_store_mode('up')
         if older_copies:
             site.rewrite_lost()
         violations = await _check_recovery(ledger) if settle else []
@@ -116,6 +123,9 @@
     if statement_checker is not None:
         ledger.counts['statements'] = statement_checker.statement_count
         violations.extend(statement_checker.check())
+    if part_checker is not None:
+        ledger.counts['crashes'] = len(part_checker.crash_times_s)
+        violations.extend(part_checker.check())
     if site.platform is not None:
         ledger.counts['windows'] = site.platform.windows
         violations.extend(site.platform.check())
--- a/benches/gateway_soak/proxy.py
+++ b/benches/gateway_soak/proxy.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from contextlib import suppress
 from enum import Enum, auto
 
 LOOPBACK = '127.0.0.1'
 CHUNK_BYTES = 65_536
 DELAY_S = 0.15
+# Lets the close of a socket reset its connection.
+RESET = struct.pack('ii', 1, 0)
 
 
 class ProxyFault(Enum):
@@ -53,7 +57,7 @@
         """Reset every connection without closing it in order."""
         self.events_s.append(asyncio.get_running_loop().time())
         for writer in tuple(self._writers):
-            writer.transport.abort()
+            reset(writer.transport)
 
     def close(self) -> None:
         """Stop listening and reset all connections."""
@@ -101,9 +105,20 @@
             if writer.can_write_eof():
                 writer.write_eof()
             return
-        writer.transport.abort()
+        reset(writer.transport)
 
     def _is_blocked(self, is_response: bool) -> bool:
         if self.fault is ProxyFault.SILENT:
             return True
         return is_response and self.fault is ProxyFault.ANSWERS_LOST
+
+
+def reset(transport: asyncio.Transport) -> None:
+    """Reset a connection; an end in order would end a response without a length.
+
+    :param transport: its transport.
+    """
+    raw_socket = transport.get_extra_info('socket')
+    if raw_socket is not None and not transport.is_closing():
+        raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    transport.abort()
--- a/benches/gateway_soak/site.py
+++ b/benches/gateway_soak/site.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from benches.gateway_soak.ledger import Ledger
 
@@ -169,6 +170,10 @@
         self.gateways: list[GatewayProcess] = []
         self.platform: PlatformStandIn | None = None
         self.newest_version = VERSIONS[0]
+        # Called with each request with a bad part; None if callers send none.
+        self.on_bad_request: Callable[[SoakEndpoint, str], None] | None = None
+        # Times at which the store began or ceased to fail.
+        self.store_events_s: list[float] = []
         self._stack = AsyncExitStack()
         self._endpoint_count = 0
         self._version = 0
@@ -221,6 +226,9 @@
         endpoint = SoakEndpoint(
             f'i-{self._endpoint_count}', service, version, self.ledger, self.rng
         )
+        if self.on_bad_request is not None:
+            endpoint.on_bad_request = self.on_bad_request
+            endpoint.has_chunks = service == 'desk' or self.rng.random() < 0.5
         server = await self._stack.enter_async_context(
             serve(endpoint.handle, LOOPBACK, 0)
         )
@@ -231,6 +239,14 @@
         self.write_entry(endpoint)
         return endpoint
 
+    def set_store_mode(self, mode: str) -> None:
+        """Let the store fail in some way, or not any more.
+
+        :param mode: the mode of the stand-in.
+        """
+        self.store.mode = mode
+        self.store_events_s.append(asyncio.get_running_loop().time())
+
     def write_entry(self, endpoint: SoakEndpoint) -> None:
         """Write the entry of an endpoint, which serves as its heartbeat."""
         self.store.put('keyed.servers', endpoint.name, endpoint.encode_entry())
--- a/tests/test_soak/test_short_soak.py
+++ b/tests/test_soak/test_short_soak.py
@@ -93,6 +93,31 @@
     assert result.counts['statements'] > 0
 
 
+# Long enough for a part to crash endpoints five times if nobody learns of it.
+PART_SOAK_S = 10.0
+
+
+def test_part_that_crashes_endpoints_is_kept_from_them_while_faults_overlap(tmp_path):
+    """Requests share a part on which endpoints crash; some streams have no chunks."""
+
+    async def main():
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            return await play(
+                random.Random(1),
+                tmp_path,
+                PART_SOAK_S,
+                GATEWAYS,
+                CALLERS,
+                settle=False,
+                parts=True,
+            )
+
+    result = asyncio.run(main())
+
+    assert result.violations == []
+    assert result.counts['crashes'] > 0
+
+
 class InvalidValueChooser(random.Random):
     """Chooses the invalid value among the values of a setting."""
 
