--- a/tests/test_crashes/test_crash_judge.py
+++ b/tests/test_crashes/test_crash_judge.py
@@ -135,6 +135,17 @@
     assert court.verdict() is None
 
 
+def test_judge_that_has_just_started_explains_a_common_part_away():
+    """Guards against a stop of a route by those that do not know which parts succeed."""
+    court = Court(now_ms=0)
+    for number in range(10):
+        bad = court.request('5a0', f'bad{number % 2}')
+        court.crash(bad, court.request('5a0', f'd{number}'), after_ms=200)
+        assert court.decide(court.request('5a0', 'd99')).kind is not REFUSED
+    assert court.decide(court.request('5a0', 'bad0')).kind is REFUSED
+    assert court.decide(court.request('5a0', 'bad1')).kind is REFUSED
+
+
 def test_suspects_with_different_parts_run_at_different_endpoints(court):
     """Guards against innocent suspects that go down with the guilty one."""
     court.crash(court.request('bad'), *(court.request(f'd{n}') for n in range(20)))
