Report readiness only when the verdicts are known

An instance refuses requests until it has read the verdicts, from the store or from another instance; it said that it was ready before, so callers were sent to it. The suite passes (gateway and fleet, known red apart).

--- a/savorychute/gateway/daemon/gateway_host.py
+++ b/savorychute/gateway/daemon/gateway_host.py
@@ -103,8 +103,8 @@
         """Whether callers should send requests to this instance.
 
         An instance that cannot read the store refuses keys after a while, and one that
-        has not read the marks of versions begins no streams.  Reporting this here lets
-        callers choose another instance before they are refused.
+        has not read the marks of versions, or the verdicts on requests, begins no
+        streams.  Reporting this here lets callers choose another instance before they are refused.
         """
         configuration = self._parts.configuration
         if self._leaving_since_ms is not None or configuration.table is None:
@@ -112,6 +112,8 @@
         now_ms = self._parts.clock.now_ms()
         if not self._parts.origins.is_ready(now_ms):
             return False
+        if not self._parts.crashes.is_informed(now_ms):
+            return False
         return not configuration.table.needs_keys or configuration.trusts_keys(now_ms)
 
     def attach_caller_server(self, server: HttpServer) -> None:
