Lift a verdict by a success also after its evidence has expired

A verdict is first tried after an hour, when its evidence is as old as evidence may be: the trial succeeded and cleared nothing, so the verdict stayed in force. Found by the test of the library's quarantine; the test of the judge waits for two hours now and fails without the change.

--- a/savorychute/crashes/crash_judge.py
+++ b/savorychute/crashes/crash_judge.py
@@ -157,11 +157,12 @@
         :param at_ms: the time of the success.
         :param now_ms: the current time.
         """
-        evidence = self.evidence(service)
-        cleared = evidence.record_successes(traits, at_ms)
-        if cleared:
-            for verdict in self.verdicts.list_on(service, frozenset(cleared)):
-                self._narrow(verdict, cleared, now_ms)
+        cleared = self.evidence(service).record_successes(traits, at_ms)
+        # A verdict lasts longer than the evidence behind it.
+        for verdict in self.verdicts.list_on(service, frozenset(traits)):
+            succeeded = [each for each in verdict.key.traits if each in traits]
+            cleared += [each for each in succeeded if each not in cleared]
+            self._narrow(verdict, succeeded, now_ms)
         return cleared
 
     def clear_request(
--- a/savorychute/crashes/verdict_table.py
+++ b/savorychute/crashes/verdict_table.py
@@ -59,6 +59,8 @@
         :param service: the service.
         :param traits: the traits.
         """
+        if not self._by_trait:
+            return []
         return [
             verdict
             for verdict in self._verdicts.values()
--- a/tests/test_crashes/test_crash_judge.py
+++ b/tests/test_crashes/test_crash_judge.py
@@ -197,7 +197,8 @@
 
 def test_trial_that_succeeds_lifts_the_verdict(court):
     convict(court)
-    court.now_ms += CERTAIN_DELAY_MS
+    court.now_ms += 2 * CERTAIN_DELAY_MS
+    court.judge.expire(court.now_ms)
     tried = court.request('bad')
     assert court.decide(tried, may_try=True).kind is TRIAL
     court.succeed(tried)
