Quarantine prompts of the library that begin with what crashes endpoints

The same class of fault as in the gateway: the quarantine knew whole requests only, so prompts with a common prefix, no two alike, crashed one engine after another. The quarantine of single requests, its lanes and thresholds are unchanged.

--- a/savorychute/instance/intake.py
+++ b/savorychute/instance/intake.py
@@ -132,6 +132,9 @@
             raise RequestError(code, f'class {request.class_name!r}: {code.meaning}')
         fingerprint = self._make_fingerprint(limits.organisation, request)
         tracked = TrackedRequest(request, class_limits, fingerprint, now_ms)
+        self._parts.quarantine.register(
+            fingerprint, tracked.pool, request.prefix_hashes
+        )
         if request.handle:
             self._apply_handle(tracked, limits.organisation)
         return tracked
--- a/savorychute/recovery/quarantine.py
+++ b/savorychute/recovery/quarantine.py
@@ -13,6 +13,8 @@
 from savorychute.recovery.poison_news import PoisonNews
 from savorychute.recovery.poison_record import NEVER_MS, PoisonRecord
 from savorychute.recovery.poison_verdict import PoisonVerdict
+from savorychute.recovery.prefix_news import PrefixNews
+from savorychute.recovery.prefix_quarantine import PrefixQuarantine
 from savorychute.recovery.suspect_lanes import SuspectLanes
 
 if TYPE_CHECKING:
@@ -52,6 +54,7 @@
         self._crash_monitor = CrashMonitor(settings)
         self._lanes = SuspectLanes(instance, settings.lane_turn_ms)
         self._broadcaster = PoisonBroadcaster(settings, instance, rng)
+        self._prefixes = PrefixQuarantine(settings, instance, rng)
 
     def __len__(self) -> int:
         return len(self._records)
@@ -60,8 +63,19 @@
         """Set the configured endpoints."""
         self._lanes.set_endpoints(documents)
 
+    def register(self, fingerprint: str, pool: str, prefixes: tuple[int, ...]) -> None:
+        """Remember the prompt of a request that arrives.
+
+        :param fingerprint: identifies the request.
+        :param pool: its pool.
+        :param prefixes: the hash chain of its prompt.
+        """
+        self._prefixes.register(fingerprint, pool, prefixes)
+
     def verdict(self, fingerprint: str, now_ms: int) -> PoisonVerdict:
         """Return whether the request may run."""
+        if self._prefixes.refuses(fingerprint, now_ms):
+            return PoisonVerdict.QUARANTINED
         record = self._find_record(fingerprint, now_ms)
         if record is None or not record.crashes:
             return PoisonVerdict.CLEAR
@@ -160,12 +174,15 @@
         :param ok: whether the answer was complete, which lifts the suspicion.
         """
         self._running.pop(attempt_id, None)
+        if ok:
+            self._prefixes.record_success(fingerprint, now_ms)
         record = self._find_record(fingerprint, now_ms)
         if ok and record is not None and record.crashes and not record.quarantined:
             self._lift(record, now_ms)
 
     def release(self, fingerprint: str, now_ms: int) -> None:
         """Lift a quarantine at an operator's command."""
+        self._prefixes.lift(fingerprint, now_ms)
         record = self._find_record(fingerprint, now_ms)
         if record is not None and record.crashes:
             self._lift(record, now_ms)
@@ -187,6 +204,7 @@
         if self._crash_monitor.record_crash(endpoint, now_ms):
             self._lift_recent_suspicions(now_ms)
             return
+        self._prefixes.record_crash(fingerprint, endpoint, now_ms)
         record = self._records.get(fingerprint)
         if record is None or record.until_ms <= now_ms:
             record = self._make_record(fingerprint)
@@ -198,6 +216,7 @@
 
     def _lift_recent_suspicions(self, now_ms: int) -> None:
         start_ms = now_ms - self._settings.own_fault_window_ms
+        self._prefixes.withdraw_since(start_ms)
         for crashed_ms, record in self._recent_crashes:
             if crashed_ms >= start_ms and record.crashes and not record.quarantined:
                 self._lift(record, now_ms)
@@ -218,6 +237,8 @@
             return self._broadcaster.respond_to_digest(
                 sender, message, self._records, now_ms
             )
+        if isinstance(message, PrefixNews):
+            return self._prefixes.receive(sender, message, now_ms)
         if not isinstance(message, PoisonNews):
             return []
         for entry in message.entries:
@@ -243,7 +264,8 @@
         for record in list(self._records.values()):
             if self._is_settled(record, now_ms):
                 self._conclude(record, now_ms)
-        actions = self._broadcaster.broadcast(now_ms)
+        actions = self._prefixes.tick(view, now_ms)
+        actions += self._broadcaster.broadcast(now_ms)
         actions += self._broadcaster.send_digest(self._records, now_ms)
         return actions
 
--- a/savorychute/wire/messages.capnp
+++ b/savorychute/wire/messages.capnp
@@ -310,6 +310,19 @@
   endpoints @0 :List(Text);
 }
 
+struct PrefixLoss {
+  endpoint @0 :Text;
+  request @1 :Int64;
+  prefixes @2 :List(Int64);
+}
+
+struct PrefixNews {  # tag 63
+  pool @0 :Text;
+  losses @1 :List(PrefixLoss);
+  cleared @2 :List(Int64);
+  ageMs @3 :Int64;
+}
+
 struct StoreQuestion {  # tag 91
   sequence @0 :Int64;
   endpointOffset @1 :Int64;
--- a/tests/test_instance/test_poison_requests.py
+++ b/tests/test_instance/test_poison_requests.py
@@ -7,7 +7,7 @@
 from instance_steps import make_failure
 
 from savorychute.actions import RefuseRequest, StartAttempt
-from savorychute.inputs import AttemptSent
+from savorychute.inputs import AttemptSent, CallerLeft
 from savorychute.result_code import ResultCode
 from savorychute.testing.solo import Solo, make_contract, make_engine, make_request
 
@@ -47,3 +47,19 @@
 
     assert solo.find(RefuseRequest)[-1].code is ResultCode.QUARANTINED
     assert len(solo.find(StartAttempt)) == started
+
+
+def test_requests_with_a_common_prefix_are_quarantined(solo):
+    """Guards against prompts, no two alike, that crash one endpoint after another."""
+    solo.run_for(11_000)
+    for number in range(3):
+        body = b'{"model":"small","messages":[{"role":"user","content":"%d"}]}' % number
+        request = make_request(f'r{number}')._replace(body=body)
+        solo.deliver(request._replace(prefix_hashes=(1, 2, 100 + number)))
+        crash_last(solo)
+        solo.deliver(CallerLeft(f'r{number}'))
+        solo.run_for(3_000)
+    solo.deliver(make_request('r9')._replace(prefix_hashes=(1, 2, 999)))
+    solo.run_for(1_000)
+    assert solo.find(RefuseRequest)[-1].request_id == 'r9'
+    assert solo.find(RefuseRequest)[-1].code is ResultCode.QUARANTINED
