Stop asking for crashes when instances that have run for a while have answered

A started instance asked three others twice a second for ten seconds, and each answer holds all evidence now.

--- a/savorychute/gateway/daemon/peer_message_router.py
+++ b/savorychute/gateway/daemon/peer_message_router.py
@@ -109,7 +109,9 @@
         parts.tunnels.set_view(view)
         parts.origins.set_view(view)
         parts.crashes.set_view(view)
-        messages = self._crash_history_fetcher.tick(view, now_ms)
+        messages: list[SendPeer] = []
+        if not parts.crashes.is_caught_up:
+            messages += self._crash_history_fetcher.tick(view, now_ms)
         messages += parts.shared_reader.tick(now_ms)
         if parts.usage is not None:
             messages += parts.usage.tick(now_ms)
--- a/savorychute/gateway/recovery/crash_exchange.py
+++ b/savorychute/gateway/recovery/crash_exchange.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from savorychute.actions.send_peer import SendPeer
-from savorychute.crashes.crash_evidence import NOVELTY_MS
+from savorychute.crashes.crash_evidence import HISTORY_MS, NOVELTY_MS
 from savorychute.gateway.recovery.crash_report import CrashReport, TraitSuccess
 from savorychute.gateway.recovery.verdict_news import (
     VerdictNews,
@@ -32,6 +32,8 @@
 # Keeps a message well below the maximum size of a datagram.
 TRAITS_PER_MESSAGE = 128
 VERDICTS_PER_MESSAGE = 16
+# One answer may lack a datagram.
+MIN_EXPERIENCED_ANSWERS = 2
 # Limits the response to an instance that has just started.
 MAX_REPORTED_CRASHES = 64
 # All instances may know that a popular part has succeeded; one that waits for a random
@@ -70,6 +72,7 @@
         self._resends: list[_Resend] = []
         # Successes of which others have told, and when.
         self._heard_ms: dict[tuple[str, int], int] = {}
+        self._experienced_answers = 0
         # The newest state of each verdict that the store holds.
         self.stored: dict[VerdictKey, int] = {}
         guard.on_losses = self._report_losses
@@ -222,6 +225,13 @@
             self._guard.inform()
         if news.observed_ms:
             self._guard.judge.inherit_observations(news.observed_ms, now_ms)
+        if news.is_complete and news.observed_ms >= HISTORY_MS:
+            self._experienced_answers += 1
+
+    @property
+    def is_caught_up(self) -> bool:
+        """Whether instances that have run for a while have told what they know."""
+        return self._experienced_answers >= MIN_EXPERIENCED_ANSWERS
 
     def record_stored(self, verdict: Verdict) -> None:
         """Record that the store holds a verdict.
--- a/tests/test_gateway/crash_simulation.py
+++ b/tests/test_gateway/crash_simulation.py
@@ -239,6 +239,8 @@
             now_ms = LoopClock().now_ms()
             if self.view is not None:
                 self.exchange.set_view(self.view)
+                if self.exchange.is_caught_up:
+                    continue
                 for action in self._fetcher.tick(self.view, now_ms):
                     self._send(action)
 
--- a/tests/test_gateway/test_crash_exchange.py
+++ b/tests/test_gateway/test_crash_exchange.py
@@ -179,6 +179,20 @@
     assert group.decide('k0', make_traits('s', ['50'])) is CrashDecisionKind.FREE
 
 
+def test_started_instance_asks_until_experienced_ones_have_answered(group):
+    """Guards against the whole history from three instances, twice a second."""
+    group.advance(12_000)
+    started = group.members[2]
+    group.start(started)
+    exchange = group.exchanges['k2']
+    for name in ('k0', 'k1'):
+        assert not exchange.is_caught_up
+        group.exchanges[name]._guard.inform()
+        for action in group.exchanges[name].respond(started):
+            group.receive(action)
+    assert exchange.is_caught_up
+
+
 def test_few_of_many_instances_reply_that_a_part_succeeds():
     """Guards against a reply of each instance to each crash in a large fleet."""
     group = Group([f'k{number}' for number in range(60)])
