--- a/savorychute/result_code.py
+++ b/savorychute/result_code.py
@@ -123,7 +123,7 @@
     CRASH_SUSPECT = (
         2015,
         HTTPStatus.SERVICE_UNAVAILABLE,
-        'endpoints broke off while they ran this request',
+        'endpoints have crashed on requests like this one',
     )
     STREAM_ORIGIN_UNKNOWN = (
         2016,
