--- a/savorychute/crashes/cause.py
+++ b/savorychute/crashes/cause.py
@@ -65,10 +65,9 @@
     :param is_convicted: returns whether a request with some traits is refused already.
     """
     causes: list[Cause] = []
-    explained: set[str] = set()
-    blamed = evidence.find_runs(is_convicted)
+    explained = _find_explained(evidence, is_convicted)
     while True:
-        candidates = _list_candidates(evidence, explained, blamed, now_ms)
+        candidates = _list_candidates(evidence, explained, is_convicted, now_ms)
         best = _select_best(candidates, evidence)
         if not best:
             return causes
@@ -79,42 +78,67 @@
                 causes.append(cause)
 
 
+def _find_explained(
+    evidence: CrashEvidence, is_convicted: Callable[[frozenset[int]], bool]
+) -> set[str]:
+    """Return the runs whose crashes a trait explains that is convicted by itself."""
+    return {
+        run
+        for trait in evidence.repeated_traits()
+        if is_convicted(frozenset((trait,)))
+        for run in evidence.crash_times(trait)
+    }
+
+
 def _list_candidates(
     evidence: CrashEvidence,
     explained: Set[str],
-    blamed: Set[str],
+    is_convicted: Callable[[frozenset[int]], bool],
     now_ms: int,
 ) -> list[_Candidate]:
-    """Return the traits with more than one crash.
-
-    A crash that is blamed on other requests does not count against a single request.
-    """
+    """Return the traits with more than one crash."""
     has_history = evidence.has_history(now_ms)
     candidates = []
-    for trait in evidence.accused_traits():
-        times_ms = evidence.crash_times(trait)
-        if len(times_ms) < MIN_CRASHES_RIVAL:
+    for trait in evidence.repeated_traits():
+        left_ms = {
+            run: at_ms
+            for run, at_ms in evidence.crash_times(trait).items()
+            if run not in explained
+        }
+        is_request = any(trait in evidence.lost_requests(run) for run in left_ms)
+        if is_request:
+            left_ms = _drop_blamed(evidence, left_ms, is_convicted)
+        novel = is_request or (has_history and evidence.is_novel(trait, now_ms))
+        crashes = _count_crashes(left_ms.values(), is_request, novel)
+        if crashes < MIN_CRASHES_RIVAL:
             continue
-        excluded = explained
-        if any(trait in evidence.lost_requests(run) for run in times_ms):
-            excluded = explained | blamed
-        left_ms = {run: at for run, at in times_ms.items() if run not in excluded}
         requests = frozenset(
             request
             for run in left_ms
             for request, traits in evidence.lost_requests(run).items()
             if trait in traits
         )
-        is_request = trait in requests
-        novel = is_request or (has_history and evidence.is_novel(trait, now_ms))
-        crashes = _count_crashes(left_ms.values(), is_request, novel)
-        if crashes < MIN_CRASHES_RIVAL:
-            continue
         runs = frozenset(left_ms)
         candidates.append(_Candidate(trait, novel, crashes, runs, requests))
     return candidates
 
 
+def _drop_blamed(
+    evidence: CrashEvidence,
+    times_ms: dict[str, int],
+    is_convicted: Callable[[frozenset[int]], bool],
+) -> dict[str, int]:
+    """Return the crashes that count against a single request.
+
+    Those that are blamed on other requests do not.
+    """
+    return {
+        run: at_ms
+        for run, at_ms in times_ms.items()
+        if not any(map(is_convicted, evidence.lost_requests(run).values()))
+    }
+
+
 def _count_crashes(times_ms: Collection[int], is_request: bool, novel: bool) -> int:
     if is_request:
         return len(times_ms)
--- a/savorychute/crashes/crash_evidence.py
+++ b/savorychute/crashes/crash_evidence.py
@@ -8,7 +8,7 @@
 from savorychute.crashes.lost_request import LostRequest
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
+    from collections.abc import Collection, Iterable, Iterator, Mapping
 
 # Crashes this close together are one episode: several endpoints may lose power at once.
 EPISODE_MS = 100
@@ -42,6 +42,8 @@
         self._trait_count = 0
         # By trait, the runs whose crashes accuse it, and the times of the crashes.
         self._accusations: dict[int, dict[str, int]] = {}
+        # The traits that several crashes accuse, in order.
+        self._repeated: dict[int, None] = {}
         self._successes: OrderedDict[int, int] = OrderedDict()
 
     @property
@@ -73,6 +75,8 @@
             if self._successes.get(trait, at_ms - 1) < at_ms:
                 runs = self._accusations.setdefault(trait, {})
                 runs.setdefault(lost.run, at_ms)
+                if len(runs) > 1:
+                    self._repeated[trait] = None
         while len(self._lost) > MAX_CRASHES or self._trait_count > MAX_LOST_TRAITS:
             self._forget_run(next(iter(self._lost)))
         return True
@@ -142,6 +146,8 @@
             self._accusations[trait] = runs
         else:
             self._accusations.pop(trait, None)
+        if len(runs) < 2:
+            self._repeated.pop(trait, None)
 
     def _forget_run(self, run: str) -> None:
         requests = self._lost.pop(run)
@@ -161,10 +167,14 @@
         """
         return trait in self._accusations
 
-    def accused_traits(self) -> Iterable[int]:
+    def accused_traits(self) -> Collection[int]:
         """Return the traits that were not cleared."""
         return self._accusations.keys()
 
+    def repeated_traits(self) -> Collection[int]:
+        """Return the traits that several crashes accuse."""
+        return self._repeated.keys()
+
     def crash_times(self, trait: int) -> Mapping[str, int]:
         """Return the runs whose crashes accuse a trait, and the times of the crashes.
 
@@ -222,17 +232,6 @@
                 ]
                 yield losses, min(times_ms)
 
-    def find_runs(self, matches: Callable[[frozenset[int]], bool]) -> frozenset[str]:
-        """Return the runs with which a request with certain traits was lost.
-
-        :param matches: returns whether some traits are meant.
-        """
-        return frozenset(
-            run
-            for run, requests in self._lost.items()
-            if any(map(matches, requests.values()))
-        )
-
     def lost_requests(self, run: str) -> Mapping[int, frozenset[int]]:
         """Return the requests lost with a run, and their traits.
 
--- a/savorychute/crashes/crash_judge.py
+++ b/savorychute/crashes/crash_judge.py
@@ -6,7 +6,7 @@
 
 import xxhash
 
-from savorychute.crashes.cause import find_causes
+from savorychute.crashes.cause import MIN_CRASHES, find_causes
 from savorychute.crashes.crash_decision import FREE, CrashDecision, CrashDecisionKind
 from savorychute.crashes.crash_evidence import CrashEvidence
 from savorychute.crashes.verdict import VerdictKey, make_verdict
@@ -131,7 +131,8 @@
         """
         evidence = self.evidence(service)
         new = [lost for lost in losses if evidence.record_loss(lost, at_ms)]
-        if new:
+        traits = {trait for lost in new for trait in lost.traits}
+        if any(len(evidence.crash_times(each)) >= MIN_CRASHES for each in traits):
             self._convict(service, evidence, now_ms)
         return new
 
@@ -159,7 +160,7 @@
         """
         cleared = self.evidence(service).record_successes(traits, at_ms)
         # A verdict lasts longer than the evidence behind it.
-        for verdict in self.verdicts.list_on(service, frozenset(traits)):
+        for verdict in self.verdicts.list_on(service, traits):
             succeeded = [each for each in verdict.key.traits if each in traits]
             cleared += [each for each in succeeded if each not in cleared]
             self._narrow(verdict, succeeded, now_ms)
--- a/savorychute/crashes/verdict_table.py
+++ b/savorychute/crashes/verdict_table.py
@@ -7,7 +7,7 @@
 from savorychute.crashes.verdict import MAX_DELAY_MS
 
 if TYPE_CHECKING:
-    from collections.abc import Container, Iterable, Iterator
+    from collections.abc import Iterable, Iterator
 
     from savorychute.crashes.verdict import Verdict, VerdictKey
 
@@ -21,7 +21,7 @@
 
     def __init__(self) -> None:
         self._verdicts: dict[VerdictKey, Verdict] = {}
-        # The verdicts in force, by service and the first of their traits.
+        # The verdicts in force, by service and each of their traits.
         self._by_trait: dict[tuple[str, int], list[VerdictKey]] = {}
         self._lifted_ms: dict[VerdictKey, int] = {}
 
@@ -53,7 +53,7 @@
                     return self._verdicts[key]
         return None
 
-    def list_on(self, service: str, traits: Container[int]) -> list[Verdict]:
+    def list_on(self, service: str, traits: Iterable[int]) -> list[Verdict]:
         """Return the verdicts in force that concern any of some traits.
 
         :param service: the service.
@@ -61,13 +61,10 @@
         """
         if not self._by_trait:
             return []
-        return [
-            verdict
-            for verdict in self._verdicts.values()
-            if not verdict.lifted
-            and verdict.key.service == service
-            and any(trait in traits for trait in verdict.key.traits)
-        ]
+        keys = dict.fromkeys(
+            key for trait in traits for key in self._by_trait.get((service, trait), ())
+        )
+        return [self._verdicts[key] for key in keys]
 
     def put(self, verdict: Verdict, now_ms: int) -> bool:
         """Apply a change of a verdict; return whether it is newer than the known one.
@@ -85,8 +82,9 @@
             self._lifted_ms[verdict.key] = now_ms
         else:
             self._lifted_ms.pop(verdict.key, None)
-            index_key = verdict.key.service, verdict.key.traits[0]
-            self._by_trait.setdefault(index_key, []).append(verdict.key)
+            for trait in verdict.key.traits:
+                index_key = verdict.key.service, trait
+                self._by_trait.setdefault(index_key, []).append(verdict.key)
         while len(self._verdicts) > MAX_VERDICTS:
             self._drop(min(self._verdicts.values(), key=_make_retention_key).key)
         return True
@@ -113,12 +111,12 @@
         self._lifted_ms.pop(key, None)
 
     def _remove_index(self, key: VerdictKey) -> None:
-        index_key = key.service, key.traits[0]
-        keys = self._by_trait.get(index_key, [])
-        if key in keys:
-            keys.remove(key)
-        if not keys:
-            self._by_trait.pop(index_key, None)
+        for trait in key.traits:
+            keys = self._by_trait.get((key.service, trait), [])
+            if key in keys:
+                keys.remove(key)
+            if not keys:
+                self._by_trait.pop((key.service, trait), None)
 
 
 def _make_retention_key(verdict: Verdict) -> tuple[bool, bool, int]:
