Forget that the store holds a verdict once the verdict is forgotten

A verdict that was lifted, forgotten ten minutes later and given again begins at sequence 1, while its stored sequence was still remembered as higher: it was never stored, so a loss of all instances would have lost it. Found in reading the change; the test fails without it.

--- a/savorychute/gateway/recovery/crash_exchange.py
+++ b/savorychute/gateway/recovery/crash_exchange.py
@@ -105,6 +105,7 @@
                 message = _age(each.message, now_ms - each.sent_ms)
                 self._broadcast(message, each.sends_left)
         self._expire_heard(now_ms)
+        self._forget_stored()
 
     # -- telling
 
@@ -260,6 +261,15 @@
                 if now_ms - heard_ms <= MAX_REPLY_DELAY_MS
             }
 
+    def _forget_stored(self) -> None:
+        """Forget the stored states of verdicts that this instance has forgotten.
+
+        The states of a verdict on the same traits begin anew.
+        """
+        verdicts = self._guard.judge.verdicts
+        for key in [key for key in self.stored if verdicts.get(key) is None]:
+            del self.stored[key]
+
 
 def _split_losses(losses: Sequence[LostRequest]) -> Iterator[list[LostRequest]]:
     """Yield the lost requests in groups that fit into a message each."""
--- a/tests/test_gateway/test_crash_exchange.py
+++ b/tests/test_gateway/test_crash_exchange.py
@@ -10,7 +10,9 @@
 
 from savorychute.clock import ManualClock
 from savorychute.crashes.crash_decision import CrashDecisionKind
+from savorychute.crashes.crash_judge import EXPIRY_INTERVAL_MS
 from savorychute.crashes.request_traits import make_traits
+from savorychute.crashes.verdict_table import LIFTED_MEMORY_MS
 from savorychute.gateway.endpoints.endpoint_run import EndpointRun
 from savorychute.gateway.recovery.crash_exchange import SENDS, CrashExchange
 from savorychute.gateway.recovery.crash_guard import CrashGuard
@@ -237,6 +239,18 @@
     assert group.decide('k2') is CrashDecisionKind.FREE
 
 
+def test_verdict_that_returns_is_not_taken_for_stored(group):
+    """Guards against a verdict that the store never gets, as it held one before."""
+    exchange = group.exchanges['k0']
+    for number in range(3):
+        group.crash('k0', f'd{number}')
+    verdict = next(iter(group.guards['k0'].judge.verdicts))
+    exchange.record_stored(verdict)
+    group.guards['k0'].judge.lift(verdict.key, 'operator', group.clock.now_ms())
+    group.advance(LIFTED_MEMORY_MS + EXPIRY_INTERVAL_MS + 1_000)
+    assert verdict.key not in exchange.stored
+
+
 def test_requests_end_after_the_request_period(group):
     """Guards against requests that continue for the whole run of an instance."""
     fetcher = CrashHistoryFetcher(random.Random(1))
