--- a/review/standins/wire.py
+++ b/review/standins/wire.py
@@ -96,7 +96,7 @@
     lines = [f'HTTP/1.1 {status} X', *(f'{key}: {headers[key]}' for key in headers)]
     if body is not None:
         lines.append(f'Content-Length: {len(body)}')
-    return '\r\n'.join[*lines, '', '']).encode('latin-1') + (body or b'')
+    return '\r\n'.join([*lines, '', '']).encode('latin-1') + (body or b'')
 
 
 def encode_request(
@@ -112,7 +112,7 @@
     lines = [f'{method} {target} HTTP/1.1']
     lines += [f'{key}: {headers[key]}' for key in headers]
     lines.append(f'Content-Length: {len(body)}')
-    return '\r\n'.join[*lines, '', '']).encode('latin-1') + body
+    return '\r\n'.join([*lines, '', '']).encode('latin-1') + body
 
 
 def reset(writer: asyncio.StreamWriter) -> None:
