--- a/review/standins/record.py
+++ b/review/standins/record.py
@@ -15,7 +15,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+# An error of the interpreter itself exits with 1, so that run.sh translates these.
+HELD, BROKEN, NOT_RUN = 0, 10, 2
 # A script may take 120 s; the rest is for the end of its processes.
 TIMEOUT_S = 110.0
 
@@ -88,7 +89,7 @@
         try:
             async with asyncio.timeout(TIMEOUT_S):
                 await play(record, Path(temporary))
-        except (CannotRunError, TimeoutError, asyncio.CancelledError) as error:
+        except (Exception, asyncio.CancelledError) as error:
             record.add(f'the case could not run: {error!r}')
             return BROKEN if record.violations else NOT_RUN
     return BROKEN if record.violations else HELD
