--- a/review/2/case.py
+++ b/review/2/case.py
@@ -63,7 +63,6 @@
         self._sequence = 0
         self._fillers: set[int] = set()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._accepting: asyncio.Task[None] | None = None
         self._socket = socket.socket()
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.bind((LOOPBACK, 0))
@@ -73,13 +72,14 @@
 
     def start(self) -> None:
         """Accept connections."""
-        self._accepting = asyncio.create_task(self._accept())
+        loop = asyncio.get_running_loop()
+        loop.add_reader(self._socket, self._accept_waiting)
 
     def close(self) -> None:
         """Close the listening socket and end all work."""
-        for task in (*self._tasks, self._accepting):
-            if task is not None:
-                task.cancel()
+        asyncio.get_running_loop().remove_reader(self._socket)
+        for task in tuple(self._tasks):
+            task.cancel()
         self._socket.close()
 
     def report(self) -> None:
@@ -94,8 +94,8 @@
 
         The kernel drops them while the queue of new connections is full.
         """
-        assert self._accepting is not None
-        self._accepting.cancel()
+        asyncio.get_running_loop().remove_reader(self._socket)
+        self._accept_waiting()
         self._socket.listen(0)
         filler = socket.socket()
         filler.setblocking(False)
@@ -107,14 +107,18 @@
         filler.close()
         self.start()
 
-    async def _accept(self) -> None:
-        loop = asyncio.get_running_loop()
+    def _accept_waiting(self) -> None:
+        """Accept all connections in the queue."""
         while True:
-            accepted, address = await loop.sock_accept(self._socket)
+            try:
+                accepted, address = self._socket.accept()
+            except BlockingIOError:
+                return
             if address[1] in self._fillers:
                 self._fillers.discard(address[1])
                 accepted.close()
                 continue
+            accepted.setblocking(False)
             self.opened += 1
             task = asyncio.create_task(self._serve(accepted))
             self._tasks.add(task)
