Tell which request a response names, and which connection carried it

A line of an attempt can't say today whether its response bore the id of the request, another one or none, nor whether its connection had carried other calls. The dialect now decodes this into `naming` and `named_id` (shortened to 64 characters before it is kept), and a call knows the number of its connection, counted per pool, and the calls that went before it on that connection. Nothing is decided by them yet.

--- a/savorychute/gateway/requests/attempt_port.py
+++ b/savorychute/gateway/requests/attempt_port.py
@@ -57,6 +57,16 @@
         """The instance through which it was sent; empty for none."""
         ...
 
+    @property
+    def connection_number(self) -> int:
+        """The number of its connection; 0 if it was not sent."""
+        ...
+
+    @property
+    def calls_before(self) -> int:
+        """The calls that its connection had carried before it."""
+        ...
+
     def cancel(self) -> None:
         """Close its connection, so that the endpoint stops working on it."""
         ...
--- a/savorychute/gateway/requests/endpoint_response.py
+++ b/savorychute/gateway/requests/endpoint_response.py
@@ -19,6 +19,14 @@
     FOREIGN = auto()
 
 
+class Naming(Enum):
+    """Which request a response names by its id."""
+
+    OWN = auto()
+    OTHER = auto()
+    NONE = auto()
+
+
 class EndpointResponse(NamedTuple):
     """The status, the headers to forward, and the meaning of a response.
 
@@ -28,6 +36,8 @@
     endpoint made it.  ``is_stream`` is true for a stream of events.  ``is_delimited`` is
     false if the response has neither a length nor chunks, so that only the end of its
     connection ends it.  ``is_identified`` is false if the response names no request.
+    ``naming`` tells whose id it bears, and ``named_id`` is that id, shortened; both are
+    what the head states, whatever the kind.
     """
 
     kind: ResponseKind
@@ -37,3 +47,5 @@
     retry_after_ms: int = 0
     is_delimited: bool = True
     is_identified: bool = True
+    naming: Naming = Naming.OWN
+    named_id: str = ''
--- a/savorychute/http/client_call.py
+++ b/savorychute/http/client_call.py
@@ -25,6 +25,7 @@
     __slots__ = (
         '_connection',
         '_paused',
+        'calls_before',
         'cancelled',
         'connecting',
         'handler',
@@ -46,6 +47,8 @@
         self.cancelled = False
         self.sent = False
         self.connecting: asyncio.Task[None] | None = None
+        # Calls that its connection had carried before this one.
+        self.calls_before = 0
         self._connection: ClientConnection | None = None
         self._paused = False
 
@@ -62,6 +65,7 @@
             self.cancelled = True
             return False
         self._connection = connection
+        self.calls_before = connection.calls
         self.sent = True
         connection.send(self.request, self.handler, identified=self.identified)
         if self._paused:
@@ -98,6 +102,11 @@
         """The instance through which the request was sent; empty for none."""
         return self._connection.via if self._connection is not None else ''
 
+    @property
+    def connection_number(self) -> int:
+        """The number of its connection; 0 if it was not sent."""
+        return self._connection.number if self._connection is not None else 0
+
     def may_be_late_copy(self, status: int) -> bool:
         """Return whether a response that names no request may be an earlier one's copy.
 
--- a/savorychute/http/client_connection.py
+++ b/savorychute/http/client_connection.py
@@ -49,6 +49,7 @@
     :param on_lost: called when the connection is lost.
     :param max_response_bytes: the size of the largest accepted response; None for any.
     :param pace: the pace of all responses; an own one by default.
+    :param number: its number among the connections of its pool, from 1.
     """
 
     def __init__(
@@ -58,10 +59,14 @@
         on_lost: Callable[[ClientConnection], None],
         max_response_bytes: int | None = None,
         pace: ReceivePace | None = None,
+        number: int = 0,
     ) -> None:
         self._host_header = host_header
         self._on_idle = on_idle
         self._on_lost = on_lost
+        self.number = number
+        # Calls that were sent on it.
+        self.calls = 0
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -201,6 +206,7 @@
         :param identified: whether the response names the request.
         """
         self._handler = handler
+        self.calls += 1
         self._is_identified = identified
         self._pace = ResponsePace(self._shared_pace)
         self._received_bytes = self._interim_responses = 0
--- a/savorychute/http/client_pool.py
+++ b/savorychute/http/client_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from contextlib import contextmanager
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -81,6 +82,7 @@
         self._next_sweep_ms = 0
         self._open: dict[ClientConnection, ServerAddress] = {}
         self._connecting = 0
+        self._numbers = itertools.count(1)
         self._preparing: dict[ServerAddress, asyncio.Task[bool]] = {}
         # The keep-alive time that a server stated last, also for connections that were
         # opened ahead and have carried no response.
@@ -236,6 +238,7 @@
                 on_lost=lambda lost: self._remove(address, lost),
                 max_response_bytes=self.response_bytes,
                 pace=self._pace,
+                number=next(self._numbers),
             )
 
         async with asyncio.timeout(self._settings.connect_timeout_ms / MS_PER_S):
--- a/tests/test_fleet/test_dialects.py
+++ b/tests/test_fleet/test_dialects.py
@@ -22,7 +22,7 @@
     StatementKind,
     UnreadableStatement,
 )
-from savorychute.gateway.requests.endpoint_response import ResponseKind
+from savorychute.gateway.requests.endpoint_response import Naming, ResponseKind
 from savorychute.gateway.requests.outbound_attempt import OutboundAttempt
 from savorychute.gateway.requests.prompt import Prompt, PromptPart
 from savorychute.gateway.requests.refusal import Refusal
@@ -162,6 +162,24 @@
     assert response.kind is kind
 
 
+@pytest.mark.parametrize(
+    'headers, naming, named_id',
+    [
+        ({'attempt-id': 'a1'}, Naming.OWN, 'a1'),
+        ({'attempt-id': 'a2', 'not-executed': '1'}, Naming.OTHER, 'a2'),
+        ({'attempt-id': ''}, Naming.OTHER, ''),
+        ({'server-signature': 's', 'not-executed': '1'}, Naming.NONE, ''),
+        ({'attempt-id': 'b' * 30_000}, Naming.OTHER, 'b' * 64),
+        ({'attempt-id': 'a1' + 'b' * 30_000}, Naming.OTHER, 'a1' + 'b' * 62),
+    ],
+)
+@pytest.mark.parametrize('status', [200, 421, 500, 503])
+def test_response_tells_which_request_it_names(status, headers, naming, named_id):
+    response = endpoint_dialect.decode_response(status, headers, make_attempt())
+
+    assert (response.naming, response.named_id) == (naming, named_id)
+
+
 def test_response_keeps_its_end_to_end_headers():
     headers = {
         'attempt-id': 'a1',
--- a/tests/test_gateway/fleet_simulation.py
+++ b/tests/test_gateway/fleet_simulation.py
@@ -113,6 +113,8 @@
 
     path_lost = False
     via = ''
+    connection_number = 0
+    calls_before = 0
 
     def __init__(self, timeline, engines, outbound, listener):
         self._engine = engines[outbound.endpoint.endpoint]
--- a/tests/test_gateway/gateway_fakes.py
+++ b/tests/test_gateway/gateway_fakes.py
@@ -118,6 +118,8 @@
 
     path_lost = False
     via = ''
+    connection_number = 0
+    calls_before = 0
 
     def __init__(self, attempt, listener):
         self.attempt = attempt
--- a/tests/test_http/test_kept_connections.py
+++ b/tests/test_http/test_kept_connections.py
@@ -58,6 +58,32 @@
     assert numbers == [0, 0, 1]
 
 
+def test_call_knows_its_connection_and_how_many_calls_went_before():
+    calls = []
+
+    async def main():
+        async with raw_server(respond_to_all([])) as address:
+            with open_pool(PoolSettings(), SystemClock()) as pool:
+                for last_event, unused in (
+                    ('about-to-send', False),
+                    ('ended', False),
+                    ('ended', False),
+                    ('ended', True),
+                ):
+                    recorder = Recorder(last_event == 'ended')
+                    call = pool.submit(address, GET, recorder, unused=unused)
+                    async with asyncio.timeout(5):
+                        while last_event not in recorder.events:
+                            await asyncio.sleep(0.001)
+                    calls.append((call.connection_number, call.calls_before))
+
+    asyncio.run(main())
+
+    unsent, *sent = calls
+    assert unsent == (0, 0)
+    assert sent == [(1, 0), (1, 1), (2, 0)]
+
+
 def test_reused_connection_closed_before_any_response_counts_as_sent():
     """Guard against duplicate execution in the keep-alive race.
 
