Let endpoints of the soak send responses that vouch for nothing

The ledger now checks streams that can't be resumed like the other requests that may run once, the status of a refusal whose body is cut, responses that name another request, and proofs against the attempt and status that they were made for; it says for a refusal when the request began to run. Endpoints echo the id also in true refusals, as the protocol says.

--- a/benches/gateway_soak/answers.py
+++ b/benches/gateway_soak/answers.py
@@ -71,15 +71,17 @@
         """
         self._due[_transport(exchange)] = response
 
-    def send_due(self, exchange: ServerExchange) -> None:
-        """Send what is due before the response to a request.
+    def send_due(self, exchange: ServerExchange) -> bool:
+        """Send what is due before the response to a request; return if it was sent.
 
         :param exchange: the request.
         """
         transport = _transport(exchange)
         response = self._due.pop(transport, b'')
-        if response and not transport.is_closing():
-            transport.write(response)
+        if not response or transport.is_closing():
+            return False
+        transport.write(response)
+        return True
 
 
 def encode(
--- a/benches/gateway_soak/callers.py
+++ b/benches/gateway_soak/callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from contextlib import suppress
+from itertools import count
 from typing import TYPE_CHECKING
 
 import h11
@@ -15,6 +16,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Sequence
 
     from benches.gateway_soak.ledger import Ledger
     from benches.gateway_soak.site import Site
@@ -23,6 +25,7 @@
 # Streams of callers that take them up last up to two seconds.
 LONG_EVENTS = (10, 100)
 REQUEST_KINDS = ('twice', 'once', 'stream')
+MAX_CONNECTION_REQUESTS = 30
 PAUSE_S = 0.02
 RESPONSE_TIMEOUT_S = 8.0
 EARLY_CLOSE_SHARE = 0.03
@@ -36,15 +39,25 @@
     :param site: the gateways to call.
     :param ledger: records attempts and responses.
     :param rng: random numbers for all choices.
+    :param kinds: the kinds of request that it sends.
+    :param is_lasting: whether it keeps a connection until the gateway ends it.
     """
 
     def __init__(
-        self, number: int, site: Site, ledger: Ledger, rng: random.Random
+        self,
+        number: int,
+        site: Site,
+        ledger: Ledger,
+        rng: random.Random,
+        kinds: Sequence[str] = REQUEST_KINDS,
+        is_lasting: bool = False,
     ) -> None:
         self._number = number
         self._site = site
         self._ledger = ledger
         self._rng = rng
+        self._kinds = kinds
+        self._is_lasting = is_lasting
         self._sent = 0
 
     async def run(self) -> None:
@@ -66,21 +79,24 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         http = h11.Connection(h11.CLIENT)
-        for _ in range(self._rng.randint(1, 30)):
+        limit = self._rng.randint(1, MAX_CONNECTION_REQUESTS)
+        for number in count():
+            if number == limit and not self._is_lasting:
+                return
             sent = self._create_attempt()
             self._ledger.sent[sent.attempt] = sent
             prompt = []
             if self._site.on_bad_request is not None:
                 prompt.append(make_sound_prompt(self._rng))
             writer.write(_encode(http, sent, prompt))
-            if self._rng.random() < EARLY_CLOSE_SHARE:
+            if self._rng.random() < EARLY_CLOSE_SHARE and not self._is_lasting:
                 await asyncio.sleep(self._rng.random() * 0.1)
                 return
             try:
                 async with asyncio.timeout(RESPONSE_TIMEOUT_S):
                     reusable = await self._read_response(http, reader, sent)
             except (TimeoutError, OSError, h11.RemoteProtocolError):
-                self._ledger.record_unanswered()
+                self._ledger.record_unanswered(sent.attempt)
                 return
             if not reusable:
                 return
@@ -92,6 +108,7 @@
     ) -> bool:
         """Read one response; return whether the connection is reusable."""
         status = 0
+        headers: dict[str, str] = {}
         body = b''
         while True:
             event = http.next_event()
@@ -99,19 +116,23 @@
                 http.receive_data(await reader.read(READ_BYTES))
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                self._ledger.record_status(sent.attempt, status)
+                headers = {
+                    name.decode(): value.decode() for name, value in event.headers
+                }
             elif isinstance(event, h11.Data):
                 body += bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
-                self._ledger.record_response(sent.attempt, status, body, whole=True)
+                self._ledger.record_response(sent.attempt, status, headers, body)
                 return http.our_state is h11.DONE is http.their_state
             elif isinstance(event, h11.ConnectionClosed):
-                self._ledger.record_unanswered()
+                self._ledger.record_unanswered(sent.attempt)
                 return False
 
     def _create_attempt(self) -> SentAttempt:
         self._sent += 1
         attempt = f'c{self._number}-{self._sent}'
-        kind = self._rng.choice(REQUEST_KINDS)
+        kind = self._rng.choice(self._kinds)
         events = self._rng.randint(1, MAX_EVENTS)
         now_s = asyncio.get_running_loop().time()
         return SentAttempt(attempt, kind, attempt.encode(), events, now_s)
--- a/benches/gateway_soak/endpoint.py
+++ b/benches/gateway_soak/endpoint.py
@@ -16,11 +16,17 @@
     from collections.abc import Callable, Iterable
 
     from benches.gateway_soak.ledger import Ledger
+    from benches.gateway_soak.shapes import Shape
     from savorychute.http.server_exchange import ServerExchange
 
 PROMPT = 'prefix-hash'
 SIGNATURE_HEADER = 'server-signature'
 SERVICE_TIME_S = 0.03
+# Service time, slots and queue of an endpoint that is full at times.
+SMALL_SERVICE_TIME_S = (0.02, 0.07)
+SMALL_SLOTS = 6
+SMALL_QUEUE = 2
+SLOTS = 16
 EVENT_INTERVAL_S = 0.02
 DRAIN_LIMIT_S = 2.0
 HEARTBEAT_INTERVAL_S = 0.4
@@ -54,6 +60,13 @@
         self.endless_share = 0.0
         self.refused_share = 0.0
         self._late = LateResponses()
+        # Shape of the faulty ones among its responses, and their share.
+        self.shape: Shape | None = None
+        self.shape_share = 0.0
+        # Whether it runs and queues a few requests only, and refuses others.
+        self.is_small = False
+        self._taken = 0
+        self._free_slots = asyncio.Semaphore(SMALL_SLOTS)
         # Whether its streams have chunks, or end with their connections.
         self.has_chunks = True
         # Headers that it adds to every response.
@@ -74,7 +87,7 @@
             'service': self.service,
             'address': f'{LOOPBACK}:{self.proxy.port}',
             'zone': 'soak',
-            'slots': 16,
+            'slots': SMALL_SLOTS if self.is_small else SLOTS,
             'state': 'ready' if self.drain_started_s is None else 'draining',
             'sequence': self._sequence,
             'version': self.version,
@@ -98,25 +111,65 @@
                 200, self.stated_headers, b'{"waiting":0,"running":0,"runs":[]}'
             )
             return
+        attempt = headers.get('attempt-id', '')
+        self._ledger.traffic['calls'] += 1
         if headers.get('target-instance') != self.name:
-            exchange.respond(421, (), b'')
+            exchange.respond(421, (('attempt-id', attempt),), b'')
             return
-        self._late.send_due(exchange)
-        if self._draws(self.refused_share):
-            self._refuse(exchange, headers['attempt-id'])
+        if self._late.send_due(exchange):
+            self._ledger.traffic['extras'] += 1
+        is_full = self.is_full or self._taken >= SMALL_SLOTS + SMALL_QUEUE
+        if self._draws(self.refused_share) or is_full:
+            self._refuse(exchange, attempt)
             return
-        if self.is_full:
-            exchange.respond(503, (('not-executed', '1'), *self.stated_headers), b'')
+        if not self.is_small:
+            await self._run(exchange, attempt, headers)
             return
-        attempt = headers['attempt-id']
+        self._taken += 1
+        try:
+            async with self._free_slots:
+                if not exchange.left:
+                    await self._run(exchange, attempt, headers)
+        finally:
+            self._taken -= 1
+
+    async def _run(
+        self, exchange: ServerExchange, attempt: str, headers: dict[str, str]
+    ) -> None:
         self._record_execution(attempt, headers)
         if self.on_bad_request is not None and f',{BAD_PART}:' in headers.get(
             PROMPT, ''
         ):
             self.on_bad_request(self, attempt)
             return
+        shape = self.shape
+        if shape is not None and not shape.is_extra and self._draws(self.shape_share):
+            await self._fail(exchange, attempt, shape)
+            return
         await self._execute(exchange, attempt, headers)
 
+    async def _fail(self, exchange: ServerExchange, attempt: str, shape: Shape) -> None:
+        """Send a failure after the request ran."""
+        await asyncio.sleep(self._draw_service_time_s())
+        proof = self._ledger.make_proof(self.name, attempt, shape.status)
+        self._ledger.traffic['failures'] += 1
+        exchange.respond(shape.status, shape.make_headers(attempt, proof), b'failed')
+
+    def _keep_extra(
+        self, exchange: ServerExchange, attempt: str, proof: str, body: bytes
+    ) -> None:
+        """Send a response of the current shape with the next one, at times."""
+        shape = self.shape
+        if shape is None or not shape.is_extra or (shape.is_success and not proof):
+            return
+        if self._draws(self.shape_share):
+            self._late.keep(exchange, shape.encode(attempt, proof, body))
+
+    def _draw_service_time_s(self) -> float:
+        if self.is_small:
+            return self._rng.uniform(*SMALL_SERVICE_TIME_S)
+        return SERVICE_TIME_S
+
     def _draws(self, share: float) -> bool:
         return share > 0 and self._rng.random() < share
 
@@ -124,6 +177,7 @@
         headers = (('attempt-id', attempt), ('not-executed', '1'), *self.stated_headers)
         if self._draws(self.repeated_share):
             self._late.keep(exchange, encode(503, headers))
+        self._keep_extra(exchange, attempt, '', b'')
         exchange.respond(503, headers, b'')
 
     def _record_execution(self, attempt: str, headers: dict[str, str]) -> None:
@@ -141,9 +195,10 @@
     async def _execute(
         self, exchange: ServerExchange, attempt: str, headers: dict[str, str]
     ) -> None:
+        proof = self._ledger.make_proof(self.name, attempt, 200)
         response_headers = (
             ('attempt-id', attempt),
-            (SIGNATURE_HEADER, self.name),
+            (SIGNATURE_HEADER, proof),
             *self.stated_headers,
         )
         aborts = self._rng.random() < self.abort_share
@@ -152,11 +207,13 @@
             await send_without_end(exchange)
             return
         if self.service == 'desk':
-            await asyncio.sleep(SERVICE_TIME_S)
+            await asyncio.sleep(self._draw_service_time_s())
             if aborts:
                 exchange.abort()
             else:
-                self._respond_whole(exchange, response_headers)
+                body = b'ran ' + exchange.request.body
+                self._keep_extra(exchange, attempt, proof, body)
+                self._respond_whole(exchange, response_headers, body)
             return
         version = self.version
         last_event = int(headers.get('last-event-id', 0))
@@ -174,12 +231,16 @@
                 return
             exchange.send(make_event(attempt, number, version))
             await asyncio.sleep(EVENT_INTERVAL_S)
+        if self.has_chunks:
+            self._keep_extra(exchange, attempt, proof, make_event(attempt, 1, version))
         exchange.finish()
 
     def _respond_whole(
-        self, exchange: ServerExchange, headers: tuple[tuple[str, str], ...]
+        self,
+        exchange: ServerExchange,
+        headers: tuple[tuple[str, str], ...],
+        body: bytes,
     ) -> None:
-        body = b'ran ' + exchange.request.body
         if self._draws(self.repeated_share):
             self._late.keep(exchange, encode(200, headers, body))
         if self.has_chunks:
--- a/benches/gateway_soak/ledger.py
+++ b/benches/gateway_soak/ledger.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Mapping
 
     from resuming_caller import Stream
 
@@ -17,6 +17,12 @@
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 # Beyond the drain limit, a leaving endpoint may get requests that were in transit.
 DRAIN_SLACK_S = 0.5
+MS_PER_S = 1_000
+# Kinds of request that may run once.
+ONCE_KINDS = ('once', 'events')
+STREAM_KINDS = ('stream', 'events')
+# Rules, which begin the lines of their violations.
+TWICE, REFUSED, MIXED, LOST = 'TWICE', 'REFUSED', 'MIXED', 'LOST'
 
 
 class SentAttempt(NamedTuple):
@@ -29,6 +35,13 @@
     sent_s: float
 
 
+class Proof(NamedTuple):
+    """What an endpoint proves with a response."""
+
+    attempt: str
+    status: int
+
+
 class Ledger:
     """Records what callers and endpoints observed."""
 
@@ -37,7 +50,13 @@
         self.executions: dict[str, list[str]] = defaultdict(list)
         self.statuses: dict[str, int] = {}
         self.counts: Counter[str] = Counter()
+        # Calls that endpoints got, and responses of theirs that were faulty.
+        self.traffic: Counter[str] = Counter()
         self.violations: list[str] = []
+        self._proofs: dict[str, Proof] = {}
+        self._run_times_s: dict[str, float] = {}
+        self._response_times_s: dict[str, float] = {}
+        self._unanswered: set[str] = set()
         self._open_disturbances = 0
         self._reachable_since_s = 0.0
 
@@ -64,6 +83,7 @@
     ) -> None:
         """Record that an endpoint started to run an attempt."""
         self.executions[attempt].append(endpoint)
+        self._run_times_s[attempt] = asyncio.get_running_loop().time()
         if has_caller_key:
             self.violations.append(f"{attempt}: a caller's key reached {endpoint}")
         if attempt not in self.sent:
@@ -75,19 +95,51 @@
             f'{attempt}: ran at {endpoint}, leaving for {late_s:.2f} s'
         )
 
+    def make_proof(self, endpoint: str, attempt: str, status: int) -> str:
+        """Return a proof that an endpoint sends with one response.
+
+        :param endpoint: the endpoint.
+        :param attempt: the attempt that it responds to.
+        :param status: the status of the response.
+        """
+        proof = f'{endpoint}.{len(self._proofs)}'
+        self._proofs[proof] = Proof(attempt, status)
+        return proof
+
+    def record_status(self, attempt: str, status: int) -> None:
+        """Record the status of a response whose body may be truncated."""
+        self.statuses[attempt] = status
+        self._response_times_s[attempt] = asyncio.get_running_loop().time()
+
     def record_response(
-        self, attempt: str, status: int, body: bytes, whole: bool
+        self,
+        attempt: str,
+        status: int,
+        headers: Mapping[str, str],
+        body: bytes,
     ) -> None:
-        """Record a response; ``whole`` is false for one that was visibly truncated."""
-        self.statuses[attempt] = status
-        self.counts[str(status) if whole else 'cut'] += 1
+        """Record a complete response."""
+        self.record_status(attempt, status)
+        self.counts[str(status)] += 1
         sent = self.sent[attempt]
-        if status != 200 or not whole:
+        if headers.get('attempt-id', attempt) != attempt:
+            named = headers['attempt-id']
+            self._add(MIXED, f'{attempt}: got the {status} of {named}')
+        self._check_proof(attempt, status, headers.get('server-signature'))
+        if status == 200 and body not in expected_bodies(sent):
+            self._add(MIXED, f'{attempt}: a success with another body: {body[:80]!r}')
+
+    def _check_proof(self, attempt: str, status: int, proof: str | None) -> None:
+        if proof is None:
+            if status == 200:
+                self._add(MIXED, f'{attempt}: a success without a proof')
             return
-        if body not in expected_bodies(sent):
-            self.violations.append(
-                f'{attempt}: a success with another body: {body[:80]!r}'
-            )
+        if self._proofs.get(proof) != Proof(attempt, status):
+            stated = self._proofs.get(proof)
+            self._add(MIXED, f'{attempt}: got {status} with the proof of {stated}')
+
+    def _add(self, rule: str, text: str) -> None:
+        self.violations.append(f'{rule} {text}')
 
     def record_stream(self, stream: Stream, events: int) -> None:
         """Record what a caller received of a stream over all its tries.
@@ -112,31 +164,45 @@
         if stream.whole and len(numbers) != events:
             self.violations.append(f'{name}: complete after {len(numbers)} events')
 
-    def record_unanswered(self) -> None:
+    def record_unanswered(self, attempt: str) -> None:
         """Record an attempt whose connection ended without a response."""
         self.counts['unanswered'] += 1
+        self._unanswered.add(attempt)
+
+    def check(self, *, is_planned: bool = False) -> list[str]:
+        """Return all violations, including those that only the full records show.
 
-    def check(self) -> list[str]:
-        """Return all violations, including those that only the full records show."""
+        :param is_planned: whether nothing but planned work disturbed the gateways, so
+            that no request that ran may stay without a response.
+        """
         violations = list(self.violations)
         for attempt, endpoints in self.executions.items():
             sent = self.sent.get(attempt)
             if sent is None:
                 continue
-            if sent.kind == 'once' and len(endpoints) > 1:
-                violations.append(f'{attempt}: non-idempotent, ran at {endpoints}')
-            if (
-                sent.kind == 'once'
-                and self.statuses.get(attempt) in NOT_EXECUTED_STATUSES
-            ):
-                status = self.statuses[attempt]
-                violations.append(f'{attempt}: got {status}, but ran at {endpoints}')
+            if sent.kind in ONCE_KINDS:
+                violations += self._check_once(attempt, endpoints)
+            if is_planned and attempt in self._unanswered:
+                violations.append(f'{LOST} {attempt}: no response, ran at {endpoints}')
+        return violations
+
+    def _check_once(self, attempt: str, endpoints: list[str]) -> list[str]:
+        violations = []
+        if len(endpoints) > 1:
+            violations.append(f'{TWICE} {attempt}: ran at {endpoints}')
+        status = self.statuses.get(attempt)
+        if status in NOT_EXECUTED_STATUSES:
+            begun_s = self._run_times_s[attempt] - self._response_times_s[attempt]
+            violations.append(
+                f'{REFUSED} {attempt}: got {status}, ran at {endpoints}, '
+                f'begun {begun_s * MS_PER_S:+.0f} ms from the response'
+            )
         return violations
 
 
 def expected_bodies(sent: SentAttempt) -> list[bytes]:
     """Return the possible bodies of the response to an attempt, one a version."""
-    if sent.kind != 'stream':
+    if sent.kind not in STREAM_KINDS:
         return [b'ran ' + sent.body]
     numbers = range(1, sent.events + 1)
     return [
--- a/benches/gateway_soak/play.py
+++ b/benches/gateway_soak/play.py
@@ -10,11 +10,13 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from benches.gateway_soak.answers import AnswerFaults
-from benches.gateway_soak.callers import Caller, StreamCaller
+from benches.gateway_soak.callers import REQUEST_KINDS, Caller, StreamCaller
 from benches.gateway_soak.faults import FAULTS
 from benches.gateway_soak.ledger import Ledger
 from benches.gateway_soak.parts import PartChecker
 from benches.gateway_soak.platform import restore_older_copies
+from benches.gateway_soak.series import SignalSeries
+from benches.gateway_soak.shapes import ShapeFaults
 from benches.gateway_soak.site import Site
 from benches.gateway_soak.statements import StatementChecker
 
@@ -34,6 +36,8 @@
 WEIGHTED_FAULTS = [name for name in FAULTS if name not in GATEWAY_FAULTS] * 4 + list(
     GATEWAY_FAULTS
 )
+# Faults in which no request that was passed on may stay without a response.
+PLANNED_FAULTS = frozenset({'stop', 'reload', 'configuration'})
 LIBRARY_EVENT = b'"library-logged"'
 # Minimum share of successes among the responses of the quiet seconds at the end.
 MIN_SERVED_SHARE = 0.9
@@ -58,6 +62,11 @@
     statements: bool = False,
     parts: bool = False,
     answers: bool = False,
+    shapes: Sequence[str] = (),
+    kinds: Sequence[str] = REQUEST_KINDS,
+    small_endpoints: bool = False,
+    series: bool = False,
+    fault_names: Sequence[str] | None = None,
 ) -> SoakResult:
     """Run gateways under load, inject faults, let them settle, and check.
 
@@ -73,19 +82,29 @@
         a length or chunks.
     :param answers: let endpoints send responses without a length, twice, and without an
         end.
+    :param shapes: the names of shapes of responses that faulty endpoints send.
+    :param kinds: the kinds of request that callers send.
+    :param small_endpoints: let endpoints of one service have few slots.
+    :param series: send gateways series of signals that overlap with the faults, to callers
+        that keep their connections.
+    :param fault_names: the faults to choose from; None for all.
     """
     ledger = Ledger()
     site = Site(folder, ledger, rng)
+    site.has_small_endpoints = small_endpoints
     part_checker = PartChecker(site, random.Random(rng.random())) if parts else None
     counts: Counter[str] = Counter()
     await site.start(gateways, duties=older_copies)
     caller_tasks = [
-        asyncio.create_task(Caller(number, site, ledger, rng).run())
+        asyncio.create_task(
+            Caller(number, site, ledger, rng, kinds, is_lasting=series).run()
+        )
         for number in range(callers)
     ]
     caller_tasks += [
         asyncio.create_task(StreamCaller(number, site, ledger, rng).run())
         for number in range(ceil(callers * STREAM_CALLER_SHARE))
+        if 'stream' in kinds
     ]
     background_tasks = []
     if older_copies:
@@ -96,18 +115,26 @@
         StatementChecker(site, random.Random(rng.random())) if statements else None
     )
     answer_faults = AnswerFaults(site, random.Random(rng.random())) if answers else None
+    shape_faults = (
+        ShapeFaults(site, random.Random(rng.random()), shapes) if shapes else None
+    )
+    signal_series = SignalSeries(site, random.Random(rng.random())) if series else None
+    if fault_names is None:
+        fault_names = WEIGHTED_FAULTS if statements else list(FAULTS)
     try:
         await _wait_until_served(ledger)
         await asyncio.sleep(QUIET_S)
         if answer_faults is not None:
             background_tasks.append(asyncio.create_task(answer_faults.run()))
+        if shape_faults is not None:
+            background_tasks.append(asyncio.create_task(shape_faults.run()))
+        if signal_series is not None:
+            background_tasks.append(asyncio.create_task(signal_series.run()))
         if statement_checker is not None:
             background_tasks.append(asyncio.create_task(statement_checker.run()))
         if part_checker is not None:
             background_tasks.append(asyncio.create_task(part_checker.run()))
-        await _inject_faults(
-            site, seconds, counts, WEIGHTED_FAULTS if statements else list(FAULTS)
-        )
+        await _inject_faults(site, seconds, counts, fault_names)
         for background_task in background_tasks:
             background_task.cancel()
             await asyncio.gather(background_task, return_exceptions=True)
@@ -136,7 +163,21 @@
     if site.platform is not None:
         ledger.counts['windows'] = site.platform.windows
         violations.extend(site.platform.check())
-    return SoakResult(dict(ledger.counts), dict(counts), violations + ledger.check())
+    is_planned = not (shapes or answers or series or set(fault_names) - PLANNED_FAULTS)
+    violations += ledger.check(is_planned=is_planned)
+    ledger.traffic['requests'] = len(ledger.sent)
+    ledger.traffic['connections'] = sum(
+        proxy.connection_count for proxy in site.endpoint_proxies
+    )
+    ledger.traffic.update(
+        rule for rule in map(_read_rule, violations) if rule.isupper()
+    )
+    totals = ledger.counts + ledger.traffic
+    return SoakResult(dict(totals), dict(counts), violations)
+
+
+def _read_rule(violation: str) -> str:
+    return violation.partition(' ')[0]
 
 
 async def _wait_until_served(ledger: Ledger) -> None:
@@ -154,6 +195,9 @@
     end_s = loop.time() + seconds
     running = []
     while loop.time() < end_s:
+        if not names:
+            await asyncio.sleep(end_s - loop.time())
+            break
         name = site.rng.choice(names)
         counts[name] += 1
         running.append(loop.create_task(FAULTS.get(name)(site)))
--- a/benches/gateway_soak/proxy.py
+++ b/benches/gateway_soak/proxy.py
@@ -35,6 +35,7 @@
         self.target_port = target_port
         self.fault = ProxyFault.NONE
         self.port = 0
+        self.connection_count = 0
         # Times at which the fault changed or connections were reset.
         self.events_s: list[float] = []
         self._writers: set[asyncio.StreamWriter] = set()
@@ -68,6 +69,7 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self.connection_count += 1
         if self.fault is ProxyFault.REFUSE:
             writer.transport.abort()
             return
--- a/benches/gateway_soak/site.py
+++ b/benches/gateway_soak/site.py
@@ -12,6 +12,7 @@
 
 from store_stand_in import StoreStandIn, run_store
 
+from benches.gateway_soak.answers import KEEP_ALIVE
 from benches.gateway_soak.endpoint import HEARTBEAT_INTERVAL_S, SoakEndpoint
 from benches.gateway_soak.ledger import VERSIONS
 from benches.gateway_soak.platform import PlatformStandIn
@@ -32,6 +33,8 @@
     *[('pool', VERSIONS[0])] * 2,
     *[('pool', VERSIONS[1])] * 2,
 )
+# Further endpoints that have few slots.
+SMALL_ENDPOINTS = (('desk', VERSIONS[0]),) * 2
 KILL_MARGIN_S = 1.0
 # Logged by a gateway after it has read its settings.
 STARTED_EVENT = b'"instance-started"'
@@ -170,6 +173,9 @@
         self.gateways: list[GatewayProcess] = []
         self.platform: PlatformStandIn | None = None
         self.newest_version = VERSIONS[0]
+        # Whether endpoints of one service have few slots, and are full at times.
+        self.has_small_endpoints = False
+        self.endpoint_proxies: list[Proxy] = []
         # Called with each request with a bad part; None if callers send none.
         self.on_bad_request: Callable[[SoakEndpoint, str], None] | None = None
         # Times at which the store began or ceased to fail.
@@ -190,7 +196,8 @@
             await self._stack.enter_async_context(self.platform.run())
         self.store = await self._stack.enter_async_context(run_store())
         self.write_configuration()
-        for service, version in INITIAL_ENDPOINTS:
+        small_endpoints = SMALL_ENDPOINTS if self.has_small_endpoints else ()
+        for service, version in INITIAL_ENDPOINTS + small_endpoints:
             await self.add_endpoint(service, version)
         self._heartbeat = asyncio.get_running_loop().create_task(
             self._write_heartbeats()
@@ -226,6 +233,9 @@
         endpoint = SoakEndpoint(
             f'i-{self._endpoint_count}', service, version, self.ledger, self.rng
         )
+        if self.has_small_endpoints:
+            endpoint.is_small = service == 'desk'
+            endpoint.stated_headers = KEEP_ALIVE
         if self.on_bad_request is not None:
             endpoint.on_bad_request = self.on_bad_request
             endpoint.has_chunks = service == 'desk' or self.rng.random() < 0.5
@@ -233,6 +243,7 @@
             serve(endpoint.handle, LOOPBACK, 0)
         )
         endpoint.proxy = Proxy(server.port)
+        self.endpoint_proxies.append(endpoint.proxy)
         await endpoint.proxy.start()
         self._stack.callback(endpoint.proxy.close)
         self.endpoints.append(endpoint)
@@ -280,7 +291,7 @@
 
 
 def make_configuration(version: int) -> bytes:
-    """Return a configuration version with the three kinds of route."""
+    """Return a configuration version with all kinds of route."""
     shared = {'hostname': 'soak', 'timeoutMs': 5_000, 'targetLatencyMs': 1_000}
     routes = [
         shared
@@ -297,6 +308,7 @@
             ('twice', 'idempotent', 'desk', 2),
             ('once', 'non_idempotent', 'desk', 1),
             ('stream', 'streaming', 'pool', 3),
+            ('events', 'streaming', 'pool', 3),
         )
     ]
     document = {
