Show in the soak that responses without an id or of an endpoint's own are believed

Short seeded runs of real processes, one for each fault: a late refusal without an id, an endpoint's own 503 and 429 after it ran the request, and a late success without an id.

--- a/benches/gateway_soak/__main__.py
+++ b/benches/gateway_soak/__main__.py
@@ -81,6 +81,11 @@
     parser.add_argument(
         '--faults', nargs='*', choices=list(FAULTS), help='the faults to choose from'
     )
+    parser.add_argument(
+        '--no-settle',
+        action='store_true',
+        help='do not wait until faults have ended and most requests succeed',
+    )
     parser.add_argument('--keep', type=Path, help='a folder in which logs are kept')
     arguments = parser.parse_args()
     shapes = arguments.shapes
@@ -98,6 +103,7 @@
                     arguments.seconds,
                     arguments.gateways,
                     arguments.callers,
+                    settle=not arguments.no_settle,
                     older_copies=arguments.older_copies,
                     statements=arguments.statements,
                     parts=arguments.parts,
--- a/tests/test_soak/test_short_soak.py
+++ b/tests/test_soak/test_short_soak.py
@@ -68,6 +68,69 @@
     assert result.counts['200'] > 0
 
 
+# Enough callers for endpoints with few slots to be full at times.
+SHAPE_CALLERS = 30
+SHAPE_SHARE = 0.4
+SHAPE_SOAK_S = 4.0
+
+
+@pytest.mark.parametrize(
+    'kind, shape',
+    [
+        ('once', 'extra-503-unnamed-not-run'),
+        ('once', 'own-503-named-proven'),
+        ('events', 'own-429-named'),
+        ('twice', 'extra-200-unnamed-proven'),
+    ],
+)
+def test_responses_count_for_their_own_requests_alone(kind, shape, tmp_path):
+    """Guards against a response that is believed though nothing vouches for it."""
+
+    async def main():
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            return await play(
+                random.Random(9200),
+                tmp_path,
+                SHAPE_SOAK_S,
+                GATEWAYS,
+                SHAPE_CALLERS,
+                settle=False,
+                shapes=[shape],
+                shape_share=SHAPE_SHARE,
+                kinds=[kind],
+                small_endpoints=True,
+                fault_names=[],
+            )
+
+    result = asyncio.run(main())
+
+    assert result.violations == []
+    assert result.counts.get('extras', 0) + result.counts.get('failures', 0) > 0
+
+
+def test_guarantees_hold_while_signals_come_in_series(tmp_path):
+    """Guards against requests that run twice or are lost as gateways come and go."""
+
+    async def main():
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            return await play(
+                random.Random(9200),
+                tmp_path,
+                SOAK_S,
+                GATEWAYS,
+                CALLERS,
+                settle=False,
+                kinds=['once', 'events', 'twice'],
+                small_endpoints=True,
+                series=True,
+            )
+
+    result = asyncio.run(main())
+
+    assert result.violations == []
+    assert result.counts['series'] > 0
+
+
 def test_guarantees_hold_while_the_store_is_restored_from_older_copies(tmp_path):
     """The store is restored from older copies, and one gateway reports usage for all.
 
