Count the responses that are not believed, by reason

A response that was taken as foreign left no trace but the line of its attempt, whose reason was 'foreign-answer' whatever the cause, and one to a load report, a copy or a release left none at all. The dialect now gives the reason a type of its own (other-request, no-proof, encoded), the sender adds 'unnamed' for one that may be a late copy, and `responses_disbelieved_total` counts them by service and reason. Which responses are believed stays the same: test_response_is_classified_by_its_proof is unchanged.

--- a/savorychute/gateway/daemon/attempt_sender.py
+++ b/savorychute/gateway/daemon/attempt_sender.py
@@ -7,7 +7,7 @@
 from savorychute.gateway.endpoint_telemetry import CallKind
 from savorychute.gateway.endpoints.endpoint_run import EndpointRun
 from savorychute.gateway.moves.move_call import CopyOutcome, CopyResult
-from savorychute.gateway.requests.endpoint_response import ResponseKind
+from savorychute.gateway.requests.endpoint_response import Disbelief, ResponseKind
 from savorychute.http.timed_call import submit_timed
 
 if TYPE_CHECKING:
@@ -123,7 +123,7 @@
             handle_failure,
             can_send,
             MAX_REPORT_BYTES,
-            self._adapter.names_request,
+            self._foreign_check(endpoint),
         )
 
     def copy(
@@ -158,7 +158,7 @@
             handle_response,
             handle_failure,
             lambda: self.can_send(endpoint, permit, CallKind.COPY, order.attempt_id),
-            is_foreign=self._adapter.names_request,
+            is_foreign=self._foreign_check(endpoint),
             unused=True,
         )
 
@@ -179,7 +179,7 @@
             lambda response: None,  # noqa: ARG005
             lambda failure: None,  # noqa: ARG005
             lambda: self.can_send(endpoint, permit, CallKind.COPY),
-            is_foreign=self._adapter.names_request,
+            is_foreign=self._foreign_check(endpoint),
         )
 
     def check_path(
@@ -222,6 +222,27 @@
             self._telemetry.limited_call(endpoint, kind, limit_per_s, request_id)
         return True
 
+    def count_disbelief(self, endpoint: EndpointEntry, disbelief: Disbelief) -> None:
+        """Count a response that is not believed.
+
+        :param endpoint: the endpoint that was called.
+        :param disbelief: the reason.
+        """
+        self._telemetry.response_disbelieved(endpoint, disbelief)
+
+    def _foreign_check(
+        self, endpoint: EndpointEntry
+    ) -> Callable[[dict[str, str]], bool]:
+        """Return a check of the response to a call that belongs to no request."""
+
+        def is_foreign(headers: dict[str, str]) -> bool:
+            if not self._adapter.names_request(headers):
+                return False
+            self.count_disbelief(endpoint, Disbelief.OTHER_REQUEST)
+            return True
+
+        return is_foreign
+
     def record_statement(
         self, run: EndpointRun, status: int, headers: dict[str, str], sent_ms: int
     ) -> None:
@@ -276,7 +297,9 @@
         """Decode the head, and pass it on."""
         response = self._adapter.decode_response(status, headers, self._attempt)
         if not response.is_identified and self._may_be_late_copy(status):
-            response = response._replace(kind=ResponseKind.FOREIGN, is_stream=False)
+            response = response.disbelieve(Disbelief.UNNAMED)
+        if response.disbelief is not None:
+            self._sender.count_disbelief(self._attempt.endpoint, response.disbelief)
         if response.kind not in OTHER_RUN_KINDS:
             run = self._attempt.endpoint.run
             self._sender.record_statement(run, status, headers, self._sent_ms)
--- a/savorychute/gateway/endpoint_telemetry.py
+++ b/savorychute/gateway/endpoint_telemetry.py
@@ -17,6 +17,7 @@
         UnreadableStatement,
     )
     from savorychute.gateway.permits.permit import PermitOutcome
+    from savorychute.gateway.requests.endpoint_response import Disbelief
     from savorychute.gateway.telemetry import GatewayTelemetry
 
 # How many logged unreadable statements are remembered; each response may repeat one.
@@ -93,6 +94,16 @@
             reason=make_identifier(statement.text),
         )
 
+    def response_disbelieved(
+        self, endpoint: EndpointEntry, disbelief: Disbelief
+    ) -> None:
+        """Count a response that is not believed; the line of its attempt has more."""
+        self._telemetry.metrics.count(
+            'responses_disbelieved_total',
+            service=endpoint.service,
+            reason=disbelief.value,
+        )
+
     def limited_call(
         self,
         endpoint: EndpointEntry,
--- a/savorychute/gateway/metric_rows.py
+++ b/savorychute/gateway/metric_rows.py
@@ -23,6 +23,12 @@
         ('service', 'outcome'),
         'Attempts at endpoints, by how they ended.',
     ),
+    MetricRow(
+        'responses_disbelieved_total',
+        'counter',
+        ('service', 'reason'),
+        'Responses of endpoints that were not believed, by what was missing.',
+    ),
     MetricRow(
         'crashes_total',
         'counter',
--- a/tests/test_fleet/test_attempt_sender.py
+++ b/tests/test_fleet/test_attempt_sender.py
@@ -74,8 +74,8 @@
 
     def __init__(self):
         clock = ManualClock(NOW_MS)
-        metrics = Metrics('k1', GATEWAY_METRICS)
-        telemetry = GatewayTelemetry(InstanceLog('k1'), metrics, clock)
+        self.metrics = Metrics('k1', GATEWAY_METRICS)
+        telemetry = GatewayTelemetry(InstanceLog('k1'), self.metrics, clock)
         endpoint_telemetry = EndpointTelemetry(telemetry)
         self.statements = StatementTable(endpoint_telemetry)
         permits = PermitHandler(self.statements.limits, clock, None)
@@ -255,6 +255,24 @@
     assert sender_fixture.pool.options[-1]['unused']
 
 
+def test_responses_that_are_not_believed_are_counted(sender_fixture):
+    """Guards against responses of other requests that leave no trace."""
+    handler = sender_fixture.start_attempt()
+    handler.about_to_send()
+    handler.response_started(503, {'attempt-id': 'b2', 'not-executed': '1'})
+    copy(
+        sender_fixture,
+        lambda copying: copying.response_started(200, {'attempt-id': 'b2'}),
+    )
+
+    lines = sender_fixture.metrics.render()[0].decode().splitlines()
+    counted = [each for each in lines if 'responses_disbelieved_total{' in each]
+    assert len(counted) == 1
+    assert 'reason="other-request"' in counted[0]
+    assert 'service="pool"' in counted[0]
+    assert counted[0].endswith(' 2')
+
+
 REFUSAL = {'not-executed': '1'}
 NOT_FOUND = {'content-length': '0'}
 
--- a/tests/test_fleet/test_dialects.py
+++ b/tests/test_fleet/test_dialects.py
@@ -22,7 +22,11 @@
     StatementKind,
     UnreadableStatement,
 )
-from savorychute.gateway.requests.endpoint_response import Naming, ResponseKind
+from savorychute.gateway.requests.endpoint_response import (
+    Disbelief,
+    Naming,
+    ResponseKind,
+)
 from savorychute.gateway.requests.outbound_attempt import OutboundAttempt
 from savorychute.gateway.requests.prompt import Prompt, PromptPart
 from savorychute.gateway.requests.refusal import Refusal
@@ -180,6 +184,35 @@
     assert (response.naming, response.named_id) == (naming, named_id)
 
 
+@pytest.mark.parametrize(
+    'status, headers, disbelief',
+    [
+        (200, {'attempt-id': 'a2', 'server-signature': 's'}, Disbelief.OTHER_REQUEST),
+        (200, {'attempt-id': 'a2'}, Disbelief.OTHER_REQUEST),
+        (421, {'attempt-id': 'a2'}, Disbelief.OTHER_REQUEST),
+        (503, {'attempt-id': 'a2', 'not-executed': '1'}, Disbelief.OTHER_REQUEST),
+        (200, {'attempt-id': 'a1'}, Disbelief.NO_PROOF),
+        (200, {'attempt-id': 'a1', 'content-encoding': 'gzip'}, Disbelief.NO_PROOF),
+        (
+            200,
+            {'attempt-id': 'a1', 'server-signature': 's', 'content-encoding': 'gzip'},
+            Disbelief.ENCODED,
+        ),
+        (200, {'attempt-id': 'a1', 'server-signature': 's'}, None),
+        (500, {'attempt-id': 'a1'}, None),
+        (503, {'attempt-id': 'a1', 'not-executed': '1'}, None),
+        (421, {'attempt-id': 'a1'}, None),
+    ],
+)
+def test_reason_why_a_response_is_not_believed(status, headers, disbelief):
+    headers = headers | {'content-type': 'text/event-stream'}
+    response = endpoint_dialect.decode_response(status, headers, make_attempt())
+
+    assert response.disbelief is disbelief
+    assert (response.kind is ResponseKind.FOREIGN) == (disbelief is not None)
+    assert response.is_stream == (status == 200 and disbelief is None)
+
+
 def test_response_keeps_its_end_to_end_headers():
     headers = {
         'attempt-id': 'a1',
