Tell in the log what vouches for a response, and explain it

The lines of such attempts did not tell a late response with another id from one without any, from an endpoint's own status that promises 'not run', or from no response. `attempt-ended` now has the status of the response, whose id it bore (`naming`, `named_id`), its connection, the calls that had gone before on it, and why it was not believed (`disbelieved`). `request-finished` has naming, connection and calls before, also for answered requests, which have no line of an attempt. No decision changes.

test_causes_of_a_refused_request_that_ran_give_different_lines brings about each of the four causes in the virtual fleet, with one call before on the connection.

--- a/savorychute/explain/sentences.py
+++ b/savorychute/explain/sentences.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+from savorychute.explain.evidence import describe_evidence, describe_source
 from savorychute.registry import Registry
 
 if TYPE_CHECKING:
@@ -82,6 +83,7 @@
         f'the attempt at {fields.get("endpoint")} of {fields.get("service")} '
         f'{fields.get("state")}{cause} after {fields.get("duration_ms")} ms'
         + _describe_progress(fields)
+        + describe_evidence(fields)
     )
 
 
@@ -136,7 +138,7 @@
             f'; resumed {fields.get("resumes") or "an unnamed attempt"} '
             f'after event {fields.get("last_event") or "none"}'
         )
-    return text + _describe_verdict(fields)
+    return text + describe_source(fields) + _describe_verdict(fields)
 
 
 def _describe_verdict(fields: dict[str, Any]) -> str:
--- a/savorychute/gateway/requests/execution_summary.py
+++ b/savorychute/gateway/requests/execution_summary.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from savorychute.gateway.requests.response_evidence import ResponseEvidence
 
 
 class ExecutionSummary(NamedTuple):
@@ -12,7 +15,8 @@
     of the last attempt, ``via`` the instance through which it was sent (empty for none),
     ``is_delimited`` is false if only the end of a connection ended that endpoint's response,
     ``longest_gap_ms`` the longest gap between two events, ``software_version`` the
-    version of that endpoint, ``verdict_traits`` what a verdict on the request concerns.
+    version of that endpoint, ``evidence`` what vouches for its response,
+    ``verdict_traits`` what a verdict on the request concerns.
     """
 
     duration_ms: int
@@ -24,5 +28,6 @@
     endpoint: str
     via: str
     software_version: str | None
+    evidence: ResponseEvidence
     is_delimited: bool = True
     verdict_traits: tuple[int, ...] = ()
--- a/savorychute/gateway/requests/request_execution.py
+++ b/savorychute/gateway/requests/request_execution.py
@@ -21,6 +21,7 @@
     RefusalTracker,
     make_timeout_refusal,
 )
+from savorychute.gateway.requests.response_evidence import collect_evidence
 from savorychute.gateway.requests.stream_continuity import StreamContinuity
 from savorychute.gateway.requests.usage_observer import UsageObserver
 from savorychute.result_code import ResultCode
@@ -555,6 +556,7 @@
             self._attempt.choice.record.entry.software_version
             if self._attempt
             else None,
+            collect_evidence(self._attempt),
             self._is_delimited(),
             self._verdict_traits,
         )
@@ -571,4 +573,5 @@
             reason,
             self._response.relay.events,
             self.now_ms(),
+            collect_evidence(attempt),
         )
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -32,6 +32,7 @@
     from savorychute.gateway.requests.execution_summary import ExecutionSummary
     from savorychute.gateway.requests.inbound_request import InboundRequest
     from savorychute.gateway.requests.refusal import Refusal
+    from savorychute.gateway.requests.response_evidence import ResponseEvidence
     from savorychute.gateway.store.unreadable_record import UnreadableRecord
     from savorychute.http.slow_caller import SlowCallerReason
     from savorychute.logs import InstanceLog, Value
@@ -306,10 +307,12 @@
         reason: str,
         events: int,
         now_ms: int,
+        evidence: ResponseEvidence,
     ) -> None:
         """Log a failed attempt; successful ones appear in the line of the request.
 
-        ``events`` is how many events of the request its caller has received so far.
+        ``events`` is how many events of the request its caller has received so far,
+        ``evidence`` what vouches for the response.
         """
         choice = attempt.choice
         record = choice.record
@@ -338,6 +341,7 @@
             events=events,
             parts=_list_parts(request),
             placed=choice.reason,
+            **evidence.list_fields(),
         )
 
     def _log_placement(
@@ -428,6 +432,7 @@
             target_ms=route.target_ms,
             gap_target_ms=route.gap_target_ms,
             traits=list_traits(summary.verdict_traits),
+            **summary.evidence.list_connection_fields(),
         )
 
     def log_omitted(self) -> None:
