Promise 'not run' only for requests that cannot have run

Callers got an endpoint's own 408, 429 or 503 as it was: `CallerResponse.fail` and `forward_head` passed on the status of each failure, with the endpoint's proof. A caller takes these statuses (and 421) for the promise that its request has not run and never will, and sends it again. The endpoint had stated no such thing, and may have run it.

The cause is that the status alone decided what a caller was promised. All responses to a request now pass through `CallerGuard`, which is the only owner of the caller's connection: `CallerResponse` and `StreamRelay` take nothing else. It never sends one of the four statuses for an endpoint, and it sends a refusal with 'not run' only if each attempt was not sent, or was rejected by its endpoint. For the latter it looks at the attempts themselves besides `possible_executions`, so that a path that forgets to count gives no promise.

An endpoint's own status of this kind is an unknown outcome: a failure of the endpoint as before, tried again where the route may repeat the request, and else answered with 502 (`OUTCOME_UNKNOWN`) without the endpoint's headers, proof and body. A large one is closed at the limit of the buffer instead of being forwarded.

--- a/savorychute/gateway/requests/attempt.py
+++ b/savorychute/gateway/requests/attempt.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Protocol
 
+from savorychute.gateway.requests.caller_guard import promises_not_run
 from savorychute.gateway.requests.endpoint_response import ResponseKind
 
 if TYPE_CHECKING:
@@ -103,6 +104,7 @@
         'ended',
         'first_event_ms',
         'forwarding',
+        'is_rejected',
         'last_received_ms',
         'owner',
         'response',
@@ -125,6 +127,8 @@
         self.buffered_bytes = 0
         self.forwarding = False
         self.sent = False
+        # Whether its endpoint has stated that it did not run it.
+        self.is_rejected = False
         self.sent_ms = started_ms
         self.ended = False
         self.waiting = True
@@ -194,23 +198,25 @@
             self.buffered = [b''.join(self.buffered)]
         is_too_large = self.buffered_bytes > MAX_BUFFERED_BYTES
         if is_too_large or not self.owner.may_hold(len(data)):
-            self._stop_buffering(self.response.kind)
+            self._stop_buffering(self.response)
 
-    def _stop_buffering(self, kind: ResponseKind) -> None:
+    def _stop_buffering(self, response: EndpointResponse) -> None:
         """Forward a large response, unless another endpoint may do better."""
         has_part = self.continues_run or self.owner.has_begun_stream
         may_forward = not has_part and not self.owner.can_retry()
-        is_final = kind is ResponseKind.FAILURE and may_forward
-        if kind is ResponseKind.SUCCESS or is_final:
+        is_failure = response.kind is ResponseKind.FAILURE
+        is_promise = promises_not_run(response.status)
+        is_final = is_failure and may_forward and not is_promise
+        if response.kind is ResponseKind.SUCCESS or is_final:
             self.forwarding = True
             self.choice.record.large_responses += 1
             self.owner.forward_head(self)
             return
         self.stop()
-        if kind is ResponseKind.FAILURE:
+        if is_failure and not is_promise:
             self.owner.attempt_interrupted(self, 'body-too-large')
         else:
-            # The head states that the request did not run; the body is not used.
+            # The head decides what follows; the body is not used.
             self.owner.attempt_completed(self)
 
     def response_ended(self) -> None:
--- a/savorychute/gateway/requests/caller_response.py
+++ b/savorychute/gateway/requests/caller_response.py
@@ -4,15 +4,15 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from savorychute.gateway.requests.refusal import Refusal
+from savorychute.gateway.requests.caller_guard import name_unknown_outcome
 from savorychute.gateway.requests.stream_relay import StreamRelay
-from savorychute.ran import Ran
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from savorychute.gateway.requests.caller_port import CallerPort
+    from savorychute.gateway.requests.caller_guard import CallerGuard
     from savorychute.gateway.requests.endpoint_response import EndpointResponse
+    from savorychute.gateway.requests.refusal import Refusal
     from savorychute.result_code import ResultCode
 
 
@@ -38,7 +38,7 @@
 
     def __init__(
         self,
-        caller: CallerPort,
+        caller: CallerGuard,
         last_event: str,
         on_begin: Callable[[], None],
         max_events: int | None = None,
@@ -83,32 +83,33 @@
                 self._caller.start(response.status, response.headers)
             self._caller.finish()
 
-    def fail(self, response: EndpointResponse, buffered: Sequence[bytes]) -> None:
-        """Forward an endpoint's failure.
+    def fail(
+        self, response: EndpointResponse, buffered: Sequence[bytes]
+    ) -> FinalOutcome:
+        """Forward an endpoint's failure, unless its status is a promise.
 
         :param response: the head of the response.
         :param buffered: its body.
         """
+        status = response.status
         if self.forwarding:
             self._caller.finish()
         elif self.started:
             self._caller.abort()
         else:
-            self._caller.respond(response.status, response.headers, b''.join(buffered))
+            sent = self._caller.respond(status, response.headers, b''.join(buffered))
+            if sent != status:
+                return FinalOutcome(name_unknown_outcome(status), sent)
+        return FinalOutcome('endpoint-failed', status)
 
-    def abandon(
-        self, not_run: Refusal, unknown: ResultCode, executions: int
-    ) -> FinalOutcome:
+    def abandon(self, not_run: Refusal, unknown: ResultCode) -> FinalOutcome:
         """End without a response of an endpoint, and state only what is known.
 
         :param not_run: the refusal to send if the request cannot have run.
         :param unknown: the code to send if the request may have run.
-        :param executions: the number of attempts that may have run.
         """
         reason = not_run.reason
         if self.started:
             self._caller.abort()
             return FinalOutcome(f'cut-{reason}')
-        refusal = Refusal(unknown, Ran.UNKNOWN, reason) if executions else not_run
-        self._caller.refuse(refusal)
-        return FinalOutcome(reason, refusal.code.status)
+        return FinalOutcome(reason, self._caller.refuse(not_run, unknown))
--- a/savorychute/gateway/requests/request_execution.py
+++ b/savorychute/gateway/requests/request_execution.py
@@ -7,6 +7,7 @@
 from savorychute.gateway.dispatch.endpoint_search import EndpointSearch, NotFound
 from savorychute.gateway.moves.movable_run import MovableRun
 from savorychute.gateway.requests.attempt import Attempt
+from savorychute.gateway.requests.caller_guard import CallerGuard
 from savorychute.gateway.requests.caller_response import CallerResponse
 from savorychute.gateway.requests.crash_check import CrashCheck
 from savorychute.gateway.requests.endpoint_response import ResponseKind
@@ -48,8 +49,8 @@
     """Sends a request to one endpoint after another until one responds.
 
     Two facts decide what may follow a failed attempt: whether the request may have run
-    (``possible_executions``), and whether a second execution is harmful.  The caller is
-    sent 'not run' only if no attempt may have run.
+    (``possible_executions``), and whether a second execution is harmful.  Responses pass
+    through a guard, so that the caller is sent 'not run' only if no attempt may have run.
 
     :param parts: the components shared by all requests.
     :param request: the request.
@@ -83,8 +84,10 @@
         self._losses = LossObserver(parts, self._crash_check)
         self._watch = ProgressWatch(parts, admitted, self)
         self._usage = UsageObserver(parts.usage, admitted)
+        self.possible_executions = 0
+        self._caller = CallerGuard(caller, self)
         self._response = CallerResponse(
-            caller,
+            self._caller,
             request.last_event,
             self._stream_begins,
             request.prompt.max_events if request.prompt else None,
@@ -97,7 +100,6 @@
         self._sends = 0
         self._refusals = RefusalTracker()
         self._addresses: set[ServerAddress] = set()
-        self.possible_executions = 0
         self.started_ms = parts.clock.now_ms()
         self._times = EventTimes(self.started_ms)
         self._verdict_traits: tuple[int, ...] = ()
@@ -306,6 +308,7 @@
         """Continue after an endpoint stated that it did not run the request."""
         response = attempt.response
         assert response is not None
+        attempt.is_rejected = True
         if response.kind is ResponseKind.OTHER_ENDPOINT:
             self._parts.roster.record_end(attempt.choice.record.entry.run)
         else:
@@ -325,8 +328,8 @@
         self._log_attempt(attempt, 'failed', str(response.status))
         if self._retry():
             return
-        self._response.fail(response, attempt.buffered)
-        self._finish('endpoint-failed', response.status)
+        final_outcome = self._response.fail(response, attempt.buffered)
+        self._finish(final_outcome.outcome, final_outcome.status)
 
     def _retry(self) -> bool:
         """Retry a request that may have run, if that is harmless and permitted."""
@@ -374,9 +377,7 @@
         self._end_without_response(not_run, ResultCode.OUTCOME_UNKNOWN)
 
     def _end_without_response(self, not_run: Refusal, unknown: ResultCode) -> None:
-        final_outcome = self._response.abandon(
-            not_run, unknown, self.possible_executions
-        )
+        final_outcome = self._response.abandon(not_run, unknown)
         self._finish(final_outcome.outcome, final_outcome.status)
 
     # -- sending
@@ -430,6 +431,7 @@
         self._addresses.add(address)
         attempt = Attempt(self, choice, now_ms)
         attempt.continues_run = continuation is not None
+        self._caller.watch(attempt)
         self._attempt = attempt
         attempt.running = self._parts.attempts.send(
             OutboundAttempt(
--- a/savorychute/gateway/requests/stream_relay.py
+++ b/savorychute/gateway/requests/stream_relay.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from savorychute.gateway.requests.caller_port import CallerPort
+    from savorychute.gateway.requests.caller_guard import CallerGuard
     from savorychute.gateway.requests.event_splitter import RawEvent
 
 # Comments, blank lines and repeated events between two events.  Keep-alives of an engine
@@ -31,7 +31,7 @@
 
     def __init__(
         self,
-        caller: CallerPort,
+        caller: CallerGuard,
         last_event: str,
         on_begin: Callable[[], None],
         max_events: int | None = None,
--- a/tests/test_cmd/test_losses.py
+++ b/tests/test_cmd/test_losses.py
@@ -37,6 +37,7 @@
         ({'state': 'no-endpoint', 'status': 503}, LossCause.REFUSED),
         ({'state': 'endpoint-failed', 'status': 500}, LossCause.ENDPOINT_FAILED),
         ({'state': 'connection-lost', 'status': 502}, LossCause.UNKNOWN),
+        ({'state': 'outcome-unknown-503', 'status': 502}, LossCause.UNKNOWN),
         ({'state': 'caller-left'}, LossCause.CALLER_LEFT),
     ],
 )
--- a/tests/test_fleet/test_promises.py
+++ b/tests/test_fleet/test_promises.py
@@ -8,7 +8,10 @@
 
 import pytest
 from fleet_fixture import make_configuration, run_fleet
+from test_explaining import log_file
 
+from savorychute.explain.log_reader import read_logs
+from savorychute.explain.request_history import describe_request
 from savorychute.testing.stand_in_http import LOOPBACK
 from savorychute.testing.virtual_loop import run_virtual
 
@@ -106,3 +109,15 @@
     assert response.status == status
     assert response.headers['server-signature'] == 's'
     assert response.body == b'x' * body_bytes
+
+
+def test_replaced_status_is_explained(tmp_path):
+    """Guards against operators who cannot tell which status a caller did not get."""
+    path = tmp_path / 'log'
+    with log_file(path):
+        _, endpoint = play('/a/1', 503, PROOF, SMALL_BYTES)
+    request_id = endpoint.runs[-1].decode().partition(': ')[2]
+    story = '\n'.join(describe_request(request_id, read_logs([path])))
+
+    assert story.count('failed (503)') == 2
+    assert 'outcome-unknown-503 with status 502' in story
--- a/tests/test_gateway/test_caller_guard.py
+++ b/tests/test_gateway/test_caller_guard.py
@@ -8,15 +8,18 @@
     REJECTION,
     STREAM,
     SUCCESS,
+    FakeCaller,
     make_gateway,
     make_prompt,
 )
 
 from savorychute.gateway.requests.attempt import MAX_BUFFERED_BYTES
+from savorychute.gateway.requests.caller_guard import CallerGuard
 from savorychute.gateway.requests.endpoint_response import (
     EndpointResponse,
     ResponseKind,
 )
+from savorychute.gateway.requests.refusal import Refusal
 from savorychute.ran import Ran
 from savorychute.result_code import ResultCode
 
@@ -129,3 +132,67 @@
 
     assert caller.refusal.code is ResultCode.NO_ENDPOINT
     assert caller.refusal.ran is Ran.NOT_RUN
+
+
+class CountedRequest:
+    """A request that has counted the attempts of its own that may have run."""
+
+    def __init__(self, possible_executions=0):
+        self.possible_executions = possible_executions
+
+
+class KnownAttempt:
+    """An attempt in one state."""
+
+    def __init__(self, *, sent, is_rejected=False):
+        self.sent = sent
+        self.is_rejected = is_rejected
+
+
+NOT_RUN = Refusal(ResultCode.OVERLOADED, Ran.NOT_RUN, 'overload', 300)
+
+
+@pytest.mark.parametrize('status', PROMISES)
+def test_head_of_an_endpoint_cannot_be_a_promise(status):
+    """Guards against a part of the gateway that forwards what it should not."""
+    caller = FakeCaller()
+    guard = CallerGuard(caller, CountedRequest())
+    guard.start(status, PROOF)
+    guard.send(b'x')
+    guard.finish()
+    guard.abort()
+
+    assert caller.refusal.code is ResultCode.OUTCOME_UNKNOWN
+    assert (caller.body, caller.state) == (b'', 'refused')
+
+
+@pytest.mark.parametrize(
+    ('counted', 'attempts', 'code'),
+    [
+        (0, [], ResultCode.OVERLOADED),
+        (0, [KnownAttempt(sent=False)], ResultCode.OVERLOADED),
+        (0, [KnownAttempt(sent=True, is_rejected=True)], ResultCode.OVERLOADED),
+        (1, [], ResultCode.OUTCOME_UNKNOWN),
+        (0, [KnownAttempt(sent=True)], ResultCode.OUTCOME_UNKNOWN),
+        (
+            0,
+            [KnownAttempt(sent=True), KnownAttempt(sent=True, is_rejected=True)],
+            ResultCode.OUTCOME_UNKNOWN,
+        ),
+        (
+            0,
+            [KnownAttempt(sent=True), KnownAttempt(sent=False)],
+            ResultCode.OUTCOME_UNKNOWN,
+        ),
+    ],
+)
+def test_refusal_promises_only_what_all_attempts_allow(counted, attempts, code):
+    """Guards against refusals after an attempt that nobody counted."""
+    caller = FakeCaller()
+    guard = CallerGuard(caller, CountedRequest(counted))
+    for attempt in attempts:
+        guard.watch(attempt)
+
+    assert guard.refuse(NOT_RUN, ResultCode.OUTCOME_UNKNOWN) == code.status
+    assert caller.refusal.code is code
+    assert (caller.refusal.ran is Ran.NOT_RUN) == (code is NOT_RUN.code)
