Believe responses without an id only on the first call of a connection

What callers of an assembled instance (`serve`) saw: 'not run' for requests that ran (REFUSED), a second run of a request that may run once (TWICE), and the response to another caller's request (MIXED).

Cause: engines and plain services name nothing, so a refusal (429 or 503 with x-not-started) and a success were believed on any connection. An endpoint that sends an extra response late, after it has read the next request, was believed for that one, and the true response came to the request after it.

Why this works: a response with another id is never used; one without an id is believed only on the first call of its connection, where none can be late. Otherwise the connection is aborted and the attempt may have run. Endpoints that echo x-attempt-id, as the stand-ins now do, keep their connections; others get a new one for each attempt.

--- a/savorychute/daemon/attempt_runner.py
+++ b/savorychute/daemon/attempt_runner.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from savorychute.daemon.naming_table import NamingTable
 from savorychute.daemon.running_attempt import RunningAttempt
 from savorychute.endpoints import DIALECTS
 from savorychute.errors import UnknownVariantError
@@ -16,10 +17,13 @@
 if TYPE_CHECKING:
     from savorychute.actions import CancelAttempt, StartAttempt
     from savorychute.daemon.host_port import HostPort
+    from savorychute.http.client_call import ClientCall
     from savorychute.http.client_pool import ClientPool
+    from savorychute.http.http_request import HttpRequest
 
 CANCEL_TIMEOUT_MS = 2_000
 PAUSE_REPORT_INTERVAL_MS = 250
+CLOSE_HEADER = ('connection', 'close')
 
 
 class AttemptRunner:
@@ -32,6 +36,7 @@
     def __init__(self, host: HostPort, pool: ClientPool) -> None:
         self._host = host
         self._pool = pool
+        self._naming = NamingTable()
         self._next_report_ms = 0
         self._attempts: dict[str, RunningAttempt] = {}
         self._by_request: dict[str, RunningAttempt] = {}
@@ -53,15 +58,10 @@
         except (UnknownVariantError, msgspec.MsgspecError) as error:
             self._host.deliver(_describe_unsent(start, str(error)))
             return
-        attempt = RunningAttempt(start, dialect, self._host, self._remove)
+        attempt = RunningAttempt(start, dialect, self._host, self._naming, self._remove)
         self._attempts[start.attempt_id] = attempt
         self._by_request[start.request_id] = attempt
-        attempt.call = self._pool.submit(
-            ServerAddress(start.host, start.port),
-            request,
-            attempt,
-            fresh=dialect.needs_fresh_connection(start),
-        )
+        attempt.call = self._submit(attempt, request)
         attempt.start_timer()
         if self._host.responses.is_paused(start.request_id):
             attempt.pause()
@@ -130,6 +130,21 @@
         for attempt in paused:
             self._host.deliver(AttemptPaused(attempt.start.attempt_id))
 
+    def _submit(self, attempt: RunningAttempt, request: HttpRequest) -> ClientCall:
+        """Send a request, over a used connection only where responses name theirs."""
+        start = attempt.start
+        address = ServerAddress(start.host, start.port)
+        is_naming = self._naming.find(address)
+        if is_naming is False:
+            request = request._replace(headers=(*request.headers, CLOSE_HEADER))
+        return self._pool.submit(
+            address,
+            request,
+            attempt,
+            fresh=attempt.dialect.needs_fresh_connection(start),
+            unused=not is_naming,
+        )
+
     def _remove(self, attempt: RunningAttempt) -> None:
         start = attempt.start
         self._attempts.pop(start.attempt_id, None)
--- a/savorychute/daemon/running_attempt.py
+++ b/savorychute/daemon/running_attempt.py
@@ -5,7 +5,9 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from savorychute.endpoints.refusals import ATTEMPT_ID_HEADER, belongs_to
 from savorychute.http.call_failure import CallFailure
+from savorychute.http.client_pool import ServerAddress
 from savorychute.inputs import AttemptSent
 
 if TYPE_CHECKING:
@@ -13,6 +15,7 @@
 
     from savorychute.actions import StartAttempt
     from savorychute.daemon.host_port import InputPort
+    from savorychute.daemon.naming_table import NamingTable
     from savorychute.endpoints import Dialect
     from savorychute.http.client_call import ClientCall
     from savorychute.inputs import Input
@@ -33,12 +36,14 @@
     :param start: describes the attempt.
     :param dialect: the endpoint's protocol.
     :param host: receives the inputs for the instance.
+    :param naming: whether endpoints name the request in their responses.
     :param on_end: called when the attempt has ended.
     """
 
     __slots__ = (
         '_ended',
         '_host',
+        '_naming',
         '_on_end',
         '_reader',
         '_timer',
@@ -54,6 +59,7 @@
         start: StartAttempt,
         dialect: Dialect,
         host: InputPort,
+        naming: NamingTable,
         on_end: Callable[[RunningAttempt], None],
     ) -> None:
         self.start = start
@@ -62,6 +68,7 @@
         self.forwarded_headers: tuple[tuple[str, str], ...] = ()
         self.call: ClientCall | None = None
         self._host = host
+        self._naming = naming
         self._on_end = on_end
         self._reader = dialect.make_reader(start)
         self._ended = False
@@ -99,7 +106,12 @@
         return not self._ended
 
     def response_started(self, status: int, headers: dict[str, str]) -> None:
-        """Deliver the head."""
+        """Deliver the head, unless the response belongs to another request."""
+        if not self._is_own(headers):
+            # The response to this request is still to come, and would be taken for the
+            # one to the next request.
+            self._abandon('response to another request')
+            return
         self.forwarded_headers = tuple(
             (name, headers[name])
             for name in FORWARDED_RESPONSE_HEADERS
@@ -135,8 +147,19 @@
             self._timer.cancel()
         self._on_end(self)
 
+    def _is_own(self, headers: dict[str, str]) -> bool:
+        start = self.start
+        is_named = bool(headers.get(ATTEMPT_ID_HEADER))
+        self._naming.record(ServerAddress(start.host, start.port), is_named)
+        calls_before = self.call.calls_before if self.call is not None else 0
+        return belongs_to(start.attempt_id, headers, calls_before)
+
     def _time_out(self) -> None:
+        self._abandon('timeout')
+
+    def _abandon(self, reason: str) -> None:
+        """Abort the connection, and deliver the failure."""
         sent = self.call is not None and self.call.sent
         if self.call is not None:
             self.call.cancel()
-        self.call_failed(CallFailure(sent=sent, broken=False, reason='timeout'))
+        self.call_failed(CallFailure(sent=sent, broken=False, reason=reason))
--- a/savorychute/endpoints/refusals.py
+++ b/savorychute/endpoints/refusals.py
@@ -10,12 +10,28 @@
     from savorychute.http.call_failure import CallFailure
 
 REFUSAL_STATUSES = (429, 503)
+ATTEMPT_ID_HEADER = 'x-attempt-id'
 NOT_STARTED_HEADER = 'x-not-started'
 LEAVING_HEADER = 'x-leaving'
 PAUSED_HEADER = 'x-paused'
 SERVER_ERROR_STATUS = 500
 
 
+def belongs_to(attempt_id: str, headers: dict[str, str], calls_before: int) -> bool:
+    """Return whether a response belongs to an attempt.
+
+    An extra response of the endpoint may arrive late, where the one to the next request
+    is expected.  A response that names no attempt is believed only on the first call of
+    its connection, where none can be late.
+
+    :param attempt_id: the attempt.
+    :param headers: the headers of the response.
+    :param calls_before: the calls that the connection had carried before.
+    """
+    named_id = headers.get(ATTEMPT_ID_HEADER, '')
+    return named_id == attempt_id if named_id else calls_before == 0
+
+
 def is_refusal(status: int, headers: dict[str, str]) -> bool:
     """Return whether a response proves that its request did not start.
 
--- a/savorychute/testing/engine_answer.py
+++ b/savorychute/testing/engine_answer.py
@@ -12,7 +12,7 @@
     StreamRefused,
     StreamTokens,
 )
-from savorychute.testing.stand_in_http import respond_json
+from savorychute.testing.stand_in_http import echo_id, respond_json
 
 if TYPE_CHECKING:
     from savorychute.http.server_exchange import ServerExchange
@@ -54,6 +54,7 @@
             headers = [
                 ('content-type', 'text/event-stream'),
                 ('x-stream-id', event.stream_id),
+                *echo_id(self._exchange),
             ]
             self._exchange.start(STATUS_OK, headers)
 
@@ -85,6 +86,7 @@
         headers = [
             ('content-type', 'application/json'),
             ('x-stream-id', self._stream_id),
+            *echo_id(self._exchange),
         ]
         self._exchange.respond(STATUS_OK, headers, msgspec.json.encode(document))
 
@@ -92,7 +94,11 @@
         if event.status == STATUS_NOT_FOUND:
             respond_json(self._exchange, event.status, {'error': event.reason})
             return
-        headers = [('content-type', 'application/json'), ('x-not-started', '1')]
+        headers = [
+            ('content-type', 'application/json'),
+            ('x-not-started', '1'),
+            *echo_id(self._exchange),
+        ]
         if event.leaving:
             headers.append(('x-leaving', '1'))
         if event.paused:
--- a/savorychute/testing/service_server.py
+++ b/savorychute/testing/service_server.py
@@ -13,7 +13,7 @@
     ServiceRefused,
     ServiceRequest,
 )
-from savorychute.testing.stand_in_http import LOOPBACK, loop_ms, serve
+from savorychute.testing.stand_in_http import LOOPBACK, echo_id, loop_ms, serve
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
@@ -68,9 +68,10 @@
         if exchange is None:
             return
         if isinstance(event, ServiceAnswered):
-            exchange.respond(event.status, [('content-type', 'text/plain')], event.body)
+            headers = [('content-type', 'text/plain'), *echo_id(exchange)]
+            exchange.respond(event.status, headers, event.body)
         elif isinstance(event, ServiceRefused):
-            headers = [('x-not-started', '1')]
+            headers = [('x-not-started', '1'), *echo_id(exchange)]
             if event.leaving:
                 headers.append(('x-leaving', '1'))
             exchange.respond(STATUS_UNAVAILABLE, headers, b'')
--- a/savorychute/testing/stand_in_http.py
+++ b/savorychute/testing/stand_in_http.py
@@ -18,13 +18,21 @@
     from savorychute.http.server_exchange import ServerExchange
 
 JSON_HEADERS = (('content-type', 'application/json'),)
+ATTEMPT_ID_HEADER = 'x-attempt-id'
 LOOPBACK = '127.0.0.1'
 MS_PER_S = 1_000.0
 
 
 def respond_json(exchange: ServerExchange, status: int, document: object) -> None:
     """Respond with a JSON document."""
-    exchange.respond(status, JSON_HEADERS, msgspec.json.encode(document))
+    headers = [*JSON_HEADERS, *echo_id(exchange)]
+    exchange.respond(status, headers, msgspec.json.encode(document))
+
+
+def echo_id(exchange: ServerExchange) -> list[tuple[str, str]]:
+    """Return the headers that name the request of a response, if it has an id."""
+    attempt_id = exchange.request.header(ATTEMPT_ID_HEADER)
+    return [(ATTEMPT_ID_HEADER, attempt_id)] if attempt_id else []
 
 
 def loop_ms() -> float:
--- a/tests/test_daemon/system_fixture.py
+++ b/tests/test_daemon/system_fixture.py
@@ -30,6 +30,7 @@
 OPERATOR_TOKEN = 'operator-token'
 OPERATOR = {'authorization': f'Bearer {OPERATOR_TOKEN}'}
 CALLER = {'authorization': f'Bearer {TOKEN}', 'x-request-class': 'diagnosis'}
+DOMAINS = ('kochi-hall', 'thrissur-hall', 'kozhikode-hall')
 CONTRACT = {
     'organisation': 'malanadu',
     'token_hashes': [hashlib.sha256(TOKEN.encode()).hexdigest()],
@@ -227,9 +228,8 @@
     async with AsyncExitStack() as stack:
         system = System(stack)
         await system.start_fakes()
-        domains = ('kochi-hall', 'thrissur-hall', 'kozhikode-hall')
         try:
-            for number, domain in enumerate(domains * 2, 1):
+            for number, domain in enumerate(DOMAINS * 2, 1):
                 await system.start(f'entry-{number}', domain)
             port = system.hosts['entry-1'].address.caller_port
             await configure(
@@ -244,6 +244,24 @@
             await system.close()
 
 
+@asynccontextmanager
+async def run_instances(*endpoints):
+    """Run three instances at three sites, configured with *endpoints*."""
+    async with AsyncExitStack() as stack:
+        system = System(stack)
+        await system.start_fakes()
+        try:
+            for number, domain in enumerate(DOMAINS, 1):
+                await system.start(f'entry-{number}', domain)
+            port = system.hosts['entry-1'].address.caller_port
+            engine = describe_engine('engine-1', system.engines[0].port)
+            await configure(port, engine, *endpoints)
+            await _wait_for_configuration(system)
+            yield system
+        finally:
+            await system.close()
+
+
 async def _wait_for_configuration(system):
     document = {'model': 'model', 'messages': [{'role': 'user', 'content': 'ready?'}]}
     for host in system.hosts.values():
