Treat an endpoint's own 408, 421, 429 and 503 as an unknown outcome

What callers of an assembled instance (`serve`) saw: a plain service's own 503, 429, 408 or 421, or an engine's 429, 408 or 421, after it had run a request that may run once, passed on with its status, which promises that nothing ran (REFUSED).

Cause: the head of a response without x-not-started was passed on whatever its status.

Now such a status fails the attempt: a request that may run again is retried at another endpoint, and others end with 502 and OUTCOME_UNKNOWN. It doesn't count towards the ejection of the endpoint: a service's 429 to one caller would end it for all others. A stream that was answered so is not resumed at the endpoint, which has none.

--- a/savorychute/instance/attempt_handler.py
+++ b/savorychute/instance/attempt_handler.py
@@ -7,6 +7,7 @@
 
 from savorychute.actions import CancelAttempt
 from savorychute.inputs import AttemptFailed
+from savorychute.ran import NOT_RUN_STATUSES
 from savorychute.requests.continuation_handle import ContinuationHandle
 from savorychute.requests.request_state import RequestState
 from savorychute.result_code import ResultCode
@@ -68,19 +69,25 @@
         return []
 
     def record_started(self, started: AttemptStarted, now_ms: int) -> list[Action]:
-        """Record the head of the endpoint's response."""
+        """Record the head of the endpoint's response.
+
+        An endpoint's own status is not passed on if it promises that the request did
+        not run, because the endpoint has not stated that.
+        """
         tracked = self._parts.request_table.find_by_attempt(started.attempt_id)
         if tracked is None or tracked.attempt is None:
             return []
         attempt = tracked.attempt
-        attempt.started = True
         attempt.status = started.status
         attempt.content_type = started.content_type
         attempt.last_progress_ms = now_ms
-        is_failure = started.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-        if tracked.expects_tokens and is_failure:
+        is_server_error = started.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        if started.status in NOT_RUN_STATUSES or (
+            tracked.expects_tokens and is_server_error
+        ):
             reason = f'endpoint answered {started.status}'
             return self._abandon(attempt, reason, now_ms)
+        attempt.started = True
         tracked.lifecycle.transition(
             RequestState.RUNNING,
             now_ms,
@@ -224,7 +231,8 @@
         if failed.leaving:
             parts.ejector.mark_leaving(attempt.endpoint, now_ms)
             parts.leaving.record(attempt.endpoint, now_ms)
-        elif not failed.refused:
+        elif not failed.refused and attempt.status not in NOT_RUN_STATUSES:
+            # A service may answer one caller with 429, and serve all others.
             is_unreachable = failed.crashed or not failed.sent
             parts.ejector.record_failure(attempt.endpoint, now_ms, is_unreachable)
         if failed.crashed and failed.sent:
