Promise by a status only that a request did not run if that is known

What callers of an assembled instance (`serve`) saw: 408, 429 or 503 for requests that may have run, with `x-ran: unknown` beside it. A caller that goes by the status sends such a request again: one that was queued again after an attempt whose outcome is unknown and is then refused, or one whose key may have been used before.

Cause: the status followed from the numbered reason alone.

Now one function chooses the status from the reason and from what is known: with a promise that can't be made, 502 with the same number. The client library goes by the number and is not changed by this. Refusals of the HTTP layer, before an instance has the request, are as before: it was read in no attempt, so the promise is true.

--- a/savorychute/daemon/caller_responses.py
+++ b/savorychute/daemon/caller_responses.py
@@ -10,7 +10,12 @@
     EVENT_STREAM_TYPE,
     encode_tokens,
 )
-from savorychute.http.error_response import JSON_TYPE, encode_error, error_headers
+from savorychute.http.error_response import (
+    JSON_TYPE,
+    choose_status,
+    encode_error,
+    error_headers,
+)
 from savorychute.inputs import CallerLeft
 from savorychute.result_code import ResultCode
 
@@ -169,7 +174,7 @@
         headers.append(('x-endpoint', refusal.endpoint))
         if refusal.handle:
             headers.append(('x-continuation-handle', refusal.handle))
-        status = code.status
+        status = choose_status(code, refusal.ran)
         exchange = response.exchange
         if refusal.location:
             status = HTTPStatus.TEMPORARY_REDIRECT
@@ -186,7 +191,7 @@
         headers = error_headers(code, finish.ran)
         headers.append(('x-request-id', finish.request_id))
         body = encode_error(code, finish.ran, finish.message, finish.handle)
-        exchange.respond(code.status, headers, body)
+        exchange.respond(choose_status(code, finish.ran), headers, body)
 
     def _handle_caller_left(self, request_id: str) -> None:
         if self._pending.pop(request_id, None) is not None:
--- a/savorychute/http/error_response.py
+++ b/savorychute/http/error_response.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import TYPE_CHECKING, NotRequired, TypedDict
 
 import msgspec
 
-from savorychute.ran import Ran
+from savorychute.ran import NOT_RUN_STATUSES, Ran
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -46,6 +47,20 @@
     return Ran.UNKNOWN if set(names) & set(RETRY_HEADERS) else Ran.NOT_RUN
 
 
+def choose_status(code: ResultCode, ran: Ran) -> HTTPStatus:
+    """Return the status of an error response.
+
+    A status that promises that the request did not run is replaced if it may have run,
+    for callers that read nothing but the status.
+
+    :param code: the numbered reason.
+    :param ran: whether the request ran.
+    """
+    if ran is not Ran.NOT_RUN and code.status in NOT_RUN_STATUSES:
+        return HTTPStatus.BAD_GATEWAY
+    return code.status
+
+
 def encode_error(code: ResultCode, ran: Ran, message: str, handle: str = '') -> bytes:
     """Return the JSON body of an error response.
 
