Send each order to an engine over a new connection

What operators saw: an order that took effect reported as refused, so that it may be sent again, or one that was refused reported as done.

Cause: the response to an order names nothing, and an extra response to an earlier call, if late, was taken for it.

On the first call of a connection none can be late. Orders are rare, so the connection costs nothing that counts. The new test fails in both cases before and passes now.

--- a/savorychute/daemon/engine_control.py
+++ b/savorychute/daemon/engine_control.py
@@ -69,6 +69,8 @@
             partial(self._finish_order, order),
             partial(self._fail_order, order),
             partial(self._can_send_order, order),
+            # The response to an earlier order, if late, would be taken for its own.
+            unused=True,
         )
 
     def _can_send_order(self, order: SendOrder) -> bool:
--- a/tests/test_daemon/late_endpoint.py
+++ b/tests/test_daemon/late_endpoint.py
@@ -52,7 +52,7 @@
         """Serve one connection."""
         self.connections += 1
         http = h11.Connection(h11.SERVER)
-        previous = ''
+        previous: str | None = None
         try:
             while request := await _read_request(http, reader):
                 previous = await self._answer(http, writer, request, previous)
@@ -66,10 +66,10 @@
         http: h11.Connection,
         writer: asyncio.StreamWriter,
         request: tuple[str, bytes],
-        previous: str,
+        previous: str | None,
     ) -> str:
         attempt_id, body = request
-        if previous and self.extra is not None:
+        if previous is not None and self.extra is not None:
             self.extras_sent += 1
             status, headers, named = self.extra
             writer.write(_make_response(status, previous, named, headers))
--- a/tests/test_daemon/test_orders.py
+++ b/tests/test_daemon/test_orders.py
@@ -7,6 +7,7 @@
 
 import pytest
 from daemon_fakes import FakeServer, serve, wait_until
+from late_endpoint import Extra, LateEndpoint, serve_late
 
 from savorychute.actions import SendOrder
 from savorychute.clock import ManualClock
@@ -72,3 +73,27 @@
         return host.delivered[0].outcome, len(server.targets)
 
     assert asyncio.run(run()) == (outcome, requests)
+
+
+@pytest.mark.parametrize(
+    ('extra_status', 'status', 'outcome'), [(200, 409, 'refused'), (409, 200, 'done')]
+)
+def test_outcome_of_an_earlier_order_is_not_taken_for_the_next_one(
+    extra_status, status, outcome
+):
+    """Guards against an order that took effect and is sent again, or the contrary."""
+
+    async def run():
+        host = FakeHost()
+        engine = LateEndpoint(Extra(extra_status, ()))
+        async with serve_late(engine) as address:
+            with open_pool(PoolSettings(), host.clock) as pool:
+                control = EngineControl(host, pool)
+                control.order(make_order(address, 2_000))
+                await wait_until(lambda: host.delivered)
+                engine.status = status
+                control.order(make_order(address, 2_000))
+                await wait_until(lambda: len(host.delivered) > 1)
+        return host.delivered[1].outcome
+
+    assert asyncio.run(run()) == outcome
