Signal gateways of the soak without polling them

A run with series of signals printed that a child process is unknown, with code 255: the process object polls the child before it sends a signal, and so takes the exit code from the event loop. The soak would report a gateway that ended with 255 where it had ended in order.

--- a/benches/gateway_soak/site.py
+++ b/benches/gateway_soak/site.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import signal
 import sys
 from contextlib import AsyncExitStack, suppress
@@ -95,8 +96,10 @@
         """Send the process a signal if it is running."""
         if self.process is not None and self.process.returncode is None:
             self._record_event()
+            # The method of the process would poll it, and take its exit code from the
+            # event loop, which then reports 255.
             with suppress(ProcessLookupError):
-                self.process.send_signal(number)
+                os.kill(self.process.pid, number)
 
     def _record_event(self) -> None:
         self.events_s.append(asyncio.get_running_loop().time())
