--- a/savorychute/gateway/requests/caller_guard.py
+++ b/savorychute/gateway/requests/caller_guard.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from savorychute.gateway.requests.refusal import Refusal
-from savorychute.ran import Ran
+from savorychute.ran import NOT_RUN_STATUSES, Ran
 from savorychute.result_code import ResultCode
 
 if TYPE_CHECKING:
@@ -14,16 +14,13 @@
     from savorychute.gateway.requests.attempt import Attempt
     from savorychute.gateway.requests.caller_port import CallerPort
 
-# By each of them a caller learns that its request has not run and never will.
-PROMISES = frozenset({408, 421, 429, 503})
-
 
 def promises_not_run(status: int) -> bool:
     """Return whether a status promises that the request did not run.
 
     :param status: the HTTP status.
     """
-    return status in PROMISES
+    return status in NOT_RUN_STATUSES
 
 
 class CountedExecution(Protocol):
