Call instances over new connections where a request may run once

What callers of the client library saw: 'not run' for a request that ran, two runs under two keys, and one key for different requests.

Cause: the responses to a request for a key and to the request itself name nothing, and an extra response to an earlier call, if late, was taken for them.

On the first call of a connection none can be late. Calls that may run more than once still share connections: there the answer to another call of the same caller can be taken for theirs, which needs an id that instances echo.

--- a/savorychute/client/call_execution.py
+++ b/savorychute/client/call_execution.py
@@ -200,7 +200,11 @@
         loop = asyncio.get_running_loop()
         response = ResponseStream(loop.time() + self.remaining_ms / MS_PER_S)
         response.call = self._pool.submit(
-            address, request._replace(headers=tuple(headers)), response
+            address,
+            request._replace(headers=tuple(headers)),
+            response,
+            # A late response to an earlier call would be taken for the key's outcome.
+            unused=not self._idempotent,
         )
         return response
 
