Treat responses of intermediaries as unknown outcomes in the client library

What callers of the client library saw: the 503 of a proxy between them and an instance as the endpoint's answer to a complete call, with a status that promises that nothing ran; and no retry.

Cause: each response without an error number was taken for an endpoint's. Instances number all their responses, so one without a number is nobody's answer: it is retried as a broken connection is, under the same key, and ends in 'unknown'.

--- a/savorychute/client/call_execution.py
+++ b/savorychute/client/call_execution.py
@@ -10,7 +10,12 @@
 import msgspec
 
 from savorychute.client.call_error import CallError
-from savorychute.client.refusal import is_refusal, read_code, read_refusal
+from savorychute.client.refusal import (
+    is_of_instance,
+    is_refusal,
+    read_code,
+    read_refusal,
+)
 from savorychute.client.response_stream import ResponseBrokenError, ResponseStream
 from savorychute.http.client_pool import ServerAddress
 from savorychute.http.http_request import HttpRequest
@@ -114,7 +119,9 @@
             response = await self._send_attempt(address)
             if response is None:
                 continue
-            if response.status == REDIRECT_STATUS and is_refusal(response):
+            if not is_of_instance(response):
+                await self._handle_intermediary(address, response)
+            elif response.status == REDIRECT_STATUS and is_refusal(response):
                 self._follow_redirect(address, response)
             elif is_refusal(response):
                 await self._handle_refusal(address, response)
@@ -188,6 +195,16 @@
         unknown = CallError(ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN, error.message)
         await self.prepare_retry(unknown, connection_broken=True)
 
+    async def _handle_intermediary(
+        self, address: ServerAddress, response: ResponseStream
+    ) -> None:
+        """Retry after a response of an intermediary, which knows of no outcome."""
+        response.close()
+        self._address = address
+        message = f'status {response.status}, not of an instance'
+        unknown = CallError(ResultCode.OUTCOME_UNKNOWN, Ran.UNKNOWN, message)
+        await self.prepare_retry(unknown, connection_broken=True)
+
     def _send(self, address: ServerAddress, request: HttpRequest) -> ResponseStream:
         headers = [
             *request.headers,
--- a/savorychute/client/refusal.py
+++ b/savorychute/client/refusal.py
@@ -19,6 +19,14 @@
 _decoder = msgspec.json.Decoder(ErrorDocument)
 
 
+def is_of_instance(response: ResponseStream) -> bool:
+    """Return whether an instance sent the response, and not an intermediary.
+
+    :param response: a response whose head has arrived.
+    """
+    return 'x-result-code' in response.headers
+
+
 def is_refusal(response: ResponseStream) -> bool:
     """Return whether the response is an error of the system, not of an endpoint.
 
--- a/tests/test_client/test_late_responses.py
+++ b/tests/test_client/test_late_responses.py
@@ -1,4 +1,4 @@
-"""Tests of responses to other requests."""
+"""Tests of responses to other requests, and of ones that no instance sent."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from random import Random
 
 import pytest
-from client_fixture import SERVICE_CALL
+from client_fixture import CHAT, SERVICE_CALL, FakeInstance, respond, run
 
 from savorychute.client import CallError, ClientSettings, open_client
 from savorychute.http.client_pool import ServerAddress
@@ -124,3 +124,29 @@
     assert len(told) == CALLS
     # The calls for keys and addresses bear no key.
     assert len(instance.used_keys) == CALLS + 1
+
+
+def test_failure_that_no_instance_sent_does_not_end_a_call():
+    """Guards against an answer of an intermediary that passes for the endpoint's."""
+
+    def fail(exchange):
+        exchange.respond(503, [('retry-after', '1')], b'try again')
+
+    instance = FakeInstance('i1', [fail, respond])
+    answer = run(lambda client: client.complete(CHAT), instance)
+
+    assert (answer.status, answer.body) == (200, b'answer')
+
+
+def test_failure_that_no_instance_sent_promises_nothing():
+    """Guards against a second run of a request that an intermediary refused."""
+
+    def fail(exchange):
+        exchange.respond(503, [('retry-after', '1')], b'try again')
+
+    instance = FakeInstance('i1', [fail])
+    with pytest.raises(CallError) as raised:
+        run(lambda client: client.call_service(SERVICE_CALL), instance)
+
+    assert raised.value.ran is Ran.UNKNOWN
+    assert len({each.header('x-request-key') for each in instance.requests}) == 1
