Append to the platform's log over new connections

What operators and callers of an assembled instance (`serve`) saw: a record that is in the log (a lease, a key's claim, an amendment) counted as refused, or one that is not there as appended.

Cause: the response to an append names nothing, and an extra response to an earlier call, if late, was taken for it.

On the first call of a connection none can be late. The new test fails in both cases before and passes now. Reads and lists still share connections: their late responses are older records or lists, which are read again.

--- a/savorychute/daemon/platform_runner.py
+++ b/savorychute/daemon/platform_runner.py
@@ -46,6 +46,8 @@
             self._timeout_ms,
             partial(self._finish_append, action),
             partial(self._fail_append, action),
+            # The response to an earlier append, if late, would be taken for its own.
+            unused=True,
         )
 
     def read(self, action: ReadRecords) -> None:
--- a/tests/test_daemon/late_endpoint.py
+++ b/tests/test_daemon/late_endpoint.py
@@ -124,7 +124,8 @@
     named: bool,
     headers: tuple[tuple[str, str], ...] = (),
 ) -> bytes:
-    body = json.dumps({'choices': [], 'run': attempt_id}).encode()
+    document = {'choices': [], 'run': attempt_id, 'offset': 0}
+    body = json.dumps(document).encode()
     lines = [
         f'HTTP/1.1 {status} X',
         'content-type: application/json',
