Believe that a continued run was refused only where that is stated

Any 503 to a request that continues a run (`Kv-From`) was taken for 'not run', by its status alone. The platform's page says of a used handle 'receives 503 and is not run', but also that no response without `Not-Executed` states that nothing ran, and an engine may respond with a 503 of its own after it began. So the status doesn't vouch for it.

Nothing observable was at stake that a run could show: a move looks only for a success, and goes back to the source, or is lost, after any other response to a continuation. The only exit on which 'not run' would count is a response that no move absorbs; none was found by reading.

`test_refused_continuation_did_not_run` asked for the belief in the status. It is replaced by one that asks for more: with `Not-Executed` 'not run', without it a failure, for continuations and others.

--- a/tests/test_fleet/test_move_dialect.py
+++ b/tests/test_fleet/test_move_dialect.py
@@ -74,14 +74,16 @@
     assert headers['last-event-id'] == '14'
 
 
-def test_refused_continuation_did_not_run():
-    """Guards against a run that counts as lost although its memory still exists."""
-    attempt = make_attempt(continuation=Continuation(SOURCE, 'h-1'))
-    refused = endpoint_dialect.decode_response(503, {}, attempt)
-    usual = endpoint_dialect.decode_response(503, {}, make_attempt())
+@pytest.mark.parametrize('handle', ['h-1', None])
+def test_refused_attempt_did_not_run_only_if_that_is_stated(handle):
+    """Guards against a run that goes on twice after a 503 which states nothing."""
+    continuation = Continuation(SOURCE, handle) if handle else None
+    attempt = make_attempt(continuation=continuation)
+    refused = endpoint_dialect.decode_response(503, {'not-executed': '1'}, attempt)
+    failed = endpoint_dialect.decode_response(503, {}, attempt)
 
     assert refused.kind is ResponseKind.NOT_RUN
-    assert usual.kind is ResponseKind.FAILURE
+    assert failed.kind is ResponseKind.FAILURE
 
 
 @pytest.mark.parametrize(
