--- a/savorychute/gateway/requests/endpoint_response.py
+++ b/savorychute/gateway/requests/endpoint_response.py
@@ -47,9 +47,10 @@
     ``NOT_RUN``: the endpoint states that it did not run the request.
     ``OTHER_ENDPOINT``: another endpoint now has the address; the request did not run.
     ``FOREIGN``: the response belongs to another request, or lacks the proof that an
-    endpoint made it; ``disbelief`` is the reason.  ``is_stream`` is true for a stream of events.  ``is_delimited`` is
-    false if the response has neither a length nor chunks, so that only the end of its
-    connection ends it.  ``is_identified`` is false if the response names no request.
+    endpoint made it; ``disbelief`` is the reason.  ``is_stream`` is true for a stream of
+    events.  ``is_delimited`` is false if the response has neither a length nor chunks, so
+    that only the end of its connection ends it.  ``is_identified`` is false if the
+    response names no request.
     ``naming`` tells whose id it bears, and ``named_id`` is that id, shortened; both are
     what the head states, whatever the kind.
     """
