--- a/tests/test_daemon/test_late_endpoint_responses.py
+++ b/tests/test_daemon/test_late_endpoint_responses.py
@@ -9,7 +9,7 @@
 
 import pytest
 from daemon_fakes import TOKEN, call, run_forwarding
-from late_endpoint import Extra, LateEndpoint, serve_late
+from repeating_service import Extra, LateEndpoint, serve_late
 from system_fixture import describe_service, run_instances
 
 from savorychute.client import CallError, ServiceCall, open_client
--- a/tests/test_daemon/test_platform_runner.py
+++ b/tests/test_daemon/test_platform_runner.py
@@ -7,7 +7,7 @@
 
 import pytest
 from daemon_fakes import wait_until
-from late_endpoint import Extra, LateEndpoint, serve_late
+from repeating_service import Extra, LateEndpoint, serve_late
 
 from savorychute.actions import AppendRecord
 from savorychute.clock import ManualClock
