Believe a response without an id on the first call of its connection only

What callers saw: requests that may run once ran twice, or were answered 421, 429, 503 or 408 although they ran; a caller got the body of another request. All others saw sound endpoints count as ended, leaving, limited or resting.

Cause: a response that bore no id was believed unless one of the same status had come for a load report or a copy on that connection. A faulty endpoint sends a further response after it has read the next request, and nothing in it says whose it is.

Why this works: a response belongs to the request if it bears its id. Without an id it is believed on the first call of its connection, where no other response can be late; otherwise it is foreign (`unnamed`): the connection is closed, the request may have run, the endpoint is blocked as one that sends wrong bytes. A proof of an endpoint names no request. This one rule (`response_trust`) replaces `unidentified_statuses`, `may_be_late_copy`, `identified` and `is_identified`. After a response without an id, requests to that address use new connections for a minute and the connection is closed, so that an endpoint that names nothing loses one request and not one in two. A request without an id of its own uses a new connection. By reading: a tunnel is one connection to its endpoint and each is opened for one, so its first call is the endpoint's first; interim responses end no call; a connection that was opened ahead has carried none.

Load reports name nothing. So a plain load is taken on a used connection; a report that states more (a limit, leaving, rest, another run), is no load, or is followed at once by other bytes is asked for again over a new connection. Engines with a stated limit get new connections for reports. What remains: a late plain load whose own report follows later misleads the choices made by it.

Changed checks. `test_true_refusals_are_used_at_once` asked that refusals without an id cost no attempt more on used connections. Now: with an id as before, also on new connections; without one, no attempt more on the first call of a connection; on a used connection exactly one request is lost, nothing runs twice, and all further refusals cost one attempt each, over new connections. The unit test of late copies is replaced by nine responses on connections that carried 0, 1 and 9 calls, with and without the id; three of its old rows believed what is no longer believed (503 and 421 without an id, and 200 with a proof alone, on used connections).

--- a/savorychute/gateway/daemon/attempt_sender.py
+++ b/savorychute/gateway/daemon/attempt_sender.py
@@ -6,8 +6,14 @@
 
 from savorychute.gateway.endpoint_telemetry import CallKind
 from savorychute.gateway.endpoints.endpoint_run import EndpointRun
+from savorychute.gateway.endpoints.endpoint_statement import EndpointStatement
 from savorychute.gateway.moves.move_call import CopyOutcome, CopyResult
-from savorychute.gateway.requests.endpoint_response import Disbelief, ResponseKind
+from savorychute.gateway.requests.endpoint_response import (
+    Disbelief,
+    Naming,
+    ResponseKind,
+)
+from savorychute.gateway.requests.response_trust import UnnamedAddresses, is_vouched
 from savorychute.http.timed_call import submit_timed
 
 if TYPE_CHECKING:
@@ -64,6 +70,7 @@
         self._permits = permits
         self._telemetry = telemetry
         self._clock = clock
+        self._unnamed = UnnamedAddresses()
 
     def send(self, attempt: OutboundAttempt, listener: AttemptListener) -> ClientCall:
         """Start an attempt.
@@ -78,10 +85,26 @@
             request,
             handler,
             fresh=attempt.fresh,
-            unused=attempt.repeated,
+            unused=attempt.repeated or self._needs_new_connection(attempt),
         )
         return handler.call
 
+    def _needs_new_connection(self, attempt: OutboundAttempt) -> bool:
+        """Return whether the response may bear no id, by which it would be known."""
+        address, now_ms = attempt.endpoint.address, self._clock.now_ms()
+        return not attempt.request.attempt_id or self._unnamed.needs_new_connection(
+            address, now_ms
+        )
+
+    def record_unnamed(self, attempt: OutboundAttempt, call: ClientCall) -> None:
+        """Record a response that bears no id.
+
+        :param attempt: the attempt that it arrived for.
+        :param call: the call of the attempt.
+        """
+        self._unnamed.record(attempt.endpoint.address, self._clock.now_ms())
+        call.retire_connection()
+
     def probe(
         self,
         endpoint: EndpointEntry,
@@ -90,10 +113,26 @@
     ) -> None:
         """Request an engine's load report.
 
+        A report names no request.  On a connection that carried other calls it may be a
+        late response, so only a load is taken from it; anything else it states is asked
+        for again over a new connection.  An engine that states a limit states it in each
+        report, so its reports always use new connections.
+
         :param endpoint: the engine.
         :param on_result: called with its load, or None if no report arrives in time.
         :param permit: permit for an engine that states a limit.
         """
+        is_limited = self._statements.limits.limit(endpoint.run) is not None
+        self._request_report(endpoint, on_result, permit, unused=is_limited)
+
+    def _request_report(
+        self,
+        endpoint: EndpointEntry,
+        on_result: Callable[[EngineLoad | None], None],
+        permit: Permit | None,
+        *,
+        unused: bool,
+    ) -> None:
         sent_ms = self._clock.now_ms()
 
         def can_send() -> bool:
@@ -104,6 +143,14 @@
         def handle_response(response: HttpResponse) -> None:
             load = self._adapter.decode_report(response)
             run = endpoint.run
+            if call.calls_before:
+                if self._is_plain_load(endpoint, load, response, call):
+                    on_result(load)
+                    return
+                self.count_disbelief(endpoint, Disbelief.UNNAMED)
+                call.retire_connection()
+                self._request_report(endpoint, on_result, permit, unused=True)
+                return
             if load is not None and load.born_ms and run.born_ms:
                 run = EndpointRun(run.endpoint, load.born_ms)
             self.record_statement(run, response.status, response.headers, sent_ms)
@@ -114,7 +161,7 @@
                 self.check_path(endpoint)
             on_result(None)
 
-        submit_timed(
+        call = submit_timed(
             self._pool,
             endpoint.address,
             self._adapter.encode_probe(),
@@ -124,8 +171,24 @@
             can_send,
             MAX_REPORT_BYTES,
             self._foreign_check(endpoint),
+            unused=unused,
         )
 
+    def _is_plain_load(
+        self,
+        endpoint: EndpointEntry,
+        load: EngineLoad | None,
+        response: HttpResponse,
+        call: ClientCall,
+    ) -> bool:
+        """Return whether a report states a load and nothing else."""
+        if load is None or load.leaving or call.was_followed:
+            return False
+        if load.born_ms and endpoint.born_ms not in (0, load.born_ms):
+            return False
+        statement = self._adapter.decode_statement(response.status, response.headers)
+        return statement == EndpointStatement()
+
     def copy(
         self,
         endpoint: EndpointEntry,
@@ -296,7 +359,13 @@
     def response_started(self, status: int, headers: dict[str, str]) -> None:
         """Decode the head, and pass it on."""
         response = self._adapter.decode_response(status, headers, self._attempt)
-        if not response.is_identified and self._may_be_late_copy(status):
+        call = self.call
+        assert call is not None
+        if response.naming is Naming.NONE:
+            self._sender.record_unnamed(self._attempt, call)
+        if response.disbelief is None and not is_vouched(
+            response.naming, call.calls_before
+        ):
             response = response.disbelieve(Disbelief.UNNAMED)
         if response.disbelief is not None:
             self._sender.count_disbelief(self._attempt.endpoint, response.disbelief)
@@ -305,9 +374,6 @@
             self._sender.record_statement(run, status, headers, self._sent_ms)
         self._listener.response_started(response)
 
-    def _may_be_late_copy(self, status: int) -> bool:
-        return self.call is not None and self.call.may_be_late_copy(status)
-
     def response_data(self, data: bytes) -> None:
         """Pass on a part of the body."""
         self._listener.response_data(data)
--- a/savorychute/gateway/requests/endpoint_response.py
+++ b/savorychute/gateway/requests/endpoint_response.py
@@ -49,7 +49,7 @@
     ``FOREIGN``: the response belongs to another request, or lacks the proof that an
     endpoint made it; ``disbelief`` is the reason.  ``is_stream`` is true for a stream of events.  ``is_delimited`` is
     false if the response has neither a length nor chunks, so that only the end of its
-    connection ends it.  ``is_identified`` is false if the response names no request.
+    connection ends it.
     ``naming`` tells whose id it bears, and ``named_id`` is that id, shortened; both are
     what the head states, whatever the kind.
     """
@@ -60,7 +60,6 @@
     is_stream: bool
     retry_after_ms: int = 0
     is_delimited: bool = True
-    is_identified: bool = True
     naming: Naming = Naming.OWN
     named_id: str = ''
     disbelief: Disbelief | None = None
--- a/savorychute/http/client_call.py
+++ b/savorychute/http/client_call.py
@@ -19,7 +19,6 @@
 
     :param request: the request to send.
     :param handler: the receiver of the call's events.
-    :param identified: whether the response names the request.
     """
 
     __slots__ = (
@@ -29,21 +28,13 @@
         'cancelled',
         'connecting',
         'handler',
-        'identified',
         'request',
         'sent',
     )
 
-    def __init__(
-        self,
-        request: HttpRequest,
-        handler: ResponseHandler,
-        *,
-        identified: bool = True,
-    ) -> None:
+    def __init__(self, request: HttpRequest, handler: ResponseHandler) -> None:
         self.request = request
         self.handler = handler
-        self.identified = identified
         self.cancelled = False
         self.sent = False
         self.connecting: asyncio.Task[None] | None = None
@@ -67,7 +58,7 @@
         self._connection = connection
         self.calls_before = connection.calls
         self.sent = True
-        connection.send(self.request, self.handler, identified=self.identified)
+        connection.send(self.request, self.handler)
         if self._paused:
             connection.pause_reading()
         return True
@@ -107,13 +98,15 @@
         """The number of its connection; 0 if it was not sent."""
         return self._connection.number if self._connection is not None else 0
 
-    def may_be_late_copy(self, status: int) -> bool:
-        """Return whether a response that names no request may be an earlier one's copy.
-
-        :param status: the status of the response.
-        """
-        connection = self._connection
-        return connection is not None and status in connection.unidentified_statuses
+    @property
+    def was_followed(self) -> bool:
+        """Whether further bytes came directly behind the complete response."""
+        return self._connection is not None and self._connection.was_followed
+
+    def retire_connection(self) -> None:
+        """Let no further call use the connection; this one goes on."""
+        if self._connection is not None:
+            self._connection.retire()
 
     def pause_reading(self) -> None:
         """Stop reading the response, which applies back-pressure to the server."""
--- a/savorychute/http/client_connection.py
+++ b/savorychute/http/client_connection.py
@@ -90,11 +90,8 @@
         self.keep_alive_ms: int | None = None
         # Whether no further call should use the connection.
         self.retired = False
-        # Statuses of responses that named no request; a late copy of one of them would
-        # be taken for the response to a later call.
-        self.unidentified_statuses: set[int] = set()
-        # Whether the response to the call in progress names its request.
-        self._is_identified = True
+        # Whether bytes came directly behind a complete response.
+        self.was_followed = False
         # Set by connectors that have more than one way to a server.
         self.path: ConnectionPath | None = None
 
@@ -192,22 +189,14 @@
         """
         return self._handler is handler
 
-    def send(
-        self,
-        request: HttpRequest,
-        handler: ResponseHandler,
-        *,
-        identified: bool = True,
-    ) -> None:
+    def send(self, request: HttpRequest, handler: ResponseHandler) -> None:
         """Send a request; its response goes to *handler*.
 
         :param request: the complete request.
         :param handler: the receiver of the call's events.
-        :param identified: whether the response names the request.
         """
         self._handler = handler
         self.calls += 1
-        self._is_identified = identified
         self._pace = ResponsePace(self._shared_pace)
         self._received_bytes = self._interim_responses = 0
         self._is_event_stream = False
@@ -281,6 +270,12 @@
         self._handler = None
         self.abort()
 
+    def retire(self) -> None:
+        """Let no further call use the connection; the one in progress goes on."""
+        self.retired = True
+        if self._handler is None:
+            self.abort()
+
     def abort(self) -> None:
         """Abort the connection."""
         if self._transport is not None:
@@ -311,8 +306,6 @@
             if stated_ms is not None:
                 # Servers need not state it in each response.
                 self.keep_alive_ms = stated_ms
-            if not self._is_identified:
-                self.unidentified_statuses.add(event.status_code)
             self._is_event_stream = headers.get('content-type', '').startswith(
                 EVENT_STREAM
             )
@@ -388,7 +381,8 @@
         done = self._http.our_state is h11.DONE is self._http.their_state
         transport = cast('asyncio.Transport', self._transport)
         unsent_bytes = transport.get_write_buffer_size()
-        if done and not unsent_bytes and not self._http.trailing_data[0]:
+        self.was_followed = bool(self._http.trailing_data[0])
+        if done and not unsent_bytes and not self.was_followed:
             self._http.start_next_cycle()
             self._stop_pacing()
             self.resume_reading()
--- a/savorychute/http/client_pool.py
+++ b/savorychute/http/client_pool.py
@@ -108,7 +108,6 @@
         *,
         fresh: bool = False,
         unused: bool = False,
-        identified: bool = True,
     ) -> ClientCall:
         """Start a call.  No event is delivered before this method has returned.
 
@@ -123,10 +122,9 @@
         :param fresh: whether only a fresh connection may be used.
         :param unused: whether only a new connection may be used, on which no earlier
             response can be late.
-        :param identified: whether the response names the request.
         """
         loop = asyncio.get_running_loop()
-        call = ClientCall(request, handler, identified=identified)
+        call = ClientCall(request, handler)
         reused = None if unused else self._acquire_idle(address, fresh=fresh)
         if reused is not None:
             loop.call_soon(self._start_on_idle, call, address, reused, fresh)
--- a/savorychute/http/timed_call.py
+++ b/savorychute/http/timed_call.py
@@ -69,9 +69,7 @@
         can_send=can_send,
         is_foreign=is_foreign,
     )
-    call = handler.call = pool.submit(
-        address, request, handler, unused=unused, identified=False
-    )
+    call = handler.call = pool.submit(address, request, handler, unused=unused)
     timer = loop.call_later(timeout_ms / MS_PER_S, time_out)
     return call
 
--- a/tests/test_fleet/crashing_engine.py
+++ b/tests/test_fleet/crashing_engine.py
@@ -203,11 +203,12 @@
         if target == '/-/report':
             self._write_whole(writer, 200, self._report())
             return True
+        named = f'attempt-id: {headers["attempt-id"]}\r\n'
         if headers.get('target-instance') != self.run:
-            self._write_whole(writer, 421, b'')
+            self._write_whole(writer, 421, b'', named)
             return True
         if self._waiting >= MAX_WAITING:
-            self._write_whole(writer, 503, b'', 'not-executed: 1\r\n')
+            self._write_whole(writer, 503, b'', named + 'not-executed: 1\r\n')
             return True
         parts = read_parts(headers)
         loop = asyncio.get_running_loop()
--- a/tests/test_fleet/fleet_fixture.py
+++ b/tests/test_fleet/fleet_fixture.py
@@ -90,20 +90,18 @@
             return
         self.received.append(headers)
         self.received_times_s.append(asyncio.get_running_loop().time())
+        named = ('attempt-id', headers['attempt-id'])
         if headers.get('target-instance') != self.name:
-            exchange.respond(421, (), b'')
+            exchange.respond(421, (named,), b'')
             return
         if self.aborts:
             exchange.abort()
             return
         if self.sheds:
-            exchange.respond(503, (('not-executed', '1'), *self.statement_headers), b'')
+            refusal = (named, ('not-executed', '1'), *self.statement_headers)
+            exchange.respond(503, refusal, b'')
             return
-        proof = [
-            ('attempt-id', headers['attempt-id']),
-            ('server-signature', 's'),
-            *self.statement_headers,
-        ]
+        proof = [named, ('server-signature', 's'), *self.statement_headers]
         if not self.is_engine:
             await asyncio.sleep(self.delay_s)
             if self.hold is not None:
--- a/tests/test_fleet/late_endpoint.py
+++ b/tests/test_fleet/late_endpoint.py
@@ -38,8 +38,8 @@
         self.extras_sent = 0
         self.report_s = REPORT_S
         self.load = IDLE_LOAD
-        # Refuses so many requests, the second of its connection at the earliest.
-        self.refusals = 0
+        # Each of so many requests is refused; 0 for none.
+        self.refusal_interval = 0
         self.names_refusals = True
         self.names_successes = True
         self.connections = 0
@@ -86,8 +86,8 @@
         self.received.append(request_id)
         if self.extra is not None and calls:
             self._send_extra(writer, self.extra)
-        if self.refusals and calls:
-            self.refusals -= 1
+        interval = self.refusal_interval
+        if interval and len(self.received) % interval == 0:
             refusal = (*self.stated_headers, ('not-executed', '1'))
             writer.write(encode(503, (*refusal, *(named * self.names_refusals))))
             return
--- a/tests/test_fleet/moving_engine.py
+++ b/tests/test_fleet/moving_engine.py
@@ -207,8 +207,9 @@
 
     async def _start_run(self, exchange, headers):
         attempt = headers['attempt-id']
+        named = ('attempt-id', attempt)
         if headers.get('target-instance') != self.name:
-            exchange.respond(421, (), b'')
+            exchange.respond(421, (named,), b'')
             return
         last_event = int(headers.get('last-event-id', 0))
         run = Run(attempt, exchange, last_event)
@@ -218,7 +219,7 @@
             address, _, handle = source_handle.partition('/')
             copy = self._use_copy(address, handle, attempt)
             if copy is None:
-                exchange.respond(503, (), b'')
+                exchange.respond(503, (named,), b'')
                 return
             # What the copy lacks is read.
             missing = max(0, last_event - copy.created)
@@ -228,7 +229,8 @@
             if self.is_down:
                 return
         elif self._ends_s is not None or self.used_slots >= self.slots:
-            exchange.respond(503, (('not-executed', '1'), *self.statement_headers), b'')
+            refusal = (named, ('not-executed', '1'), *self.statement_headers)
+            exchange.respond(503, refusal, b'')
             return
         else:
             self.journal.executions[attempt] += 1
--- a/tests/test_fleet/test_attempt_sender.py
+++ b/tests/test_fleet/test_attempt_sender.py
@@ -35,8 +35,10 @@
     def __init__(self):
         self.handlers = []
         self.options = []
-        self.unidentified_statuses = set()
         self.cancelled = 0
+        self.calls_before = 0
+        self.was_followed = False
+        self.retired = 0
 
     def submit(self, address, request, handler, **options):
         del address, request
@@ -44,8 +46,8 @@
         self.options.append(options)
         return self
 
-    def may_be_late_copy(self, status):
-        return status in self.unidentified_statuses
+    def retire_connection(self):
+        self.retired += 1
 
     def cancel(self):
         self.cancelled += 1
@@ -274,29 +276,62 @@
 
 
 REFUSAL = {'not-executed': '1'}
-NOT_FOUND = {'content-length': '0'}
+UNNAMED = [
+    (503, REFUSAL, ResponseKind.NOT_RUN),
+    (429, REFUSAL, ResponseKind.NOT_RUN),
+    (400, REFUSAL, ResponseKind.NOT_RUN),
+    (421, {}, ResponseKind.OTHER_ENDPOINT),
+    (503, {}, ResponseKind.FAILURE),
+    (429, {}, ResponseKind.FAILURE),
+    (408, {}, ResponseKind.FAILURE),
+    (404, {'content-length': '0'}, ResponseKind.FAILURE),
+    (200, {'server-signature': 's'}, ResponseKind.SUCCESS),
+]
+
+
+@pytest.mark.parametrize(('status', 'headers', 'kind'), UNNAMED)
+@pytest.mark.parametrize('calls_before', [0, 1, 9])
+@pytest.mark.parametrize('has_id', [False, True])
+def test_response_without_an_id_is_believed_on_a_new_connection_only(
+    sender_fixture, status, headers, kind, calls_before, has_id
+):
+    """Guards against late responses that name nothing and state 'not run' or answer."""
+    sender_fixture.pool.calls_before = calls_before
+    headers = headers | {'server-limit': '1'} | ({'attempt-id': 'a1'} if has_id else {})
+    handler = sender_fixture.start_attempt()
+    assert handler.about_to_send()
+    handler.response_started(status, headers)
 
+    is_believed = has_id or not calls_before
+    assert sender_fixture.listener.kind is (
+        kind if is_believed else ResponseKind.FOREIGN
+    )
+    limit_per_s = sender_fixture.statements.limits.limit_per_s(ENTRY.run)
+    states = is_believed and kind is not ResponseKind.OTHER_ENDPOINT
+    assert limit_per_s == (1.0 if states else None)
 
-@pytest.mark.parametrize(
-    ('status', 'headers', 'earlier', 'kind'),
-    [
-        (503, REFUSAL, {503}, ResponseKind.FOREIGN),
-        (404, NOT_FOUND, {404}, ResponseKind.FOREIGN),
-        (421, {}, {421}, ResponseKind.FOREIGN),
-        (503, REFUSAL, {200}, ResponseKind.NOT_RUN),
-        (503, REFUSAL, set(), ResponseKind.NOT_RUN),
-        (421, {}, {200}, ResponseKind.OTHER_ENDPOINT),
-        (503, REFUSAL | {'attempt-id': 'a1'}, {503}, ResponseKind.NOT_RUN),
-        (200, {'server-signature': 's'}, {200}, ResponseKind.SUCCESS),
-    ],
-)
-def test_response_that_may_be_a_copy_of_an_earlier_one_states_nothing(
-    sender_fixture, status, headers, earlier, kind
+
+@pytest.mark.parametrize('calls_before', [0, 1])
+def test_response_without_an_id_is_followed_by_a_new_connection(
+    sender_fixture, calls_before
 ):
-    """Guards against 'not run' from a late copy of a response that named no request."""
-    sender_fixture.pool.unidentified_statuses = earlier
+    """Guards against refusals without an id that are lost one after the other."""
+    sender_fixture.pool.calls_before = calls_before
     handler = sender_fixture.start_attempt()
     assert handler.about_to_send()
-    handler.response_started(status, headers)
+    assert not sender_fixture.pool.options[-1]['unused']
+    handler.response_started(503, REFUSAL)
+    sender_fixture.start_attempt()
+
+    assert sender_fixture.pool.retired == 1
+    assert sender_fixture.pool.options[-1]['unused']
+
 
-    assert sender_fixture.listener.kind is kind
+def test_request_without_an_id_uses_a_new_connection(sender_fixture):
+    """Guards against another response to a request that none can name."""
+    attempt = make_attempt()
+    request = attempt.request._replace(attempt_id='')
+    attempt = attempt._replace(request=request)
+    sender_fixture.sender.send(attempt, sender_fixture.listener)
+
+    assert sender_fixture.pool.options[-1]['unused']
--- a/tests/test_fleet/test_late_responses.py
+++ b/tests/test_fleet/test_late_responses.py
@@ -13,6 +13,8 @@
 TEST_S = 60
 WORK_S = 0.05
 PAUSE_S = 0.02
+# Requests that may not run twice reuse no connection after it.
+LONG_PAUSE_S = 1.0
 # Each of so many requests is refused; more would need more retries than the bound allows.
 REFUSAL_INTERVAL = 4
 # A run that cannot know what earlier ones have spent sends no retry for a window.
@@ -81,7 +83,7 @@
             server.close()
 
 
-def play(has_extra, has_id=True, calls=12):
+def play(has_extra, has_id=True, calls=12, pause_s=PAUSE_S):
     """Return the statuses of some requests, and the endpoint."""
 
     async def main():
@@ -89,7 +91,7 @@
             statuses = []
             for _ in range(calls):
                 statuses.append((await fleet.call(**POST)).status)
-                await asyncio.sleep(PAUSE_S)
+                await asyncio.sleep(pause_s)
             return statuses, endpoint
 
     return run_virtual(main())
@@ -105,8 +107,26 @@
 
 def test_true_refusals_are_used_at_once():
     """Guards against refusals that cost an attempt more than they have to."""
-    for has_id in (True, False):
-        statuses, endpoint = play(has_extra=False, has_id=has_id, calls=8)
+    for has_id, pause_s in (
+        (True, PAUSE_S),
+        (True, LONG_PAUSE_S),
+        (False, LONG_PAUSE_S),
+    ):
+        statuses, endpoint = play(False, has_id, calls=8, pause_s=pause_s)
         assert statuses == [SERVED] * len(statuses)
         refused = endpoint.received // REFUSAL_INTERVAL
         assert endpoint.received == len(statuses) + refused
+
+
+def test_refusal_without_an_id_on_a_used_connection_is_the_only_one_lost():
+    """Guards against further lost refusals of an endpoint whose refusals bear no id."""
+    statuses, endpoint = play(has_extra=False, has_id=False, calls=11)
+    assert len(set(endpoint.runs)) == len(endpoint.runs)
+    lost = statuses.index(UNKNOWN)
+    assert lost == REFUSAL_INTERVAL - 1
+    assert statuses == [SERVED] * lost + [UNKNOWN] + [SERVED] * (10 - lost)
+    # Each further refusal costs one attempt more, and each further call a connection.
+    refused = endpoint.received // REFUSAL_INTERVAL
+    assert refused > 2
+    assert endpoint.received == len(statuses) + refused - 1
+    assert endpoint.connections >= endpoint.received - lost
--- a/tests/test_fleet/versioned_engine.py
+++ b/tests/test_fleet/versioned_engine.py
@@ -43,11 +43,12 @@
         if exchange.request.target == '/-/report':
             exchange.respond(200, self.statement_headers, self._report())
             return
+        named = ('attempt-id', headers['attempt-id'])
         if headers.get('target-instance') != self.name:
-            exchange.respond(421, (), b'')
+            exchange.respond(421, (named,), b'')
             return
         if self.full or len(self.runs) >= SLOTS:
-            exchange.respond(503, (('not-executed', '1'),), b'')
+            exchange.respond(503, (named, ('not-executed', '1')), b'')
             return
         self.received.append(headers)
         attempt = headers['attempt-id']
