--- a/savorychute/explain/evidence.py
+++ b/savorychute/explain/evidence.py
@@ -41,7 +41,8 @@
     """
     if fields.get('naming') is None:
         return ''
-    return f'; the last response {_describe_naming(fields)}, {_describe_connection(fields)}'
+    named = _describe_naming(fields)
+    return f'; the last response {named}, {_describe_connection(fields)}'
 
 
 def _describe_naming(fields: Mapping[str, Any]) -> str:
--- a/savorychute/gateway/requests/response_evidence.py
+++ b/savorychute/gateway/requests/response_evidence.py
@@ -17,8 +17,8 @@
     """The response to an attempt and the connection that carried it.
 
     ``response`` is None if no head of a response arrived.  ``connection`` is the number
-    of the connection, 0 if the attempt was not sent, and ``calls_before`` how many calls
-    that connection had carried before.
+    of the connection, 0 if the attempt was not sent, and ``calls_before`` the number of
+    calls that went before on it.
     """
 
     response: EndpointResponse | None = None
