Reuse connections after a request that has no id

What is seen: after one request without an id, all later requests to its endpoint use new connections for 60 s. Any caller can send such a request, so it can end the reuse of connections for all callers of an endpoint.

Cause: the response of a sound endpoint to it bears no id, and counts as a sign that its responses never do.

The request uses a connection of its own anyway, which is not used again, so nothing is believed that was not before: only the response to a request that has an id is recorded.

Evidence: the new test fails before in both cases, with 6 and 6 new connections for 12 requests at two endpoints (2 allowed), and passes now.

The fleet of late endpoints takes the class of its endpoints as a parameter for it.

--- a/savorychute/gateway/daemon/attempt_sender.py
+++ b/savorychute/gateway/daemon/attempt_sender.py
@@ -99,10 +99,13 @@
     def record_unnamed(self, attempt: OutboundAttempt, call: ClientCall) -> None:
         """Record a response that bears no id.
 
+        It says nothing on the endpoint if the request had none either.
+
         :param attempt: the attempt that it arrived for.
         :param call: the call of the attempt.
         """
-        self._unnamed.record(attempt.endpoint.address, self._clock.now_ms())
+        if attempt.request.attempt_id:
+            self._unnamed.record(attempt.endpoint.address, self._clock.now_ms())
         call.retire_connection()
 
     def probe(
--- a/tests/test_fleet/test_unnamed_responses.py
+++ b/tests/test_fleet/test_unnamed_responses.py
@@ -60,11 +60,11 @@
 
 
 @asynccontextmanager
-async def run_late_fleet():
+async def run_late_fleet(make_endpoint=LateEndpoint):
     """Run a fleet whose two services and two engines are late endpoints."""
     running = run_fleet(plain_endpoints=2, engines=2)
     async with asyncio.timeout(TEST_S), running as fleet:
-        endpoints = {name: LateEndpoint() for name in fleet.endpoints}
+        endpoints = {name: make_endpoint() for name in fleet.endpoints}
         for name, endpoint in endpoints.items():
             fleet.endpoints[name].port = await endpoint.start()
         fleet.write_entries(sequence=2)
