--- a/tests/test_fleet/test_requests_without_an_id.py
+++ b/tests/test_fleet/test_requests_without_an_id.py
@@ -15,6 +15,7 @@
 CALLS = 12
 # Other connections to the two endpoints may have been idle for too long.
 MAX_NEW_CONNECTIONS = 2
+HOP_BY_HOP_ID = (('attempt-id', 'q1'), ('connection', 'attempt-id'))
 
 
 class EchoingEndpoint(LateEndpoint):
@@ -63,3 +64,14 @@
     assert status == 200
     assert None in runs
     assert connections <= MAX_NEW_CONNECTIONS
+
+
+@pytest.mark.parametrize('call', [IDEMPOTENT, UNSAFE], ids=['get', 'post'])
+def test_id_reaches_the_endpoint_whatever_the_caller_calls_hop_by_hop(call):
+    """Guards against lost answers, and sound endpoints that are taken for faulty."""
+    status, connections, runs = play(HOP_BY_HOP_ID, call)
+
+    assert status == 200
+    assert 'q1' in runs
+    assert None not in runs
+    assert connections <= MAX_NEW_CONNECTIONS
