Ask an engine that always states more than a load once a report

What is seen: an engine whose every report states more than a load (an unreadable statement, leaving) or is none is asked twice for each, once over the used connection and once over a new one.

Cause: the first answer over the new connection leaves a connection that the next report uses, and by which its statements are again not believed.

An engine that states nothing more keeps its connections.

--- a/savorychute/gateway/daemon/attempt_sender.py
+++ b/savorychute/gateway/daemon/attempt_sender.py
@@ -71,6 +71,8 @@
         self._telemetry = telemetry
         self._clock = clock
         self._unnamed = UnnamedAddresses()
+        # Engines whose reports stated more than a load.
+        self._repeated_reports = UnnamedAddresses()
 
     def send(self, attempt: OutboundAttempt, listener: AttemptListener) -> ClientCall:
         """Start an attempt.
@@ -118,15 +120,18 @@
 
         A report names no request.  On a connection that carried other calls it may be a
         late response, so only a load is taken from it; anything else it states is asked
-        for again over a new connection.  An engine that states a limit states it in each
-        report, so its reports always use new connections.
+        for again over a new connection, as are its reports for a while.  An engine that
+        states a limit states it in each report, so its reports always use new ones.
 
         :param endpoint: the engine.
         :param on_result: called with its load, or None if no report arrives in time.
         :param permit: permit for an engine that states a limit.
         """
         is_limited = self._statements.limits.limit(endpoint.run) is not None
-        self._request_report(endpoint, on_result, permit, unused=is_limited)
+        unused = is_limited or self._repeated_reports.needs_new_connection(
+            endpoint.address, self._clock.now_ms()
+        )
+        self._request_report(endpoint, on_result, permit, unused=unused)
 
     def _request_report(
         self,
@@ -152,6 +157,7 @@
                     return
                 self.count_disbelief(endpoint, Disbelief.UNNAMED)
                 call.retire_connection()
+                self._repeated_reports.record(endpoint.address, self._clock.now_ms())
                 self._request_report(endpoint, on_result, permit, unused=True)
                 return
             if load is not None and load.born_ms and run.born_ms:
--- a/tests/test_fleet/test_attempt_sender.py
+++ b/tests/test_fleet/test_attempt_sender.py
@@ -152,6 +152,41 @@
     assert run_virtual(main()) == (False, [None])
 
 
+@pytest.mark.parametrize(
+    'status, headers, body',
+    [
+        (404, {}, b''),
+        (200, {}, b'{"state":"draining"}'),
+        (200, {'server-limit': 'x'}, b'{}'),
+    ],
+)
+def test_report_that_states_more_than_a_load_is_asked_for_twice_only_once(
+    sender_fixture, status, headers, body
+):
+    """Guards against twice the reports of an engine that always states more."""
+    pool, loads = sender_fixture.pool, []
+
+    def respond(calls_before):
+        pool.calls_before = calls_before
+        handler = pool.handlers[-1]
+        assert handler.about_to_send()
+        handler.response_started(status, headers)
+        handler.response_data(body)
+        handler.response_ended()
+
+    async def main():
+        sender_fixture.sender.probe(ENTRY, loads.append)
+        respond(calls_before=1)
+        respond(calls_before=0)
+        for _ in range(4):
+            sender_fixture.sender.probe(ENTRY, loads.append)
+            respond(calls_before=0 if pool.options[-1]['unused'] else 1)
+
+    run_virtual(main())
+    assert len(loads) == 5
+    assert len(pool.handlers) == 6
+
+
 @pytest.mark.parametrize('status', [200, 500, 503])
 def test_any_response_can_state_a_limit(sender_fixture, status):
     handler = sender_fixture.start_attempt()
