Send a request elsewhere if its endpoint ends before it was sent

What callers see: 502, 'may have run', for a request of which no byte left the gateway, because its endpoint restarted while the connection was being opened. Requests that may run once are lost; others spend one of their executions.

Cause: the end of an endpoint's run interrupts each of its attempts, sent or not.

An attempt that was not sent is now withheld, as one whose endpoint no longer accepts it: it is no execution, and another endpoint gets the request. One that was sent is interrupted as before.

--- a/savorychute/gateway/requests/attempt.py
+++ b/savorychute/gateway/requests/attempt.py
@@ -246,7 +246,10 @@
         if self.ended:
             return
         self.stop()
-        self.owner.attempt_interrupted(self, 'connection-lost')
+        if self.sent:
+            self.owner.attempt_interrupted(self, 'connection-lost')
+        else:
+            self.owner.attempt_withheld(self)
 
     def crash_verdict_changed(self) -> None:
         """Let the request reconsider an attempt that has not begun to respond."""
--- a/tests/test_gateway/test_caller_guard.py
+++ b/tests/test_gateway/test_caller_guard.py
@@ -196,3 +196,28 @@
     assert guard.refuse(NOT_RUN, ResultCode.OUTCOME_UNKNOWN) == code.status
     assert caller.refusal.code is code
     assert (caller.refusal.ran is Ran.NOT_RUN) == (code is NOT_RUN.code)
+
+
+@pytest.mark.parametrize('path', ['/parts/1', '/visit/1', '/draft/1'])
+def test_request_that_was_not_sent_before_its_endpoint_ended_is_sent_elsewhere(path):
+    """Guards against unknown outcomes of requests that no endpoint has received."""
+    gateway = make_gateway()
+    execution, caller = gateway.start(path, method='POST', body=b'impeller')
+    gateway.last_attempt.listener.endpoint_run_ended()
+
+    assert len(gateway.attempts.sent) == 2
+    assert gateway.attempts.sent[0].cancelled
+    assert execution.possible_executions == 0
+    gateway.last_attempt.respond(SUCCESS, b'x')
+    assert caller.status == 200
+
+
+def test_request_that_was_sent_before_its_endpoint_ended_may_have_run():
+    """Guards against a second execution after the restart of an endpoint."""
+    gateway = make_gateway()
+    _, caller = gateway.start('/parts/1', method='POST', body=b'impeller')
+    gateway.last_attempt.mark_sent()
+    gateway.last_attempt.listener.endpoint_run_ended()
+
+    assert len(gateway.attempts.sent) == 1
+    assert caller.refusal.code is ResultCode.OUTCOME_UNKNOWN
