Name the table of addresses by both uses

It holds addresses of endpoints whose responses bear no id, and of engines whose reports state more than a load; 1 class is renamed, behaviour is unchanged.

--- a/savorychute/gateway/daemon/attempt_sender.py
+++ b/savorychute/gateway/daemon/attempt_sender.py
@@ -13,7 +13,7 @@
     Naming,
     ResponseKind,
 )
-from savorychute.gateway.requests.response_trust import UnnamedAddresses, is_vouched
+from savorychute.gateway.requests.response_trust import UnvouchedAddresses, is_vouched
 from savorychute.http.timed_call import submit_timed
 
 if TYPE_CHECKING:
@@ -70,9 +70,9 @@
         self._permits = permits
         self._telemetry = telemetry
         self._clock = clock
-        self._unnamed = UnnamedAddresses()
+        self._unnamed = UnvouchedAddresses()
         # Engines whose reports stated more than a load.
-        self._repeated_reports = UnnamedAddresses()
+        self._repeated_reports = UnvouchedAddresses()
 
     def send(self, attempt: OutboundAttempt, listener: AttemptListener) -> ClientCall:
         """Start an attempt.
--- a/savorychute/gateway/requests/response_trust.py
+++ b/savorychute/gateway/requests/response_trust.py
@@ -9,9 +9,9 @@
 if TYPE_CHECKING:
     from savorychute.http.client_pool import ServerAddress
 
-# How long requests use only new connections to an address after a response without an
-# id, and how many addresses are remembered, those with the newest such responses.
-UNNAMED_MS = 60_000
+# How long an address is remembered after a response that nothing vouched for, and how
+# many addresses are, those with the newest such responses.
+REMEMBERED_MS = 60_000
 MAX_ADDRESSES = 1_024
 
 
@@ -27,28 +27,28 @@
     return naming is Naming.OWN or (naming is Naming.NONE and calls_before == 0)
 
 
-class UnnamedAddresses:
-    """Remembers the addresses that sent a response without an id.
+class UnvouchedAddresses:
+    """Remembers the addresses that sent a response that nothing vouched for.
 
-    Over new connections the responses of an endpoint that bear no id are usable.
+    Over new connections such responses are usable.
     """
 
     def __init__(self) -> None:
         self._until_ms: dict[ServerAddress, int] = {}
 
     def record(self, address: ServerAddress, now_ms: int) -> None:
-        """Record a response without an id.
+        """Record a response that nothing vouched for.
 
         :param address: the endpoint.
         :param now_ms: the current time.
         """
         self._until_ms.pop(address, None)
-        self._until_ms[address] = now_ms + UNNAMED_MS
+        self._until_ms[address] = now_ms + REMEMBERED_MS
         if len(self._until_ms) > MAX_ADDRESSES:
             del self._until_ms[next(iter(self._until_ms))]
 
     def needs_new_connection(self, address: ServerAddress, now_ms: int) -> bool:
-        """Return whether a request to an address should use a new connection.
+        """Return whether a call to an address should use a new connection.
 
         :param address: the endpoint.
         :param now_ms: the current time.
