--- a/benches/gateway_soak/endpoint.py
+++ b/benches/gateway_soak/endpoint.py
@@ -156,12 +156,18 @@
         exchange.respond(shape.status, shape.make_headers(attempt, proof), b'failed')
 
     def _keep_extra(
-        self, exchange: ServerExchange, attempt: str, proof: str, body: bytes
+        self,
+        exchange: ServerExchange | UndelimitedExchange,
+        attempt: str,
+        proof: str,
+        body: bytes,
     ) -> None:
         """Send a response of the current shape with the next one, at times."""
         shape = self.shape
         if shape is None or not shape.is_extra or (shape.is_success and not proof):
             return
+        if isinstance(exchange, UndelimitedExchange):
+            return  # No other response follows on its connection.
         if self._draws(self.shape_share):
             self._late.keep(exchange, shape.encode(attempt, proof, body))
 
