Release requests and held answers when a request has ended

Callers saw a process end: three callers of whole 4 MB bodies, one after the other, made it hold several times of what the limit on bodies allows. Cause: the exchange, the call, the attempt and the request refer to each other, so that ended requests wait for the garbage collector with their bodies; so do answers that were held. The limit gives the memory back when the exchange ends. An idle connection to an endpoint refers to the last large body by an empty memoryview of it. Why it works: the end of a request drops what is large in the same callback that counts it as free, whatever still refers to the objects.

--- a/savorychute/client/call_execution.py
+++ b/savorychute/client/call_execution.py
@@ -143,7 +143,10 @@
         document = msgspec.json.decode(self._request.body)
         document['continue_from'] = {'offset': offset, 'text': text}
         body = msgspec.json.encode(document)
-        self._request = self._request._replace(body=body)
+        request = self._request
+        self._request = HttpRequest(
+            request.method, request.target, request.headers, body
+        )
 
     async def prepare_retry(self, error: CallError, connection_broken: bool) -> None:
         """Prepare a retry after a truncated response.
@@ -218,7 +221,7 @@
         response = ResponseStream(loop.time() + self.remaining_ms / MS_PER_S)
         response.call = self._pool.submit(
             address,
-            request._replace(headers=tuple(headers)),
+            request.with_headers(tuple(headers)),
             response,
             # A late response to an earlier call would be taken for the key's outcome.
             unused=not self._idempotent,
--- a/savorychute/daemon/attempt_runner.py
+++ b/savorychute/daemon/attempt_runner.py
@@ -136,7 +136,7 @@
         address = ServerAddress(start.host, start.port)
         is_naming = self._naming.find(address)
         if is_naming is False:
-            request = request._replace(headers=(*request.headers, CLOSE_HEADER))
+            request = request.with_headers((*request.headers, CLOSE_HEADER))
         return self._pool.submit(
             address,
             request,
--- a/savorychute/gateway/daemon/gateway_host.py
+++ b/savorychute/gateway/daemon/gateway_host.py
@@ -248,7 +248,12 @@
         exchange.on_pause = flow.caller_paused
         exchange.on_resume = flow.caller_resumed
         self.in_progress += 1
-        execution.on_finished = self._record_finished
+
+        def finish() -> None:
+            self._record_finished()
+            exchange.release()
+
+        execution.on_finished = finish
         execution.start()
 
     def _record_finished(self) -> None:
--- a/savorychute/gateway/requests/request_execution.py
+++ b/savorychute/gateway/requests/request_execution.py
@@ -433,6 +433,8 @@
         attempt = Attempt(self, choice, now_ms)
         attempt.continues_run = continuation is not None
         self._caller.watch(attempt)
+        if self._attempt is not None:
+            self._attempt.buffered.clear()
         self._attempt = attempt
         attempt.running = self._parts.attempts.send(
             OutboundAttempt(
@@ -534,6 +536,7 @@
         if self._attempt is not None:
             self._record_if_unserved(self._attempt)
             self._attempt.stop()
+            self._attempt.buffered.clear()
         self._parts.telemetry.request_finished(
             self._request, self._admitted, outcome, int(status), self.summary()
         )
--- a/savorychute/http/client_call.py
+++ b/savorychute/http/client_call.py
@@ -24,16 +24,18 @@
     __slots__ = (
         '_connection',
         '_paused',
+        '_request',
         'calls_before',
         'cancelled',
         'connecting',
         'handler',
-        'request',
         'sent',
     )
 
     def __init__(self, request: HttpRequest, handler: ResponseHandler) -> None:
-        self.request = request
+        # None once it has been sent, or will not be: the endpoint's response may take
+        # long, and the call is referred to by what it reports to.
+        self._request: HttpRequest | None = request
         self.handler = handler
         self.cancelled = False
         self.sent = False
@@ -53,12 +55,14 @@
         :returns: whether the connection is now in use.
         """
         if self.cancelled or not self.handler.about_to_send() or self.cancelled:
-            self.cancelled = True
+            self._close()
             return False
+        request, self._request = self._request, None
+        assert request is not None
         self._connection = connection
         self.calls_before = connection.calls
         self.sent = True
-        connection.send(self.request, self.handler)
+        connection.send(request, self.handler)
         if self._paused:
             connection.pause_reading()
         return True
@@ -70,18 +74,22 @@
         """
         if self.cancelled:
             return
-        self.cancelled = True
+        self._close()
         self.handler.call_failed(CallFailure(sent=False, broken=False, reason=reason))
 
     def cancel(self) -> None:
         """Cancel the call and abort its connection; no event follows."""
-        self.cancelled = True
+        self._close()
         if self.connecting is not None:
             self.connecting.cancel()
         connection = self._active_connection()
         if connection is not None:
             connection.drop_call()
 
+    def _close(self) -> None:
+        self.cancelled = True
+        self._request = None
+
     @property
     def path_lost(self) -> bool:
         """Whether the path to the server was lost after the request was sent."""
--- a/savorychute/http/client_connection.py
+++ b/savorychute/http/client_connection.py
@@ -267,7 +267,7 @@
 
     def drop_call(self) -> None:
         """Discard the call in progress and abort the connection."""
-        self._handler = None
+        self._end_call()
         self.abort()
 
     def retire(self) -> None:
@@ -377,11 +377,11 @@
         received the whole body, it would read the next request as the rest of that
         body.
         """
-        self._handler = None
         done = self._http.our_state is h11.DONE is self._http.their_state
         transport = cast('asyncio.Transport', self._transport)
         unsent_bytes = transport.get_write_buffer_size()
         self.was_followed = bool(self._http.trailing_data[0])
+        self._end_call()
         if done and not unsent_bytes and not self.was_followed:
             self._http.start_next_cycle()
             self._stop_pacing()
@@ -391,9 +391,17 @@
             self.abort()
         handler.response_ended()
 
+    def _end_call(self) -> None:
+        """Release what belongs to the call.
+
+        An empty part of a body refers to the whole of it.
+        """
+        self._handler = None
+        self._unsent_body = memoryview(b'')
+
     def _fail(self, reason: str, *, too_large: bool = False) -> None:
         handler = self._handler
-        self._handler = None
+        self._end_call()
         if handler is not None:
             handler.call_failed(CallFailure(True, True, reason, too_large))
 
--- a/savorychute/http/server_exchange.py
+++ b/savorychute/http/server_exchange.py
@@ -102,6 +102,11 @@
         if self.on_left is not None:
             self.on_left()
 
+    def release(self) -> None:
+        """Release the request and the callbacks, when nothing uses them any more."""
+        self.on_left = self.on_pause = self.on_resume = None
+        self.request.release()
+
     @property
     def paused(self) -> bool:
         """Whether the caller reads more slowly than the response is written."""
