Let one budget own the connections to all ports

Callers saw 503 from a process whose places were held by connections that had sent nothing: 500 of them, or 400 to any port, took all 400 descriptors, so that endpoints and the store could not be reached either. The process refused for 75 s, or for ever if they came back. Cause: each port had limits of its own for connections and memory, the port for tunnels had none; silent and idle connections kept their places; up to 512 connections were accepted at once, before any limit was looked at. Now ConnectionBudget owns what the connections of a process hold, and one that is not used yields its place: refused ones first, then silent ones, then idle ones, the oldest first. A new caller sends at once, so that it is never the oldest silent one. A caller whose idle connection was closed opens another; its request was not read.

--- a/savorychute/gateway/daemon/assembly.py
+++ b/savorychute/gateway/daemon/assembly.py
@@ -156,7 +156,9 @@
         environment.rng,
         parts.telemetry,
     )
-    tunnels = TunnelServer(parts.roster, environment.paths.table, environment.clock)
+    tunnels = TunnelServer(
+        parts.roster, environment.paths.table, environment.clock, environment.budget
+    )
     path_telemetry = PathTelemetry(parts.telemetry)
     tunnels.on_refused = path_telemetry.tunnel_refused
     tunnels.on_ended = path_telemetry.tunnel_ended
--- a/savorychute/gateway/daemon/environment.py
+++ b/savorychute/gateway/daemon/environment.py
@@ -14,6 +14,7 @@
     from savorychute.gateway.platform_adapter import PlatformAdapter
     from savorychute.gateway.settings.gateway_settings import GatewaySettings
     from savorychute.http.client_pool import ClientPool
+    from savorychute.http.connection_budget import ConnectionBudget
     from savorychute.logs import InstanceLog
 
 
@@ -36,4 +37,5 @@
     log: InstanceLog
     clock: Clock
     wall: WallClock
+    budget: ConnectionBudget
     rng: random.Random
--- a/savorychute/gateway/daemon/run_gateway.py
+++ b/savorychute/gateway/daemon/run_gateway.py
@@ -14,7 +14,7 @@
 from savorychute.gateway.daemon.environment import EndpointPaths, GatewayEnvironment
 from savorychute.gateway.daemon.memory_shares import response_limit_bytes
 from savorychute.gateway.daemon.path_connector import PathConnector
-from savorychute.gateway.daemon.servers import open_servers
+from savorychute.gateway.daemon.servers import make_budget, open_servers
 from savorychute.gateway.daemon.settings_monitor import SettingsMonitor
 from savorychute.gateway.daemon.supervisor import keep_running
 from savorychute.gateway.paths.path_table import PathTable
@@ -123,13 +123,14 @@
             clock=clock,
             wall=wall or SystemWallClock(),
             rng=rng,
+            budget=make_budget(settings, clock),
         )
         host, background_work = assemble(environment)
         for name, work in background_work.items():
             supervised = keep_running(name, work, host.telemetry)
             stack.callback(asyncio.create_task(supervised).cancel)
         await stack.enter_async_context(
-            open_servers(settings, host, clock, listeners or {})
+            open_servers(settings, host, clock, listeners or {}, environment.budget)
         )
         log.info('instance-started', address=str(settings.caller_address))
         yield host
--- a/savorychute/gateway/daemon/tunnel_connection.py
+++ b/savorychute/gateway/daemon/tunnel_connection.py
@@ -26,9 +26,11 @@
     encode_frame,
 )
 from savorychute.http.client_pool import ServerAddress
+from savorychute.http.connection_budget import BudgetShare, ConnectionState
 
 if TYPE_CHECKING:
     from savorychute.gateway.daemon.tunnel_server import TunnelServer
+    from savorychute.http.slow_caller import SlowCallerReason
 
 STATUS_BAD_REQUEST = 400
 STATUS_FORBIDDEN = 403
@@ -47,6 +49,7 @@
     def __init__(self, server: TunnelServer) -> None:
         super().__init__()
         self._server = server
+        self.share = BudgetShare(server.budget, self)
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -69,7 +72,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         super().connection_made(transport)
-        self._server.add(self)
+        if not self._server.add(self):
+            self.abort()
 
     def data_received(self, data: bytes) -> None:
         """Pass bytes on, or read the request for the tunnel."""
@@ -99,6 +103,27 @@
             self._server.record_ended(self)
             self.other.abort()
 
+    # -- called by the budget
+
+    writing_paused = False
+
+    @property
+    def unread_bytes(self) -> int:
+        """Nothing: a tunnel reads no more than its other side takes."""
+        return 0
+
+    def drain_ms(self, now_ms: int) -> float:  # noqa: ARG002
+        """Return 0, as nothing is unread."""
+        return 0.0
+
+    def end_slow_caller(self, reason: SlowCallerReason) -> None:  # noqa: ARG002
+        """Reset the tunnel."""
+        self.reset()
+
+    def close_unused(self) -> None:
+        """Abort a connection that has not requested a tunnel."""
+        self.abort()
+
     # -- opening the tunnel
 
     def _handle_request(self, request: h11.Request) -> None:
@@ -106,6 +131,7 @@
         if request.method != b'CONNECT' or address is None:
             self._refuse(STATUS_BAD_REQUEST)
             return
+        self.share.enter(ConnectionState.BUSY)
         self.address = address
         self.has_frames = sends_frames(request)
         self.requester = self._authenticate(request, address) or ''
--- a/savorychute/gateway/daemon/tunnel_server.py
+++ b/savorychute/gateway/daemon/tunnel_server.py
@@ -13,12 +13,14 @@
 from savorychute.gateway.paths.tunnel_request import TunnelRequest
 from savorychute.http.client_pool import ServerAddress
 from savorychute.http.file_limit import connection_limit_by_files
+from savorychute.http.listener import start_accepting
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
     from savorychute.clock import Clock
     from savorychute.gateway.paths.path_table import PathTable
+    from savorychute.http.connection_budget import ConnectionBudget
     from savorychute.membership.member_view import MemberView
     from savorychute.wire.decoded_message import DecodedMessage
 
@@ -28,6 +30,8 @@
 # Share of the descriptors that tunnels may use; callers of this instance go first.
 DESCRIPTOR_SHARE = 0.25
 MAX_TUNNELS = 512
+# Connections of other instances that are accepted when callers have all places.
+RESERVED_PLACES = 16
 
 
 class EndpointLookup(Protocol):
@@ -47,14 +51,20 @@
     :param endpoints: the endpoints that may get new requests.
     :param paths: the paths of this instance.
     :param clock: monotonic clock.
+    :param budget: what all connections of the process may hold together.
     """
 
     def __init__(
-        self, endpoints: EndpointLookup, paths: PathTable, clock: Clock
+        self,
+        endpoints: EndpointLookup,
+        paths: PathTable,
+        clock: Clock,
+        budget: ConnectionBudget,
     ) -> None:
         self._endpoints = endpoints
         self._paths = paths
         self._clock = clock
+        self.budget = budget
         self._max_tunnels = min(
             MAX_TUNNELS, int(DESCRIPTOR_SHARE * connection_limit_by_files())
         )
@@ -150,13 +160,15 @@
         """Return the current time."""
         return self._clock.now_ms()
 
-    def add(self, connection: TunnelConnection) -> None:
-        """Add an accepted connection."""
+    def add(self, connection: TunnelConnection) -> bool:
+        """Add an accepted connection; return false if there are too many."""
         self._connections.add(connection)
+        return self.budget.admit(connection.share, RESERVED_PLACES)
 
     def remove(self, connection: TunnelConnection) -> None:
         """Remove a closed connection."""
         self._connections.discard(connection)
+        self.budget.remove(connection.share)
 
     def set_view(self, view: MemberView) -> None:
         """Close the tunnels of instances that are gone.
@@ -197,7 +209,7 @@
     :param port: the port, or 0 to let the system choose one.
     """
     loop = asyncio.get_running_loop()
-    listener = await loop.create_server(lambda: TunnelConnection(server), host, port)
+    listener = await start_accepting(lambda: TunnelConnection(server), host, port)
     server.port = listener.sockets[0].getsockname()[1]
     sweeper = loop.create_task(_sweep_forever(server))
     try:
--- /dev/null
+++ b/savorychute/http/connection_budget.py
@@ -0,0 +1,259 @@
+"""What the connections of a process may hold together, and which of them yield."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from enum import Enum
+from typing import TYPE_CHECKING, Protocol
+
+from savorychute.http.file_limit import connection_limit_by_files
+from savorychute.http.slow_caller import SlowCallerReason
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from savorychute.http.http_limits import HttpLimits
+
+# Share of a limit that is freed when connections yield, so that the next one that needs
+# some does not lead there again.
+YIELD_TARGET_SHARE = 0.9
+# Idle connections that are considered as the one that yields.
+MAX_CONSIDERED = 8
+# Share of the limit on unread data up to which there is room for more.
+ROOM_SHARE = 0.25
+
+
+class ConnectionState(Enum):
+    """What a connection is used for.
+
+    ``SILENT``: nothing has been received.  ``RECEIVING``: a part of a request has.
+    ``BUSY``: a request is in progress.  ``IDLE``: its last request has ended.
+    ``LINGERING``: it was refused, and its caller may read why.
+    """
+
+    SILENT = 'silent'
+    RECEIVING = 'receiving'
+    BUSY = 'busy'
+    IDLE = 'idle'
+    LINGERING = 'lingering'
+
+
+# The states in which a connection is not needed, in the order of yielding.
+UNUSED_STATES = (
+    ConnectionState.LINGERING,
+    ConnectionState.SILENT,
+    ConnectionState.IDLE,
+)
+
+
+class BudgetedConnection(Protocol):
+    """A connection that may have to yield to others."""
+
+    share: BudgetShare
+    writing_paused: bool
+
+    @property
+    def unread_bytes(self) -> int:
+        """Size of the response data that the caller has not read yet."""
+        ...
+
+    def drain_ms(self, now_ms: int) -> float:
+        """Return how long the caller will take to read what it has not read yet."""
+        ...
+
+    def end_slow_caller(self, reason: SlowCallerReason) -> None:
+        """Abort the connection of a caller that reads too slowly."""
+        ...
+
+    def close_unused(self) -> None:
+        """Close the connection, which is not in use."""
+        ...
+
+
+class BudgetShare:
+    """What one connection holds of a budget.
+
+    :param budget: the budget of all connections.
+    :param connection: the connection.
+    """
+
+    __slots__ = (
+        '_budget',
+        'body_bytes',
+        'connection',
+        'state',
+    )
+
+    def __init__(
+        self, budget: ConnectionBudget, connection: BudgetedConnection
+    ) -> None:
+        self._budget = budget
+        self.connection = connection
+        self.state = ConnectionState.SILENT
+        self.body_bytes = 0
+
+    def enter(self, state: ConnectionState) -> None:
+        """Record what the connection is used for from now on.
+
+        :param state: its new state.
+        """
+        self._budget.move(self, state)
+
+    def reserve_body(self, size_bytes: int) -> bool:
+        """Reserve memory for a part of a body; return false if there is too little.
+
+        :param size_bytes: size of the part.
+        """
+        if not self._budget.reserve_body(size_bytes):
+            return False
+        self.body_bytes += size_bytes
+        return True
+
+    def release(self) -> None:
+        """Release all memory."""
+        self._budget.release_body(self.body_bytes)
+        self.body_bytes = 0
+
+
+class ConnectionBudget:
+    """Limits the connections of all servers of a process, and what they hold.
+
+    Those that are not in use yield their places to new ones, the oldest first.  Callers
+    that read slowly yield the memory of their responses.
+
+    :param limits: the limits of the process.
+    :param now_ms: returns the current time.
+    """
+
+    def __init__(self, limits: HttpLimits, now_ms: Callable[[], int]) -> None:
+        self._limits = limits
+        self.now_ms = now_ms
+        self.max_connections = min(limits.connections, connection_limit_by_files())
+        self.body_bytes = 0
+        # At least the unread data of all callers.
+        self._unread_bound = 0
+        self._members: dict[ConnectionState, OrderedDict[BudgetShare, None]] = {
+            state: OrderedDict() for state in ConnectionState
+        }
+
+    @property
+    def connections(self) -> int:
+        """Number of connections, without those that have yielded."""
+        return sum(map(len, self._members.values()))
+
+    def __iter__(self) -> Iterator[BudgetedConnection]:
+        for members in self._members.values():
+            for share in tuple(members):
+                yield share.connection
+
+    # -- places
+
+    def admit(self, share: BudgetShare, reserved_places: int = 0) -> bool:
+        """Give a new connection a place; return false if all are in use.
+
+        It is counted in any case.
+
+        :param share: the share of the connection.
+        :param reserved_places: places beyond the limit that it may use.
+        """
+        self._members[share.state][share] = None
+        limit = self.max_connections + reserved_places
+        return self.connections <= limit or self._take_unused(share)
+
+    def move(self, share: BudgetShare, state: ConnectionState) -> None:
+        """Record the new state of a connection.
+
+        :param share: the share of the connection.
+        :param state: its new state.
+        """
+        if self._members[share.state].pop(share, share) is None:
+            self._members[state][share] = None
+        share.state = state
+
+    def remove(self, share: BudgetShare) -> None:
+        """Remove a lost connection.
+
+        :param share: the share of the connection.
+        """
+        self._members[share.state].pop(share, None)
+        share.release()
+
+    def _take_unused(self, newcomer: BudgetShare) -> bool:
+        """Close the connection that is needed least; return false if all are needed."""
+        for state in UNUSED_STATES:
+            members = self._members[state]
+            for share in list(_first(members, MAX_CONSIDERED)):
+                if share is newcomer:
+                    continue
+                if state is ConnectionState.IDLE and share.connection.unread_bytes:
+                    members.move_to_end(share)
+                    continue
+                del members[share]
+                share.connection.close_unused()
+                return True
+        return False
+
+    # -- memory of requests
+
+    def reserve_body(self, size_bytes: int) -> bool:
+        """Reserve memory for a body; return false if all bodies would be too large.
+
+        :param size_bytes: the number of bytes to reserve.
+        """
+        if self.body_bytes + size_bytes > self._limits.buffered_bytes:
+            return False
+        self.body_bytes += size_bytes
+        return True
+
+    def release_body(self, size_bytes: int) -> None:
+        """Release reserved memory.
+
+        :param size_bytes: the number of bytes to release.
+        """
+        self.body_bytes -= size_bytes
+
+    # -- memory of responses
+
+    @property
+    def unread_bytes(self) -> int:
+        """Size of all response data that callers have not read yet."""
+        return sum(connection.unread_bytes for connection in self)
+
+    @property
+    def has_room(self) -> bool:
+        """Whether callers that read slowly may leave much more unread than now."""
+        return self._unread_bound <= ROOM_SHARE * self._limits.unread_bytes
+
+    def count_unread(self, size_bytes: int) -> None:
+        """Count data that was written and not read at once, and apply the limit.
+
+        :param size_bytes: size of the data.
+        """
+        self._unread_bound += size_bytes
+        if self._unread_bound > self._limits.unread_bytes:
+            self.limit_unread()
+
+    def limit_unread(self) -> None:
+        """End the responses of the slowest callers above the total limit.
+
+        Each response is limited by itself, but a few hundred callers that request
+        long ones and do not read them would together exhaust the memory.
+        """
+        self._unread_bound = self.unread_bytes
+        if self._unread_bound <= self._limits.unread_bytes:
+            return
+        target_bytes = YIELD_TARGET_SHARE * self._limits.unread_bytes
+        now_ms = self.now_ms()
+        slow = [each for each in self if each.writing_paused]
+        slow.sort(key=lambda each: each.drain_ms(now_ms))
+        while slow and self._unread_bound > target_bytes:
+            connection = slow.pop()
+            self._unread_bound -= connection.unread_bytes
+            connection.end_slow_caller(SlowCallerReason.MEMORY)
+
+
+def _first(
+    members: OrderedDict[BudgetShare, None], count: int
+) -> Iterator[BudgetShare]:
+    for share, _ in zip(members, range(count), strict=False):
+        yield share
--- a/savorychute/http/http_server.py
+++ b/savorychute/http/http_server.py
@@ -6,9 +6,9 @@
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
-from savorychute.http.file_limit import connection_limit_by_files
+from savorychute.http.connection_budget import ConnectionBudget
+from savorychute.http.listener import start_accepting
 from savorychute.http.server_connection import ServerConnection
-from savorychute.http.slow_caller import SlowCallerReason
 
 if TYPE_CHECKING:
     import socket
@@ -18,14 +18,10 @@
     from savorychute.clock import Clock
     from savorychute.http.http_limits import HttpLimits
     from savorychute.http.server_exchange import ServerExchange
+    from savorychute.http.slow_caller import SlowCallerReason
 
 MS_PER_S = 1_000
 SWEEP_INTERVAL_S = 0.25
-LISTEN_BACKLOG = 512
-# Share of the limit on unread data up to which there is room for more.
-ROOM_SHARE = 0.25
-# Share of the limit on unread data that remains after slow callers were ended.
-UNREAD_TARGET_SHARE = 0.9
 
 
 class HttpServer:
@@ -34,6 +30,9 @@
     :param limits: the limits applied to callers.
     :param clock: the clock for deadlines.
     :param on_request: called with each complete request; must not block.
+    :param budget: what the connections of the process may hold; an own one by default.
+    :param reserved_places: connections that it may have beyond the limit of the budget,
+        so that the platform's questions are answered when callers have all places.
     """
 
     def __init__(
@@ -41,6 +40,8 @@
         limits: HttpLimits,
         clock: Clock,
         on_request: Callable[[ServerExchange], None],
+        budget: ConnectionBudget | None = None,
+        reserved_places: int = 0,
     ) -> None:
         self.limits = limits
         self.on_request = on_request
@@ -49,10 +50,10 @@
         self.port = 0
         self.listener: asyncio.Server | None = None
         self.connections: set[ServerConnection] = set()
-        self._max_connections = min(limits.connections, connection_limit_by_files())
-        self.buffered_bytes = 0
-        # At least the unread data of all callers.
-        self._unread_bound = 0
+        if budget is None:
+            budget = ConnectionBudget(limits, clock.now_ms)
+        self.budget = budget
+        self._reserved_places = reserved_places
         # Called with the reason and the unread bytes of each slow caller that is ended.
         self.on_slow_caller: Callable[[SlowCallerReason, int], None] | None = None
 
@@ -61,6 +62,11 @@
         """Number of open connections."""
         return len(self.connections)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Size of the request bodies that all connections of the process hold."""
+        return self.budget.body_bytes
+
     @property
     def unread_bytes(self) -> int:
         """Size of all response data that callers have not read yet."""
@@ -80,7 +86,7 @@
         :param connection: the accepted connection.
         """
         self.connections.add(connection)
-        return len(self.connections) <= self._max_connections
+        return self.budget.admit(connection.share, self._reserved_places)
 
     def remove(self, connection: ServerConnection) -> None:
         """Remove a lost connection.
@@ -88,63 +94,14 @@
         :param connection: the lost connection.
         """
         self.connections.discard(connection)
-
-    def reserve(self, size_bytes: int) -> bool:
-        """Reserve memory for a body; return false if all bodies would be too large.
-
-        :param size_bytes: the number of bytes to reserve.
-        """
-        if self.buffered_bytes + size_bytes > self.limits.buffered_bytes:
-            return False
-        self.buffered_bytes += size_bytes
-        return True
-
-    def release(self, size_bytes: int) -> None:
-        """Release reserved memory.
-
-        :param size_bytes: the number of bytes to release.
-        """
-        self.buffered_bytes -= size_bytes
+        self.budget.remove(connection.share)
 
     def sweep(self) -> None:
         """Disconnect callers that send or read too slowly."""
         now_ms = self.now_ms()
         for connection in tuple(self.connections):
             connection.check_deadline(now_ms)
-        self._limit_unread()
-
-    @property
-    def has_room(self) -> bool:
-        """Whether callers that read slowly may leave much more unread than now."""
-        return self._unread_bound <= ROOM_SHARE * self.limits.unread_bytes
-
-    def count_unread(self, size_bytes: int) -> None:
-        """Count data for a caller that reads slowly, and apply the total limit.
-
-        :param size_bytes: size of the data.
-        """
-        self._unread_bound += size_bytes
-        if self._unread_bound > self.limits.unread_bytes:
-            self._limit_unread()
-
-    def _limit_unread(self) -> None:
-        """End the responses of the slowest callers above the total limit.
-
-        Each response is limited by itself, but a few hundred callers that request
-        long ones and do not read them would together exhaust the memory.
-        """
-        self._unread_bound = self.unread_bytes
-        if self._unread_bound <= self.limits.unread_bytes:
-            return
-        # Some more are ended than needed, so that the next part does not lead here again.
-        target_bytes = UNREAD_TARGET_SHARE * self.limits.unread_bytes
-        now_ms = self.now_ms()
-        slow = [each for each in self.connections if each.writing_paused]
-        slow.sort(key=lambda each: each.drain_ms(now_ms))
-        while slow and self._unread_bound > target_bytes:
-            connection = slow.pop()
-            self._unread_bound -= connection.unread_bytes
-            connection.end_slow_caller(SlowCallerReason.MEMORY)
+        self.budget.limit_unread()
 
     def report_slow_caller(self, reason: SlowCallerReason, unread_bytes: int) -> None:
         """Report that a slow caller was disconnected.
@@ -193,19 +150,9 @@
     def accept() -> ServerConnection:
         return ServerConnection(server)
 
-    if listener is None:
-        asyncio_server = await loop.create_server(
-            accept,
-            host,
-            port,
-            ssl=tls,
-            backlog=LISTEN_BACKLOG,
-            ssl_handshake_timeout=handshake_s,
-        )
-    else:
-        asyncio_server = await loop.create_server(
-            accept, sock=listener, ssl=tls, ssl_handshake_timeout=handshake_s
-        )
+    asyncio_server = await start_accepting(
+        accept, host, port, listener, tls=tls, handshake_s=handshake_s
+    )
     server.listener = asyncio_server
     server.port = asyncio_server.sockets[0].getsockname()[1]
     sweeper = loop.create_task(_sweep_forever(server))
--- a/savorychute/http/server_connection.py
+++ b/savorychute/http/server_connection.py
@@ -8,8 +8,10 @@
 
 import h11
 
+from savorychute.http.connection_budget import BudgetShare, ConnectionState
 from savorychute.http.error_response import classify_ran, encode_error, error_headers
-from savorychute.http.http_request import HttpRequest, encode_headers
+from savorychute.http.http_request import encode_headers
+from savorychute.http.request_reader import RequestReader, RequestRefused
 from savorychute.http.server_exchange import ServerExchange
 from savorychute.http.slow_caller import SlowCallerReason
 from savorychute.ran import Ran
@@ -19,15 +21,17 @@
     from collections.abc import Sequence
 
     from savorychute.http.http_limits import HttpLimits
+    from savorychute.http.http_request import HttpRequest
     from savorychute.http.http_server import HttpServer
 
-MAX_MESSAGE_CHARS = 200
-HTTP_VERSION = b'1.1'
 CONTINUE_STATUS = 100
-CODES_BEFORE_HEAD = (ResultCode.CONNECTIONS_EXHAUSTED, ResultCode.SLOW_CALLER)
+CODES_BEFORE_HEAD = (
+    ResultCode.CONNECTIONS_EXHAUSTED,
+    ResultCode.MEMORY_EXHAUSTED,
+    ResultCode.SLOW_CALLER,
+)
 REFUSAL_RETRY_MS = 1_000
 STATUSES_WITHOUT_BODY = (204, 304)
-HEADERS_TOO_LARGE_STATUS = 431
 WRITABLE_STATES = (h11.IDLE, h11.SEND_RESPONSE)
 # The least time over which the speed of a caller is measured, and the least speed that
 # is assumed.  Callers that read nothing thus compare by what they leave unread.
@@ -46,19 +50,18 @@
 
     def __init__(self, server: HttpServer) -> None:
         self._server = server
-        self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=server.limits.header_bytes
-        )
         self._transport: asyncio.Transport
         self._exchange: ServerExchange | None = None
-        self._head: h11.Request | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self.share = BudgetShare(server.budget, self)
+        self._reader = RequestReader(
+            self.share, lambda: server.limits, self._handle_head
+        )
         self.pipelined_bytes = 0
         self._unwritten = b''
         self._lingering = False
         self._without_body = False
         self._request_started = False
+        self._reading_paused = False
         self._paused_since_ms: int | None = None
         # Bytes written to the transport, in total and when the caller last read some.
         self._written_bytes = 0
@@ -71,6 +74,11 @@
         self._seen_ms = 0
         self.writing_paused = False
 
+    @property
+    def _http(self) -> h11.Connection:
+        """The parser of requests, which also encodes the responses."""
+        return self._reader.http
+
     @property
     def _limits(self) -> HttpLimits:
         """The current limits, which may change while the connection is open."""
@@ -93,10 +101,8 @@
         if self._exchange is not None:
             self._buffer_pipelined(data)
             return
-        if not self._request_started:
-            self._request_started = True
-            self._set_deadline(self._limits.header_timeout_ms)
-        self._http.receive_data(data)
+        self._start_request()
+        self._reader.feed(data)
         self._advance()
 
     def eof_received(self) -> bool:
@@ -107,7 +113,7 @@
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
         """Treat the loss of the connection as a disconnect of the caller."""
         self._report_caller_left()
-        self._release_body()
+        self._reader.release()
         self._server.remove(self)
 
     def pause_writing(self) -> None:
@@ -161,15 +167,15 @@
         if self.unread_bytes > self._limits.max_write_buffer_bytes:
             self.end_slow_caller(SlowCallerReason.RESPONSE)
         elif self.writing_paused:
-            self._server.count_unread(len(data))
-            if not self._server.has_room:
+            self._server.budget.count_unread(len(data))
+            if not self._server.budget.has_room:
                 self._report_paused()
 
     def end_exchange(self) -> None:
         """End a response and continue with the next request."""
         self._write(h11.EndOfMessage())
         self._exchange = None
-        self._release_body()
+        self._reader.discard()
         self.pipelined_bytes = 0
         if h11.MUST_CLOSE in (self._http.our_state, self._http.their_state):
             self._linger()
@@ -177,8 +183,17 @@
         self._http.start_next_cycle()
         self._request_started = False
         self._set_deadline(self._limits.idle_timeout_ms)
-        self._transport.resume_reading()
-        asyncio.get_running_loop().call_soon(self._advance)
+        self._continue()
+
+    def _continue(self) -> None:
+        """Go on with the next request, of which some bytes may have been received."""
+        if self._reader.has_rest:
+            self._start_request()
+            self._resume_reading()
+            asyncio.get_running_loop().call_soon(self._advance)
+            return
+        self.share.enter(ConnectionState.IDLE)
+        self._resume_reading()
 
     def abort(self) -> None:
         """Abort the connection."""
@@ -255,113 +270,76 @@
         if self._exchange is None and not self._request_started and not self._lingering:
             self._transport.close()
 
+    # -- called by the budget
+
+    def close_unused(self) -> None:
+        """Close the connection, which another one needs more."""
+        if self._lingering:
+            self._transport.abort()
+        else:
+            self._transport.close()
+
     # -- reading
 
+    def _start_request(self) -> None:
+        if not self._request_started:
+            self._request_started = True
+            self._set_deadline(self._limits.header_timeout_ms)
+            self.share.enter(ConnectionState.RECEIVING)
+
     def _advance(self) -> None:
-        """Read up to the end of one request.
+        """Process what was received, up to the end of one request.
 
         The next request is read in a later iteration of the event loop, so that a
         caller that pipelines thousands of small requests does not block all others.
         """
-        if self._transport.is_closing() or self._exchange is not None:
+        if self._lingering or self._transport.is_closing() or self._exchange is not None:
             return
         try:
-            while self._handle_event():
-                pass
-        except h11.RemoteProtocolError as error:
-            self._refuse_malformed(error)
-
-    def _handle_event(self) -> bool:
-        event = self._http.next_event()
-        if event is h11.NEED_DATA or event is h11.PAUSED:
-            if self._http.trailing_data[0] and not self._request_started:
-                self._request_started = True
-                self._set_deadline(self._limits.header_timeout_ms)
-            return False
-        if isinstance(event, h11.Request):
-            return self._handle_head(event)
-        if isinstance(event, h11.Data):
-            return self._handle_body(event.data)
-        if isinstance(event, h11.EndOfMessage):
-            return self._handle_end()
-        return False
+            request = self._reader.read()
+        except RequestRefused as refused:
+            # Another connection may have needed the memory that this one had.
+            if not self._lingering:
+                self._refuse(refused.code, refused.message)
+            return
+        if request is not None:
+            self._handle_request(request)
 
-    def _handle_head(self, head: h11.Request) -> bool:
-        self._head = head
-        self._request_started = True
+    def _handle_head(self) -> None:
         self._set_deadline(self._limits.body_timeout_ms)
-        if head.http_version != HTTP_VERSION:
-            # In HTTP/1.0 the end of the connection ends a response of unknown
-            # length, so a truncated response would look complete.
-            self._refuse(ResultCode.MALFORMED_HTTP, 'HTTP/1.1 is needed')
-            return False
-        if _has_conflicting_framing(head):
-            # The two sides would disagree about where the body ends: what one reads
-            # as the body, the other reads as a request (request smuggling).
-            self._refuse(ResultCode.MALFORMED_HTTP, 'a length and chunks as well')
-            return False
-        if _content_length(head) > self._limits.body_bytes:
-            self._refuse_body()
-            return False
         if self._http.they_are_waiting_for_100_continue:
             self._write(
                 h11.InformationalResponse(status_code=CONTINUE_STATUS, headers=[])
             )
-        return True
 
-    def _handle_body(self, data: bytes) -> bool:
-        if self._body_bytes + len(data) > self._limits.body_bytes:
-            self._refuse_body()
-            return False
-        if not self._server.reserve(len(data)):
-            self._refuse(ResultCode.MEMORY_EXHAUSTED, 'too many bodies in memory')
-            return False
-        self._body.append(bytes(data))
-        self._body_bytes += len(data)
-        return True
-
-    def _handle_end(self) -> bool:
-        head = self._head
-        if head is None:
-            return False
-        request = HttpRequest(
-            method=head.method.decode('ascii'),
-            target=head.target.decode('latin-1'),
-            headers=tuple(
-                (name.decode('ascii'), value.decode('latin-1'))
-                for name, value in head.headers
-            ),
-            body=b''.join(self._body),
-        )
-        self._body = []
-        self._head = None
+    def _handle_request(self, request: HttpRequest) -> None:
+        self.share.enter(ConnectionState.BUSY)
         exchange = ServerExchange(request, self)
         self._exchange = exchange
+        # The end of the connection shows that the caller has left.
+        self._resume_reading()
         self._server.on_request(exchange)
-        return False
 
     def _buffer_pipelined(self, data: bytes) -> None:
-        self._http.receive_data(data)
         self.pipelined_bytes += len(data)
+        self._reader.feed(data)
         if self.pipelined_bytes > self._limits.pipelined_bytes:
-            self._transport.pause_reading()
+            self._pause_reading()
 
-    # -- refusing
+    def _pause_reading(self) -> None:
+        self._reading_paused = True
+        self._transport.pause_reading()
 
-    def _refuse_malformed(self, error: h11.RemoteProtocolError) -> None:
-        code = ResultCode.MALFORMED_HTTP
-        if error.error_status_hint == HEADERS_TOO_LARGE_STATUS:
-            code = ResultCode.HEADERS_TOO_LARGE
-        self._refuse(code, str(error)[:MAX_MESSAGE_CHARS])
+    def _resume_reading(self) -> None:
+        if self._reading_paused:
+            self._reading_paused = False
+            self._transport.resume_reading()
 
-    def _refuse_body(self) -> None:
-        limit_bytes = self._limits.body_bytes
-        self._refuse(ResultCode.BODY_TOO_LARGE, f'more than {limit_bytes} bytes')
+    # -- refusing
 
     def _refuse(self, code: ResultCode, message: str) -> None:
         """Respond with an error and accept no more requests."""
         ran = self._classify_ran(code)
-        self._release_body()
         if self._http.our_state in WRITABLE_STATES:
             body = encode_error(code, ran, message)
             headers = [
@@ -382,7 +360,9 @@
         there the caller closes the connection after it has read the response.
         """
         self._lingering = True
-        self._transport.resume_reading()
+        self._reader.release()
+        self.share.enter(ConnectionState.LINGERING)
+        self._resume_reading()
         if self._transport.can_write_eof():
             self._transport.write_eof()
         self._set_deadline(self._limits.linger_ms)
@@ -393,8 +373,9 @@
         A request that is refused before its head was read may have a key.  A
         malformed head is refused each time it is sent, so it never ran.
         """
-        if self._head is not None:
-            return classify_ran(name.decode('ascii') for name, _ in self._head.headers)
+        head = self._reader.head
+        if head is not None:
+            return classify_ran(name.decode('ascii') for name, _ in head.headers)
         return Ran.UNKNOWN if code in CODES_BEFORE_HEAD else Ran.NOT_RUN
 
     # -- helpers
@@ -423,13 +404,6 @@
         if exchange is not None:
             exchange.caller_left()
 
-    def _release_body(self) -> None:
-        """Release the body's memory, which is held while a response is in progress."""
-        self._server.release(self._body_bytes)
-        self._body = []
-        self._body_bytes = 0
-        self._head = None
-
     def _limit_buffers(self) -> None:
         """Limit the data that is buffered for a caller that does not read.
 
@@ -442,15 +416,5 @@
             raw_socket.setsockopt(
                 socket.SOL_SOCKET, socket.SO_SNDBUF, self._limits.send_buffer_bytes
             )
-
-
-def _content_length(head: h11.Request) -> int:
-    for name, value in head.headers:
-        if name == b'content-length':
-            return int(value)
-    return 0
-
-
-def _has_conflicting_framing(head: h11.Request) -> bool:
-    names = {name for name, _ in head.headers}
-    return b'content-length' in names and b'transfer-encoding' in names
+            # Not set by the event loop for sockets that were opened before it started.
+            raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/test_daemon/test_bad_input.py
+++ b/tests/test_daemon/test_bad_input.py
@@ -178,24 +178,32 @@
 
 
 def test_connections_over_the_limit_are_refused_with_a_reason():
+    """Guard against a limit that cuts off requests in progress."""
+
     async def main():
+        engine = FakeServer(id)
         limits = HttpLimits(connections=2)
         async with (
-            run_forwarding(http=limits) as (host, _),
-            call(host.address.caller_port),
+            serve(engine) as address,
+            run_forwarding(address, http=limits) as (host, _),
+            call(host.address.caller_port) as first,
             call(host.address.caller_port) as second,
-            call(host.address.caller_port) as third,
         ):
-            refused = await third.read_response()
-            second.write_request('GET', '/healthz', {})
-            return refused, await second.read_response()
+            for caller in (first, second):
+                caller.write_request('POST', CHAT_PATH, HEADERS, CHAT)
+            await wait_until(lambda: len(engine.exchanges) == 2)
+            async with call(host.address.caller_port) as third:
+                refused = await third.read_response()
+            for exchange in engine.exchanges:
+                respond_ok(exchange)
+            return refused, [await each.read_response() for each in (first, second)]
 
     refused, accepted = asyncio.run(main())
 
     assert (refused.status, refused.headers['x-result-code']) == (503, '2009')
     assert refused.headers['x-ran'] == 'unknown'
     assert int(refused.headers['retry-after']) >= 1
-    assert accepted.status == 200
+    assert [each.status for each in accepted] == [200, 200]
 
 
 def test_pipelined_requests_get_responses_in_order():
--- /dev/null
+++ b/tests/test_http/test_connection_budget.py
@@ -0,0 +1,134 @@
+"""Tests of what the connections of a process may hold together."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from contextlib import AsyncExitStack, asynccontextmanager
+
+from savorychute.http.http_limits import HttpLimits
+from savorychute.http.http_server import HttpServer, listen
+from savorychute.testing.virtual_loop import LoopClock, run_virtual
+
+TEST_S = 300
+MS_PER_S = 1_000
+GET = b'GET / HTTP/1.1\r\nhost: x\r\n\r\n'
+LARGE_BYTES = 400_000
+LIMITS = HttpLimits(body_bytes=LARGE_BYTES, buffered_bytes=1_000_000)
+
+
+def make_post(size_bytes, head=b''):
+    return (
+        b'POST / HTTP/1.1\r\nhost: x\r\n%bcontent-length: %d\r\n\r\n'
+        % (head, size_bytes)
+    ) + bytes(size_bytes)
+
+
+class Caller:
+    """A caller on a socket of its own."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+
+    async def send(self, data):
+        self.writer.write(data)
+        await self.writer.drain()
+
+    async def read_status(self):
+        """Return the status of the next response, or None at the end."""
+        try:
+            head = await self.reader.readuntil(b'\r\n\r\n')
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return None
+        length = int(head.lower().split(b'content-length: ')[1].split(b'\r')[0])
+        await self.reader.readexactly(length)
+        return int(head.split()[1])
+
+
+class Callers:
+    """A server, and callers that connect to it."""
+
+    def __init__(self, server, stack):
+        self.server = server
+        self._stack = stack
+        # A connection to which nothing refers is closed.
+        self._connected = []
+
+    async def connect(self):
+        reader, writer = await asyncio.open_connection('127.0.0.1', self.server.port)
+        self._stack.callback(writer.transport.abort)
+        caller = Caller(reader, writer)
+        self._connected.append(caller)
+        # Accepted before the next one.
+        await asyncio.sleep(0.001)
+        return caller
+
+
+@asynccontextmanager
+async def run_callers(limits, respond=lambda exchange: exchange.respond(200, (), b'')):
+    server = HttpServer(limits, LoopClock(), respond)
+    async with listen(server, '127.0.0.1', 0), AsyncExitStack() as stack:
+        yield Callers(server, stack)
+
+
+def run(scenario):
+    async def main():
+        async with asyncio.timeout(TEST_S):
+            return await scenario()
+
+    return run_virtual(main())
+
+
+def test_oldest_silent_connection_yields_its_place():
+    """Guards against connections that send nothing and take all places."""
+
+    async def scenario():
+        async with run_callers(HttpLimits(connections=2)) as callers:
+            silent = [await callers.connect() for _ in range(2)]
+            newcomer = await callers.connect()
+            await newcomer.send(GET)
+            await silent[1].send(GET)
+            return [
+                await each.read_status() for each in (newcomer, silent[0], silent[1])
+            ]
+
+    assert run(scenario) == [200, None, 200]
+
+
+def test_connection_that_was_idle_longest_yields_its_place():
+    """Guards against idle connections that take all places, and against reuse cut short.
+
+    Silent connections go first, then the one that has not been used for the longest.
+    """
+
+    async def scenario():
+        async with run_callers(HttpLimits(connections=3)) as callers:
+            first, second, silent = [await callers.connect() for _ in range(3)]
+            for each in (first, second, first):
+                await each.send(GET)
+                assert await each.read_status() == 200
+            statuses = []
+            for _ in range(2):
+                newcomer = await callers.connect()
+                await newcomer.send(GET)
+                statuses.append(await newcomer.read_status())
+            await first.send(GET)
+            statuses.append(await first.read_status())
+            statuses += [await silent.read_status(), await second.read_status()]
+            return statuses
+
+    assert run(scenario) == [200, 200, 200, None, None]
+
+
+def test_one_body_of_the_largest_size_is_always_accepted():
+    """Guards against a share of the memory that is smaller than a permitted body."""
+
+    async def scenario():
+        limits = HttpLimits(body_bytes=LARGE_BYTES, buffered_bytes=LARGE_BYTES)
+        async with run_callers(limits) as callers:
+            caller = await callers.connect()
+            await caller.send(make_post(LARGE_BYTES))
+            return await caller.read_status()
+
+    assert run(scenario) == 200
