Keep bodies in one buffer, and process what was received in turns

Callers saw no answer at all while 20 others sent bodies in chunks of 2 bytes, and the process held 178 MB of 100 for 20 MB of bodies. Cause: each chunk was an object of 35 bytes and a place in a list, besides its bytes, and all chunks that had been received were processed without a break, 37,000 of them from one read. The same held for requests that were sent ahead: one of each connection in each iteration. Now the body is one bytearray, and a connection processes 64 events at most before it waits for its turn; one connection takes its turn in each iteration of the event loop, and is not read until then. A single body in small chunks has all turns, so it is as fast as before in calm.

--- a/savorychute/http/connection_budget.py
+++ b/savorychute/http/connection_budget.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from savorychute.http.file_limit import connection_limit_by_files
+from savorychute.http.read_turns import ReadTurns
 from savorychute.http.slow_caller import SlowCallerReason
 
 if TYPE_CHECKING:
@@ -128,6 +129,7 @@
     def __init__(self, limits: HttpLimits, now_ms: Callable[[], int]) -> None:
         self._limits = limits
         self.now_ms = now_ms
+        self.turns = ReadTurns()
         self.max_connections = min(limits.connections, connection_limit_by_files())
         self.body_bytes = 0
         # At least the unread data of all callers.
--- a/savorychute/http/request_reader.py
+++ b/savorychute/http/request_reader.py
@@ -19,6 +19,8 @@
 MAX_MESSAGE_CHARS = 200
 HTTP_VERSION = b'1.1'
 HEADERS_TOO_LARGE_STATUS = 431
+# Events that are processed without a break.  A chunk is an event, however small.
+EVENTS_PER_TURN = 64
 
 
 class RequestRefused(Exception):
@@ -55,7 +57,10 @@
         self._get_limits = get_limits
         self._on_head = on_head
         self.head: h11.Request | None = None
-        self._body: list[bytes] = []
+        # One object for all chunks: each object takes memory besides its bytes.
+        self._body = bytearray()
+        # Whether the parser may have events that have not been processed.
+        self.has_more = False
 
     def feed(self, data: bytes) -> None:
         """Receive bytes of the request that arrives.
@@ -65,11 +70,12 @@
         self.http.receive_data(data)
 
     def read(self) -> HttpRequest | None:
-        """Return the next request if it is complete.
+        """Return the next request if it is complete, after one turn at most.
 
         :raises RequestRefused: if it is malformed or too large.
         """
-        while True:
+        self.has_more = False
+        for _ in range(EVENTS_PER_TURN):
             try:
                 event = self.http.next_event()
             except h11.RemoteProtocolError as error:
@@ -82,6 +88,8 @@
                 return self._end()
             else:
                 return None
+        self.has_more = True
+        return None
 
     def release(self) -> None:
         """Release the memory of the request, and of all that follows."""
@@ -91,7 +99,7 @@
     def discard(self) -> None:
         """Release the memory of the request."""
         self._share.release()
-        self._body = []
+        self._body = bytearray()
         self.head = None
 
     @property
@@ -117,17 +125,17 @@
         self._on_head()
 
     def _add_data(self, data: bytes | bytearray) -> None:
-        if self._share.body_bytes + len(data) > self._get_limits().body_bytes:
+        if len(self._body) + len(data) > self._get_limits().body_bytes:
             raise self._refuse_body()
         if not self._share.reserve_body(len(data)):
             raise RequestRefused(
                 ResultCode.MEMORY_EXHAUSTED, 'too many bodies in memory'
             )
-        self._body.append(bytes(data))
+        self._body += data
 
     def _end(self) -> HttpRequest | None:
         head, self.head = self.head, None
-        body, self._body = self._body, []
+        body, self._body = self._body, bytearray()
         if head is None:
             return None
         return HttpRequest(
@@ -137,7 +145,7 @@
                 (name.decode('ascii'), value.decode('latin-1'))
                 for name, value in head.headers
             ),
-            body=b''.join(body),
+            body=bytes(body),
         )
 
     def _refuse_body(self) -> RequestRefused:
--- a/savorychute/http/server_connection.py
+++ b/savorychute/http/server_connection.py
@@ -62,6 +62,8 @@
         self._without_body = False
         self._request_started = False
         self._reading_paused = False
+        # Whether received bytes wait for a turn to be processed.
+        self._waits_for_turn = False
         self._paused_since_ms: int | None = None
         # Bytes written to the transport, in total and when the caller last read some.
         self._written_bytes = 0
@@ -103,7 +105,8 @@
             return
         self._start_request()
         self._reader.feed(data)
-        self._advance()
+        if not self._waits_for_turn:
+            self._advance()
 
     def eof_received(self) -> bool:
         """Treat the end of the stream as a disconnect; the transport closes."""
@@ -189,8 +192,7 @@
         """Go on with the next request, of which some bytes may have been received."""
         if self._reader.has_rest:
             self._start_request()
-            self._resume_reading()
-            asyncio.get_running_loop().call_soon(self._advance)
+            self._wait_for_turn()
             return
         self.share.enter(ConnectionState.IDLE)
         self._resume_reading()
@@ -288,12 +290,8 @@
             self.share.enter(ConnectionState.RECEIVING)
 
     def _advance(self) -> None:
-        """Process what was received, up to the end of one request.
-
-        The next request is read in a later iteration of the event loop, so that a
-        caller that pipelines thousands of small requests does not block all others.
-        """
-        if self._lingering or self._transport.is_closing() or self._exchange is not None:
+        """Process what was received, up to the end of one request, for one turn."""
+        if self._transport.is_closing() or self._exchange is not None:
             return
         try:
             request = self._reader.read()
@@ -304,6 +302,21 @@
             return
         if request is not None:
             self._handle_request(request)
+        elif self._reader.has_more:
+            self._wait_for_turn()
+        else:
+            self._resume_reading()
+
+    def _wait_for_turn(self) -> None:
+        """Read nothing more until what was received has been processed."""
+        self._waits_for_turn = True
+        self._pause_reading()
+        self._server.budget.turns.add(self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._waits_for_turn = False
+        if not self._lingering:
+            self._advance()
 
     def _handle_head(self) -> None:
         self._set_deadline(self._limits.body_timeout_ms)
