Let requests that hardly arrive yield their memory and places

Callers saw 503 for 30 s, or as long as a crowd came back, because bodies that stopped short of their end held all memory for bodies. Cause: an unfinished body kept its memory until body_timeout_ms; whoever came last was refused. Now a request yields if another needs the memory or the place and its body has paused for 2 s, or comes with less than 128 KB a second; the largest first. It was read in part only, so its refusal is true. One that arrives steadily never yields, and nothing yields in calm. Bodies above 64 KB use three quarters of the memory, so that young bodies of a crowd that returns cannot keep out small ones either; one of the largest permitted size always fits.

--- a/savorychute/gateway/daemon/tunnel_connection.py
+++ b/savorychute/gateway/daemon/tunnel_connection.py
@@ -31,6 +31,7 @@
 if TYPE_CHECKING:
     from savorychute.gateway.daemon.tunnel_server import TunnelServer
     from savorychute.http.slow_caller import SlowCallerReason
+    from savorychute.result_code import ResultCode
 
 STATUS_BAD_REQUEST = 400
 STATUS_FORBIDDEN = 403
@@ -124,6 +125,10 @@
         """Abort a connection that has not requested a tunnel."""
         self.abort()
 
+    def refuse_unfinished(self, code: ResultCode) -> None:  # noqa: ARG002
+        """Abort a connection that has not requested a tunnel."""
+        self.abort()
+
     # -- opening the tunnel
 
     def _handle_request(self, request: h11.Request) -> None:
--- a/savorychute/http/connection_budget.py
+++ b/savorychute/http/connection_budget.py
@@ -9,15 +9,29 @@
 from savorychute.http.file_limit import connection_limit_by_files
 from savorychute.http.read_turns import ReadTurns
 from savorychute.http.slow_caller import SlowCallerReason
+from savorychute.result_code import ResultCode
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
     from savorychute.http.http_limits import HttpLimits
 
+KIB = 1024
+# Small bodies may use all of the memory for bodies, large ones only a share of it, so
+# that a few large ones never keep out all small ones.
+SMALL_BODY_BYTES = 64 * KIB
+LARGE_SHARE = 0.75
 # Share of a limit that is freed when connections yield, so that the next one that needs
 # some does not lead there again.
 YIELD_TARGET_SHARE = 0.9
+# While a request arrives, its connection need not yield if it has received this much
+# per millisecond, apart from pauses.
+MIN_BYTES_PER_MS = 128
+MAX_PAUSE_MS = 2_000
+# Time between two searches for connections that have to yield.
+SEARCH_INTERVAL_MS = 50
+# Places that are freed at once.
+FREED_PLACES = 16
 # Idle connections that are considered as the one that yields.
 MAX_CONSIDERED = 8
 # Share of the limit on unread data up to which there is room for more.
@@ -70,6 +84,10 @@
         """Close the connection, which is not in use."""
         ...
 
+    def refuse_unfinished(self, code: ResultCode) -> None:
+        """Refuse a request that has not arrived whole."""
+        ...
+
 
 class BudgetShare:
     """What one connection holds of a budget.
@@ -80,6 +98,7 @@
 
     __slots__ = (
         '_budget',
+        '_due_ms',
         'body_bytes',
         'connection',
         'state',
@@ -92,12 +111,15 @@
         self.connection = connection
         self.state = ConnectionState.SILENT
         self.body_bytes = 0
+        self._due_ms = 0.0
 
     def enter(self, state: ConnectionState) -> None:
         """Record what the connection is used for from now on.
 
         :param state: its new state.
         """
+        if state is ConnectionState.RECEIVING is not self.state:
+            self._due_ms = self._budget.now_ms() + MAX_PAUSE_MS
         self._budget.move(self, state)
 
     def reserve_body(self, size_bytes: int) -> bool:
@@ -105,9 +127,14 @@
 
         :param size_bytes: size of the part.
         """
-        if not self._budget.reserve_body(size_bytes):
+        if not self._budget.reserve_body(self, size_bytes):
             return False
         self.body_bytes += size_bytes
+        now_ms = self._budget.now_ms()
+        self._due_ms = min(
+            now_ms + MAX_PAUSE_MS,
+            max(now_ms, self._due_ms) + size_bytes / MIN_BYTES_PER_MS,
+        )
         return True
 
     def release(self) -> None:
@@ -115,12 +142,20 @@
         self._budget.release_body(self.body_bytes)
         self.body_bytes = 0
 
+    def is_overdue(self, now_ms: int) -> bool:
+        """Return whether a request arrives so slowly that its connection has to yield.
+
+        :param now_ms: the current time.
+        """
+        return self.state is ConnectionState.RECEIVING and now_ms > self._due_ms
+
 
 class ConnectionBudget:
     """Limits the connections of all servers of a process, and what they hold.
 
-    Those that are not in use yield their places to new ones, the oldest first.  Callers
-    that read slowly yield the memory of their responses.
+    Those that are not in use yield their places to new ones, the oldest first.  Requests
+    that hardly arrive yield their places and their memory to others, the largest first;
+    they were not run.  Callers that read slowly yield the memory of their responses.
 
     :param limits: the limits of the process.
     :param now_ms: returns the current time.
@@ -134,6 +169,7 @@
         self.body_bytes = 0
         # At least the unread data of all callers.
         self._unread_bound = 0
+        self._next_search_ms = 0
         self._members: dict[ConnectionState, OrderedDict[BudgetShare, None]] = {
             state: OrderedDict() for state in ConnectionState
         }
@@ -160,7 +196,11 @@
         """
         self._members[share.state][share] = None
         limit = self.max_connections + reserved_places
-        return self.connections <= limit or self._take_unused(share)
+        if self.connections <= limit or self._take_unused(share):
+            return True
+        for other in self._find_overdue(FREED_PLACES):
+            other.connection.refuse_unfinished(ResultCode.CONNECTIONS_EXHAUSTED)
+        return self._take_unused(share)
 
     def move(self, share: BudgetShare, state: ConnectionState) -> None:
         """Record the new state of a connection.
@@ -197,12 +237,16 @@
 
     # -- memory of requests
 
-    def reserve_body(self, size_bytes: int) -> bool:
+    def reserve_body(self, share: BudgetShare, size_bytes: int) -> bool:
         """Reserve memory for a body; return false if all bodies would be too large.
 
+        :param share: the share of the connection.
         :param size_bytes: the number of bytes to reserve.
         """
-        if self.body_bytes + size_bytes > self._limits.buffered_bytes:
+        limit_bytes = self._body_limit(share.body_bytes + size_bytes)
+        if self.body_bytes + size_bytes > limit_bytes:
+            self._free_bodies(self.body_bytes + size_bytes - limit_bytes, share)
+        if self.body_bytes + size_bytes > limit_bytes:
             return False
         self.body_bytes += size_bytes
         return True
@@ -214,6 +258,41 @@
         """
         self.body_bytes -= size_bytes
 
+    def _body_limit(self, size_bytes: int) -> int:
+        limit_bytes = self._limits.buffered_bytes
+        if size_bytes <= SMALL_BODY_BYTES:
+            return limit_bytes
+        # A single body of any permitted size always fits.
+        share_bytes = int(LARGE_SHARE * limit_bytes)
+        return min(limit_bytes, max(share_bytes, self._limits.body_bytes))
+
+    def _free_bodies(self, excess_bytes: int, needed_for: BudgetShare) -> None:
+        """Refuse requests that hardly arrive, the largest first."""
+        wanted_bytes = (
+            excess_bytes + (1 - YIELD_TARGET_SHARE) * self._limits.buffered_bytes
+        )
+        for share in self._find_overdue():
+            if wanted_bytes <= 0 or not share.body_bytes:
+                break
+            if share is not needed_for:
+                wanted_bytes -= share.body_bytes
+                share.connection.refuse_unfinished(ResultCode.MEMORY_EXHAUSTED)
+
+    def _find_overdue(self, max_count: int | None = None) -> list[BudgetShare]:
+        """Return the requests that hardly arrive, the largest first.
+
+        The search is made only now and then, as a crowd that is refused may return at
+        once, and each search considers all connections.
+        """
+        now_ms = self.now_ms()
+        if now_ms < self._next_search_ms:
+            return []
+        self._next_search_ms = now_ms + SEARCH_INTERVAL_MS
+        receiving = self._members[ConnectionState.RECEIVING]
+        overdue = [share for share in receiving if share.is_overdue(now_ms)]
+        overdue.sort(key=lambda each: each.body_bytes, reverse=True)
+        return overdue[:max_count]
+
     # -- memory of responses
 
     @property
--- a/savorychute/http/server_connection.py
+++ b/savorychute/http/server_connection.py
@@ -281,6 +281,14 @@
         else:
             self._transport.close()
 
+    def refuse_unfinished(self, code: ResultCode) -> None:
+        """Refuse a request that has not arrived whole.
+
+        :param code: the reason.
+        """
+        if not self._transport.is_closing():
+            self._refuse(code, 'the request arrives too slowly')
+
     # -- reading
 
     def _start_request(self) -> None:
--- a/tests/test_http/test_connection_budget.py
+++ b/tests/test_http/test_connection_budget.py
@@ -6,6 +6,12 @@
 import socket
 from contextlib import AsyncExitStack, asynccontextmanager
 
+from savorychute.http.connection_budget import (
+    LARGE_SHARE,
+    MAX_PAUSE_MS,
+    MIN_BYTES_PER_MS,
+    SMALL_BODY_BYTES,
+)
 from savorychute.http.http_limits import HttpLimits
 from savorychute.http.http_server import HttpServer, listen
 from savorychute.testing.virtual_loop import LoopClock, run_virtual
@@ -121,6 +127,64 @@
     assert run(scenario) == [200, 200, 200, None, None]
 
 
+def test_requests_that_hardly_arrive_yield_their_memory():
+    """Guards against unfinished bodies that keep out all others."""
+
+    async def scenario():
+        async with run_callers(LIMITS) as callers:
+            stalled = [await callers.connect() for _ in range(2)]
+            for each in stalled:
+                await each.send(make_post(LARGE_BYTES)[:-100_000])
+            await asyncio.sleep(2 * MAX_PAUSE_MS / MS_PER_S)
+            newcomer = await callers.connect()
+            await newcomer.send(make_post(LARGE_BYTES))
+            accepted = await newcomer.read_status()
+            return accepted, await stalled[0].read_status()
+
+    assert run(scenario) == (200, 503)
+
+
+def test_request_that_arrives_steadily_does_not_yield():
+    """Guards against a slow but steady upload that is refused for a newcomer's sake."""
+
+    async def scenario():
+        # Two of the largest bodies fit.
+        limits = LIMITS._replace(buffered_bytes=1_100_000)
+        async with run_callers(limits) as callers:
+            steady = await callers.connect()
+            data = make_post(LARGE_BYTES)
+            part_bytes = int(1.2 * MIN_BYTES_PER_MS * 100)
+            for start in range(0, len(data), part_bytes):
+                await steady.send(data[start : start + part_bytes])
+                newcomer = await callers.connect()
+                await newcomer.send(make_post(LARGE_BYTES)[:-1])
+                await asyncio.sleep(0.1)
+            return await steady.read_status()
+
+    assert run(scenario) == 200
+
+
+def test_small_bodies_fit_beside_large_ones():
+    """Guards against large bodies that arrive steadily and keep out all small ones."""
+
+    async def scenario():
+        held = []
+        async with run_callers(LIMITS, held.append) as callers:
+            for _ in range(4):
+                large = await callers.connect()
+                await large.send(make_post(LARGE_BYTES))
+            await asyncio.sleep(0.1)
+            bytes_of_large = callers.server.buffered_bytes
+            small = await callers.connect()
+            await small.send(make_post(SMALL_BODY_BYTES))
+            await asyncio.sleep(0.1)
+            return bytes_of_large, [len(each.request.body) for each in held]
+
+    bytes_of_large, sizes = run(scenario)
+    assert bytes_of_large <= LARGE_SHARE * LIMITS.buffered_bytes
+    assert sizes == [LARGE_BYTES, SMALL_BODY_BYTES]
+
+
 def test_one_body_of_the_largest_size_is_always_accepted():
     """Guards against a share of the memory that is smaller than a permitted body."""
 
