Count heads and what is received ahead

Callers with large heads, or requests sent ahead, made the process hold bytes that no limit counted. Cause: only bodies were counted. A head of many lines takes a multiple of its bytes. Now all bytes that are not a body are counted, with 256 bytes for each header line, and what is still there counts when the next request begins. Reads are of 4 KB, 64 KB within a body, and the kernel's receive buffer is bounded, as it counts for the process on the users' machines. Requests with large heads yield like those with bodies; beyond half of the memory nothing is read ahead.

--- a/savorychute/gateway/daemon/memory_shares.py
+++ b/savorychute/gateway/daemon/memory_shares.py
@@ -5,6 +5,8 @@
 BYTES_PER_MB = 1 << 20
 # For request bodies, and as much for what callers have not read of their responses.
 BUFFER_MEMORY_SHARE = 0.15
+# For heads of requests, and what is read ahead of them.
+HEADS_MEMORY_SHARE = 0.08
 # For the connections to all ports themselves, and the size of one with a request.
 CONNECTIONS_MEMORY_SHARE = 0.2
 CONNECTION_BYTES = 32 * 1024
--- a/savorychute/gateway/daemon/servers.py
+++ b/savorychute/gateway/daemon/servers.py
@@ -9,6 +9,7 @@
     BUFFER_MEMORY_SHARE,
     CONNECTION_BYTES,
     CONNECTIONS_MEMORY_SHARE,
+    HEADS_MEMORY_SHARE,
     share_of_memory,
 )
 from savorychute.http.connection_budget import ConnectionBudget
@@ -45,6 +46,7 @@
     return HttpLimits(
         connections=max(1, connections_bytes // CONNECTION_BYTES),
         buffered_bytes=buffer_bytes,
+        heads_bytes=share_of_memory(HEADS_MEMORY_SHARE, settings.memory_mb),
         unread_bytes=buffer_bytes,
     )
 
--- a/savorychute/http/connection_budget.py
+++ b/savorychute/http/connection_budget.py
@@ -17,10 +17,13 @@
     from savorychute.http.http_limits import HttpLimits
 
 KIB = 1024
-# Small bodies may use all of the memory for bodies, large ones only a share of it, so
-# that a few large ones never keep out all small ones.
+# What is small may use all of the memory for bodies, or for heads; what is large only a
+# share of it, so that a few large requests never keep out all small ones.
 SMALL_BODY_BYTES = 64 * KIB
+SMALL_HEAD_BYTES = 8 * KIB
 LARGE_SHARE = 0.75
+# Share of the memory for heads up to which requests may be received ahead.
+AHEAD_SHARE = 0.5
 # Share of a limit that is freed when connections yield, so that the next one that needs
 # some does not lead there again.
 YIELD_TARGET_SHARE = 0.9
@@ -101,6 +104,7 @@
         '_due_ms',
         'body_bytes',
         'connection',
+        'head_bytes',
         'state',
     )
 
@@ -111,6 +115,8 @@
         self.connection = connection
         self.state = ConnectionState.SILENT
         self.body_bytes = 0
+        # Heads, and bytes that were received and not processed yet.
+        self.head_bytes = 0
         self._due_ms = 0.0
 
     def enter(self, state: ConnectionState) -> None:
@@ -137,10 +143,27 @@
         )
         return True
 
+    def set_head(self, size_bytes: int) -> bool:
+        """Record the memory of what is no body; return false if there is too little.
+
+        It is counted in any case, as the bytes have been received.
+
+        :param size_bytes: size of all that the connection holds besides a body.
+        """
+        added_bytes = size_bytes - self.head_bytes
+        self.head_bytes = size_bytes
+        return self._budget.add_head(self, added_bytes)
+
+    @property
+    def may_read_ahead(self) -> bool:
+        """Whether more may be received than the request in progress."""
+        return self._budget.may_read_ahead
+
     def release(self) -> None:
         """Release all memory."""
         self._budget.release_body(self.body_bytes)
         self.body_bytes = 0
+        self.set_head(0)
 
     def is_overdue(self, now_ms: int) -> bool:
         """Return whether a request arrives so slowly that its connection has to yield.
@@ -167,6 +190,7 @@
         self.turns = ReadTurns()
         self.max_connections = min(limits.connections, connection_limit_by_files())
         self.body_bytes = 0
+        self.head_bytes = 0
         # At least the unread data of all callers.
         self._unread_bound = 0
         self._next_search_ms = 0
@@ -258,6 +282,33 @@
         """
         self.body_bytes -= size_bytes
 
+    def add_head(self, share: BudgetShare, size_bytes: int) -> bool:
+        """Count the memory of heads; return false if they are too large together.
+
+        :param share: the share of the connection.
+        :param size_bytes: what has been added.
+        """
+        self.head_bytes += size_bytes
+        limit_bytes: float = self._limits.heads_bytes
+        if share.head_bytes > SMALL_HEAD_BYTES:
+            # A single head of any permitted size always fits.
+            limit_bytes = max(LARGE_SHARE * limit_bytes, share.head_bytes)
+        if size_bytes <= 0 or self.head_bytes <= limit_bytes:
+            return True
+        excess_bytes = self.head_bytes - YIELD_TARGET_SHARE * limit_bytes
+        for other in self._find_overdue():
+            if excess_bytes <= 0:
+                break
+            excess_bytes -= other.head_bytes
+            if other is not share:
+                other.connection.refuse_unfinished(ResultCode.MEMORY_EXHAUSTED)
+        return self.head_bytes <= limit_bytes
+
+    @property
+    def may_read_ahead(self) -> bool:
+        """Whether there is memory for what follows requests in progress."""
+        return self.head_bytes <= AHEAD_SHARE * self._limits.heads_bytes
+
     def _body_limit(self, size_bytes: int) -> int:
         limit_bytes = self._limits.buffered_bytes
         if size_bytes <= SMALL_BODY_BYTES:
@@ -290,7 +341,7 @@
         self._next_search_ms = now_ms + SEARCH_INTERVAL_MS
         receiving = self._members[ConnectionState.RECEIVING]
         overdue = [share for share in receiving if share.is_overdue(now_ms)]
-        overdue.sort(key=lambda each: each.body_bytes, reverse=True)
+        overdue.sort(key=lambda each: each.body_bytes + each.head_bytes, reverse=True)
         return overdue[:max_count]
 
     # -- memory of responses
--- a/savorychute/http/request_reader.py
+++ b/savorychute/http/request_reader.py
@@ -21,6 +21,8 @@
 HEADERS_TOO_LARGE_STATUS = 431
 # Events that are processed without a break.  A chunk is an event, however small.
 EVENTS_PER_TURN = 64
+# Memory of a header line besides its bytes.
+HEADER_LINE_BYTES = 256
 
 
 class RequestRefused(Exception):
@@ -57,6 +59,7 @@
         self._get_limits = get_limits
         self._on_head = on_head
         self.head: h11.Request | None = None
+        self._head_bytes = 0
         # One object for all chunks: each object takes memory besides its bytes.
         self._body = bytearray()
         # Whether the parser may have events that have not been processed.
@@ -69,6 +72,15 @@
         """
         self.http.receive_data(data)
 
+    def read_ahead(self, data: bytes) -> bool:
+        """Receive bytes beyond the request in progress; return whether there is room.
+
+        :param data: the bytes.
+        """
+        self.http.receive_data(data)
+        self._share.set_head(self._share.head_bytes + len(data))
+        return self._share.may_read_ahead
+
     def read(self) -> HttpRequest | None:
         """Return the next request if it is complete, after one turn at most.
 
@@ -87,6 +99,7 @@
             elif isinstance(event, h11.EndOfMessage):
                 return self._end()
             else:
+                self._count_head()
                 return None
         self.has_more = True
         return None
@@ -100,16 +113,27 @@
         """Release the memory of the request."""
         self._share.release()
         self._body = bytearray()
+        self._head_bytes = 0
         self.head = None
 
-    @property
-    def has_rest(self) -> bool:
-        """Whether bytes of the next request have been received."""
-        return bool(self.http.trailing_data[0])
+    def count_rest(self) -> int:
+        """Count what was received beyond the request, and return its size."""
+        rest_bytes = len(self.http.trailing_data[0])
+        self._share.set_head(self._head_bytes + rest_bytes)
+        return rest_bytes
+
+    def _count_head(self) -> None:
+        """Count a head, or the framing of a chunk, that has not arrived whole."""
+        rest_bytes = len(self.http.trailing_data[0])
+        if not self._share.set_head(self._head_bytes + rest_bytes):
+            raise RequestRefused(ResultCode.MEMORY_EXHAUSTED, 'too many heads')
 
     def _add_head(self, head: h11.Request) -> None:
         self.head = head
         self._share.enter(ConnectionState.RECEIVING)
+        self._head_bytes = sum(
+            len(name) + len(value) + HEADER_LINE_BYTES for name, value in head.headers
+        )
         if head.http_version != HTTP_VERSION:
             # In HTTP/1.0 the end of the connection ends a response of unknown
             # length, so a truncated response would look complete.
@@ -122,6 +146,8 @@
             )
         if _content_length(head) > self._get_limits().body_bytes:
             raise self._refuse_body()
+        if not self._share.set_head(self._head_bytes):
+            raise RequestRefused(ResultCode.MEMORY_EXHAUSTED, 'too many heads')
         self._on_head()
 
     def _add_data(self, data: bytes | bytearray) -> None:
--- a/savorychute/http/server_connection.py
+++ b/savorychute/http/server_connection.py
@@ -37,9 +37,17 @@
 # is assumed.  Callers that read nothing thus compare by what they leave unread.
 MIN_MEASURED_MS = 1_000
 MIN_BYTES_PER_MS = 1.0
+# Bytes that are received at once: of a body, and of all else, since what follows a
+# request is held until that has ended.
+BODY_PART_BYTES = 64 * 1024
+PART_BYTES = 4 * 1024
+# The kernel doubles it.  While a connection is not read, it holds as much.
+PAUSED_RECEIVE_BUFFER_BYTES = 4 * 1024
+# Shared by all connections: the bytes are copied from it before the next ones arrive.
+_RECEIVED = bytearray(BODY_PART_BYTES)
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.BufferedProtocol):
     """Reads requests one by one and responds to them in order.
 
     Pipelined requests wait in h11's buffer, which is limited: beyond the limit
@@ -96,6 +104,15 @@
         if not self._server.add(self):
             self._refuse(ResultCode.CONNECTIONS_EXHAUSTED, 'try another instance')
 
+    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002
+        """Return where the next bytes are received."""
+        in_body = self._reader.head is not None
+        return memoryview(_RECEIVED)[: BODY_PART_BYTES if in_body else PART_BYTES]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Process the bytes that were received."""
+        self.data_received(bytes(memoryview(_RECEIVED)[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Process bytes from the caller."""
         if self._lingering:
@@ -179,7 +196,6 @@
         self._write(h11.EndOfMessage())
         self._exchange = None
         self._reader.discard()
-        self.pipelined_bytes = 0
         if h11.MUST_CLOSE in (self._http.our_state, self._http.their_state):
             self._linger()
             return
@@ -190,7 +206,7 @@
 
     def _continue(self) -> None:
         """Go on with the next request, of which some bytes may have been received."""
-        if self._reader.has_rest:
+        if self._reader.count_rest():
             self._start_request()
             self._wait_for_turn()
             return
@@ -337,15 +353,18 @@
         self.share.enter(ConnectionState.BUSY)
         exchange = ServerExchange(request, self)
         self._exchange = exchange
-        # The end of the connection shows that the caller has left.
-        self._resume_reading()
+        self.pipelined_bytes = self._reader.count_rest()
+        if self.pipelined_bytes <= self._limits.pipelined_bytes:
+            # The end of the connection shows that the caller has left.
+            self._resume_reading()
         self._server.on_request(exchange)
 
     def _buffer_pipelined(self, data: bytes) -> None:
         self.pipelined_bytes += len(data)
-        self._reader.feed(data)
-        if self.pipelined_bytes > self._limits.pipelined_bytes:
+        has_room = self._reader.read_ahead(data)
+        if not has_room or self.pipelined_bytes > self._limits.pipelined_bytes:
             self._pause_reading()
+            self._limit_receive_buffer(PAUSED_RECEIVE_BUFFER_BYTES)
 
     def _pause_reading(self) -> None:
         self._reading_paused = True
@@ -354,6 +373,7 @@
     def _resume_reading(self) -> None:
         if self._reading_paused:
             self._reading_paused = False
+            self._limit_receive_buffer(self._limits.receive_buffer_bytes)
             self._transport.resume_reading()
 
     # -- refusing
@@ -439,3 +459,10 @@
             )
             # Not set by the event loop for sockets that were opened before it started.
             raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._limit_receive_buffer(self._limits.receive_buffer_bytes)
+
+    def _limit_receive_buffer(self, size_bytes: int) -> None:
+        """Limit what the kernel receives ahead, which would grow to megabytes."""
+        raw_socket = self._transport.get_extra_info('socket')
+        if raw_socket is not None and raw_socket.fileno() >= 0:
+            raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size_bytes)
--- a/tests/test_http/test_connection_budget.py
+++ b/tests/test_http/test_connection_budget.py
@@ -196,3 +196,55 @@
             return await caller.read_status()
 
     assert run(scenario) == 200
+
+
+def test_memory_is_counted_until_a_request_has_ended():
+    """Guards against memory that is counted twice, or not given back."""
+
+    async def scenario():
+        held = []
+        async with run_callers(LIMITS, held.append) as callers:
+            caller = await callers.connect()
+            await caller.send(make_post(100_000, b'a: b\r\n' * 50) + GET)
+            await asyncio.sleep(0.1)
+            budget = callers.server.budget
+            during = budget.body_bytes, budget.head_bytes > 0, budget.connections
+            for _ in range(2):
+                held[-1].respond(200, (), b'')
+                assert await caller.read_status() == 200
+                await asyncio.sleep(0.1)
+            between = budget.body_bytes, budget.head_bytes, budget.connections
+            caller.writer.transport.abort()
+            await asyncio.sleep(0.1)
+            return (
+                during,
+                between,
+                (budget.body_bytes, budget.head_bytes, budget.connections),
+            )
+
+    during, between, after = run(scenario)
+    assert during == (100_000, True, 1)
+    assert between == (0, 0, 1)
+    assert after == (0, 0, 0)
+
+
+def test_bytes_ahead_stay_limited_while_requests_end():
+    """Guards against a limit that begins anew with each request that was sent ahead."""
+
+    async def scenario():
+        ahead = []
+
+        def respond(exchange):
+            connection = exchange._connection
+            ahead.append(len(connection._http.trailing_data[0]))
+            exchange.respond(200, (), b'')
+
+        async with run_callers(HttpLimits(), respond) as callers:
+            caller = await callers.connect()
+            sending = asyncio.create_task(caller.send(GET * 20_000))
+            for _ in range(20_000):
+                assert await caller.read_status() == 200
+            await sending
+            return max(ahead)
+
+    assert run(scenario) <= 2 * HttpLimits().pipelined_bytes
