Count whole responses that are unread, and read them before the next request

Callers that sent requests ahead and read nothing made answers pile up. Only paused callers were ended, so that many with a little less than the pause unread never were. Now each write that the caller does not take at once is counted, and the next request waits until the caller has read most of the last response. Callers that were sent something within the last second are ended last.

--- a/savorychute/gateway/daemon/tunnel_connection.py
+++ b/savorychute/gateway/daemon/tunnel_connection.py
@@ -106,8 +106,6 @@
 
     # -- called by the budget
 
-    writing_paused = False
-
     @property
     def unread_bytes(self) -> int:
         """Nothing: a tunnel reads no more than its other side takes."""
@@ -117,6 +115,10 @@
         """Return 0, as nothing is unread."""
         return 0.0
 
+    def waited_ms(self, now_ms: int) -> int:  # noqa: ARG002
+        """Return 0, as nothing is unread."""
+        return 0
+
     def end_slow_caller(self, reason: SlowCallerReason) -> None:  # noqa: ARG002
         """Reset the tunnel."""
         self.reset()
--- a/savorychute/http/connection_budget.py
+++ b/savorychute/http/connection_budget.py
@@ -39,6 +39,8 @@
 MAX_CONSIDERED = 8
 # Share of the limit on unread data up to which there is room for more.
 ROOM_SHARE = 0.25
+# The least time after which a caller is known to read slowly.
+MIN_WAITED_MS = 1_000
 
 
 class ConnectionState(Enum):
@@ -68,7 +70,6 @@
     """A connection that may have to yield to others."""
 
     share: BudgetShare
-    writing_paused: bool
 
     @property
     def unread_bytes(self) -> int:
@@ -79,6 +80,10 @@
         """Return how long the caller will take to read what it has not read yet."""
         ...
 
+    def waited_ms(self, now_ms: int) -> int:
+        """Return for how long there has been data that the caller has not read."""
+        ...
+
     def end_slow_caller(self, reason: SlowCallerReason) -> None:
         """Abort the connection of a caller that reads too slowly."""
         ...
@@ -363,21 +368,29 @@
         """
         self._unread_bound += size_bytes
         if self._unread_bound > self._limits.unread_bytes:
-            self.limit_unread()
+            self.limit_unread(YIELD_TARGET_SHARE)
 
-    def limit_unread(self) -> None:
+    def limit_unread(self, share: float = 1.0) -> None:
         """End the responses of the slowest callers above the total limit.
 
         Each response is limited by itself, but a few hundred callers that request
         long ones and do not read them would together exhaust the memory.
+
+        :param share: share of the limit beyond which responses are ended.
         """
         self._unread_bound = self.unread_bytes
-        if self._unread_bound <= self._limits.unread_bytes:
+        if self._unread_bound <= share * self._limits.unread_bytes:
             return
         target_bytes = YIELD_TARGET_SHARE * self._limits.unread_bytes
         now_ms = self.now_ms()
-        slow = [each for each in self if each.writing_paused]
-        slow.sort(key=lambda each: each.drain_ms(now_ms))
+        slow = [each for each in self if each.unread_bytes]
+        # A caller that was sent its response a moment ago may read it yet.
+        slow.sort(
+            key=lambda each: (
+                each.waited_ms(now_ms) >= MIN_WAITED_MS,
+                each.drain_ms(now_ms),
+            )
+        )
         while slow and self._unread_bound > target_bytes:
             connection = slow.pop()
             self._unread_bound -= connection.unread_bytes
--- a/savorychute/http/server_connection.py
+++ b/savorychute/http/server_connection.py
@@ -72,10 +72,14 @@
         self._reading_paused = False
         # Whether received bytes wait for a turn to be processed.
         self._waits_for_turn = False
+        # Whether the next request waits until the caller has read the last response.
+        self._waits_for_caller = False
         self._paused_since_ms: int | None = None
+        # Since when there has been unread data, and what had been written by then.
+        self._unread_since_ms = 0
+        self._drained_at_start = 0
         # Bytes written to the transport, in total and when the caller last read some.
         self._written_bytes = 0
-        self._drained_at_pause = 0
         self._drained_bytes = 0
         self._progress_ms = 0
         self._deadline_ms = 0
@@ -117,7 +121,7 @@
         """Process bytes from the caller."""
         if self._lingering:
             return
-        if self._exchange is not None:
+        if self._exchange is not None or self._waits_for_caller:
             self._buffer_pipelined(data)
             return
         self._start_request()
@@ -140,7 +144,7 @@
         """Notify the exchange that the caller reads too slowly."""
         self.writing_paused = True
         self._paused_since_ms = self._progress_ms = self._server.now_ms()
-        self._drained_at_pause = self._drained_bytes = self._count_drained()
+        self._drained_bytes = self._count_drained()
         self._report_paused()
 
     def _report_paused(self) -> None:
@@ -153,6 +157,9 @@
         self._paused_since_ms = None
         if self._exchange is not None and self._exchange.on_resume is not None:
             self._exchange.on_resume()
+        elif self._waits_for_caller:
+            self._waits_for_caller = False
+            self._continue()
 
     # -- called by the exchange
 
@@ -186,10 +193,8 @@
         self._write(event)
         if self.unread_bytes > self._limits.max_write_buffer_bytes:
             self.end_slow_caller(SlowCallerReason.RESPONSE)
-        elif self.writing_paused:
-            self._server.budget.count_unread(len(data))
-            if not self._server.budget.has_room:
-                self._report_paused()
+        elif self.writing_paused and not self._server.budget.has_room:
+            self._report_paused()
 
     def end_exchange(self) -> None:
         """End a response and continue with the next request."""
@@ -202,7 +207,11 @@
         self._http.start_next_cycle()
         self._request_started = False
         self._set_deadline(self._limits.idle_timeout_ms)
-        self._continue()
+        # Otherwise the responses to requests that were sent ahead would pile up.
+        self._waits_for_caller = self.writing_paused
+        self._reader.count_rest()
+        if not self._waits_for_caller:
+            self._continue()
 
     def _continue(self) -> None:
         """Go on with the next request, of which some bytes may have been received."""
@@ -242,11 +251,16 @@
 
         :param now_ms: the current time of the server.
         """
-        if self._paused_since_ms is None:
-            return 0.0
-        paused_ms = max(MIN_MEASURED_MS, now_ms - self._paused_since_ms)
-        read_bytes = self._count_drained() - self._drained_at_pause
-        return self.unread_bytes / max(MIN_BYTES_PER_MS, read_bytes / paused_ms)
+        read_bytes = self._count_drained() - self._drained_at_start
+        waited_ms = max(MIN_MEASURED_MS, self.waited_ms(now_ms))
+        return self.unread_bytes / max(MIN_BYTES_PER_MS, read_bytes / waited_ms)
+
+    def waited_ms(self, now_ms: int) -> int:
+        """Return for how long there has been data that the caller has not read.
+
+        :param now_ms: the current time of the server.
+        """
+        return now_ms - self._unread_since_ms
 
     def _count_drained(self) -> int:
         return self._written_bytes - self.unread_bytes
@@ -431,10 +445,16 @@
 
     def _flush(self) -> None:
         # asyncio logs a warning for each write to a connection that is already lost.
-        if self._unwritten and not self._transport.is_closing():
-            self._written_bytes += len(self._unwritten)
-            self._transport.write(self._unwritten)
-        self._unwritten = b''
+        data, self._unwritten = self._unwritten, b''
+        if not data or self._transport.is_closing():
+            return
+        if not self.unread_bytes:
+            self._unread_since_ms = self._server.now_ms()
+            self._drained_at_start = self._written_bytes
+        self._written_bytes += len(data)
+        self._transport.write(data)
+        if self.unread_bytes:
+            self._server.budget.count_unread(len(data))
 
     def _set_deadline(self, timeout_ms: int) -> None:
         self._deadline_ms = self._server.now_ms() + timeout_ms
--- a/tests/test_http/test_connection_budget.py
+++ b/tests/test_http/test_connection_budget.py
@@ -198,6 +198,35 @@
     assert run(scenario) == 200
 
 
+def test_next_request_waits_until_the_last_response_was_read():
+    """Guards against responses that pile up for a caller that sends ahead."""
+
+    async def scenario():
+        handled = []
+
+        def respond(exchange):
+            handled.append(exchange)
+            exchange.respond(200, (), bytes(500_000))
+
+        limits = HttpLimits(send_buffer_bytes=8_192)
+        async with run_callers(limits, respond) as callers:
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
+            sock.setblocking(False)
+            loop = asyncio.get_running_loop()
+            with sock:
+                await loop.sock_connect(sock, ('127.0.0.1', callers.server.port))
+                await loop.sock_sendall(sock, GET * 5)
+                await asyncio.sleep(1)
+                before = len(handled)
+                received = 0
+                while received < 5 * 500_000:
+                    received += len(await loop.sock_recv(sock, 100_000))
+                return before, len(handled)
+
+    assert run(scenario) == (1, 5)
+
+
 def test_memory_is_counted_until_a_request_has_ended():
     """Guards against memory that is counted twice, or not given back."""
 
