Take no response as whole that ended before its request was sent

Users asked whether a server that answers a long upload at once with a 200 without a length, sends a part and resets the connection, makes that part look complete. A reset alone does not: it is an error of the connection. If the server ends its side first and resets after that, the end was taken for the end of the response (in all of 20 tries with an upload of 8 MB). Cause: without a length a response ends with its connection, and the end was believed whatever was still to be sent. Now such an end fails the call while a part of the request is unsent, like a reset; the caller gets no complete response. A server that has read the whole request is not concerned. The second question, a status of 000: the parser refuses it, before and after this commit, and the call fails as sent; the test of it passed before.

--- a/savorychute/http/client_connection.py
+++ b/savorychute/http/client_connection.py
@@ -169,11 +169,20 @@
 
     def eof_received(self) -> bool:
         """Process the end of the stream, which ends a response without a length."""
-        if self._handler is not None:
+        if self._handler is not None and self._has_unsent_body:
+            # The server may have given up, and its reset is still to come: what it sent
+            # without a length is not known to be whole.
+            self._fail('connection closed before the whole body was sent')
+        elif self._handler is not None:
             self._http.receive_data(b'')
             self._advance('connection closed')
         return False
 
+    @property
+    def _has_unsent_body(self) -> bool:
+        transport = cast('asyncio.Transport', self._transport)
+        return bool(self._unsent_body) or transport.get_write_buffer_size() > 0
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the call in progress."""
         self._stop_pacing()
