Release requests whose streams cannot be taken up

Callers that take up unknown streams with large bodies left these behind, as their requests end without an execution, and so do those that leave while a stream's origin is looked for. Found by reading for other ends of an exchange.

--- a/savorychute/gateway/daemon/gateway_host.py
+++ b/savorychute/gateway/daemon/gateway_host.py
@@ -224,10 +224,12 @@
         def refuse(refusal: Refusal) -> None:
             self._record_finished()
             self._refuse(request, refusal, caller)
+            exchange.release()
 
         def leave() -> None:
             self._record_finished()
             resumption.caller_left()
+            exchange.release()
 
         resumption = StreamResumption(self._parts, request, admitted, execute, refuse)
         exchange.on_left = leave
@@ -372,6 +374,7 @@
             header_timeout_ms=limits.header_timeout_ms,
             idle_timeout_ms=int(IDLE_TIMEOUT_FACTOR * limits.idle_timeout_ms),
         )
+        server.budget.max_body_bytes = limits.body_bytes
 
     # -- leaving
 
--- a/savorychute/http/connection_budget.py
+++ b/savorychute/http/connection_budget.py
@@ -194,6 +194,8 @@
         self.now_ms = now_ms
         self.turns = ReadTurns()
         self.max_connections = min(limits.connections, connection_limit_by_files())
+        # Size of the largest permitted body; may change at any time.
+        self.max_body_bytes = limits.body_bytes
         self.body_bytes = 0
         self.head_bytes = 0
         # At least the unread data of all callers.
@@ -320,7 +322,7 @@
             return limit_bytes
         # A single body of any permitted size always fits.
         share_bytes = int(LARGE_SHARE * limit_bytes)
-        return min(limit_bytes, max(share_bytes, self._limits.body_bytes))
+        return min(limit_bytes, max(share_bytes, self.max_body_bytes))
 
     def _free_bodies(self, excess_bytes: int, needed_for: BudgetShare) -> None:
         """Refuse requests that hardly arrive, the largest first."""
