Limit what unfinished frames of strangers hold together

Up to 64 connections to the port of peers could each hold a part of a frame of 512 KB without being known: 32 MB of a process that may have 150. Now all of them together hold 4 MB at most; beyond it the connection that holds the most is closed. A frame of an instance is far smaller as a rule, and its sender connects again.

--- a/savorychute/daemon/frame_protocol.py
+++ b/savorychute/daemon/frame_protocol.py
@@ -13,6 +13,8 @@
 LENGTH_BYTES = 4
 MAX_RECEIVERS = 64
 FRAME_TIMEOUT_S = 30.0
+# Parts of frames that all connections hold together.
+MAX_UNFINISHED_BYTES = 4 * 1024 * 1024
 
 
 class FrameProtocol(asyncio.Protocol):
@@ -60,14 +62,25 @@
                 return
             end = LENGTH_BYTES + length
             if len(self._buffer) < end:
+                self._limit_unfinished()
                 return
             frame = bytes(self._buffer[LENGTH_BYTES:end])
             del self._buffer[:end]
             self._restart_timer()
             self._on_frame(frame)
 
+    def _limit_unfinished(self) -> None:
+        """Close the connections that hold the most, above the total limit."""
+        held = sorted(self._connections, key=lambda each: len(each._buffer))
+        held_bytes = sum(len(each._buffer) for each in held)
+        while held_bytes > MAX_UNFINISHED_BYTES:
+            largest = held.pop()
+            held_bytes -= len(largest._buffer)
+            largest.close()
+
     def close(self) -> None:
         """Abort the connection."""
+        self._buffer.clear()
         if self._transport is not None:
             self._transport.abort()
 
--- a/tests/test_daemon/test_peer_link.py
+++ b/tests/test_daemon/test_peer_link.py
@@ -9,7 +9,7 @@
 from daemon_fakes import KEYS, wait_until
 
 from savorychute.actions import SendPeer
-from savorychute.daemon.frame_protocol import MAX_RECEIVERS
+from savorychute.daemon.frame_protocol import MAX_RECEIVERS, MAX_UNFINISHED_BYTES
 from savorychute.daemon.frame_sender import MAX_QUEUED_FRAMES, FrameSender
 from savorychute.daemon.peer_link import open_peer_link
 from savorychute.member_address import MemberAddress
@@ -134,3 +134,31 @@
     accepted = asyncio.run(main())
 
     assert accepted == [True] * MAX_QUEUED_FRAMES + [False]
+
+
+def test_unfinished_frames_of_strangers_are_limited_together():
+    """Guards against many connections that each hold a part of a frame.
+
+    The frames of instances still arrive beside them.
+    """
+    part = (MAX_FRAME_BYTES - 1).to_bytes(4, 'big') + bytes(MAX_FRAME_BYTES // 2)
+    large = make_ping(500)
+
+    async def act(sending_link, receiving_link, inputs):
+        strangers = []
+        for _ in range(MAX_RECEIVERS // 2):
+            _, writer = await asyncio.open_connection('127.0.0.1', receiving_link.port)
+            strangers.append(writer)
+            writer.write(part)
+            with suppress(ConnectionError):
+                await writer.drain()
+            await asyncio.sleep(0.01)
+        held_bytes = sum(len(each._buffer) for each in receiving_link._receivers)
+        assert 0 < held_bytes <= MAX_UNFINISHED_BYTES
+        send(sending_link, receiving_link, large)
+        await wait_until(lambda: inputs)
+        for writer in strangers:
+            writer.transport.abort()
+
+    (received,) = run_link(act)
+    assert received.message == large
