Let tunnels hold less, and count them by the memory of the process

Bodies that pass through another instance to slow endpoints were held there beyond its limits. Cause: a tunnel held what it had passed on before it stopped to read, 64 KB and one read of up to 256 KB, and there could be as many tunnels as a quarter of the descriptors allow (504), whatever the memory. Now it receives 32 KB at once and stops at 32 KB, and a quarter of the connections of the budget may be tunnels, which memory_mb limits as well. Evidence: a tunnel to a side that reads nothing held 122,880 bytes before, 65,536 at most now. No run of many tunnels was made.

--- a/savorychute/gateway/daemon/tunnel_server.py
+++ b/savorychute/gateway/daemon/tunnel_server.py
@@ -12,7 +12,6 @@
 from savorychute.gateway.paths.tunnel_offer import TunnelOffer, TunnelState
 from savorychute.gateway.paths.tunnel_request import TunnelRequest
 from savorychute.http.client_pool import ServerAddress
-from savorychute.http.file_limit import connection_limit_by_files
 from savorychute.http.listener import start_accepting
 
 if TYPE_CHECKING:
@@ -27,8 +26,8 @@
 SWEEP_INTERVAL_MS = 500
 # A connection that has not completed its request by then is closed.
 HANDSHAKE_TIMEOUT_MS = 1_000
-# Share of the descriptors that tunnels may use; callers of this instance go first.
-DESCRIPTOR_SHARE = 0.25
+# Share of the connections that may be tunnels; callers of this instance go first.
+CONNECTIONS_SHARE = 0.25
 MAX_TUNNELS = 512
 # Connections of other instances that are accepted when callers have all places.
 RESERVED_PLACES = 16
@@ -66,7 +65,7 @@
         self._clock = clock
         self.budget = budget
         self._max_tunnels = min(
-            MAX_TUNNELS, int(DESCRIPTOR_SHARE * connection_limit_by_files())
+            MAX_TUNNELS, int(CONNECTIONS_SHARE * budget.max_connections)
         )
         self._connections: set[TunnelConnection] = set()
         # Verifies a signed message; set when this instance has joined the group.
--- a/savorychute/gateway/daemon/tunnel_side.py
+++ b/savorychute/gateway/daemon/tunnel_side.py
@@ -8,12 +8,18 @@
 from typing import cast
 
 # Bytes that are buffered for a side that does not read; then the other is paused.
-BUFFER_BYTES = 64 * 1024
+BUFFER_BYTES = 32 * 1024
+# Bytes that are received at once; a side may hold one part more than that.
+PART_BYTES = 32 * 1024
 # Closes a socket with a reset, and without waiting.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
-class TunnelSide(asyncio.Protocol):
+# Shared by all connections: the bytes are copied from it before the next ones arrive.
+_RECEIVED = bytearray(PART_BYTES)
+
+
+class TunnelSide(asyncio.BufferedProtocol):
     """Passes bytes on to the other side, and stops reading while that is full."""
 
     def __init__(self) -> None:
@@ -30,6 +36,14 @@
         self._transport = cast('asyncio.Transport', transport)
         self._transport.set_write_buffer_limits(high=BUFFER_BYTES)
 
+    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002
+        """Return where the next bytes are received."""
+        return memoryview(_RECEIVED)
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Process the bytes that were received."""
+        self.data_received(bytes(memoryview(_RECEIVED)[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Pass bytes on."""
         if self.other is not None:
