--- a/savorychute/gateway/daemon/tunnel_connection.py
+++ b/savorychute/gateway/daemon/tunnel_connection.py
@@ -25,8 +25,8 @@
     FRAMES_VERSION,
     encode_frame,
 )
+from savorychute.http.budget_share import BudgetShare, ConnectionState
 from savorychute.http.client_pool import ServerAddress
-from savorychute.http.connection_budget import BudgetShare, ConnectionState
 
 if TYPE_CHECKING:
     from savorychute.gateway.daemon.tunnel_server import TunnelServer
--- a/savorychute/http/request_reader.py
+++ b/savorychute/http/request_reader.py
@@ -6,14 +6,14 @@
 
 import h11
 
-from savorychute.http.connection_budget import ConnectionState
+from savorychute.http.budget_share import ConnectionState
 from savorychute.http.http_request import HttpRequest
 from savorychute.result_code import ResultCode
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from savorychute.http.connection_budget import BudgetShare
+    from savorychute.http.budget_share import BudgetShare
     from savorychute.http.http_limits import HttpLimits
 
 MAX_MESSAGE_CHARS = 200
--- a/savorychute/http/server_connection.py
+++ b/savorychute/http/server_connection.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from savorychute.http.connection_budget import BudgetShare, ConnectionState
+from savorychute.http.budget_share import BudgetShare, ConnectionState
 from savorychute.http.error_response import classify_ran, encode_error, error_headers
 from savorychute.http.http_request import encode_headers
 from savorychute.http.request_reader import RequestReader, RequestRefused
--- a/tests/test_http/test_connection_budget.py
+++ b/tests/test_http/test_connection_budget.py
@@ -6,12 +6,8 @@
 import socket
 from contextlib import AsyncExitStack, asynccontextmanager
 
-from savorychute.http.connection_budget import (
-    LARGE_SHARE,
-    MAX_PAUSE_MS,
-    MIN_BYTES_PER_MS,
-    SMALL_BODY_BYTES,
-)
+from savorychute.http.budget_share import MAX_PAUSE_MS, MIN_BYTES_PER_MS
+from savorychute.http.connection_budget import LARGE_SHARE, SMALL_BODY_BYTES
 from savorychute.http.http_limits import HttpLimits
 from savorychute.http.http_server import HttpServer, listen
 from savorychute.testing.virtual_loop import LoopClock, run_virtual
