Look past requests without a body for those that yield memory

A newcomer with a small body got 503 while bodies that hardly arrived held the memory, if an unfinished request had a larger head than they had bodies: the search was ordered by both sizes and ended at the first request without a body. Found by reading the change again. The new test failed before (503) and passes; the ten tests of the budget pass, and the crowds of unfinished bodies were run again on this commit.

--- a/savorychute/http/connection_budget.py
+++ b/savorychute/http/connection_budget.py
@@ -200,9 +200,9 @@
             excess_bytes + (1 - YIELD_TARGET_SHARE) * self._limits.buffered_bytes
         )
         for share in self._find_overdue():
-            if wanted_bytes <= 0 or not share.body_bytes:
+            if wanted_bytes <= 0:
                 break
-            if share is not needed_for:
+            if share.body_bytes and share is not needed_for:
                 wanted_bytes -= share.body_bytes
                 share.connection.refuse_unfinished(ResultCode.MEMORY_EXHAUSTED)
 
--- a/tests/test_http/test_connection_budget.py
+++ b/tests/test_http/test_connection_budget.py
@@ -140,6 +140,25 @@
     assert run(scenario) == (200, 503)
 
 
+def test_small_bodies_yield_beside_larger_heads():
+    """Guards against a large head without a body that ends the search for bodies."""
+
+    async def scenario():
+        limits = LIMITS._replace(body_bytes=10_000, buffered_bytes=100_000)
+        async with run_callers(limits) as callers:
+            for _ in range(10):
+                stalled = await callers.connect()
+                await stalled.send(make_post(10_000)[:-100])
+            without_body = await callers.connect()
+            await without_body.send(make_post(10_000, b'a: b\r\n' * 100)[:-10_000])
+            await asyncio.sleep(2 * MAX_PAUSE_MS / MS_PER_S)
+            newcomer = await callers.connect()
+            await newcomer.send(make_post(10_000))
+            return await newcomer.read_status()
+
+    assert run(scenario) == 200
+
+
 def test_request_that_arrives_steadily_does_not_yield():
     """Guards against a slow but steady upload that is refused for a newcomer's sake."""
 
