Count encrypted connections from the moment they are accepted

Callers saw: an instance of `savorychute serve` with TLS that accepts nobody any more. A crowd that connects and never ends its handshake takes all descriptors of the process, for 10 s each time.

Cause: the event loop's own TLS servers report a connection when its handshake has ended, so that the budget of connections did not know of the others. Memory grows with them: each has buffers of its own.

Why this works: the connection takes its place when it is accepted, in the state of one that has sent nothing, and yields it to newcomers like these. The handshake goes on from there. One beyond the limit is still told so by a 503 once it is encrypted, unless it has to yield before.

The process under test of all crowds has a module of its own now; crowds and bounds are unchanged.

--- a/savorychute/http/http_server.py
+++ b/savorychute/http/http_server.py
@@ -9,6 +9,7 @@
 from savorychute.http.connection_budget import ConnectionBudget
 from savorychute.http.listener import start_accepting
 from savorychute.http.server_connection import ServerConnection
+from savorychute.http.tls_handshake import TlsHandshake
 
 if TYPE_CHECKING:
     import socket
@@ -145,14 +146,15 @@
     :param listener: a socket that is already listening; by default one is opened.
     """
     loop = asyncio.get_running_loop()
-    handshake_s = server.limits.header_timeout_ms / MS_PER_S if tls else None
 
-    def accept() -> ServerConnection:
-        return ServerConnection(server)
+    def accept() -> asyncio.BaseProtocol:
+        connection = ServerConnection(server)
+        if tls is None:
+            return connection
+        timeout_s = server.limits.header_timeout_ms / MS_PER_S
+        return TlsHandshake(connection, tls, timeout_s)
 
-    asyncio_server = await start_accepting(
-        accept, host, port, listener, tls=tls, handshake_s=handshake_s
-    )
+    asyncio_server = await start_accepting(accept, host, port, listener)
     server.listener = asyncio_server
     server.port = asyncio_server.sockets[0].getsockname()[1]
     sweeper = loop.create_task(_sweep_forever(server))
--- a/savorychute/http/listener.py
+++ b/savorychute/http/listener.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    import ssl
     from collections.abc import Callable
 
 # Connections that wait in the kernel until they are accepted.
@@ -22,9 +21,6 @@
     host: str,
     port: int,
     listener: socket.socket | None = None,
-    *,
-    tls: ssl.SSLContext | None = None,
-    handshake_s: float | None = None,
 ) -> asyncio.Server:
     """Accept connections, a few at once.
 
@@ -32,8 +28,6 @@
     :param host: the IP address to listen on.
     :param port: the port, or 0 to let the system choose one.
     :param listener: a socket that is listening already; by default one is opened.
-    :param tls: the context of encrypted connections, or None for plain ones.
-    :param handshake_s: time limit for the handshake of encrypted connections.
     :raises OSError: if the port is in use.
     """
     if listener is None:
@@ -41,11 +35,7 @@
     loop = asyncio.get_running_loop()
     # The event loop accepts at once as many as its backlog says.
     server = await loop.create_server(
-        make_protocol,
-        sock=listener,
-        backlog=ACCEPTS_AT_ONCE,
-        ssl=tls,
-        ssl_handshake_timeout=handshake_s,
+        make_protocol, sock=listener, backlog=ACCEPTS_AT_ONCE
     )
     listener.listen(BACKLOG_CONNECTIONS)
     return server
--- a/savorychute/http/server_connection.py
+++ b/savorychute/http/server_connection.py
@@ -64,6 +64,8 @@
         self._reader = RequestReader(
             self.share, lambda: server.limits, self._handle_head
         )
+        # Whether there was room for the connection, once it has been counted.
+        self._has_place: bool | None = None
         self.pipelined_bytes = 0
         self._unwritten = b''
         self._lingering = False
@@ -98,14 +100,27 @@
         """The current limits, which may change while the connection is open."""
         return self._server.limits
 
+    # -- called while the connection is accepted
+
+    def take_place(self, transport: asyncio.Transport) -> None:
+        """Count the connection, which may not be ready for requests yet.
+
+        :param transport: its transport so far.
+        """
+        self._transport = transport
+        self._set_deadline(self._limits.header_timeout_ms)
+        self._has_place = self._server.add(self)
+
     # -- the transport's callbacks
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Accept the connection, or refuse it if there are too many."""
         self._transport = cast('asyncio.Transport', transport)
+        if self._has_place is None:
+            self.take_place(self._transport)
         self._limit_buffers()
         self._set_deadline(self._limits.idle_timeout_ms)
-        if not self._server.add(self):
+        if not self._has_place:
             self._refuse(ResultCode.CONNECTIONS_EXHAUSTED, 'try another instance')
 
     def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002
--- a/tests/test_crowds/conftest.py
+++ b/tests/test_crowds/conftest.py
@@ -6,8 +6,9 @@
 from contextlib import asynccontextmanager, suppress
 
 import pytest
-from crowd_callers import ask_ordinary
-from crowd_site import FILES, MEMORY_MB, SPARE_FILES, run_site
+from crowd_instance import run_instance
+from crowd_process import FILES, SPARE_FILES
+from crowd_site import run_site
 
 
 class Crowd:
@@ -45,26 +46,36 @@
 
 @pytest.fixture
 def play(tmp_path):
-    """Return a function that plays a crowd, and checks the process during and after."""
+    """Return a function that plays a crowd, and checks a gateway during and after."""
 
     def run(crowd_of, *, leaves=True):
-        asyncio.run(check(tmp_path, crowd_of, leaves))
+        asyncio.run(check(run_site(tmp_path), crowd_of, leaves))
 
     return run
 
 
-async def check(folder, crowd_of, leaves):
-    async with run_site(folder) as site, run_crowd(site) as crowd:
-        assert await ask_ordinary(site.caller_port) == 200
+@pytest.fixture
+def play_instance(tmp_path):
+    """Return a function that does the same with an assembled instance."""
+
+    def run(crowd_of, *, encrypted=False):
+        asyncio.run(check(run_instance(tmp_path, encrypted), crowd_of, leaves=False))
+
+    return run
+
+
+async def check(opened_site, crowd_of, leaves):
+    async with opened_site as site, run_crowd(site) as crowd:
+        assert await site.ask_ordinary() == 200
         await crowd_of(site, crowd)
-        beside = await ask_ordinary(site.caller_port)
+        beside = await site.ask_ordinary()
         if leaves:
             await crowd.leave()
-        after = await ask_ordinary(site.caller_port)
+        after = await site.ask_ordinary()
         assert site.is_alive
         peak_mb, files = site.read_peak_mb(), site.most_files
         print(f'peak {peak_mb:.0f} MB, {files} descriptors, {beside}, {after}')
-        assert peak_mb <= MEMORY_MB
+        assert peak_mb <= site.memory_mb
         assert files <= FILES - SPARE_FILES
         assert (beside, after) == (200, 200)
 
--- a/tests/test_crowds/crowd_callers.py
+++ b/tests/test_crowds/crowd_callers.py
@@ -6,8 +6,10 @@
 import itertools
 from contextlib import suppress
 
-from crowd_site import HOST, KEY, LOOPBACK
+from crowd_endpoint import LOOPBACK
 
+HOST = 'desk.example'
+KEY = 'kochi-key'
 PART_BYTES = 64 * 1024
 RETRY_S = 0.2
 # A caller that is refused at once tries again; one that waits for ever fails its test.
@@ -44,17 +46,19 @@
     """One connection of a crowd.
 
     :param port: where to connect.
+    :param tls: the context of an encrypted connection.
     """
 
-    def __init__(self, port):
+    def __init__(self, port, tls=None):
         self._port = port
+        self._tls = tls
         self.reader = None
         self.writer = None
 
     async def connect(self):
         # A small buffer, so that answers that are not read stay with the process.
         self.reader, self.writer = await asyncio.open_connection(
-            LOOPBACK, self._port, limit=1024
+            LOOPBACK, self._port, limit=1024, ssl=self._tls
         )
 
     async def send(self, data):
@@ -81,13 +85,14 @@
             self.writer.transport.abort()
 
 
-async def send_and_stay(port, data, *, returns=False):
+async def send_and_stay(port, data, *, returns=False, tls=None):
     """Send bytes and keep the connection open, unread, until the task is cancelled.
 
     :param returns: whether to connect and send again whenever the connection ends.
+    :param tls: the context of an encrypted connection.
     """
     while True:
-        caller = CrowdCaller(port)
+        caller = CrowdCaller(port, tls)
         try:
             await caller.connect()
             with suppress(OSError):
@@ -103,9 +108,9 @@
         await asyncio.sleep(RETRY_S)
 
 
-async def ask_in_turn(port, request, times):
+async def ask_in_turn(port, request, times, tls=None):
     """Send whole requests one after the other, and read each answer."""
-    caller = CrowdCaller(port)
+    caller = CrowdCaller(port, tls)
     try:
         for _ in range(times):
             try:
@@ -116,26 +121,27 @@
                     await caller.read_answer()
             except (OSError, TimeoutError, asyncio.IncompleteReadError):
                 caller.leave()
-                caller = CrowdCaller(port)
+                caller = CrowdCaller(port, tls)
     finally:
         caller.leave()
 
 
-async def ask_ordinary(port, size_bytes=2_000):
+async def ask_ordinary(port, size_bytes=2_000, tls=None, **fields):
     """Ask as an ordinary caller, again after each refusal; return the last status."""
     status = None
     with suppress(TimeoutError):
         async with asyncio.timeout(ORDINARY_S):
             while status != 200:
-                status = await ask_once(port, encode_request(size_bytes))
+                request = encode_request(size_bytes, **fields)
+                status = await ask_once(port, request, tls)
                 if status != 200:
                     await asyncio.sleep(RETRY_S)
     return status
 
 
-async def ask_once(port, request):
+async def ask_once(port, request, tls=None):
     """Return the status of an answer, or the name of what came instead."""
-    caller = CrowdCaller(port)
+    caller = CrowdCaller(port, tls)
     try:
         async with asyncio.timeout(ANSWER_S):
             await caller.connect()
--- a/tests/test_crowds/crowd_site.py
+++ b/tests/test_crowds/crowd_site.py
@@ -4,32 +4,26 @@
 
 import asyncio
 import json
-import os
-import re
-import resource
-import signal
-import sys
 from contextlib import asynccontextmanager
-from pathlib import Path
 
-from crowd_endpoint import LOOPBACK, CrowdEndpoint
+from crowd_callers import HOST, KEY, LOOPBACK, ask_ordinary
+from crowd_endpoint import CrowdEndpoint
+from crowd_process import (
+    BODY_BYTES,
+    HEADER_BYTES,
+    POLL_S,
+    ROOT,
+    CrowdProcess,
+    start_process,
+    watch,
+)
 from store_stand_in import run_store
 
 from savorychute.testing.ports import free_ports
 
-ROOT = Path(__file__).parents[2]
-HOST = 'desk.example'
-KEY = 'kochi-key'
 MEMORY_MB = 100
-FILES = 400
-# Descriptors that must stay free for endpoints, the store and peers.
-SPARE_FILES = 40
-BODY_BYTES = 1_048_576
-HEADER_BYTES = 16_384
-POLL_S = 0.05
 READY_S = 30
 ENDPOINTS = 3
-KB_PER_MB = 1024
 
 
 def make_configuration(version=1, **limits):
@@ -61,8 +55,8 @@
     return json.dumps(document).encode()
 
 
-class CrowdSite:
-    """The process under test and what it is expected to keep within.
+class CrowdSite(CrowdProcess):
+    """A gateway.
 
     :param process: the gateway.
     :param ports: its ports for callers, readiness, discovery, metrics, peers and tunnels.
@@ -70,9 +64,9 @@
     """
 
     def __init__(self, process, ports, store):
-        self.process = process
+        super().__init__(process, ports[0], MEMORY_MB)
         (
-            self.caller_port,
+            _,
             self.readiness_port,
             self.discovery_port,
             self.metrics_port,
@@ -80,23 +74,10 @@
             self.tunnel_port,
         ) = ports
         self.store = store
-        self.most_files = 0
-
-    @property
-    def is_alive(self):
-        return self.process.returncode is None
-
-    def read_peak_mb(self):
-        """Return the largest resident memory that the process has had."""
-        status = Path(f'/proc/{self.process.pid}/status').read_text('ascii')
-        return int(re.search(r'VmHWM:\s+(\d+) kB', status)[1]) / KB_PER_MB
-
-    async def watch_files(self):
-        """Note how many descriptors are open until the task is cancelled."""
-        folder = f'/proc/{self.process.pid}/fd'
-        while self.is_alive:
-            self.most_files = max(self.most_files, len(os.listdir(folder)))
-            await asyncio.sleep(POLL_S)
+
+    async def ask_ordinary(self):
+        """Ask as an ordinary caller; return the last status."""
+        return await ask_ordinary(self.caller_port)
 
     def write_configuration(self, version, **limits):
         self.store.put('keyed.op', 'config', make_configuration(version, **limits))
@@ -124,23 +105,9 @@
 
 
 async def start_gateway(folder, settings):
-    """Start the process with a low limit on descriptors."""
     path = folder / 'gateway.jsonc'
     path.write_text(json.dumps(settings))
-    with (folder / 'gateway.log').open('ab') as log:
-        return await asyncio.create_subprocess_exec(
-            'sh',
-            '-c',
-            f'ulimit -n {FILES}; exec "$@"',
-            'sh',
-            sys.executable,
-            '-m',
-            'savorychute.gateway',
-            str(path),
-            stdout=log,
-            stderr=log,
-            cwd=ROOT,
-        )
+    return await start_process(folder, 'savorychute.gateway', str(path))
 
 
 async def wait_until_ready(site):
@@ -163,8 +130,6 @@
 @asynccontextmanager
 async def run_site(folder):
     """Run a store, endpoints and the gateway until the block ends."""
-    _, most_files = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (most_files, most_files))
     endpoints = [CrowdEndpoint(f'd{number}') for number in range(ENDPOINTS)]
     for endpoint in endpoints:
         await endpoint.start()
@@ -174,16 +139,12 @@
         ports = free_ports(6)
         process = await start_gateway(folder, make_settings(ports, store.port))
         site = CrowdSite(process, ports, store)
-        watch = asyncio.create_task(site.watch_files())
         try:
-            await wait_until_ready(site)
-            yield site
+            async with watch(site):
+                await wait_until_ready(site)
+                yield site
         finally:
-            watch.cancel()
             heartbeat.cancel()
-            if process.returncode is None:
-                process.send_signal(signal.SIGKILL)
-            await process.wait()
             for endpoint in endpoints:
                 endpoint.stop()
 
--- a/tests/test_crowds/test_crowds_of_bodies.py
+++ b/tests/test_crowds/test_crowds_of_bodies.py
@@ -14,7 +14,7 @@
     encode_request,
     send_and_stay,
 )
-from crowd_site import BODY_BYTES
+from crowd_process import BODY_BYTES
 
 CHUNKED = {'transfer_encoding': 'chunked'}
 
--- a/tests/test_crowds/test_crowds_of_connections.py
+++ b/tests/test_crowds/test_crowds_of_connections.py
@@ -14,7 +14,7 @@
     encode_request,
     send_and_stay,
 )
-from crowd_site import BODY_BYTES, FILES
+from crowd_process import BODY_BYTES, FILES
 
 PORTS = ('readiness_port', 'discovery_port', 'metrics_port', 'peer_port', 'tunnel_port')
 STOP_S = 30
--- a/tests/test_crowds/test_crowds_that_send_ahead.py
+++ b/tests/test_crowds/test_crowds_that_send_ahead.py
@@ -5,8 +5,8 @@
 from functools import partial
 
 import pytest
-from crowd_callers import encode_head, encode_request, send_and_stay
-from crowd_site import BODY_BYTES, KEY
+from crowd_callers import KEY, encode_head, encode_request, send_and_stay
+from crowd_process import BODY_BYTES
 
 
 def test_large_requests_sent_ahead_stay_within_the_memory(play):
--- a/tests/test_daemon/test_tls.py
+++ b/tests/test_daemon/test_tls.py
@@ -8,13 +8,16 @@
 
 import asyncio
 import shutil
+import socket
 import ssl
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
 from daemon_fakes import call, run_forwarding, wait_until
 
 from savorychute.daemon.tls import TlsKeys, reload_periodically
+from savorychute.http.budget_share import ConnectionState
 from savorychute.http.http_limits import HttpLimits
 
 CERTIFICATES = Path(__file__).parent / 'certificates'
@@ -162,3 +165,110 @@
     response = asyncio.run(main())
 
     assert (response.status, response.headers['x-result-code']) == (413, '1010')
+
+
+def test_handshake_without_its_end_is_aborted_in_time(tmp_path):
+    """Guards against connections that stay for ever before they are encrypted."""
+    install(tmp_path, 'first')
+
+    async def main():
+        limits = HttpLimits(header_timeout_ms=100)
+        async with (
+            run_forwarding(http=limits, **tls_files(tmp_path)) as (host, _),
+            call(host.address.caller_port) as caller,
+        ):
+            caller.writer.write(b'\x16\x03\x01')
+            await wait_until(lambda: host.server.open_connections == 1)
+            async with asyncio.timeout(10):
+                with suppress(ConnectionError):
+                    await caller.reader.read()
+            await wait_until(lambda: host.server.open_connections == 0)
+            return host.server.budget.connections
+
+    assert asyncio.run(main()) == 0
+
+
+def test_unfinished_handshake_yields_its_place(tmp_path):
+    """Guards against callers that take all places before they are encrypted."""
+    install(tmp_path, 'first')
+
+    async def main():
+        limits = HttpLimits(connections=1)
+        async with (
+            run_forwarding(http=limits, **tls_files(tmp_path)) as (host, _),
+            call(host.address.caller_port) as silent,
+        ):
+            await wait_until(lambda: host.server.open_connections == 1)
+            async with call(host.address.caller_port, ssl=trust_both()) as caller:
+                status = await request_health(caller)
+                return status, await silent.reader.read()
+
+    assert asyncio.run(main()) == (200, b'')
+
+
+def test_connection_beyond_the_limit_is_refused_over_tls(tmp_path):
+    """Guards against a reset in place of a refusal when all places are in use."""
+    install(tmp_path, 'first')
+
+    async def main():
+        limits = HttpLimits(connections=1)
+        async with (
+            run_forwarding(http=limits, **tls_files(tmp_path)) as (host, _),
+            call(host.address.caller_port, ssl=trust_both()) as first,
+        ):
+            first.writer.write(b'GET /healthz HTTP/1.1\r\nhost: x\r\n')
+            await first.writer.drain()
+            await wait_until(lambda: host.server.connections and not has_silent(host))
+            async with call(host.address.caller_port, ssl=trust_both()) as second:
+                return (await second.read_response()).status
+
+    assert asyncio.run(main()) == 503
+
+
+def test_request_that_follows_the_handshake_at_once_is_answered(tmp_path):
+    """Guards against bytes that arrive before the connection knows of its handshake."""
+    install(tmp_path, 'first')
+
+    async def main():
+        async with (
+            run_forwarding(**tls_files(tmp_path)) as (host, _),
+            call(host.address.caller_port) as caller,
+        ):
+            return await asyncio.to_thread(
+                ask_at_once, caller.writer.get_extra_info('peername')
+            )
+
+    assert asyncio.run(main()).startswith(b'HTTP/1.1 200 ')
+
+
+def ask_at_once(address):
+    """Send the end of the handshake and a request in one segment."""
+    incoming, outgoing = ssl.MemoryBIO(), ssl.MemoryBIO()
+    tls = trust_both().wrap_bio(incoming, outgoing, server_hostname='first.example')
+    with socket.create_connection(address, timeout=10) as connection:
+        while True:
+            try:
+                tls.do_handshake()
+                break
+            except ssl.SSLWantReadError:
+                connection.sendall(outgoing.read())
+                incoming.write(connection.recv(65_536))
+        tls.write(b'GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n')
+        connection.sendall(outgoing.read())
+        while True:
+            try:
+                return tls.read(65_536)
+            except ssl.SSLWantReadError:
+                incoming.write(connection.recv(65_536))
+
+
+def tls_files(directory):
+    return {
+        'tls_certificate_file': str(directory / 'chain.pem'),
+        'tls_key_file': str(directory / 'key.pem'),
+    }
+
+
+def has_silent(host):
+    shares = (each.share for each in host.server.connections)
+    return any(share.state is ConnectionState.SILENT for share in shares)
