Free the place of an unused encrypted connection at once

Callers saw: as in the fault of unfinished handshakes, an instance with TLS whose descriptors and memory run out, here by connections that are encrypted and then send nothing.

Cause: an unused connection is closed in favour of a newcomer and no longer counted. An encrypted one stays open for up to 30 s more, until its caller has agreed to the end, which such a caller never does.

Why this works: such a connection is aborted. Nothing of it is in use: the bytes that its caller has not read yet now include those that are encrypted and wait beneath, so that none which holds a part of a response counts as unused. A caller whose idle connection ended so opens a new one, as it does without encryption.

The case with encryption of test_silent_connections_to_an_instance failed before.

--- a/savorychute/http/server_connection.py
+++ b/savorychute/http/server_connection.py
@@ -59,6 +59,8 @@
     def __init__(self, server: HttpServer) -> None:
         self._server = server
         self._transport: asyncio.Transport
+        # Beneath the transport of an encrypted connection.
+        self._plain: asyncio.Transport | None = None
         self._exchange: ServerExchange | None = None
         self.share = BudgetShare(server.budget, self)
         self._reader = RequestReader(
@@ -115,9 +117,11 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Accept the connection, or refuse it if there are too many."""
-        self._transport = cast('asyncio.Transport', transport)
         if self._has_place is None:
-            self.take_place(self._transport)
+            self.take_place(cast('asyncio.Transport', transport))
+        else:
+            self._plain = self._transport
+            self._transport = cast('asyncio.Transport', transport)
         self._limit_buffers()
         self._set_deadline(self._limits.idle_timeout_ms)
         if not self._has_place:
@@ -246,7 +250,10 @@
     @property
     def unread_bytes(self) -> int:
         """Size of the response data that the caller has not read yet."""
-        return self._transport.get_write_buffer_size()
+        size_bytes = self._transport.get_write_buffer_size()
+        if self._plain is not None:
+            size_bytes += self._plain.get_write_buffer_size()
+        return size_bytes
 
     def is_reading(self, now_ms: int, stalled_ms: int) -> bool:
         """Return whether the caller reads a response that it does not have whole.
@@ -320,8 +327,11 @@
     # -- called by the budget
 
     def close_unused(self) -> None:
-        """Close the connection, which another one needs more."""
-        if self._lingering:
+        """Close the connection, which another one needs more.
+
+        One that is encrypted would first wait until its caller has agreed to the end.
+        """
+        if self._lingering or self._plain is not None:
             self._transport.abort()
         else:
             self._transport.close()
--- a/tests/test_crowds/test_crowds_of_instances.py
+++ b/tests/test_crowds/test_crowds_of_instances.py
@@ -32,14 +32,15 @@
     play_instance(crowd_of, encrypted=True)
 
 
-def test_silent_connections_to_an_instance_keep_nobody_out(play_instance):
+@pytest.mark.parametrize('encrypted', [False, True])
+def test_silent_connections_to_an_instance_keep_nobody_out(play_instance, encrypted):
     """Guards against connections that send nothing and take all places."""
 
     async def crowd_of(site, crowd):
-        crowd.add(FILES, partial(send_and_stay, site.caller_port, b''))
+        crowd.add(FILES, partial(send_and_stay, site.caller_port, b'', tls=site.tls))
         await crowd.stay(5)
 
-    play_instance(crowd_of)
+    play_instance(crowd_of, encrypted=encrypted)
 
 
 @pytest.mark.parametrize('encrypted', [False, True])
