Let strangers yield their places on the port of peers

Instances saw: while somebody holds 64 connections to an instance's peer port and sends nothing, no other instance can send it a message that is too large for a datagram, such as a configuration, for 30 s, and again for as long as the crowd returns.

Cause: a connection beyond the limit was closed, whoever held the others.

Evidence: the test, with 69 strangers who send three bytes each.

Why this works: a connection counts as a stranger's until a frame on it was authentic. A newcomer displaces the oldest stranger, and is closed only if authentic senders have all places. The limits on connections, on the size of a frame and on unfinished frames are unchanged.

--- a/savorychute/daemon/frame_protocol.py
+++ b/savorychute/daemon/frame_protocol.py
@@ -22,33 +22,36 @@
 
     The sender is unknown until a frame is complete.  So the number of connections
     and the size of a frame are limited, and the connection is closed if a frame
-    does not arrive in time.
+    does not arrive in time.  One that has sent no authentic frame yields its place.
 
-    :param on_frame: called with each complete frame.
-    :param connections: all open connections.
+    :param on_frame: called with each complete frame; returns whether it is authentic.
+    :param connections: all open connections, the oldest first.
     """
 
     def __init__(
-        self, on_frame: Callable[[bytes], None], connections: set[FrameProtocol]
+        self,
+        on_frame: Callable[[bytes], bool],
+        connections: dict[FrameProtocol, None],
     ) -> None:
         self._on_frame = on_frame
         self._connections = connections
+        self._is_authentic = False
         self._buffer = bytearray()
         self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Accept the connection, unless there are too many."""
+        """Accept the connection, unless authentic senders have all places."""
         self._transport = cast('asyncio.Transport', transport)
-        if len(self._connections) >= MAX_RECEIVERS:
+        if len(self._connections) >= MAX_RECEIVERS and not self._close_stranger():
             self._transport.abort()
             return
-        self._connections.add(self)
+        self._connections[self] = None
         self._restart_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
         """Remove the connection."""
-        self._connections.discard(self)
+        self._connections.pop(self, None)
         if self._timer is not None:
             self._timer.cancel()
 
@@ -67,7 +70,16 @@
             frame = bytes(self._buffer[LENGTH_BYTES:end])
             del self._buffer[:end]
             self._restart_timer()
-            self._on_frame(frame)
+            self._is_authentic |= self._on_frame(frame)
+
+    def _close_stranger(self) -> bool:
+        """Close the oldest connection without an authentic frame, if there is one."""
+        for connection in self._connections:
+            if not connection._is_authentic:
+                del self._connections[connection]
+                connection.close()
+                return True
+        return False
 
     def _limit_unfinished(self) -> None:
         """Close the connections that hold the most, above the total limit."""
--- a/savorychute/daemon/peer_link.py
+++ b/savorychute/daemon/peer_link.py
@@ -48,7 +48,7 @@
         self._datagrams: asyncio.DatagramTransport | None = None
         self._datagrams_paused = False
         self._senders: dict[tuple[str, int], FrameSender] = {}
-        self._receivers: set[FrameProtocol] = set()
+        self._receivers: dict[FrameProtocol, None] = {}
 
     @property
     def open_receivers(self) -> int:
@@ -91,8 +91,8 @@
         """Resume sending datagrams."""
         self._datagrams_paused = False
 
-    def handle_frame(self, frame: bytes) -> None:
-        """Deliver a frame if it is authentic and new.
+    def handle_frame(self, frame: bytes) -> bool:
+        """Deliver a frame if it is authentic and new; return whether it is.
 
         :param frame: untrusted bytes from the network.
         """
@@ -100,9 +100,10 @@
             decoded = self._codec.decode(frame)
         except (MessageError, SignatureError):
             self.rejected += 1
-            return
+            return False
         if self.on_input is not None:
             self.on_input(PeerReceived(decoded.sender, decoded.message))
+        return True
 
     def close(self) -> None:
         """Close all connections."""
--- a/tests/test_daemon/test_peer_link.py
+++ b/tests/test_daemon/test_peer_link.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import socket
-from contextlib import suppress
+from contextlib import asynccontextmanager, suppress
 
 from daemon_fakes import KEYS, wait_until
 
@@ -162,3 +162,38 @@
 
     (received,) = run_link(act)
     assert received.message == large
+
+
+def test_strangers_that_send_nothing_do_not_keep_peers_out():
+    """Guards against strangers that have all places until their time is over."""
+    large = make_ping(500)
+
+    async def act(sending_link, receiving_link, inputs):
+        send(sending_link, receiving_link, large)
+        await wait_until(lambda: len(inputs) == 1)
+        strangers = []
+        for _ in range(MAX_RECEIVERS + 5):
+            _, writer = await asyncio.open_connection('127.0.0.1', receiving_link.port)
+            writer.write(b'\0\0\1')
+            strangers.append(writer)
+        await wait_until(lambda: receiving_link.open_receivers == MAX_RECEIVERS)
+        async with run_newcomer(receiving_link, large):
+            await wait_until(lambda: len(inputs) == 2)
+        # The connection of the first one was kept.
+        send(sending_link, receiving_link, large)
+        await wait_until(lambda: len(inputs) == 3)
+        for writer in strangers:
+            writer.transport.abort()
+
+    received = run_link(act)
+
+    assert [each.sender for each in received] == ['i1', 'i3', 'i1']
+
+
+@asynccontextmanager
+async def run_newcomer(receiving_link, message):
+    """Send a message from an instance that has no connection yet."""
+    codec = PeerCodec('i3', 1, KEYS)
+    async with open_peer_link(codec, '127.0.0.1', 0) as link:
+        send(link, receiving_link, message)
+        yield
