Test that the largest body follows the configuration

The budget's max_body_bytes, which a configuration changes while the process runs, had no test of its own. The code is unchanged; the test passes with it, and fails with max_body_bytes left at its first value.

--- a/tests/test_http/test_connection_budget.py
+++ b/tests/test_http/test_connection_budget.py
@@ -213,6 +213,21 @@
     assert run(scenario) == 200
 
 
+def test_one_body_of_a_size_that_was_permitted_later_is_accepted():
+    """Guards against a share of the memory that does not follow the configuration."""
+
+    async def scenario():
+        limits = HttpLimits(body_bytes=SMALL_BODY_BYTES, buffered_bytes=LARGE_BYTES)
+        async with run_callers(limits) as callers:
+            callers.server.limits = limits._replace(body_bytes=LARGE_BYTES)
+            callers.server.budget.max_body_bytes = LARGE_BYTES
+            caller = await callers.connect()
+            await caller.send(make_post(LARGE_BYTES))
+            return await caller.read_status()
+
+    assert run(scenario) == 200
+
+
 def test_next_request_waits_until_the_last_response_was_read():
     """Guards against responses that pile up for a caller that sends ahead."""
 
