Keep routes closed when a configuration lists no organisation

Callers saw: after a configuration whose list of organisations is empty, every route that is not public served everybody, with keys that had been taken away and with keys that no configuration ever held. Nothing told the operator.

Cause: the list had an empty default in the document, so that an absent list and an empty one became the same empty tuple, and an empty tuple meant that no key is needed. An organisation with an empty key also owned every request without one.

Why this works: an absent list is None from the decoder to the table of routes, and keys are needed unless it is None. A list that is null is rejected as before. configuration-applied logs how many organisations a version lists.

--- a/savorychute/gateway/configuration/deployment.py
+++ b/savorychute/gateway/configuration/deployment.py
@@ -12,10 +12,14 @@
 
 
 class Deployment(NamedTuple):
-    """One version of routes, services, organisations and limits."""
+    """One version of routes, services, organisations and limits.
+
+    ``organisations`` is None if the document has no list of them: then no request needs
+    a key.  If the list is empty, nobody has one.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
-    organisations: tuple[Organisation, ...]
+    organisations: tuple[Organisation, ...] | None
     limits: CallerLimits
--- a/savorychute/gateway/configuration/route_table.py
+++ b/savorychute/gateway/configuration/route_table.py
@@ -31,14 +31,16 @@
         }
         self._owners: dict[str, Organisation] = {
             key: organisation
-            for organisation in deployment.organisations
+            for organisation in deployment.organisations or ()
             for key in organisation.keys
+            # A request without a key has an empty one.
+            if key
         }
 
     @property
     def needs_keys(self) -> bool:
         """Whether requests on routes that are not public need a key."""
-        return bool(self.deployment.organisations)
+        return self.deployment.organisations is not None
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path, or None.
--- a/savorychute/gateway/telemetry.py
+++ b/savorychute/gateway/telemetry.py
@@ -151,6 +151,7 @@
             version=deployment.version,
             offset=offset,
             count=len(deployment.routes),
+            organisations=_count_organisations(deployment),
         )
 
     def endpoint_changed(self, entry: EndpointEntry) -> None:
@@ -472,6 +473,11 @@
             self.log.write(level, event, request_id, **fields)
 
 
+def _count_organisations(deployment: Deployment) -> int | None:
+    organisations = deployment.organisations
+    return None if organisations is None else len(organisations)
+
+
 def _make_version_identifier(software_version: str | None) -> str | None:
     """Return a software version for a log line; None for an unknown one."""
     return None if software_version is None else make_identifier(software_version)
--- a/savorychute/log_fields.py
+++ b/savorychute/log_fields.py
@@ -61,6 +61,7 @@
     'offset': "an offset in the platform's log",
     'operator': "an operator's name",
     'organisation': 'an organisation',
+    'organisations': 'how many organisations are listed, null if none needs a key',
     'other_end_ms': 'when an answer would end at another engine, from now',
     'overhead_ms': 'from a send to the first event, without reading the prompt',
     'parts': 'the parts of a prompt that other requests may share, by their ids',
--- a/tests/test_fleet/test_dialects.py
+++ b/tests/test_fleet/test_dialects.py
@@ -408,6 +408,24 @@
     assert deployment.limits == (16_384, 4_194_304, 3_000, 15_000)
 
 
+def test_absent_list_of_organisations_is_not_an_empty_one():
+    """Guards against routes that are open because nobody is left who may use them."""
+    empty = msgspec.json.encode(CONFIGURATION | {'tenants': []})
+    fields = {name: CONFIGURATION[name] for name in CONFIGURATION if name != 'tenants'}
+    absent = msgspec.json.encode(fields)
+
+    assert decode_configuration('config', empty).organisations == ()
+    assert decode_configuration('config', absent).organisations is None
+
+
+def test_list_of_organisations_that_is_null_is_rejected():
+    """Guards against a configuration of which it is open whether keys are needed."""
+    value = msgspec.json.encode(CONFIGURATION | {'tenants': None})
+
+    with pytest.raises(TranslationError):
+        decode_configuration('config', value)
+
+
 def test_properties_of_engines_are_decoded():
     """Guards against streams that are never moved, as moves seem not to be offered."""
     engine = {'stride': 5, 'kvTokens': 600_000, 'kvBytes': 327_680, 'linkMbps': 1e6}
--- a/tests/test_fleet/test_whole_path.py
+++ b/tests/test_fleet/test_whole_path.py
@@ -77,6 +77,18 @@
     run(scenario, gateways=3)
 
 
+def test_empty_list_of_organisations_opens_no_route():
+    """Guards against a configuration that takes the last keys away and lets all in."""
+
+    async def scenario(fleet):
+        fleet.write_configuration(2, tenants=[])
+        for number in range(3):
+            await fleet.call_until_status(401, gateway=number)
+            assert (await fleet.call(gateway=number, key='nobody')).status == 401
+
+    run(scenario, gateways=3)
+
+
 def test_leaving_endpoint_receives_no_new_requests():
     async def scenario(fleet):
         fleet.write_entries(state='draining', sequence=2)
--- a/tests/test_gateway/test_configuration_state.py
+++ b/tests/test_gateway/test_configuration_state.py
@@ -5,6 +5,7 @@
 import pytest
 from gateway_fakes import START_MS, make_deployment, make_gateway, make_route
 
+from savorychute.gateway.configuration.organisation import Organisation
 from savorychute.gateway.configuration.request_kind import RequestKind
 from savorychute.gateway.configuration.route_table import RouteTable
 from savorychute.result_code import ResultCode
@@ -85,3 +86,18 @@
     configuration.confirm(START_MS + 50)
 
     assert configuration.age_ms(START_MS + 150) == 50
+
+
+def test_empty_key_belongs_to_nobody():
+    """Guards against callers without a key who count as an organisation with an empty one."""
+    table = RouteTable(make_deployment(organisations=(Organisation('kochi', ('',)),)))
+
+    assert table.needs_keys
+    assert table.find_owner('') is None
+
+
+@pytest.mark.parametrize(('organisations', 'needs_keys'), [(None, False), ((), True)])
+def test_keys_are_needed_unless_there_is_no_list(organisations, needs_keys):
+    deployment = make_deployment()._replace(organisations=organisations)
+
+    assert RouteTable(deployment).needs_keys is needs_keys
