Let no connection yield its place whose caller still reads a response

Callers saw: one that sends Connection: close, or whose instance is leaving, loses the rest of a response that it reads, as soon as others need its place. In the test 28,672 of 400,000 bytes arrived.

Cause: a fault of the budget of connections. After its last response a connection lingers, like one that was refused, and lingering ones yielded first, whatever their callers had left to read. Only idle ones were looked at.

Why this works: no connection with unread data counts as unused, in any state. Callers that read nothing are ended by the limits on time and memory as before.

The test failed before.

--- a/savorychute/http/connection_budget.py
+++ b/savorychute/http/connection_budget.py
@@ -32,7 +32,7 @@
 SEARCH_INTERVAL_MS = 50
 # Places that are freed at once.
 FREED_PLACES = 16
-# Idle connections that are considered as the one that yields.
+# Connections of a state that are considered as the one that yields.
 MAX_CONSIDERED = 8
 # Share of the limit on unread data up to which there is room for more.
 ROOM_SHARE = 0.25
@@ -128,7 +128,8 @@
             for share in list(_first(members, MAX_CONSIDERED)):
                 if share is newcomer:
                     continue
-                if state is ConnectionState.IDLE and share.connection.unread_bytes:
+                if share.connection.unread_bytes:
+                    # Its caller may still read the response.
                     members.move_to_end(share)
                     continue
                 del members[share]
--- a/tests/test_http/test_slow_readers.py
+++ b/tests/test_http/test_slow_readers.py
@@ -17,6 +17,7 @@
 from savorychute.testing.virtual_loop import LoopClock, run_virtual
 
 GET = b'GET / HTTP/1.1\r\nhost: x\r\n\r\n'
+GET_AND_CLOSE = b'GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n'
 BODY_BYTES = 400_000
 SMALL_BUFFER = 8_192
 TEST_S = 600
@@ -37,22 +38,22 @@
         yield server, ended
 
 
-async def connect(port):
+async def connect(port, request=GET):
     """Return a socket with a small receive buffer on which a request was sent."""
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
     sock.setblocking(False)
     loop = asyncio.get_running_loop()
     await loop.sock_connect(sock, ('127.0.0.1', port))
-    await loop.sock_sendall(sock, GET)
+    await loop.sock_sendall(sock, request)
     return sock
 
 
-async def read_all(sock, part_bytes, pause_s):
+async def read_all(sock, part_bytes, pause_s, body_bytes=BODY_BYTES):
     """Return how many bytes arrive, read part by part."""
     loop = asyncio.get_running_loop()
     total = 0
-    while total < BODY_BYTES:
+    while total < body_bytes:
         data = await loop.sock_recv(sock, part_bytes)
         if not data:
             break
@@ -158,3 +159,23 @@
     assert run(scenario) == (200, 200, 1)
     assert received == [body]
     assert buffered[0] <= 256 * 1024
+
+
+def test_response_that_is_read_does_not_yield_its_place():
+    """Guards against a caller that loses a response because a crowd needs its place."""
+
+    async def scenario():
+        async with (
+            run_server(connections=3) as (server, ended),
+            AsyncExitStack() as stack,
+        ):
+            reader = stack.enter_context(await connect(server.port, GET_AND_CLOSE))
+            reading = asyncio.create_task(read_all(reader, 8_000, 0.1))
+            for _ in range(20):
+                await asyncio.sleep(0.05)
+                stack.enter_context(await connect(server.port, b''))
+            return await reading, ended
+
+    read_bytes, ended = run(scenario)
+    assert read_bytes >= BODY_BYTES
+    assert ended == []
