Let the times after a response begin when it has been written

Callers saw: one that reads steadily but slowly loses the last bytes of a response: 2 s after it was complete in the instance where the connection is closed after it (by the caller's Connection: close, or because the instance leaves), and at the idle limit elsewhere. A request that had run, and may not be repeated, had no answer.

Cause: the time to linger, and that of an idle connection, began when the response was handed to the connection. The check of it spared connections whose writing was paused, that is with more than 8 KB unsent, and aborted all others.

Why this works: while data of the last response is unsent, both times begin anew with each check, and the progress of the caller is watched like that of one whose writing is paused, from the first unsent byte. One that reads nothing is ended after stalled_ms; the limits on memory are as before.

Also tests that callers who read nothing do not keep others out; that test passed before.

--- a/savorychute/http/server_connection.py
+++ b/savorychute/http/server_connection.py
@@ -305,20 +305,36 @@
 
         :param now_ms: the current time of the server.
         """
+        is_between_requests = self._exchange is None and (
+            self._lingering or not self._request_started
+        )
+        if is_between_requests and self.unread_bytes:
+            # The time begins when the whole response has been written.
+            self._set_deadline(
+                self._limits.linger_ms
+                if self._lingering
+                else self._limits.idle_timeout_ms
+            )
+            self._check_progress(now_ms)
+            return
         if self._paused_since_ms is not None:
-            drained_bytes = self._count_drained()
-            if drained_bytes > self._drained_bytes:
-                self._drained_bytes, self._progress_ms = drained_bytes, now_ms
-            elif now_ms - self._progress_ms >= self._limits.stalled_ms:
-                self.end_slow_caller(SlowCallerReason.STALLED)
+            self._check_progress(now_ms)
             return
         if self._exchange is not None or now_ms < self._deadline_ms:
             return
-        if self._lingering or not self._request_started:
+        if is_between_requests:
             self._transport.abort()
             return
         self._refuse(ResultCode.SLOW_CALLER, 'the request did not arrive in time')
 
+    def _check_progress(self, now_ms: int) -> None:
+        """End the connection if its caller has read nothing for too long."""
+        drained_bytes = self._count_drained()
+        if drained_bytes > self._drained_bytes:
+            self._drained_bytes, self._progress_ms = drained_bytes, now_ms
+        elif now_ms - self._progress_ms >= self._limits.stalled_ms:
+            self.end_slow_caller(SlowCallerReason.STALLED)
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress."""
         if self._exchange is None and not self._request_started and not self._lingering:
@@ -474,8 +490,8 @@
         if not data or self._transport.is_closing():
             return
         if not self.unread_bytes:
-            self._unread_since_ms = self._server.now_ms()
-            self._drained_at_start = self._written_bytes
+            self._unread_since_ms = self._progress_ms = self._server.now_ms()
+            self._drained_at_start = self._drained_bytes = self._written_bytes
         self._written_bytes += len(data)
         self._transport.write(data)
         if self.unread_bytes:
--- a/tests/test_crowds/test_crowds_that_send_ahead.py
+++ b/tests/test_crowds/test_crowds_that_send_ahead.py
@@ -63,3 +63,15 @@
         await crowd.stay(4)
 
     play(crowd_of)
+
+
+@pytest.mark.parametrize('connection', ['keep-alive', 'close'])
+def test_callers_that_read_nothing_keep_nobody_out(play, connection):
+    """Guards against places that are held by responses which nobody reads."""
+
+    async def crowd_of(site, crowd):
+        data = encode_request(0, '/a/350000/0', connection=connection)
+        crowd.add(400, partial(send_and_stay, site.caller_port, data))
+        await crowd.stay(3)
+
+    play(crowd_of)
--- a/tests/test_http/test_slow_readers.py
+++ b/tests/test_http/test_slow_readers.py
@@ -6,6 +6,7 @@
 import socket
 from contextlib import AsyncExitStack, asynccontextmanager
 
+import pytest
 from pool_fixture import raw_server, read_head
 
 from savorychute.http.client_pool import PoolSettings, open_pool
@@ -161,6 +162,40 @@
     assert buffered[0] <= 256 * 1024
 
 
+@pytest.mark.parametrize('request_bytes', [GET, GET_AND_CLOSE])
+@pytest.mark.parametrize('size_bytes', range(60_000, 76_000, 2_000))
+def test_deadlines_after_a_response_begin_when_it_was_written(
+    request_bytes, size_bytes
+):
+    """Guards against a response whose last bytes a slow reader does not get.
+
+    They are few enough for the response not to count as paused.
+    """
+
+    async def scenario():
+        limits = {'linger_ms': 500, 'idle_timeout_ms': 500, 'stalled_ms': 5_000}
+        async with run_server(size_bytes, **limits) as (server, ended):
+            with await connect(server.port, request_bytes) as sock:
+                return await read_all(sock, 2_000, 0.4, size_bytes), ended
+
+    read_bytes, ended = run(scenario)
+    assert read_bytes >= size_bytes
+    assert ended == []
+
+
+def test_caller_that_does_not_read_the_end_of_a_response_is_ended():
+    """Guards against a connection that stays for ever for the sake of its last bytes."""
+
+    async def scenario():
+        limits = {'linger_ms': 500, 'stalled_ms': 1_000}
+        async with run_server(70_000, **limits) as (server, _):
+            with await connect(server.port, GET_AND_CLOSE):
+                await asyncio.sleep(10)
+                return server.open_connections
+
+    assert run(scenario) == 0
+
+
 def test_response_that_is_read_does_not_yield_its_place():
     """Guards against a caller that loses a response because a crowd needs its place."""
 
